--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of nutmeglift."""
--- /dev/null
+++ b/packages/nutmeglift/nutmeglift/__init__.py
@@ -0,0 +1,3 @@
+"""Decisions and shared types of the nutmeglift router."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/packages/nutmeglift/nutmeglift/declaration.py
@@ -0,0 +1,356 @@
+"""The operators' declaration: a directory of YAML files, taken as a whole."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import hashlib
+import pathlib
+from typing import Any
+
+import cbor2
+import pydantic
+import yaml
+
+from nutmeglift import errors
+from nutmeglift import ids
+from nutmeglift import settings
+
+
+class Version(settings.Section):
+    """A version of a model.
+
+    Attributes:
+        id: its name.
+        adapters: adapters that exist for it.
+    """
+
+    id: ids.VersionId
+    adapters: tuple[ids.AdapterId, ...] = ()
+
+
+class Model(settings.Section):
+    """A model, split by layer.
+
+    Attributes:
+        id: its name.
+        layers: number of layers.
+        layer_bytes: memory of one layer's weights.
+        hidden_bytes: size of one position's hidden state.
+        versions: its versions.
+    """
+
+    id: ids.ModelId
+    layers: int = pydantic.Field(gt=0)
+    layer_bytes: int = pydantic.Field(default=1, gt=0)
+    hidden_bytes: int = pydantic.Field(default=8, gt=0)
+    versions: tuple[Version, ...] = pydantic.Field(min_length=1)
+
+
+class Route(settings.Section):
+    """A name that callers use as the model's name.
+
+    Attributes:
+        id: the name.
+        model: the model.
+        version: its version.
+        adapter: adapter to apply.
+        deadline_seconds: longest useful time to the last token; 0 for none.
+        demand: share of the fleet's work expected on this route, relative.
+    """
+
+    id: ids.RouteId
+    model: ids.ModelId
+    version: ids.VersionId
+    adapter: ids.AdapterId | None = None
+    deadline_seconds: float = pydantic.Field(default=0.0, ge=0)
+    demand: float = pydantic.Field(default=1.0, ge=0)
+
+
+class ClientAccount(settings.Section):
+    """A customer.
+
+    Attributes:
+        id: its name.
+        token_sha256: hashes of its tokens.
+        priority: higher goes first.
+        weight: share among accounts of the same priority.
+        requests_per_second: limit over all routers; 0 for none.
+        tokens_per_second: limit over all routers; 0 for none.
+        routes: routes that it may use; empty for all.
+        services: services that it may use; empty for all.
+    """
+
+    id: ids.AccountId
+    token_sha256: tuple[ids.Digest, ...] = ()
+    priority: int = pydantic.Field(default=0, ge=0, le=9)
+    weight: float = pydantic.Field(default=1.0, gt=0)
+    requests_per_second: float = pydantic.Field(default=0.0, ge=0)
+    tokens_per_second: float = pydantic.Field(default=0.0, ge=0)
+    routes: tuple[ids.RouteId, ...] = ()
+    services: tuple[ids.ServiceId, ...] = ()
+
+
+class Operator(settings.Section):
+    """A person who may run the operators' commands."""
+
+    id: str
+    token_sha256: tuple[ids.Digest, ...] = ()
+
+
+class Call(settings.Section):
+    """A call of a plain service.
+
+    Attributes:
+        method: HTTP method.
+        path: path; a trailing "*" stands for any rest.
+        idempotent: whether it may be repeated.
+        timeout_seconds: longest wait for the backend server.
+    """
+
+    method: str = pydantic.Field(pattern="^(GET|HEAD|PUT|POST|PATCH|DELETE)$")
+    path: str = pydantic.Field(pattern="^/")
+    idempotent: bool
+    timeout_seconds: float = pydantic.Field(default=30.0, gt=0)
+
+
+class Service(settings.Section):
+    """A plain service beside the model engines.
+
+    Attributes:
+        id: its name.
+        calls: the calls that may be made; any other is refused.
+        key_retention_seconds: how long an idempotency key's outcome is kept.
+    """
+
+    id: ids.ServiceId
+    calls: tuple[Call, ...] = pydantic.Field(min_length=1)
+    key_retention_seconds: float = pydantic.Field(default=86400.0, gt=0)
+
+
+class BackendClass(settings.Section):
+    """Traits of a kind of backend server.
+
+    Attributes:
+        id: its name, as in the VM list.
+        service: the plain service that it runs; None for a model runner.
+        layer_positions_per_second: speed: layers times positions a second.
+        memory_bytes: memory for weights.
+        checks_fencing_number: whether it refuses an old fencing number.
+    """
+
+    id: str
+    service: ids.ServiceId | None = None
+    layer_positions_per_second: float = pydantic.Field(default=1.0, gt=0)
+    memory_bytes: int = pydantic.Field(default=1, gt=0)
+    checks_fencing_number: bool = False
+
+
+class DomainLink(settings.Section):
+    """Connection between two failure domains, or within one.
+
+    Attributes:
+        between: the two failure domains.
+        bytes_per_second: bandwidth of one runner's share of it.
+        latency_seconds: one-way delay.
+    """
+
+    between: tuple[ids.FailureDomain, ids.FailureDomain]
+    bytes_per_second: float = pydantic.Field(gt=0)
+    latency_seconds: float = pydantic.Field(ge=0)
+
+
+class Declaration(settings.Section):
+    """A whole declaration set."""
+
+    models: tuple[Model, ...] = ()
+    routes: tuple[Route, ...] = ()
+    client_accounts: tuple[ClientAccount, ...] = ()
+    operators: tuple[Operator, ...] = ()
+    services: tuple[Service, ...] = ()
+    backend_classes: tuple[BackendClass, ...] = ()
+    links: tuple[DomainLink, ...] = ()
+
+    def canonical_bytes(self) -> bytes:
+        """Returns the same bytes for every writing of the same set."""
+        return cbor2.dumps(self.model_dump(mode="json"), canonical=True)
+
+    def digest(self) -> ids.Digest:
+        """Returns the digest of the canonical bytes."""
+        return ids.Digest(hashlib.sha256(self.canonical_bytes()).hexdigest())
+
+
+def from_canonical_bytes(body: bytes) -> Declaration:
+    """Reads what canonical_bytes wrote."""
+    return Declaration.model_validate(cbor2.loads(body))
+
+
+def load(directory: pathlib.Path) -> Declaration:
+    """Reads and checks a directory of YAML files as one set.
+
+    Args:
+        directory: every *.yaml and *.yml file in it belongs to the set; the
+            lists of the same name are joined.
+
+    Raises:
+        errors.DeclarationError: with every problem found, each with its file
+            and line.
+    """
+    if not directory.is_dir():
+        raise errors.DeclarationError([f"{directory}: not a directory"])
+    paths = sorted(
+        p for p in directory.iterdir() if p.suffix in {".yaml", ".yml"}
+    )
+    if not paths:
+        raise errors.DeclarationError([f"{directory}: holds no YAML file"])
+    return _Reader().read(paths)
+
+
+class _Reader:
+    """Joins files and keeps where each entry stands."""
+
+    def __init__(self) -> None:
+        self.problems: list[str] = []
+        self.joined: dict[str, list[Any]] = {}
+        self.place_by_entry: dict[tuple[str, int], str] = {}
+
+    def read(self, paths: Iterable[pathlib.Path]) -> Declaration:
+        for path in paths:
+            self._read_file(path)
+        if self.problems:
+            raise errors.DeclarationError(self.problems)
+        try:
+            declaration = Declaration.model_validate(self.joined)
+        except pydantic.ValidationError as error:
+            raise errors.DeclarationError(self._locate(error)) from error
+        problems = [
+            f"{self._place(section, index)}: {text}"
+            for section, index, text in find_problems(declaration)
+        ]
+        if problems:
+            raise errors.DeclarationError(problems)
+        return declaration
+
+    def _read_file(self, path: pathlib.Path) -> None:
+        try:
+            text = path.read_text(encoding="utf-8")
+            node = yaml.compose(text, Loader=yaml.SafeLoader)
+            value = yaml.safe_load(text)
+        except (yaml.YAMLError, UnicodeDecodeError, ValueError) as error:
+            line = " ".join(str(error).split())
+            self.problems.append(f"{path}: {line}")
+            return
+        if value is None:
+            return
+        if not isinstance(node, yaml.MappingNode):
+            self.problems.append(f"{path}:1: must be a mapping of sections")
+            return
+        for key_node, value_node in node.value:
+            self._read_section(path, key_node, value_node, value)
+
+    def _read_section(
+        self,
+        path: pathlib.Path,
+        key_node: yaml.Node,
+        value_node: yaml.Node,
+        value: Mapping[str, Any],
+    ) -> None:
+        section = str(key_node.value)
+        line = key_node.start_mark.line + 1
+        if section not in Declaration.model_fields:
+            known = ", ".join(sorted(Declaration.model_fields))
+            self.problems.append(
+                f"{path}:{line}: unknown section {section!r}; known: {known}"
+            )
+            return
+        if not isinstance(value_node, yaml.SequenceNode):
+            self.problems.append(f"{path}:{line}: {section} must be a list")
+            return
+        entries = self.joined.setdefault(section, [])
+        for entry_node, entry in zip(
+            value_node.value, value[section], strict=True
+        ):
+            place = f"{path}:{entry_node.start_mark.line + 1}"
+            self.place_by_entry[(section, len(entries))] = place
+            entries.append(entry)
+
+    def _locate(self, error: pydantic.ValidationError) -> list[str]:
+        lines = []
+        for problem in error.errors(include_url=False, include_input=False):
+            section, *rest = problem["loc"]
+            index = rest[0] if rest and isinstance(rest[0], int) else 0
+            key = ".".join(str(part) for part in problem["loc"])
+            place = self._place(str(section), index)
+            lines.append(f"{place}: {key}: {problem['msg']}")
+        return lines
+
+    def _place(self, section: str, index: int) -> str:
+        return self.place_by_entry.get((section, index), section)
+
+
+Problem = tuple[str, int, str]
+"""Section, index of the entry, and what is wrong."""
+
+
+def find_problems(declaration: Declaration) -> list[Problem]:
+    """Returns what is wrong between the entries of a set."""
+    problems: list[Problem] = []
+    for section in ("models", "routes", "client_accounts", "operators"):
+        problems += _find_duplicates(section, getattr(declaration, section))
+    for section in ("services", "backend_classes"):
+        problems += _find_duplicates(section, getattr(declaration, section))
+    problems += _find_bad_routes(declaration)
+    problems += _find_bad_references(declaration)
+    return problems
+
+
+def _find_duplicates(section: str, entries: Iterable[Any]) -> list[Problem]:
+    seen: set[str] = set()
+    problems = []
+    for index, entry in enumerate(entries):
+        if entry.id in seen:
+            problems.append((section, index, f"{entry.id!r} stands twice"))
+        seen.add(entry.id)
+    return problems
+
+
+def _find_bad_routes(declaration: Declaration) -> list[Problem]:
+    model_by_id = {model.id: model for model in declaration.models}
+    problems: list[Problem] = []
+    for index, route in enumerate(declaration.routes):
+        model = model_by_id.get(route.model)
+        if model is None:
+            problems.append(
+                ("routes", index, f"no model is named {route.model!r}")
+            )
+            continue
+        version_by_id = {version.id: version for version in model.versions}
+        version = version_by_id.get(route.version)
+        if version is None:
+            problems.append(
+                ("routes", index, f"no version is named {route.version!r}")
+            )
+            continue
+        if route.adapter and route.adapter not in version.adapters:
+            problems.append(
+                ("routes", index, f"no adapter is named {route.adapter!r}")
+            )
+    return problems
+
+
+def _find_bad_references(declaration: Declaration) -> list[Problem]:
+    routes = {route.id for route in declaration.routes}
+    services = {service.id for service in declaration.services}
+    problems: list[Problem] = []
+    for index, account in enumerate(declaration.client_accounts):
+        for route in account.routes:
+            if route not in routes:
+                text = f"no route is named {route!r}"
+                problems.append(("client_accounts", index, text))
+        for service in account.services:
+            if service not in services:
+                text = f"no service is named {service!r}"
+                problems.append(("client_accounts", index, text))
+    for index, backend_class in enumerate(declaration.backend_classes):
+        if backend_class.service and backend_class.service not in services:
+            text = f"no service is named {backend_class.service!r}"
+            problems.append(("backend_classes", index, text))
+    return problems
--- /dev/null
+++ b/packages/nutmeglift/nutmeglift/streams.py
@@ -0,0 +1,159 @@
+"""Order of positions, tokens and frames: each once, none left out."""
+
+import collections
+import dataclasses
+import enum
+
+from nutmeglift import errors
+from nutmeglift import ids
+from nutmeglift import messages
+from nutmeglift import states
+
+
+class Arrival(enum.Enum):
+    """How an arrival fits what came before."""
+
+    NEXT = "next"
+    DUPLICATE = "duplicate"
+    GAP = "gap"
+    OLD_ATTEMPT = "old_attempt"
+
+
+@dataclasses.dataclass(frozen=True)
+class Accepted:
+    """Verdict on consecutive positions.
+
+    Attributes:
+        arrival: how they fit.
+        skip: how many of the first ones were seen before.
+    """
+
+    arrival: Arrival
+    skip: int = 0
+
+
+class PositionGate:
+    """Lets each position of one stage of one attempt through once, in order.
+
+    Attributes:
+        next_position: the only position that may come next.
+    """
+
+    def __init__(self, next_position: int = 0) -> None:
+        self.next_position = next_position
+
+    def accept(self, position: int, count: int) -> Accepted:
+        """Judges `count` positions from `position` on."""
+        if position > self.next_position:
+            return Accepted(Arrival.GAP)
+        skip = self.next_position - position
+        if skip >= count:
+            return Accepted(Arrival.DUPLICATE, count)
+        self.next_position = position + count
+        return Accepted(Arrival.NEXT, skip)
+
+
+@dataclasses.dataclass(frozen=True)
+class Release:
+    """What a caller gets next.
+
+    Attributes:
+        arrival: how the tokens fit.
+        texts: texts to pass on, in order.
+        finish: why the stream ended, if it did.
+    """
+
+    arrival: Arrival
+    texts: tuple[str, ...] = ()
+    finish: states.FinishReason | None = None
+
+
+class TokenGate:
+    """Releases each token of a request to its caller once, in order.
+
+    Attributes:
+        attempt: the only attempt whose tokens count.
+        tokens: tokens released so far.
+        finished: whether the stream has ended.
+    """
+
+    def __init__(self, attempt: ids.Attempt) -> None:
+        self.attempt = attempt
+        self.tokens: list[int] = []
+        self.finished = False
+
+    def accept(self, item: messages.TokenItem) -> Release:
+        """Judges tokens from an agent."""
+        if item.attempt != self.attempt or self.finished:
+            return Release(Arrival.OLD_ATTEMPT)
+        count = len(item.tokens)
+        if item.sequence > len(self.tokens):
+            return Release(Arrival.GAP)
+        skip = len(self.tokens) - item.sequence
+        if skip >= count and item.finish is None:
+            return Release(Arrival.DUPLICATE)
+        self.tokens.extend(item.tokens[skip:])
+        self.finished = item.finish is not None
+        return Release(Arrival.NEXT, item.texts[skip:], item.finish)
+
+    def restart(self, attempt: ids.Attempt) -> None:
+        """Makes a higher attempt the one that counts."""
+        if attempt <= self.attempt:
+            raise ValueError(f"attempt {attempt} is not after {self.attempt}")
+        self.attempt = attempt
+
+
+class FrameOutbox:
+    """Numbers token frames and keeps those not acknowledged.
+
+    Attributes:
+        sequence: sequence of the last frame made.
+    """
+
+    def __init__(self, max_frames: int) -> None:
+        self.sequence = 0
+        self._max_frames = max_frames
+        self._kept: collections.deque[messages.TokenFrame] = collections.deque()
+
+    def add(self, items: tuple[messages.TokenItem, ...]) -> messages.TokenFrame:
+        """Makes the next frame.
+
+        Raises:
+            errors.LinkClosedError: too many frames wait for the peer.
+        """
+        if len(self._kept) >= self._max_frames:
+            raise errors.LinkClosedError("too many frames not acknowledged")
+        self.sequence += 1
+        frame = messages.TokenFrame(self.sequence, items)
+        self._kept.append(frame)
+        return frame
+
+    def acknowledge(self, sequence: int) -> None:
+        """Forgets the frames up to a sequence."""
+        while self._kept and self._kept[0].sequence <= sequence:
+            self._kept.popleft()
+
+    def resume(self, sequence: int) -> list[messages.TokenFrame]:
+        """Returns the frames after the last one that the peer has."""
+        self.acknowledge(sequence)
+        return list(self._kept)
+
+
+class FrameInbox:
+    """Lets each token frame of one agent incarnation through once.
+
+    Attributes:
+        sequence: sequence of the last frame let through.
+    """
+
+    def __init__(self) -> None:
+        self.sequence = 0
+
+    def accept(self, sequence: int) -> Arrival:
+        """Judges a frame."""
+        if sequence <= self.sequence:
+            return Arrival.DUPLICATE
+        if sequence > self.sequence + 1:
+            return Arrival.GAP
+        self.sequence = sequence
+        return Arrival.NEXT
--- /dev/null
+++ b/packages/nutmeglift_agent/nutmeglift_agent/__init__.py
@@ -0,0 +1,1 @@
+"""The process beside each backend server."""
--- /dev/null
+++ b/packages/nutmeglift_agent/nutmeglift_agent/agent.py
@@ -0,0 +1,341 @@
+"""One agent: the only party that gives its backend server work."""
+
+import asyncio
+from collections.abc import Coroutine
+import logging
+from typing import Any
+
+from nutmeglift import backend
+from nutmeglift import drain
+from nutmeglift import engine as engines
+from nutmeglift import errors
+from nutmeglift import ids
+from nutmeglift import messages
+from nutmeglift import settings
+from nutmeglift import states
+from nutmeglift import streams
+from nutmeglift_agent import peers
+from nutmeglift_agent import plain_work
+from nutmeglift_agent import stage_work
+from nutmeglift_wire import clock as clocks
+from nutmeglift_wire import link as links
+from nutmeglift_wire import metrics as metric
+from nutmeglift_wire import session as sessions
+
+MAX_UNACKNOWLEDGED_FRAMES = 8192
+
+_logger = logging.getLogger(__name__)
+
+
+class _RouterPort:
+    """What this agent keeps for one incarnation of a router."""
+
+    def __init__(self, incarnation: ids.Incarnation) -> None:
+        self.incarnation = incarnation
+        self.outbox = streams.FrameOutbox(MAX_UNACKNOWLEDGED_FRAMES)
+        self.session: sessions.Session | None = None
+
+
+class Agent:
+    """Serves routers and other agents.
+
+    Attributes:
+        drain: how far it is on its way out.
+        incarnation: differs for every start.
+    """
+
+    def __init__(
+        self,
+        own: settings.AgentSettings,
+        *,
+        incarnation: ids.Incarnation,
+        clock: clocks.BaseClock,
+        dialer: links.BaseDialer,
+        metrics: metric.BaseMetrics,
+        engine: engines.BaseEngine | None = None,
+        service: backend.BasePlainBackend | None = None,
+    ) -> None:
+        self.drain = drain.Drain()
+        self.incarnation = incarnation
+        self._own = own
+        self._clock = clock
+        self._metrics = metrics
+        self._engine = engine
+        self._key = own.shared_key.get_secret_value().encode()
+        self._generation = ids.Generation(0)
+        self._load: messages.LoadReport | None = None
+        self._port_by_router: dict[ids.VmId, _RouterPort] = {}
+        self._peers = peers.Peers(dialer, self._open_peer, self._lose_peer)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._stages: stage_work.StageWork | None = None
+        self._plain: plain_work.PlainWork | None = None
+        if engine is not None:
+            self._stages = stage_work.StageWork(
+                own.vm,
+                engine,
+                metrics,
+                post_to_agent=self._post_to_agent,
+                post_to_router=self._post_to_router,
+                post_tokens=self._post_tokens,
+            )
+        if service is not None:
+            self._plain = plain_work.PlainWork(incarnation, service)
+
+    def start(self) -> None:
+        """Starts the loops."""
+        if self._stages is not None:
+            self._spawn(self._stages.run())
+        if self._engine is not None:
+            self._spawn(self._poll_engine(self._engine))
+
+    async def stop(self) -> None:
+        """Ends everything at once."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._peers.stop()
+
+    async def leave(self) -> None:
+        """Refuses new work, says so, and waits for the work in flight."""
+        self.drain.begin()
+        self._broadcast(messages.Leaving())
+        while self._stages is not None and self._stages.in_flight:
+            await self._clock.sleep(self._own.bounds.heartbeat_seconds / 10)
+        while self.drain.in_flight:
+            await self._clock.sleep(self._own.bounds.heartbeat_seconds / 10)
+
+    async def serve_link(self, link: links.BaseLink) -> None:
+        """Serves a connection that a router or another agent opened."""
+        try:
+            peer = await asyncio.wait_for(
+                sessions.shake_hands_as_listener(
+                    link, self._key, self._make_answer
+                ),
+                sessions.HANDSHAKE_TIMEOUT_SECONDS,
+            )
+        except (errors.NutmegError, TimeoutError) as error:
+            self._metrics.count("link.refused")
+            _logger.warning("connection refused", extra={"reason": str(error)})
+            await link.close()
+            return
+        session = self._make_session(link, peer)
+        if peer.role is states.ProcessRole.ROUTER:
+            self._attach_router(session)
+        reason = await session.run()
+        self._metrics.count("link.closed")
+        _logger.info(
+            "connection ended",
+            extra={"peer": peer.vm, "reason": reason.detail},
+        )
+        if peer.role is states.ProcessRole.ROUTER:
+            await self._detach_router(session)
+
+    def _hello(self) -> messages.Hello:
+        return messages.Hello(
+            messages.PROTOCOL_VERSION,
+            states.ProcessRole.AGENT,
+            self._own.vm,
+            self.incarnation,
+            self._own.failure_domain,
+            self._generation,
+            not self.drain.accepts_work,
+        )
+
+    def _make_answer(self, peer: messages.Hello) -> messages.Hello:
+        return self._hello()
+
+    def _make_heartbeat(self, sequence: int) -> messages.Heartbeat:
+        return messages.Heartbeat(
+            sequence,
+            self._generation,
+            not self.drain.accepts_work,
+            load=self._load,
+        )
+
+    def _make_session(
+        self, link: links.BaseLink, peer: messages.Hello
+    ) -> sessions.Session:
+        return sessions.Session(
+            link,
+            peer,
+            clock=self._clock,
+            bounds=self._own.bounds,
+            handler=self._handle,
+            make_heartbeat=self._make_heartbeat,
+        )
+
+    async def _open_peer(self, link: links.BaseLink) -> sessions.Session:
+        peer = await sessions.shake_hands_as_dialer(
+            link, self._key, self._hello()
+        )
+        return self._make_session(link, peer)
+
+    def _lose_peer(self, address: str, reason: errors.NutmegError) -> None:
+        if self._stages is not None:
+            self._stages.lose_peer(address, reason)
+
+    def _attach_router(self, session: sessions.Session) -> None:
+        peer = session.peer
+        port = self._port_by_router.get(peer.vm)
+        if port is None or port.incarnation != peer.incarnation:
+            if port is not None and self._stages is not None:
+                self._stages.lose_router(peer.vm)
+            port = _RouterPort(peer.incarnation)
+            self._port_by_router[peer.vm] = port
+        port.session = session
+        for frame in port.outbox.resume(peer.resume):
+            session.post(frame)
+
+    async def _detach_router(self, session: sessions.Session) -> None:
+        port = self._port_by_router.get(session.peer.vm)
+        if port is None or port.session is not session:
+            return
+        port.session = None
+        await self._clock.sleep(2 * self._own.bounds.silence_seconds)
+        if port.session is not None:
+            return
+        if self._port_by_router.get(session.peer.vm) is port:
+            del self._port_by_router[session.peer.vm]
+            if self._stages is not None:
+                self._stages.lose_router(session.peer.vm)
+
+    def _handle(
+        self, session: sessions.Session, message: messages.AnyMessage
+    ) -> None:
+        match message:
+            case messages.Heartbeat(generation=generation):
+                self._generation = max(self._generation, generation)
+            case messages.FrameAcknowledged(sequence):
+                port = self._port_by_router.get(session.peer.vm)
+                if port is not None:
+                    port.outbox.acknowledge(sequence)
+            case messages.PlainCall():
+                self._spawn(self._call_plain(session, message))
+            case messages.AttemptQuery():
+                if self._plain is not None:
+                    session.post(self._plain.query(message))
+            case messages.StartAttempt():
+                self._start_attempt(session, message)
+            case _:
+                self._handle_stage(message)
+
+    def _handle_stage(self, message: messages.AnyMessage) -> None:
+        if self._stages is None:
+            return
+        match message:
+            case messages.OpenStage():
+                self._stages.open_stage(message)
+            case messages.HopFrame(hops):
+                for hop in hops:
+                    self._stages.take_hop(hop)
+            case messages.NextTokenFrame(tokens):
+                for token in tokens:
+                    self._stages.take_token(token)
+            case messages.CancelAttempt(request, attempt):
+                self._stages.cancel(request, attempt)
+            case _:
+                self._metrics.count("message.unexpected")
+
+    def _start_attempt(
+        self, session: sessions.Session, start: messages.StartAttempt
+    ) -> None:
+        stage = start.pipeline.stages[0]
+        if self._stages is None or stage.incarnation != self.incarnation:
+            self._refuse(session, start, errors.ErrorKind.NO_BACKEND)
+            return
+        if not self.drain.accepts_work:
+            self._refuse(session, start, errors.ErrorKind.DRAINING)
+            return
+        self._stages.start(start)
+
+    def _refuse(
+        self,
+        session: sessions.Session,
+        start: messages.StartAttempt,
+        kind: errors.ErrorKind,
+    ) -> None:
+        session.post(
+            messages.AttemptFailed(
+                start.request,
+                start.attempt,
+                kind,
+                "refused by the first stage",
+                states.Ran.NOT_RUN,
+                self._own.vm,
+            )
+        )
+
+    async def _call_plain(
+        self, session: sessions.Session, call: messages.PlainCall
+    ) -> None:
+        if self._plain is None or not self.drain.accepts_work:
+            session.post(
+                messages.PlainOutcome(
+                    call.request,
+                    call.attempt,
+                    states.Ran.NOT_RUN,
+                    kind=errors.ErrorKind.DRAINING,
+                    detail="refused by the agent",
+                )
+            )
+            return
+        self.drain.enter()
+        try:
+            outcome = await self._plain.call(call)
+        finally:
+            self.drain.leave()
+        if outcome is not None:
+            self._post_to_router(session.peer.vm, outcome)
+
+    def _post_to_agent(
+        self, address: str, message: messages.AnyMessage
+    ) -> None:
+        if address == self._own.listen:
+            self._handle_stage(message)
+            return
+        self._peers.post(address, message)
+
+    def _post_to_router(
+        self, router: ids.VmId, message: messages.AnyMessage
+    ) -> None:
+        port = self._port_by_router.get(router)
+        if port is None or port.session is None:
+            self._metrics.count("router.missing")
+            return
+        port.session.post(message)
+
+    def _post_tokens(
+        self, router: ids.VmId, items: list[messages.TokenItem]
+    ) -> None:
+        port = self._port_by_router.get(router)
+        if port is None:
+            self._metrics.count("router.missing")
+            return
+        frame = port.outbox.add(tuple(items))
+        if port.session is not None:
+            port.session.post(frame)
+
+    def _broadcast(self, message: messages.AnyMessage) -> None:
+        for port in self._port_by_router.values():
+            if port.session is not None:
+                port.session.post(message)
+
+    async def _poll_engine(self, engine: engines.BaseEngine) -> None:
+        cache_sequence = 0
+        while True:
+            try:
+                self._load = await engine.load()
+                events = await engine.cache_events(cache_sequence)
+            except errors.NutmegError:
+                self._metrics.count("engine.poll_failed")
+                self._load = None
+            else:
+                if events.events:
+                    cache_sequence = events.first + len(events.events) - 1
+                    self._broadcast(events)
+            await self._clock.sleep(self._own.bounds.heartbeat_seconds)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/packages/nutmeglift_agent/nutmeglift_agent/cli.py
@@ -0,0 +1,76 @@
+"""The command line of nutmeglift-agent."""
+
+import asyncio
+import pathlib
+import secrets
+import signal
+
+import fire
+
+import nutmeglift
+from nutmeglift import ids
+from nutmeglift import settings
+from nutmeglift_agent import agent as agents
+from nutmeglift_agent import http_backend
+from nutmeglift_agent import http_engine
+from nutmeglift_wire import clock
+from nutmeglift_wire import exit_codes
+from nutmeglift_wire import logs
+from nutmeglift_wire import metrics
+from nutmeglift_wire import websocket_link
+
+INCARNATION_BYTES = 8
+
+
+async def serve_agent(own: settings.AgentSettings, *, plain: bool) -> None:
+    """Runs an agent until it is told to leave by SIGTERM or SIGINT."""
+    engine = None if plain else http_engine.HttpEngine(own.backend, 30.0)
+    service = http_backend.HttpPlainBackend(own.backend) if plain else None
+    agent = agents.Agent(
+        own,
+        incarnation=ids.Incarnation(secrets.token_hex(INCARNATION_BYTES)),
+        clock=clock.LoopClock(),
+        dialer=websocket_link.WebsocketDialer(),
+        metrics=metrics.make(own.platform.statsd, f"nutmeglift.{own.vm}"),
+        engine=engine,
+        service=service,
+    )
+    agent.start()
+    listener = websocket_link.WebsocketListener(agent.serve_link)
+    await listener.start(own.listen)
+    leave = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, leave.set)
+    await leave.wait()
+    await agent.leave()
+    await listener.stop()
+    await agent.stop()
+
+
+class Commands:
+    """nutmeglift-agent: the process beside a backend server."""
+
+    def serve(self, settings_file: str, plain: bool = False) -> None:
+        """Runs the agent.
+
+        Args:
+            settings_file: YAML file with this process's settings.
+            plain: the backend server is a plain service, no model runner.
+        """
+        path = pathlib.Path(settings_file)
+        own = settings.load(path, settings.AgentSettings)
+        logs.set_up(own.vm)
+        asyncio.run(serve_agent(own, plain=plain))
+
+
+def main() -> None:
+    """Entry point."""
+    exit_codes.run(
+        lambda: fire.Fire(Commands, name="nutmeglift-agent"),
+        f"nutmeglift-agent {nutmeglift.__version__}",
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/nutmeglift_agent/nutmeglift_agent/http_backend.py
@@ -0,0 +1,46 @@
+"""Calls a plain service over HTTP, each call at most once."""
+
+from nutmeglift import backend
+from nutmeglift import errors
+from nutmeglift_wire import http_client
+
+
+class HttpPlainBackend(backend.BasePlainBackend):
+    """Opens a connection for each call, so that none is ever sent again.
+
+    The HTTP client repeats GET, PUT and DELETE by itself when a kept
+    connection drops; a fresh connection is never kept, so it never does.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+
+    async def call(
+        self, request: backend.PlainRequest, timeout: float
+    ) -> backend.PlainAnswer:
+        """Sends a call at most once."""
+        client = http_client.make(1)
+        headers = dict(request.headers) | {"connection": "close"}
+        try:
+            response = await client.request(
+                f"http://{self._address}{request.path}",
+                method=request.method,
+                data=request.body or None,
+                headers=headers,
+                timeouts=http_client.within(timeout),
+            )
+            body = await response.content()
+        except http_client.NOT_SENT_ERRORS as error:
+            raise errors.RefusedError(
+                f"plain service: {error!r}", kind=errors.ErrorKind.NO_BACKEND
+            ) from error
+        except http_client.ERRORS as error:
+            raise errors.OutcomeUnknownError(
+                f"plain service: {error!r}"
+            ) from error
+        finally:
+            await client.aclose()
+        content_type = response.headers.get("content-type", "text/plain")
+        return backend.PlainAnswer(
+            response.status_code, (("content-type", content_type),), bytes(body)
+        )
--- /dev/null
+++ b/packages/nutmeglift_agent/nutmeglift_agent/http_engine.py
@@ -0,0 +1,82 @@
+"""Client of the model engine's HTTP interface."""
+
+from typing import TypeVar
+
+import msgspec
+
+from nutmeglift import engine
+from nutmeglift import errors
+from nutmeglift import messages
+from nutmeglift_wire import http_client
+
+POOL_SIZE = 8
+HTTP_OK = 200
+HTTP_CONFLICT = 409
+
+S = TypeVar("S", bound=msgspec.Struct)
+
+
+class HttpEngine(engine.BaseEngine):
+    """Calls the engine over HTTP with CBOR bodies."""
+
+    def __init__(self, address: str, timeout: float) -> None:
+        self._address = address
+        self._timeout = timeout
+        self._client = http_client.make(POOL_SIZE)
+
+    async def step(
+        self, items: tuple[engine.StepItem, ...]
+    ) -> tuple[engine.StepResult, ...]:
+        """Runs one batch."""
+        body = messages.encode(engine.StepRequest(items))
+        answer = await self._post("/v1/step", body)
+        return messages.decode_as(answer, engine.StepResponse).results
+
+    async def release(self, sequence: str) -> None:
+        """Cancels a sequence."""
+        await self._post(f"/v1/release/{sequence}", b"")
+
+    async def load(self) -> messages.LoadReport:
+        """Returns the engine's last published load."""
+        answer = await self._post("/v1/load", b"")
+        return messages.decode_as(answer, messages.LoadReport)
+
+    async def cache_events(self, after: int) -> messages.CacheEvents:
+        """Returns the cache events after a sequence number."""
+        answer = await self._post(f"/v1/cache-events/{after}", b"")
+        return messages.decode_as(answer, messages.CacheEvents)
+
+    async def order(self, order: messages.Order) -> None:
+        """Gives the engine an order."""
+        await self._post("/v1/order", messages.encode(order))
+
+    async def export_cache(self, sequence: str) -> bytes:
+        """Returns a sequence's KV cache."""
+        return await self._post(f"/v1/cache/export/{sequence}", b"")
+
+    async def import_cache(self, sequence: str, body: bytes) -> None:
+        """Installs an exported KV cache."""
+        await self._post(f"/v1/cache/import/{sequence}", body)
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._client.aclose()
+
+    async def _post(self, path: str, body: bytes) -> bytes:
+        try:
+            response = await self._client.post(
+                f"http://{self._address}{path}",
+                data=body,
+                headers={"content-type": "application/cbor"},
+                timeouts=http_client.within(self._timeout),
+            )
+            content = await response.content()
+        except http_client.ERRORS as error:
+            raise errors.StageFailedError(f"engine: {error!r}") from error
+        if response.status_code == HTTP_CONFLICT:
+            raise errors.StaleFencingNumberError(content.decode())
+        if response.status_code != HTTP_OK:
+            raise errors.StageFailedError(
+                f"engine: HTTP {response.status_code}"
+            )
+        return bytes(content)
--- /dev/null
+++ b/packages/nutmeglift_agent/nutmeglift_agent/peers.py
@@ -0,0 +1,105 @@
+"""An agent's connections: to routers, and to other stages' agents."""
+
+import asyncio
+import collections
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from nutmeglift import errors
+from nutmeglift import messages
+from nutmeglift_wire import link as links
+from nutmeglift_wire import session as sessions
+
+MAX_WAITING_MESSAGES = 4096
+
+Opener = Callable[[links.BaseLink], Awaitable[sessions.Session]]
+LostListener = Callable[[str, errors.NutmegError], None]
+
+
+class Peer:
+    """A connection to another agent, opened when first needed."""
+
+    def __init__(
+        self,
+        address: str,
+        dialer: links.BaseDialer,
+        open_session: Opener,
+        on_lost: LostListener,
+    ) -> None:
+        self._address = address
+        self._dialer = dialer
+        self._open_session = open_session
+        self._on_lost = on_lost
+        self._waiting: collections.deque[messages.AnyMessage] = (
+            collections.deque()
+        )
+        self._session: sessions.Session | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    def post(self, message: messages.AnyMessage) -> None:
+        """Sends a message, opening the connection where needed."""
+        if self._session is not None and self._session.post(message):
+            return
+        if len(self._waiting) >= MAX_WAITING_MESSAGES:
+            self._on_lost(
+                self._address, errors.LinkClosedError("too many wait")
+            )
+            return
+        self._waiting.append(message)
+        if self._task is None or self._task.done():
+            self._task = asyncio.ensure_future(self._run())
+
+    async def stop(self) -> None:
+        """Closes the connection."""
+        if self._task is None:
+            return
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        try:
+            link = await self._dialer.dial(self._address)
+            session = await self._open_session(link)
+        except errors.NutmegError as error:
+            self._lose(error)
+            return
+        self._session = session
+        while self._waiting:
+            session.post(self._waiting.popleft())
+        reason = await session.run()
+        self._lose(reason)
+
+    def _lose(self, reason: errors.NutmegError) -> None:
+        self._session = None
+        self._waiting.clear()
+        self._on_lost(self._address, reason)
+
+
+class Peers:
+    """All peers by address."""
+
+    def __init__(
+        self,
+        dialer: links.BaseDialer,
+        open_session: Opener,
+        on_lost: LostListener,
+    ) -> None:
+        self._dialer = dialer
+        self._open_session = open_session
+        self._on_lost = on_lost
+        self._peer_by_address: dict[str, Peer] = {}
+
+    def post(self, address: str, message: messages.AnyMessage) -> None:
+        """Sends a message to the agent at an address."""
+        peer = self._peer_by_address.get(address)
+        if peer is None:
+            peer = Peer(
+                address, self._dialer, self._open_session, self._on_lost
+            )
+            self._peer_by_address[address] = peer
+        peer.post(message)
+
+    async def stop(self) -> None:
+        """Closes all connections."""
+        for peer in self._peer_by_address.values():
+            await peer.stop()
--- /dev/null
+++ b/packages/nutmeglift_fakes/nutmeglift_fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and the backend servers."""
--- /dev/null
+++ b/packages/nutmeglift_router/nutmeglift_router/__init__.py
@@ -0,0 +1,1 @@
+"""The router on the entry VMs and the operators' command line."""
--- /dev/null
+++ b/packages/nutmeglift_router/nutmeglift_router/entries.py
@@ -0,0 +1,41 @@
+"""Entries of the router's blackboard."""
+
+import dataclasses
+
+from nutmeglift import blackboard
+from nutmeglift import configuration
+from nutmeglift import declaration
+from nutmeglift import drain
+from nutmeglift import ids
+from nutmeglift import membership
+from nutmeglift import messages
+from nutmeglift import plan
+
+
+@dataclasses.dataclass(frozen=True)
+class ConfigurationInForce:
+    """The configuration that this process works by.
+
+    Attributes:
+        head: its head.
+        declared: its content.
+        fresh: whether it was confirmed within the freshness bound.
+    """
+
+    head: messages.ConfigurationHead
+    declared: declaration.Declaration
+    fresh: bool = True
+
+
+CONFIGURATION = blackboard.Entry(
+    "configuration",
+    blackboard.Controller.CONFIGURATION,
+    ConfigurationInForce(configuration.NO_HEAD, declaration.Declaration()),
+)
+MEMBERS = blackboard.Entry[dict[ids.VmId, membership.Member]](
+    "members", blackboard.Controller.MEMBERSHIP, {}
+)
+PLAN = blackboard.Entry("plan", blackboard.Controller.PLAN, plan.Plan())
+DRAIN = blackboard.Entry(
+    "drain", blackboard.Controller.DRAIN, drain.DrainState.SERVING
+)
--- /dev/null
+++ b/packages/nutmeglift_wire/nutmeglift_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, platform clients, logs and metrics of nutmeglift's processes."""
--- /dev/null
+++ b/packages/nutmeglift_wire/nutmeglift_wire/etcd_kv.py
@@ -0,0 +1,195 @@
+"""The key-value service over etcd's v3 JSON gateway."""
+
+import base64
+from collections.abc import AsyncIterator
+import json
+from typing import Any
+
+from nutmeglift import errors
+from nutmeglift import ids
+from nutmeglift import kv
+from nutmeglift_wire import http_client
+
+POOL_SIZE = 32
+HTTP_OK = 200
+
+
+def _text(value: str) -> str:
+    return base64.b64encode(value.encode()).decode()
+
+
+def _bytes(value: bytes) -> str:
+    return base64.b64encode(value).decode()
+
+
+def prefix_end(prefix: str) -> bytes:
+    """Returns the first key after all keys with a prefix."""
+    raw = prefix.encode()
+    return raw[:-1] + bytes([raw[-1] + 1])
+
+
+def _key_range(key: str, prefix: bool) -> dict[str, Any]:
+    body = {"key": _text(key)}
+    if prefix:
+        body["range_end"] = _bytes(prefix_end(key))
+    return body
+
+
+def _range_body(get: kv.Get) -> dict[str, Any]:
+    body = _key_range(get.key, get.prefix)
+    if get.limit:
+        body["limit"] = str(get.limit)
+    if get.newest_first:
+        body["sort_order"] = "DESCEND"
+        body["sort_target"] = "CREATE"
+    return body
+
+
+def _compare_body(compare: kv.Compare) -> dict[str, Any]:
+    return {
+        "key": _text(compare.key),
+        "target": "MOD",
+        "result": "EQUAL",
+        "mod_revision": str(compare.mod_revision),
+    }
+
+
+def _write_body(write: kv.Write) -> dict[str, Any]:
+    match write:
+        case kv.Put(key, value, lease):
+            put = {"key": _text(key), "value": _bytes(value)}
+            if lease:
+                put["lease"] = str(lease)
+            return {"request_put": put}
+        case kv.Delete(key, prefix):
+            return {"request_delete_range": _key_range(key, prefix)}
+
+
+def _entry(found: dict[str, Any]) -> kv.KeyValue:
+    return kv.KeyValue(
+        base64.b64decode(found["key"]).decode(),
+        base64.b64decode(found.get("value", "")),
+        ids.Revision(int(found.get("mod_revision", 0))),
+        ids.LeaseId(int(found.get("lease", 0))),
+    )
+
+
+def _entries(answer: dict[str, Any]) -> list[kv.KeyValue]:
+    return [_entry(found) for found in answer.get("kvs", [])]
+
+
+class EtcdKv(kv.BaseKv):
+    """Client of the key-value service."""
+
+    def __init__(self, address: str, timeout: float) -> None:
+        super().__init__()
+        self._address = address
+        self._timeout = timeout
+        self._client = http_client.make(POOL_SIZE)
+
+    async def range(self, get: kv.Get) -> list[kv.KeyValue]:
+        """Reads one key or a prefix."""
+        return _entries(await self._post("/v3/kv/range", _range_body(get)))
+
+    async def txn(
+        self,
+        compares: list[kv.Compare],
+        writes: list[kv.Write],
+        otherwise: list[kv.Get] | None = None,
+    ) -> kv.TxnResult:
+        """Writes all or nothing, if all conditions hold."""
+        body = {
+            "compare": [_compare_body(compare) for compare in compares],
+            "success": [_write_body(write) for write in writes],
+            "failure": [
+                {"request_range": _range_body(get)} for get in otherwise or []
+            ],
+        }
+        answer = await self._post("/v3/kv/txn", body)
+        succeeded = bool(answer.get("succeeded", False))
+        found = [
+            _entries(response.get("response_range", {}))
+            for response in answer.get("responses", [])
+        ]
+        revision = ids.Revision(int(answer["header"]["revision"]))
+        return kv.TxnResult(succeeded, revision, [] if succeeded else found)
+
+    async def grant(self, ttl: float) -> ids.LeaseId:
+        """Grants a lease of whole seconds, rounded up."""
+        body = {"TTL": str(max(1, -int(-ttl // 1))), "ID": "0"}
+        answer = await self._post("/v3/lease/grant", body)
+        return ids.LeaseId(int(answer["ID"]))
+
+    async def keep_alive(self, lease: ids.LeaseId) -> float:
+        """Renews a lease."""
+        answer = await self._post("/v3/lease/keepalive", {"ID": str(lease)})
+        result = answer.get("result", answer)
+        return float(result.get("TTL", 0))
+
+    async def revoke(self, lease: ids.LeaseId) -> None:
+        """Ends a lease."""
+        await self._post("/v3/lease/revoke", {"ID": str(lease)})
+
+    async def watch(
+        self, key: str, *, prefix: bool = False, start: ids.Revision
+    ) -> AsyncIterator[list[kv.WatchEvent]]:
+        """Yields changes from a revision on, until the connection ends."""
+        self.calls += 1
+        request = _key_range(key, prefix) | {"start_revision": str(start)}
+        client = http_client.make(1)
+        try:
+            response = await client.post(
+                f"http://{self._address}/v3/watch",
+                json={"create_request": request},
+                timeouts=http_client.within(None),
+            )
+            pending = b""
+            async for part in response.read_chunks():
+                *lines, pending = (pending + part).split(b"\n")
+                for line in lines:
+                    events = _events(line)
+                    if events:
+                        yield events
+        except http_client.ERRORS as error:
+            raise errors.KvUnavailableError(repr(error)) from error
+        finally:
+            await client.aclose()
+        raise errors.KvUnavailableError("the watch ended")
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._client.aclose()
+
+    async def _post(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        self.calls += 1
+        try:
+            response = await self._client.post(
+                f"http://{self._address}{path}",
+                json=body,
+                timeouts=http_client.within(self._timeout),
+            )
+            text = await response.content()
+        except http_client.NOT_SENT_ERRORS as error:
+            raise errors.KvUnavailableError(repr(error)) from error
+        except http_client.ERRORS as error:
+            raise errors.KvAnswerLostError(repr(error)) from error
+        if response.status_code != HTTP_OK:
+            # The gateway also answers so when a write timed out half-way.
+            raise errors.KvAnswerLostError(f"HTTP {response.status_code}")
+        answer: dict[str, Any] = json.loads(text)
+        return answer
+
+
+def _events(line: bytes) -> list[kv.WatchEvent]:
+    if not line.strip():
+        return []
+    result = json.loads(line).get("result", {})
+    return [
+        kv.WatchEvent(
+            kv.WatchKind.DELETE
+            if event.get("type") == "DELETE"
+            else kv.WatchKind.PUT,
+            _entry(event["kv"]),
+        )
+        for event in result.get("events", [])
+    ]
--- /dev/null
+++ b/packages/nutmeglift_wire/nutmeglift_wire/link.py
@@ -0,0 +1,225 @@
+"""Connections between our own processes: interface and in-memory twin."""
+
+import abc
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+
+from nutmeglift import errors
+from nutmeglift import messages
+from nutmeglift_wire import clock as clocks
+
+
+class BaseLink(abc.ABC):
+    """A connection that carries messages in order."""
+
+    @abc.abstractmethod
+    async def send(self, message: messages.AnyMessage) -> None:
+        """Sends a message.
+
+        Raises:
+            errors.LinkClosedError: the connection is closed.
+        """
+
+    @abc.abstractmethod
+    async def receive(self) -> messages.AnyMessage:
+        """Waits for the next message.
+
+        Raises:
+            errors.LinkClosedError: the connection is closed.
+            errors.MalformedMessageError: the peer sent no valid message.
+        """
+
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """Closes the connection."""
+
+
+class BaseDialer(abc.ABC):
+    """Opens connections."""
+
+    @abc.abstractmethod
+    async def dial(self, address: str) -> BaseLink:
+        """Opens a connection to "ip:port".
+
+        Raises:
+            errors.LinkClosedError: nobody answers there.
+        """
+
+
+Acceptor = Callable[[BaseLink], Awaitable[None]]
+"""Serves a connection until it ends."""
+
+
+@dataclasses.dataclass
+class _Direction:
+    """One direction of a connection.
+
+    Attributes:
+        silent: whether what is sent vanishes without an error.
+        delay: seconds from sending to arrival.
+    """
+
+    queue: asyncio.Queue[bytes | None]
+    silent: bool = False
+    delay: float = 0.0
+    last_arrival: float = 0.0
+
+
+class MemoryLink(BaseLink):
+    """One end of an in-memory connection."""
+
+    def __init__(
+        self,
+        source: str,
+        target: str,
+        outgoing: _Direction,
+        incoming: _Direction,
+        clock: clocks.BaseClock,
+    ) -> None:
+        self.source = source
+        self.target = target
+        self.outgoing = outgoing
+        self._incoming = incoming
+        self._clock = clock
+        self.closed = False
+
+    async def send(self, message: messages.AnyMessage) -> None:
+        """Sends the encoded message, unless a fault swallows it."""
+        await self.send_frame(messages.encode(message))
+
+    async def send_frame(self, frame: bytes) -> None:
+        """Sends raw bytes as one frame."""
+        await self._gate()
+        if self.closed:
+            raise errors.LinkClosedError("the connection is closed")
+        self._put(frame)
+
+    async def receive(self) -> messages.AnyMessage:
+        """Waits for the next message."""
+        frame = await self._incoming.queue.get()
+        await self._gate()
+        if frame is None or self.closed:
+            self.closed = True
+            raise errors.LinkClosedError("the connection is closed")
+        return messages.decode(frame)
+
+    async def close(self) -> None:
+        """Closes both directions."""
+        if self.closed:
+            return
+        self.closed = True
+        self._put(None)
+        self._incoming.queue.put_nowait(None)
+
+    def _put(self, frame: bytes | None) -> None:
+        direction = self.outgoing
+        if direction.silent:
+            return
+        loop = asyncio.get_running_loop()
+        arrival = max(loop.time() + direction.delay, direction.last_arrival)
+        direction.last_arrival = arrival
+        if direction.delay == 0 and arrival <= loop.time():
+            direction.queue.put_nowait(frame)
+            return
+        loop.call_at(arrival, direction.queue.put_nowait, frame)
+
+    async def _gate(self) -> None:
+        if isinstance(self._clock, clocks.PausableClock):
+            await self._clock.gate()
+
+
+class MemoryNetwork:
+    """Connects in-memory processes and injects the network's faults."""
+
+    def __init__(self) -> None:
+        self._acceptor_by_address: dict[str, Acceptor] = {}
+        self._clock_by_address: dict[str, clocks.BaseClock] = {}
+        self._links: list[MemoryLink] = []
+        self._parted: set[frozenset[str]] = set()
+        self._delay_by_pair: dict[frozenset[str], float] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def listen(
+        self, address: str, acceptor: Acceptor, clock: clocks.BaseClock
+    ) -> None:
+        """Accepts connections to an address."""
+        self._acceptor_by_address[address] = acceptor
+        self._clock_by_address[address] = clock
+
+    def dialer(self, source: str, clock: clocks.BaseClock) -> "MemoryDialer":
+        """Returns a dialer for the process at an address."""
+        return MemoryDialer(self, source, clock)
+
+    def kill(self, address: str) -> None:
+        """Ends a process: its connections break at once."""
+        self._acceptor_by_address.pop(address, None)
+        for link in self._links_of(address):
+            link.outgoing.queue.put_nowait(None)
+
+    def silence(self, one: str, other: str) -> None:
+        """Makes open connections between two addresses silent for good."""
+        for link in self._links:
+            if {link.source, link.target} == {one, other}:
+                link.outgoing.silent = True
+
+    def part(self, one: str, other: str) -> None:
+        """Parts two addresses: open connections go silent, new ones fail."""
+        self._parted.add(frozenset({one, other}))
+        self.silence(one, other)
+
+    def join(self, one: str, other: str) -> None:
+        """Lets two parted addresses connect again."""
+        self._parted.discard(frozenset({one, other}))
+
+    def degrade(self, one: str, other: str, delay: float) -> None:
+        """Sets the one-way delay between two addresses, in seconds."""
+        self._delay_by_pair[frozenset({one, other})] = delay
+        for link in self._links:
+            if {link.source, link.target} == {one, other}:
+                link.outgoing.delay = delay
+
+    async def connect(
+        self, source: str, target: str, clock: clocks.BaseClock
+    ) -> MemoryLink:
+        """Opens a connection."""
+        pair = frozenset({source, target})
+        delay = self._delay_by_pair.get(pair, 0.0)
+        await asyncio.sleep(delay)
+        acceptor = self._acceptor_by_address.get(target)
+        if acceptor is None or pair in self._parted:
+            raise errors.LinkClosedError(f"nobody answers at {target}")
+        there = _Direction(asyncio.Queue(), delay=delay)
+        back = _Direction(asyncio.Queue(), delay=delay)
+        near = MemoryLink(source, target, there, back, clock)
+        target_clock = self._clock_by_address[target]
+        far = MemoryLink(target, source, back, there, target_clock)
+        self._links = [link for link in self._links if not link.closed]
+        self._links += [near, far]
+        task = asyncio.ensure_future(acceptor(far))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return near
+
+    def _links_of(self, address: str) -> list[MemoryLink]:
+        return [
+            link
+            for link in self._links
+            if address in {link.source, link.target}
+        ]
+
+
+class MemoryDialer(BaseDialer):
+    """Opens in-memory connections."""
+
+    def __init__(
+        self, network: MemoryNetwork, source: str, clock: clocks.BaseClock
+    ) -> None:
+        self._network = network
+        self._source = source
+        self._clock = clock
+
+    async def dial(self, address: str) -> BaseLink:
+        """Opens a connection."""
+        return await self._network.connect(self._source, address, self._clock)
--- /dev/null
+++ b/packages/nutmeglift_wire/nutmeglift_wire/logs.py
@@ -0,0 +1,23 @@
+"""Structured logs: one JSON object a line, for changes of state."""
+
+import logging
+import sys
+
+from pythonjsonlogger import json as json_logger
+
+
+def set_up(vm: str) -> None:
+    """Sends the logs of all our packages to stderr as JSON."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        json_logger.JsonFormatter(
+            "%(asctime)s %(levelname)s %(name)s %(message)s",
+            rename_fields={"asctime": "time", "levelname": "level"},
+            static_fields={"vm": vm},
+        )
+    )
+    root = logging.getLogger()
+    root.handlers = [handler]
+    root.setLevel(logging.WARNING)
+    for name in ("nutmeglift", "nutmeglift_router", "nutmeglift_agent"):
+        logging.getLogger(name).setLevel(logging.INFO)
--- /dev/null
+++ b/packages/nutmeglift_wire/nutmeglift_wire/session.py
@@ -0,0 +1,228 @@
+"""An authenticated connection with heartbeats in both directions."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import contextlib
+import hmac
+import secrets
+
+import msgspec
+
+from nutmeglift import errors
+from nutmeglift import messages
+from nutmeglift import settings
+from nutmeglift_wire import clock as clocks
+from nutmeglift_wire import link as links
+
+NONCE_BYTES = 16
+MAX_QUEUED_MESSAGES = 16384
+HANDSHAKE_TIMEOUT_SECONDS = 2.0
+
+HelloMaker = Callable[[], messages.Hello]
+HeartbeatMaker = Callable[[int], messages.Heartbeat]
+Handler = Callable[["Session", messages.AnyMessage], None]
+
+
+def prove(key: bytes, nonce: bytes, hello: messages.Hello) -> bytes:
+    """Returns the proof that the sender of a Hello knows the shared key."""
+    text = f"{hello.role.value}/{hello.vm}/{hello.incarnation}".encode()
+    return hmac.digest(key, nonce + text, "sha256")
+
+
+async def shake_hands_as_dialer(
+    link: links.BaseLink, key: bytes, own: messages.Hello
+) -> messages.Hello:
+    """Exchanges Hellos and proofs as the end that opened the connection.
+
+    Returns:
+        The peer's Hello.
+
+    Raises:
+        errors.MalformedMessageError: the peer's protocol or proof is wrong.
+        errors.LinkClosedError: the connection closed.
+    """
+    nonce = secrets.token_bytes(NONCE_BYTES)
+    await link.send(msgspec.structs.replace(own, nonce=nonce))
+    peer = _expect_hello(await link.receive())
+    _check_proof(key, nonce, peer)
+    proof = prove(key, peer.nonce, own)
+    await link.send(msgspec.structs.replace(own, proof=proof))
+    return peer
+
+
+async def shake_hands_as_listener(
+    link: links.BaseLink,
+    key: bytes,
+    make_own: Callable[[messages.Hello], messages.Hello],
+) -> messages.Hello:
+    """Exchanges Hellos and proofs as the end that accepted the connection.
+
+    Args:
+        link: the connection.
+        key: the key shared between processes.
+        make_own: makes this end's Hello from the peer's.
+
+    Returns:
+        The peer's Hello, proven.
+
+    Raises:
+        errors.MalformedMessageError: the peer's protocol or proof is wrong.
+        errors.LinkClosedError: the connection closed.
+    """
+    first = _expect_hello(await link.receive())
+    own = make_own(first)
+    nonce = secrets.token_bytes(NONCE_BYTES)
+    proof = prove(key, first.nonce, own)
+    await link.send(msgspec.structs.replace(own, nonce=nonce, proof=proof))
+    peer = _expect_hello(await link.receive())
+    _check_proof(key, nonce, peer)
+    return peer
+
+
+def _expect_hello(message: messages.AnyMessage) -> messages.Hello:
+    if not isinstance(message, messages.Hello):
+        raise errors.MalformedMessageError("the first message must be Hello")
+    if message.protocol != messages.PROTOCOL_VERSION:
+        raise errors.MalformedMessageError(
+            f"protocol {message.protocol} is not spoken here"
+        )
+    return message
+
+
+def _check_proof(key: bytes, nonce: bytes, peer: messages.Hello) -> None:
+    if not hmac.compare_digest(prove(key, nonce, peer), peer.proof):
+        raise errors.MalformedMessageError(
+            "the peer does not know the shared key",
+            kind=errors.ErrorKind.UNAUTHENTICATED,
+        )
+
+
+class Session:
+    """Sends and receives messages until the connection is dead.
+
+    Attributes:
+        peer: the peer's Hello.
+        heard_at: clock time of the last message received.
+    """
+
+    def __init__(
+        self,
+        link: links.BaseLink,
+        peer: messages.Hello,
+        *,
+        clock: clocks.BaseClock,
+        bounds: settings.Bounds,
+        handler: Handler,
+        make_heartbeat: HeartbeatMaker,
+    ) -> None:
+        self.peer = peer
+        self.heard_at = clock.now()
+        self._link = link
+        self._clock = clock
+        self._bounds = bounds
+        self._handler = handler
+        self._make_heartbeat = make_heartbeat
+        self._outgoing: collections.deque[messages.AnyMessage] = (
+            collections.deque()
+        )
+        self._posted = asyncio.Event()
+        self._overflown = False
+        self._closed = False
+
+    @property
+    def closed(self) -> bool:
+        """Whether nothing can be sent any more."""
+        return self._closed
+
+    def post(self, message: messages.AnyMessage) -> bool:
+        """Queues a message for sending, without waiting.
+
+        Returns:
+            False when the session is closed; the message is not sent.
+        """
+        if self._closed:
+            return False
+        if len(self._outgoing) >= MAX_QUEUED_MESSAGES:
+            self._overflown = True
+        else:
+            self._outgoing.append(message)
+        self._posted.set()
+        return not self._overflown
+
+    async def run(self) -> errors.NutmegError:
+        """Runs the session.
+
+        Returns:
+            Why it ended.
+        """
+        tasks = [
+            asyncio.create_task(self._write()),
+            asyncio.create_task(self._read()),
+            asyncio.create_task(self._beat()),
+            asyncio.create_task(self._watch_silence()),
+        ]
+        try:
+            done, _ = await asyncio.wait(
+                tasks, return_when=asyncio.FIRST_COMPLETED
+            )
+            return _reason(done)
+        finally:
+            self._closed = True
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            with contextlib.suppress(errors.NutmegError, TimeoutError):
+                await self._link.close()
+
+    async def flush(self) -> None:
+        """Waits until all that was posted is sent or the session closes."""
+        while self._outgoing and not self._closed:
+            await self._clock.sleep(0)
+
+    async def _write(self) -> None:
+        while True:
+            await self._posted.wait()
+            self._posted.clear()
+            while self._outgoing:
+                await self._link.send(self._outgoing[0])
+                self._outgoing.popleft()
+            if self._overflown:
+                raise errors.LinkClosedError("the peer reads too slowly")
+
+    async def _read(self) -> None:
+        while True:
+            message = await self._link.receive()
+            self.heard_at = self._clock.now()
+            self._handler(self, message)
+
+    async def _beat(self) -> None:
+        sequence = 0
+        while True:
+            await self._clock.sleep(self._bounds.heartbeat_seconds)
+            sequence += 1
+            self.post(self._make_heartbeat(sequence))
+
+    async def _watch_silence(self) -> None:
+        bound = self._bounds.silence_seconds
+        while True:
+            before = self._clock.now()
+            await self._clock.sleep(self._bounds.heartbeat_seconds / 2)
+            if self._clock.now() - before > bound:
+                # This process was paused, so its own clock proves nothing.
+                self.heard_at = self._clock.now()
+                continue
+            if self._clock.now() - self.heard_at > bound:
+                raise errors.LinkClosedError(
+                    f"no byte from {self.peer.vm} for {bound} s"
+                )
+
+
+def _reason(done: set[asyncio.Task[None]]) -> errors.NutmegError:
+    for task in done:
+        error = task.exception()
+        if isinstance(error, errors.NutmegError):
+            return error
+        if error is not None:
+            raise error
+    return errors.LinkClosedError("the session ended")
--- /dev/null
+++ b/packages/nutmeglift_wire/nutmeglift_wire/vm_list.py
@@ -0,0 +1,105 @@
+"""The platform's lagging list of VMs: client and in-memory twin."""
+
+import abc
+import asyncio
+import json
+
+from nutmeglift import errors
+from nutmeglift import ids
+from nutmeglift import plan
+from nutmeglift_wire import http_client
+
+HTTP_OK = 200
+
+
+class BaseVmList(abc.ABC):
+    """Reads the list."""
+
+    @abc.abstractmethod
+    async def read(self) -> list[plan.VmEntry]:
+        """Returns the VMs as the platform shows them now.
+
+        Raises:
+            errors.PlatformError: the list can't be had.
+        """
+
+
+class MemoryVmList(BaseVmList):
+    """A list held in memory, shown with a lag.
+
+    Attributes:
+        lag: seconds until a change shows.
+        down: whether reading fails.
+    """
+
+    def __init__(self, lag: float = 0.0) -> None:
+        self.lag = lag
+        self.down = False
+        self._entry_by_vm: dict[ids.VmId, plan.VmEntry] = {}
+        self._shown_by_vm: dict[ids.VmId, plan.VmEntry] = {}
+
+    def put(self, entry: plan.VmEntry) -> None:
+        """Adds or changes a VM."""
+        self._entry_by_vm[entry.vm] = entry
+        self._show_later(entry.vm)
+
+    def remove(self, vm: ids.VmId) -> None:
+        """Removes a VM."""
+        self._entry_by_vm.pop(vm, None)
+        self._show_later(vm)
+
+    async def read(self) -> list[plan.VmEntry]:
+        """Returns what shows now."""
+        if self.down:
+            raise errors.PlatformError("the VM list is down")
+        return list(self._shown_by_vm.values())
+
+    def _show_later(self, vm: ids.VmId) -> None:
+        if self.lag == 0:
+            self._show(vm)
+            return
+        asyncio.get_running_loop().call_later(self.lag, self._show, vm)
+
+    def _show(self, vm: ids.VmId) -> None:
+        entry = self._entry_by_vm.get(vm)
+        if entry is None:
+            self._shown_by_vm.pop(vm, None)
+            return
+        self._shown_by_vm[vm] = entry
+
+
+class HttpVmList(BaseVmList):
+    """Client of the platform's list."""
+
+    def __init__(self, address: str, timeout: float) -> None:
+        self._address = address
+        self._timeout = timeout
+        self._client = http_client.make(1)
+
+    async def read(self) -> list[plan.VmEntry]:
+        """Reads the list by HTTP."""
+        try:
+            response = await self._client.get(
+                f"http://{self._address}/v1/vms",
+                timeouts=http_client.within(self._timeout),
+            )
+            text = await response.content()
+        except http_client.ERRORS as error:
+            raise errors.PlatformError(f"VM list: {error!r}") from error
+        if response.status_code != HTTP_OK:
+            raise errors.PlatformError(f"VM list: HTTP {response.status_code}")
+        return [_entry(found) for found in json.loads(text)["vms"]]
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._client.aclose()
+
+
+def _entry(found: dict[str, str]) -> plan.VmEntry:
+    return plan.VmEntry(
+        ids.VmId(found["name"]),
+        found["address"],
+        ids.FailureDomain(found["failure_domain"]),
+        found.get("backend_class"),
+        found.get("state") == "leaving",
+    )
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of nutmeglift."""
--- /dev/null
+++ b/tests/utils.py
@@ -0,0 +1,388 @@
+"""Builders shared by the tests: a whole deployment in memory."""
+
+import asyncio
+from collections.abc import Sequence
+import dataclasses
+import random
+
+import pydantic
+
+from nutmeglift import auth
+from nutmeglift import configuration
+from nutmeglift import declaration
+from nutmeglift import ids
+from nutmeglift import kv
+from nutmeglift import messages
+from nutmeglift import plan
+from nutmeglift import settings
+from nutmeglift import tokenizer
+from nutmeglift_agent import agent as agents
+from nutmeglift_fakes import plain_service
+from nutmeglift_fakes import toy_engine
+from nutmeglift_router import chat
+from nutmeglift_router import plain
+from nutmeglift_router import router as routers
+from nutmeglift_wire import clock as clocks
+from nutmeglift_wire import link as links
+from nutmeglift_wire import metrics
+from nutmeglift_wire import vm_list
+
+TOKEN = "test-token"
+LAYERS = 12
+MODEL = ids.ModelId("sampaguita-drafts")
+VERSION = ids.VersionId("v1")
+ROUTE = ids.RouteId("letters")
+SERVICE = ids.ServiceId("core-application")
+RUNNER_CLASS = "runner"
+SERVICE_CLASS = "core"
+DOMAINS = tuple(ids.FailureDomain(f"luzon-{n}") for n in (1, 2, 3))
+PLATFORM = settings.Platform(key_value="10.0.0.1:1", vm_list="10.0.0.1:2")
+SHARED_KEY = pydantic.SecretStr("a key of the tests only")
+PROMPT = tuple(b"user: check the amendment\n")
+
+
+def make_declaration(**changes) -> declaration.Declaration:
+    """Returns a small correct declaration, some sections replaced."""
+    sections = {
+        "models": (
+            declaration.Model(
+                id=MODEL,
+                layers=LAYERS,
+                layer_bytes=1000,
+                versions=(declaration.Version(id=VERSION),),
+            ),
+        ),
+        "routes": (declaration.Route(id=ROUTE, model=MODEL, version=VERSION),),
+        "client_accounts": (make_account("bank-a"),),
+        "operators": (
+            declaration.Operator(
+                id="ana", token_sha256=(auth.hash_token(TOKEN),)
+            ),
+        ),
+        "services": (
+            declaration.Service(
+                id=SERVICE,
+                calls=(
+                    declaration.Call(
+                        method="POST", path="/releases", idempotent=False
+                    ),
+                    declaration.Call(
+                        method="GET", path="/releases/*", idempotent=True
+                    ),
+                ),
+            ),
+        ),
+        "backend_classes": (
+            declaration.BackendClass(
+                id=RUNNER_CLASS,
+                layer_positions_per_second=24000,
+                memory_bytes=12000,
+            ),
+            declaration.BackendClass(id=SERVICE_CLASS, service=SERVICE),
+        ),
+    }
+    return declaration.Declaration(**(sections | changes))
+
+
+def make_account(name: str, **changes) -> declaration.ClientAccount:
+    """Returns an account whose token is TOKEN."""
+    return declaration.ClientAccount(
+        id=ids.AccountId(name),
+        token_sha256=(auth.hash_token(TOKEN),),
+        **changes,
+    )
+
+
+def reference(
+    prompt: Sequence[int], max_tokens: int, layers: int = LAYERS
+) -> list[int]:
+    """Returns the answer of the unsplit model."""
+    return toy_engine.reference_tokens(
+        MODEL,
+        VERSION,
+        None,
+        layers=layers,
+        prompt=tuple(prompt),
+        max_tokens=max_tokens,
+    )
+
+
+def reference_text(prompt: Sequence[int], max_tokens: int) -> str:
+    """Returns the text of the unsplit model's answer."""
+    tokens = reference(prompt, max_tokens)
+    return "".join(f" {toy_engine.WORDS[token]}" for token in tokens)
+
+
+def chat_prompt(content: str) -> tuple[int, ...]:
+    """Returns the prompt of one user message."""
+    message = tokenizer.ChatMessage("user", content)
+    return tokenizer.ByteTokenizer().encode([message])
+
+
+@dataclasses.dataclass
+class AgentProcess:
+    """An agent of a test, with the stand-in beside it."""
+
+    agent: agents.Agent
+    clock: clocks.PausableClock
+    address: str
+    entry: plan.VmEntry
+    engine: toy_engine.ToyEngine | None = None
+    service: plain_service.ToyPlainService | None = None
+
+
+@dataclasses.dataclass
+class RouterProcess:
+    """A router of a test."""
+
+    router: routers.Router
+    clock: clocks.PausableClock
+    address: str
+    metrics: metrics.MemoryMetrics
+
+
+class World:
+    """A whole deployment in memory: real router and agent code, fake sockets.
+
+    Attributes:
+        network: connects the processes and injects faults.
+        store: the key-value service.
+        vms: the VM list.
+        agent_by_vm: the agents, killed ones left out.
+        engines: every engine ever started, for what it ran.
+        services: every plain service ever started.
+    """
+
+    def __init__(
+        self,
+        declared: declaration.Declaration | None = None,
+        bounds: settings.Bounds | None = None,
+        seed: int = 1,
+    ) -> None:
+        self.declared = declared or make_declaration()
+        self.bounds = bounds or settings.Bounds()
+        self.network = links.MemoryNetwork()
+        self.store = kv.MemoryKv()
+        self.vms = vm_list.MemoryVmList()
+        self.agent_by_vm: dict[ids.VmId, AgentProcess] = {}
+        self.router_by_vm: dict[ids.VmId, RouterProcess] = {}
+        self.engines: list[toy_engine.ToyEngine] = []
+        self.services: list[plain_service.ToyPlainService] = []
+        self._starts = 0
+        self._seed = seed
+
+    async def start(
+        self, *, runners: int = 6, services: int = 1, routers: int = 1
+    ) -> None:
+        """Applies the declaration and starts everything."""
+        await self.apply(self.declared)
+        for index in range(runners):
+            self.add_runner(f"runner-{index + 1}", index)
+        for index in range(services):
+            self.add_service(f"core-{index + 1}", index)
+        for index in range(routers):
+            self.add_router(f"entry-{index + 1}", index)
+        await asyncio.sleep(3.0)
+
+    async def apply(self, declared: declaration.Declaration) -> None:
+        """Makes a declaration the accepted configuration."""
+        self._starts += 1
+        await configuration.apply(
+            self.store,
+            declared,
+            apply_id=ids.ApplyId(f"apply-{self._starts}"),
+            author="ana",
+            time=asyncio.get_running_loop().time(),
+        )
+
+    def add_runner(
+        self, name: str, index: int = 0, rate: float = 24000.0
+    ) -> AgentProcess:
+        """Starts a model runner with its agent."""
+        clock = clocks.PausableClock()
+        engine = toy_engine.ToyEngine(
+            clock=clock,
+            layers=self.declared.models[0].layers,
+            layer_positions_per_second=rate,
+            rng=random.Random(f"{self._seed}/{name}"),
+            step_overhead=0.001,
+        )
+        self.engines.append(engine)
+        return self._add(name, index, RUNNER_CLASS, clock, engine, None)
+
+    def add_service(self, name: str, index: int = 0) -> AgentProcess:
+        """Starts a plain service with its agent."""
+        clock = clocks.PausableClock()
+        service = plain_service.ToyPlainService(clock)
+        self.services.append(service)
+        return self._add(name, index, SERVICE_CLASS, clock, None, service)
+
+    def add_router(self, name: str, index: int = 0) -> RouterProcess:
+        """Starts a router."""
+        self._starts += 1
+        clock = clocks.PausableClock()
+        address = f"10.1.{index // 250}.{index % 250 + 1}:7000"
+        counted = metrics.MemoryMetrics()
+        vm = ids.VmId(name)
+        router = routers.Router(
+            settings.RouterSettings(
+                vm=vm,
+                listen=address,
+                http=address,
+                failure_domain=DOMAINS[index % len(DOMAINS)],
+                platform=PLATFORM,
+                shared_key=SHARED_KEY,
+                bounds=self.bounds,
+            ),
+            incarnation=ids.Incarnation(f"{name}-{self._starts}"),
+            clock=clock,
+            rng=random.Random(f"{self._seed}/{name}/{self._starts}"),
+            store=self.store,
+            vms=self.vms,
+            dialer=self.network.dialer(address, clock),
+            metrics=counted,
+        )
+        router.start()
+        process = RouterProcess(router, clock, address, counted)
+        self.router_by_vm[vm] = process
+        return process
+
+    async def kill(self, name: str) -> None:
+        """Ends a process at once, as a VM that dies."""
+        vm = ids.VmId(name)
+        if vm in self.router_by_vm:
+            router = self.router_by_vm.pop(vm)
+            self.network.kill(router.address)
+            await router.router.stop()
+            return
+        agent = self.agent_by_vm.pop(vm)
+        if agent.engine is not None:
+            agent.engine.faults.dead = True
+        self.network.kill(agent.address)
+        await agent.agent.stop()
+
+    def restart_agent(self, name: str) -> AgentProcess:
+        """Starts a killed agent again under its old address, memory lost."""
+        service = name.startswith("core")
+        index = int(name.rpartition("-")[2]) - 1
+        if service:
+            return self.add_service(name, index)
+        return self.add_runner(name, index)
+
+    async def stop(self) -> None:
+        """Ends everything."""
+        for name in [*self.router_by_vm, *self.agent_by_vm]:
+            await self.kill(name)
+
+    @property
+    def router(self) -> routers.Router:
+        """The first router."""
+        return next(iter(self.router_by_vm.values())).router
+
+    def start_chat(
+        self,
+        max_tokens: int = 24,
+        *,
+        prompt: Sequence[int] = PROMPT,
+        router: routers.Router | None = None,
+        account: str = "bank-a",
+    ) -> chat.Stream:
+        """Starts a request to the model."""
+        found = router or self.router
+        return found.chat.start(
+            chat.ChatRequest(
+                make_account(account),
+                self.declared.routes[0],
+                tuple(prompt),
+                max_tokens,
+            )
+        )
+
+    async def read(
+        self, stream: chat.Stream, router: routers.Router | None = None
+    ) -> str:
+        """Returns a whole answer's text."""
+        found = router or self.router
+        texts: list[str] = []
+        async for part in found.chat.parts(stream):
+            texts += part.texts
+        return "".join(texts)
+
+    async def release(
+        self,
+        key: str | None,
+        *,
+        body: bytes = b"{}",
+        router: routers.Router | None = None,
+    ) -> messages.PlainOutcome:
+        """Makes one non-idempotent call."""
+        found = router or self.router
+        service = self.declared.services[0]
+        request = plain.PlainCallRequest(
+            make_account("bank-a"),
+            service,
+            service.calls[0],
+            "POST",
+            "/releases",
+            (),
+            body,
+            ids.IdempotencyKey(key) if key is not None else None,
+        )
+        return await found.plain.call(request)
+
+    def executions(self) -> int:
+        """Returns how many calls all plain services executed."""
+        return sum(len(service.executions) for service in self.services)
+
+    def find_order_faults(self) -> list[str]:
+        """Returns where a layer ran twice or out of order for a sequence."""
+        faults = []
+        for engine in self.engines:
+            next_by_layer: dict[tuple[str, int], int] = {}
+            for run in engine.runs:
+                key = (run.sequence, run.layer)
+                wanted = next_by_layer.get(key, 0)
+                if run.position != wanted:
+                    faults.append(f"{run} came when {wanted} was due")
+                next_by_layer[key] = wanted + 1
+        return faults
+
+    def _add(
+        self,
+        name: str,
+        index: int,
+        backend_class: str,
+        clock: clocks.PausableClock,
+        engine: toy_engine.ToyEngine | None,
+        service: plain_service.ToyPlainService | None,
+    ) -> AgentProcess:
+        self._starts += 1
+        vm = ids.VmId(name)
+        third = 2 if service is None else 3
+        address = f"10.{third}.{index // 250}.{index % 250 + 1}:7000"
+        domain = DOMAINS[index % len(DOMAINS)]
+        agent = agents.Agent(
+            settings.AgentSettings(
+                vm=vm,
+                listen=address,
+                failure_domain=domain,
+                platform=PLATFORM,
+                shared_key=SHARED_KEY,
+                bounds=self.bounds,
+                backend="10.9.0.1:1",
+                backend_class=backend_class,
+            ),
+            incarnation=ids.Incarnation(f"{name}-{self._starts}"),
+            clock=clock,
+            dialer=self.network.dialer(address, clock),
+            metrics=metrics.MemoryMetrics(),
+            engine=engine,
+            service=service,
+        )
+        agent.start()
+        self.network.listen(address, agent.serve_link, clock)
+        entry = plan.VmEntry(vm, address, domain, backend_class)
+        self.vms.put(entry)
+        process = AgentProcess(agent, clock, address, entry, engine, service)
+        self.agent_by_vm[vm] = process
+        return process
--- /dev/null
+++ b/tests/virtual_time.py
@@ -0,0 +1,59 @@
+"""An event loop whose clock jumps to the next timer when nothing is ready."""
+
+import asyncio
+from collections.abc import Coroutine
+import selectors
+from typing import Any
+from typing import TypeVar
+
+T = TypeVar("T")
+
+MAX_VIRTUAL_SECONDS = 24 * 3600.0
+
+
+class _JumpingSelector(selectors.BaseSelector):
+    """Never waits: a wait of so many seconds moves the clock instead."""
+
+    def __init__(self) -> None:
+        self._selector = selectors.DefaultSelector()
+        self.now = 0.0
+
+    def register(self, fileobj, events, data=None):
+        return self._selector.register(fileobj, events, data)
+
+    def unregister(self, fileobj):
+        return self._selector.unregister(fileobj)
+
+    def select(self, timeout=None):
+        if timeout is None:
+            raise RuntimeError("every task waits and no timer is set")
+        if timeout > 0:
+            self.now += timeout
+        return self._selector.select(0)
+
+    def get_map(self):
+        return self._selector.get_map()
+
+    def close(self) -> None:
+        self._selector.close()
+
+
+class VirtualTimeLoop(asyncio.SelectorEventLoop):
+    """An event loop in virtual time, the same on every run."""
+
+    def __init__(self) -> None:
+        self._jumping = _JumpingSelector()
+        super().__init__(self._jumping)
+        # Timers that differ by less are due together.
+        self._clock_resolution = 1e-9
+
+    def time(self) -> float:
+        if self._jumping.now > MAX_VIRTUAL_SECONDS:
+            raise RuntimeError("the test runs for more than a virtual day")
+        return self._jumping.now
+
+
+def run(work: Coroutine[Any, Any, T]) -> T:
+    """Runs a coroutine to its end in virtual time."""
+    with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+        return runner.run(work)
