--- /dev/null
+++ b/benchmarks/__main__.py
@@ -0,0 +1,55 @@
+"""Runs the benchmarks: one JSON object a line."""
+
+import argparse
+import importlib
+import json
+import pathlib
+import pkgutil
+
+import benchmarks
+from benchmarks import figures
+
+LATEST = pathlib.Path(__file__).parent.parent / "docs/measurements/latest.jsonl"
+
+
+def find_figures() -> list[figures.Figure]:
+    """Returns the FIGURES of every module named bench_*."""
+    found: list[figures.Figure] = []
+    for info in pkgutil.iter_modules(benchmarks.__path__):
+        if info.name.startswith("bench_"):
+            module = importlib.import_module(f"benchmarks.{info.name}")
+            found += module.FIGURES
+    return found
+
+
+def main() -> None:
+    """Runs all figures, or one."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--only", help="name of the one figure to measure")
+    only = parser.parse_args().only
+    line_by_name = read_latest()
+    for figure in find_figures():
+        if only and figure.name != only:
+            continue
+        line = figure.line(figure.run())
+        print(line, flush=True)
+        line_by_name[figure.name] = line
+        write_latest(line_by_name)
+
+
+def read_latest() -> dict[str, str]:
+    """Returns the lines written before, by name."""
+    if not LATEST.exists():
+        return {}
+    lines = LATEST.read_text(encoding="utf-8").splitlines()
+    return {json.loads(line)["name"]: line for line in lines}
+
+
+def write_latest(line_by_name: dict[str, str]) -> None:
+    """Writes one line a figure, sorted by name."""
+    lines = [line_by_name[name] for name in sorted(line_by_name)]
+    LATEST.write_text("\n".join(lines) + "\n", encoding="utf-8")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/figures.py
@@ -0,0 +1,48 @@
+"""What a benchmark reports."""
+
+from collections.abc import Callable
+import dataclasses
+import json
+
+
+@dataclasses.dataclass(frozen=True)
+class Measured:
+    """Outcome of a run.
+
+    Attributes:
+        value: the figure.
+        baseline: the same of the baseline, or None.
+    """
+
+    value: float
+    baseline: float | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Figure:
+    """One named figure.
+
+    Attributes:
+        name: its name, as in the design.
+        unit: its unit.
+        goal: the goal in words, such as "<= 3", or "" for none.
+        run: measures it.
+    """
+
+    name: str
+    unit: str
+    goal: str
+    run: Callable[[], Measured]
+
+    def line(self, measured: Measured) -> str:
+        """Returns the JSON line for an outcome."""
+        return json.dumps(
+            {
+                "name": self.name,
+                "value": measured.value,
+                "unit": self.unit,
+                "goal": self.goal,
+                "baseline": measured.baseline,
+                "command": f"make bench ONLY={self.name}",
+            }
+        )
--- a/packages/nutmeglift/nutmeglift/audit.py
+++ b/packages/nutmeglift/nutmeglift/audit.py
@@ -2,9 +2,9 @@
 
 import msgspec
 
+from nutmeglift import codec
 from nutmeglift import ids
 from nutmeglift import kv
-from nutmeglift import messages
 
 PREFIX = "/nutmeglift/audit/"
 GENERATION_DIGITS = 12
@@ -44,4 +44,4 @@
     found = await store.range(
         kv.Get(PREFIX, prefix=True, limit=limit, newest_first=True)
     )
-    return [messages.decode_as(entry.value, AuditEntry) for entry in found]
+    return [codec.decode_as(entry.value, AuditEntry) for entry in found]
--- /dev/null
+++ b/packages/nutmeglift/nutmeglift/codec.py
@@ -0,0 +1,80 @@
+"""Encodes messages as CBOR and decodes them with checks."""
+
+from typing import TypeVar
+
+import cbor2
+import msgspec
+
+from nutmeglift import control_messages
+from nutmeglift import errors
+from nutmeglift import messages
+from nutmeglift import plain_messages
+
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+
+AnyMessage = (
+    messages.Hello
+    | messages.Heartbeat
+    | messages.Leaving
+    | messages.StartAttempt
+    | messages.OpenStage
+    | messages.HopFrame
+    | messages.NextTokenFrame
+    | messages.TokenFrame
+    | messages.FrameAcknowledged
+    | messages.AttemptFailed
+    | messages.CancelAttempt
+    | messages.ReplaceStage
+    | plain_messages.PlainCall
+    | plain_messages.PlainOutcome
+    | plain_messages.AttemptQuery
+    | plain_messages.AttemptStatus
+    | control_messages.Order
+    | control_messages.OrderResult
+    | control_messages.CacheEvents
+    | control_messages.ConfigurationHead
+    | control_messages.ConfigurationWanted
+    | control_messages.ConfigurationChunk
+    | control_messages.AgentConfiguration
+    | control_messages.ShareDemand
+    | control_messages.ShareGrant
+)
+
+S = TypeVar("S", bound=msgspec.Struct)
+
+
+def encode(message: msgspec.Struct) -> bytes:
+    """Encodes a message or another typed structure as CBOR."""
+    return cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
+
+
+def decode(frame: bytes) -> AnyMessage:
+    """Decodes a message.
+
+    messages.Raises:
+        errors.MalformedMessageError: it is too large, not CBOR, or no known
+            message with fields of the right types.
+    """
+    return _convert(frame, AnyMessage)  # type: ignore[arg-type]
+
+
+def decode_as(frame: bytes, kind: type[S]) -> S:
+    """Decodes a structure of a known type.
+
+    messages.Raises:
+        errors.MalformedMessageError: as decode.
+    """
+    return _convert(frame, kind)
+
+
+def _convert(frame: bytes, kind: type[S]) -> S:
+    if len(frame) > MAX_FRAME_BYTES:
+        raise errors.MalformedMessageError(
+            f"a frame of {len(frame)} bytes exceeds {MAX_FRAME_BYTES}"
+        )
+    try:
+        return msgspec.convert(cbor2.loads(frame), kind)
+    except (cbor2.CBORError, msgspec.ValidationError, ValueError) as error:
+        raise errors.MalformedMessageError(str(error)) from error
+    except (RecursionError, MemoryError, OverflowError, TypeError) as error:
+        raise errors.MalformedMessageError(type(error).__name__) from error
--- a/packages/nutmeglift/nutmeglift/configuration.py
+++ b/packages/nutmeglift/nutmeglift/configuration.py
@@ -2,17 +2,18 @@
 
 import hashlib
 
+from nutmeglift import codec
+from nutmeglift import control_messages
 from nutmeglift import declaration
 from nutmeglift import errors
 from nutmeglift import ids
 from nutmeglift import kv
-from nutmeglift import messages
 
 PREFIX = "/nutmeglift/configuration/"
 HEAD_KEY = PREFIX + "head"
 CHUNK_PREFIX = PREFIX + "chunks/"
 CHUNK_BYTES = 512 * 1024
-NO_HEAD = messages.ConfigurationHead(
+NO_HEAD = control_messages.ConfigurationHead(
     ids.Generation(0),
     ids.Digest(""),
     (),
@@ -35,7 +36,8 @@
 
 
 def join(
-    head: messages.ConfigurationHead, chunk_by_digest: dict[ids.Digest, bytes]
+    head: control_messages.ConfigurationHead,
+    chunk_by_digest: dict[ids.Digest, bytes],
 ) -> declaration.Declaration:
     """Returns the declaration that a head names.
 
@@ -55,7 +57,7 @@
 
 async def read(
     store: kv.BaseKv,
-) -> tuple[messages.ConfigurationHead, declaration.Declaration]:
+) -> tuple[control_messages.ConfigurationHead, declaration.Declaration]:
     """Reads the configuration that the key-value service holds.
 
     Raises:
@@ -64,7 +66,7 @@
     found = await store.get(HEAD_KEY)
     if found is None:
         return NO_HEAD, declaration.Declaration()
-    head = messages.decode_as(found.value, messages.ConfigurationHead)
+    head = codec.decode_as(found.value, control_messages.ConfigurationHead)
     chunk_by_digest = {}
     for digest in head.chunks:
         chunk = await store.get(CHUNK_PREFIX + digest)
@@ -81,7 +83,7 @@
     author: str,
     time: float,
     expected: ids.Generation | None = None,
-) -> messages.ConfigurationHead:
+) -> control_messages.ConfigurationHead:
     """Makes a declaration the accepted configuration.
 
     Args:
@@ -100,7 +102,7 @@
     old = NO_HEAD
     revision = kv.NEVER_WRITTEN
     if found is not None:
-        old = messages.decode_as(found.value, messages.ConfigurationHead)
+        old = codec.decode_as(found.value, control_messages.ConfigurationHead)
         revision = found.mod_revision
     if expected is not None and old.generation != expected:
         raise errors.ConflictError(
@@ -111,7 +113,7 @@
     chunk_by_digest = split(body)
     for digest, chunk in chunk_by_digest.items():
         await store.txn([], [kv.Put(CHUNK_PREFIX + digest, chunk)])
-    head = messages.ConfigurationHead(
+    head = control_messages.ConfigurationHead(
         ids.Generation(old.generation + 1),
         declared.digest(),
         tuple(chunk_by_digest),
@@ -122,7 +124,7 @@
     )
     result = await store.txn(
         [kv.Compare(HEAD_KEY, revision)],
-        [kv.Put(HEAD_KEY, messages.encode(head))],
+        [kv.Put(HEAD_KEY, codec.encode(head))],
     )
     if not result.succeeded:
         raise errors.ConflictError("another apply came first")
--- a/packages/nutmeglift/nutmeglift/engine.py
+++ b/packages/nutmeglift/nutmeglift/engine.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from nutmeglift import control_messages
 from nutmeglift import ids
 from nutmeglift import messages
 
@@ -86,11 +87,11 @@
         """Returns the engine's last published load."""
 
     @abc.abstractmethod
-    async def cache_events(self, after: int) -> messages.CacheEvents:
+    async def cache_events(self, after: int) -> control_messages.CacheEvents:
         """Returns the cache events after a sequence number."""
 
     @abc.abstractmethod
-    async def order(self, order: messages.Order) -> None:
+    async def order(self, order: control_messages.Order) -> None:
         """Loads weights or an adapter, or changes the layer range.
 
         Raises:
--- a/packages/nutmeglift/nutmeglift/ledger.py
+++ b/packages/nutmeglift/nutmeglift/ledger.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from nutmeglift import ids
-from nutmeglift import messages
+from nutmeglift import plain_messages
 from nutmeglift import states
 
 CLAIM_PREFIX = "/nutmeglift/claims/"
@@ -35,7 +35,7 @@
     incarnation: ids.Incarnation
     address: str
     claimed_at: float
-    outcome: messages.PlainOutcome | None = None
+    outcome: plain_messages.PlainOutcome | None = None
 
 
 def claim_digest(
@@ -55,7 +55,7 @@
 @dataclasses.dataclass
 class _Attempt:
     state: states.AttemptState
-    outcome: messages.PlainOutcome | None = None
+    outcome: plain_messages.PlainOutcome | None = None
 
 
 class AttemptTable:
@@ -69,7 +69,7 @@
         self.incarnation = incarnation
         self._by_attempt: dict[tuple[ids.RequestId, ids.Attempt], _Attempt] = {}
 
-    def begin(self, call: messages.PlainCall) -> bool:
+    def begin(self, call: plain_messages.PlainCall) -> bool:
         """Returns whether the call may run now, and notes that it does."""
         key = (call.request, call.attempt)
         if call.incarnation != self.incarnation or key in self._by_attempt:
@@ -77,20 +77,22 @@
         self._by_attempt[key] = _Attempt(states.AttemptState.RUNNING)
         return True
 
-    def finish(self, outcome: messages.PlainOutcome) -> None:
+    def finish(self, outcome: plain_messages.PlainOutcome) -> None:
         """Keeps the outcome of an attempt that ran."""
         found = self._by_attempt[(outcome.request, outcome.attempt)]
         found.state = states.AttemptState.DONE
         found.outcome = outcome
 
-    def query(self, query: messages.AttemptQuery) -> messages.AttemptStatus:
+    def query(
+        self, query: plain_messages.AttemptQuery
+    ) -> plain_messages.AttemptStatus:
         """Tells an attempt's state, and fences it if it was never seen."""
         key = (query.request, query.attempt)
         if query.incarnation != self.incarnation:
-            return messages.AttemptStatus(*key, self.incarnation, None)
+            return plain_messages.AttemptStatus(*key, self.incarnation, None)
         found = self._by_attempt.setdefault(
             key, _Attempt(states.AttemptState.FENCED)
         )
-        return messages.AttemptStatus(
+        return plain_messages.AttemptStatus(
             *key, self.incarnation, found.state, found.outcome
         )
--- a/packages/nutmeglift/nutmeglift/routing.py
+++ b/packages/nutmeglift/nutmeglift/routing.py
@@ -5,6 +5,7 @@
 import dataclasses
 import random
 
+from nutmeglift import control_messages
 from nutmeglift import errors
 from nutmeglift import ids
 from nutmeglift import messages
@@ -52,7 +53,7 @@
         self._load_by_vm[vm] = load
 
     def note_cache_events(
-        self, vm: ids.VmId, events: messages.CacheEvents, now: float
+        self, vm: ids.VmId, events: control_messages.CacheEvents, now: float
     ) -> None:
         """Takes cache events that arrived now."""
 
--- a/packages/nutmeglift_agent/nutmeglift_agent/agent.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/agent.py
@@ -6,36 +6,27 @@
 from typing import Any
 
 from nutmeglift import backend
+from nutmeglift import codec
 from nutmeglift import drain
 from nutmeglift import engine as engines
 from nutmeglift import errors
 from nutmeglift import ids
 from nutmeglift import messages
+from nutmeglift import plain_messages
 from nutmeglift import settings
 from nutmeglift import states
-from nutmeglift import streams
 from nutmeglift_agent import peers
 from nutmeglift_agent import plain_work
+from nutmeglift_agent import router_ports
 from nutmeglift_agent import stage_work
 from nutmeglift_wire import clock as clocks
 from nutmeglift_wire import link as links
 from nutmeglift_wire import metrics as metric
 from nutmeglift_wire import session as sessions
 
-MAX_UNACKNOWLEDGED_FRAMES = 8192
-
 _logger = logging.getLogger(__name__)
 
 
-class _RouterPort:
-    """What this agent keeps for one incarnation of a router."""
-
-    def __init__(self, incarnation: ids.Incarnation) -> None:
-        self.incarnation = incarnation
-        self.outbox = streams.FrameOutbox(MAX_UNACKNOWLEDGED_FRAMES)
-        self.session: sessions.Session | None = None
-
-
 class Agent:
     """Serves routers and other agents.
 
@@ -64,7 +55,7 @@
         self._key = own.shared_key.get_secret_value().encode()
         self._generation = ids.Generation(0)
         self._load: messages.LoadReport | None = None
-        self._port_by_router: dict[ids.VmId, _RouterPort] = {}
+        self._ports = router_ports.RouterPorts(metrics)
         self._peers = peers.Peers(dialer, self._open_peer, self._lose_peer)
         self._tasks: set[asyncio.Task[None]] = set()
         self._stages: stage_work.StageWork | None = None
@@ -75,8 +66,8 @@
                 engine,
                 metrics,
                 post_to_agent=self._post_to_agent,
-                post_to_router=self._post_to_router,
-                post_tokens=self._post_tokens,
+                post_to_router=self._ports.post,
+                post_tokens=self._ports.post_tokens,
             )
         if service is not None:
             self._plain = plain_work.PlainWork(incarnation, service)
@@ -98,7 +89,7 @@
     async def leave(self) -> None:
         """Refuses new work, says so, and waits for the work in flight."""
         self.drain.begin()
-        self._broadcast(messages.Leaving())
+        self._ports.broadcast(messages.Leaving())
         while self._stages is not None and self._stages.in_flight:
             await self._clock.sleep(self._own.bounds.heartbeat_seconds / 10)
         while self.drain.in_flight:
@@ -175,43 +166,26 @@
             self._stages.lose_peer(address, reason)
 
     def _attach_router(self, session: sessions.Session) -> None:
-        peer = session.peer
-        port = self._port_by_router.get(peer.vm)
-        if port is None or port.incarnation != peer.incarnation:
-            if port is not None and self._stages is not None:
-                self._stages.lose_router(peer.vm)
-            port = _RouterPort(peer.incarnation)
-            self._port_by_router[peer.vm] = port
-        port.session = session
-        for frame in port.outbox.resume(peer.resume):
-            session.post(frame)
+        if self._ports.attach(session) and self._stages is not None:
+            self._stages.lose_router(session.peer.vm)
 
     async def _detach_router(self, session: sessions.Session) -> None:
-        port = self._port_by_router.get(session.peer.vm)
-        if port is None or port.session is not session:
-            return
-        port.session = None
+        self._ports.detach(session)
         await self._clock.sleep(2 * self._own.bounds.silence_seconds)
-        if port.session is not None:
-            return
-        if self._port_by_router.get(session.peer.vm) is port:
-            del self._port_by_router[session.peer.vm]
-            if self._stages is not None:
-                self._stages.lose_router(session.peer.vm)
+        if self._ports.forget_if_detached(session) and self._stages:
+            self._stages.lose_router(session.peer.vm)
 
     def _handle(
-        self, session: sessions.Session, message: messages.AnyMessage
+        self, session: sessions.Session, message: codec.AnyMessage
     ) -> None:
         match message:
             case messages.Heartbeat(generation=generation):
                 self._generation = max(self._generation, generation)
             case messages.FrameAcknowledged(sequence):
-                port = self._port_by_router.get(session.peer.vm)
-                if port is not None:
-                    port.outbox.acknowledge(sequence)
-            case messages.PlainCall():
+                self._ports.acknowledge(session.peer.vm, sequence)
+            case plain_messages.PlainCall():
                 self._spawn(self._call_plain(session, message))
-            case messages.AttemptQuery():
+            case plain_messages.AttemptQuery():
                 if self._plain is not None:
                     session.post(self._plain.query(message))
             case messages.StartAttempt():
@@ -219,7 +193,7 @@
             case _:
                 self._handle_stage(message)
 
-    def _handle_stage(self, message: messages.AnyMessage) -> None:
+    def _handle_stage(self, message: codec.AnyMessage) -> None:
         if self._stages is None:
             return
         match message:
@@ -266,11 +240,11 @@
         )
 
     async def _call_plain(
-        self, session: sessions.Session, call: messages.PlainCall
+        self, session: sessions.Session, call: plain_messages.PlainCall
     ) -> None:
         if self._plain is None or not self.drain.accepts_work:
             session.post(
-                messages.PlainOutcome(
+                plain_messages.PlainOutcome(
                     call.request,
                     call.attempt,
                     states.Ran.NOT_RUN,
@@ -285,41 +259,14 @@
         finally:
             self.drain.leave()
         if outcome is not None:
-            self._post_to_router(session.peer.vm, outcome)
+            self._ports.post(session.peer.vm, outcome)
 
-    def _post_to_agent(
-        self, address: str, message: messages.AnyMessage
-    ) -> None:
+    def _post_to_agent(self, address: str, message: codec.AnyMessage) -> None:
         if address == self._own.listen:
             self._handle_stage(message)
             return
         self._peers.post(address, message)
 
-    def _post_to_router(
-        self, router: ids.VmId, message: messages.AnyMessage
-    ) -> None:
-        port = self._port_by_router.get(router)
-        if port is None or port.session is None:
-            self._metrics.count("router.missing")
-            return
-        port.session.post(message)
-
-    def _post_tokens(
-        self, router: ids.VmId, items: list[messages.TokenItem]
-    ) -> None:
-        port = self._port_by_router.get(router)
-        if port is None:
-            self._metrics.count("router.missing")
-            return
-        frame = port.outbox.add(tuple(items))
-        if port.session is not None:
-            port.session.post(frame)
-
-    def _broadcast(self, message: messages.AnyMessage) -> None:
-        for port in self._port_by_router.values():
-            if port.session is not None:
-                port.session.post(message)
-
     async def _poll_engine(self, engine: engines.BaseEngine) -> None:
         cache_sequence = 0
         while True:
@@ -332,7 +279,7 @@
             else:
                 if events.events:
                     cache_sequence = events.first + len(events.events) - 1
-                    self._broadcast(events)
+                    self._ports.broadcast(events)
             await self._clock.sleep(self._own.bounds.heartbeat_seconds)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
--- a/packages/nutmeglift_agent/nutmeglift_agent/http_engine.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/http_engine.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from nutmeglift import codec
+from nutmeglift import control_messages
 from nutmeglift import engine
 from nutmeglift import errors
 from nutmeglift import messages
@@ -28,9 +30,9 @@
         self, items: tuple[engine.StepItem, ...]
     ) -> tuple[engine.StepResult, ...]:
         """Runs one batch."""
-        body = messages.encode(engine.StepRequest(items))
+        body = codec.encode(engine.StepRequest(items))
         answer = await self._post("/v1/step", body)
-        return messages.decode_as(answer, engine.StepResponse).results
+        return codec.decode_as(answer, engine.StepResponse).results
 
     async def release(self, sequence: str) -> None:
         """Cancels a sequence."""
@@ -39,16 +41,16 @@
     async def load(self) -> messages.LoadReport:
         """Returns the engine's last published load."""
         answer = await self._post("/v1/load", b"")
-        return messages.decode_as(answer, messages.LoadReport)
+        return codec.decode_as(answer, messages.LoadReport)
 
-    async def cache_events(self, after: int) -> messages.CacheEvents:
+    async def cache_events(self, after: int) -> control_messages.CacheEvents:
         """Returns the cache events after a sequence number."""
         answer = await self._post(f"/v1/cache-events/{after}", b"")
-        return messages.decode_as(answer, messages.CacheEvents)
+        return codec.decode_as(answer, control_messages.CacheEvents)
 
-    async def order(self, order: messages.Order) -> None:
+    async def order(self, order: control_messages.Order) -> None:
         """Gives the engine an order."""
-        await self._post("/v1/order", messages.encode(order))
+        await self._post("/v1/order", codec.encode(order))
 
     async def export_cache(self, sequence: str) -> bytes:
         """Returns a sequence's KV cache."""
--- a/packages/nutmeglift_agent/nutmeglift_agent/peers.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/peers.py
@@ -5,8 +5,8 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
+from nutmeglift import codec
 from nutmeglift import errors
-from nutmeglift import messages
 from nutmeglift_wire import link as links
 from nutmeglift_wire import session as sessions
 
@@ -30,13 +30,11 @@
         self._dialer = dialer
         self._open_session = open_session
         self._on_lost = on_lost
-        self._waiting: collections.deque[messages.AnyMessage] = (
-            collections.deque()
-        )
+        self._waiting: collections.deque[codec.AnyMessage] = collections.deque()
         self._session: sessions.Session | None = None
         self._task: asyncio.Task[None] | None = None
 
-    def post(self, message: messages.AnyMessage) -> None:
+    def post(self, message: codec.AnyMessage) -> None:
         """Sends a message, opening the connection where needed."""
         if self._session is not None and self._session.post(message):
             return
@@ -89,7 +87,7 @@
         self._on_lost = on_lost
         self._peer_by_address: dict[str, Peer] = {}
 
-    def post(self, address: str, message: messages.AnyMessage) -> None:
+    def post(self, address: str, message: codec.AnyMessage) -> None:
         """Sends a message to the agent at an address."""
         peer = self._peer_by_address.get(address)
         if peer is None:
--- a/packages/nutmeglift_agent/nutmeglift_agent/plain_work.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/plain_work.py
@@ -4,7 +4,7 @@
 from nutmeglift import errors
 from nutmeglift import ids
 from nutmeglift import ledger
-from nutmeglift import messages
+from nutmeglift import plain_messages
 from nutmeglift import states
 
 
@@ -18,8 +18,8 @@
         self._attempts = ledger.AttemptTable(incarnation)
 
     async def call(
-        self, call: messages.PlainCall
-    ) -> messages.PlainOutcome | None:
+        self, call: plain_messages.PlainCall
+    ) -> plain_messages.PlainOutcome | None:
         """Runs a call.
 
         Returns:
@@ -31,25 +31,29 @@
         self._attempts.finish(outcome)
         return outcome
 
-    def query(self, query: messages.AttemptQuery) -> messages.AttemptStatus:
+    def query(
+        self, query: plain_messages.AttemptQuery
+    ) -> plain_messages.AttemptStatus:
         """Tells an attempt's state."""
         return self._attempts.query(query)
 
-    async def _execute(self, call: messages.PlainCall) -> messages.PlainOutcome:
+    async def _execute(
+        self, call: plain_messages.PlainCall
+    ) -> plain_messages.PlainOutcome:
         request = backend.PlainRequest(
             call.method, call.path, call.headers, call.body
         )
         try:
             answer = await self._service.call(request, call.timeout_seconds)
         except errors.NutmegError as error:
-            return messages.PlainOutcome(
+            return plain_messages.PlainOutcome(
                 call.request,
                 call.attempt,
                 error.ran,
                 kind=error.kind,
                 detail=error.detail,
             )
-        return messages.PlainOutcome(
+        return plain_messages.PlainOutcome(
             call.request,
             call.attempt,
             states.Ran.RAN,
--- a/packages/nutmeglift_agent/nutmeglift_agent/stage_work.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/stage_work.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import dataclasses
 
+from nutmeglift import codec
 from nutmeglift import engine as engines
 from nutmeglift import errors
 from nutmeglift import ids
@@ -15,9 +16,9 @@
 
 MAX_BATCH_POSITIONS = 4096
 
-PostToAgent = Callable[[str, messages.AnyMessage], None]
+PostToAgent = Callable[[str, codec.AnyMessage], None]
 PostTokens = Callable[[ids.VmId, list[messages.TokenItem]], None]
-PostToRouter = Callable[[ids.VmId, messages.AnyMessage], None]
+PostToRouter = Callable[[ids.VmId, codec.AnyMessage], None]
 
 
 @dataclasses.dataclass
--- a/packages/nutmeglift_fakes/nutmeglift_fakes/demo.py
+++ b/packages/nutmeglift_fakes/nutmeglift_fakes/demo.py
@@ -28,6 +28,7 @@
 from nutmeglift_wire import websocket_link
 
 TOKEN = "demo-token"
+HTTP_OK = 200
 DOMAINS = ("luzon-1", "luzon-2", "luzon-3")
 CLASSES = ("accelerator-large", "accelerator-small")
 STAGES = 3
@@ -115,7 +116,8 @@
         deadline = time.monotonic() + READY_TIMEOUT_SECONDS
         wanted = len(self._deployed.agent_by_vm)
         while time.monotonic() < deadline:
-            if router.live_members() == wanted:
+            configured = router.configuration.generation > 0
+            if configured and router.membership.live == wanted:
                 print(f"{wanted} backend servers are live")
                 return
             await asyncio.sleep(0.05)
@@ -132,6 +134,9 @@
                 "messages": [{"role": "user", "content": PROMPT}],
             },
         )
+        if response.status_code != HTTP_OK:
+            print(f"refused: {await response.text()}")
+            return False
         texts: list[str] = []
         async for event in _events(response):
             if "error" in event:
--- a/packages/nutmeglift_fakes/nutmeglift_fakes/engine_server.py
+++ b/packages/nutmeglift_fakes/nutmeglift_fakes/engine_server.py
@@ -5,9 +5,10 @@
 from starlette import responses
 from starlette import routing
 
+from nutmeglift import codec
+from nutmeglift import control_messages
 from nutmeglift import engine
 from nutmeglift import errors
-from nutmeglift import messages
 from nutmeglift_fakes import toy_engine
 
 
@@ -34,16 +35,16 @@
 
     async def _step(self, request: requests.Request) -> responses.Response:
         body = await request.body()
-        items = messages.decode_as(body, engine.StepRequest).items
+        items = codec.decode_as(body, engine.StepRequest).items
         results = await self._toy.step(items)
-        return _cbor(messages.encode(engine.StepResponse(results)))
+        return _cbor(codec.encode(engine.StepResponse(results)))
 
     async def _load(self, request: requests.Request) -> responses.Response:
-        return _cbor(messages.encode(await self._toy.load()))
+        return _cbor(codec.encode(await self._toy.load()))
 
     async def _order(self, request: requests.Request) -> responses.Response:
         body = await request.body()
-        await self._toy.order(messages.decode_as(body, messages.Order))
+        await self._toy.order(codec.decode_as(body, control_messages.Order))
         return _cbor(b"")
 
     async def _release(self, request: requests.Request) -> responses.Response:
@@ -54,7 +55,7 @@
         self, request: requests.Request
     ) -> responses.Response:
         events = await self._toy.cache_events(request.path_params["after"])
-        return _cbor(messages.encode(events))
+        return _cbor(codec.encode(events))
 
     async def _export(self, request: requests.Request) -> responses.Response:
         return _cbor(
--- a/packages/nutmeglift_fakes/nutmeglift_fakes/toy_engine.py
+++ b/packages/nutmeglift_fakes/nutmeglift_fakes/toy_engine.py
@@ -8,6 +8,7 @@
 import cbor2
 import xxhash
 
+from nutmeglift import control_messages
 from nutmeglift import engine
 from nutmeglift import errors
 from nutmeglift import ids
@@ -97,7 +98,7 @@
         max_prefix_blocks: int = 4096,
     ) -> None:
         self.runs: list[LayerRun] = []
-        self.orders: list[messages.Order] = []
+        self.orders: list[control_messages.Order] = []
         self.faults = EngineFaults()
         self._clock = clock
         self._layers = layers
@@ -114,7 +115,7 @@
         self._prefixes: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
-        self._events: list[messages.CacheEvent | None] = []
+        self._events: list[control_messages.CacheEvent | None] = []
         self._load_history: collections.deque[
             tuple[float, messages.LoadReport]
         ] = collections.deque(maxlen=1024)
@@ -160,20 +161,20 @@
             now - shown_at,
         )
 
-    async def cache_events(self, after: int) -> messages.CacheEvents:
+    async def cache_events(self, after: int) -> control_messages.CacheEvents:
         """Returns the events up to the first lost one, or from after it."""
         self._check_alive()
         start = after
         while start < len(self._events) and self._events[start] is None:
             start += 1
-        found: list[messages.CacheEvent] = []
+        found: list[control_messages.CacheEvent] = []
         for event in self._events[start:]:
             if event is None:
                 break
             found.append(event)
-        return messages.CacheEvents(start + 1, tuple(found))
+        return control_messages.CacheEvents(start + 1, tuple(found))
 
-    async def order(self, order: messages.Order) -> None:
+    async def order(self, order: control_messages.Order) -> None:
         """Carries out an order."""
         self._check_alive()
         if (
@@ -269,12 +270,12 @@
                 self._prefixes.move_to_end(prefix)
                 continue
             self._prefixes[prefix] = None
-            self._publish(messages.CacheEvent(prefix, True))
+            self._publish(control_messages.CacheEvent(prefix, True))
         while len(self._prefixes) > self._max_prefix_blocks:
             gone, _ = self._prefixes.popitem(last=False)
-            self._publish(messages.CacheEvent(gone, False))
+            self._publish(control_messages.CacheEvent(gone, False))
 
-    def _publish(self, event: messages.CacheEvent) -> None:
+    def _publish(self, event: control_messages.CacheEvent) -> None:
         lost = self._rng.random() < self.faults.event_loss
         self._events.append(None if lost else event)
 
--- a/packages/nutmeglift_router/nutmeglift_router/agent_links.py
+++ b/packages/nutmeglift_router/nutmeglift_router/agent_links.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from nutmeglift import codec
 from nutmeglift import errors
 from nutmeglift import ids
 from nutmeglift import messages
@@ -25,7 +26,7 @@
 
 UpListener = Callable[[ids.VmId, messages.Hello], None]
 DownListener = Callable[[ids.VmId, errors.NutmegError], None]
-MessageListener = Callable[[ids.VmId, messages.AnyMessage], None]
+MessageListener = Callable[[ids.VmId, codec.AnyMessage], None]
 
 
 class AgentLink:
@@ -46,7 +47,7 @@
         self._unacknowledged = 0
         self._task = asyncio.ensure_future(self._run())
 
-    def post(self, message: messages.AnyMessage) -> bool:
+    def post(self, message: codec.AnyMessage) -> bool:
         """Sends a message; returns False when the connection is down."""
         return self._session is not None and self._session.post(message)
 
@@ -114,7 +115,7 @@
         self._owner.on_down(self._vm, reason)
 
     def _handle(
-        self, session: sessions.Session, message: messages.AnyMessage
+        self, session: sessions.Session, message: codec.AnyMessage
     ) -> None:
         match message:
             case messages.TokenFrame(sequence):
@@ -175,12 +176,12 @@
             if vm not in self._link_by_vm:
                 self._link_by_vm[vm] = AgentLink(vm, address, self)
 
-    def post(self, vm: ids.VmId, message: messages.AnyMessage) -> bool:
+    def post(self, vm: ids.VmId, message: codec.AnyMessage) -> bool:
         """Sends a message; returns False when there is no connection."""
         link = self._link_by_vm.get(vm)
         return link is not None and link.post(message)
 
-    def broadcast(self, message: messages.AnyMessage) -> None:
+    def broadcast(self, message: codec.AnyMessage) -> None:
         """Sends a message to every connected agent."""
         for link in self._link_by_vm.values():
             link.post(message)
--- /dev/null
+++ b/packages/nutmeglift_router/nutmeglift_router/answers.py
@@ -0,0 +1,35 @@
+"""Answers to requests that failed."""
+
+from typing import Any
+
+from starlette import requests
+from starlette import responses
+
+from nutmeglift import errors
+
+
+def error_body(error: errors.NutmegError, request: str) -> dict[str, Any]:
+    """Returns what a caller is told about an error."""
+    return {
+        "kind": error.kind.value,
+        "ran": error.ran.value,
+        "message": error.detail,
+        "retryable": error.answer.retryable,
+        "request_id": request,
+    }
+
+
+async def answer_error(
+    request: requests.Request, error: Exception
+) -> responses.Response:
+    """Answers a request that failed."""
+    if not isinstance(error, errors.NutmegError):
+        raise error
+    headers = {}
+    if error.retry_after is not None:
+        headers["Retry-After"] = str(max(1, round(error.retry_after)))
+    return responses.JSONResponse(
+        {"error": error_body(error, request.headers.get("x-request-id", ""))},
+        status_code=error.answer.status,
+        headers=headers,
+    )
--- /dev/null
+++ b/packages/nutmeglift_router/nutmeglift_router/bodies.py
@@ -0,0 +1,24 @@
+"""Bodies of requests, bounded."""
+
+from starlette import requests
+
+from nutmeglift import errors
+
+
+async def read(request: requests.Request, bound: int) -> bytes:
+    """Reads a body of at most so many bytes.
+
+    Raises:
+        errors.RefusedError: it is larger.
+    """
+    parts = []
+    size = 0
+    async for part in request.stream():
+        size += len(part)
+        if size > bound:
+            raise errors.RefusedError(
+                f"the body exceeds {bound} bytes",
+                kind=errors.ErrorKind.BODY_TOO_LARGE,
+            )
+        parts.append(part)
+    return b"".join(parts)
--- a/packages/nutmeglift_router/nutmeglift_router/chat.py
+++ b/packages/nutmeglift_router/nutmeglift_router/chat.py
@@ -7,6 +7,7 @@
 import secrets
 
 from nutmeglift import blackboard
+from nutmeglift import codec
 from nutmeglift import declaration
 from nutmeglift import errors
 from nutmeglift import ids
@@ -19,7 +20,7 @@
 
 MAX_ATTEMPTS = 4
 CandidateFinder = Callable[[ids.VmId], routing.Candidate | None]
-Post = Callable[[ids.VmId, messages.AnyMessage], bool]
+Post = Callable[[ids.VmId, codec.AnyMessage], bool]
 REQUEST_ID_BYTES = 12
 
 
@@ -61,6 +62,7 @@
         gate: releases each token once.
         pipeline: pipeline of the attempt that counts.
         failed: VMs that failed this request.
+        on_end: called once, when nothing more will come.
     """
 
     def __init__(self, request: ids.RequestId, chat: ChatRequest) -> None:
@@ -69,6 +71,7 @@
         self.gate = streams.TokenGate(ids.Attempt(1))
         self.pipeline: messages.Pipeline | None = None
         self.failed: set[ids.VmId] = set()
+        self.on_end: Callable[[], None] = lambda: None
         self._parts: asyncio.Queue[ChatPart | errors.NutmegError] = (
             asyncio.Queue()
         )
@@ -240,7 +243,9 @@
         self._routing.started(pipeline, now)
 
     def _end(self, stream: Stream, failed: ids.VmId | None) -> None:
-        self._stream_by_request.pop(stream.request, None)
+        if self._stream_by_request.pop(stream.request, None) is None:
+            return
+        stream.on_end()
         if stream.gate.finished:
             self._metrics.count("chat.finished")
         self._cancel(stream, failed)
--- a/packages/nutmeglift_router/nutmeglift_router/entries.py
+++ b/packages/nutmeglift_router/nutmeglift_router/entries.py
@@ -4,11 +4,11 @@
 
 from nutmeglift import blackboard
 from nutmeglift import configuration
+from nutmeglift import control_messages
 from nutmeglift import declaration
 from nutmeglift import drain
 from nutmeglift import ids
 from nutmeglift import membership
-from nutmeglift import messages
 from nutmeglift import plan
 
 
@@ -22,7 +22,7 @@
         fresh: whether it was confirmed within the freshness bound.
     """
 
-    head: messages.ConfigurationHead
+    head: control_messages.ConfigurationHead
     declared: declaration.Declaration
     fresh: bool = True
 
--- /dev/null
+++ b/packages/nutmeglift_router/nutmeglift_router/membership_controller.py
@@ -0,0 +1,121 @@
+"""Keeps the router's view of the VMs."""
+
+from collections.abc import Callable
+import random
+
+from nutmeglift import blackboard
+from nutmeglift import errors
+from nutmeglift import ids
+from nutmeglift import membership
+from nutmeglift import messages
+from nutmeglift import routing
+from nutmeglift_router import entries
+from nutmeglift_wire import clock as clocks
+from nutmeglift_wire import metrics as metric
+from nutmeglift_wire import vm_list
+
+LIST_INTERVAL_SECONDS = 1.0
+
+SetTargets = Callable[[dict[ids.VmId, str]], None]
+
+
+class MembershipController:
+    """Follows the VM list and what the connections to agents prove."""
+
+    def __init__(
+        self,
+        *,
+        board: blackboard.Blackboard,
+        vms: vm_list.BaseVmList,
+        clock: clocks.BaseClock,
+        rng: random.Random,
+        metrics: metric.BaseMetrics,
+        set_targets: SetTargets,
+    ) -> None:
+        self._board = board
+        self._vms = vms
+        self._clock = clock
+        self._rng = rng
+        self._metrics = metrics
+        self._set_targets = set_targets
+        self._membership = membership.Membership()
+
+    @property
+    def live(self) -> int:
+        """Number of backend servers that take work."""
+        members = self._membership.member_by_vm
+        return sum(self._membership.usable(vm) is not None for vm in members)
+
+    async def run(self) -> None:
+        """Follows the VM list for ever."""
+        while True:
+            await self._read_list()
+            await self._clock.sleep(LIST_INTERVAL_SECONDS)
+
+    def agent_up(self, vm: ids.VmId, hello: messages.Hello) -> None:
+        """Notes a new connection to an agent."""
+        self._membership.note_hello(vm, hello, self._clock.now())
+        self._publish()
+
+    def agent_down(self, vm: ids.VmId) -> None:
+        """Notes that the connection to an agent ended."""
+        self._membership.note_lost(vm, self._clock.now())
+        self._publish()
+
+    def take_heartbeat(
+        self, vm: ids.VmId, heartbeat: messages.Heartbeat
+    ) -> None:
+        """Takes an agent's heartbeat."""
+        self._membership.note_heartbeat(vm, heartbeat, self._clock.now())
+        self._publish()
+
+    def take_leaving(self, vm: ids.VmId) -> None:
+        """Takes an agent's word that it takes no new work."""
+        self._membership.note_leaving(vm, self._clock.now())
+        self._publish()
+
+    def find_candidate(self, vm: ids.VmId) -> routing.Candidate | None:
+        """Returns a VM as a candidate for work, if it can take any."""
+        member = self._membership.usable(vm)
+        if member is None or member.incarnation is None:
+            return None
+        return routing.Candidate(
+            vm,
+            member.entry.address,
+            member.incarnation,
+            member.entry.failure_domain,
+        )
+
+    def choose_server(self, service: ids.ServiceId) -> routing.Candidate | None:
+        """Returns a backend server that runs a plain service, if any can."""
+        declared = self._board.read(entries.CONFIGURATION).declared
+        classes = {
+            c.id for c in declared.backend_classes if c.service == service
+        }
+        found = [
+            candidate
+            for vm, member in self._membership.member_by_vm.items()
+            if member.entry.backend_class in classes
+            and (candidate := self.find_candidate(vm)) is not None
+        ]
+        return self._rng.choice(found) if found else None
+
+    async def _read_list(self) -> None:
+        try:
+            listed = await self._vms.read()
+        except errors.PlatformError:
+            self._metrics.count("vm_list.failed")
+            return
+        self._membership.note_list(listed, self._clock.now())
+        self._publish()
+        members = self._membership.member_by_vm
+        self._set_targets(
+            {vm: member.entry.address for vm, member in members.items()}
+        )
+
+    def _publish(self) -> None:
+        self._board.write(
+            entries.MEMBERS,
+            dict(self._membership.member_by_vm),
+            blackboard.Controller.MEMBERSHIP,
+        )
--- a/packages/nutmeglift_router/nutmeglift_router/operator_client.py
+++ b/packages/nutmeglift_router/nutmeglift_router/operator_client.py
@@ -11,9 +11,9 @@
 
 from nutmeglift import audit
 from nutmeglift import configuration
+from nutmeglift import control_messages
 from nutmeglift import declaration
 from nutmeglift import ids
-from nutmeglift import messages
 from nutmeglift_wire import etcd_kv
 
 APPLY_ID_BYTES = 12
@@ -29,7 +29,7 @@
 
 async def apply(
     address: str, directory: pathlib.Path, expected: int | None
-) -> messages.ConfigurationHead:
+) -> control_messages.ConfigurationHead:
     """Applies a directory as a whole.
 
     Raises:
--- a/packages/nutmeglift_router/nutmeglift_router/plain.py
+++ b/packages/nutmeglift_router/nutmeglift_router/plain.py
@@ -7,12 +7,13 @@
 
 import msgspec
 
+from nutmeglift import codec
 from nutmeglift import declaration
 from nutmeglift import errors
 from nutmeglift import ids
 from nutmeglift import kv
 from nutmeglift import ledger
-from nutmeglift import messages
+from nutmeglift import plain_messages
 from nutmeglift import routing
 from nutmeglift import states
 from nutmeglift_wire import clock as clocks
@@ -23,7 +24,7 @@
 
 FIRST_ATTEMPT = ids.Attempt(1)
 
-Post = Callable[[ids.VmId, messages.AnyMessage], bool]
+Post = Callable[[ids.VmId, codec.AnyMessage], bool]
 ChooseServer = Callable[[ids.ServiceId], routing.Candidate | None]
 
 
@@ -84,7 +85,7 @@
         self._choose = choose
         self._post = post
         self._waiting: dict[
-            ids.RequestId, asyncio.Future[messages.PlainOutcome]
+            ids.RequestId, asyncio.Future[plain_messages.PlainOutcome]
         ] = {}
 
     @property
@@ -92,7 +93,9 @@
         """Number of calls that wait for their outcome."""
         return len(self._waiting)
 
-    async def call(self, request: PlainCallRequest) -> messages.PlainOutcome:
+    async def call(
+        self, request: PlainCallRequest
+    ) -> plain_messages.PlainOutcome:
         """Runs a call.
 
         Raises:
@@ -111,7 +114,7 @@
             return await self._dispatch(name, request, server, None)
         return await self._call_once(name, request, server)
 
-    def take_outcome(self, outcome: messages.PlainOutcome) -> None:
+    def take_outcome(self, outcome: plain_messages.PlainOutcome) -> None:
         """Takes an outcome from an agent."""
         waiting = self._waiting.get(outcome.request)
         if waiting is not None and not waiting.done():
@@ -122,7 +125,7 @@
         name: ids.RequestId,
         request: PlainCallRequest,
         server: routing.Candidate,
-    ) -> messages.PlainOutcome:
+    ) -> plain_messages.PlainOutcome:
         if request.key is None:
             raise errors.RefusedError(
                 "a non-idempotent call needs an Idempotency-Key",
@@ -144,17 +147,17 @@
         key = ledger.CLAIM_PREFIX + digest
         result = await self._store.txn(
             [kv.Compare(key, kv.NEVER_WRITTEN)],
-            [kv.Put(key, messages.encode(claim))],
+            [kv.Put(key, codec.encode(claim))],
             [kv.Get(key)],
         )
         if not result.succeeded:
-            found = messages.decode_as(result.found[0][0].value, ledger.Claim)
+            found = codec.decode_as(result.found[0][0].value, ledger.Claim)
             return _answer_repeat(found, claim)
         outcome = await self._dispatch(name, request, server, digest)
         done = msgspec.structs.replace(
             claim, state=states.ClaimState.DONE, outcome=outcome
         )
-        await self._store.txn([], [kv.Put(key, messages.encode(done))])
+        await self._store.txn([], [kv.Put(key, codec.encode(done))])
         return outcome
 
     async def _dispatch(
@@ -163,8 +166,8 @@
         request: PlainCallRequest,
         server: routing.Candidate,
         claim: ids.Digest | None,
-    ) -> messages.PlainOutcome:
-        call = messages.PlainCall(
+    ) -> plain_messages.PlainOutcome:
+        call = plain_messages.PlainCall(
             name,
             FIRST_ATTEMPT,
             request.service.id,
@@ -178,7 +181,9 @@
             claim,
         )
         loop = asyncio.get_running_loop()
-        waiting: asyncio.Future[messages.PlainOutcome] = loop.create_future()
+        waiting: asyncio.Future[plain_messages.PlainOutcome] = (
+            loop.create_future()
+        )
         self._waiting[name] = waiting
         try:
             if not self._post(server.vm, call):
@@ -201,7 +206,7 @@
 
 def _answer_repeat(
     found: ledger.Claim, wanted: ledger.Claim
-) -> messages.PlainOutcome:
+) -> plain_messages.PlainOutcome:
     if found.body_digest != wanted.body_digest:
         raise errors.RefusedError(
             "the idempotency key was used for another call",
--- /dev/null
+++ b/packages/nutmeglift_router/nutmeglift_router/plain_endpoint.py
@@ -0,0 +1,85 @@
+"""Calls to plain services over HTTP."""
+
+from starlette import requests
+from starlette import responses
+
+from nutmeglift import declaration
+from nutmeglift import errors
+from nutmeglift import ids
+from nutmeglift_router import admission_controller
+from nutmeglift_router import bodies
+from nutmeglift_router import entries
+from nutmeglift_router import plain
+from nutmeglift_router import router as routers
+
+METHODS = ["GET", "HEAD", "PUT", "POST", "PATCH", "DELETE"]
+PASSED_HEADERS = frozenset({"content-type", "accept"})
+
+
+class PlainEndpoint:
+    """Serves declared calls to plain services."""
+
+    def __init__(self, router: routers.Router) -> None:
+        self._router = router
+
+    async def serve(self, request: requests.Request) -> responses.Response:
+        """Answers one request."""
+        router = self._router
+        router.check_accepts_work()
+        header = request.headers.get("authorization")
+        account = router.authenticator.account(header)
+        body = await bodies.read(request, router.own.bounds.body_bytes)
+        call = self._make_call(request, account, body)
+        ticket = await router.admission.admit(
+            admission_controller.Demand(account, None)
+        )
+        try:
+            outcome = await router.plain.call(call)
+        finally:
+            router.admission.release(ticket, 0)
+        return responses.Response(
+            outcome.body,
+            status_code=outcome.status,
+            headers=dict(outcome.headers),
+        )
+
+    def _make_call(
+        self,
+        request: requests.Request,
+        account: declaration.ClientAccount,
+        body: bytes,
+    ) -> plain.PlainCallRequest:
+        declared = self._router.board.read(entries.CONFIGURATION).declared
+        name = request.path_params["service"]
+        path = "/" + request.path_params["path"]
+        service = next((s for s in declared.services if s.id == name), None)
+        call = None
+        if service is not None:
+            call = plain.find_call(service, request.method, path)
+        if service is None or call is None:
+            raise errors.RefusedError(
+                f"no declared call is {request.method} {path} of {name}",
+                kind=errors.ErrorKind.UNKNOWN_ROUTE,
+            )
+        if account.services and service.id not in account.services:
+            raise errors.RefusedError(
+                f"{account.id} may not use {service.id}",
+                kind=errors.ErrorKind.FORBIDDEN,
+            )
+        query = f"?{request.url.query}" if request.url.query else ""
+        key = request.headers.get("idempotency-key")
+        headers = tuple(
+            (name, value)
+            for name, value in request.headers.items()
+            if name in PASSED_HEADERS
+        )
+        return plain.PlainCallRequest(
+            account,
+            service,
+            call,
+            request.method,
+            path + query,
+            headers,
+            body,
+            ids.IdempotencyKey(key) if key else None,
+        )
--- a/packages/nutmeglift_router/nutmeglift_router/router.py
+++ b/packages/nutmeglift_router/nutmeglift_router/router.py
@@ -2,47 +2,50 @@
 
 import asyncio
 from collections.abc import Coroutine
-import logging
 import random
 from typing import Any
 
 from nutmeglift import auth
 from nutmeglift import blackboard
-from nutmeglift import configuration
+from nutmeglift import codec
+from nutmeglift import control_messages
 from nutmeglift import drain
 from nutmeglift import errors
 from nutmeglift import ids
 from nutmeglift import kv
-from nutmeglift import membership
 from nutmeglift import messages
-from nutmeglift import planner
+from nutmeglift import plain_messages
 from nutmeglift import routing
 from nutmeglift import settings
 from nutmeglift import states
+from nutmeglift_router import admission_controller
 from nutmeglift_router import agent_links
 from nutmeglift_router import chat
+from nutmeglift_router import configuration_controller
 from nutmeglift_router import entries
+from nutmeglift_router import membership_controller
 from nutmeglift_router import plain
+from nutmeglift_router import plan_controller
 from nutmeglift_wire import clock as clocks
 from nutmeglift_wire import link as links
 from nutmeglift_wire import metrics as metric
 from nutmeglift_wire import vm_list
 
-LIST_INTERVAL_SECONDS = 1.0
-CONFIGURATION_INTERVAL_SECONDS = 0.5
-
-_logger = logging.getLogger(__name__)
-
 
 class Router:
     """Takes requests and runs them on backend servers.
 
     Attributes:
+        own: its settings.
+        incarnation: differs for every start.
         board: the blackboard.
         drain: how far it is on its way out.
+        configuration: the configuration in force.
+        membership: the VMs.
+        admission: which request runs when.
         chat: requests to models.
         plain: calls to plain services.
-        incarnation: differs for every start.
+        authenticator: the tokens of the configuration in force.
     """
 
     def __init__(
@@ -57,19 +60,13 @@
         dialer: links.BaseDialer,
         metrics: metric.BaseMetrics,
     ) -> None:
+        self.own = own
+        self.incarnation = incarnation
         self.board = blackboard.Blackboard()
         self.drain = drain.Drain()
-        self.incarnation = incarnation
-        self.own = own
         self._clock = clock
-        self._rng = rng
-        self._store = store
-        self._vms = vms
         self._metrics = metrics
-        self._membership = membership.Membership()
-        self._authenticator = auth.Authenticator(
-            self.board.read(entries.CONFIGURATION).declared
-        )
+        self._tasks: set[asyncio.Task[None]] = set()
         self._routing = routing.Routing(rng)
         self._links = agent_links.AgentLinks(
             key=own.shared_key.get_secret_value().encode(),
@@ -84,33 +81,52 @@
             on_down=self._agent_down,
             on_message=self._take_message,
         )
+        self.configuration = configuration_controller.ConfigurationController(
+            board=self.board, store=store, clock=clock, metrics=metrics
+        )
+        self.membership = membership_controller.MembershipController(
+            board=self.board,
+            vms=vms,
+            clock=clock,
+            rng=rng,
+            metrics=metrics,
+            set_targets=self._links.set_targets,
+        )
+        self._plan = plan_controller.PlanController(
+            board=self.board,
+            store=store,
+            clock=clock,
+            metrics=metrics,
+            routes=self._routing,
+        )
+        self.admission = admission_controller.AdmissionController(
+            board=self.board, clock=clock, metrics=metrics
+        )
         self.chat = chat.ChatController(
             own.vm,
             board=self.board,
             clock=clock,
             metrics=metrics,
             routes=self._routing,
-            find=self._find_candidate,
+            find=self.membership.find_candidate,
             post=self._links.post,
         )
         self.plain = plain.PlainController(
             store=store,
             clock=clock,
             metrics=metrics,
-            choose=self._choose_server,
+            choose=self.membership.choose_server,
             post=self._links.post,
         )
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    @property
-    def authenticator(self) -> auth.Authenticator:
-        """Knows the tokens of the configuration in force."""
-        return self._authenticator
+        self.authenticator = auth.Authenticator(
+            self.board.read(entries.CONFIGURATION).declared
+        )
+        self.board.watch(entries.CONFIGURATION, self._renew_authenticator)
 
     def start(self) -> None:
         """Starts the loops."""
-        self._spawn(self._follow_list())
-        self._spawn(self._follow_configuration())
+        self._spawn(self.membership.run())
+        self._spawn(self.configuration.run())
 
     async def leave(self) -> None:
         """Refuses new work and waits for the work in flight."""
@@ -130,7 +146,7 @@
 
         Raises:
             errors.RefusedError: this router is draining or has no
-                configuration.
+                configuration that it may work by.
         """
         if not self.drain.accepts_work:
             raise errors.RefusedError(
@@ -138,20 +154,10 @@
                 kind=errors.ErrorKind.DRAINING,
                 retry_after=1.0,
             )
-        if self._generation() == 0:
-            raise errors.RefusedError(
-                "no configuration is in force yet",
-                kind=errors.ErrorKind.CONFIGURATION_STALE,
-                retry_after=1.0,
-            )
+        self.configuration.check_in_force()
 
-    def live_members(self) -> int:
-        """Returns how many backend servers take work."""
-        members = self._membership.member_by_vm
-        return sum(self._membership.usable(vm) is not None for vm in members)
-
-    def _generation(self) -> ids.Generation:
-        return self.board.read(entries.CONFIGURATION).head.generation
+    def _renew_authenticator(self, new: entries.ConfigurationInForce) -> None:
+        self.authenticator = auth.Authenticator(new.declared)
 
     def _make_hello(self) -> messages.Hello:
         return messages.Hello(
@@ -160,141 +166,42 @@
             self.own.vm,
             self.incarnation,
             self.own.failure_domain,
-            self._generation(),
+            self.configuration.generation,
         )
 
     def _make_heartbeat(self, sequence: int) -> messages.Heartbeat:
-        return messages.Heartbeat(sequence, self._generation())
+        return messages.Heartbeat(sequence, self.configuration.generation)
 
     def _agent_up(self, vm: ids.VmId, hello: messages.Hello) -> None:
-        self._membership.note_hello(vm, hello, self._clock.now())
-        self._publish_members()
+        self.membership.agent_up(vm, hello)
 
     def _agent_down(self, vm: ids.VmId, reason: errors.NutmegError) -> None:
-        self._membership.note_lost(vm, self._clock.now())
-        self._publish_members()
+        self.membership.agent_down(vm)
         self.chat.lose_agent(vm)
 
-    def _take_message(self, vm: ids.VmId, message: messages.AnyMessage) -> None:
-        now = self._clock.now()
+    def _take_message(self, vm: ids.VmId, message: codec.AnyMessage) -> None:
         match message:
             case messages.TokenFrame():
                 self.chat.take_frame(message)
             case messages.AttemptFailed():
                 self.chat.take_failure(message)
-            case messages.PlainOutcome():
+            case plain_messages.PlainOutcome():
                 self.plain.take_outcome(message)
-            case messages.Heartbeat(load=load):
-                self._membership.note_heartbeat(vm, message, now)
-                self._publish_members()
-                if load is not None:
-                    self._routing.note_load(vm, load, now)
+            case messages.Heartbeat():
+                self._take_heartbeat(vm, message)
             case messages.Leaving():
-                self._membership.note_leaving(vm, now)
-                self._publish_members()
-            case messages.CacheEvents():
-                self._routing.note_cache_events(vm, message, now)
+                self.membership.take_leaving(vm)
+            case control_messages.CacheEvents():
+                self._routing.note_cache_events(vm, message, self._clock.now())
             case _:
                 self._metrics.count("message.unexpected")
 
-    def _publish_members(self) -> None:
-        self.board.write(
-            entries.MEMBERS,
-            dict(self._membership.member_by_vm),
-            blackboard.Controller.MEMBERSHIP,
-        )
-        self._make_plan()
-
-    def _find_candidate(self, vm: ids.VmId) -> routing.Candidate | None:
-        member = self._membership.usable(vm)
-        if member is None or member.incarnation is None:
-            return None
-        return routing.Candidate(
-            vm,
-            member.entry.address,
-            member.incarnation,
-            member.entry.failure_domain,
-        )
-
-    def _choose_server(
-        self, service: ids.ServiceId
-    ) -> routing.Candidate | None:
-        declared = self.board.read(entries.CONFIGURATION).declared
-        classes = {
-            c.id for c in declared.backend_classes if c.service == service
-        }
-        found = [
-            candidate
-            for vm, member in self._membership.member_by_vm.items()
-            if member.entry.backend_class in classes
-            and (candidate := self._find_candidate(vm)) is not None
-        ]
-        return self._rng.choice(found) if found else None
-
-    def _make_plan(self) -> None:
-        declared = self.board.read(entries.CONFIGURATION).declared
-        class_by_id = {c.id: c for c in declared.backend_classes}
-        runners = []
-        for vm, member in self._membership.member_by_vm.items():
-            found = class_by_id.get(member.entry.backend_class or "")
-            if found is None or found.service is not None:
-                continue
-            runners.append(
-                planner.Runner(
-                    vm,
-                    member.entry.failure_domain,
-                    found.layer_positions_per_second,
-                    found.memory_bytes,
-                )
-            )
-        old = self.board.read(entries.PLAN)
-        new = planner.make_plan(runners, declared, old)
-        if new.assignments == old.assignments:
-            return
-        self.board.write(entries.PLAN, new, blackboard.Controller.PLAN)
-        self._routing.set_plan(new)
-
-    async def _follow_list(self) -> None:
-        while True:
-            try:
-                listed = await self._vms.read()
-            except errors.PlatformError:
-                self._metrics.count("vm_list.failed")
-            else:
-                self._membership.note_list(listed, self._clock.now())
-                self._publish_members()
-                self._links.set_targets(
-                    {
-                        vm: member.entry.address
-                        for vm, member in self._membership.member_by_vm.items()
-                    }
-                )
-            await self._clock.sleep(LIST_INTERVAL_SECONDS)
-
-    async def _follow_configuration(self) -> None:
-        while True:
-            try:
-                head, declared = await configuration.read(self._store)
-            except errors.NutmegError:
-                self._metrics.count("configuration.read_failed")
-            else:
-                if head.generation > self._generation():
-                    self._take_configuration(
-                        entries.ConfigurationInForce(head, declared)
-                    )
-            await self._clock.sleep(CONFIGURATION_INTERVAL_SECONDS)
-
-    def _take_configuration(self, new: entries.ConfigurationInForce) -> None:
-        self.board.write(
-            entries.CONFIGURATION, new, blackboard.Controller.CONFIGURATION
-        )
-        self._authenticator = auth.Authenticator(new.declared)
-        self._make_plan()
-        self._metrics.gauge("configuration.generation", new.head.generation)
-        _logger.info(
-            "configuration in force",
-            extra={"generation": new.head.generation},
-        )
+    def _take_heartbeat(
+        self, vm: ids.VmId, heartbeat: messages.Heartbeat
+    ) -> None:
+        self.membership.take_heartbeat(vm, heartbeat)
+        if heartbeat.load is not None:
+            self._routing.note_load(vm, heartbeat.load, self._clock.now())
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(work)
--- a/packages/nutmeglift_wire/nutmeglift_wire/link.py
+++ b/packages/nutmeglift_wire/nutmeglift_wire/link.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 import dataclasses
 
+from nutmeglift import codec
 from nutmeglift import errors
-from nutmeglift import messages
 from nutmeglift_wire import clock as clocks
 
 
@@ -15,7 +15,7 @@
     """A connection that carries messages in order."""
 
     @abc.abstractmethod
-    async def send(self, message: messages.AnyMessage) -> None:
+    async def send(self, message: codec.AnyMessage) -> None:
         """Sends a message.
 
         Raises:
@@ -23,7 +23,7 @@
         """
 
     @abc.abstractmethod
-    async def receive(self) -> messages.AnyMessage:
+    async def receive(self) -> codec.AnyMessage:
         """Waits for the next message.
 
         Raises:
@@ -85,9 +85,9 @@
         self._clock = clock
         self.closed = False
 
-    async def send(self, message: messages.AnyMessage) -> None:
+    async def send(self, message: codec.AnyMessage) -> None:
         """Sends the encoded message, unless a fault swallows it."""
-        await self.send_frame(messages.encode(message))
+        await self.send_frame(codec.encode(message))
 
     async def send_frame(self, frame: bytes) -> None:
         """Sends raw bytes as one frame."""
@@ -96,14 +96,14 @@
             raise errors.LinkClosedError("the connection is closed")
         self._put(frame)
 
-    async def receive(self) -> messages.AnyMessage:
+    async def receive(self) -> codec.AnyMessage:
         """Waits for the next message."""
         frame = await self._incoming.queue.get()
         await self._gate()
         if frame is None or self.closed:
             self.closed = True
             raise errors.LinkClosedError("the connection is closed")
-        return messages.decode(frame)
+        return codec.decode(frame)
 
     async def close(self) -> None:
         """Closes both directions."""
--- a/packages/nutmeglift_wire/nutmeglift_wire/session.py
+++ b/packages/nutmeglift_wire/nutmeglift_wire/session.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from nutmeglift import codec
 from nutmeglift import errors
 from nutmeglift import messages
 from nutmeglift import settings
@@ -21,7 +22,7 @@
 
 HelloMaker = Callable[[], messages.Hello]
 HeartbeatMaker = Callable[[int], messages.Heartbeat]
-Handler = Callable[["Session", messages.AnyMessage], None]
+Handler = Callable[["Session", codec.AnyMessage], None]
 
 
 def prove(key: bytes, nonce: bytes, hello: messages.Hello) -> bytes:
@@ -80,7 +81,7 @@
     return peer
 
 
-def _expect_hello(message: messages.AnyMessage) -> messages.Hello:
+def _expect_hello(message: codec.AnyMessage) -> messages.Hello:
     if not isinstance(message, messages.Hello):
         raise errors.MalformedMessageError("the first message must be Hello")
     if message.protocol != messages.PROTOCOL_VERSION:
@@ -123,7 +124,7 @@
         self._bounds = bounds
         self._handler = handler
         self._make_heartbeat = make_heartbeat
-        self._outgoing: collections.deque[messages.AnyMessage] = (
+        self._outgoing: collections.deque[codec.AnyMessage] = (
             collections.deque()
         )
         self._posted = asyncio.Event()
@@ -135,7 +136,7 @@
         """Whether nothing can be sent any more."""
         return self._closed
 
-    def post(self, message: messages.AnyMessage) -> bool:
+    def post(self, message: codec.AnyMessage) -> bool:
         """Queues a message for sending, without waiting.
 
         Returns:
--- a/packages/nutmeglift_wire/nutmeglift_wire/websocket_link.py
+++ b/packages/nutmeglift_wire/nutmeglift_wire/websocket_link.py
@@ -8,8 +8,8 @@
 from websockets.asyncio import connection
 from websockets.asyncio import server
 
+from nutmeglift import codec
 from nutmeglift import errors
-from nutmeglift import messages
 from nutmeglift_wire import link
 
 OPEN_TIMEOUT_SECONDS = 2.0
@@ -23,14 +23,14 @@
     def __init__(self, websocket: connection.Connection) -> None:
         self._websocket = websocket
 
-    async def send(self, message: messages.AnyMessage) -> None:
+    async def send(self, message: codec.AnyMessage) -> None:
         """Sends a message."""
         try:
-            await self._websocket.send(messages.encode(message))
+            await self._websocket.send(codec.encode(message))
         except (websockets.ConnectionClosed, OSError) as error:
             raise errors.LinkClosedError(str(error)) from error
 
-    async def receive(self) -> messages.AnyMessage:
+    async def receive(self) -> codec.AnyMessage:
         """Waits for the next message."""
         try:
             frame = await self._websocket.recv()
@@ -38,7 +38,7 @@
             raise errors.LinkClosedError(str(error)) from error
         if isinstance(frame, str):
             raise errors.MalformedMessageError("a text frame")
-        return messages.decode(frame)
+        return codec.decode(frame)
 
     async def close(self) -> None:
         """Closes the websocket."""
@@ -54,7 +54,7 @@
             websocket = await client.connect(
                 f"ws://{address}/",
                 compression=None,
-                max_size=messages.MAX_FRAME_BYTES,
+                max_size=codec.MAX_FRAME_BYTES,
                 open_timeout=OPEN_TIMEOUT_SECONDS,
                 close_timeout=CLOSE_TIMEOUT_SECONDS,
                 ping_interval=None,
@@ -88,7 +88,7 @@
             host,
             int(port),
             compression=None,
-            max_size=messages.MAX_FRAME_BYTES,
+            max_size=codec.MAX_FRAME_BYTES,
             ping_interval=None,
             close_timeout=CLOSE_TIMEOUT_SECONDS,
             write_limit=WRITE_LIMIT_BYTES,
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from nutmeglift import codec
 from nutmeglift import errors
 from nutmeglift import messages
 from nutmeglift import states
@@ -90,9 +91,9 @@
 class MalformedFrameTest(unittest.TestCase):
     FRAMES = {
         "not CBOR": b"\xff\xff",
-        "no map": messages.encode(messages.Leaving())[:-1] + b"\x00\x01",
+        "no map": codec.encode(messages.Leaving())[:-1] + b"\x00\x01",
         "unknown tag": b"\xa1atcxyz",
-        "not a Hello": messages.encode(messages.Leaving()),
+        "not a Hello": codec.encode(messages.Leaving()),
     }
 
     def test_it_closes_that_connection_only(self):
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -12,7 +12,7 @@
 from nutmeglift import declaration
 from nutmeglift import ids
 from nutmeglift import kv
-from nutmeglift import messages
+from nutmeglift import plain_messages
 from nutmeglift import plan
 from nutmeglift import settings
 from nutmeglift import tokenizer
@@ -314,7 +314,7 @@
         *,
         body: bytes = b"{}",
         router: routers.Router | None = None,
-    ) -> messages.PlainOutcome:
+    ) -> plain_messages.PlainOutcome:
         """Makes one non-idempotent call."""
         found = router or self.router
         service = self.declared.services[0]
