--- a/packages/nutmeglift/nutmeglift/blackboard.py
+++ b/packages/nutmeglift/nutmeglift/blackboard.py
@@ -16,6 +16,7 @@
     ADMISSION = "admission"
     CONFIGURATION = "configuration"
     DRAIN = "drain"
+    LEASE = "lease"
     LEDGER = "ledger"
     MEMBERSHIP = "membership"
     PLAN = "plan"
--- a/packages/nutmeglift_router/nutmeglift_router/entries.py
+++ b/packages/nutmeglift_router/nutmeglift_router/entries.py
@@ -27,6 +27,19 @@
     fresh: bool = True
 
 
+@dataclasses.dataclass(frozen=True)
+class Leader:
+    """The router that holds the planner's lease, as last heard.
+
+    Attributes:
+        vm: its VM.
+        fencing_number: number of its lease.
+    """
+
+    vm: ids.VmId
+    fencing_number: ids.FencingNumber
+
+
 CONFIGURATION = blackboard.Entry(
     "configuration",
     blackboard.Controller.CONFIGURATION,
@@ -36,6 +49,9 @@
     "members", blackboard.Controller.MEMBERSHIP, {}
 )
 PLAN = blackboard.Entry("plan", blackboard.Controller.PLAN, plan.Plan())
+LEADER = blackboard.Entry[Leader | None](
+    "leader", blackboard.Controller.LEASE, None
+)
 DRAIN = blackboard.Entry(
     "drain", blackboard.Controller.DRAIN, drain.DrainState.SERVING
 )
