Add the scenario test language

Change: YAML steps over tests.utils.World, with checks that always hold at the end of each scenario: answers equal the reference, layers in order, executions per key at most 1, not_run implies nothing ran. Wrong files are refused by step and key.

--- a/packages/nutmeglift_agent/nutmeglift_agent/agent.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/agent.py
@@ -72,6 +72,12 @@
         if service is not None:
             self._plain = plain_work.PlainWork(incarnation, service)
 
+    @property
+    def in_flight(self) -> int:
+        """Stages and calls that are not over."""
+        stages = self._stages.in_flight if self._stages is not None else 0
+        return stages + self.drain.in_flight
+
     def start(self) -> None:
         """Starts the loops."""
         if self._stages is not None:
--- a/packages/nutmeglift_router/nutmeglift_router/chat.py
+++ b/packages/nutmeglift_router/nutmeglift_router/chat.py
@@ -62,6 +62,7 @@
         gate: releases each token once.
         pipeline: pipeline of the attempt that counts.
         failed: VMs that failed this request.
+        used: VMs that this request was given to.
         on_end: called once, when nothing more will come.
     """
 
@@ -71,6 +72,7 @@
         self.gate = streams.TokenGate(ids.Attempt(1))
         self.pipeline: messages.Pipeline | None = None
         self.failed: set[ids.VmId] = set()
+        self.used: set[ids.VmId] = set()
         self.on_end: Callable[[], None] = lambda: None
         self._parts: asyncio.Queue[ChatPart | errors.NutmegError] = (
             asyncio.Queue()
@@ -240,6 +242,7 @@
                 kind=errors.ErrorKind.NO_BACKEND,
             )
         stream.pipeline = pipeline
+        stream.used |= {stage.vm for stage in pipeline.stages}
         self._routing.started(pipeline, now)
 
     def _end(self, stream: Stream, failed: ids.VmId | None) -> None:
--- a/packages/nutmeglift_wire/nutmeglift_wire/link.py
+++ b/packages/nutmeglift_wire/nutmeglift_wire/link.py
@@ -164,6 +164,12 @@
             if {link.source, link.target} == {one, other}:
                 link.outgoing.silent = True
 
+    def cut(self, one: str, other: str) -> None:
+        """Breaks open connections between two addresses; new ones work."""
+        for link in self._links:
+            if {link.source, link.target} == {one, other}:
+                link.outgoing.queue.put_nowait(None)
+
     def part(self, one: str, other: str) -> None:
         """Parts two addresses: open connections go silent, new ones fail."""
         self._parted.add(frozenset({one, other}))
--- /dev/null
+++ b/tests/scenario.py
@@ -0,0 +1,319 @@
+"""Runs scenarios of the test language on a World in virtual time."""
+
+import asyncio
+
+from nutmeglift import declaration
+from nutmeglift import ids
+from nutmeglift import settings
+from nutmeglift_wire import clock as clocks
+from tests import scenario_callers
+from tests import scenario_steps as steps
+from tests import utils
+from tests import virtual_time
+
+END_SECONDS = 120.0
+
+
+class Runner:
+    """Carries out the steps of one scenario.
+
+    Attributes:
+        world: the deployment.
+        callers: every caller.
+    """
+
+    def __init__(self, scenario: steps.Scenario) -> None:
+        deployment = scenario.deployment
+        self.world = utils.World(
+            _declare(deployment.accounts, deployment.layers),
+            settings.Bounds.model_validate(deployment.bounds),
+            deployment.seed,
+        )
+        self.callers = scenario_callers.Callers(self.world)
+        self._scenario = scenario
+        self._leave_by_vm: dict[str, asyncio.Task[None]] = {}
+        self._left_at_by_vm: dict[str, float] = {}
+        self._address_by_vm: dict[str, str] = {}
+
+    async def run(self) -> None:
+        """Runs all steps and then the checks that always hold.
+
+        Raises:
+            steps.ScenarioError: something did not come true.
+        """
+        name = self._scenario.name
+        await self._start()
+        for number, step in enumerate(self._scenario.steps, start=1):
+            try:
+                await self._do(step)
+            except steps.ScenarioError as error:
+                kind = type(step).__name__.lower()
+                raise steps.ScenarioError(
+                    f"{name}: step {number} ({kind}): {error}"
+                ) from error
+        await self.callers.finish(END_SECONDS)
+        problems = self.callers.find_problems()
+        await self.world.stop()
+        if problems:
+            raise steps.ScenarioError(f"{name}: {'; '.join(problems)}")
+
+    async def _start(self) -> None:
+        deployment = self._scenario.deployment
+        await self.world.start(
+            runners=deployment.runners,
+            services=deployment.services,
+            routers=deployment.routers,
+            rate=deployment.rate,
+        )
+        self.world.vms.lag = deployment.list_lag
+        self._note_addresses()
+
+    async def _do(self, step: steps.Part) -> None:
+        match step:
+            case steps.Call():
+                await self.callers.start_chats(step)
+            case steps.Release():
+                self.callers.start_releases(step)
+            case steps.Abandon(call=name):
+                self.callers.abandon(self.callers.find(name))
+            case steps.Wait():
+                await self._wait(step)
+            case steps.Expect():
+                self._expect(step)
+            case steps.Apply(accounts=accounts):
+                layers = self._scenario.deployment.layers
+                await self.world.apply(_declare(accounts, layers))
+            case steps.OnProcess():
+                await self._disturb_process(step)
+            case steps.OnConnection():
+                self._disturb_connection(step)
+            case _:
+                self._disturb_platform(step)
+
+    async def _disturb_process(self, step: steps.OnProcess) -> None:
+        vm = self._vm(step.vm)
+        match step:
+            case steps.Kill():
+                await self._kill(vm)
+            case steps.Restart():
+                self.world.restart_agent(vm)
+            case steps.Pause():
+                self._clock(vm).pause()
+            case steps.Resume():
+                self._clock(vm).resume()
+            case steps.Leave():
+                self._left_at_by_vm[vm] = _now()
+                self._leave_by_vm[vm] = asyncio.ensure_future(self._leave(vm))
+            case steps.Slow(factor=factor):
+                engine = self._agent(vm).engine
+                if engine is None:
+                    raise steps.ScenarioError(f"{vm} has no engine")
+                engine.faults.slowdown = factor
+            case steps.DropAnswer(count=count):
+                service = self._agent(vm).service
+                if service is None:
+                    raise steps.ScenarioError(f"{vm} is no plain service")
+                service.drop_after_execution += count
+
+    def _disturb_connection(self, step: steps.OnConnection) -> None:
+        network = self.world.network
+        one, other = (self._address_by_vm[self._vm(v)] for v in step.between)
+        match step:
+            case steps.Silence():
+                network.silence(one, other)
+            case steps.Cut():
+                network.cut(one, other)
+            case steps.Separate():
+                network.part(one, other)
+            case steps.Join():
+                network.join(one, other)
+            case steps.Degrade(delay=delay):
+                network.degrade(one, other, delay)
+
+    def _disturb_platform(self, step: steps.Part) -> None:
+        store = self.world.store
+        match step:
+            case steps.LoseAnswer(count=count):
+                store.lose_answers += count
+            case steps.LoseRequest(count=count):
+                store.lose_requests += count
+            case steps.KvDown():
+                store.set_down(True)
+            case steps.KvUp():
+                store.set_down(False)
+            case steps.KvSlow(seconds=seconds):
+                store.delay = seconds
+            case steps.Add(runners=count):
+                self._add_runners(count)
+
+    def _add_runners(self, count: int) -> None:
+        for _ in range(count):
+            index = len(self.world.engines)
+            rate = self._scenario.deployment.rate
+            self.world.add_runner(f"runner-{index + 1}", index, rate)
+        self._note_addresses()
+
+    async def _kill(self, vm: ids.VmId) -> None:
+        self.callers.abandon_router(vm)
+        await self.world.kill(vm)
+
+    async def _leave(self, vm: ids.VmId) -> None:
+        if vm in self.world.router_by_vm:
+            await self.world.router_by_vm[vm].router.leave()
+        else:
+            await self.world.agent_by_vm[vm].agent.leave()
+        await self._kill(vm)
+
+    async def _wait(self, step: steps.Wait) -> None:
+        if step.seconds is not None:
+            await asyncio.sleep(step.seconds)
+        if step.call is None:
+            return
+        limit = _now() + step.within
+        callers = self.callers.find(step.call)
+        while not all(c.has_come_so_far(step.tokens) for c in callers):
+            if _now() > limit:
+                raise steps.ScenarioError(
+                    f"{step.call} did not come so far in {step.within} s"
+                )
+            await asyncio.sleep(scenario_callers.POLL_SECONDS)
+
+    def _expect(self, step: steps.Expect) -> None:
+        if step.call is not None:
+            for caller in self.callers.find(step.call):
+                _expect_caller(caller, step)
+        if step.executions is not None:
+            executions = self.callers.executions(step.key)
+            _expect_equal("executions", executions, step.executions)
+        if step.vm is not None:
+            self._expect_process(self._vm(step.vm), step)
+
+    def _expect_process(self, vm: ids.VmId, step: steps.Expect) -> None:
+        if step.left is not None:
+            leave = self._leave_by_vm.get(vm)
+            left = leave is not None and leave.done()
+            _expect_equal(f"{vm}: left", left, step.left)
+        if step.in_flight is not None:
+            in_flight = self._in_flight(vm)
+            _expect_equal(f"{vm}: in flight", in_flight, step.in_flight)
+        if step.counter is not None:
+            total = self.world.counters_of(vm)[step.counter]
+            _expect_between(f"{vm}: {step.counter}", total, step.min, step.max)
+        if step.idle_since is not None:
+            self._expect_idle(vm, step.idle_since)
+
+    def _expect_idle(self, vm: ids.VmId, seconds: float) -> None:
+        limit = self._left_at_by_vm[vm] + seconds
+        late = [
+            caller.name
+            for caller in self.callers.by_name.values()
+            if caller.stream is not None
+            and caller.started_at > limit
+            and vm in caller.stream.used
+        ]
+        _expect_equal(f"{vm}: late work", late, [])
+
+    def _in_flight(self, vm: ids.VmId) -> int:
+        if vm in self.world.router_by_vm:
+            router = self.world.router_by_vm[vm].router
+            return router.chat.in_flight + router.plain.in_flight
+        return self._agent(vm).agent.in_flight
+
+    def _vm(self, name: str) -> ids.VmId:
+        """Returns a VM named itself, or as CALL/first, CALL/last, CALL/2."""
+        call, slash, place = name.partition("/")
+        if not slash:
+            if name not in self._address_by_vm:
+                raise steps.ScenarioError(f"no VM is named {name!r}")
+            return ids.VmId(name)
+        caller = self.callers.find(call)[0]
+        if place == "router":
+            return caller.router
+        if caller.stream is None or caller.stream.pipeline is None:
+            raise steps.ScenarioError(f"{call} runs through no pipeline now")
+        stages = caller.stream.pipeline.stages
+        index = {"first": 0, "last": len(stages) - 1}.get(place)
+        if index is None:
+            index = int(place) - 1 if place.isdigit() else len(stages)
+        if not 0 <= index < len(stages):
+            raise steps.ScenarioError(f"{name!r} names no stage")
+        return stages[index].vm
+
+    def _agent(self, vm: ids.VmId) -> utils.AgentProcess:
+        if vm not in self.world.agent_by_vm:
+            raise steps.ScenarioError(f"{vm!r} is no running agent")
+        return self.world.agent_by_vm[vm]
+
+    def _clock(self, vm: ids.VmId) -> clocks.PausableClock:
+        if vm in self.world.router_by_vm:
+            return self.world.router_by_vm[vm].clock
+        return self._agent(vm).clock
+
+    def _note_addresses(self) -> None:
+        for vm, agent in self.world.agent_by_vm.items():
+            self._address_by_vm[vm] = agent.address
+        for vm, router in self.world.router_by_vm.items():
+            self._address_by_vm[vm] = router.address
+
+
+def run(scenario: steps.Scenario) -> Runner:
+    """Runs a scenario in virtual time.
+
+    Raises:
+        steps.ScenarioError: something did not come true.
+    """
+
+    async def work() -> Runner:
+        runner = Runner(scenario)
+        await runner.run()
+        return runner
+
+    return virtual_time.run(work())
+
+
+def _declare(accounts: int, layers: int) -> declaration.Declaration:
+    model = utils.make_declaration().models[0]
+    return utils.make_declaration(
+        models=(model.model_copy(update={"layers": layers}),),
+        client_accounts=tuple(
+            utils.make_account(f"account-{number + 1}")
+            for number in range(accounts)
+        ),
+    )
+
+
+def _expect_caller(caller: scenario_callers.Caller, step: steps.Expect) -> None:
+    name = caller.name
+    if step.outcome is not None:
+        _expect_equal(f"{name}: outcome", caller.result, step.outcome)
+    if step.kind is not None:
+        kind = caller.error.kind.value if caller.error else None
+        _expect_equal(f"{name}: kind", kind, step.kind)
+    if step.ran is not None:
+        ran = caller.ran.value if caller.ran else None
+        _expect_equal(f"{name}: ran", ran, step.ran)
+    attempt = caller.stream.gate.attempt if caller.stream else 0
+    _expect_between(
+        f"{name}: attempts", attempt, step.min_attempts, step.attempts
+    )
+    if step.within is not None:
+        seconds = (caller.ended_at or _now()) - caller.started_at
+        _expect_between(f"{name}: seconds", seconds, None, step.within)
+
+
+def _expect_equal(what: str, seen: object, wanted: object) -> None:
+    if seen != wanted:
+        raise steps.ScenarioError(f"{what} is {seen!r}, not {wanted!r}")
+
+
+def _expect_between(
+    what: str, seen: float, least: float | None, most: float | None
+) -> None:
+    if least is not None and seen < least:
+        raise steps.ScenarioError(f"{what} is {seen}, not at least {least}")
+    if most is not None and seen > most:
+        raise steps.ScenarioError(f"{what} is {seen}, not at most {most}")
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/tests/scenario_callers.py
@@ -0,0 +1,247 @@
+"""The callers of a scenario, and what must always hold for them."""
+
+import asyncio
+from collections.abc import Iterator
+import dataclasses
+import fnmatch
+
+from nutmeglift import errors
+from nutmeglift import ids
+from nutmeglift import plain_messages
+from nutmeglift import states
+from nutmeglift_router import chat
+from tests import scenario_steps as steps
+from tests import utils
+
+POLL_SECONDS = 0.002
+
+
+@dataclasses.dataclass
+class Caller:
+    """One caller's request or release.
+
+    Attributes:
+        name: its name in the scenario.
+        router: VM of the router that serves it.
+        step: what it asked for.
+        task: reads the outcome.
+        started_at: clock time.
+        ended_at: clock time, or None.
+        stream: the answer, once it was dispatched.
+        texts: texts that it got.
+        error: how it failed, or None.
+        outcome: a release's outcome, or None.
+        cut: whether its router died, or it left itself.
+    """
+
+    name: str
+    router: ids.VmId
+    step: steps.Call | steps.Release
+    started_at: float
+    task: asyncio.Task[None] | None = None
+    ended_at: float | None = None
+    stream: chat.Stream | None = None
+    texts: list[str] = dataclasses.field(default_factory=list)
+    error: errors.NutmegError | None = None
+    outcome: plain_messages.PlainOutcome | None = None
+    cut: bool = False
+
+    @property
+    def ran(self) -> states.Ran | None:
+        """What the caller was told about its request."""
+        if self.error is not None:
+            return self.error.ran
+        return self.outcome.ran if self.outcome is not None else None
+
+    @property
+    def result(self) -> str:
+        """How it ended, as in an Expect step."""
+        if self.cut:
+            return "cut"
+        if self.ended_at is None:
+            return "running"
+        if self.error is not None:
+            return "error"
+        return "answer" if isinstance(self.step, steps.Call) else "done"
+
+    def has_come_so_far(self, tokens: int | None) -> bool:
+        """Tells whether it has ended, or got so many tokens."""
+        if self.ended_at is not None or tokens is None:
+            return self.ended_at is not None
+        if self.stream is None:
+            return False
+        return len(self.stream.gate.tokens) >= tokens
+
+
+class Callers:
+    """All callers of a scenario.
+
+    Attributes:
+        by_name: the callers.
+    """
+
+    def __init__(self, world: utils.World) -> None:
+        self.by_name: dict[str, Caller] = {}
+        self._world = world
+
+    def find(self, pattern: str) -> list[Caller]:
+        """Returns the callers whose names match."""
+        found = [
+            caller
+            for name, caller in self.by_name.items()
+            if fnmatch.fnmatchcase(name, pattern)
+        ]
+        if not found:
+            raise steps.ScenarioError(f"no call is named {pattern!r}")
+        return found
+
+    async def start_chats(self, step: steps.Call) -> None:
+        """Starts requests to the model."""
+        for name in _names(step.name, step.count):
+            caller = self._add(name, step)
+            caller.task = asyncio.ensure_future(self._run_chat(caller, step))
+            await asyncio.sleep(step.every)
+
+    def start_releases(self, step: steps.Release) -> None:
+        """Starts non-idempotent calls."""
+        for name in _names(step.name, step.count):
+            caller = self._add(name, step)
+            caller.task = asyncio.ensure_future(self._run_release(caller, step))
+
+    def abandon(self, callers: list[Caller]) -> None:
+        """Ends callers that do not wait for their outcome."""
+        for caller in callers:
+            if caller.ended_at is None and caller.task is not None:
+                caller.cut = True
+                caller.task.cancel()
+
+    def abandon_router(self, router: ids.VmId) -> None:
+        """Ends the callers of a router that dies."""
+        self.abandon([c for c in self.by_name.values() if c.router == router])
+
+    async def finish(self, seconds: float) -> None:
+        """Waits until every caller has its outcome, at most so long."""
+        running = [c.task for c in self.by_name.values() if c.task]
+        if running:
+            await asyncio.wait(running, timeout=seconds)
+
+    def find_problems(self) -> list[str]:
+        """Returns what must always hold and did not."""
+        problems = self._world.find_order_faults()[:3]
+        for caller in self.by_name.values():
+            match caller.step:
+                case steps.Call():
+                    problems += self._check_chat(caller, caller.step)
+                case steps.Release():
+                    problems += self._check_release(caller, caller.step)
+        return problems
+
+    def executions(self, key: str | None, body: str | None = None) -> int:
+        """Returns how often releases were executed, of a key or of all."""
+        if key is None:
+            return self._world.executions()
+        return sum(
+            execution.body.startswith(f"{key} ".encode())
+            if body is None
+            else execution.body == _release_body(key, body)
+            for service in self._world.services
+            for execution in service.executions
+        )
+
+    async def _run_chat(self, caller: Caller, step: steps.Call) -> None:
+        router = self._world.router_by_vm[caller.router].router
+        try:
+            router.check_accepts_work()
+            caller.stream = self._world.start_chat(
+                step.max_tokens,
+                prompt=utils.chat_prompt(step.prompt),
+                router=router,
+                account=step.account,
+            )
+            await asyncio.sleep(step.read_after)
+            async for part in router.chat.parts(caller.stream):
+                caller.texts += part.texts
+        except errors.NutmegError as error:
+            caller.error = error
+        caller.ended_at = self._now()
+
+    async def _run_release(self, caller: Caller, step: steps.Release) -> None:
+        router = self._world.router_by_vm[caller.router].router
+        try:
+            router.check_accepts_work()
+            caller.outcome = await self._world.release(
+                step.key,
+                body=_release_body(step.key, step.body),
+                router=router,
+            )
+        except errors.NutmegError as error:
+            caller.error = error
+        caller.ended_at = self._now()
+
+    def _add(self, name: str, step: steps.Call | steps.Release) -> Caller:
+        if name in self.by_name:
+            raise steps.ScenarioError(f"{name!r} is called already")
+        routers = list(self._world.router_by_vm)
+        turn = routers[len(self.by_name) % len(routers)]
+        router = ids.VmId(step.router or turn)
+        if router not in self._world.router_by_vm:
+            raise steps.ScenarioError(f"no router is named {router!r}")
+        caller = Caller(name, router, step, self._now())
+        self.by_name[name] = caller
+        return caller
+
+    def _check_chat(self, caller: Caller, step: steps.Call) -> Iterator[str]:
+        wanted = utils.reference_text(
+            utils.chat_prompt(step.prompt),
+            step.max_tokens,
+            self._world.declared.models[0].layers,
+        )
+        text = "".join(caller.texts)
+        if not wanted.startswith(text):
+            yield f"{caller.name}: tokens were lost, doubled or changed"
+        if caller.cut:
+            return
+        if caller.ended_at is None:
+            yield f"{caller.name}: it never ended"
+        elif caller.error is None and text != wanted:
+            yield f"{caller.name}: the answer is not whole"
+        if caller.ran is states.Ran.NOT_RUN and self._layer_runs(caller):
+            yield f"{caller.name}: told not_run, but layers ran"
+
+    def _check_release(
+        self, caller: Caller, step: steps.Release
+    ) -> Iterator[str]:
+        executions = self.executions(step.key, step.body)
+        if executions > 1:
+            yield f"{caller.name}: executed {executions} times"
+        if caller.cut:
+            return
+        if caller.ended_at is None:
+            yield f"{caller.name}: it never ended"
+        if caller.ran is states.Ran.NOT_RUN and executions:
+            yield f"{caller.name}: told not_run, but executed"
+        if caller.ran is states.Ran.RAN and not executions:
+            yield f"{caller.name}: told ran, but not executed"
+
+    def _layer_runs(self, caller: Caller) -> int:
+        if caller.stream is None:
+            return 0
+        prefix = f"{caller.stream.request}."
+        return sum(
+            run.sequence.startswith(prefix)
+            for engine in self._world.engines
+            for run in engine.runs
+        )
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+
+def _names(name: str, count: int) -> list[str]:
+    if count == 1:
+        return [name]
+    return [f"{name}-{number + 1}" for number in range(count)]
+
+
+def _release_body(key: str, body: str) -> bytes:
+    return f"{key} {body}".encode()
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -1,6 +1,7 @@
 """Builders shared by the tests: a whole deployment in memory."""
 
 import asyncio
+import collections
 from collections.abc import Sequence
 import dataclasses
 import random
@@ -107,9 +108,11 @@
     )
 
 
-def reference_text(prompt: Sequence[int], max_tokens: int) -> str:
+def reference_text(
+    prompt: Sequence[int], max_tokens: int, layers: int = LAYERS
+) -> str:
     """Returns the text of the unsplit model's answer."""
-    tokens = reference(prompt, max_tokens)
+    tokens = reference(prompt, max_tokens, layers)
     return "".join(f" {toy_engine.WORDS[token]}" for token in tokens)
 
 
@@ -127,6 +130,7 @@
     clock: clocks.PausableClock
     address: str
     entry: plan.VmEntry
+    metrics: metrics.MemoryMetrics
     engine: toy_engine.ToyEngine | None = None
     service: plain_service.ToyPlainService | None = None
 
@@ -172,12 +176,17 @@
         self._seed = seed
 
     async def start(
-        self, *, runners: int = 6, services: int = 1, routers: int = 1
+        self,
+        *,
+        runners: int = 6,
+        services: int = 1,
+        routers: int = 1,
+        rate: float = 24000.0,
     ) -> None:
         """Applies the declaration and starts everything."""
         await self.apply(self.declared)
         for index in range(runners):
-            self.add_runner(f"runner-{index + 1}", index)
+            self.add_runner(f"runner-{index + 1}", index, rate)
         for index in range(services):
             self.add_service(f"core-{index + 1}", index)
         for index in range(routers):
@@ -334,6 +343,12 @@
         """Returns how many calls all plain services executed."""
         return sum(len(service.executions) for service in self.services)
 
+    def counters_of(self, vm: ids.VmId) -> collections.Counter[str]:
+        """Returns the counters of a running process."""
+        if vm in self.router_by_vm:
+            return self.router_by_vm[vm].metrics.total_by_name
+        return self.agent_by_vm[vm].metrics.total_by_name
+
     def find_order_faults(self) -> list[str]:
         """Returns where a layer ran twice or out of order for a sequence."""
         faults = []
@@ -361,6 +376,7 @@
         third = 2 if service is None else 3
         address = f"10.{third}.{index // 250}.{index % 250 + 1}:7000"
         domain = DOMAINS[index % len(DOMAINS)]
+        counted = metrics.MemoryMetrics()
         agent = agents.Agent(
             settings.AgentSettings(
                 vm=vm,
@@ -375,7 +391,7 @@
             incarnation=ids.Incarnation(f"{name}-{self._starts}"),
             clock=clock,
             dialer=self.network.dialer(address, clock),
-            metrics=metrics.MemoryMetrics(),
+            metrics=counted,
             engine=engine,
             service=service,
         )
@@ -383,6 +399,8 @@
         self.network.listen(address, agent.serve_link, clock)
         entry = plan.VmEntry(vm, address, domain, backend_class)
         self.vms.put(entry)
-        process = AgentProcess(agent, clock, address, entry, engine, service)
+        process = AgentProcess(
+            agent, clock, address, entry, counted, engine, service
+        )
         self.agent_by_vm[vm] = process
         return process
