--- a/packages/nutmeglift/nutmeglift/declaration.py
+++ b/packages/nutmeglift/nutmeglift/declaration.py
@@ -279,7 +279,8 @@
             index = rest[0] if rest and isinstance(rest[0], int) else 0
             key = ".".join(str(part) for part in problem["loc"])
             place = self._place(str(section), index)
-            lines.append(f"{place}: {key}: {problem['msg']}")
+            text = settings.explain(problem, Declaration)
+            lines.append(f"{place}: {key}: {text}")
         return lines
 
     def _place(self, section: str, index: int) -> str:
--- a/packages/nutmeglift/nutmeglift/settings.py
+++ b/packages/nutmeglift/nutmeglift/settings.py
@@ -2,11 +2,13 @@
 
 import ipaddress
 import pathlib
+import typing
 from typing import Annotated
 from typing import Any
 from typing import TypeVar
 
 import pydantic
+import pydantic_core
 import yaml
 
 from nutmeglift import errors
@@ -151,14 +153,45 @@
     try:
         return kind.model_validate(value)
     except pydantic.ValidationError as error:
-        lines = [f"{source}: {problem}" for problem in describe(error)]
+        lines = [f"{source}: {line}" for line in describe(error, kind)]
         raise errors.SettingsError("\n".join(lines)) from error
 
 
-def describe(error: pydantic.ValidationError) -> list[str]:
+def describe(
+    error: pydantic.ValidationError, kind: type[pydantic.BaseModel]
+) -> list[str]:
     """Returns one line for each problem: its key and what would be right."""
     return [
         f"{'.'.join(str(part) for part in problem['loc']) or 'file'}:"
-        f" {problem['msg']}"
+        f" {explain(problem, kind)}"
         for problem in error.errors(include_url=False, include_input=False)
     ]
+
+
+def explain(
+    problem: pydantic_core.ErrorDetails, kind: type[pydantic.BaseModel]
+) -> str:
+    """Returns what would be right in place of a problem."""
+    if problem["type"] != "extra_forbidden":
+        return problem["msg"]
+    section = _find_section(kind, problem["loc"][:-1])
+    return f"unknown key; known: {', '.join(sorted(section.model_fields))}"
+
+
+def _find_section(
+    kind: type[pydantic.BaseModel], path: tuple[int | str, ...]
+) -> type[pydantic.BaseModel]:
+    for part in path:
+        if isinstance(part, str):
+            kind = _section_of(kind.model_fields[part].annotation)
+    return kind
+
+
+def _section_of(annotation: Any) -> type[pydantic.BaseModel]:
+    if isinstance(annotation, type):
+        return annotation
+    return next(
+        _section_of(argument)
+        for argument in typing.get_args(annotation)
+        if argument is not Ellipsis
+    )
--- a/packages/nutmeglift_agent/nutmeglift_agent/cli.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/cli.py
@@ -67,7 +67,7 @@
 def main() -> None:
     """Entry point."""
     exit_codes.run(
-        lambda: fire.Fire(Commands, name="nutmeglift-agent"),
+        lambda: fire.Fire(Commands(), name="nutmeglift-agent"),
         f"nutmeglift-agent {nutmeglift.__version__}",
     )
 
--- a/packages/nutmeglift_router/nutmeglift_router/cli.py
+++ b/packages/nutmeglift_router/nutmeglift_router/cli.py
@@ -127,7 +127,7 @@
 def main() -> None:
     """Entry point."""
     exit_codes.run(
-        lambda: fire.Fire(Commands, name="nutmeglift"),
+        lambda: fire.Fire(Commands(), name="nutmeglift"),
         f"nutmeglift {nutmeglift.__version__}",
     )
 
