--- /dev/null
+++ b/tests/test_examples.py
@@ -0,0 +1,48 @@
+"""Every example in the source tree is correct."""
+
+import pathlib
+import unittest
+
+from nutmeglift import declaration
+from nutmeglift import settings
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
+# directory: (accounts, plain services, kinds of accelerators)
+DECLARATIONS = {
+    "demo": (1, 1, 2),
+    "consortium": (10, 1, 5),
+    "addressing": (10, 1, 3),
+}
+SETTINGS = {
+    "router.yaml": settings.RouterSettings,
+    "agent.yaml": settings.AgentSettings,
+}
+
+
+class ExamplesTest(unittest.TestCase):
+    def test_declarations(self):
+        for name, expected in DECLARATIONS.items():
+            with self.subTest(name):
+                found = declaration.load(EXAMPLES / name)
+                runners = [
+                    c for c in found.backend_classes if c.service is None
+                ]
+                counts = (
+                    len(found.client_accounts),
+                    len(found.services),
+                    len(runners),
+                )
+                self.assertEqual(counts, expected)
+                body = found.canonical_bytes()
+                again = declaration.from_canonical_bytes(body)
+                self.assertEqual(again, found)
+
+    def test_settings(self):
+        for name, kind in SETTINGS.items():
+            with self.subTest(name):
+                loaded = settings.load(EXAMPLES / "settings" / name, kind)
+                self.assertNotIn("replace", repr(loaded))
+
+
+if __name__ == "__main__":
+    unittest.main()
