--- a/benchmarks/figures.py
+++ b/benchmarks/figures.py
@@ -1,9 +1,12 @@
 """What a benchmark reports."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
 import json
 
+import numpy
+
 
 @dataclasses.dataclass(frozen=True)
 class Measured:
@@ -46,3 +49,8 @@
                 "command": f"make bench ONLY={self.name}",
             }
         )
+
+
+def slope(sizes: Sequence[float], values: Sequence[float]) -> float:
+    """Returns the slope of the least-squares line through measurements."""
+    return float(numpy.polyfit(sizes, values, 1)[0])
