Resume streams over reopened connections; drop what nobody waits for

Cause: a router-agent connection that broke made every stream through that agent start a fresh attempt, although the agent lived; StartAttempt, CancelAttempt and AttemptFailed on a silent connection were lost for good, so a stream could hang and a stage's attempt leak; a full outbox would have ended the agent's batch loop; frames of an agent that had forgotten a router were taken for duplicates; a cancel that overtook OpenStage left an attempt behind for ever; a link dropped from the VM list left its streams waiting. Ruled out: sequence numbers on every message, which would carry the same tail as the reconciliation without ending the orphans. Ended attempts stay ended at the agent. Later stages refuse new attempts when leaving or restarted, and the router dispatches elsewhere without a word. A caller that lets more than bounds.token_buffer tokens wait gets an honest error. Draining waits for unacknowledged frames and for requests in the admission queue.

--- a/packages/nutmeglift/nutmeglift/codec.py
+++ b/packages/nutmeglift/nutmeglift/codec.py
@@ -23,6 +23,7 @@
     | messages.TokenFrame
     | messages.FrameAcknowledged
     | messages.AttemptFailed
+    | messages.AttemptsHeld
     | messages.CancelAttempt
     | messages.ReplaceStage
     | plain_messages.PlainCall
--- a/packages/nutmeglift/nutmeglift/drain.py
+++ b/packages/nutmeglift/nutmeglift/drain.py
@@ -18,12 +18,16 @@
 
     Attributes:
         state: how far it is; set by the state machine.
+        in_flight: pieces of work that came in and did not end.
+        forced: whether work in flight is to be cut.
     """
 
     state: DrainState
 
     def __init__(self) -> None:
         self.in_flight = 0
+        self.forced = False
+        self._since = 0.0
         self._machine = transitions.Machine(
             self,
             states=DrainState,
@@ -55,14 +59,30 @@
     def leave(self) -> None:
         """Notes that a piece of work ended."""
         self.in_flight -= 1
-        self._settle()
 
-    def begin(self) -> None:
+    def begin(self, now: float = 0.0) -> None:
         """Refuses new work from now on; calling it again changes nothing."""
-        if self.state is DrainState.SERVING:
-            self.trigger("_leave")  # type: ignore[attr-defined]
-        self._settle()
+        if self.state is not DrainState.SERVING:
+            return
+        self._since = now
+        self.trigger("_leave")  # type: ignore[attr-defined]
 
-    def _settle(self) -> None:
-        if self.state is DrainState.DRAINING and self.in_flight == 0:
-            self.trigger("_empty")  # type: ignore[attr-defined]
+    def force(self) -> None:
+        """Cuts the work in flight, because the operator wants it."""
+        self.forced = True
+
+    def settle(self, now: float, limit: float, others: int = 0) -> bool:
+        """Tells whether the process may exit.
+
+        Args:
+            now: seconds.
+            limit: longest wait for work in flight, in seconds; 0 for none.
+            others: work in flight that is counted elsewhere.
+        """
+        if self.state is not DrainState.DRAINING:
+            return self.state is DrainState.DRAINED
+        late = limit > 0 and now - self._since >= limit
+        if self.in_flight + others and not self.forced and not late:
+            return False
+        self.trigger("_empty")  # type: ignore[attr-defined]
+        return True
--- a/packages/nutmeglift/nutmeglift/messages.py
+++ b/packages/nutmeglift/nutmeglift/messages.py
@@ -59,7 +59,9 @@
         proof: proof of the shared key between processes, over the nonce that
             the peer sent; empty in the first Hello.
         nonce: random bytes for the peer's proof.
-        resume: on a reopened connection, the last frame sequence received.
+        resume: from a router, the sequence of the last token frame that it
+            received; from an agent, of the last one that it made for that
+            router.
     """
 
     protocol: int
@@ -261,6 +263,28 @@
     vm: ids.VmId | None = None
 
 
+class HeldAttempt(Item, frozen=True):
+    """An attempt that an agent has a stage of.
+
+    Attributes:
+        request: the request.
+        attempt: its attempt.
+    """
+
+    request: ids.RequestId
+    attempt: ids.Attempt
+
+
+class AttemptsHeld(Message, frozen=True):
+    """Agent to router, first on each connection: the attempts it goes on with.
+
+    What was sent on the connection before may be lost: the router recovers
+    its attempts that are missing here, and cancels those it does not know.
+    """
+
+    attempts: tuple[HeldAttempt, ...]
+
+
 class CancelAttempt(Message, frozen=True):
     """Ends an attempt and every earlier one of the request."""
 
--- a/packages/nutmeglift/nutmeglift/streams.py
+++ b/packages/nutmeglift/nutmeglift/streams.py
@@ -133,6 +133,11 @@
         while self._kept and self._kept[0].sequence <= sequence:
             self._kept.popleft()
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether every frame was acknowledged."""
+        return not self._kept
+
     def resume(self, sequence: int) -> list[messages.TokenFrame]:
         """Returns the frames after the last one that the peer has."""
         self.acknowledge(sequence)
@@ -157,3 +162,12 @@
             return Arrival.GAP
         self.sequence = sequence
         return Arrival.NEXT
+
+    def meet(self, made: int) -> None:
+        """Takes the sender's word on how many frames it has made.
+
+        A sender that made fewer than were seen forgot this end and counts
+        from 1 again.
+        """
+        if made < self.sequence:
+            self.sequence = 0
--- a/packages/nutmeglift_agent/nutmeglift_agent/agent.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/agent.py
@@ -5,6 +5,8 @@
 import logging
 from typing import Any
 
+import msgspec
+
 from nutmeglift import backend
 from nutmeglift import codec
 from nutmeglift import drain
@@ -24,6 +26,9 @@
 from nutmeglift_wire import metrics as metric
 from nutmeglift_wire import session as sessions
 
+FORGET_SILENCES = 2
+"""A router that is away for so many silence bounds is forgotten."""
+
 _logger = logging.getLogger(__name__)
 
 
@@ -63,11 +68,13 @@
         if engine is not None:
             self._stages = stage_work.StageWork(
                 own.vm,
+                incarnation,
                 engine,
                 metrics,
                 post_to_agent=self._post_to_agent,
                 post_to_router=self._ports.post,
                 post_tokens=self._ports.post_tokens,
+                accepts_work=lambda: self.drain.accepts_work,
             )
         if service is not None:
             self._plain = plain_work.PlainWork(incarnation, service)
@@ -80,6 +87,7 @@
 
     def start(self) -> None:
         """Starts the loops."""
+        self._spawn(self._sweep())
         if self._stages is not None:
             self._spawn(self._stages.run())
         if self._engine is not None:
@@ -94,11 +102,12 @@
 
     async def leave(self) -> None:
         """Refuses new work, says so, and waits for the work in flight."""
-        self.drain.begin()
+        self.drain.begin(self._clock.now())
         self._ports.broadcast(messages.Leaving())
-        while self._stages is not None and self._stages.in_flight:
-            await self._clock.sleep(self._own.bounds.heartbeat_seconds / 10)
-        while self.drain.in_flight:
+        limit = self._own.bounds.drain_seconds
+        while not self.drain.settle(
+            self._clock.now(), limit, self._count_unsettled()
+        ):
             await self._clock.sleep(self._own.bounds.heartbeat_seconds / 10)
 
     async def serve_link(self, link: links.BaseLink) -> None:
@@ -125,7 +134,11 @@
             extra={"peer": peer.vm, "reason": reason.detail},
         )
         if peer.role is states.ProcessRole.ROUTER:
-            await self._detach_router(session)
+            self._ports.detach(session, self._clock.now())
+
+    def _count_unsettled(self) -> int:
+        stages = self._stages.in_flight if self._stages is not None else 0
+        return stages + (not self._ports.all_acknowledged)
 
     def _hello(self) -> messages.Hello:
         return messages.Hello(
@@ -139,7 +152,8 @@
         )
 
     def _make_answer(self, peer: messages.Hello) -> messages.Hello:
-        return self._hello()
+        made = self._ports.frames_made(peer)
+        return msgspec.structs.replace(self._hello(), resume=made)
 
     def _make_heartbeat(self, sequence: int) -> messages.Heartbeat:
         return messages.Heartbeat(
@@ -172,14 +186,28 @@
             self._stages.lose_peer(address, reason)
 
     def _attach_router(self, session: sessions.Session) -> None:
-        if self._ports.attach(session) and self._stages is not None:
-            self._stages.lose_router(session.peer.vm)
+        router = session.peer.vm
+        held: tuple[messages.HeldAttempt, ...] = ()
+        if self._stages is not None:
+            if self._ports.is_replaced_by(session.peer):
+                self._stages.lose_router(router)
+            held = self._stages.held_by(router)
+        self._ports.attach(session, messages.AttemptsHeld(held))
 
-    async def _detach_router(self, session: sessions.Session) -> None:
-        self._ports.detach(session)
-        await self._clock.sleep(2 * self._own.bounds.silence_seconds)
-        if self._ports.forget_if_detached(session) and self._stages:
-            self._stages.lose_router(session.peer.vm)
+    async def _sweep(self) -> None:
+        """Forgets routers and agents that did not come back, for ever."""
+        bound = FORGET_SILENCES * self._own.bounds.silence_seconds
+        known = self._ports.routers
+        while True:
+            await self._clock.sleep(bound)
+            self._peers.forget_idle()
+            gone = self._ports.forget_detached(self._clock.now() - bound)
+            before, known = known, self._ports.routers
+            if self._stages is None:
+                continue
+            for router in gone:
+                self._stages.lose_router(router)
+            self._stages.lose_orphans(before | known)
 
     def _handle(
         self, session: sessions.Session, message: codec.AnyMessage
@@ -219,26 +247,14 @@
     def _start_attempt(
         self, session: sessions.Session, start: messages.StartAttempt
     ) -> None:
-        stage = start.pipeline.stages[0]
-        if self._stages is None or stage.incarnation != self.incarnation:
-            self._refuse(session, start, errors.ErrorKind.NO_BACKEND)
-            return
-        if not self.drain.accepts_work:
-            self._refuse(session, start, errors.ErrorKind.DRAINING)
+        if self._stages is not None:
+            self._stages.start(start)
             return
-        self._stages.start(start)
-
-    def _refuse(
-        self,
-        session: sessions.Session,
-        start: messages.StartAttempt,
-        kind: errors.ErrorKind,
-    ) -> None:
         session.post(
             messages.AttemptFailed(
                 start.request,
                 start.attempt,
-                kind,
+                errors.ErrorKind.NO_BACKEND,
                 "refused by the first stage",
                 states.Ran.NOT_RUN,
                 self._own.vm,
--- a/packages/nutmeglift_agent/nutmeglift_agent/peers.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/peers.py
@@ -56,17 +56,34 @@
 
     async def _run(self) -> None:
         try:
-            link = await self._dialer.dial(self._address)
-            session = await self._open_session(link)
+            session = await asyncio.wait_for(
+                self._open(), sessions.HANDSHAKE_TIMEOUT_SECONDS
+            )
         except errors.NutmegError as error:
             self._lose(error)
             return
+        except TimeoutError:
+            self._lose(errors.LinkClosedError("no answer to a handshake"))
+            return
         self._session = session
         while self._waiting:
             session.post(self._waiting.popleft())
         reason = await session.run()
         self._lose(reason)
 
+    async def _open(self) -> sessions.Session:
+        link = await self._dialer.dial(self._address)
+        try:
+            return await self._open_session(link)
+        except (errors.NutmegError, asyncio.CancelledError):
+            await link.close()
+            raise
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether it has neither a connection nor messages to send."""
+        return self._task is None or self._task.done()
+
     def _lose(self, reason: errors.NutmegError) -> None:
         self._session = None
         self._waiting.clear()
@@ -97,6 +114,12 @@
             self._peer_by_address[address] = peer
         peer.post(message)
 
+    def forget_idle(self) -> None:
+        """Forgets the agents without a connection."""
+        for address, peer in list(self._peer_by_address.items()):
+            if peer.is_idle:
+                del self._peer_by_address[address]
+
     async def stop(self) -> None:
         """Closes all connections."""
         for peer in self._peer_by_address.values():
--- a/packages/nutmeglift_agent/nutmeglift_agent/stage_work.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/stage_work.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections
 from collections.abc import Callable
-import dataclasses
 
 from nutmeglift import codec
 from nutmeglift import engine as engines
@@ -12,83 +11,48 @@
 from nutmeglift import messages
 from nutmeglift import states
 from nutmeglift import streams
+from nutmeglift_agent import stage_attempt
 from nutmeglift_wire import metrics as metric
 
 MAX_BATCH_POSITIONS = 4096
+MAX_ENDED_REQUESTS = 8192
 
 PostToAgent = Callable[[str, codec.AnyMessage], None]
-PostTokens = Callable[[ids.VmId, list[messages.TokenItem]], None]
+PostTokens = Callable[[ids.VmId, list[messages.TokenItem]], bool]
 PostToRouter = Callable[[ids.VmId, codec.AnyMessage], None]
 
 
-@dataclasses.dataclass
-class StageAttempt:
-    """One stage of one attempt of a request.
-
-    Attributes:
-        start: the attempt.
-        index: index of this stage.
-        positions: number of prompt positions.
-        sequence: name of the KV cache at the engine.
-        gate: lets each position through once.
-        stopped: whether it has ended.
-    """
-
-    start: messages.StartAttempt
-    index: int
-    positions: int
-    sequence: str
-    gate: streams.PositionGate
-    stopped: bool = False
-
-    @property
-    def stage(self) -> messages.Stage:
-        """This stage."""
-        return self.start.pipeline.stages[self.index]
-
-    @property
-    def is_last(self) -> bool:
-        """Whether the model's last layer runs here."""
-        return self.index == len(self.start.pipeline.stages) - 1
-
-
-@dataclasses.dataclass(frozen=True)
-class _Work:
-    attempt: StageAttempt
-    position: int
-    values: tuple[int, ...]
-
-
-class _Output:
-    """Messages of one engine step, gathered by receiver."""
-
-    def __init__(self) -> None:
-        self.hops_by_address: dict[str, list[messages.Hop]] = {}
-        self.next_by_address: dict[str, list[messages.NextToken]] = {}
-        self.items_by_router: dict[ids.VmId, list[messages.TokenItem]] = {}
-
-
 class StageWork:
     """Runs the stages' positions in batches and passes the results on."""
 
     def __init__(
         self,
         vm: ids.VmId,
+        incarnation: ids.Incarnation,
         engine: engines.BaseEngine,
         metrics: metric.BaseMetrics,
         *,
         post_to_agent: PostToAgent,
         post_to_router: PostToRouter,
         post_tokens: PostTokens,
+        accepts_work: Callable[[], bool],
     ) -> None:
         self._vm = vm
+        self._incarnation = incarnation
+        self._accepts_work = accepts_work
         self._engine = engine
         self._metrics = metrics
         self._post_to_agent = post_to_agent
         self._post_to_router = post_to_router
         self._post_tokens = post_tokens
-        self._attempt_by_request: dict[ids.RequestId, StageAttempt] = {}
-        self._ready: collections.deque[_Work] = collections.deque()
+        self._attempt_by_request: dict[
+            ids.RequestId, stage_attempt.StageAttempt
+        ] = {}
+        # The last attempt ended of each request, so that none starts again.
+        self._ended: collections.OrderedDict[ids.RequestId, ids.Attempt] = (
+            collections.OrderedDict()
+        )
+        self._ready: collections.deque[stage_attempt.Work] = collections.deque()
         self._wake = asyncio.Event()
         self._releases: set[asyncio.Task[None]] = set()
 
@@ -98,15 +62,21 @@
         return len(self._attempt_by_request)
 
     def start(self, start: messages.StartAttempt) -> None:
-        """Starts an attempt as its first stage."""
+        """Starts an attempt as its first stage, or refuses it."""
+        if self._refuse(start, 0):
+            return
         attempt = self._open(start, 0, len(start.tokens))
         if attempt is None:
             return
-        self._open_following(strip_tokens(start), 1, len(start.tokens))
+        self._open_following(
+            stage_attempt.strip_tokens(start), 1, len(start.tokens)
+        )
         self._arrive(attempt, 0, start.tokens)
 
     def open_stage(self, opening: messages.OpenStage) -> None:
-        """Starts an attempt as a later stage."""
+        """Starts an attempt as a later stage, or refuses it."""
+        if self._refuse(opening.start, opening.stage):
+            return
         if self._open(opening.start, opening.stage, opening.positions):
             self._open_following(
                 opening.start, opening.stage + 1, opening.positions
@@ -130,7 +100,8 @@
             self._arrive(attempt, token.position, (token.token,))
 
     def cancel(self, request: ids.RequestId, attempt: ids.Attempt) -> None:
-        """Ends a request's attempt and all earlier ones."""
+        """Ends a request's attempt and all earlier ones, arrived or not."""
+        self._note_ended(request, attempt)
         found = self._attempt_by_request.get(request)
         if found is not None and found.start.attempt <= attempt:
             self._close(found)
@@ -150,6 +121,21 @@
             if attempt.start.router == router:
                 self._close(attempt)
 
+    def lose_orphans(self, routers: set[ids.VmId]) -> None:
+        """Ends the attempts of all routers but these."""
+        for attempt in list(self._attempt_by_request.values()):
+            if attempt.start.router not in routers:
+                self._metrics.count("attempt.orphaned")
+                self._close(attempt)
+
+    def held_by(self, router: ids.VmId) -> tuple[messages.HeldAttempt, ...]:
+        """Returns the attempts that go on for a router."""
+        return tuple(
+            attempt.held
+            for attempt in self._attempt_by_request.values()
+            if attempt.start.router == router
+        )
+
     async def run(self) -> None:
         """Runs batches for ever."""
         while True:
@@ -158,16 +144,38 @@
             while self._ready:
                 await self._run_batch(self._take_batch())
 
+    def _refuse(self, start: messages.StartAttempt, index: int) -> bool:
+        kind = None
+        if start.pipeline.stages[index].incarnation != self._incarnation:
+            kind = errors.ErrorKind.NO_BACKEND
+        elif not self._accepts_work():
+            kind = errors.ErrorKind.DRAINING
+        if kind is None:
+            return False
+        self._metrics.count("attempt.refused")
+        refusal = messages.AttemptFailed(
+            start.request,
+            start.attempt,
+            kind,
+            f"refused by stage {index}",
+            states.Ran.NOT_RUN,
+            self._vm,
+        )
+        self._post_to_router(start.router, refusal)
+        return True
+
     def _open(
         self, start: messages.StartAttempt, index: int, positions: int
-    ) -> StageAttempt | None:
+    ) -> stage_attempt.StageAttempt | None:
         old = self._attempt_by_request.get(start.request)
-        if old is not None and old.start.attempt >= start.attempt:
+        ended = self._ended.get(start.request, ids.Attempt(0))
+        newest = max(ended, old.start.attempt if old is not None else ended)
+        if start.attempt <= newest:
             self._metrics.count("attempt.old")
             return None
         if old is not None:
             self._close(old)
-        attempt = StageAttempt(
+        attempt = stage_attempt.StageAttempt(
             start,
             index,
             positions,
@@ -188,7 +196,7 @@
 
     def _find(
         self, request: ids.RequestId, number: ids.Attempt
-    ) -> StageAttempt | None:
+    ) -> stage_attempt.StageAttempt | None:
         found = self._attempt_by_request.get(request)
         if found is None or found.start.attempt != number:
             self._metrics.count("hop.old_attempt")
@@ -196,13 +204,18 @@
         return found
 
     def _arrive(
-        self, attempt: StageAttempt, position: int, values: tuple[int, ...]
+        self,
+        attempt: stage_attempt.StageAttempt,
+        position: int,
+        values: tuple[int, ...],
     ) -> None:
         accepted = attempt.gate.accept(position, len(values))
         match accepted.arrival:
             case streams.Arrival.NEXT:
                 skip = accepted.skip
-                work = _Work(attempt, position + skip, values[skip:])
+                work = stage_attempt.Work(
+                    attempt, position + skip, values[skip:]
+                )
                 self._ready.append(work)
                 self._wake.set()
             case streams.Arrival.GAP:
@@ -211,8 +224,8 @@
             case _:
                 self._metrics.count("hop.duplicate")
 
-    def _take_batch(self) -> list[_Work]:
-        batch: list[_Work] = []
+    def _take_batch(self) -> list[stage_attempt.Work]:
+        batch: list[stage_attempt.Work] = []
         positions = 0
         while self._ready and positions < MAX_BATCH_POSITIONS:
             work = self._ready.popleft()
@@ -222,10 +235,10 @@
             batch.append(work)
         return batch
 
-    async def _run_batch(self, batch: list[_Work]) -> None:
+    async def _run_batch(self, batch: list[stage_attempt.Work]) -> None:
         if not batch:
             return
-        items = tuple(_make_item(work) for work in batch)
+        items = tuple(stage_attempt.make_item(work) for work in batch)
         try:
             results = await self._engine.step(items)
         except errors.NutmegError as error:
@@ -233,13 +246,20 @@
                 self._fail(work.attempt, error.detail, self._vm)
             return
         self._metrics.count("engine.steps")
-        output = _Output()
+        output = stage_attempt.Output()
+        if len(results) != len(batch):
+            for work in batch:
+                self._fail(work.attempt, "the engine miscounted", self._vm)
+            return
         for work, result in zip(batch, results, strict=True):
             self._take_result(work, result, output)
         self._send(output)
 
     def _take_result(
-        self, work: _Work, result: engines.StepResult, output: _Output
+        self,
+        work: stage_attempt.Work,
+        result: engines.StepResult,
+        output: stage_attempt.Output,
     ) -> None:
         attempt = work.attempt
         if attempt.stopped:
@@ -261,7 +281,10 @@
         output.hops_by_address.setdefault(after.address, []).append(hop)
 
     def _take_tokens(
-        self, work: _Work, result: engines.StepResult, output: _Output
+        self,
+        work: stage_attempt.Work,
+        result: engines.StepResult,
+        output: stage_attempt.Output,
     ) -> None:
         if not result.tokens:
             return
@@ -269,7 +292,7 @@
         start = attempt.start
         first = max(work.position, attempt.positions - 1)
         done = first - (attempt.positions - 1) + len(result.tokens)
-        finish = _finish_of(result, done >= start.max_tokens)
+        finish = stage_attempt.finish_of(result, done >= start.max_tokens)
         item = messages.TokenItem(
             start.request,
             start.attempt,
@@ -290,9 +313,10 @@
         address = start.pipeline.stages[0].address
         output.next_by_address.setdefault(address, []).append(following)
 
-    def _send(self, output: _Output) -> None:
+    def _send(self, output: stage_attempt.Output) -> None:
         for router, items in output.items_by_router.items():
-            self._post_tokens(router, items)
+            if not self._post_tokens(router, items):
+                self.lose_router(router)
         for address, following in output.next_by_address.items():
             frame = messages.NextTokenFrame(tuple(following))
             self._post_to_agent(address, frame)
@@ -300,7 +324,10 @@
             self._post_to_agent(address, messages.HopFrame(tuple(hops)))
 
     def _fail(
-        self, attempt: StageAttempt, detail: str, vm: ids.VmId | None
+        self,
+        attempt: stage_attempt.StageAttempt,
+        detail: str,
+        vm: ids.VmId | None,
     ) -> None:
         if attempt.stopped:
             return
@@ -316,56 +343,22 @@
         )
         self._post_to_router(attempt.start.router, failure)
 
-    def _close(self, attempt: StageAttempt) -> None:
+    def _close(self, attempt: stage_attempt.StageAttempt) -> None:
         attempt.stopped = True
+        self._note_ended(attempt.start.request, attempt.start.attempt)
         self._attempt_by_request.pop(attempt.start.request, None)
         task = asyncio.ensure_future(self._release(attempt.sequence))
         self._releases.add(task)
         task.add_done_callback(self._releases.discard)
 
+    def _note_ended(self, request: ids.RequestId, attempt: ids.Attempt) -> None:
+        before = self._ended.pop(request, ids.Attempt(0))
+        self._ended[request] = max(before, attempt)
+        if len(self._ended) > MAX_ENDED_REQUESTS:
+            self._ended.popitem(last=False)
+
     async def _release(self, sequence: str) -> None:
         try:
             await self._engine.release(sequence)
         except errors.NutmegError:
             self._metrics.count("engine.release_failed")
-
-
-def strip_tokens(
-    start: messages.StartAttempt,
-) -> messages.StartAttempt:
-    """Returns the attempt without its prompt, for the later stages."""
-    return messages.StartAttempt(
-        start.request,
-        start.attempt,
-        start.router,
-        start.pipeline,
-        (),
-        start.max_tokens,
-        start.first_sequence,
-        start.priority,
-        start.deadline_seconds,
-    )
-
-
-def _make_item(work: _Work) -> engines.StepItem:
-    attempt = work.attempt
-    pipeline = attempt.start.pipeline
-    return engines.StepItem(
-        attempt.sequence,
-        pipeline.model,
-        pipeline.version,
-        pipeline.adapter,
-        work.position,
-        work.values,
-        attempt.stage.first_layer,
-        attempt.stage.end_layer,
-        attempt.positions - 1,
-    )
-
-
-def _finish_of(
-    result: engines.StepResult, exhausted: bool
-) -> states.FinishReason | None:
-    if result.stop:
-        return states.FinishReason.STOP
-    return states.FinishReason.LENGTH if exhausted else None
--- a/packages/nutmeglift_router/nutmeglift_router/agent_links.py
+++ b/packages/nutmeglift_router/nutmeglift_router/agent_links.py
@@ -25,6 +25,7 @@
 _logger = logging.getLogger(__name__)
 
 UpListener = Callable[[ids.VmId, messages.Hello], None]
+UnreachableListener = Callable[[ids.VmId], None]
 DownListener = Callable[[ids.VmId, errors.NutmegError], None]
 MessageListener = Callable[[ids.VmId, codec.AnyMessage], None]
 
@@ -34,6 +35,7 @@
 
     Attributes:
         peer: the agent's Hello on the open connection, or None.
+        address: the agent's address.
     """
 
     def __init__(self, vm: ids.VmId, address: str, owner: "AgentLinks") -> None:
@@ -63,6 +65,7 @@
                 session = await self._open()
             except (errors.NutmegError, TimeoutError):
                 self._owner.metrics.count("agent_link.dial_failed")
+                self._owner.on_unreachable(self._vm)
                 await self._owner.clock.sleep(
                     backoff * self._owner.rng.uniform(0.5, 1.0)
                 )
@@ -88,6 +91,8 @@
         if peer.incarnation != self._incarnation:
             self._inbox = streams.FrameInbox()
             self._incarnation = peer.incarnation
+        self._inbox.meet(peer.resume)
+        self._unacknowledged = 0
         return sessions.Session(
             link,
             peer,
@@ -121,19 +126,28 @@
             case messages.TokenFrame(sequence):
                 if not self._take_frame(session, sequence):
                     return
+            case messages.Heartbeat() if self._unacknowledged:
+                self._acknowledge(session)
         self._owner.on_message(self._vm, message)
 
     def _take_frame(self, session: sessions.Session, sequence: int) -> bool:
         arrival = self._inbox.accept(sequence)
         if arrival is not streams.Arrival.NEXT:
             self._owner.metrics.count(f"token_frame.{arrival.value}")
+        if arrival is streams.Arrival.GAP:
+            # A new connection resumes from the last frame that arrived.
+            raise errors.LinkClosedError(f"frame {sequence} came too early")
+        if arrival is not streams.Arrival.NEXT:
             return False
         self._unacknowledged += 1
         if self._unacknowledged >= ACKNOWLEDGE_FRAMES:
-            self._unacknowledged = 0
-            session.post(messages.FrameAcknowledged(sequence))
+            self._acknowledge(session)
         return True
 
+    def _acknowledge(self, session: sessions.Session) -> None:
+        self._unacknowledged = 0
+        session.post(messages.FrameAcknowledged(self._inbox.sequence))
+
 
 class AgentLinks:
     """All connections to agents, by VM."""
@@ -152,6 +166,8 @@
         on_up: UpListener,
         on_down: DownListener,
         on_message: MessageListener,
+        on_unreachable: UnreachableListener,
+        is_busy: Callable[[ids.VmId], bool],
     ) -> None:
         self.key = key
         self.clock = clock
@@ -164,18 +180,34 @@
         self.on_up = on_up
         self.on_down = on_down
         self.on_message = on_message
+        self.on_unreachable = on_unreachable
+        self._is_busy = is_busy
         self._link_by_vm: dict[ids.VmId, AgentLink] = {}
+        self._stops: set[asyncio.Task[None]] = set()
 
     def set_targets(self, address_by_vm: dict[ids.VmId, str]) -> None:
-        """Connects to exactly these agents."""
+        """Connects to these agents, and keeps others that are still busy."""
         for vm, link in list(self._link_by_vm.items()):
-            if address_by_vm.get(vm) != link.address:
-                del self._link_by_vm[vm]
-                asyncio.ensure_future(link.stop())
+            address = address_by_vm.get(vm)
+            if address == link.address:
+                continue
+            if address is None and link.peer is not None and self._is_busy(vm):
+                continue
+            self._drop(vm, link)
         for vm, address in address_by_vm.items():
             if vm not in self._link_by_vm:
                 self._link_by_vm[vm] = AgentLink(vm, address, self)
 
+    def _drop(self, vm: ids.VmId, link: AgentLink) -> None:
+        del self._link_by_vm[vm]
+        was_up = link.peer is not None
+        stop = asyncio.ensure_future(link.stop())
+        self._stops.add(stop)
+        stop.add_done_callback(self._stops.discard)
+        if was_up:
+            self.on_down(vm, errors.LinkClosedError("no longer wanted"))
+        self.on_unreachable(vm)
+
     def post(self, vm: ids.VmId, message: codec.AnyMessage) -> bool:
         """Sends a message; returns False when there is no connection."""
         link = self._link_by_vm.get(vm)
--- /dev/null
+++ b/packages/nutmeglift_router/nutmeglift_router/drain_controller.py
@@ -0,0 +1,70 @@
+"""Takes a router out of service without cutting off a request."""
+
+from collections.abc import Callable
+
+from starlette import types
+
+from nutmeglift import blackboard
+from nutmeglift import drain
+from nutmeglift_router import entries
+from nutmeglift_wire import clock as clocks
+from nutmeglift_wire import metrics as metric
+
+POLL_SECONDS = 0.05
+
+
+class DrainController:
+    """Drives the router's life cycle."""
+
+    def __init__(
+        self,
+        own: drain.Drain,
+        *,
+        board: blackboard.Blackboard,
+        clock: clocks.BaseClock,
+        metrics: metric.BaseMetrics,
+        limit: float,
+        count_others: Callable[[], int],
+    ) -> None:
+        self._drain = own
+        self._board = board
+        self._clock = clock
+        self._metrics = metrics
+        self._limit = limit
+        self._count_others = count_others
+
+    async def run(self) -> None:
+        """Refuses new work and waits for the work in flight."""
+        self._drain.begin(self._clock.now())
+        self._publish()
+        while not self._drain.settle(
+            self._clock.now(), self._limit, self._count_others()
+        ):
+            await self._clock.sleep(POLL_SECONDS)
+        left = self._drain.in_flight + self._count_others()
+        if left:
+            self._metrics.count("drain.cut", left)
+        self._publish()
+
+    def _publish(self) -> None:
+        self._board.write(
+            entries.DRAIN, self._drain.state, blackboard.Controller.DRAIN
+        )
+
+
+class DrainMiddleware:
+    """Counts a request as in flight until its last byte is sent."""
+
+    def __init__(self, app: types.ASGIApp, own: drain.Drain) -> None:
+        self._app = app
+        self._drain = own
+
+    async def __call__(
+        self, scope: types.Scope, receive: types.Receive, send: types.Send
+    ) -> None:
+        """Serves one request."""
+        self._drain.enter()
+        try:
+            await self._app(scope, receive, send)
+        finally:
+            self._drain.leave()
--- a/packages/nutmeglift_router/nutmeglift_router/http_app.py
+++ b/packages/nutmeglift_router/nutmeglift_router/http_app.py
@@ -1,6 +1,7 @@
 """The HTTP interface of a router."""
 
 from starlette import applications
+from starlette import middleware
 from starlette import requests
 from starlette import responses
 from starlette import routing
@@ -8,6 +9,7 @@
 from nutmeglift import errors
 from nutmeglift_router import answers
 from nutmeglift_router import chat_endpoint
+from nutmeglift_router import drain_controller
 from nutmeglift_router import plain_endpoint
 from nutmeglift_router import router as routers
 
@@ -34,6 +36,11 @@
                 routing.Route("/health/live", self._live),
                 routing.Route("/{path:path}", self._unknown, methods=methods),
             ],
+            middleware=[
+                middleware.Middleware(
+                    drain_controller.DrainMiddleware, own=router.drain
+                )
+            ],
             exception_handlers={errors.NutmegError: answers.answer_error},
         )
 
--- a/packages/nutmeglift_router/nutmeglift_router/router.py
+++ b/packages/nutmeglift_router/nutmeglift_router/router.py
@@ -22,10 +22,12 @@
 from nutmeglift_router import agent_links
 from nutmeglift_router import chat
 from nutmeglift_router import configuration_controller
+from nutmeglift_router import drain_controller
 from nutmeglift_router import entries
 from nutmeglift_router import membership_controller
 from nutmeglift_router import plain
 from nutmeglift_router import plan_controller
+from nutmeglift_router import recovery_controller
 from nutmeglift_wire import clock as clocks
 from nutmeglift_wire import link as links
 from nutmeglift_wire import metrics as metric
@@ -79,6 +81,8 @@
             make_heartbeat=self._make_heartbeat,
             on_up=self._agent_up,
             on_down=self._agent_down,
+            on_unreachable=self._agent_unreachable,
+            is_busy=lambda vm: bool(self.chat.attempts_on(vm)),
             on_message=self._take_message,
         )
         self.configuration = configuration_controller.ConfigurationController(
@@ -110,6 +114,21 @@
             routes=self._routing,
             find=self.membership.find_candidate,
             post=self._links.post,
+            token_buffer=own.bounds.token_buffer,
+        )
+        self._recovery = recovery_controller.RecoveryController(
+            chats=self.chat,
+            clock=clock,
+            metrics=metrics,
+            post=self._links.post,
+        )
+        self._draining = drain_controller.DrainController(
+            self.drain,
+            board=self.board,
+            clock=clock,
+            metrics=metrics,
+            limit=own.bounds.drain_seconds,
+            count_others=lambda: self.chat.in_flight + self.plain.in_flight,
         )
         self.plain = plain.PlainController(
             store=store,
@@ -130,9 +149,7 @@
 
     async def leave(self) -> None:
         """Refuses new work and waits for the work in flight."""
-        self.drain.begin()
-        while self.chat.in_flight or self.plain.in_flight:
-            await self._clock.sleep(self.own.bounds.heartbeat_seconds / 10)
+        await self._draining.run()
 
     async def stop(self) -> None:
         """Ends everything at once."""
@@ -174,10 +191,14 @@
 
     def _agent_up(self, vm: ids.VmId, hello: messages.Hello) -> None:
         self.membership.agent_up(vm, hello)
+        self._recovery.agent_up(vm, hello)
 
     def _agent_down(self, vm: ids.VmId, reason: errors.NutmegError) -> None:
         self.membership.agent_down(vm)
-        self.chat.lose_agent(vm)
+        self._recovery.agent_down(vm)
+
+    def _agent_unreachable(self, vm: ids.VmId) -> None:
+        self._recovery.agent_unreachable(vm)
 
     def _take_message(self, vm: ids.VmId, message: codec.AnyMessage) -> None:
         match message:
@@ -185,6 +206,8 @@
                 self.chat.take_frame(message)
             case messages.AttemptFailed():
                 self.chat.take_failure(message)
+            case messages.AttemptsHeld():
+                self._recovery.take_held(vm, message)
             case plain_messages.PlainOutcome():
                 self.plain.take_outcome(message)
             case messages.Heartbeat():
--- a/packages/nutmeglift_wire/nutmeglift_wire/session.py
+++ b/packages/nutmeglift_wire/nutmeglift_wire/session.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import contextlib
 import hmac
+import logging
 import secrets
 
 import msgspec
@@ -20,6 +21,8 @@
 MAX_QUEUED_MESSAGES = 16384
 HANDSHAKE_TIMEOUT_SECONDS = 2.0
 
+_logger = logging.getLogger(__name__)
+
 HelloMaker = Callable[[], messages.Hello]
 HeartbeatMaker = Callable[[int], messages.Heartbeat]
 Handler = Callable[["Session", codec.AnyMessage], None]
@@ -128,7 +131,7 @@
             collections.deque()
         )
         self._posted = asyncio.Event()
-        self._overflown = False
+        self._overflown = asyncio.Event()
         self._closed = False
 
     @property
@@ -145,11 +148,11 @@
         if self._closed:
             return False
         if len(self._outgoing) >= MAX_QUEUED_MESSAGES:
-            self._overflown = True
+            self._overflown.set()
         else:
             self._outgoing.append(message)
         self._posted.set()
-        return not self._overflown
+        return not self._overflown.is_set()
 
     async def run(self) -> errors.NutmegError:
         """Runs the session.
@@ -162,6 +165,7 @@
             asyncio.create_task(self._read()),
             asyncio.create_task(self._beat()),
             asyncio.create_task(self._watch_silence()),
+            asyncio.create_task(self._watch_overflow()),
         ]
         try:
             done, _ = await asyncio.wait(
@@ -188,8 +192,6 @@
             while self._outgoing:
                 await self._link.send(self._outgoing[0])
                 self._outgoing.popleft()
-            if self._overflown:
-                raise errors.LinkClosedError("the peer reads too slowly")
 
     async def _read(self) -> None:
         while True:
@@ -218,6 +220,11 @@
                     f"no byte from {self.peer.vm} for {bound} s"
                 )
 
+    async def _watch_overflow(self) -> None:
+        # Apart from the writer, which may wait for the peer for ever.
+        await self._overflown.wait()
+        raise errors.LinkClosedError("the peer reads too slowly")
+
 
 def _reason(done: set[asyncio.Task[None]]) -> errors.NutmegError:
     for task in done:
@@ -225,5 +232,6 @@
         if isinstance(error, errors.NutmegError):
             return error
         if error is not None:
-            raise error
+            _logger.error("a message was not handled", exc_info=error)
+            return errors.NutmegError(f"not handled: {error!r}")
     return errors.LinkClosedError("the session ended")
--- a/tests/scenario_steps.py
+++ b/tests/scenario_steps.py
@@ -328,5 +328,5 @@
     try:
         return kind.model_validate(value)
     except pydantic.ValidationError as error:
-        problems = "; ".join(settings.describe(error))
+        problems = "; ".join(settings.describe(error, kind))
         raise ScenarioError(f"{place}: {problems}") from error
