Cover the failures of streams and draining with scenarios

The scenario with no replacement found that wait_for of Python 3.11 can swallow a cancellation when a handshake ends in the same turn, so that a router never stopped: replaced by asyncio.timeout. Ruled out: the stopping order of the tests' World, which only brought the two events into one turn.

--- a/packages/nutmeglift_agent/nutmeglift_agent/agent.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/agent.py
@@ -113,12 +113,11 @@
     async def serve_link(self, link: links.BaseLink) -> None:
         """Serves a connection that a router or another agent opened."""
         try:
-            peer = await asyncio.wait_for(
-                sessions.shake_hands_as_listener(
+            # wait_for can swallow a cancellation.
+            async with asyncio.timeout(sessions.HANDSHAKE_TIMEOUT_SECONDS):
+                peer = await sessions.shake_hands_as_listener(
                     link, self._key, self._make_answer
-                ),
-                sessions.HANDSHAKE_TIMEOUT_SECONDS,
-            )
+                )
         except (errors.NutmegError, TimeoutError) as error:
             self._metrics.count("link.refused")
             _logger.warning("connection refused", extra={"reason": str(error)})
--- a/packages/nutmeglift_agent/nutmeglift_agent/peers.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/peers.py
@@ -56,9 +56,9 @@
 
     async def _run(self) -> None:
         try:
-            session = await asyncio.wait_for(
-                self._open(), sessions.HANDSHAKE_TIMEOUT_SECONDS
-            )
+            # wait_for can swallow a cancellation.
+            async with asyncio.timeout(sessions.HANDSHAKE_TIMEOUT_SECONDS):
+                session = await self._open()
         except errors.NutmegError as error:
             self._lose(error)
             return
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -25,7 +25,7 @@
     def __init__(self, scenario: steps.Scenario) -> None:
         deployment = scenario.deployment
         self.world = utils.World(
-            _declare(deployment.accounts, deployment.layers),
+            _declare(deployment, deployment.accounts),
             settings.Bounds.model_validate(deployment.bounds),
             deployment.seed,
         )
@@ -41,21 +41,27 @@
         Raises:
             steps.ScenarioError: something did not come true.
         """
-        name = self._scenario.name
         await self._start()
+        try:
+            await self._run_steps()
+            await self.callers.finish(END_SECONDS)
+            problems = self.callers.find_problems()
+        finally:
+            await self.world.stop()
+        if problems:
+            text = "; ".join(problems)
+            raise steps.ScenarioError(f"{self._scenario.name}: {text}")
+
+    async def _run_steps(self) -> None:
         for number, step in enumerate(self._scenario.steps, start=1):
             try:
                 await self._do(step)
             except steps.ScenarioError as error:
                 kind = type(step).__name__.lower()
+                name = self._scenario.name
                 raise steps.ScenarioError(
                     f"{name}: step {number} ({kind}): {error}"
                 ) from error
-        await self.callers.finish(END_SECONDS)
-        problems = self.callers.find_problems()
-        await self.world.stop()
-        if problems:
-            raise steps.ScenarioError(f"{name}: {'; '.join(problems)}")
 
     async def _start(self) -> None:
         deployment = self._scenario.deployment
@@ -81,8 +87,8 @@
             case steps.Expect():
                 self._expect(step)
             case steps.Apply(accounts=accounts):
-                layers = self._scenario.deployment.layers
-                await self.world.apply(_declare(accounts, layers))
+                deployment = self._scenario.deployment
+                await self.world.apply(_declare(deployment, accounts))
             case steps.OnProcess():
                 await self._disturb_process(step)
             case steps.OnConnection():
@@ -271,10 +277,18 @@
     return virtual_time.run(work())
 
 
-def _declare(accounts: int, layers: int) -> declaration.Declaration:
-    model = utils.make_declaration().models[0]
+def _declare(
+    deployment: steps.Deployment, accounts: int
+) -> declaration.Declaration:
+    base = utils.make_declaration()
+    model = base.models[0]
+    memory = deployment.runner_layers * model.layer_bytes
     return utils.make_declaration(
-        models=(model.model_copy(update={"layers": layers}),),
+        models=(model.model_copy(update={"layers": deployment.layers}),),
+        backend_classes=tuple(
+            found.model_copy(update={"memory_bytes": memory})
+            for found in base.backend_classes
+        ),
         client_accounts=tuple(
             utils.make_account(f"account-{number + 1}")
             for number in range(accounts)
--- a/tests/scenario_steps.py
+++ b/tests/scenario_steps.py
@@ -22,13 +22,27 @@
 
 
 class Deployment(Part):
-    """What runs when the scenario starts."""
+    """What runs when the scenario starts.
+
+    Attributes:
+        runners: model runners, named runner-1 and so on.
+        services: plain services, named core-1 and so on.
+        routers: routers, named entry-1 and so on.
+        accounts: client accounts, named account-1 and so on.
+        layers: layers of the model.
+        runner_layers: layers for which a runner has memory.
+        seed: seed of all random numbers.
+        list_lag: seconds by which the VM list lags after the start.
+        rate: layers times positions that a runner runs a second.
+        bounds: bounds that differ from the defaults.
+    """
 
     runners: int = 6
     services: int = 1
     routers: int = 1
     accounts: int = 1
     layers: int = 12
+    runner_layers: int = 4
     seed: int = 1
     list_lag: float = 0.0
     rate: float = 24000.0
