Fuzz answers in flight and measure recovery

Cause: scripted scenarios show only the schedules that somebody thought of. Change: a hypothesis state machine kills, freezes, cuts, silences, parts and degrades what carries live answers, then heals all and checks answers, layer order and leaks; three deliberately broken variants show that the oracle can fail. Benchmarks in virtual time at the target's pace (52 ms between tokens, 0.47 s to the first, prompt 512, answer 240, stage dies at two thirds).

--- /dev/null
+++ b/benchmarks/bench_recovery.py
@@ -0,0 +1,205 @@
+"""Recovery of answers in flight, in virtual time."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import dataclasses
+
+from benchmarks import figures
+from nutmeglift import ids
+from nutmeglift import settings
+from nutmeglift_router import chat
+from tests import utils
+from tests import virtual_time
+
+STAGES = 3
+RUNNERS = 2 * STAGES
+TOKEN_GAP_SECONDS = 0.052
+FIRST_TOKEN_SECONDS = 0.47
+PROMPT_TOKENS = 512
+ANSWER_TOKENS = 240
+DONE_SHARE = 2 / 3
+DOMAIN_DELAY_SECONDS = 0.0005
+POLL_SECONDS = 0.001
+
+
+@dataclasses.dataclass(frozen=True)
+class Case:
+    """One request that loses a stage.
+
+    Attributes:
+        prompt_tokens: length of the prompt.
+        answer_tokens: length of the answer.
+        stage: index of the stage that dies.
+        silent: whether its connections fall silent instead of breaking.
+    """
+
+    prompt_tokens: int = PROMPT_TOKENS
+    answer_tokens: int = ANSWER_TOKENS
+    stage: int = 1
+    silent: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Times:
+    """Seconds measured in one case.
+
+    Attributes:
+        to_next_token: from the death to the next token at the caller.
+        past_detection: from its detection by the router to that token.
+        restart: from a request's start to the same token.
+    """
+
+    to_next_token: float
+    past_detection: float
+    restart: float
+
+
+class Bench:
+    """A deployment whose runners keep the target's pace."""
+
+    def __init__(self) -> None:
+        positions = PROMPT_TOKENS * utils.LAYERS
+        rate = positions / (FIRST_TOKEN_SECONDS - TOKEN_GAP_SECONDS)
+        layer_seconds = utils.LAYERS / rate
+        self._rate = rate
+        self._overhead = (TOKEN_GAP_SECONDS - layer_seconds) / STAGES
+        self._overhead -= DOMAIN_DELAY_SECONDS
+        self.world = utils.World(bounds=settings.Bounds())
+
+    async def start(self) -> None:
+        """Starts the deployment; every connection has its delay."""
+        world = self.world
+        await world.start(runners=RUNNERS, services=0, rate=self._rate)
+        for engine in world.engines:
+            engine.step_overhead = self._overhead
+        addresses = [a.address for a in world.agent_by_vm.values()]
+        addresses += [r.address for r in world.router_by_vm.values()]
+        for index, one in enumerate(addresses):
+            for other in addresses[index + 1 :]:
+                world.network.degrade(one, other, DOMAIN_DELAY_SECONDS)
+
+    async def measure(self, case: Case) -> Times:
+        """Kills a stage when two thirds of an answer are done."""
+        done = round(case.answer_tokens * DONE_SHARE)
+        prompt = utils.PROMPT * (case.prompt_tokens // len(utils.PROMPT) + 1)
+        prompt = prompt[: case.prompt_tokens]
+        began = _now()
+        stream = self.world.start_chat(case.answer_tokens, prompt=prompt)
+        reading = asyncio.ensure_future(self.world.read(stream))
+        await _wait_for_tokens(stream, done + 1)
+        restart = _now() - began
+        attempt = stream.gate.attempt
+        died = _now()
+        await self._strike(stream, case)
+        await _wait_until(lambda: stream.gate.attempt > attempt)
+        detected = _now()
+        await _wait_for_tokens(stream, len(stream.gate.tokens) + 1)
+        times = Times(_now() - died, _now() - detected, restart)
+        text = await reading
+        if text != utils.reference_text(prompt, case.answer_tokens):
+            raise AssertionError("the answer is not the reference's")
+        return times
+
+    async def _strike(self, stream: chat.Stream, case: Case) -> None:
+        assert stream.pipeline is not None
+        vm = stream.pipeline.stages[case.stage].vm
+        if case.silent:
+            self.world.agent_by_vm[vm].clock.pause()
+            return
+        await self.world.kill(vm)
+
+
+@dataclasses.dataclass(frozen=True)
+class _Above:
+    total_by_name: collections.Counter[str]
+    lost: int
+
+    def __call__(self) -> bool:
+        return self.total_by_name["agent_link.lost"] > self.lost
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+async def _wait_for_tokens(stream: chat.Stream, count: int) -> None:
+    await _wait_until(lambda: len(stream.gate.tokens) >= count)
+
+
+async def _wait_until(come_true: Callable[[], bool]) -> None:
+    while not come_true():  # noqa: ASYNC110
+        await asyncio.sleep(POLL_SECONDS)
+
+
+def measure(case: Case) -> Times:
+    """Measures one case in virtual time."""
+
+    async def work() -> Times:
+        bench = Bench()
+        await bench.start()
+        times = await bench.measure(case)
+        await bench.world.stop()
+        return times
+
+    return virtual_time.run(work())
+
+
+def _ratio() -> figures.Measured:
+    times = measure(Case())
+    return figures.Measured(times.to_next_token / times.restart, 1.0)
+
+
+def _past_detection() -> figures.Measured:
+    times = measure(Case())
+    return figures.Measured(times.past_detection, times.restart)
+
+
+def _long_prompt() -> figures.Measured:
+    times = measure(Case(prompt_tokens=3000))
+    return figures.Measured(times.past_detection, times.restart)
+
+
+def _heartbeats() -> figures.Measured:
+    times = measure(Case(silent=True))
+    heartbeat = settings.Bounds().heartbeat_seconds
+    return figures.Measured(
+        times.to_next_token / heartbeat, times.restart / heartbeat
+    )
+
+
+def _silence() -> figures.Measured:
+    async def work() -> float:
+        bench = Bench()
+        await bench.start()
+        world = bench.world
+        router = next(iter(world.router_by_vm.values()))
+        total_by_name = router.metrics.total_by_name
+        runner = world.agent_by_vm[ids.VmId("runner-1")]
+        worst = 0.0
+        for _ in range(20):
+            lost = total_by_name["agent_link.lost"]
+            began = _now()
+            world.network.silence(router.address, runner.address)
+            await _wait_until(_Above(total_by_name, lost))
+            worst = max(worst, _now() - began)
+            await asyncio.sleep(1.037)
+        await world.stop()
+        return worst
+
+    return figures.Measured(virtual_time.run(work()))
+
+
+FIGURES = [
+    figures.Figure(
+        "recovery_time_to_restart_ratio", "ratio", "<= 0.33", _ratio
+    ),
+    figures.Figure(
+        "recovery_time_past_detection", "s", "<= 1", _past_detection
+    ),
+    figures.Figure(
+        "recovery_time_past_detection_3000", "s", "<= 1", _long_prompt
+    ),
+    figures.Figure("recovery_heartbeats", "heartbeats", "", _heartbeats),
+    figures.Figure("silent_connection_detection", "s", "<= 3", _silence),
+]
--- a/packages/nutmeglift_fakes/nutmeglift_fakes/toy_engine.py
+++ b/packages/nutmeglift_fakes/nutmeglift_fakes/toy_engine.py
@@ -83,6 +83,7 @@
         runs: every layer run, in order, while record is set.
         orders: the orders carried out.
         faults: what goes wrong.
+        step_overhead: seconds that every step takes besides its positions.
     """
 
     def __init__(
@@ -104,7 +105,7 @@
         self._layers = layers
         self._rate = layer_positions_per_second
         self._rng = rng
-        self._overhead = step_overhead
+        self.step_overhead = step_overhead
         self._checks_fencing_number = checks_fencing_number
         self._record = record
         self._max_prefix_blocks = max_prefix_blocks
@@ -210,7 +211,7 @@
             * max(1, len(item.values) - self._cached_positions(item))
             for item in items
         )
-        seconds = self._overhead + work / self._rate
+        seconds = self.step_overhead + work / self._rate
         return seconds * self.faults.slowdown
 
     def _cached_positions(self, item: engine.StepItem) -> int:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -41,7 +41,7 @@
         Raises:
             steps.ScenarioError: something did not come true.
         """
-        await self._start()
+        await self.start()
         try:
             await self._run_steps()
             await self.callers.finish(END_SECONDS)
@@ -55,7 +55,7 @@
     async def _run_steps(self) -> None:
         for number, step in enumerate(self._scenario.steps, start=1):
             try:
-                await self._do(step)
+                await self.do(step)
             except steps.ScenarioError as error:
                 kind = type(step).__name__.lower()
                 name = self._scenario.name
@@ -63,7 +63,19 @@
                     f"{name}: step {number} ({kind}): {error}"
                 ) from error
 
-    async def _start(self) -> None:
+    def find_leaks(self) -> list[str]:
+        """Returns which processes hold work although nobody waits for it."""
+        leaks = []
+        for vm, process in self.world.agent_by_vm.items():
+            if process.agent.in_flight:
+                leaks.append(f"{vm}: {process.agent.in_flight} in flight")
+        for vm, router in self.world.router_by_vm.items():
+            if router.router.chat.in_flight:
+                leaks.append(f"{vm}: {router.router.chat.in_flight} in flight")
+        return leaks
+
+    async def start(self) -> None:
+        """Starts the deployment."""
         deployment = self._scenario.deployment
         await self.world.start(
             runners=deployment.runners,
@@ -74,7 +86,12 @@
         self.world.vms.lag = deployment.list_lag
         self._note_addresses()
 
-    async def _do(self, step: steps.Part) -> None:
+    async def do(self, step: steps.Part) -> None:
+        """Carries out one step.
+
+        Raises:
+            steps.ScenarioError: it can't be done or did not come true.
+        """
         match step:
             case steps.Call():
                 await self.callers.start_chats(step)
@@ -97,7 +114,7 @@
                 self._disturb_platform(step)
 
     async def _disturb_process(self, step: steps.OnProcess) -> None:
-        vm = self._vm(step.vm)
+        vm = self.find_vm(step.vm)
         match step:
             case steps.Kill():
                 await self._kill(vm)
@@ -123,7 +140,9 @@
 
     def _disturb_connection(self, step: steps.OnConnection) -> None:
         network = self.world.network
-        one, other = (self._address_by_vm[self._vm(v)] for v in step.between)
+        one, other = (
+            self._address_by_vm[self.find_vm(v)] for v in step.between
+        )
         match step:
             case steps.Silence():
                 network.silence(one, other)
@@ -192,7 +211,7 @@
             executions = self.callers.executions(step.key)
             _expect_equal("executions", executions, step.executions)
         if step.vm is not None:
-            self._expect_process(self._vm(step.vm), step)
+            self._expect_process(self.find_vm(step.vm), step)
 
     def _expect_process(self, vm: ids.VmId, step: steps.Expect) -> None:
         if step.left is not None:
@@ -225,7 +244,7 @@
             return router.chat.in_flight + router.plain.in_flight
         return self._agent(vm).agent.in_flight
 
-    def _vm(self, name: str) -> ids.VmId:
+    def find_vm(self, name: str) -> ids.VmId:
         """Returns a VM named itself, or as CALL/first, CALL/last, CALL/2."""
         call, slash, place = name.partition("/")
         if not slash:
--- /dev/null
+++ b/tests/test_recovery.py
@@ -0,0 +1,326 @@
+"""Decisions on failed attempts, and fuzzing of answers in flight."""
+
+import asyncio
+import contextlib
+import unittest
+from unittest import mock
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from nutmeglift import errors
+from nutmeglift import ids
+from nutmeglift import messages
+from nutmeglift import recovery
+from nutmeglift import states
+from nutmeglift import streams
+from nutmeglift_agent import stage_work
+from tests import scenario
+from tests import scenario_steps as steps
+from tests import virtual_time
+
+VM = ids.VmId("runner-1")
+RUNNERS = tuple(f"runner-{number}" for number in range(1, 7))
+ROUTERS = ("entry-1", "entry-2")
+SETTLE_SECONDS = 12.0
+STEP_SECONDS = 0.02
+PLACES = ("first", "2", "last")
+
+DIED = recovery.Failure("died", VM)
+REFUSED = recovery.Failure("leaving", VM, refused=True, not_run=True)
+LATER_REFUSED = recovery.Failure("leaving", VM, refused=True)
+
+
+class RequestRecoveryTest(unittest.TestCase):
+    RAN = {
+        "refused by the first stage": ([REFUSED], 0, states.Ran.NOT_RUN),
+        "refused by a later stage": ([LATER_REFUSED], 0, states.Ran.UNKNOWN),
+        "died": ([DIED], 0, states.Ran.UNKNOWN),
+        "died and refused": ([DIED, REFUSED], 0, states.Ran.UNKNOWN),
+        "tokens released": ([REFUSED], 1, states.Ran.RAN),
+    }
+
+    def test_the_error_tells_truly_whether_layers_ran(self):
+        for name, (failures, released, ran) in self.RAN.items():
+            with self.subTest(name):
+                request = recovery.RequestRecovery()
+                for failure in failures:
+                    request.fail(failure, released)
+                self.assertEqual(request.ran(released), ran)
+
+    def test_failures_are_bounded_and_refusals_do_not_count_as_such(self):
+        request = recovery.RequestRecovery()
+        for number in range(recovery.MAX_FAILURES - 1):
+            action = request.fail(DIED, 5)
+            attempt = ids.Attempt(2 * number + 2)
+            self.assertEqual(action, recovery.Restart(attempt))
+            self.assertIsInstance(request.fail(REFUSED, 5), recovery.Restart)
+        last = request.fail(DIED, 5)
+        self.assertIsInstance(last, recovery.GiveUp)
+        self.assertEqual(last.error.kind, errors.ErrorKind.STAGE_FAILED)
+        self.assertEqual(last.error.ran, states.Ran.RAN)
+        self.assertEqual(request.failed, {VM})
+
+    def test_refusals_are_bounded_and_not_run(self):
+        request = recovery.RequestRecovery()
+        actions = [
+            request.fail(REFUSED, 0) for _ in range(recovery.MAX_REFUSALS)
+        ]
+        self.assertIsInstance(actions[-2], recovery.Restart)
+        self.assertEqual(actions[-1].error.ran, states.Ran.NOT_RUN)
+
+    def test_a_pipeline_is_awaited_for_a_bounded_time(self):
+        request = recovery.RequestRecovery()
+        error = errors.RefusedError("none", kind=errors.ErrorKind.NO_BACKEND)
+        limit = recovery.PIPELINE_WAIT_SECONDS
+        for now, kind in (
+            (10.0, recovery.Wait),
+            (10.0 + limit - 0.01, recovery.Wait),
+            (10.0 + limit, recovery.GiveUp),
+        ):
+            action = request.no_pipeline(now, error, 0)
+            self.assertIsInstance(action, kind)
+        request.dispatched()
+        self.assertIsInstance(
+            request.no_pipeline(99.0, error, 0), recovery.Wait
+        )
+
+
+class ReopeningsTest(unittest.TestCase):
+    OLD = ids.Incarnation("a")
+    NEW = ids.Incarnation("b")
+
+    def setUp(self):
+        self.reopenings = recovery.Reopenings()
+        self.assertFalse(self.reopenings.note_up(VM, self.OLD))
+
+    def test_the_same_agent_back_in_time_is_not_lost(self):
+        self.reopenings.note_down(VM, 1.0)
+        self.assertFalse(self.reopenings.lost(VM, 1.2))
+        self.assertFalse(self.reopenings.note_up(VM, self.OLD))
+        self.assertFalse(self.reopenings.lost(VM, 9.0))
+
+    def test_lost_once(self):
+        for name, lose in (
+            ("late", lambda: self.reopenings.lost(VM, 1.25)),
+            ("refused", lambda: self.reopenings.note_unreachable(VM)),
+        ):
+            with self.subTest(name):
+                self.reopenings.note_down(VM, 1.0)
+                self.assertTrue(lose())
+                self.assertFalse(lose())
+
+    def test_another_incarnation_means_lost(self):
+        self.reopenings.note_down(VM, 1.0)
+        self.assertTrue(self.reopenings.note_up(VM, self.NEW))
+
+    def test_compare(self):
+        a, b, c, d = (
+            messages.HeldAttempt(ids.RequestId(name), ids.Attempt(1))
+            for name in "abcd"
+        )
+        found = recovery.compare([a, b], held=[b, c], current=[a, b, d])
+        self.assertEqual(found, recovery.Differences((a,), (c,)))
+        # Ended meanwhile: neither missing nor to be kept.
+        found = recovery.compare([a, b], held=[b], current=[])
+        self.assertEqual(found, recovery.Differences((), (b,)))
+
+
+TURNS = st.integers(0, 3)
+PAUSES = st.sampled_from([0.0, 0.05, 0.3, 2.0, 0.1])
+PAIRS = st.sampled_from(
+    [
+        ("last", "router"),
+        ("first", "2"),
+        ("last", "first"),
+        ("2", "last"),
+        ("first", "router"),
+        ("2", "router"),
+    ]
+)
+MOST_KILLED = 3
+TOKENS = 60
+
+
+class StreamMachine(stateful.RuleBasedStateMachine):
+    """Answers in flight under faults, against the reference's answers."""
+
+    def __init__(self):
+        super().__init__()
+        self.loop = asyncio.Runner(loop_factory=virtual_time.VirtualTimeLoop)
+        self.runner = scenario.Runner(
+            steps.Scenario(
+                name="fuzz", deployment=steps.Deployment(routers=2), steps=()
+            )
+        )
+        self.loop.run(self.runner.start())
+        for engine in self.runner.world.engines:
+            engine.step_overhead = STEP_SECONDS
+        self.calls = 0
+        self.killed = []
+
+    def do(self, *todo):
+        for step in todo:
+            # A step that fits no process any more changes nothing.
+            with contextlib.suppress(steps.ScenarioError):
+                self.loop.run(self.runner.do(step))
+
+    def find_live(self, turn):
+        """Returns the name of an answer that runs through a pipeline."""
+        live = [
+            caller.name
+            for caller in self.runner.callers.by_name.values()
+            if caller.stream is not None and caller.stream.pipeline is not None
+        ]
+        return live[turn % len(live)] if live else "none"
+
+    @stateful.initialize()
+    def start_calls(self):
+        for router in ROUTERS:
+            self.call(router, TOKENS, 0.2)
+
+    @stateful.rule(
+        router=st.sampled_from(ROUTERS),
+        tokens=st.integers(1, TOKENS),
+        pause=PAUSES,
+    )
+    def call(self, router, tokens, pause):
+        self.calls += 1
+        call = steps.Call(
+            name=f"call-{self.calls}",
+            router=router,
+            max_tokens=tokens,
+            prompt=f"lot {self.calls}",
+        )
+        self.do(call, steps.Wait(seconds=pause))
+
+    @stateful.rule(turn=TURNS, place=st.sampled_from(PLACES), pause=PAUSES)
+    def kill(self, turn, place, pause):
+        if len(self.killed) == MOST_KILLED:
+            return
+        with contextlib.suppress(steps.ScenarioError):
+            vm = self.runner.find_vm(f"{self.find_live(turn)}/{place}")
+            self.killed.append(vm)
+            self.do(steps.Resume(vm=vm), steps.Kill(vm=vm))
+        self.do(steps.Wait(seconds=pause))
+
+    @stateful.rule(
+        turn=TURNS, place=st.sampled_from([*PLACES, "router"]), pause=PAUSES
+    )
+    def freeze(self, turn, place, pause):
+        vm = f"{self.find_live(turn)}/{place}"
+        self.do(steps.Pause(vm=vm), steps.Wait(seconds=pause))
+
+    @stateful.rule(
+        turn=TURNS,
+        pair=PAIRS,
+        kind=st.sampled_from(
+            [steps.Silence, steps.Cut, steps.Separate, steps.Degrade]
+        ),
+        pause=PAUSES,
+    )
+    def disturb(self, turn, pair, kind, pause):
+        call = self.find_live(turn)
+        between = tuple(f"{call}/{end}" for end in pair)
+        extra = {"delay": 0.1} if kind is steps.Degrade else {}
+        step = kind(between=between, **extra)
+        self.do(step, steps.Wait(seconds=pause))
+
+    @stateful.rule(vm=st.sampled_from(RUNNERS + ROUTERS), pause=PAUSES)
+    def repair(self, vm, pause):
+        if vm in self.killed:
+            self.killed.remove(vm)
+            self.do(steps.Restart(vm=vm))
+        self.do(
+            steps.Resume(vm=vm),
+            *(steps.Join(between=(vm, other)) for other in RUNNERS),
+            steps.Wait(seconds=pause),
+        )
+
+    @stateful.rule(turn=TURNS, pause=PAUSES)
+    def abandon(self, turn, pause):
+        call = self.find_live(turn)
+        self.do(steps.Abandon(call=call), steps.Wait(seconds=pause))
+
+    def teardown(self):
+        try:
+            problems = self.loop.run(self.settle())
+        finally:
+            self.loop.run(self.runner.world.stop())
+            self.loop.close()
+        if problems:
+            raise AssertionError("; ".join(problems))
+
+    async def settle(self):
+        for vm in RUNNERS + ROUTERS:
+            for other in RUNNERS:
+                with contextlib.suppress(steps.ScenarioError):
+                    await self.runner.do(steps.Join(between=(vm, other)))
+            with contextlib.suppress(steps.ScenarioError):
+                await self.runner.do(steps.Resume(vm=vm))
+        await self.runner.callers.finish(scenario.END_SECONDS)
+        await asyncio.sleep(SETTLE_SECONDS)
+        problems = self.runner.callers.find_problems()
+        return problems + self.runner.find_leaks()
+
+
+FUZZING = hypothesis.settings(
+    derandomize=True,
+    deadline=None,
+    database=None,
+    max_examples=12,
+    stateful_step_count=14,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+def run_fuzzing():
+    stateful.run_state_machine_as_test(StreamMachine, settings=FUZZING)
+
+
+def accept_without_gate(gate, item):
+    """A broken TokenGate.accept: takes every token as it comes."""
+    gate.tokens.extend(item.tokens)
+    gate.finished = item.finish is not None
+    return streams.Release(streams.Arrival.NEXT, item.texts, item.finish)
+
+
+class StreamFuzzingTest(unittest.TestCase):
+    def test_answers_are_whole_or_end_in_an_honest_error(self):
+        run_fuzzing()
+
+    def test_the_oracle_sees_broken_variants(self):
+        quick = hypothesis.settings(FUZZING, phases=[hypothesis.Phase.generate])
+        for name, target, method, broken in (
+            (
+                "no token gate",
+                streams.TokenGate,
+                "accept",
+                accept_without_gate,
+            ),
+            (
+                "no reconciliation",
+                recovery,
+                "compare",
+                lambda *_: recovery.Differences((), ()),
+            ),
+            (
+                "no cancelling",
+                stage_work.StageWork,
+                "cancel",
+                lambda *_: None,
+            ),
+        ):
+            with (
+                self.subTest(name),
+                mock.patch.object(target, method, broken),
+                self.assertRaises(AssertionError),
+            ):
+                stateful.run_state_machine_as_test(
+                    StreamMachine, settings=quick
+                )
+
+
+if __name__ == "__main__":
+    unittest.main()
