--- a/packages/nutmeglift_fakes/nutmeglift_fakes/deployment.py
+++ b/packages/nutmeglift_fakes/nutmeglift_fakes/deployment.py
@@ -127,8 +127,8 @@
 
     async def stop(self) -> None:
         """Ends everything."""
-        for running in self.agent_by_vm.values():
-            await running.kill()
+        kills = [running.kill() for running in self.agent_by_vm.values()]
+        await asyncio.gather(*kills)
         self.store.set_down(True)
         await asyncio.gather(*(server.stop() for server in self._servers))
 
