Bound the agents' memory of attempts; fence orders

Cause: an agent kept every attempt for ever, answered a duplicate or a call bound to another incarnation with silence, dropped the outcome of an attempt that a second router had asked about, and took no orders at all.

Change: attempts.AttemptTable forgets its oldest settled attempts and keeps the highest number forgotten of each router's epoch, so that a late copy can't run again. Heartbeat gains fencing_confirmed.

Ruled out: forgetting by age, as a copy that a paused process reads late has no bound in time.

--- a/packages/nutmeglift/nutmeglift/messages.py
+++ b/packages/nutmeglift/nutmeglift/messages.py
@@ -104,6 +104,8 @@
         leaving: whether the sender takes no new work any more.
         fencing_number: highest fencing number that the sender knows.
         load: from agents, the engine's last load report.
+        fencing_confirmed: from routers, whether the fencing number was read
+            from the key-value service within the freshness bound.
     """
 
     sequence: int
@@ -111,6 +113,7 @@
     leaving: bool = False
     fencing_number: ids.FencingNumber = ids.FencingNumber(0)
     load: LoadReport | None = None
+    fencing_confirmed: bool = False
 
 
 class Leaving(Message, frozen=True):
--- a/packages/nutmeglift/nutmeglift/states.py
+++ b/packages/nutmeglift/nutmeglift/states.py
@@ -36,6 +36,8 @@
     DONE = "done"
     VOID = "void"
     """The attempt was given up before its dispatch and never runs."""
+    EXPIRED = "expired"
+    """The outcome is past its retention; the key is refused."""
 
 
 class ProcessRole(enum.Enum):
--- a/packages/nutmeglift_agent/nutmeglift_agent/agent.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/agent.py
@@ -5,8 +5,10 @@
 import logging
 from typing import Any
 
+from nutmeglift import attempts
 from nutmeglift import backend
 from nutmeglift import codec
+from nutmeglift import control_messages
 from nutmeglift import drain
 from nutmeglift import engine as engines
 from nutmeglift import errors
@@ -15,6 +17,7 @@
 from nutmeglift import plain_messages
 from nutmeglift import settings
 from nutmeglift import states
+from nutmeglift_agent import orders
 from nutmeglift_agent import peers
 from nutmeglift_agent import plain_work
 from nutmeglift_agent import router_ports
@@ -58,9 +61,11 @@
         self._ports = router_ports.RouterPorts(metrics)
         self._peers = peers.Peers(dialer, self._open_peer, self._lose_peer)
         self._tasks: set[asyncio.Task[None]] = set()
+        self._orders: orders.Orders | None = None
         self._stages: stage_work.StageWork | None = None
         self._plain: plain_work.PlainWork | None = None
         if engine is not None:
+            self._orders = orders.Orders(engine, metrics)
             self._stages = stage_work.StageWork(
                 own.vm,
                 engine,
@@ -70,7 +75,12 @@
                 post_tokens=self._ports.post_tokens,
             )
         if service is not None:
-            self._plain = plain_work.PlainWork(incarnation, service)
+            self._plain = plain_work.PlainWork(
+                attempts.AttemptTable(incarnation),
+                service,
+                post=self._ports.post,
+                metrics=metrics,
+            )
 
     def start(self) -> None:
         """Starts the loops."""
@@ -181,13 +191,16 @@
         match message:
             case messages.Heartbeat(generation=generation):
                 self._generation = max(self._generation, generation)
+                self._learn_fencing_number(message)
             case messages.FrameAcknowledged(sequence):
                 self._ports.acknowledge(session.peer.vm, sequence)
             case plain_messages.PlainCall():
                 self._spawn(self._call_plain(session, message))
             case plain_messages.AttemptQuery():
                 if self._plain is not None:
-                    session.post(self._plain.query(message))
+                    session.post(self._plain.query(session.peer.vm, message))
+            case control_messages.Order():
+                self._spawn(self._carry_out(session, message))
             case messages.StartAttempt():
                 self._start_attempt(session, message)
             case _:
@@ -242,24 +255,51 @@
     async def _call_plain(
         self, session: sessions.Session, call: plain_messages.PlainCall
     ) -> None:
-        if self._plain is None or not self.drain.accepts_work:
+        if self._plain is None:
             session.post(
                 plain_messages.PlainOutcome(
                     call.request,
                     call.attempt,
                     states.Ran.NOT_RUN,
-                    kind=errors.ErrorKind.DRAINING,
-                    detail="refused by the agent",
+                    kind=errors.ErrorKind.NO_BACKEND,
+                    detail="no plain service runs here",
+                )
+            )
+            return
+        accepts_work = self.drain.accepts_work
+        self.drain.enter()
+        try:
+            await self._plain.call(
+                session.peer.vm, call, accepts_work=accepts_work
+            )
+        finally:
+            self.drain.leave()
+
+    async def _carry_out(
+        self, session: sessions.Session, order: control_messages.Order
+    ) -> None:
+        if self._orders is None:
+            session.post(
+                control_messages.OrderResult(
+                    order.order,
+                    order.fencing_number,
+                    errors.ErrorKind.NO_BACKEND,
+                    "no engine runs here",
                 )
             )
             return
         self.drain.enter()
         try:
-            outcome = await self._plain.call(call)
+            result = await self._orders.carry_out(order)
         finally:
             self.drain.leave()
-        if outcome is not None:
-            self._ports.post(session.peer.vm, outcome)
+        self._ports.post(session.peer.vm, result)
+
+    def _learn_fencing_number(self, heartbeat: messages.Heartbeat) -> None:
+        if self._orders is not None:
+            self._orders.learn(
+                heartbeat.fencing_number, confirmed=heartbeat.fencing_confirmed
+            )
 
     def _post_to_agent(self, address: str, message: codec.AnyMessage) -> None:
         if address == self._own.listen:
