Place layers by local search and a linear program's flow

Cause: the thin planner split each model equally over the runners, blind to speed, memory and links. Ruled out: a search that asks the linear program about every move (4 ms a question, too slow at 1,200 runners).

--- /dev/null
+++ b/benchmarks/bench_placement.py
@@ -0,0 +1,70 @@
+"""Placement: its flow against the bound, its time and what moves."""
+
+import time
+
+from benchmarks import figures
+from benchmarks import fleet
+from nutmeglift import plan
+from nutmeglift import planner
+
+SEEDS = range(1, 6)
+
+
+def measure_flow_to_bound() -> figures.Measured:
+    """Worst of several fleets; the baseline splits the layers equally."""
+    declared = fleet.make_declaration()
+    ratios, baselines = [], []
+    for seed in SEEDS:
+        runners = fleet.make_runners(40, seed)
+        bound = fleet.fluid_bound(runners, declared)
+        made = planner.make_plan(runners, declared, plan.Plan())
+        ratios.append(fleet.flow_of(made, declared) / bound)
+        split = fleet.make_equal_split(runners, declared)
+        baselines.append(fleet.flow_of(split, declared) / bound)
+    return figures.Measured(min(ratios), min(baselines))
+
+
+def measure_plan_time(count: int) -> figures.Measured:
+    """Time of a first plan; the baseline is the equal split."""
+    declared = fleet.make_declaration()
+    runners = fleet.make_runners(count)
+    begun = time.perf_counter()
+    planner.make_plan(runners, declared, plan.Plan())
+    planned = time.perf_counter()
+    fleet.make_equal_split(runners, declared)
+    split = time.perf_counter()
+    return figures.Measured(planned - begun, split - planned)
+
+
+def measure_moved_layers() -> figures.Measured:
+    """Share of layers that load anew when one of 40 runners is lost.
+
+    The baseline plans without regard to the previous plan.
+    """
+    declared = fleet.make_declaration()
+    shares, baselines = [], []
+    for seed in SEEDS:
+        runners = fleet.make_runners(40, seed)
+        old = planner.make_plan(runners, declared, plan.Plan())
+        held = sum(a.end_layer - a.first_layer for a in old.assignments)
+        new = planner.make_plan(runners[1:], declared, old)
+        shares.append(planner.count_moved_layers(old, new) / held)
+        fresh = planner.make_plan(runners[1:], declared, plan.Plan())
+        baselines.append(planner.count_moved_layers(old, fresh) / held)
+    return figures.Measured(max(shares), max(baselines))
+
+
+FIGURES = [
+    figures.Figure(
+        "placement_flow_to_fluid_bound",
+        "ratio",
+        ">= 0.9",
+        measure_flow_to_bound,
+    ),
+    figures.Figure(
+        "placement_moved_layers_one_lost", "ratio", "", measure_moved_layers
+    ),
+    figures.Figure("plan_time_40", "s", "", lambda: measure_plan_time(40)),
+    figures.Figure("plan_time_400", "s", "", lambda: measure_plan_time(400)),
+    figures.Figure("plan_time_1200", "s", "", lambda: measure_plan_time(1200)),
+]
--- /dev/null
+++ b/benchmarks/fleet.py
@@ -0,0 +1,161 @@
+"""Fleets for the benchmarks and a fluid model of the work on them."""
+
+import dataclasses
+import random
+
+from nutmeglift import declaration
+from nutmeglift import flow
+from nutmeglift import ids
+from nutmeglift import plan
+from nutmeglift import planner
+
+LAYERS = 60
+MODEL = ids.ModelId("drafts")
+VERSION = ids.VersionId("v1")
+LAYER_BYTES = 1_000_000_000
+HIDDEN_BYTES = 16_384
+DOMAINS = tuple(ids.FailureDomain(f"domain-{n}") for n in (1, 2, 3))
+
+
+@dataclasses.dataclass(frozen=True)
+class Kind:
+    """A kind of accelerator.
+
+    Attributes:
+        name: its backend class.
+        rate: layers times positions a second.
+        layers: layers of LAYER_BYTES for whose weights it has memory.
+    """
+
+    name: str
+    rate: float
+    layers: int
+
+
+KINDS = (
+    Kind("a", 25_000, 23),
+    Kind("b", 13_000, 14),
+    Kind("c", 7_500, 11),
+    Kind("d", 4_200, 8),
+    Kind("e", 1_900, 5),
+)
+KIND_WEIGHTS = (3, 5, 4, 4, 4)
+
+
+def make_runners(count: int, seed: int = 1) -> list[planner.Runner]:
+    """Returns runners of mixed kinds in the failure domains by turns."""
+    rng = random.Random(seed)
+    runners = []
+    for index in range(count):
+        kind = rng.choices(KINDS, KIND_WEIGHTS)[0]
+        domain = DOMAINS[index % len(DOMAINS)]
+        runners.append(
+            planner.Runner(
+                ids.VmId(f"runner-{index:05d}"),
+                domain,
+                kind.rate,
+                int(kind.layers * LAYER_BYTES / 0.4) + 1,
+                kind.name,
+            )
+        )
+    return runners
+
+
+def make_declaration(
+    slow_bytes_per_second: float = 12_500_000,
+) -> declaration.Declaration:
+    """Returns one model and links that differ a hundredfold."""
+    links = [
+        declaration.DomainLink(
+            between=(first, second),
+            bytes_per_second=(
+                100 * slow_bytes_per_second
+                if first == second
+                else slow_bytes_per_second * (10 if second == DOMAINS[1] else 1)
+            ),
+            latency_seconds=0.0001 if first == second else 0.0005,
+        )
+        for index, first in enumerate(DOMAINS)
+        for second in DOMAINS[index:]
+    ]
+    return declaration.Declaration(
+        models=(
+            declaration.Model(
+                id=MODEL,
+                layers=LAYERS,
+                layer_bytes=LAYER_BYTES,
+                hidden_bytes=HIDDEN_BYTES,
+                versions=(declaration.Version(id=VERSION),),
+            ),
+        ),
+        routes=(
+            declaration.Route(
+                id=ids.RouteId("drafts"), model=MODEL, version=VERSION
+            ),
+        ),
+        links=tuple(links),
+    )
+
+
+def fluid_bound(
+    runners: list[planner.Runner], declared: declaration.Declaration
+) -> float:
+    """Returns what no placement can exceed, in tokens a second."""
+    model = declared.models[0]
+    share = planner.WEIGHT_MEMORY_SHARES[0]
+    best_link = max(planner.link_limits(declared, model).values())
+    return flow.fluid_bound(
+        [r.layer_positions_per_second for r in runners],
+        [int(r.memory_bytes * share) // model.layer_bytes for r in runners],
+        model.layers,
+        best_link,
+    )
+
+
+def make_equal_split(
+    runners: list[planner.Runner], declared: declaration.Declaration
+) -> plan.Plan:
+    """Returns equal ranges that fit the smallest memory, runners by turns."""
+    model = declared.models[0]
+    share = planner.WEIGHT_MEMORY_SHARES[0]
+    least = min(
+        int(r.memory_bytes * share) // model.layer_bytes for r in runners
+    )
+    stages = -(-model.layers // least)
+    bounds = [model.layers * index // stages for index in range(stages + 1)]
+    assignments = []
+    for index, runner in enumerate(runners):
+        first, end = bounds[index % stages], bounds[index % stages + 1]
+        rate = runner.layer_positions_per_second / (end - first)
+        assignments.append(
+            plan.Assignment(
+                runner.vm,
+                model.id,
+                VERSION,
+                first,
+                end,
+                rate,
+                (plan.Entry(first, rate),),
+                runner.failure_domain,
+                runner.backend_class,
+            )
+        )
+    return plan.Plan(1, ids.FencingNumber(0), tuple(assignments))
+
+
+def flow_of(made: plan.Plan, declared: declaration.Declaration) -> float:
+    """Returns the largest flow through a plan, in tokens a second."""
+    model = declared.models[0]
+    rate_by_class = {kind.name: kind.rate for kind in KINDS}
+    holders = [
+        flow.Holder(
+            a.vm,
+            a.failure_domain,
+            rate_by_class[a.backend_class],
+            a.first_layer,
+            a.end_layer,
+        )
+        for a in made.assignments
+    ]
+    limits = planner.link_limits(declared, model)
+    return flow.max_flow(holders, model.layers, limits).tokens_per_second
--- /dev/null
+++ b/packages/nutmeglift/nutmeglift/placement.py
@@ -0,0 +1,227 @@
+"""Spreads one model version's layers over runners by local search."""
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+import dataclasses
+import functools
+
+import numpy as np
+
+from nutmeglift import ids
+
+MAX_PASSES = 4
+REPLICA_DOMAINS = 2
+"""Failure domains in which every layer should have a runner."""
+REPLICA_BONUS = 2.0
+LENGTH_BONUS = 0.02
+"""Preference for long ranges, which make few hops."""
+MOVE_COST = 0.15
+"""Share of a runner's rate that a change of its whole range has to gain."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Range:
+    """Layers from the first to one before the end."""
+
+    first_layer: int
+    end_layer: int
+
+    @property
+    def layers(self) -> int:
+        """Number of layers."""
+        return self.end_layer - self.first_layer
+
+    def count_missing_from(self, held: "Range | None") -> int:
+        """Returns how many of its layers another range lacks."""
+        if held is None:
+            return self.layers
+        shared = min(self.end_layer, held.end_layer) - max(
+            self.first_layer, held.first_layer
+        )
+        return self.layers - max(0, shared)
+
+
+@dataclasses.dataclass(frozen=True)
+class Slot:
+    """Room for layers on one runner.
+
+    Attributes:
+        vm: its VM.
+        failure_domain: where it runs.
+        rate: layers times positions a second.
+        max_layers: most layers that fit its memory.
+    """
+
+    vm: ids.VmId
+    failure_domain: ids.FailureDomain
+    rate: float
+    max_layers: int
+
+
+@dataclasses.dataclass(frozen=True)
+class _Options:
+    """Ranges that a runner can hold.
+
+    Attributes:
+        ranges: the ranges.
+        mask: cells of each range, shape (ranges, cells).
+        layers: layers of each range, shape (ranges,).
+    """
+
+    ranges: tuple[Range, ...]
+    mask: np.ndarray
+    layers: np.ndarray
+
+
+class Grid:
+    """Layer boundaries at which ranges may begin and end.
+
+    Attributes:
+        bounds: the boundaries, from 0 to the number of layers.
+    """
+
+    def __init__(self, bounds: Sequence[int]) -> None:
+        self.bounds = tuple(bounds)
+        self.widths = np.diff(np.array(self.bounds)).astype(float)
+        self.options = functools.lru_cache(maxsize=64)(self._make_options)
+
+    @property
+    def cells(self) -> int:
+        """Number of cells between the boundaries."""
+        return len(self.bounds) - 1
+
+    def find_range(self, held: Range) -> int | None:
+        """Returns the index of the first cell when the range fits the grid."""
+        inside = held.first_layer in self.bounds
+        if not inside or held.end_layer not in self.bounds:
+            return None
+        return self.bounds.index(held.first_layer)
+
+    def _make_options(self, max_layers: int) -> _Options:
+        ranges = [
+            Range(first, end)
+            for index, first in enumerate(self.bounds)
+            for end in self.bounds[index + 1 :]
+            if end - first <= max_layers
+        ]
+        starts = np.array(self.bounds[:-1])
+        first = np.array([r.first_layer for r in ranges], dtype=float)
+        end = np.array([r.end_layer for r in ranges], dtype=float)
+        mask = (starts >= first[:, None]) & (starts < end[:, None])
+        return _Options(tuple(ranges), mask.astype(float), end - first)
+
+
+def even_grid(layers: int, cells: int) -> Grid:
+    """Returns boundaries that make cells of nearly the same size."""
+    return Grid([layers * index // cells for index in range(cells + 1)])
+
+
+def place(
+    slots: Sequence[Slot],
+    grid: Grid,
+    held_by_vm: Mapping[ids.VmId, Range],
+) -> dict[ids.VmId, Range]:
+    """Returns a range for each runner that can hold a cell.
+
+    Args:
+        slots: the runners.
+        grid: the boundaries.
+        held_by_vm: ranges held now, to be kept where that costs little.
+    """
+    return _Search(slots, grid, held_by_vm).run()
+
+
+class _Search:
+    def __init__(
+        self,
+        slots: Sequence[Slot],
+        grid: Grid,
+        held_by_vm: Mapping[ids.VmId, Range],
+    ) -> None:
+        self._slots = sorted(slots, key=lambda s: (-s.rate, s.vm))
+        self._grid = grid
+        self._held_by_vm = held_by_vm
+        domains = sorted({s.failure_domain for s in slots})
+        self._row_by_domain = {d: i for i, d in enumerate(domains)}
+        self._rates = np.zeros(grid.cells)
+        self._runners = np.zeros((len(domains), grid.cells))
+        self._range_by_vm: dict[ids.VmId, Range] = {}
+        total = sum(s.rate for s in slots)
+        self._wanted = total / float(grid.bounds[-1])
+
+    def run(self) -> dict[ids.VmId, Range]:
+        for slot in self._slots:
+            held = self._held_by_vm.get(slot.vm)
+            if held is not None and self._fits(slot, held):
+                self._add(slot, held)
+        for slot in self._slots:
+            if slot.vm not in self._range_by_vm:
+                self._settle(slot)
+        for _ in range(MAX_PASSES):
+            changes = [self._settle(slot) for slot in self._slots]
+            if not any(changes):
+                break
+        return self._range_by_vm
+
+    def _fits(self, slot: Slot, held: Range) -> bool:
+        return (
+            held.layers <= slot.max_layers
+            and self._grid.find_range(held) is not None
+        )
+
+    def _settle(self, slot: Slot) -> bool:
+        options = self._grid.options(slot.max_layers)
+        if not options.ranges:
+            return False
+        old = self._range_by_vm.get(slot.vm)
+        if old is not None:
+            self._remove(slot, old)
+        best = self._find_best(slot, options, old)
+        self._add(slot, best)
+        return best != old
+
+    def _find_best(
+        self, slot: Slot, options: _Options, old: Range | None
+    ) -> Range:
+        share = slot.rate / options.layers
+        deficit = np.maximum(self._wanted - self._rates, 0.0)
+        useful = np.minimum(deficit, share[:, None]) * options.mask
+        gain = useful @ self._grid.widths / slot.rate
+        gain += self._replica_bonus(slot, options)
+        gain += LENGTH_BONUS * options.layers / self._grid.bounds[-1]
+        held = self._held_by_vm.get(slot.vm)
+        if held is not None:
+            gain -= MOVE_COST * self._missing(options, held)
+        best = int(np.argmax(gain))
+        if old is not None:
+            index = options.ranges.index(old)
+            if gain[index] >= gain[best] - 1e-9:
+                best = index
+        return options.ranges[best]
+
+    def _replica_bonus(self, slot: Slot, options: _Options) -> np.ndarray:
+        row = self._row_by_domain[slot.failure_domain]
+        present = self._runners > 0
+        lacking = (present.sum(axis=0) < REPLICA_DOMAINS) & ~present[row]
+        weighted = lacking * self._grid.widths
+        weight = REPLICA_BONUS / self._grid.bounds[-1]
+        return np.asarray(options.mask @ weighted * weight)
+
+    def _missing(self, options: _Options, held: Range) -> np.ndarray:
+        missing = [r.count_missing_from(held) for r in options.ranges]
+        return np.asarray(np.array(missing) / options.layers)
+
+    def _add(self, slot: Slot, new: Range) -> None:
+        self._range_by_vm[slot.vm] = new
+        self._change(slot, new, 1)
+
+    def _remove(self, slot: Slot, old: Range) -> None:
+        del self._range_by_vm[slot.vm]
+        self._change(slot, old, -1)
+
+    def _change(self, slot: Slot, changed: Range, sign: int) -> None:
+        first = self._grid.bounds.index(changed.first_layer)
+        end = self._grid.bounds.index(changed.end_layer)
+        self._rates[first:end] += sign * slot.rate / changed.layers
+        row = self._row_by_domain[slot.failure_domain]
+        self._runners[row, first:end] += sign
--- a/packages/nutmeglift/nutmeglift/plan.py
+++ b/packages/nutmeglift/nutmeglift/plan.py
@@ -7,6 +7,18 @@
 from nutmeglift import ids
 
 
+class Entry(msgspec.Struct, frozen=True, array_like=True):
+    """Flow that comes into a runner at a layer of its range.
+
+    Attributes:
+        layer: first layer that the runner runs on it.
+        tokens_per_second: flow that the plan puts there.
+    """
+
+    layer: int
+    tokens_per_second: float
+
+
 class Assignment(msgspec.Struct, frozen=True):
     """Layers of a model version on one runner.
 
@@ -17,6 +29,10 @@
         first_layer: first layer.
         end_layer: one past the last layer.
         tokens_per_second: flow that the plan puts on it.
+        entries: the layers at which the flow comes in; empty when all of it
+            comes in at the first layer.
+        failure_domain: where the runner is.
+        backend_class: its backend class; runners of one class are peers.
     """
 
     vm: ids.VmId
@@ -25,24 +41,27 @@
     first_layer: int
     end_layer: int
     tokens_per_second: float
+    entries: tuple[Entry, ...] = ()
+    failure_domain: ids.FailureDomain = ids.FailureDomain("")
+    backend_class: str = ""
 
 
-class EdgeFlow(msgspec.Struct, frozen=True):
-    """Flow between two runners; None stands for the routers.
+class LinkLimit(msgspec.Struct, frozen=True):
+    """What one runner can send from one failure domain to another.
 
     Attributes:
-        source: VM that sends hidden states, None at the first stage.
-        target: VM that gets them, None at the last stage.
-        model: the model.
-        version: its version.
-        tokens_per_second: flow that the plan puts on it.
+        model: the model whose hidden states are sent.
+        source: failure domain of the sender.
+        target: failure domain of the receiver.
+        tokens_per_second: most positions a second from one runner.
+        latency_seconds: one-way delay.
     """
 
-    source: ids.VmId | None
-    target: ids.VmId | None
     model: ids.ModelId
-    version: ids.VersionId
+    source: ids.FailureDomain
+    target: ids.FailureDomain
     tokens_per_second: float
+    latency_seconds: float
 
 
 class Plan(msgspec.Struct, frozen=True):
@@ -52,13 +71,18 @@
         generation: rises with every plan.
         fencing_number: number of the lease under which it was proposed.
         assignments: what each runner holds.
-        edges: the flows.
+        links: what the links between failure domains carry.
     """
 
     generation: int = 0
     fencing_number: ids.FencingNumber = ids.FencingNumber(0)
     assignments: tuple[Assignment, ...] = ()
-    edges: tuple[EdgeFlow, ...] = ()
+    links: tuple[LinkLimit, ...] = ()
+
+    @property
+    def order(self) -> tuple[ids.FencingNumber, int]:
+        """What a plan must exceed to replace this one."""
+        return (self.fencing_number, self.generation)
 
 
 @dataclasses.dataclass(frozen=True)
