Measure an agent's processor time for each position

Cause: CAPACITY.md needs the agent's slope. Change: bench_agent.py: a middle stage's frames, gates, step body and hops without sockets, at 16, 64, 256 positions a step.

--- /dev/null
+++ b/benchmarks/bench_agent.py
@@ -0,0 +1,150 @@
+"""Processor time of an agent's stage, by positions in a step."""
+
+import asyncio
+import time
+
+from benchmarks import figures
+from nutmeglift import codec
+from nutmeglift import control_messages
+from nutmeglift import engine as engines
+from nutmeglift import ids
+from nutmeglift import messages
+from nutmeglift_agent import stage_work
+from nutmeglift_fakes import toy_engine
+from nutmeglift_wire import metrics
+
+SIZES = (16, 64, 256)
+STEPS = 200
+HIDDEN = toy_engine.MODULUS - 1
+STAGES = 4
+LAYERS = 60
+PROMPT_POSITIONS = 1
+
+
+class _EchoEngine(engines.BaseEngine):
+    """Answers at once; the agent's end of the CBOR bodies is counted."""
+
+    def __init__(self, size: int) -> None:
+        result = engines.StepResult(hidden=(HIDDEN,))
+        self._answer = codec.encode(engines.StepResponse((result,) * size))
+
+    async def step(
+        self, items: tuple[engines.StepItem, ...]
+    ) -> tuple[engines.StepResult, ...]:
+        """Encodes the request and decodes an answer, as over HTTP."""
+        codec.encode(engines.StepRequest(items))
+        return codec.decode_as(self._answer, engines.StepResponse).results
+
+    async def release(self, sequence: str) -> None:
+        """Does nothing."""
+
+    async def load(self) -> messages.LoadReport:
+        """Returns an empty report."""
+        return messages.LoadReport(0, 0, 0.0, 0.0, 0, 0.0)
+
+    async def cache_events(self, after: int) -> control_messages.CacheEvents:
+        """Has none."""
+        return control_messages.CacheEvents(1, ())
+
+    async def order(self, order: control_messages.Order) -> None:
+        """Takes none."""
+        raise AssertionError
+
+    async def export_cache(self, sequence: str) -> bytes:
+        """Has none."""
+        raise AssertionError
+
+    async def import_cache(self, sequence: str, body: bytes) -> None:
+        """Takes none."""
+        raise AssertionError
+
+
+def _pipeline() -> messages.Pipeline:
+    width = LAYERS // STAGES
+    stages = tuple(
+        messages.Stage(
+            ids.VmId(f"runner-{index}"),
+            f"10.0.0.{index}:7000",
+            ids.Incarnation("1"),
+            index * width,
+            (index + 1) * width,
+        )
+        for index in range(STAGES)
+    )
+    return messages.Pipeline(ids.ModelId("m"), ids.VersionId("v"), None, stages)
+
+
+def _opening(index: int, pipeline: messages.Pipeline) -> messages.OpenStage:
+    start = messages.StartAttempt(
+        ids.RequestId(f"{index:024x}"),
+        ids.Attempt(1),
+        ids.VmId("entry-1"),
+        pipeline,
+        (),
+        STEPS + 1,
+    )
+    return messages.OpenStage(start, 1, PROMPT_POSITIONS)
+
+
+def _frame(size: int, position: int, first_layer: int) -> bytes:
+    hops = tuple(
+        messages.Hop(
+            ids.RequestId(f"{index:024x}"),
+            ids.Attempt(1),
+            position,
+            (HIDDEN,),
+            first_layer,
+        )
+        for index in range(size)
+    )
+    return codec.encode(messages.HopFrame(hops))
+
+
+async def _seconds_per_step(size: int) -> float:
+    """Returns the processor time of one step of so many positions."""
+    sent = asyncio.Event()
+
+    def post(address: str, message: codec.AnyMessage) -> None:
+        codec.encode(message)
+        if isinstance(message, messages.HopFrame):
+            sent.set()
+
+    pipeline = _pipeline()
+    work = stage_work.StageWork(
+        pipeline.stages[1].vm,
+        pipeline.stages[1].incarnation,
+        _EchoEngine(size),
+        metrics.NoMetrics(),
+        post_to_agent=post,
+        post_to_router=lambda router, message: None,
+        post_tokens=lambda router, items: True,
+        accepts_work=lambda: True,
+    )
+    task = asyncio.ensure_future(work.run())
+    for index in range(size):
+        work.open_stage(_opening(index, pipeline))
+    first_layer = pipeline.stages[1].first_layer
+    frames = [_frame(size, step, first_layer) for step in range(STEPS)]
+    started = time.process_time()
+    for frame in frames:
+        sent.clear()
+        message = codec.decode(frame)
+        assert isinstance(message, messages.HopFrame)
+        for hop in message.hops:
+            work.take_hop(hop)
+        await sent.wait()
+    spent = time.process_time() - started
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    return spent / STEPS
+
+
+def measure_position() -> figures.Measured:
+    """Returns the processor time that one more position in a step costs."""
+    spent = [asyncio.run(_seconds_per_step(size)) for size in SIZES]
+    return figures.Measured(figures.slope(SIZES, spent) * 1e6)
+
+
+FIGURES = (
+    figures.Figure("agent_cpu_per_position", "µs", "", measure_position),
+)
