--- a/packages/nutmeglift/nutmeglift/auth.py
+++ b/packages/nutmeglift/nutmeglift/auth.py
@@ -1,5 +1,7 @@
 """Tokens of client accounts and operators."""
 
+import collections
+import dataclasses
 import hashlib
 import hmac
 
@@ -8,6 +10,9 @@
 from nutmeglift import ids
 
 SCHEME = "Bearer "
+MAX_FAILED_LOGINS = 20
+FAILED_LOGINS_SECONDS = 60.0
+MAX_SOURCES = 4096
 
 
 def hash_token(token: str) -> ids.Digest:
@@ -55,6 +60,51 @@
         return found
 
 
+@dataclasses.dataclass
+class _Failures:
+    count: int
+    started_at: float
+
+
+class LoginLimiter:
+    """Limits failed logins by source address, within bounded memory."""
+
+    def __init__(self) -> None:
+        self._failures_by_source: collections.OrderedDict[str, _Failures] = (
+            collections.OrderedDict()
+        )
+
+    def check(self, source: str, now: float) -> None:
+        """Checks that a source may try to log in.
+
+        Raises:
+            errors.RefusedError: too many of its logins failed lately.
+        """
+        found = self._failures_by_source.get(source)
+        if found is None or found.count < MAX_FAILED_LOGINS:
+            return
+        left = found.started_at + FAILED_LOGINS_SECONDS - now
+        if left <= 0:
+            del self._failures_by_source[source]
+            return
+        raise errors.RefusedError(
+            "too many failed logins from this address",
+            kind=errors.ErrorKind.TOO_MANY_LOGINS,
+            retry_after=left,
+        )
+
+    def note_failure(self, source: str, now: float) -> None:
+        """Notes a failed login."""
+        found = self._failures_by_source.get(source)
+        if found is None or now - found.started_at >= FAILED_LOGINS_SECONDS:
+            found = _Failures(0, now)
+            self._failures_by_source[source] = found
+        found.count += 1
+        self._failures_by_source.move_to_end(source)
+        if len(self._failures_by_source) > MAX_SOURCES:
+            self._failures_by_source.popitem(last=False)
+
+
 def _digest_of(header: str | None) -> ids.Digest:
     if header is None or not header.startswith(SCHEME):
         raise _unauthenticated()
--- a/packages/nutmeglift/nutmeglift/codec.py
+++ b/packages/nutmeglift/nutmeglift/codec.py
@@ -36,6 +36,7 @@
     | control_messages.ConfigurationWanted
     | control_messages.ConfigurationChunk
     | control_messages.AgentConfiguration
+    | control_messages.DrainOrder
     | control_messages.ShareDemand
     | control_messages.ShareGrant
 )
--- a/packages/nutmeglift/nutmeglift/configuration.py
+++ b/packages/nutmeglift/nutmeglift/configuration.py
@@ -1,8 +1,18 @@
-"""The accepted configuration: its head, its chunks, its generations."""
+"""The accepted configuration in the key-value service.
 
-import hashlib
+The head names the chunks. It is replaced by compare-and-swap, in one
+transaction with its audit entry and its kept copy. A second key, the sweep
+mark, changes whenever old chunks are deleted: an apply that relied on a chunk
+which was deleted meanwhile fails its swap and starts again.
+"""
 
+from collections.abc import Iterable
+import dataclasses
+import math
+
+from nutmeglift import audit
 from nutmeglift import codec
+from nutmeglift import configuration_chunks as chunks
 from nutmeglift import control_messages
 from nutmeglift import declaration
 from nutmeglift import errors
@@ -11,8 +21,14 @@
 
 PREFIX = "/nutmeglift/configuration/"
 HEAD_KEY = PREFIX + "head"
+SWEEP_KEY = PREFIX + "sweep"
 CHUNK_PREFIX = PREFIX + "chunks/"
-CHUNK_BYTES = 512 * 1024
+KEPT_PREFIX = PREFIX + "kept/"
+KEPT_HEADS = 16
+KEPT_AUDIT_ENTRIES = 1000
+SWEEP_EVERY_GENERATIONS = 8
+OPERATIONS_PER_TRANSACTION = 64
+TIME_STEP_SECONDS = 1e-3
 NO_HEAD = control_messages.ConfigurationHead(
     ids.Generation(0),
     ids.Digest(""),
@@ -23,109 +39,320 @@
     ids.Digest(""),
 )
 
+Head = control_messages.ConfigurationHead
+
+
+@dataclasses.dataclass(frozen=True)
+class Stored:
+    """What the service holds.
+
+    Attributes:
+        head: the head.
+        head_revision: revision of the head's last write.
+        sweep_revision: revision of the last deletion of chunks.
+        read_revision: revision of the service at the reading.
+    """
+
+    head: Head
+    head_revision: ids.Revision
+    sweep_revision: ids.Revision
+    read_revision: ids.Revision
+
+    def unchanged(self) -> list[kv.Compare]:
+        """Returns the conditions under which this reading still holds."""
+        return [
+            kv.Compare(HEAD_KEY, self.head_revision),
+            kv.Compare(SWEEP_KEY, self.sweep_revision),
+        ]
+
+
+def order(head: Head) -> tuple[int, float, str]:
+    """Returns the key of the total order of heads.
+
+    Of two heads, the one with the higher generation counts; of two histories
+    that share a generation after a restore, the one applied later.
+    """
+    return (head.generation, head.time, head.apply)
+
+
+def is_newer(head: Head, other: Head) -> bool:
+    """Returns whether a head replaces another."""
+    return order(head) > order(other)
+
+
+def rebase(branch: Head, own: Head) -> Head:
+    """Returns a head that puts a later apply on top of a longer history.
+
+    A service restored from a backup numbers on from its old head. An apply
+    accepted there counts, as it came later, but its generation lies below
+    the highest known one.
+    """
+    return Head(
+        ids.Generation(own.generation + 1),
+        branch.digest,
+        branch.chunks,
+        branch.apply,
+        branch.author,
+        branch.time,
+        own.digest,
+    )
+
+
+def choose_repair(stored: Head, own: Head) -> Head | None:
+    """Returns what to write to a service that holds an older head, if any."""
+    if not is_newer(own, stored):
+        return None
+    if stored.time > own.time and stored.apply != own.apply:
+        return rebase(stored, own)
+    return own
+
+
+def kept_key(generation: ids.Generation) -> str:
+    """Returns the key of an accepted head's kept copy."""
+    return f"{KEPT_PREFIX}{generation:0{audit.GENERATION_DIGITS}d}"
+
+
+async def read_head(store: kv.BaseKv) -> Stored:
+    """Reads the head.
+
+    Raises:
+        errors.PlatformError: the service gave no answer.
+    """
+    # A condition that never holds makes this one consistent reading.
+    result = await store.txn(
+        [kv.Compare(HEAD_KEY, ids.Revision(-1))],
+        [],
+        [kv.Get(HEAD_KEY), kv.Get(SWEEP_KEY)],
+    )
+    (head, sweep) = result.found
+    return Stored(
+        decode_head(head[0].value) if head else NO_HEAD,
+        head[0].mod_revision if head else kv.NEVER_WRITTEN,
+        sweep[0].mod_revision if sweep else kv.NEVER_WRITTEN,
+        result.revision,
+    )
+
+
+def decode_head(value: bytes) -> Head:
+    """Reads a stored head.
+
+    Raises:
+        errors.MalformedMessageError: it is damaged.
+    """
+    return codec.decode_as(value, Head)
+
+
+async def read_chunks(
+    store: kv.BaseKv, digests: Iterable[ids.Digest]
+) -> chunks.ChunkByDigest:
+    """Reads chunks; those that don't exist or are damaged are left out.
+
+    Raises:
+        errors.PlatformError: the service gave no answer.
+    """
+    wanted = list(dict.fromkeys(digests))
+    found: chunks.ChunkByDigest = {}
+    for start in range(0, len(wanted), OPERATIONS_PER_TRANSACTION):
+        part = wanted[start : start + OPERATIONS_PER_TRANSACTION]
+        result = await store.txn(
+            [kv.Compare(HEAD_KEY, ids.Revision(-1))],
+            [],
+            [kv.Get(CHUNK_PREFIX + digest) for digest in part],
+        )
+        for digest, entries in zip(part, result.found, strict=True):
+            if entries and chunks.digest_of(entries[0].value) == digest:
+                found[digest] = entries[0].value
+    return found
 
-def split(body: bytes) -> dict[ids.Digest, bytes]:
-    """Returns the chunks of canonical bytes by digest, in order."""
-    parts = [
-        body[start : start + CHUNK_BYTES]
-        for start in range(0, len(body), CHUNK_BYTES)
-    ]
-    return {
-        ids.Digest(hashlib.sha256(part).hexdigest()): part for part in parts
-    }
 
+async def read_all_chunks(
+    store: kv.BaseKv,
+    index: Iterable[ids.Digest],
+    known: chunks.ChunkByDigest | None = None,
+) -> chunks.ChunkByDigest:
+    """Reads all chunks that some index chunks lead to.
 
-def join(
-    head: control_messages.ConfigurationHead,
-    chunk_by_digest: dict[ids.Digest, bytes],
-) -> declaration.Declaration:
-    """Returns the declaration that a head names.
+    Args:
+        store: the service.
+        index: digests of the index chunks.
+        known: chunks that need not be read.
 
     Raises:
-        errors.DeclarationError: a chunk is missing or the digest is wrong.
+        errors.DeclarationError: a chunk is missing.
+        errors.PlatformError: the service gave no answer.
     """
-    missing = [d for d in head.chunks if d not in chunk_by_digest]
+    index = list(index)
+    found = dict(known or {})
+    for _ in range(2):
+        found |= await read_chunks(store, chunks.find_missing(index, found))
+    missing = chunks.find_missing(index, found)
     if missing:
         raise errors.DeclarationError(
-            [f"chunk {d} is missing" for d in missing]
+            [f"chunk {digest} is missing" for digest in missing]
         )
-    body = b"".join(chunk_by_digest[digest] for digest in head.chunks)
-    if hashlib.sha256(body).hexdigest() != head.digest:
-        raise errors.DeclarationError(["the chunks do not match the digest"])
-    return declaration.from_canonical_bytes(body)
+    return found
 
 
 async def read(
     store: kv.BaseKv,
-) -> tuple[control_messages.ConfigurationHead, declaration.Declaration]:
-    """Reads the configuration that the key-value service holds.
+) -> tuple[Head, declaration.Declaration]:
+    """Reads the configuration that the service holds.
 
     Raises:
+        errors.DeclarationError: a chunk is missing.
         errors.PlatformError: the service gave no answer.
     """
-    found = await store.get(HEAD_KEY)
+    stored = await read_head(store)
+    index = stored.head.chunks
+    found = await read_all_chunks(store, index)
+    return stored.head, chunks.join(chunks.leaves_of(index, found), found)
+
+
+async def read_kept(store: kv.BaseKv, generation: ids.Generation) -> Head:
+    """Reads the kept head of an older generation.
+
+    Raises:
+        errors.UsageError: it is not kept.
+        errors.PlatformError: the service gave no answer.
+    """
+    found = await store.get(kept_key(generation))
     if found is None:
-        return NO_HEAD, declaration.Declaration()
-    head = codec.decode_as(found.value, control_messages.ConfigurationHead)
-    chunk_by_digest = {}
-    for digest in head.chunks:
-        chunk = await store.get(CHUNK_PREFIX + digest)
-        if chunk is not None:
-            chunk_by_digest[digest] = chunk.value
-    return head, join(head, chunk_by_digest)
+        raise errors.UsageError(
+            f"generation {generation} is not kept; the last {KEPT_HEADS} are"
+        )
+    return decode_head(found.value)
 
 
-async def apply(
-    store: kv.BaseKv,
-    declared: declaration.Declaration,
+def next_head(
+    index: tuple[ids.Digest, ...],
+    base: Head,
     *,
     apply_id: ids.ApplyId,
     author: str,
     time: float,
-    expected: ids.Generation | None = None,
-) -> control_messages.ConfigurationHead:
-    """Makes a declaration the accepted configuration.
+) -> Head:
+    """Returns the head that follows another; its time is later, too."""
+    later = max(time, base.time + TIME_STEP_SECONDS)
+    return Head(
+        ids.Generation(base.generation + 1),
+        chunks.root_digest(index),
+        index,
+        apply_id,
+        author,
+        later if math.isfinite(later) else base.time + TIME_STEP_SECONDS,
+        base.digest,
+    )
 
-    Args:
-        store: the key-value service.
-        declared: the whole set.
-        apply_id: identifies this apply.
-        author: who applies it.
-        time: seconds since the epoch.
-        expected: generation that it must follow, or None for any.
+
+async def write_chunks(
+    store: kv.BaseKv, chunk_by_digest: chunks.ChunkByDigest
+) -> None:
+    """Writes chunks, several in a transaction; writing twice is harmless.
 
     Raises:
-        errors.ConflictError: another apply came first.
         errors.PlatformError: the service gave no answer.
     """
-    found = await store.get(HEAD_KEY)
-    old = NO_HEAD
-    revision = kv.NEVER_WRITTEN
-    if found is not None:
-        old = codec.decode_as(found.value, control_messages.ConfigurationHead)
-        revision = found.mod_revision
-    if expected is not None and old.generation != expected:
-        raise errors.ConflictError(
-            f"generation {old.generation} of {old.author} is in force,"
-            f" not {expected}"
-        )
-    body = declared.canonical_bytes()
-    chunk_by_digest = split(body)
+    batch: list[kv.Write] = []
+    size = 0
     for digest, chunk in chunk_by_digest.items():
-        await store.txn([], [kv.Put(CHUNK_PREFIX + digest, chunk)])
-    head = control_messages.ConfigurationHead(
-        ids.Generation(old.generation + 1),
-        declared.digest(),
-        tuple(chunk_by_digest),
-        apply_id,
-        author,
-        time,
-        old.digest,
+        full = len(batch) == OPERATIONS_PER_TRANSACTION
+        if batch and (full or size + len(chunk) > chunks.MAX_CHUNK_BYTES):
+            await store.txn([], batch)
+            batch, size = [], 0
+        batch.append(kv.Put(CHUNK_PREFIX + digest, chunk))
+        size += len(chunk)
+    if batch:
+        await store.txn([], batch)
+
+
+def swap_writes(head: Head, entry: audit.AuditEntry) -> list[kv.Write]:
+    """Returns the writes that accept a head."""
+    encoded = codec.encode(head)
+    return [
+        kv.Put(HEAD_KEY, encoded),
+        kv.Put(kept_key(head.generation), encoded),
+        kv.Put(audit.key(head.generation), codec.encode(entry)),
+    ]
+
+
+async def put_back(
+    store: kv.BaseKv,
+    stored: Stored,
+    own: Head,
+    chunk_by_digest: chunks.ChunkByDigest,
+) -> bool:
+    """Writes a newer head to a service that came back with an older one.
+
+    Args:
+        store: the service.
+        stored: what it was found to hold.
+        own: the head in force here.
+        chunk_by_digest: all chunks of the head in force here.
+
+    Returns:
+        Whether it was written; False when the service changed meanwhile.
+
+    Raises:
+        errors.PlatformError: the service gave no answer.
+    """
+    repaired = choose_repair(stored.head, own)
+    if repaired is None:
+        return False
+    if repaired is own:
+        await write_chunks(store, chunk_by_digest)
+    entry = audit.AuditEntry(
+        repaired.generation,
+        stored.head.generation,
+        repaired.author,
+        repaired.time,
+        repaired.apply,
+        (f"put back over generation {stored.head.generation}",),
     )
-    result = await store.txn(
-        [kv.Compare(HEAD_KEY, revision)],
-        [kv.Put(HEAD_KEY, codec.encode(head))],
+    result = await store.txn(stored.unchanged(), swap_writes(repaired, entry))
+    return result.succeeded
+
+
+async def sweep(store: kv.BaseKv) -> int:
+    """Deletes heads, chunks and audit entries that are no longer kept.
+
+    Returns:
+        Number of keys deleted; 0 also when the service changed meanwhile.
+
+    Raises:
+        errors.PlatformError: the service gave no answer.
+    """
+    stored = await read_head(store)
+    heads = await store.range(kv.Get(KEPT_PREFIX, prefix=True))
+    kept = [decode_head(e.value) for e in heads[-KEPT_HEADS:]]
+    index = {digest for head in [*kept, stored.head] for digest in head.chunks}
+    found = await read_chunks(store, index)
+    referenced = index | set(chunks.leaves_of(index, found))
+    if len(found) < len(index):
+        return 0
+    listed = await store.range(
+        kv.Get(CHUNK_PREFIX, prefix=True, keys_only=True)
     )
-    if not result.succeeded:
-        raise errors.ConflictError("another apply came first")
-    return head
+    doomed = [entry.key for entry in heads[:-KEPT_HEADS]]
+    doomed += [
+        entry.key
+        for entry in listed
+        if entry.key.removeprefix(CHUNK_PREFIX) not in referenced
+    ]
+    trail = await store.range(kv.Get(audit.PREFIX, prefix=True, keys_only=True))
+    doomed += [entry.key for entry in trail[:-KEPT_AUDIT_ENTRIES]]
+    return await _delete(store, stored, doomed)
+
+
+async def _delete(store: kv.BaseKv, stored: Stored, doomed: list[str]) -> int:
+    deleted = 0
+    for start in range(0, len(doomed), OPERATIONS_PER_TRANSACTION):
+        part = doomed[start : start + OPERATIONS_PER_TRANSACTION]
+        writes: list[kv.Write] = [kv.Delete(key) for key in part]
+        result = await store.txn(
+            [kv.Compare(HEAD_KEY, stored.head_revision)],
+            [*writes, kv.Put(SWEEP_KEY, b"")],
+        )
+        if not result.succeeded:
+            return deleted
+        deleted += len(part)
+    return deleted
--- /dev/null
+++ b/packages/nutmeglift/nutmeglift/configuration_apply.py
@@ -0,0 +1,246 @@
+"""Applies a declaration: racing operators, lost answers, rollback."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import dataclasses
+
+from nutmeglift import audit
+from nutmeglift import configuration
+from nutmeglift import configuration_chunks as chunks
+from nutmeglift import control_messages
+from nutmeglift import declaration
+from nutmeglift import difference
+from nutmeglift import errors
+from nutmeglift import ids
+from nutmeglift import kv
+
+MAX_TRIES = 6
+FIRST_BACKOFF_SECONDS = 0.1
+
+Sleep = Callable[[float], Awaitable[None]]
+
+
+@dataclasses.dataclass(frozen=True)
+class Applying:
+    """Who applies, and on what condition.
+
+    Attributes:
+        apply_id: identifies the apply.
+        author: who applies.
+        time: seconds since the epoch.
+        expected: generation that it must follow, or None for any.
+        known: newest head that a router showed; the apply numbers on from it
+            when the service holds an older one.
+    """
+
+    apply_id: ids.ApplyId
+    author: str
+    time: float
+    expected: ids.Generation | None = None
+    known: control_messages.ConfigurationHead = configuration.NO_HEAD
+
+
+class Applier:
+    """Makes a declaration the accepted configuration."""
+
+    def __init__(self, store: kv.BaseKv, sleep: Sleep) -> None:
+        self._store = store
+        self._sleep = sleep
+
+    async def apply(
+        self, declared: declaration.Declaration, applying: Applying
+    ) -> control_messages.ConfigurationHead:
+        """Applies a whole set.
+
+        Raises:
+            errors.ConflictError: another apply came first.
+            errors.KvAnswerLostError: the service gave no answer that settles
+                whether the apply was accepted.
+            errors.PlatformError: it was not accepted.
+        """
+        split = chunks.Split(declared)
+        return await self._run(split.index, split.chunk_by_digest, applying)
+
+    async def roll_back(
+        self, generation: ids.Generation, applying: Applying
+    ) -> control_messages.ConfigurationHead:
+        """Applies the content of an older generation as a new one.
+
+        Raises:
+            errors.UsageError: that generation is not kept.
+            errors.ConflictError: as apply.
+            errors.PlatformError: as apply.
+        """
+        old = await configuration.read_kept(self._store, generation)
+        found = await configuration.read_all_chunks(self._store, old.chunks)
+        return await self._run(old.chunks, found, applying)
+
+    async def plan(
+        self, declared: declaration.Declaration
+    ) -> list[difference.Change]:
+        """Returns what an apply would change; writes nothing.
+
+        Raises:
+            errors.PlatformError: the service gave no answer.
+        """
+        split = chunks.Split(declared)
+        stored = await configuration.read_head(self._store)
+        return await self._compare(
+            stored.head, split.index, split.chunk_by_digest
+        )
+
+    async def _run(
+        self,
+        index: tuple[ids.Digest, ...],
+        chunk_by_digest: chunks.ChunkByDigest,
+        applying: Applying,
+    ) -> control_messages.ConfigurationHead:
+        stored = await self._check_base(applying)
+        while True:
+            base = stored.head
+            if configuration.is_newer(applying.known, base):
+                base = applying.known
+            head = configuration.next_head(
+                index,
+                base,
+                apply_id=applying.apply_id,
+                author=applying.author,
+                time=applying.time,
+            )
+            changes = await self._compare(
+                stored.head, index, chunk_by_digest, write=True
+            )
+            entry = audit.AuditEntry(
+                head.generation,
+                base.generation,
+                head.author,
+                head.time,
+                head.apply,
+                difference.lines(changes),
+            )
+            if await self._swap(stored, head, entry):
+                await self._sweep(head)
+                return head
+            again = await configuration.read_head(self._store)
+            if again.head_revision != stored.head_revision:
+                raise await self._lost_race(stored.head, again.head)
+            # Old chunks were deleted meanwhile: write what is missing again.
+            stored = again
+
+    async def _check_base(self, applying: Applying) -> configuration.Stored:
+        stored = await configuration.read_head(self._store)
+        newest = max(stored.head, applying.known, key=configuration.order)
+        expected = applying.expected
+        if expected is not None and newest.generation != expected:
+            raise errors.ConflictError(
+                f"generation {newest.generation} of {newest.author or 'nobody'}"
+                f" is accepted, not {expected}"
+            )
+        return stored
+
+    async def _compare(
+        self,
+        old: control_messages.ConfigurationHead,
+        index: tuple[ids.Digest, ...],
+        chunk_by_digest: chunks.ChunkByDigest,
+        *,
+        write: bool = False,
+    ) -> list[difference.Change]:
+        """Compares leaves that differ; writes chunks that the old set lacks."""
+        old_index = await configuration.read_chunks(self._store, old.chunks)
+        old_leaves = chunks.leaves_of(old.chunks, old_index)
+        present = set(old_leaves) | set(old_index)
+        if write:
+            missing = {
+                digest: chunk
+                for digest, chunk in chunk_by_digest.items()
+                if digest not in present
+            }
+            await configuration.write_chunks(self._store, missing)
+        new_leaves = chunks.leaves_of(index, chunk_by_digest)
+        only_old = [leaf for leaf in old_leaves if leaf not in chunk_by_digest]
+        only_new = [leaf for leaf in new_leaves if leaf not in present]
+        body = await configuration.read_chunks(self._store, only_old)
+        return difference.compare(
+            chunks.join([leaf for leaf in only_old if leaf in body], body),
+            chunks.join(only_new, chunk_by_digest),
+        )
+
+    async def _swap(
+        self,
+        stored: configuration.Stored,
+        head: control_messages.ConfigurationHead,
+        entry: audit.AuditEntry,
+    ) -> bool:
+        """Swaps the head; repeats until an answer settles what happened.
+
+        The same transaction may be sent again: its condition holds once.
+        """
+        unsettled = False
+        for attempt in range(MAX_TRIES):
+            if attempt:
+                await self._sleep(FIRST_BACKOFF_SECONDS * 2**attempt)
+            try:
+                result = await self._store.txn(
+                    stored.unchanged(), configuration.swap_writes(head, entry)
+                )
+                return result.succeeded or await self._was_accepted(head)
+            except errors.KvUnavailableError:
+                continue
+            except errors.KvAnswerLostError:
+                unsettled = True
+        if unsettled:
+            raise errors.KvAnswerLostError(
+                "the service gave no answer: whether the apply"
+                f" {head.apply} was accepted is unknown; see its history"
+            )
+        raise errors.KvUnavailableError(
+            "the key-value service was not reached; nothing was applied"
+        )
+
+    async def _was_accepted(
+        self, head: control_messages.ConfigurationHead
+    ) -> bool:
+        """Returns whether the head or its history holds this apply."""
+        result = await self._store.txn(
+            [kv.Compare(configuration.HEAD_KEY, ids.Revision(-1))],
+            [],
+            [
+                kv.Get(configuration.HEAD_KEY),
+                kv.Get(configuration.KEPT_PREFIX, prefix=True),
+            ],
+        )
+        return any(
+            configuration.decode_head(entry.value).apply == head.apply
+            for entries in result.found
+            for entry in entries
+        )
+
+    async def _lost_race(
+        self,
+        base: control_messages.ConfigurationHead,
+        winner: control_messages.ConfigurationHead,
+    ) -> errors.ConflictError:
+        lines: tuple[str, ...] = ()
+        with contextlib.suppress(errors.NutmegError):
+            index = await configuration.read_all_chunks(
+                self._store, winner.chunks
+            )
+            changes = await self._compare(base, winner.chunks, index)
+            lines = difference.lines(changes)
+        return errors.ConflictError(
+            "\n".join(
+                [
+                    f"{winner.author} applied generation {winner.generation}"
+                    " first; it changed:",
+                    *(lines or ("nothing that can be shown",)),
+                ]
+            )
+        )
+
+    async def _sweep(self, head: control_messages.ConfigurationHead) -> None:
+        if head.generation % configuration.SWEEP_EVERY_GENERATIONS:
+            return
+        with contextlib.suppress(errors.PlatformError):
+            await configuration.sweep(self._store)
--- /dev/null
+++ b/packages/nutmeglift/nutmeglift/configuration_spread.py
@@ -0,0 +1,285 @@
+"""How one router keeps up with the accepted configuration.
+
+Heads come from the key-value service and from other routers. A newer head is
+pending until all its chunks are here; then it is in force.
+"""
+
+import dataclasses
+
+from nutmeglift import configuration
+from nutmeglift import configuration_chunks as chunks
+from nutmeglift import control_messages
+from nutmeglift import declaration
+from nutmeglift import errors
+from nutmeglift import ids
+
+MAX_CHUNKS_ASKED = 64
+ASK_AGAIN_SECONDS = 1.0
+PENDING_SECONDS = 4.0
+CONFIRMING_PEERS = 2
+
+Head = control_messages.ConfigurationHead
+
+
+@dataclasses.dataclass(frozen=True)
+class Ask:
+    """Send a peer this question."""
+
+    peer: ids.VmId
+    message: control_messages.ConfigurationWanted
+
+
+@dataclasses.dataclass(frozen=True)
+class InForce:
+    """This configuration is in force from now on."""
+
+    head: Head
+    declared: declaration.Declaration
+
+
+Action = Ask | InForce
+
+
+class Spread:
+    """Decides what to ask for, and when a configuration is in force.
+
+    Attributes:
+        head: the head in force.
+        pending: a newer head whose chunks are not all here, or None.
+    """
+
+    def __init__(self) -> None:
+        self.head = configuration.NO_HEAD
+        self.pending: Head | None = None
+        self._pending_since = 0.0
+        self._chunk_by_digest: chunks.ChunkByDigest = {}
+        self._cache = chunks.LeafCache()
+        self._generation_by_peer: dict[ids.VmId, ids.Generation] = {}
+        self._asked_at_by_peer: dict[ids.VmId, float] = {}
+
+    @property
+    def chunk_by_digest(self) -> chunks.ChunkByDigest:
+        """All chunks of the head in force, and some of the pending one's."""
+        return self._chunk_by_digest
+
+    @property
+    def highest_known(self) -> ids.Generation:
+        """The highest generation that anybody showed."""
+        pending = self.pending.generation if self.pending else 0
+        shown = self._generation_by_peer.values()
+        return ids.Generation(max(self.head.generation, pending, 0, *shown))
+
+    def generation_of(
+        self, peer: ids.VmId, default: ids.Generation
+    ) -> ids.Generation:
+        """Returns the generation that a connected router showed last."""
+        return self._generation_by_peer.get(peer, default)
+
+    def missing(self) -> list[ids.Digest]:
+        """Returns the pending head's chunks to fetch next."""
+        if self.pending is None:
+            return []
+        return chunks.find_missing(self.pending.chunks, self._chunk_by_digest)
+
+    def note_peer(
+        self, peer: ids.VmId, generation: ids.Generation, now: float
+    ) -> list[Action]:
+        """Takes the generation in force at another router."""
+        self._generation_by_peer[peer] = generation
+        if generation <= self.head.generation:
+            return []
+        return self._ask(peer, now)
+
+    def open_peer(
+        self, peer: ids.VmId, generation: ids.Generation, now: float
+    ) -> list[Action]:
+        """Takes a new connection to another router.
+
+        Two histories may share a generation after a restore, so the head is
+        asked for also when the generations are equal.
+        """
+        self._generation_by_peer[peer] = generation
+        if generation == 0 or generation < self.head.generation:
+            return []
+        return self._ask(peer, now, again=True)
+
+    def lose_peer(self, peer: ids.VmId) -> None:
+        """Notes that the connection to another router ended."""
+        self._generation_by_peer.pop(peer, None)
+        self._asked_at_by_peer.pop(peer, None)
+
+    def take_head(
+        self, head: Head, now: float, peer: ids.VmId | None = None
+    ) -> list[Action]:
+        """Takes a head from a router, or from the service."""
+        if not configuration.is_newer(head, self.pending or self.head):
+            return []
+        self.pending = head
+        self._pending_since = now
+        settled = self._settle()
+        if settled or peer is None:
+            return settled
+        return self._ask(peer, now, again=True)
+
+    def take_chunk(
+        self, chunk: control_messages.ConfigurationChunk, now: float
+    ) -> list[Action]:
+        """Takes a chunk; one that was not asked for is dropped."""
+        if chunk.digest not in self.missing():
+            return []
+        return self.take_chunks({chunk.digest: chunk.body}, now)
+
+    def take_chunks(
+        self, found: chunks.ChunkByDigest, now: float
+    ) -> list[Action]:
+        """Takes chunks that are needed; damaged ones are dropped."""
+        if self.pending is None:
+            return []
+        index_missing = set(self.missing()) & set(self.pending.chunks)
+        for digest, body in found.items():
+            if chunks.digest_of(body) == digest:
+                self._chunk_by_digest[digest] = body
+        settled = self._settle()
+        if settled or not index_missing or index_missing & set(self.missing()):
+            return settled
+        # The index is complete: ask for the leaves at once.
+        return self._ask_any(now, again=True)
+
+    def tick(self, now: float) -> list[Action]:
+        """Repeats questions that stayed without an answer."""
+        if self.pending and now - self._pending_since > PENDING_SECONDS:
+            # Nobody has its chunks any more: take the newest that there is.
+            self.pending = None
+        if self.highest_known <= self.head.generation and not self.pending:
+            return []
+        return self._ask_any(now)
+
+    def answer(
+        self, wanted: control_messages.ConfigurationWanted
+    ) -> list[
+        control_messages.ConfigurationHead | control_messages.ConfigurationChunk
+    ]:
+        """Returns the head in force and those wanted chunks that are here."""
+        found = [
+            control_messages.ConfigurationChunk(digest, body)
+            for digest in wanted.chunks[:MAX_CHUNKS_ASKED]
+            if (body := self._chunk_by_digest.get(digest)) is not None
+        ]
+        return [self.head, *found]
+
+    def _ask_any(self, now: float, again: bool = False) -> list[Action]:
+        wanted = max(self.head.generation + 1, self._pending_generation())
+        for peer, generation in sorted(
+            self._generation_by_peer.items(),
+            key=lambda item: self._asked_at_by_peer.get(item[0], 0.0),
+        ):
+            if generation >= wanted and (
+                asked := self._ask(peer, now, again=again)
+            ):
+                return asked
+        return []
+
+    def _ask(
+        self, peer: ids.VmId, now: float, again: bool = False
+    ) -> list[Action]:
+        asked_at = self._asked_at_by_peer.get(peer)
+        recent = asked_at is not None and now - asked_at < ASK_AGAIN_SECONDS
+        if recent and not again:
+            return []
+        self._asked_at_by_peer[peer] = now
+        digests = tuple(self.missing()[:MAX_CHUNKS_ASKED])
+        return [Ask(peer, control_messages.ConfigurationWanted(digests))]
+
+    def _pending_generation(self) -> int:
+        return self.pending.generation if self.pending else 0
+
+    def _settle(self) -> list[Action]:
+        """Puts the pending head in force if all its chunks are here."""
+        if self.pending is None or self.missing():
+            return []
+        head, self.pending = self.pending, None
+        leaves = chunks.leaves_of(head.chunks, self._chunk_by_digest)
+        try:
+            declared = chunks.join(leaves, self._chunk_by_digest, self._cache)
+        except errors.DeclarationError:
+            return []
+        self.head = head
+        self._keep_only({*head.chunks, *leaves})
+        self._cache.keep_only(leaves)
+        return [InForce(head, declared)]
+
+    def _keep_only(self, digests: set[ids.Digest]) -> None:
+        for digest in list(self._chunk_by_digest):
+            if digest not in digests:
+                del self._chunk_by_digest[digest]
+
+
+class Freshness:
+    """Whether a process may trust that its configuration is the newest.
+
+    A process that starts, or wakes from a pause longer than the bound, may
+    not until the service or enough peers showed it nothing newer. An outage
+    of the service alone changes nothing.
+    """
+
+    def __init__(self, bound: float, settle: float, now: float) -> None:
+        """Creates it for a process that starts.
+
+        Args:
+            bound: longest pause without consequence, in seconds.
+            settle: seconds after a pause during which what peers said may
+                stem from before its end.
+            now: clock time in seconds.
+        """
+        self._bound = bound
+        self._settle = settle
+        self._ticked_at = now
+        self._trusted_from = now
+        self._confirmed = False
+        self._generation_by_peer: dict[ids.VmId, ids.Generation] = {}
+
+    def tick(self, now: float) -> None:
+        """Notes that the process runs; called often."""
+        if now - self._ticked_at > self._bound:
+            self._confirmed = False
+            self._trusted_from = now + self._settle
+            self._generation_by_peer.clear()
+        self._ticked_at = now
+
+    def note_service(self, asked_at: float) -> None:
+        """Notes that the service showed nothing newer.
+
+        Args:
+            asked_at: clock time at which the question was sent.
+        """
+        if asked_at >= self._trusted_from - self._settle:
+            self._confirmed = True
+
+    def note_peer(
+        self, peer: ids.VmId, generation: ids.Generation, now: float
+    ) -> None:
+        """Notes the generation that a peer shows."""
+        if now >= self._trusted_from:
+            self._generation_by_peer[peer] = generation
+
+    def is_fresh(
+        self, own: ids.Generation, known_peers: int, now: float
+    ) -> bool:
+        """Returns whether new work may be taken.
+
+        Args:
+            own: generation in force here.
+            known_peers: number of other processes that the VM list shows.
+            now: clock time in seconds.
+        """
+        self.tick(now)
+        if not self._confirmed:
+            self._confirmed = self._is_confirmed_by_peers(own, known_peers)
+        return self._confirmed
+
+    def _is_confirmed_by_peers(
+        self, own: ids.Generation, known_peers: int
+    ) -> bool:
+        shown = self._generation_by_peer.values()
+        needed = max(1, min(CONFIRMING_PEERS, known_peers))
+        return len(shown) >= needed and own >= max(shown)
--- a/packages/nutmeglift/nutmeglift/control_messages.py
+++ b/packages/nutmeglift/nutmeglift/control_messages.py
@@ -108,6 +108,10 @@
     service: ids.ServiceId | None = None
 
 
+class DrainOrder(messages.Message, frozen=True):
+    """Router to an agent or router: take no new work from now on."""
+
+
 class ShareDemand(messages.Message, frozen=True):
     """Router to the share owner: what accounts asked for here.
 
--- a/packages/nutmeglift/nutmeglift/kv.py
+++ b/packages/nutmeglift/nutmeglift/kv.py
@@ -69,12 +69,14 @@
         prefix: whether to read all keys that start with it.
         limit: the most keys to return; 0 for all.
         newest_first: order by creation, newest first.
+        keys_only: leave the values out.
     """
 
     key: str
     prefix: bool = False
     limit: int = 0
     newest_first: bool = False
+    keys_only: bool = False
 
 
 Write = Put | Delete
@@ -331,6 +333,8 @@
             found.sort(key=lambda e: -self._created_by_key.get(e.key, 0))
         else:
             found.sort(key=lambda e: e.key)
+        if get.keys_only:
+            found = [dataclasses.replace(e, value=b"") for e in found]
         return found[: get.limit] if get.limit else found
 
     def _execute(
--- a/packages/nutmeglift/nutmeglift/membership.py
+++ b/packages/nutmeglift/nutmeglift/membership.py
@@ -1,12 +1,78 @@
 """Which VMs take work, as one router sees it."""
 
 import dataclasses
+import enum
+
+import transitions
 
 from nutmeglift import ids
 from nutmeglift import messages
 from nutmeglift import plan
 from nutmeglift import states
 
+GONE_KEPT_SECONDS = 60.0
+
+
+class Event(enum.Enum):
+    """What moves a VM from one state to another."""
+
+    CONNECTED = "connected"
+    LOST = "lost"
+    LEAVING = "leaving"
+    RETURNED = "returned"
+    """The platform no longer takes the VM away."""
+    REMOVED = "removed"
+    """It is neither listed nor connected."""
+
+
+_LIVE = states.VmState.LIVE
+_SUSPECT = states.VmState.SUSPECT
+_LEAVING = states.VmState.LEAVING
+_GONE = states.VmState.GONE
+
+TRANSITIONS: tuple[tuple[Event, states.VmState, states.VmState], ...] = (
+    (Event.CONNECTED, _SUSPECT, _LIVE),
+    (Event.CONNECTED, _GONE, _LIVE),
+    (Event.CONNECTED, _LIVE, _LIVE),
+    (Event.LOST, _LIVE, _SUSPECT),
+    (Event.LEAVING, _LIVE, _LEAVING),
+    (Event.LEAVING, _SUSPECT, _LEAVING),
+    (Event.RETURNED, _LEAVING, _SUSPECT),
+    (Event.RETURNED, _GONE, _SUSPECT),
+    (Event.REMOVED, _SUSPECT, _GONE),
+    (Event.REMOVED, _LEAVING, _GONE),
+)
+
+
+class _Cursor:
+    """Model of the state machine, moved to whatever state is asked about."""
+
+    state: states.VmState
+
+
+class LifeCycle:
+    """The life cycle of a VM; one machine serves all members."""
+
+    def __init__(self) -> None:
+        self._cursor = _Cursor()
+        self._machine = transitions.Machine(
+            self._cursor,
+            states=states.VmState,
+            initial=_SUSPECT,
+            auto_transitions=False,
+            ignore_invalid_triggers=True,
+            transitions=[
+                {"trigger": event.value, "source": source, "dest": target}
+                for event, source, target in TRANSITIONS
+            ],
+        )
+
+    def next(self, state: states.VmState, event: Event) -> states.VmState:
+        """Returns the state after an event; most events change nothing."""
+        self._machine.set_state(state, self._cursor)
+        self._cursor.trigger(event.value)  # type: ignore[attr-defined]
+        return self._cursor.state
+
 
 @dataclasses.dataclass(frozen=True)
 class Member:
@@ -26,74 +92,168 @@
 
 
 class Membership:
-    """Keeps the members: the list proposes, connections prove."""
+    """Keeps the members: the list proposes, connections prove.
+
+    Every note_ method returns whether a member changed in more than its
+    generation.
+
+    Attributes:
+        member_by_vm: the members, those that are gone included.
+        router_by_vm: the listed entry VMs.
+    """
 
     def __init__(self) -> None:
         self.member_by_vm: dict[ids.VmId, Member] = {}
+        self.router_by_vm: dict[ids.VmId, plan.VmEntry] = {}
+        self._life_cycle = LifeCycle()
+        self._connected: set[ids.VmId] = set()
+        self._left_by_vm: dict[ids.VmId, ids.Incarnation] = {}
+        self._gone_at_by_vm: dict[ids.VmId, float] = {}
 
-    def note_list(self, entries: list[plan.VmEntry], now: float) -> None:
+    def note_list(self, entries: list[plan.VmEntry], now: float) -> bool:
         """Takes a reading of the VM list."""
+        self.router_by_vm = {
+            e.vm: e for e in entries if e.backend_class is None
+        }
         listed = {e.vm: e for e in entries if e.backend_class is not None}
-        for vm, entry in listed.items():
-            member = self.member_by_vm.get(vm)
-            if member is None:
-                member = Member(entry, states.VmState.SUSPECT)
-            state = states.VmState.LEAVING if entry.leaving else member.state
-            self.member_by_vm[vm] = dataclasses.replace(
-                member, entry=entry, state=state
-            )
-        for vm in set(self.member_by_vm) - set(listed):
-            if self.member_by_vm[vm].state is not states.VmState.LIVE:
-                del self.member_by_vm[vm]
+        changed = [self._take_entry(entry) for entry in listed.values()] + [
+            self._take_absence(vm, now)
+            for vm in list(self.member_by_vm)
+            if vm not in listed
+        ]
+        return any(changed)
 
     def note_hello(
         self, vm: ids.VmId, hello: messages.Hello, now: float
-    ) -> None:
+    ) -> bool:
         """Takes an agent's Hello on a new connection."""
         member = self.member_by_vm.get(vm)
-        if member is None:
-            return
-        state = states.VmState.LIVE
+        if member is None or hello.vm != vm:
+            # Another VM took over the address before the list shows it.
+            return False
+        self._connected.add(vm)
+        state = member.state
+        if self._left_by_vm.get(vm) not in (None, hello.incarnation):
+            # A new process: the word of the one before it is void.
+            del self._left_by_vm[vm]
+            if not member.entry.leaving:
+                state = self._life_cycle.next(state, Event.RETURNED)
+        state = self._life_cycle.next(state, Event.CONNECTED)
+        if hello.leaving:
+            self._left_by_vm[vm] = hello.incarnation
         if hello.leaving or member.entry.leaving:
-            state = states.VmState.LEAVING
-        self.member_by_vm[vm] = dataclasses.replace(
-            member,
-            state=state,
-            incarnation=hello.incarnation,
-            generation=hello.generation,
+            state = self._life_cycle.next(state, Event.LEAVING)
+        return self._replace(
+            vm,
+            dataclasses.replace(
+                member,
+                state=state,
+                incarnation=hello.incarnation,
+                generation=hello.generation,
+            ),
         )
 
     def note_heartbeat(
         self, vm: ids.VmId, heartbeat: messages.Heartbeat, now: float
-    ) -> None:
+    ) -> bool:
         """Takes an agent's heartbeat."""
         member = self.member_by_vm.get(vm)
-        if member is None:
-            return
-        state = states.VmState.LEAVING if heartbeat.leaving else member.state
-        self.member_by_vm[vm] = dataclasses.replace(
-            member, state=state, generation=heartbeat.generation
-        )
+        if member is None or vm not in self._connected:
+            return False
+        if heartbeat.generation != member.generation:
+            self.member_by_vm[vm] = dataclasses.replace(
+                member, generation=heartbeat.generation
+            )
+        if heartbeat.leaving:
+            return self.note_leaving(vm, now)
+        return False
 
-    def note_leaving(self, vm: ids.VmId, now: float) -> None:
+    def note_leaving(self, vm: ids.VmId, now: float) -> bool:
         """Takes an agent's word that it takes no new work."""
         member = self.member_by_vm.get(vm)
-        if member is not None:
-            self.member_by_vm[vm] = dataclasses.replace(
-                member, state=states.VmState.LEAVING
-            )
+        if member is None:
+            return False
+        if member.incarnation is not None:
+            self._left_by_vm[vm] = member.incarnation
+        return self._move(vm, Event.LEAVING)
 
-    def note_lost(self, vm: ids.VmId, now: float) -> None:
+    def note_lost(self, vm: ids.VmId, now: float) -> bool:
         """Notes that the connection to an agent ended."""
-        member = self.member_by_vm.get(vm)
-        if member is not None and member.state is states.VmState.LIVE:
-            self.member_by_vm[vm] = dataclasses.replace(
-                member, state=states.VmState.SUSPECT
-            )
+        self._connected.discard(vm)
+        return self._move(vm, Event.LOST)
 
     def usable(self, vm: ids.VmId) -> Member | None:
         """Returns the member if it may get new work."""
         member = self.member_by_vm.get(vm)
-        if member is None or member.state is not states.VmState.LIVE:
+        if member is None or member.state is not _LIVE:
             return None
         return member
+
+    def targets(self) -> dict[ids.VmId, str]:
+        """Returns the addresses of the agents to be connected to."""
+        return {
+            vm: member.entry.address
+            for vm, member in self.member_by_vm.items()
+            if member.state is not _GONE
+        }
+
+    def _take_entry(self, entry: plan.VmEntry) -> bool:
+        vm = entry.vm
+        self._gone_at_by_vm.pop(vm, None)
+        old = self.member_by_vm.get(vm)
+        if old is not None and old.entry == entry and old.state is not _GONE:
+            return False
+        if old is not None and old.entry.address != entry.address:
+            # Another VM of the same name: nothing heard so far holds for it.
+            self._forget(vm)
+            old = None
+        if old is None:
+            old = Member(entry, _SUSPECT)
+            self._connected.discard(vm)
+        state = old.state
+        if entry.leaving:
+            state = self._life_cycle.next(state, Event.LEAVING)
+        elif old.entry.leaving and vm not in self._left_by_vm:
+            state = self._return(vm, state)
+        elif state is _GONE:
+            state = self._life_cycle.next(state, Event.RETURNED)
+        return self._replace(
+            vm, dataclasses.replace(old, entry=entry, state=state)
+        )
+
+    def _return(self, vm: ids.VmId, state: states.VmState) -> states.VmState:
+        state = self._life_cycle.next(state, Event.RETURNED)
+        if vm in self._connected:
+            state = self._life_cycle.next(state, Event.CONNECTED)
+        return state
+
+    def _take_absence(self, vm: ids.VmId, now: float) -> bool:
+        """Handles a VM that the list does not show, or not any more."""
+        if vm in self._connected:
+            return False
+        gone_at = self._gone_at_by_vm.setdefault(vm, now)
+        if now - gone_at >= GONE_KEPT_SECONDS:
+            self._forget(vm)
+            return True
+        return self._move(vm, Event.REMOVED)
+
+    def _move(self, vm: ids.VmId, event: Event) -> bool:
+        member = self.member_by_vm.get(vm)
+        if member is None:
+            return False
+        state = self._life_cycle.next(member.state, event)
+        return self._replace(vm, dataclasses.replace(member, state=state))
+
+    def _replace(self, vm: ids.VmId, new: Member) -> bool:
+        old = self.member_by_vm.get(vm)
+        self.member_by_vm[vm] = new
+        if old is None:
+            return True
+        same = dataclasses.replace(old, generation=new.generation)
+        return same != new
+
+    def _forget(self, vm: ids.VmId) -> None:
+        self.member_by_vm.pop(vm, None)
+        self._left_by_vm.pop(vm, None)
+        self._gone_at_by_vm.pop(vm, None)
+        self._connected.discard(vm)
--- /dev/null
+++ b/packages/nutmeglift/nutmeglift/pacing.py
@@ -0,0 +1,53 @@
+"""Intervals that keep the calls of a whole fleet to a service bounded."""
+
+import random
+
+MIN_POLL_SECONDS = 2.0
+POLL_SECONDS_PER_ROUTER = 0.06
+MAX_POLL_SECONDS = 60.0
+FIRST_BACKOFF_SECONDS = 0.1
+MIN_MAX_BACKOFF_SECONDS = 2.0
+BACKOFF_SECONDS_PER_ROUTER = 0.04
+SPREAD_SECONDS_PER_ROUTER = 0.004
+MAX_SPREAD_SECONDS = 2.0
+
+
+def poll_seconds(routers: int, rng: random.Random) -> float:
+    """Returns how long to wait before the next regular reading.
+
+    Args:
+        routers: size of the fleet.
+        rng: random numbers, so that the fleet does not read in step.
+    """
+    interval = routers * POLL_SECONDS_PER_ROUTER
+    bounded = min(max(interval, MIN_POLL_SECONDS), MAX_POLL_SECONDS)
+    return bounded * rng.uniform(0.75, 1.25)
+
+
+def spread_seconds(routers: int, rng: random.Random) -> float:
+    """Returns how long to wait after an event that the whole fleet sees."""
+    bound = min(routers * SPREAD_SECONDS_PER_ROUTER, MAX_SPREAD_SECONDS)
+    return rng.uniform(0, bound)
+
+
+class Backoff:
+    """Waits between tries at a service that does not answer."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._failures = 0
+
+    def reset(self) -> None:
+        """Notes that the service answered."""
+        self._failures = 0
+
+    def next_seconds(self, routers: int) -> float:
+        """Returns how long to wait after one more failure."""
+        bound = max(
+            MIN_MAX_BACKOFF_SECONDS, routers * BACKOFF_SECONDS_PER_ROUTER
+        )
+        # The first wait already spreads a fleet that failed at one moment.
+        first = max(FIRST_BACKOFF_SECONDS, bound / 16)
+        wait = min(first * 2.0 ** min(self._failures, 16), bound)
+        self._failures += 1
+        return wait * self._rng.uniform(0.5, 1.0)
--- /dev/null
+++ b/packages/nutmeglift/nutmeglift/status.py
@@ -0,0 +1,136 @@
+"""What a router tells operators about itself and those it is connected to."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from nutmeglift import control_messages
+from nutmeglift import ids
+from nutmeglift import states
+
+
+class ProcessStatus(msgspec.Struct, frozen=True):
+    """One process, as a router sees it.
+
+    Attributes:
+        vm: its VM.
+        role: which binary it runs.
+        state: state of the VM.
+        generation: generation of the configuration in force there.
+        incarnation: its incarnation; empty before it was heard.
+        failure_domain: where it runs.
+    """
+
+    vm: ids.VmId
+    role: states.ProcessRole
+    state: states.VmState
+    generation: ids.Generation
+    incarnation: str = ""
+    failure_domain: str = ""
+
+
+class PipelineStatus(msgspec.Struct, frozen=True):
+    """A backend server's part of the plan."""
+
+    vm: ids.VmId
+    model: ids.ModelId
+    first_layer: int
+    end_layer: int
+
+
+class RouterStatus(msgspec.Struct, frozen=True):
+    """A router's status.
+
+    Attributes:
+        vm: its VM.
+        operator: id of the operator who asks.
+        head: head of the configuration in force.
+        fresh: whether it was confirmed since the last pause.
+        highest_known: highest generation that any process showed.
+        accepts_work: whether new work may come in.
+        leader: VM that holds the planner's role; empty for none.
+        fencing_number: highest fencing number known.
+        chats_in_flight: answers on their way.
+        calls_in_flight: calls of plain services on their way.
+        processes: this process and those connected to it.
+        pipelines: the plan.
+        total_by_counter: counters since its start.
+    """
+
+    vm: ids.VmId
+    operator: str
+    head: control_messages.ConfigurationHead
+    fresh: bool
+    highest_known: ids.Generation
+    accepts_work: bool
+    leader: str
+    fencing_number: ids.FencingNumber
+    chats_in_flight: int
+    calls_in_flight: int
+    processes: tuple[ProcessStatus, ...]
+    pipelines: tuple[PipelineStatus, ...]
+    total_by_counter: dict[str, int]
+
+
+def merge(found: Iterable[RouterStatus]) -> dict[ids.VmId, ProcessStatus]:
+    """Joins what several routers see; the highest generation counts."""
+    process_by_vm: dict[ids.VmId, ProcessStatus] = {}
+    for router in found:
+        for process in router.processes:
+            old = process_by_vm.get(process.vm)
+            if old is None or process.generation >= old.generation:
+                process_by_vm[process.vm] = process
+    return process_by_vm
+
+
+def find_behind(
+    found: Iterable[RouterStatus], wanted: ids.Generation
+) -> list[ids.VmId]:
+    """Returns the processes that have not acknowledged a generation."""
+    return sorted(
+        vm
+        for vm, process in merge(found).items()
+        if process.generation < wanted
+        and process.state is not states.VmState.GONE
+    )
+
+
+def render(found: list[RouterStatus]) -> list[str]:
+    """Returns a table of lines for people."""
+    if not found:
+        return ["no router answered"]
+    newest = max(router.highest_known for router in found)
+    lines = [f"newest generation known: {newest}"]
+    for router in found:
+        head = router.head
+        lines.append(
+            f"router {router.vm}: generation {head.generation} by"
+            f" {head.author or 'nobody'}, fresh {_yes(router.fresh)},"
+            f" accepts work {_yes(router.accepts_work)},"
+            f" leader {router.leader or '-'}"
+            f" (fencing number {router.fencing_number}),"
+            f" {router.chats_in_flight} chats and"
+            f" {router.calls_in_flight} calls in flight"
+        )
+    lines.append(f"{'VM':24} {'role':7} {'state':8} {'generation':>10}  domain")
+    for vm, process in sorted(merge(found).items()):
+        behind = " (behind)" if process.generation < newest else ""
+        lines.append(
+            f"{vm:24} {process.role.value:7} {process.state.value:8}"
+            f" {process.generation:>10}  {process.failure_domain}{behind}"
+        )
+    for pipeline in found[0].pipelines:
+        lines.append(
+            f"layers {pipeline.first_layer}-{pipeline.end_layer - 1} of"
+            f" {pipeline.model} on {pipeline.vm}"
+        )
+    for router in found:
+        lines += [
+            f"{router.vm} {name} {total}"
+            for name, total in sorted(router.total_by_counter.items())
+        ]
+    return lines
+
+
+def _yes(value: bool) -> str:
+    return "yes" if value else "no"
--- a/packages/nutmeglift_agent/nutmeglift_agent/agent.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/agent.py
@@ -7,6 +7,7 @@
 
 from nutmeglift import backend
 from nutmeglift import codec
+from nutmeglift import control_messages
 from nutmeglift import drain
 from nutmeglift import engine as engines
 from nutmeglift import errors
@@ -15,6 +16,7 @@
 from nutmeglift import plain_messages
 from nutmeglift import settings
 from nutmeglift import states
+from nutmeglift_agent import configuration_copy
 from nutmeglift_agent import peers
 from nutmeglift_agent import plain_work
 from nutmeglift_agent import router_ports
@@ -53,7 +55,7 @@
         self._metrics = metrics
         self._engine = engine
         self._key = own.shared_key.get_secret_value().encode()
-        self._generation = ids.Generation(0)
+        self._configuration = configuration_copy.ConfigurationCopy()
         self._load: messages.LoadReport | None = None
         self._ports = router_ports.RouterPorts(metrics)
         self._peers = peers.Peers(dialer, self._open_peer, self._lose_peer)
@@ -88,13 +90,16 @@
 
     async def leave(self) -> None:
         """Refuses new work, says so, and waits for the work in flight."""
-        self.drain.begin()
-        self._ports.broadcast(messages.Leaving())
+        self._begin_drain()
         while self._stages is not None and self._stages.in_flight:
             await self._clock.sleep(self._own.bounds.heartbeat_seconds / 10)
         while self.drain.in_flight:
             await self._clock.sleep(self._own.bounds.heartbeat_seconds / 10)
 
+    def _begin_drain(self) -> None:
+        self.drain.begin()
+        self._ports.broadcast(messages.Leaving())
+
     async def serve_link(self, link: links.BaseLink) -> None:
         """Serves a connection that a router or another agent opened."""
         try:
@@ -128,7 +133,7 @@
             self._own.vm,
             self.incarnation,
             self._own.failure_domain,
-            self._generation,
+            self._configuration.generation,
             not self.drain.accepts_work,
         )
 
@@ -138,7 +143,7 @@
     def _make_heartbeat(self, sequence: int) -> messages.Heartbeat:
         return messages.Heartbeat(
             sequence,
-            self._generation,
+            self._configuration.generation,
             not self.drain.accepts_work,
             load=self._load,
         )
@@ -180,7 +185,11 @@
     ) -> None:
         match message:
             case messages.Heartbeat(generation=generation):
-                self._generation = max(self._generation, generation)
+                self._configuration.note(generation)
+            case control_messages.AgentConfiguration():
+                self._configuration.take(message)
+            case control_messages.DrainOrder():
+                self._begin_drain()
             case messages.FrameAcknowledged(sequence):
                 self._ports.acknowledge(session.peer.vm, sequence)
             case plain_messages.PlainCall():
--- a/packages/nutmeglift_fakes/nutmeglift_fakes/demo.py
+++ b/packages/nutmeglift_fakes/nutmeglift_fakes/demo.py
@@ -221,6 +221,8 @@
     print(f"declaration applied as generation {head.generation}")
     await _start_agents(deployed, declaration.load(directory))
     router = _make_router(platform)
+    listener = websocket_link.WebsocketListener(router.serve_link)
+    await listener.start(router.own.listen)
     router.start()
     server = http_server.HttpServer(http_app.HttpApp(router).app)
     address = await server.start(deployment.ANY_PORT)
@@ -230,6 +232,7 @@
         await router.leave()
         await server.stop()
         await router.stop()
+        await listener.stop()
         await deployed.stop()
 
 
--- a/packages/nutmeglift_fakes/nutmeglift_fakes/kv_server.py
+++ b/packages/nutmeglift_fakes/nutmeglift_fakes/kv_server.py
@@ -111,6 +111,7 @@
         "range_end" in body,
         int(body.get("limit", 0)),
         body.get("sort_order") == "DESCEND",
+        bool(body.get("keys_only", False)),
     )
 
 
--- /dev/null
+++ b/packages/nutmeglift_router/nutmeglift_router/admin_endpoint.py
@@ -0,0 +1,64 @@
+"""The operators' interface of a router."""
+
+import msgspec
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from nutmeglift import errors
+from nutmeglift import ids
+from nutmeglift_router import bodies
+from nutmeglift_router import router as routers
+from nutmeglift_router import status_maker
+
+MAX_BODY_BYTES = 4096
+
+
+class DrainBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of a drain request.
+
+    Attributes:
+        vm: the VM that shall take no new work.
+    """
+
+    vm: ids.VmId
+
+
+class AdminEndpoint:
+    """Serves operators, who prove themselves by their tokens.
+
+    Attributes:
+        routes: what it serves.
+    """
+
+    def __init__(self, router: routers.Router) -> None:
+        self._router = router
+        self.routes = [
+            routing.Route("/admin/v1/status", self._status),
+            routing.Route("/admin/v1/drain", self._drain, methods=["POST"]),
+        ]
+
+    async def _status(self, request: requests.Request) -> responses.Response:
+        operator = self._authenticate(request)
+        found = status_maker.make_status(self._router, operator)
+        return responses.Response(
+            msgspec.json.encode(found), media_type="application/json"
+        )
+
+    async def _drain(self, request: requests.Request) -> responses.Response:
+        operator = self._authenticate(request)
+        body = await bodies.read(request, MAX_BODY_BYTES)
+        try:
+            wanted = msgspec.json.decode(body, type=DrainBody)
+        except (msgspec.DecodeError, ValueError) as error:
+            raise errors.RefusedError(f"body: {error}") from error
+        if not self._router.drain_vm(wanted.vm, operator):
+            raise errors.RefusedError(
+                f"{self._router.own.vm} has no connection to {wanted.vm}",
+                kind=errors.ErrorKind.NO_BACKEND,
+            )
+        return responses.JSONResponse({"draining": wanted.vm})
+
+    def _authenticate(self, request: requests.Request) -> str:
+        header = request.headers.get("authorization")
+        return self._router.authenticator.operator(header).id
--- a/packages/nutmeglift_router/nutmeglift_router/cli.py
+++ b/packages/nutmeglift_router/nutmeglift_router/cli.py
@@ -1,20 +1,27 @@
 """The command line of nutmeglift."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import importlib
 import pathlib
 import random
 import secrets
 import signal
 import time
+from typing import TypeVar
 
 import fire
+import msgspec
 
 import nutmeglift
+from nutmeglift import configuration_chunks as chunks
+from nutmeglift import control_messages
 from nutmeglift import declaration
 from nutmeglift import errors
 from nutmeglift import ids
 from nutmeglift import settings
+from nutmeglift import status
 from nutmeglift_router import http_app
 from nutmeglift_router import operator_client
 from nutmeglift_router import router as routers
@@ -29,6 +36,8 @@
 
 INCARNATION_BYTES = 8
 
+T = TypeVar("T")
+
 
 async def serve_router(own: settings.RouterSettings) -> None:
     """Runs a router until it is told to leave by SIGTERM or SIGINT."""
@@ -43,6 +52,8 @@
         dialer=websocket_link.WebsocketDialer(),
         metrics=metrics.make(platform.statsd, f"nutmeglift.{own.vm}"),
     )
+    listener = websocket_link.WebsocketListener(router.serve_link)
+    await listener.start(own.listen)
     router.start()
     server = http_server.HttpServer(http_app.HttpApp(router).app)
     await server.start(own.http)
@@ -54,6 +65,7 @@
     await router.leave()
     await server.stop()
     await router.stop()
+    await listener.stop()
 
 
 class Commands:
@@ -77,13 +89,18 @@
             directory: directory of YAML files.
         """
         declared = declaration.load(pathlib.Path(directory))
-        print(f"{directory}: correct, digest {declared.digest()}")
+        digest = chunks.root_digest(chunks.Split(declared).index)
+        print(f"{directory}: correct, digest {digest}")
 
     def apply(
         self,
         directory: str,
         key_value: str,
         expect_generation: int | None = None,
+        dry_run: bool = False,
+        wait: float = 0.0,
+        router: str = "",
+        token_file: str | None = None,
     ) -> None:
         """Applies a declaration as a whole.
 
@@ -91,13 +108,81 @@
             directory: directory of YAML files.
             key_value: address of the key-value service.
             expect_generation: refuse unless this generation is in force.
+            dry_run: only show what would change.
+            wait: seconds to wait until all processes acknowledge it.
+            router: HTTP addresses of routers, separated by commas; the new
+                generation follows the newest that they know.
+            token_file: file with the operator's token; else it is taken from
+                the environment variable NUTMEGLIFT_TOKEN.
         """
-        head = operator_client.run(
-            operator_client.apply(
-                key_value, pathlib.Path(directory), expect_generation
-            )
+        declared = declaration.load(pathlib.Path(directory))
+        command = _make_command(
+            key_value, router, token_file, expect_generation, wait
+        )
+        if dry_run:
+            changes = _run(command, lambda operator: operator.plan(declared))
+            for change in changes:
+                print(change.line())
+            print(f"{len(changes)} changes; nothing was applied")
+            return
+        _accept(command, lambda operator: operator.apply(declared))
+
+    def rollback(
+        self,
+        key_value: str,
+        to_generation: int,
+        expect_generation: int | None = None,
+        wait: float = 0.0,
+        router: str = "",
+        token_file: str | None = None,
+    ) -> None:
+        """Applies the content of an older generation as a new generation.
+
+        Args:
+            key_value: address of the key-value service.
+            to_generation: the older generation.
+            expect_generation: refuse unless this generation is in force.
+            wait: as apply.
+            router: as apply.
+            token_file: as apply.
+        """
+        command = _make_command(
+            key_value, router, token_file, expect_generation, wait
+        )
+        _accept(command, lambda operator: operator.roll_back(to_generation))
+
+    def status(
+        self, router: str, json: bool = False, token_file: str | None = None
+    ) -> None:
+        """Shows what routers know of the whole system.
+
+        Args:
+            router: HTTP addresses of routers, separated by commas.
+            json: print JSON.
+            token_file: as apply.
+        """
+        found = operator_client.run(
+            operator_client.read_status(_make_routers(router, token_file))
         )
-        print(f"generation {head.generation} accepted, digest {head.digest}")
+        if json:
+            print(msgspec.json.encode(found).decode())
+            return
+        print("\n".join(status.render(found)))
+
+    def drain(
+        self, vm: str, router: str, token_file: str | None = None
+    ) -> None:
+        """Tells a VM to take no new work; what is in flight ends.
+
+        Args:
+            vm: the VM.
+            router: HTTP addresses of routers, separated by commas.
+            token_file: as apply.
+        """
+        operator_client.run(
+            operator_client.drain(_make_routers(router, token_file), str(vm))
+        )
+        print(f"{vm}: told to take no new work")
 
     def history(self, key_value: str, limit: int = 20) -> None:
         """Shows the audit trail, newest first.
@@ -106,10 +191,14 @@
             key_value: address of the key-value service.
             limit: most entries to show.
         """
-        found = operator_client.run(operator_client.history(key_value, limit))
+        command = operator_client.Command(key_value)
+        found = _run(command, lambda operator: operator.history(limit))
         for entry in found:
             when = time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(entry.time))
-            print(f"{entry.generation} {when} {entry.author}")
+            print(
+                f"{entry.generation} {when} {entry.author}"
+                f" (after {entry.previous}, apply {entry.apply})"
+            )
             for change in entry.changes:
                 print(f"    {change}")
 
@@ -124,6 +213,64 @@
         demo.main()
 
 
+def _make_routers(
+    addresses: str, token_file: str | None
+) -> operator_client.Routers:
+    names = addresses if isinstance(addresses, tuple) else (addresses,)
+    return operator_client.Routers(
+        tuple(part for name in names for part in name.split(",") if part),
+        operator_client.read_token(token_file),
+    )
+
+
+def _make_command(
+    key_value: str,
+    router: str,
+    token_file: str | None,
+    expected: int | None,
+    wait: float,
+) -> operator_client.Command:
+    if wait and not router:
+        raise errors.UsageError("--wait needs --router")
+    return operator_client.Command(
+        key_value, _make_routers(router, token_file), expected, float(wait)
+    )
+
+
+def _run(
+    command: operator_client.Command,
+    work: Callable[[operator_client.Operator], Awaitable[T]],
+) -> T:
+    async def work_and_close() -> T:
+        operator = operator_client.Operator(command)
+        try:
+            return await work(operator)
+        finally:
+            await operator.close()
+
+    return operator_client.run(work_and_close())
+
+
+def _accept(
+    command: operator_client.Command,
+    work: Callable[
+        [operator_client.Operator],
+        Awaitable[control_messages.ConfigurationHead],
+    ],
+) -> None:
+    head = _run(command, work)
+    print(f"generation {head.generation} accepted, digest {head.digest}")
+    if not command.wait_seconds:
+        return
+    behind = _run(command, lambda operator: operator.wait(head))
+    if behind:
+        raise errors.NutmegError(
+            f"not acknowledged within {command.wait_seconds:g} s by: "
+            + ", ".join(behind)
+        )
+    print("acknowledged by all processes that the routers know")
+
+
 def main() -> None:
     """Entry point."""
     exit_codes.run(
--- a/packages/nutmeglift_router/nutmeglift_router/http_app.py
+++ b/packages/nutmeglift_router/nutmeglift_router/http_app.py
@@ -6,8 +6,10 @@
 from starlette import routing
 
 from nutmeglift import errors
+from nutmeglift_router import admin_endpoint
 from nutmeglift_router import answers
 from nutmeglift_router import chat_endpoint
+from nutmeglift_router import login_guard
 from nutmeglift_router import plain_endpoint
 from nutmeglift_router import router as routers
 
@@ -19,6 +21,7 @@
         self._router = router
         self._chat = chat_endpoint.ChatEndpoint(router)
         self._plain = plain_endpoint.PlainEndpoint(router)
+        admin = admin_endpoint.AdminEndpoint(router)
         methods = plain_endpoint.METHODS
         self.app = applications.Starlette(
             routes=[
@@ -30,12 +33,16 @@
                     self._plain.serve,
                     methods=methods,
                 ),
+                *admin.routes,
                 routing.Route("/health/ready", self._ready),
                 routing.Route("/health/live", self._live),
                 routing.Route("/{path:path}", self._unknown, methods=methods),
             ],
             exception_handlers={errors.NutmegError: answers.answer_error},
         )
+        self.app.add_middleware(
+            login_guard.LoginGuard, router.clock, router.counters
+        )
 
     async def _ready(self, request: requests.Request) -> responses.Response:
         self._router.check_accepts_work()
--- /dev/null
+++ b/packages/nutmeglift_router/nutmeglift_router/lease_controller.py
@@ -0,0 +1,189 @@
+"""Keeps the planner's role: takes it, renews it, hands it over."""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+import logging
+import random
+
+from nutmeglift import blackboard
+from nutmeglift import errors
+from nutmeglift import ids
+from nutmeglift import kv
+from nutmeglift import lease
+from nutmeglift import pacing
+from nutmeglift_router import entries
+from nutmeglift_wire import clock as clocks
+from nutmeglift_wire import metrics as metric
+
+_logger = logging.getLogger(__name__)
+
+
+class LeaseController:
+    """Follows who holds the planner's role, and takes it when it is free."""
+
+    def __init__(
+        self,
+        vm: ids.VmId,
+        incarnation: ids.Incarnation,
+        *,
+        board: blackboard.Blackboard,
+        store: kv.BaseKv,
+        clock: clocks.BaseClock,
+        rng: random.Random,
+        metrics: metric.BaseMetrics,
+        count_routers: Callable[[], int],
+        may_lead: Callable[[], bool],
+    ) -> None:
+        self._vm = vm
+        self._incarnation = incarnation
+        self._board = board
+        self._store = store
+        self._clock = clock
+        self._rng = rng
+        self._metrics = metrics
+        self._count_routers = count_routers
+        self._may_lead = may_lead
+        self._tenure = lease.Tenure()
+        self._lease: ids.LeaseId | None = None
+        self._highest_known = ids.FencingNumber(0)
+        self._backoff = pacing.Backoff(rng)
+
+    @property
+    def fencing_number(self) -> ids.FencingNumber:
+        """The highest fencing number that is known here."""
+        return self._highest_known
+
+    def held_number(self) -> ids.FencingNumber | None:
+        """Returns the fencing number while this process holds the role."""
+        return self._tenure.number(self._clock.now())
+
+    def note_number(self, number: ids.FencingNumber) -> None:
+        """Takes the highest fencing number that a peer knows."""
+        self._highest_known = max(self._highest_known, number)
+
+    async def run(self) -> None:
+        """Follows the role for ever."""
+        while True:
+            try:
+                await self._follow()
+                self._backoff.reset()
+            except (errors.NutmegError, TimeoutError):
+                self._metrics.count("lease.failed")
+                await self._clock.sleep(
+                    self._backoff.next_seconds(self._count_routers())
+                )
+
+    async def hand_over(self) -> None:
+        """Gives the role up, so that another router takes it at once."""
+        held, self._lease = self._lease, None
+        self._tenure.end()
+        if held is None:
+            return
+        with contextlib.suppress(errors.PlatformError):
+            await self._store.revoke(held)
+
+    async def _follow(self) -> None:
+        role = await lease.read(self._store)
+        self._note_role(role.holder, role.number)
+        if self._is_own(role.holder) and self._lease is not None:
+            await self._hold(self._lease, role.holder)
+            return
+        if role.holder is None and self._may_lead():
+            await self._try_to_take(role)
+            return
+        await self._wait_until_free(role)
+
+    def _is_own(self, holder: lease.Holder | None) -> bool:
+        return holder is not None and holder.incarnation == self._incarnation
+
+    async def _try_to_take(self, role: lease.Role) -> None:
+        sent_at = self._clock.now()
+        granted = self._lease or await self._store.grant(lease.TTL_SECONDS)
+        self._lease = granted
+        holder = await lease.take(
+            self._store,
+            role,
+            granted,
+            vm=self._vm,
+            incarnation=self._incarnation,
+            highest_known=self._highest_known,
+        )
+        if holder is None:
+            # A lost answer may have left the role with this process: the
+            # next reading shows it. A lapsed lease is granted anew.
+            if not await self._store.keep_alive(granted):
+                self._lease = None
+            return
+        self._tenure.extend(holder.fencing_number, sent_at, lease.TTL_SECONDS)
+        self._note_role(holder, holder.fencing_number)
+        self._metrics.count("lease.taken")
+        _logger.info(
+            "planner's role taken",
+            extra={"fencing_number": holder.fencing_number},
+        )
+
+    async def _hold(
+        self, held: ids.LeaseId, holder: lease.Holder | None
+    ) -> None:
+        if holder is None:
+            return
+        number = holder.fencing_number
+        while self._lease == held:
+            sent_at = self._clock.now()
+            ttl = await self._store.keep_alive(held)
+            if ttl <= 0 or self._lease != held:
+                self._lose()
+                return
+            self._tenure.extend(number, sent_at, ttl)
+            await self._clock.sleep(lease.TTL_SECONDS / lease.RENEWALS_PER_TTL)
+            if self._tenure.number(self._clock.now()) is None:
+                # Paused past the lease: another may hold the role by now.
+                return
+
+    def _lose(self) -> None:
+        self._lease = None
+        self._tenure.end()
+        self._metrics.count("lease.lost")
+        _logger.info("planner's role lost")
+
+    async def _wait_until_free(self, role: lease.Role) -> None:
+        """Watches the role; reads it now and then, as a watch can go silent."""
+        watching = asyncio.ensure_future(self._watch(role))
+        polling = asyncio.ensure_future(
+            self._clock.sleep(
+                pacing.poll_seconds(self._count_routers(), self._rng)
+            )
+        )
+        tasks = [watching, polling]
+        try:
+            done, _ = await asyncio.wait(
+                tasks, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                task.result()
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _watch(self, role: lease.Role) -> None:
+        start = ids.Revision(role.read_revision + 1)
+        async for batch in self._store.watch(lease.ROLE_KEY, start=start):
+            for event in batch:
+                if event.kind is kv.WatchKind.DELETE:
+                    await self._clock.sleep(
+                        pacing.spread_seconds(self._count_routers(), self._rng)
+                    )
+                    return
+                holder = lease.decode_holder(event.entry.value)
+                self._note_role(holder, holder.fencing_number)
+
+    def _note_role(
+        self, holder: lease.Holder | None, number: ids.FencingNumber
+    ) -> None:
+        self.note_number(number)
+        leader = None
+        if holder is not None:
+            leader = entries.Leader(holder.vm, holder.fencing_number)
+        self._board.write(entries.LEADER, leader, blackboard.Controller.LEASE)
--- /dev/null
+++ b/packages/nutmeglift_router/nutmeglift_router/login_guard.py
@@ -0,0 +1,56 @@
+"""Refuses callers whose logins failed too often."""
+
+from starlette import requests
+from starlette import types
+
+from nutmeglift import auth
+from nutmeglift import errors
+from nutmeglift_router import answers
+from nutmeglift_wire import clock as clocks
+from nutmeglift_wire import metrics as metric
+
+
+class LoginGuard:
+    """ASGI middleware that counts answers "unauthenticated" by source."""
+
+    def __init__(
+        self,
+        app: types.ASGIApp,
+        clock: clocks.BaseClock,
+        metrics: metric.BaseMetrics,
+    ) -> None:
+        self._app = app
+        self._clock = clock
+        self._metrics = metrics
+        self._limiter = auth.LoginLimiter()
+
+    async def __call__(
+        self, scope: types.Scope, receive: types.Receive, send: types.Send
+    ) -> None:
+        """Serves one request."""
+        if scope["type"] != "http":
+            await self._app(scope, receive, send)
+            return
+        client = scope.get("client")
+        source = client[0] if client else ""
+        try:
+            self._limiter.check(source, self._clock.now())
+        except errors.RefusedError as error:
+            self._metrics.count("login.refused")
+            request = requests.Request(scope, receive)
+            answer = await answers.answer_error(request, error)
+            await answer(scope, receive, send)
+            return
+
+        async def watch(message: types.Message) -> None:
+            if message.get("status") == _UNAUTHENTICATED_STATUS:
+                self._metrics.count("login.failed")
+                self._limiter.note_failure(source, self._clock.now())
+            await send(message)
+
+        await self._app(scope, receive, watch)
+
+
+_UNAUTHENTICATED_STATUS = errors.ANSWER_BY_KIND[
+    errors.ErrorKind.UNAUTHENTICATED
+].status
--- a/packages/nutmeglift_router/nutmeglift_router/membership_controller.py
+++ b/packages/nutmeglift_router/nutmeglift_router/membership_controller.py
@@ -1,6 +1,8 @@
 """Keeps the router's view of the VMs."""
 
+import asyncio
 from collections.abc import Callable
+from collections.abc import Mapping
 import random
 
 from nutmeglift import blackboard
@@ -8,6 +10,7 @@
 from nutmeglift import ids
 from nutmeglift import membership
 from nutmeglift import messages
+from nutmeglift import plan
 from nutmeglift import routing
 from nutmeglift_router import entries
 from nutmeglift_wire import clock as clocks
@@ -15,8 +18,10 @@
 from nutmeglift_wire import vm_list
 
 LIST_INTERVAL_SECONDS = 1.0
+LIST_ENTRIES_PER_SECOND = 4000
 
 SetTargets = Callable[[dict[ids.VmId, str]], None]
+SetRouters = Callable[[list[plan.VmEntry]], None]
 
 
 class MembershipController:
@@ -31,6 +36,7 @@
         rng: random.Random,
         metrics: metric.BaseMetrics,
         set_targets: SetTargets,
+        set_routers: SetRouters,
     ) -> None:
         self._board = board
         self._vms = vms
@@ -38,6 +44,8 @@
         self._rng = rng
         self._metrics = metrics
         self._set_targets = set_targets
+        self._set_routers = set_routers
+        self._publishing = False
         self._membership = membership.Membership()
 
     @property
@@ -46,33 +54,42 @@
         members = self._membership.member_by_vm
         return sum(self._membership.usable(vm) is not None for vm in members)
 
+    @property
+    def member_by_vm(self) -> Mapping[ids.VmId, membership.Member]:
+        """The members as of now, with what heartbeats said last."""
+        return self._membership.member_by_vm
+
     async def run(self) -> None:
         """Follows the VM list for ever."""
         while True:
             await self._read_list()
-            await self._clock.sleep(LIST_INTERVAL_SECONDS)
+            members = len(self._membership.member_by_vm)
+            interval = max(
+                LIST_INTERVAL_SECONDS, members / LIST_ENTRIES_PER_SECOND
+            )
+            await self._clock.sleep(interval * self._rng.uniform(0.75, 1.0))
 
     def agent_up(self, vm: ids.VmId, hello: messages.Hello) -> None:
         """Notes a new connection to an agent."""
-        self._membership.note_hello(vm, hello, self._clock.now())
-        self._publish()
+        self._publish_if(
+            self._membership.note_hello(vm, hello, self._clock.now())
+        )
 
     def agent_down(self, vm: ids.VmId) -> None:
         """Notes that the connection to an agent ended."""
-        self._membership.note_lost(vm, self._clock.now())
-        self._publish()
+        self._publish_if(self._membership.note_lost(vm, self._clock.now()))
 
     def take_heartbeat(
         self, vm: ids.VmId, heartbeat: messages.Heartbeat
     ) -> None:
         """Takes an agent's heartbeat."""
-        self._membership.note_heartbeat(vm, heartbeat, self._clock.now())
-        self._publish()
+        self._publish_if(
+            self._membership.note_heartbeat(vm, heartbeat, self._clock.now())
+        )
 
     def take_leaving(self, vm: ids.VmId) -> None:
         """Takes an agent's word that it takes no new work."""
-        self._membership.note_leaving(vm, self._clock.now())
-        self._publish()
+        self._publish_if(self._membership.note_leaving(vm, self._clock.now()))
 
     def find_candidate(self, vm: ids.VmId) -> routing.Candidate | None:
         """Returns a VM as a candidate for work, if it can take any."""
@@ -106,14 +123,19 @@
         except errors.PlatformError:
             self._metrics.count("vm_list.failed")
             return
-        self._membership.note_list(listed, self._clock.now())
-        self._publish()
-        members = self._membership.member_by_vm
-        self._set_targets(
-            {vm: member.entry.address for vm, member in members.items()}
-        )
+        self._publish_if(self._membership.note_list(listed, self._clock.now()))
+        self._set_targets(self._membership.targets())
+        self._set_routers(list(self._membership.router_by_vm.values()))
+
+    def _publish_if(self, changed: bool) -> None:
+        """Publishes once after all changes of the same moment."""
+        if not changed or self._publishing:
+            return
+        self._publishing = True
+        asyncio.get_running_loop().call_soon(self._publish)
 
     def _publish(self) -> None:
+        self._publishing = False
         self._board.write(
             entries.MEMBERS,
             dict(self._membership.member_by_vm),
--- a/packages/nutmeglift_router/nutmeglift_router/router.py
+++ b/packages/nutmeglift_router/nutmeglift_router/router.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+import logging
 import random
 from typing import Any
 
@@ -22,15 +23,20 @@
 from nutmeglift_router import agent_links
 from nutmeglift_router import chat
 from nutmeglift_router import configuration_controller
+from nutmeglift_router import counted_metrics
 from nutmeglift_router import entries
+from nutmeglift_router import lease_controller
 from nutmeglift_router import membership_controller
 from nutmeglift_router import plain
 from nutmeglift_router import plan_controller
+from nutmeglift_router import router_links
 from nutmeglift_wire import clock as clocks
 from nutmeglift_wire import link as links
 from nutmeglift_wire import metrics as metric
 from nutmeglift_wire import vm_list
 
+_logger = logging.getLogger(__name__)
+
 
 class Router:
     """Takes requests and runs them on backend servers.
@@ -40,7 +46,11 @@
         incarnation: differs for every start.
         board: the blackboard.
         drain: how far it is on its way out.
+        clock: its clock.
+        counters: what was counted since the start.
         configuration: the configuration in force.
+        lease: the planner's role.
+        routers: the connections to other routers.
         membership: the VMs.
         admission: which request runs when.
         chat: requests to models.
@@ -64,7 +74,8 @@
         self.incarnation = incarnation
         self.board = blackboard.Blackboard()
         self.drain = drain.Drain()
-        self._clock = clock
+        self.clock = self._clock = clock
+        self.counters = metrics = counted_metrics.CountedMetrics(metrics)
         self._metrics = metrics
         self._tasks: set[asyncio.Task[None]] = set()
         self._routing = routing.Routing(rng)
@@ -81,8 +92,42 @@
             on_down=self._agent_down,
             on_message=self._take_message,
         )
+        self.routers = router_links.RouterLinks(
+            own.vm,
+            key=own.shared_key.get_secret_value().encode(),
+            clock=clock,
+            rng=rng,
+            dialer=dialer,
+            bounds=own.bounds,
+            metrics=metrics,
+            make_hello=self._make_hello,
+            make_heartbeat=self._make_heartbeat,
+            on_up=self._router_up,
+            on_down=self._router_down,
+            on_message=self._take_router_message,
+        )
         self.configuration = configuration_controller.ConfigurationController(
-            board=self.board, store=store, clock=clock, metrics=metrics
+            board=self.board,
+            store=store,
+            clock=clock,
+            rng=rng,
+            metrics=metrics,
+            bounds=own.bounds,
+            post=self.routers.post,
+            broadcast=self.routers.broadcast,
+            count_routers=lambda: self.routers.listed,
+            count_agents=lambda: self.membership.live,
+        )
+        self.lease = lease_controller.LeaseController(
+            own.vm,
+            incarnation,
+            board=self.board,
+            store=store,
+            clock=clock,
+            rng=rng,
+            metrics=metrics,
+            count_routers=lambda: self.routers.listed,
+            may_lead=lambda: self.drain.accepts_work,
         )
         self.membership = membership_controller.MembershipController(
             board=self.board,
@@ -91,6 +136,7 @@
             rng=rng,
             metrics=metrics,
             set_targets=self._links.set_targets,
+            set_routers=self.routers.set_listed,
         )
         self._plan = plan_controller.PlanController(
             board=self.board,
@@ -122,15 +168,19 @@
             self.board.read(entries.CONFIGURATION).declared
         )
         self.board.watch(entries.CONFIGURATION, self._renew_authenticator)
+        self.board.watch(entries.CONFIGURATION, self._tell_agents)
+        self.board.watch(entries.LEADER, self._pin_leader)
 
     def start(self) -> None:
         """Starts the loops."""
         self._spawn(self.membership.run())
         self._spawn(self.configuration.run())
+        self._spawn(self.lease.run())
 
     async def leave(self) -> None:
         """Refuses new work and waits for the work in flight."""
-        self.drain.begin()
+        self.begin_drain()
+        await self.lease.hand_over()
         while self.chat.in_flight or self.plain.in_flight:
             await self._clock.sleep(self.own.bounds.heartbeat_seconds / 10)
 
@@ -140,6 +190,34 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._links.stop()
+        await self.routers.stop()
+
+    async def serve_link(self, link: links.BaseLink) -> None:
+        """Serves a connection that another router opened."""
+        await self.routers.serve_link(link)
+
+    def begin_drain(self) -> None:
+        """Refuses new work from now on, and says so."""
+        self.drain.begin()
+        self.routers.broadcast(messages.Leaving())
+
+    def drain_vm(self, vm: ids.VmId, operator: str) -> bool:
+        """Tells a VM to take no new work, be it this one or another.
+
+        Args:
+            vm: the VM.
+            operator: who wants it, for the log.
+
+        Returns:
+            False when there is no connection to it.
+        """
+        self._metrics.count("drain.ordered")
+        _logger.info("drain ordered", extra={"vm": vm, "operator": operator})
+        if vm == self.own.vm:
+            self.begin_drain()
+            return True
+        order = control_messages.DrainOrder()
+        return self._links.post(vm, order) or self.routers.post(vm, order)
 
     def check_accepts_work(self) -> None:
         """Checks that new work may come in.
@@ -167,13 +245,59 @@
             self.incarnation,
             self.own.failure_domain,
             self.configuration.generation,
+            not self.drain.accepts_work,
+            self.lease.fencing_number,
         )
 
     def _make_heartbeat(self, sequence: int) -> messages.Heartbeat:
-        return messages.Heartbeat(sequence, self.configuration.generation)
+        return messages.Heartbeat(
+            sequence,
+            self.configuration.generation,
+            not self.drain.accepts_work,
+            self.lease.fencing_number,
+        )
+
+    def _router_up(self, vm: ids.VmId, hello: messages.Hello) -> None:
+        self.lease.note_number(hello.fencing_number)
+        self.configuration.router_up(vm, hello)
+
+    def _router_down(self, vm: ids.VmId) -> None:
+        self.configuration.router_down(vm)
+
+    def _take_router_message(
+        self, vm: ids.VmId, message: codec.AnyMessage
+    ) -> None:
+        match message:
+            case messages.Heartbeat():
+                self.lease.note_number(message.fencing_number)
+                self.configuration.note_router(vm, message.generation)
+            case control_messages.DrainOrder():
+                self.begin_drain()
+            case messages.Leaving():
+                self.routers.note_leaving(vm)
+            case _:
+                if not self.configuration.take_message(vm, message):
+                    self._metrics.count("message.unexpected")
+
+    def _tell_agents(self, new: entries.ConfigurationInForce) -> None:
+        for vm in self.membership.member_by_vm:
+            self._tell_agent(vm)
+
+    def _tell_agent(self, vm: ids.VmId) -> None:
+        extract = self.configuration.extract_for(
+            self.membership.member_by_vm.get(vm)
+        )
+        if extract is not None:
+            self._links.post(vm, extract)
+
+    def _pin_leader(self, leader: entries.Leader | None) -> None:
+        self.routers.pin(leader.vm if leader is not None else None)
 
     def _agent_up(self, vm: ids.VmId, hello: messages.Hello) -> None:
         self.membership.agent_up(vm, hello)
+        self.lease.note_number(hello.fencing_number)
+        self.configuration.note_agent(vm, hello.generation)
+        self._tell_agent(vm)
 
     def _agent_down(self, vm: ids.VmId, reason: errors.NutmegError) -> None:
         self.membership.agent_down(vm)
@@ -200,6 +324,8 @@
         self, vm: ids.VmId, heartbeat: messages.Heartbeat
     ) -> None:
         self.membership.take_heartbeat(vm, heartbeat)
+        self.lease.note_number(heartbeat.fencing_number)
+        self.configuration.note_agent(vm, heartbeat.generation)
         if heartbeat.load is not None:
             self._routing.note_load(vm, heartbeat.load, self._clock.now())
 
--- /dev/null
+++ b/packages/nutmeglift_router/nutmeglift_router/router_links.py
@@ -0,0 +1,254 @@
+"""The router's connections to other routers."""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+import logging
+import random
+
+from nutmeglift import codec
+from nutmeglift import errors
+from nutmeglift import ids
+from nutmeglift import messages
+from nutmeglift import neighbours
+from nutmeglift import plan
+from nutmeglift import settings
+from nutmeglift import states
+from nutmeglift_wire import clock as clocks
+from nutmeglift_wire import link as links
+from nutmeglift_wire import metrics as metric
+from nutmeglift_wire import session as sessions
+
+FIRST_BACKOFF_SECONDS = 0.1
+MAX_BACKOFF_SECONDS = 4.0
+MAX_ACCEPTED = 1024
+
+_logger = logging.getLogger(__name__)
+
+UpListener = Callable[[ids.VmId, messages.Hello], None]
+DownListener = Callable[[ids.VmId], None]
+MessageListener = Callable[[ids.VmId, codec.AnyMessage], None]
+
+
+class RouterLinks:
+    """All connections to other routers, opened from either end, by VM."""
+
+    def __init__(
+        self,
+        own: ids.VmId,
+        *,
+        key: bytes,
+        clock: clocks.BaseClock,
+        rng: random.Random,
+        dialer: links.BaseDialer,
+        bounds: settings.Bounds,
+        metrics: metric.BaseMetrics,
+        make_hello: Callable[[], messages.Hello],
+        make_heartbeat: sessions.HeartbeatMaker,
+        on_up: UpListener,
+        on_down: DownListener,
+        on_message: MessageListener,
+    ) -> None:
+        self._own = own
+        self._key = key
+        self._clock = clock
+        self._rng = rng
+        self._dialer = dialer
+        self._bounds = bounds
+        self._metrics = metrics
+        self._make_hello = make_hello
+        self._make_heartbeat = make_heartbeat
+        self._on_up = on_up
+        self._on_down = on_down
+        self._on_message = on_message
+        self._sessions_by_vm: dict[ids.VmId, list[sessions.Session]] = {}
+        self._dialling_by_address: dict[str, asyncio.Task[None]] = {}
+        self._listed_by_vm: dict[ids.VmId, plan.VmEntry] = {}
+        self._pinned: ids.VmId | None = None
+        self._leaving: dict[ids.VmId, ids.Incarnation] = {}
+        self._accepted: set[asyncio.Task[None]] = set()
+
+    @property
+    def listed(self) -> int:
+        """Number of other routers that the VM list shows."""
+        return len(self._listed_by_vm.keys() - {self._own})
+
+    @property
+    def connected(self) -> list[ids.VmId]:
+        """The routers that are connected."""
+        return sorted(self._sessions_by_vm)
+
+    def note_leaving(self, vm: ids.VmId) -> None:
+        """Takes another router's word that it takes no new work."""
+        peer = self.peer(vm)
+        if peer is not None:
+            self._leaving[vm] = peer.incarnation
+
+    def is_leaving(self, vm: ids.VmId) -> bool:
+        """Returns whether a connected router takes no new work."""
+        peer = self.peer(vm)
+        if peer is None:
+            return False
+        return peer.leaving or self._leaving.get(vm) == peer.incarnation
+
+    def peer(self, vm: ids.VmId) -> messages.Hello | None:
+        """Returns the Hello of a connected router."""
+        found = self._sessions_by_vm.get(vm)
+        return found[-1].peer if found else None
+
+    def set_listed(self, entries: list[plan.VmEntry]) -> None:
+        """Takes the routers of the VM list and connects to a few of them."""
+        listed = {entry.vm: entry for entry in entries}
+        if listed == self._listed_by_vm:
+            return
+        self._listed_by_vm = listed
+        self._set_targets()
+
+    def pin(self, vm: ids.VmId | None) -> None:
+        """Connects to this router as well, as long as it is pinned."""
+        if vm == self._pinned:
+            return
+        self._pinned = vm
+        self._set_targets()
+
+    def post(self, vm: ids.VmId, message: codec.AnyMessage) -> bool:
+        """Sends a message; returns False when there is no connection."""
+        found = self._sessions_by_vm.get(vm, [])
+        return any(session.post(message) for session in reversed(found))
+
+    def broadcast(self, message: codec.AnyMessage) -> None:
+        """Sends a message to every connected router."""
+        for vm in self._sessions_by_vm:
+            self.post(vm, message)
+
+    async def serve_link(self, link: links.BaseLink) -> None:
+        """Serves a connection that another router opened."""
+        if len(self._accepted) >= MAX_ACCEPTED:
+            self._metrics.count("router_link.too_many")
+            await link.close()
+            return
+        task = asyncio.ensure_future(self._serve_accepted(link))
+        self._accepted.add(task)
+        task.add_done_callback(self._accepted.discard)
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+
+    async def stop(self) -> None:
+        """Closes all connections."""
+        tasks = [*self._dialling_by_address.values(), *self._accepted]
+        self._dialling_by_address.clear()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _serve_accepted(self, link: links.BaseLink) -> None:
+        try:
+            peer = await asyncio.wait_for(
+                sessions.shake_hands_as_listener(
+                    link, self._key, lambda _: self._make_hello()
+                ),
+                sessions.HANDSHAKE_TIMEOUT_SECONDS,
+            )
+            _check_router(peer)
+        except (errors.NutmegError, TimeoutError):
+            self._metrics.count("router_link.refused")
+            await link.close()
+            return
+        await self._serve(link, peer)
+
+    def _set_targets(self) -> None:
+        entries = list(self._listed_by_vm.values())
+        chosen = neighbours.choose(self._own, entries)
+        if self._pinned in self._listed_by_vm and self._pinned != self._own:
+            chosen.append(self._listed_by_vm[self._pinned])
+        wanted = {entry.address: entry.vm for entry in chosen}
+        for address in self._dialling_by_address.keys() - wanted.keys():
+            self._dialling_by_address.pop(address).cancel()
+        for address, vm in wanted.items():
+            if address not in self._dialling_by_address:
+                self._dialling_by_address[address] = asyncio.ensure_future(
+                    self._keep_connected(vm, address)
+                )
+
+    async def _keep_connected(self, vm: ids.VmId, address: str) -> None:
+        backoff = FIRST_BACKOFF_SECONDS
+        # Of two routers that choose each other, one often finds itself
+        # connected already.
+        await self._clock.sleep(self._rng.uniform(0, FIRST_BACKOFF_SECONDS))
+        while True:
+            if vm in self._sessions_by_vm:
+                await self._clock.sleep(self._bounds.heartbeat_seconds)
+                continue
+            if await self._connect(address):
+                backoff = FIRST_BACKOFF_SECONDS
+            await self._clock.sleep(backoff * self._rng.uniform(0.5, 1.0))
+            backoff = min(2 * backoff, MAX_BACKOFF_SECONDS)
+
+    async def _connect(self, address: str) -> bool:
+        """Opens and serves a connection; returns whether it was opened."""
+        try:
+            link = await self._dialer.dial(address)
+        except errors.NutmegError:
+            self._metrics.count("router_link.dial_failed")
+            return False
+        try:
+            peer = await asyncio.wait_for(
+                sessions.shake_hands_as_dialer(
+                    link, self._key, self._make_hello()
+                ),
+                sessions.HANDSHAKE_TIMEOUT_SECONDS,
+            )
+            _check_router(peer)
+        except (errors.NutmegError, TimeoutError):
+            self._metrics.count("router_link.dial_failed")
+            await link.close()
+            return False
+        await self._serve(link, peer)
+        return True
+
+    async def _serve(self, link: links.BaseLink, peer: messages.Hello) -> None:
+        session = sessions.Session(
+            link,
+            peer,
+            clock=self._clock,
+            bounds=self._bounds,
+            handler=self._handle,
+            make_heartbeat=self._make_heartbeat,
+        )
+        self._attach(session)
+        try:
+            reason = await session.run()
+        finally:
+            self._detach(session)
+        self._metrics.count("router_link.lost")
+        _logger.info(
+            "router disconnected",
+            extra={"router": peer.vm, "reason": reason.detail},
+        )
+
+    def _handle(
+        self, session: sessions.Session, message: codec.AnyMessage
+    ) -> None:
+        self._on_message(session.peer.vm, message)
+
+    def _attach(self, session: sessions.Session) -> None:
+        peer = session.peer
+        found = self._sessions_by_vm.setdefault(peer.vm, [])
+        found.append(session)
+        _logger.info("router connected", extra={"router": peer.vm})
+        self._on_up(peer.vm, peer)
+
+    def _detach(self, session: sessions.Session) -> None:
+        vm = session.peer.vm
+        found = self._sessions_by_vm.get(vm, [])
+        if session in found:
+            found.remove(session)
+        if vm in self._sessions_by_vm and not found:
+            del self._sessions_by_vm[vm]
+            self._leaving.pop(vm, None)
+            self._on_down(vm)
+
+
+def _check_router(peer: messages.Hello) -> None:
+    if peer.role is not states.ProcessRole.ROUTER:
+        raise errors.MalformedMessageError(f"{peer.vm} is no router")
--- a/packages/nutmeglift_wire/nutmeglift_wire/etcd_kv.py
+++ b/packages/nutmeglift_wire/nutmeglift_wire/etcd_kv.py
@@ -42,6 +42,8 @@
     if get.newest_first:
         body["sort_order"] = "DESCEND"
         body["sort_target"] = "CREATE"
+    if get.keys_only:
+        body["keys_only"] = True
     return body
 
 
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -8,7 +8,7 @@
 import pydantic
 
 from nutmeglift import auth
-from nutmeglift import configuration
+from nutmeglift import configuration_apply
 from nutmeglift import declaration
 from nutmeglift import ids
 from nutmeglift import kv
@@ -119,6 +119,45 @@
     return tokenizer.ByteTokenizer().encode([message])
 
 
+class GatedKv(kv.BaseKv):
+    """One process's client of a shared service; stands still with it."""
+
+    def __init__(self, store: kv.MemoryKv, clock: clocks.PausableClock) -> None:
+        super().__init__()
+        self._store = store
+        self._clock = clock
+
+    async def range(self, get):
+        return await self._call(self._store.range(get))
+
+    async def txn(self, compares, writes, otherwise=None):
+        return await self._call(self._store.txn(compares, writes, otherwise))
+
+    async def grant(self, ttl):
+        return await self._call(self._store.grant(ttl))
+
+    async def keep_alive(self, lease):
+        return await self._call(self._store.keep_alive(lease))
+
+    async def revoke(self, lease):
+        await self._call(self._store.revoke(lease))
+
+    async def watch(self, key, *, prefix=False, start):
+        self.calls += 1
+        async for batch in self._store.watch(key, prefix=prefix, start=start):
+            await self._clock.gate()
+            yield batch
+
+    async def _call(self, work):
+        self.calls += 1
+        try:
+            await self._clock.gate()
+            return await work
+        finally:
+            work.close()
+            await self._clock.gate()
+
+
 @dataclasses.dataclass
 class AgentProcess:
     """An agent of a test, with the stand-in beside it."""
@@ -187,12 +226,14 @@
     async def apply(self, declared: declaration.Declaration) -> None:
         """Makes a declaration the accepted configuration."""
         self._starts += 1
-        await configuration.apply(
-            self.store,
+        applier = configuration_apply.Applier(self.store, asyncio.sleep)
+        await applier.apply(
             declared,
-            apply_id=ids.ApplyId(f"apply-{self._starts}"),
-            author="ana",
-            time=asyncio.get_running_loop().time(),
+            configuration_apply.Applying(
+                ids.ApplyId(f"apply-{self._starts}"),
+                author="ana",
+                time=asyncio.get_running_loop().time(),
+            ),
         )
 
     def add_runner(
@@ -237,12 +278,14 @@
             incarnation=ids.Incarnation(f"{name}-{self._starts}"),
             clock=clock,
             rng=random.Random(f"{self._seed}/{name}/{self._starts}"),
-            store=self.store,
+            store=GatedKv(self.store, clock),
             vms=self.vms,
             dialer=self.network.dialer(address, clock),
             metrics=counted,
         )
         router.start()
+        self.network.listen(address, router.serve_link, clock)
+        self.vms.put(plan.VmEntry(vm, address, router.own.failure_domain, None))
         process = RouterProcess(router, clock, address, counted)
         self.router_by_vm[vm] = process
         return process
