--- /dev/null
+++ b/packages/nutmeglift/nutmeglift/loads.py
@@ -0,0 +1,80 @@
+"""Work in flight at each runner: own dispatches and aged load reports."""
+
+import collections
+import dataclasses
+
+from nutmeglift import messages
+
+SAMPLE_SECONDS = 0.25
+MAX_SAMPLES = 24
+"""Samples of the own work in flight; they reach six seconds back."""
+REPORT_WEIGHT = 0.5
+"""Weight of a new report in the estimate of other routers' work."""
+REPORT_SECONDS = 10.0
+"""Age at which a report no longer counts."""
+
+
+@dataclasses.dataclass
+class _Sample:
+    time: float
+    own: int
+
+
+class RunnerLoad:
+    """Estimate of the requests at one runner.
+
+    Attributes:
+        own: this router's requests in flight there.
+        others: estimate of the other routers' requests there, aged at the
+            last refresh.
+        layers: layers that the runner holds.
+    """
+
+    __slots__ = (
+        "_others",
+        "_reported_at",
+        "_sampled_at",
+        "_samples",
+        "layers",
+        "others",
+        "own",
+    )
+
+    def __init__(self) -> None:
+        self.own = 0
+        self.others = 0.0
+        self.layers = 0
+        self._others = 0.0
+        self._reported_at = float("-inf")
+        self._sampled_at = float("-inf")
+        self._samples: collections.deque[_Sample] = collections.deque(
+            maxlen=MAX_SAMPLES
+        )
+
+    def note_report(self, report: messages.LoadReport, now: float) -> None:
+        """Takes a report; what it shows of the own work is taken off."""
+        measured_at = now - report.age_seconds
+        total = report.running + report.waiting
+        others = max(0.0, float(total - self._own_at(measured_at)))
+        self._others += REPORT_WEIGHT * (others - self._others)
+        self._reported_at = now
+        self.refresh(now)
+
+    def change(self, by: int, now: float) -> None:
+        """Notes own requests that were given to the runner or left it."""
+        if now - self._sampled_at >= SAMPLE_SECONDS:
+            self._samples.append(_Sample(now, self.own))
+            self._sampled_at = now
+        self.own = max(0, self.own + by)
+
+    def refresh(self, now: float) -> None:
+        """Ages the report."""
+        age = now - self._reported_at
+        self.others = self._others * max(0.0, 1.0 - age / REPORT_SECONDS)
+
+    def _own_at(self, time: float) -> int:
+        """Returns the own work as it was before the first later change."""
+        for sample in self._samples:
+            if sample.time > time:
+                return sample.own
+        return self.own
--- a/packages/nutmeglift/nutmeglift/plan.py
+++ b/packages/nutmeglift/nutmeglift/plan.py
@@ -72,12 +72,14 @@
         fencing_number: number of the lease under which it was proposed.
         assignments: what each runner holds.
         links: what the links between failure domains carry.
+        layers_by_model: number of layers of each placed model.
     """
 
     generation: int = 0
     fencing_number: ids.FencingNumber = ids.FencingNumber(0)
     assignments: tuple[Assignment, ...] = ()
     links: tuple[LinkLimit, ...] = ()
+    layers_by_model: dict[ids.ModelId, int] = {}
 
     @property
     def order(self) -> tuple[ids.FencingNumber, int]:
--- a/packages/nutmeglift/nutmeglift/planner.py
+++ b/packages/nutmeglift/nutmeglift/planner.py
@@ -116,6 +116,7 @@
         fencing_number,
         tuple(sorted(assignments, key=lambda a: (a.model, a.version, a.vm))),
         _make_links(versions, declared),
+        {version.model.id: version.model.layers for version in versions},
     )
 
 
--- /dev/null
+++ b/packages/nutmeglift/nutmeglift/prefix_index.py
@@ -0,0 +1,291 @@
+"""Which runners probably have a prompt's prefix in their cache."""
+
+from collections.abc import Iterable
+import dataclasses
+import struct
+
+import xxhash
+
+from nutmeglift import control_messages
+from nutmeglift import ids
+
+BLOCK_TOKENS = 16
+TOKEN_BYTES = 8
+BLOCK_BYTES = BLOCK_TOKENS * TOKEN_BYTES
+LOOKED_UP_BLOCKS = (1, 2, 3, 4, 6, 8, 12, 16, 24, 32)
+"""Lengths of a prompt's prefix that are looked up, in blocks."""
+MAX_LOOKED_UP_TOKENS = LOOKED_UP_BLOCKS[-1] * BLOCK_TOKENS
+MAX_LEVELS = 3
+MAX_ENTRIES = 65_536
+"""Entries over all runners."""
+MIN_ENTRIES_PER_RUNNER = 64
+MAX_ENTRIES_PER_RUNNER = 2048
+DISPATCH_SECONDS = 30.0
+"""How long own dispatches count at least, where no event contradicts them."""
+MAX_DISPATCHED = 16_384
+DOUBT_SECONDS = 30.0
+"""How long entries stay that a gap in the events made doubtful."""
+
+
+def prefix_blocks(tokens: tuple[int, ...]) -> list[str]:
+    """Returns the hash of the prompt up to the end of each whole block."""
+    blocks = len(tokens) // BLOCK_TOKENS
+    body = _pack(tokens[: blocks * BLOCK_TOKENS])
+    chain = xxhash.xxh64()
+    found = []
+    for start in range(0, blocks * BLOCK_BYTES, BLOCK_BYTES):
+        chain.update(body[start : start + BLOCK_BYTES])
+        found.append(chain.hexdigest())
+    return found
+
+
+def _pack(tokens: tuple[int, ...]) -> bytes:
+    return struct.pack(f"<{len(tokens)}q", *tokens)
+
+
+def _looked_up(tokens: tuple[int, ...]) -> dict[int, int]:
+    """Returns hashes of a prompt's prefixes by their length in blocks."""
+    body = memoryview(_pack(tokens[:MAX_LOOKED_UP_TOKENS]))
+    end = len(body) // BLOCK_BYTES
+    hash_of = xxhash.xxh64_intdigest
+    return {
+        blocks: hash_of(body[: blocks * BLOCK_BYTES])
+        for blocks in LOOKED_UP_BLOCKS
+        if blocks <= end
+    }
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Level:
+    """Runners that hold a prompt's prefix up to some length.
+
+    Attributes:
+        runners: bit n stands for the runner with number n.
+        blocks: length of the prefix in blocks.
+    """
+
+    runners: int
+    blocks: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Match:
+    """What is known about one prompt.
+
+    Attributes:
+        levels: longest prefix first.
+        digests: hashes of the prefixes that were looked up.
+        blocks: length of the longest of them.
+    """
+
+    levels: tuple[Level, ...]
+    digests: tuple[int, ...]
+    blocks: int
+
+
+NO_MATCH = Match((), (), 0)
+
+
+@dataclasses.dataclass
+class _Cache:
+    """One runner's entries.
+
+    Attributes:
+        number: its bit.
+        time_by_digest: when each entry was last confirmed, oldest first.
+        next_event: sequence of the next event; 0 before the first.
+        doubtful_since: time of a gap that is not yet settled.
+    """
+
+    number: int
+    time_by_digest: dict[int, float] = dataclasses.field(default_factory=dict)
+    next_event: int = 0
+    doubtful_since: float | None = None
+
+
+class PrefixIndex:
+    """Follows late and gappy cache events, within bounded memory.
+
+    Attributes:
+        gaps: number of gaps seen in the events.
+    """
+
+    def __init__(self) -> None:
+        self.gaps = 0
+        self._cache_by_vm: dict[ids.VmId, _Cache] = {}
+        self._runners_by_digest: dict[int, int] = {}
+        self._free_numbers: list[int] = []
+        # Own dispatches of this period and of the one before it.
+        self._dispatched: dict[int, int] = {}
+        self._before: dict[int, int] = {}
+        self._rotated_at = float("-inf")
+
+    def number_of(self, vm: ids.VmId) -> int:
+        """Returns the runner's number, giving it one at the first call."""
+        cache = self._cache_by_vm.get(vm)
+        if cache is None:
+            if self._free_numbers:
+                number = self._free_numbers.pop()
+            else:
+                number = len(self._cache_by_vm)
+            cache = self._cache_by_vm[vm] = _Cache(number)
+        return cache.number
+
+    def forget(self, vm: ids.VmId) -> None:
+        """Drops a runner that is gone."""
+        cache = self._cache_by_vm.get(vm)
+        if cache is None:
+            return
+        self._clear(cache)
+        del self._cache_by_vm[vm]
+        self._free_numbers.append(cache.number)
+
+    def clear(self, vm: ids.VmId) -> None:
+        """Drops the entries of a runner whose engine has started anew."""
+        cache = self._cache_by_vm.get(vm)
+        if cache is not None:
+            self._clear(cache)
+            cache.next_event = 0
+            cache.doubtful_since = None
+
+    def note_events(
+        self, vm: ids.VmId, events: control_messages.CacheEvents, now: float
+    ) -> None:
+        """Takes a runner's cache events."""
+        self.number_of(vm)
+        cache = self._cache_by_vm[vm]
+        end = events.first + len(events.events)
+        if events.complete:
+            self._clear(cache)
+            cache.doubtful_since = None
+            self._apply(cache, events.events, now)
+            cache.next_event = end
+            return
+        if cache.next_event == 0:
+            cache.next_event = events.first
+        if events.first > cache.next_event:
+            self.gaps += 1
+            cache.doubtful_since = now
+            cache.next_event = events.first
+        known = cache.next_event - events.first
+        self._apply(cache, events.events[known:], now)
+        cache.next_event = max(cache.next_event, end)
+
+    def expire(self, now: float) -> None:
+        """Drops doubtful entries that nothing has confirmed for long."""
+        for cache in self._cache_by_vm.values():
+            since = cache.doubtful_since
+            if since is None or now - since < DOUBT_SECONDS:
+                continue
+            cache.doubtful_since = None
+            times = cache.time_by_digest
+            for digest in [d for d, at in times.items() if at <= since]:
+                self._drop(cache, digest)
+
+    def match(self, tokens: tuple[int, ...]) -> Match:
+        """Returns which runners probably hold how much of a prompt."""
+        digests = _looked_up(tokens)
+        if not digests:
+            return NO_MATCH
+        confirmed = self._runners_by_digest
+        dispatched, before = self._dispatched, self._before
+        levels: list[Level] = []
+        holders = -1
+        length = 0
+        for blocks, digest in digests.items():
+            fewer = holders & (
+                confirmed.get(digest, 0)
+                | dispatched.get(digest, 0)
+                | before.get(digest, 0)
+            )
+            if fewer != holders and length:
+                levels.append(Level(holders, length))
+            holders = fewer
+            if not holders:
+                break
+            length = blocks
+        if holders:
+            levels.append(Level(holders, length))
+        whole = next(reversed(digests))
+        kept = tuple(reversed(levels[-MAX_LEVELS:]))
+        return Match(kept, tuple(digests.values()), whole)
+
+    def note_dispatch(
+        self, vms: Iterable[ids.VmId], match: Match, now: float
+    ) -> None:
+        """Notes that runners got a prompt and will hold its prefix."""
+        runners = 0
+        for vm in vms:
+            runners |= 1 << self.number_of(vm)
+        if (
+            now - self._rotated_at > DISPATCH_SECONDS
+            or len(self._dispatched) > MAX_DISPATCHED
+        ):
+            self._before = self._dispatched
+            self._dispatched = {}
+            self._rotated_at = now
+        dispatched = self._dispatched
+        for digest in match.digests:
+            dispatched[digest] = dispatched.get(digest, 0) | runners
+
+    def count_entries(self) -> int:
+        """Returns the number of entries over all runners."""
+        return sum(len(c.time_by_digest) for c in self._cache_by_vm.values())
+
+    def _apply(
+        self,
+        cache: _Cache,
+        events: tuple[control_messages.CacheEvent, ...],
+        now: float,
+    ) -> None:
+        for event in events:
+            try:
+                digest = int(event.prefix, 16)
+            except ValueError:
+                continue
+            if event.stored:
+                self._store(cache, digest, now)
+            else:
+                self._remove(cache, digest)
+
+    def _store(self, cache: _Cache, digest: int, now: float) -> None:
+        times = cache.time_by_digest
+        if digest in times:
+            del times[digest]
+            times[digest] = now
+            return
+        times[digest] = now
+        held = self._runners_by_digest.get(digest, 0)
+        self._runners_by_digest[digest] = held | 1 << cache.number
+        if len(times) > self._limit():
+            self._drop(cache, next(iter(times)))
+
+    def _limit(self) -> int:
+        share = MAX_ENTRIES // len(self._cache_by_vm)
+        share = max(MIN_ENTRIES_PER_RUNNER, share)
+        return min(MAX_ENTRIES_PER_RUNNER, share)
+
+    def _remove(self, cache: _Cache, digest: int) -> None:
+        self._undispatch(cache, digest)
+        self._drop(cache, digest)
+
+    def _drop(self, cache: _Cache, digest: int) -> None:
+        if cache.time_by_digest.pop(digest, None) is None:
+            return
+        left = self._runners_by_digest[digest] & ~(1 << cache.number)
+        if left:
+            self._runners_by_digest[digest] = left
+        else:
+            del self._runners_by_digest[digest]
+
+    def _undispatch(self, cache: _Cache, digest: int) -> None:
+        for dispatched in (self._dispatched, self._before):
+            if digest in dispatched:
+                dispatched[digest] &= ~(1 << cache.number)
+
+    def _clear(self, cache: _Cache) -> None:
+        for dispatched in (self._dispatched, self._before):
+            for digest in dispatched:
+                dispatched[digest] &= ~(1 << cache.number)
+        for digest in list(cache.time_by_digest):
+            self._drop(cache, digest)
--- a/packages/nutmeglift_fakes/nutmeglift_fakes/toy_engine.py
+++ b/packages/nutmeglift_fakes/nutmeglift_fakes/toy_engine.py
@@ -13,13 +13,13 @@
 from nutmeglift import errors
 from nutmeglift import ids
 from nutmeglift import messages
+from nutmeglift import prefix_index
 from nutmeglift_wire import clock as clocks
 
 MODULUS = (1 << 61) - 1
 TOKEN_FACTOR = 6364136223846793005 % MODULUS
 CACHE_FACTOR = 1442695040888963407 % MODULUS
 STOP_MODULUS = 4096
-BLOCK_TOKENS = 16
 VOCABULARY = (
     "the credit terms match invoice value shipment date port Manila bill of"
     " lading amendment clause notice copra mango board lot road number name"
@@ -217,10 +217,10 @@
         if item.first_layer > 0 or item.position > 0:
             return 0
         cached = 0
-        for prefix in prefix_blocks(item.values):
+        for prefix in prefix_index.prefix_blocks(item.values):
             if prefix not in self._prefixes:
                 break
-            cached += BLOCK_TOKENS
+            cached += prefix_index.BLOCK_TOKENS
         return cached
 
     def _run(self, item: engine.StepItem) -> engine.StepResult:
@@ -265,7 +265,7 @@
         return hidden
 
     def _note_prefixes(self, tokens: tuple[int, ...]) -> None:
-        for prefix in prefix_blocks(tokens):
+        for prefix in prefix_index.prefix_blocks(tokens):
             if prefix in self._prefixes:
                 self._prefixes.move_to_end(prefix)
                 continue
@@ -280,16 +280,6 @@
         self._events.append(None if lost else event)
 
 
-def prefix_blocks(tokens: tuple[int, ...]) -> list[str]:
-    """Returns the chained hash of each whole block of a prompt."""
-    digest = xxhash.xxh64()
-    blocks = []
-    for start in range(0, len(tokens) - BLOCK_TOKENS + 1, BLOCK_TOKENS):
-        digest.update(cbor2.dumps(tokens[start : start + BLOCK_TOKENS]))
-        blocks.append(digest.hexdigest())
-    return blocks
-
-
 def _sample_all(item: engine.StepItem, outputs: list[int]) -> engine.StepResult:
     first = max(0, item.sample_from - item.position)
     sampled = outputs[first:]
