--- a/packages/nutmeglift/nutmeglift/control_messages.py
+++ b/packages/nutmeglift/nutmeglift/control_messages.py
@@ -115,11 +115,15 @@
         epoch: the owner's epoch that the sender knows.
         requests_by_account: requests a second asked for, by account.
         tokens_by_account: tokens a second asked for, by account.
+        sequence: rises by one with every demand of the sender.
+        acknowledged: sequence of the last grant that the sender took.
     """
 
     epoch: int
     requests_by_account: dict[ids.AccountId, float]
     tokens_by_account: dict[ids.AccountId, float]
+    sequence: int = 0
+    acknowledged: int = 0
 
 
 class ShareGrant(messages.Message, frozen=True):
@@ -130,9 +134,11 @@
         seconds: how long the shares hold.
         requests_by_account: requests a second, by account.
         tokens_by_account: tokens a second, by account.
+        sequence: sequence of the demand that it answers.
     """
 
     epoch: int
     seconds: float
     requests_by_account: dict[ids.AccountId, float]
     tokens_by_account: dict[ids.AccountId, float]
+    sequence: int = 0
--- /dev/null
+++ b/packages/nutmeglift/nutmeglift/shares.py
@@ -0,0 +1,235 @@
+"""Divides account limits over routers by shares that lapse."""
+
+from collections.abc import Iterable
+import dataclasses
+import enum
+import heapq
+
+from nutmeglift import control_messages
+from nutmeglift import declaration
+from nutmeglift import ids
+
+LEASE_SECONDS = 5.0
+LEASE_MARGIN = 1.02
+"""The owner holds a share back for longer, since clocks run unequally."""
+RESERVED_SHARE = 0.02
+"""Part of each limit that routers without a share use, equally divided."""
+SUMS_RENEWED_AFTER = 1024
+
+
+class Resource(enum.Enum):
+    """What accounts are limited in."""
+
+    REQUESTS = "requests"
+    TOKENS = "tokens"
+
+
+def limit_of(account: declaration.ClientAccount, resource: Resource) -> float:
+    """Returns an account's limit a second; 0 for none."""
+    match resource:
+        case Resource.REQUESTS:
+            return account.requests_per_second
+        case Resource.TOKENS:
+            return account.tokens_per_second
+
+
+@dataclasses.dataclass(slots=True)
+class _Lease:
+    """What one router holds of one limit.
+
+    Attributes:
+        demand: what it last asked for, a second.
+        granted: its newest share.
+        outstanding: most that it may be using.
+        sequence: sequence of the newest grant.
+        expires: when all of this ends.
+    """
+
+    demand: float = 0.0
+    granted: float = 0.0
+    outstanding: float = 0.0
+    sequence: int = 0
+    expires: float = 0.0
+
+
+class Division:
+    """Divides one limit; what is outstanding never passes it.
+
+    A share that was lowered counts in full until its router acknowledges the
+    lower one or the lease ends.
+    """
+
+    def __init__(self, limit: float) -> None:
+        self.limit = limit
+        self._lease_by_router: dict[ids.VmId, _Lease] = {}
+        self._expiries: list[tuple[float, ids.VmId]] = []
+        self._demand = 0.0
+        self._outstanding = 0.0
+        self._changes = 0
+
+    @property
+    def outstanding(self) -> float:
+        """Most that all routers together may be using."""
+        return self._outstanding
+
+    @property
+    def is_unused(self) -> bool:
+        """Whether no router holds a share."""
+        return not self._lease_by_router
+
+    def acknowledge(self, router: ids.VmId, sequence: int) -> None:
+        """Notes that a router took its grants up to a sequence."""
+        lease = self._lease_by_router.get(router)
+        if lease is None or sequence < lease.sequence:
+            return
+        self._outstanding += lease.granted - lease.outstanding
+        lease.outstanding = lease.granted
+
+    def grant(
+        self, now: float, router: ids.VmId, demand: float, sequence: int
+    ) -> float:
+        """Returns a router's new share.
+
+        Args:
+            now: seconds.
+            router: the router.
+            demand: what it asks for, a second.
+            sequence: sequence of its demand.
+        """
+        self.expire(now)
+        lease = self._lease_by_router.setdefault(router, _Lease())
+        self._demand += demand - lease.demand
+        lease.demand = demand
+        share = self._find_share(lease)
+        lease.granted = share
+        lease.sequence = sequence
+        if share > lease.outstanding:
+            self._outstanding += share - lease.outstanding
+            lease.outstanding = share
+        lease.expires = now + LEASE_SECONDS * LEASE_MARGIN
+        heapq.heappush(self._expiries, (lease.expires, router))
+        self._renew_sums()
+        return share
+
+    def expire(self, now: float) -> None:
+        """Takes back the shares whose leases have ended."""
+        while self._expiries and self._expiries[0][0] <= now:
+            _, router = heapq.heappop(self._expiries)
+            lease = self._lease_by_router.get(router)
+            if lease is None or lease.expires > now:
+                continue
+            del self._lease_by_router[router]
+            self._demand -= lease.demand
+            self._outstanding -= lease.outstanding
+
+    def _find_share(self, lease: _Lease) -> float:
+        usable = self.limit * (1 - RESERVED_SHARE)
+        others = self._outstanding - lease.outstanding
+        free = max(0.0, usable - others)
+        if self._demand <= 0:
+            return 0.0
+        return min(free, usable * lease.demand / self._demand)
+
+    def _renew_sums(self) -> None:
+        self._changes += 1
+        if self._changes < SUMS_RENEWED_AFTER:
+            return
+        self._changes = 0
+        leases = self._lease_by_router.values()
+        self._demand = sum(lease.demand for lease in leases)
+        self._outstanding = sum(lease.outstanding for lease in leases)
+
+
+class ShareOwner:
+    """Grants shares of all limits to the routers that ask for them.
+
+    Attributes:
+        epoch: its fencing number.
+    """
+
+    def __init__(self, epoch: int, now: float, *, first: bool = False) -> None:
+        """Makes an owner.
+
+        Args:
+            epoch: its fencing number.
+            now: seconds; it waits from here until every share that an
+                earlier owner granted has lapsed.
+            first: whether there can't have been an earlier owner.
+        """
+        self.epoch = epoch
+        self._grants_from = now
+        if not first:
+            self._grants_from += LEASE_SECONDS * LEASE_MARGIN
+        self._account_by_id: dict[ids.AccountId, declaration.ClientAccount] = {}
+        self._division_by_key: dict[
+            tuple[ids.AccountId, Resource], Division
+        ] = {}
+
+    def set_accounts(
+        self, accounts: Iterable[declaration.ClientAccount]
+    ) -> None:
+        """Takes the limits of a new configuration into force."""
+        self._account_by_id = {
+            account.id: account
+            for account in accounts
+            if account.requests_per_second or account.tokens_per_second
+        }
+        for (name, resource), division in self._division_by_key.items():
+            account = self._account_by_id.get(name)
+            division.limit = limit_of(account, resource) if account else 0.0
+
+    def take_demand(
+        self,
+        now: float,
+        router: ids.VmId,
+        demand: control_messages.ShareDemand,
+    ) -> control_messages.ShareGrant | None:
+        """Answers a router's demand; None while it may not grant."""
+        if now < self._grants_from:
+            return None
+        if demand.epoch > self.epoch:
+            return None
+        shares = [
+            self._grant_all(now, router, demand, resource, rate_by_account)
+            for resource, rate_by_account in (
+                (Resource.REQUESTS, demand.requests_by_account),
+                (Resource.TOKENS, demand.tokens_by_account),
+            )
+        ]
+        return control_messages.ShareGrant(
+            self.epoch, LEASE_SECONDS, shares[0], shares[1], demand.sequence
+        )
+
+    def outstanding(self, account: ids.AccountId, resource: Resource) -> float:
+        """Returns the most that all routers may be using of a limit."""
+        division = self._division_by_key.get((account, resource))
+        return division.outstanding if division is not None else 0.0
+
+    def expire(self, now: float) -> None:
+        """Takes back lapsed shares and forgets the limits nobody uses."""
+        for key, division in list(self._division_by_key.items()):
+            division.expire(now)
+            if division.is_unused:
+                del self._division_by_key[key]
+
+    def _grant_all(
+        self,
+        now: float,
+        router: ids.VmId,
+        demand: control_messages.ShareDemand,
+        resource: Resource,
+        rate_by_account: dict[ids.AccountId, float],
+    ) -> dict[ids.AccountId, float]:
+        shares = {}
+        for name, rate in rate_by_account.items():
+            account = self._account_by_id.get(name)
+            if account is None or not limit_of(account, resource):
+                continue
+            division = self._division_by_key.get((name, resource))
+            if division is None:
+                division = Division(limit_of(account, resource))
+                self._division_by_key[name, resource] = division
+            if demand.epoch == self.epoch:
+                division.acknowledge(router, demand.acknowledged)
+            shares[name] = division.grant(now, router, rate, demand.sequence)
+        return shares
--- a/packages/nutmeglift_router/nutmeglift_router/router.py
+++ b/packages/nutmeglift_router/nutmeglift_router/router.py
@@ -26,6 +26,7 @@
 from nutmeglift_router import membership_controller
 from nutmeglift_router import plain
 from nutmeglift_router import plan_controller
+from nutmeglift_router import share_controller
 from nutmeglift_wire import clock as clocks
 from nutmeglift_wire import link as links
 from nutmeglift_wire import metrics as metric
@@ -42,6 +43,7 @@
         drain: how far it is on its way out.
         configuration: the configuration in force.
         membership: the VMs.
+        shares: this router's shares of account limits.
         admission: which request runs when.
         chat: requests to models.
         plain: calls to plain services.
@@ -99,8 +101,15 @@
             metrics=metrics,
             routes=self._routing,
         )
+        self.shares = share_controller.ShareController(
+            own.vm, board=self.board, clock=clock, metrics=metrics
+        )
         self.admission = admission_controller.AdmissionController(
-            board=self.board, clock=clock, metrics=metrics
+            board=self.board,
+            clock=clock,
+            metrics=metrics,
+            bounds=own.bounds,
+            shares=self.shares,
         )
         self.chat = chat.ChatController(
             own.vm,
@@ -127,10 +136,12 @@
         """Starts the loops."""
         self._spawn(self.membership.run())
         self._spawn(self.configuration.run())
+        self._spawn(self.shares.run())
 
     async def leave(self) -> None:
         """Refuses new work and waits for the work in flight."""
         self.drain.begin()
+        self.admission.drain()
         while self.chat.in_flight or self.plain.in_flight:
             await self._clock.sleep(self.own.bounds.heartbeat_seconds / 10)
 
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,509 @@
+"""Admission: every request gets one answer, no place is lost."""
+
+import asyncio
+import unittest
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from nutmeglift import admission
+from nutmeglift import blackboard
+from nutmeglift import concurrency
+from nutmeglift import drain
+from nutmeglift import errors
+from nutmeglift import ids
+from nutmeglift import settings
+from nutmeglift_router import admission_controller
+from nutmeglift_router import entries
+from nutmeglift_router import share_controller
+from nutmeglift_wire import clock as clocks
+from nutmeglift_wire import metrics as metric
+from tests import utils
+from tests import virtual_time
+
+FUZZ = hypothesis.settings(
+    derandomize=True,
+    deadline=None,
+    database=None,
+    max_examples=60,
+    stateful_step_count=40,
+)
+FIND_ONLY = hypothesis.settings(
+    FUZZ, phases=[hypothesis.Phase.generate], report_multiple_bugs=False
+)
+
+
+def make_admission(
+    kind=admission.Admission, *, waiting=4, in_flight=2, tokens=1e9
+):
+    return kind(
+        max_waiting=waiting,
+        max_in_flight=in_flight,
+        work_limit=concurrency.FixedLimit(tokens),
+    )
+
+
+def arrival(number, priority=0, **changes):
+    values = {
+        "account": ids.AccountId("a"),
+        "prompt_tokens": 10,
+        "max_tokens": 10,
+    }
+    return admission.Arrival(number, priority=priority, **(values | changes))
+
+
+class QueueTest(unittest.TestCase):
+    def fill(self, adm, running=2, waiting=4, **changes):
+        for number in range(running + waiting):
+            adm.arrive(0.0, arrival(number, **changes))
+
+    def test_full_queue(self):
+        cases = {
+            "lower": (4, 3, errors.ErrorKind.OVERLOADED),
+            "equal": (5, 3, errors.ErrorKind.OVERLOADED),
+        }
+        for name, (priority, _, kind) in cases.items():
+            with self.subTest(name):
+                adm = make_admission()
+                self.fill(adm, priority=5)
+                (refused,) = adm.arrive(0.0, arrival(99, priority))
+                self.assertEqual((refused.number, refused.kind), (99, kind))
+                self.assertEqual(adm.waiting, 4)
+
+    def test_displaced_request_is_refused_at_once(self):
+        adm = make_admission()
+        self.fill(adm, priority=5)
+        (refused,) = adm.arrive(0.0, arrival(99, 6))
+        self.assertEqual(refused.number, 5)
+        self.assertEqual(refused.kind, errors.ErrorKind.OVERLOADED)
+        (admitted,) = adm.release(1.0, 0, 10)
+        self.assertEqual(admitted.number, 99)
+
+    def test_retry_after_follows_the_drain_rate(self):
+        adm = make_admission(waiting=100)
+        self.fill(adm, waiting=100)
+        running = [0, 1]
+        now = 0.0
+        for step in range(60):
+            now = 1.0 + step / 2
+            for action in adm.release(now, running.pop(0), 10):
+                running.append(action.number)
+            adm.arrive(now, arrival(1000 + step))
+        (refused,) = adm.arrive(now, arrival(5000))
+        # 100 wait, of 20 tokens each; 40 tokens are done a second.
+        self.assertAlmostEqual(refused.retry_after, 50.0, delta=8.0)
+
+    def test_caller_leaving_frees_its_place(self):
+        adm = make_admission()
+        self.fill(adm)
+        self.assertEqual(adm.leave(0.0, 3), [])
+        self.assertEqual(adm.arrive(0.0, arrival(99)), [])
+        self.assertEqual(adm.waiting, 4)
+
+    def test_leaving_takes_no_running_place(self):
+        adm = make_admission()
+        self.fill(adm, waiting=0)
+        adm.leave(0.0, 0)
+        self.assertEqual(adm.in_flight, 2)
+
+    def test_release_twice_frees_one_place(self):
+        adm = make_admission()
+        self.fill(adm)
+        self.assertEqual(len(adm.release(1.0, 0, 10)), 1)
+        self.assertEqual(adm.release(1.0, 0, 10), [])
+        self.assertEqual(adm.in_flight, 2)
+
+    def test_drain_refuses_all_that_waits_and_comes(self):
+        adm = make_admission()
+        self.fill(adm)
+        refused = adm.drain(1.0) + adm.arrive(1.0, arrival(99))
+        self.assertEqual([r.number for r in refused], [2, 3, 4, 5, 99])
+        kinds = {(r.kind, r.retry_after) for r in refused}
+        self.assertEqual(kinds, {(errors.ErrorKind.DRAINING, 1.0)})
+        self.assertEqual(adm.release(2.0, 0, 10), [])
+        self.assertEqual(adm.in_flight, 1)
+
+    def test_work_limit(self):
+        adm = make_admission(in_flight=100, tokens=60.0)
+        answers = [adm.arrive(0.0, arrival(n)) for n in range(6)]
+        self.assertEqual([len(a) for a in answers], [1, 1, 1, 0, 0, 0])
+
+    def test_unknown_generated_length_is_learned(self):
+        adm = make_admission(in_flight=100, tokens=1000.0)
+        for number in range(100):
+            adm.arrive(0.0, arrival(number, max_tokens=1000))
+            adm.release(1.0, number, 10)
+        answers = [
+            adm.arrive(2.0, arrival(1000 + n, max_tokens=1000))
+            for n in range(20)
+        ]
+        self.assertGreater(sum(len(a) for a in answers), 15)
+
+
+class DeadlineTest(unittest.TestCase):
+    def saturated(self):
+        """One place; requests take a second; 20 tokens a second."""
+        adm = make_admission(waiting=100, in_flight=1)
+        for number in range(31):
+            adm.arrive(0.0, arrival(number))
+        for number in range(20):
+            adm.release(number + 1.0, number, 10)
+        return adm
+
+    def test_refusal_on_arrival(self):
+        # Ten requests wait, so a new one ends after 12 seconds.
+        cases = {
+            "no deadline": (0.0, 0, True),
+            "too short": (8.0, 0, False),
+            "long enough": (20.0, 0, True),
+            "short, but first in line": (3.0, 9, True),
+        }
+        for name, (seconds, priority, accepted) in cases.items():
+            with self.subTest(name):
+                adm = self.saturated()
+                actions = adm.arrive(
+                    20.0, arrival(99, priority, deadline_seconds=seconds)
+                )
+                if accepted:
+                    self.assertEqual(actions, [])
+                    continue
+                (refused,) = actions
+                self.assertEqual(refused.kind, errors.ErrorKind.DEADLINE)
+                self.assertAlmostEqual(refused.retry_after, 3.0, delta=1.5)
+
+    def test_deadline_passes_in_the_queue(self):
+        adm = self.saturated()
+        adm.arrive(20.0, arrival(99, deadline_seconds=13.0))
+        for number in range(100, 140):
+            adm.arrive(20.0, arrival(number, 9))
+        expiry = adm.next_expiry()
+        self.assertAlmostEqual(expiry, 32.0, delta=0.5)
+        self.assertEqual(adm.tick(expiry - 0.1), [])
+        (refused,) = adm.tick(expiry)
+        self.assertEqual(refused.number, 99)
+        self.assertEqual(refused.kind, errors.ErrorKind.DEADLINE)
+        self.assertIsNone(adm.next_expiry())
+
+    def test_late_request_is_not_started(self):
+        adm = make_admission(waiting=10, in_flight=1)
+        adm.arrive(0.0, arrival(0))
+        adm.arrive(0.0, arrival(1, deadline_seconds=5.0))
+        adm.arrive(0.0, arrival(2))
+        actions = adm.release(4.5, 0, 10)
+        kinds = [type(action).__name__ for action in actions]
+        self.assertEqual(kinds, ["Refuse", "Admit"])
+        self.assertEqual([a.number for a in actions], [1, 2])
+
+    def test_idle_fleet_is_tried_in_spite_of_bad_estimates(self):
+        adm = make_admission(in_flight=1)
+        adm.arrive(0.0, arrival(0))
+        adm.release(100.0, 0, 10)
+        (action,) = adm.arrive(101.0, arrival(1, deadline_seconds=5.0))
+        self.assertEqual(action, admission.Admit(1, 5.0))
+
+
+class LatencyLimitTest(unittest.TestCase):
+    def test_settles_where_requests_take_their_target(self):
+        """A fleet of 1,000 tokens a second: seconds = tokens / 1,000."""
+        for start, target in ((1024.0, 10.0), (1e5, 10.0), (65536.0, 3.0)):
+            with self.subTest(start=start, target=target):
+                limit = concurrency.LatencyLimit(start)
+                for _ in range(4000):
+                    seconds = limit.tokens / 1000.0
+                    limit.note_done(100.0, seconds, target, limit.tokens)
+                self.assertAlmostEqual(
+                    limit.tokens, 1000.0 * target, delta=100.0 * target
+                )
+
+    def test_unused_limit_does_not_grow(self):
+        limit = concurrency.LatencyLimit()
+        for _ in range(1000):
+            limit.note_done(100.0, 0.1, 10.0, 200.0)
+        self.assertEqual(limit.tokens, concurrency.INITIAL_TOKENS)
+
+
+class LostSlotAdmission(admission.Admission):
+    """Broken: a released place is filled at the next arrival only."""
+
+    def _fill(self, now):
+        return []
+
+
+class ForgottenAdmission(admission.Admission):
+    """Broken: a displaced request gets no answer."""
+
+    def _enqueue(self, request):
+        return [
+            action
+            for action in super()._enqueue(request)
+            if action.number == request.arrival.number
+        ]
+
+
+class LeakingAdmission(admission.Admission):
+    """Broken: a caller that leaves gives a running place back too."""
+
+    def leave(self, now, number):
+        super().leave(now, number)
+        return self.release(now, number, 0)
+
+
+class AdmissionMachine(stateful.RuleBasedStateMachine):
+    """Drives an admission beside an oracle of plain sets."""
+
+    kind = admission.Admission
+
+    def __init__(self):
+        super().__init__()
+        self.admission = make_admission(self.kind, tokens=120.0)
+        self.now = 0.0
+        self.numbers = 0
+        self.deadline_by_number = {}
+        self.waiting = set()
+        self.running = set()
+        self.drained = False
+
+    def take(self, actions):
+        for action in actions:
+            assert action.number in self.waiting, "answered twice, or never in"
+            self.waiting.discard(action.number)
+            if isinstance(action, admission.Refuse):
+                assert action.retry_after >= 1
+                continue
+            assert not self.drained
+            assert self.now < self.deadline_by_number[action.number]
+            self.running.add(action.number)
+
+    @stateful.rule(
+        priority=st.integers(0, 2),
+        account=st.sampled_from("abc"),
+        tokens=st.integers(0, 100),
+        deadline=st.sampled_from((0.0, 1.0, 5.0, 30.0)),
+    )
+    def arrive(self, priority, account, tokens, deadline):
+        self.numbers += 1
+        number = self.numbers
+        self.waiting.add(number)
+        self.deadline_by_number[number] = (
+            self.now + deadline if deadline else float("inf")
+        )
+        made = admission.Arrival(
+            number,
+            ids.AccountId(account),
+            priority,
+            1.0 + priority,
+            1,
+            tokens,
+            deadline,
+        )
+        self.take(self.admission.arrive(self.now, made))
+
+    @stateful.rule(pick=st.integers(0, 50), share=st.floats(0, 1))
+    def release(self, pick, share):
+        if not self.running:
+            return
+        number = sorted(self.running)[pick % len(self.running)]
+        self.running.discard(number)
+        generated = int(100 * share)
+        self.take(self.admission.release(self.now, number, generated))
+
+    @stateful.rule(pick=st.integers(0, 50))
+    def leave(self, pick):
+        known = sorted(self.waiting | self.running)
+        if not known:
+            return
+        number = known[pick % len(known)]
+        self.waiting.discard(number)
+        self.take(self.admission.leave(self.now, number))
+
+    @stateful.rule(seconds=st.floats(0, 3))
+    def wait(self, seconds):
+        end = self.now + seconds
+        while (expiry := self.admission.next_expiry()) is not None:
+            if expiry > end:
+                break
+            self.now = max(self.now, expiry)
+            self.take(self.admission.tick(self.now))
+        self.now = end
+
+    @stateful.precondition(lambda self: self.numbers > 15)
+    @stateful.rule()
+    def drain(self):
+        self.drained = True
+        self.take(self.admission.drain(self.now))
+
+    @stateful.invariant()
+    def conserves(self):
+        assert self.admission.waiting == len(self.waiting) <= 4
+        assert self.admission.in_flight == len(self.running) <= 2
+        if self.waiting:
+            assert (
+                len(self.running) == 2
+                or self.admission.in_flight_tokens >= 120.0
+            ), "a place is empty while requests wait"
+
+
+class FuzzTest(unittest.TestCase):
+    def test_every_request_is_answered_once(self):
+        stateful.run_state_machine_as_test(AdmissionMachine, settings=FUZZ)
+
+    def test_oracle_sees_broken_admissions(self):
+        for broken in (
+            LostSlotAdmission,
+            ForgottenAdmission,
+            LeakingAdmission,
+        ):
+            with self.subTest(broken.__name__):
+                machine = type("M", (AdmissionMachine,), {"kind": broken})
+                with self.assertRaises(AssertionError):
+                    stateful.run_state_machine_as_test(
+                        machine, settings=FIND_ONLY
+                    )
+
+
+class ControllerTest(unittest.TestCase):
+    def make(self, limited=None, **bounds):
+        self.board = blackboard.Blackboard()
+        self.metrics = metric.MemoryMetrics()
+        clock = clocks.PausableClock()
+        shares = share_controller.ShareController(
+            ids.VmId("entry-1"),
+            board=self.board,
+            clock=clock,
+            metrics=self.metrics,
+        )
+        self.account = utils.make_account("a", **(limited or {}))
+        return admission_controller.AdmissionController(
+            board=self.board,
+            clock=clock,
+            metrics=self.metrics,
+            bounds=settings.Bounds(**bounds),
+            shares=shares,
+        )
+
+    def demand(self, priority=0, deadline=0.0, route=utils.ROUTE):
+        account = self.account.model_copy(update={"priority": priority})
+        return admission_controller.Demand(account, route, 10, 10, deadline)
+
+    def test_displaced_caller_hears_at_once(self):
+        async def scenario():
+            controller = self.make(in_flight=1, queue=1)
+            await controller.admit(self.demand())
+            low = asyncio.ensure_future(controller.admit(self.demand()))
+            await asyncio.sleep(0)
+            high = asyncio.ensure_future(controller.admit(self.demand(9)))
+            with self.assertRaises(errors.RefusedError) as refused:
+                await low
+            high.cancel()
+            return refused.exception, asyncio.get_running_loop().time()
+
+        error, now = virtual_time.run(scenario())
+        self.assertEqual(error.kind, errors.ErrorKind.OVERLOADED)
+        self.assertEqual(error.ran.value, "not_run")
+        self.assertEqual(now, 0.0)
+
+    def test_deadline_in_the_queue_needs_no_other_event(self):
+        async def scenario():
+            controller = self.make(in_flight=1)
+            await controller.admit(self.demand())
+            with self.assertRaises(errors.RefusedError) as refused:
+                await controller.admit(self.demand(deadline=7.0))
+            return refused.exception, asyncio.get_running_loop().time()
+
+        error, now = virtual_time.run(scenario())
+        self.assertEqual(error.kind, errors.ErrorKind.DEADLINE)
+        self.assertAlmostEqual(now, 7.0, delta=0.01)
+
+    def test_caller_leaving_at_every_moment_frees_its_place(self):
+        async def scenario(released_first, cancelled):
+            controller = self.make(in_flight=1, queue=1)
+            first = await controller.admit(self.demand())
+            second = asyncio.ensure_future(controller.admit(self.demand()))
+            await asyncio.sleep(0)
+            if released_first:
+                controller.release(first, 10)
+            if cancelled:
+                second.cancel()
+            if not released_first:
+                controller.release(first, 10)
+            await asyncio.gather(second, return_exceptions=True)
+            lane = next(iter(controller._lane_by_name.values()))
+            return lane.admission.in_flight, controller.waiting
+
+        cases = {
+            "stays": (True, False, 1),
+            "leaves, then place is free": (False, True, 0),
+            "place is free, then leaves": (True, True, 0),
+        }
+        for name, (released_first, cancelled, running) in cases.items():
+            with self.subTest(name):
+                found = virtual_time.run(scenario(released_first, cancelled))
+                self.assertEqual(found, (running, 0))
+
+    def test_drain_refuses_waiting_and_paced_requests_at_once(self):
+        async def scenario():
+            limited = {"requests_per_second": 2.0}
+            controller = self.make(limited, in_flight=1)
+            callers = [
+                asyncio.ensure_future(controller.admit(self.demand()))
+                for _ in range(5)
+            ]
+            await asyncio.sleep(0.1)
+            self.board.write(
+                entries.DRAIN,
+                drain.DrainState.DRAINING,
+                blackboard.Controller.DRAIN,
+            )
+            answers = await asyncio.gather(*callers, return_exceptions=True)
+            return answers, asyncio.get_running_loop().time()
+
+        answers, now = virtual_time.run(scenario())
+        self.assertEqual(now, 0.1)
+        self.assertEqual(answers[0].admitted_at, 0.0)
+        for error in answers[1:]:
+            self.assertEqual(error.kind, errors.ErrorKind.DRAINING)
+            self.assertEqual(error.retry_after, 1.0)
+
+    def test_limits(self):
+        async def scenario(limited):
+            controller = self.make(limited)
+            outcomes = []
+            for _ in range(100):
+                try:
+                    ticket = await controller.admit(self.demand())
+                    controller.release(ticket, 0)
+                    outcomes.append(None)
+                except errors.RefusedError as error:
+                    outcomes.append(error)
+            return outcomes, asyncio.get_running_loop().time()
+
+        cases = {
+            "none": ({}, 100),
+            "requests": ({"requests_per_second": 1.0}, 4),
+            # Each takes 20 tokens and gives back the 10 it did not use.
+            "tokens": ({"tokens_per_second": 5.0}, 7),
+        }
+        for name, (limited, allowed) in cases.items():
+            with self.subTest(name):
+                outcomes, now = virtual_time.run(scenario(limited))
+                passed = sum(outcome is None for outcome in outcomes)
+                self.assertAlmostEqual(passed, allowed, delta=2)
+                for error in filter(None, outcomes):
+                    self.assertEqual(
+                        error.kind, errors.ErrorKind.LIMIT_EXCEEDED
+                    )
+                    self.assertGreaterEqual(error.retry_after, 1.0)
+                self.assertLessEqual(now, 0.6)
+
+    def test_plain_calls_do_not_wait_behind_a_model(self):
+        async def scenario():
+            controller = self.make(in_flight=1)
+            await controller.admit(self.demand())
+            return await controller.admit(self.demand(route=None))
+
+        self.assertEqual(virtual_time.run(scenario()).admitted_at, 0.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_fair_queue.py
@@ -0,0 +1,163 @@
+"""Order, fairness and room in the queue."""
+
+import collections
+import unittest
+
+from nutmeglift import fair_queue
+from nutmeglift import ids
+
+
+def waiting(number, account="a", priority=0, weight=1.0, cost=10.0):
+    return fair_queue.Waiting(
+        number, ids.AccountId(account), priority, weight, cost, float(number)
+    )
+
+
+def pop_all(queue):
+    popped = []
+    while (request := queue.pop()) is not None:
+        popped.append(request)
+    return popped
+
+
+def served_cost(queue, pops, key):
+    cost = collections.Counter()
+    for _ in range(pops):
+        request = queue.pop()
+        cost[getattr(request, key)] += request.cost
+    return cost
+
+
+class FairnessTest(unittest.TestCase):
+    TABLE = {
+        # name: ((account, weight, cost, requests), ...), share of "a"
+        "equal": ((("a", 1, 10, 100), ("b", 1, 10, 100)), 1 / 2),
+        "weights": ((("a", 3, 10, 200), ("b", 1, 10, 200)), 3 / 4),
+        "long requests": ((("a", 1, 100, 100), ("b", 1, 10, 900)), 1 / 2),
+        "flood": ((("a", 1, 10, 60), ("b", 1, 10, 2000)), 1 / 2),
+    }
+
+    def test_served_work_follows_the_weights(self):
+        for name, (accounts, share) in self.TABLE.items():
+            with self.subTest(name):
+                queue = fair_queue.FairQueue(10000)
+                number = 0
+                for account, weight, cost, requests in accounts:
+                    for _ in range(requests):
+                        number += 1
+                        queue.push(waiting(number, account, 0, weight, cost))
+                cost = served_cost(queue, 100, "account")
+                self.assertAlmostEqual(
+                    cost["a"] / cost.total(), share, delta=0.06
+                )
+
+    def test_real_cost_counts(self):
+        queue = fair_queue.FairQueue(10000)
+        for number in range(400):
+            queue.push(waiting(number, "ab"[number % 2]))
+        cost = collections.Counter()
+        for _ in range(200):
+            request = queue.pop()
+            real = 40.0 if request.account == "a" else 10.0
+            cost[request.account] += real
+            queue.correct(request, real)
+        self.assertAlmostEqual(cost["a"] / cost.total(), 1 / 2, delta=0.05)
+
+    def test_idle_account_saves_no_credit(self):
+        queue = fair_queue.FairQueue(10000)
+        for number in range(100):
+            queue.push(waiting(number, "a"))
+        served_cost(queue, 50, "account")
+        for number in range(100, 200):
+            queue.push(waiting(number, "b"))
+        cost = served_cost(queue, 40, "account")
+        self.assertAlmostEqual(cost["b"] / cost.total(), 1 / 2, delta=0.05)
+
+    def test_debt_outlives_an_empty_queue(self):
+        queue = fair_queue.FairQueue(10000)
+        queue.push(waiting(0, "a", cost=500.0))
+        queue.push(waiting(1, "b"))
+        self.assertEqual(len(pop_all(queue)), 2)
+        for number in range(2, 100):
+            queue.push(waiting(number, "ab"[number % 2]))
+        cost = served_cost(queue, 40, "account")
+        self.assertEqual(cost["a"], 0)
+
+
+class PriorityTest(unittest.TestCase):
+    def test_higher_goes_first(self):
+        queue = fair_queue.FairQueue(100)
+        for number, priority in enumerate((0, 9, 3, 9)):
+            queue.push(waiting(number, priority=priority))
+        order = [request.number for request in pop_all(queue)]
+        self.assertEqual(order, [1, 3, 2, 0])
+
+    def test_low_priorities_get_their_floor(self):
+        for floor in (0.05, 0.2):
+            with self.subTest(floor):
+                queue = fair_queue.FairQueue(10000, floor)
+                for number in range(1000):
+                    queue.push(waiting(3 * number, "high", 9, cost=20.0))
+                    queue.push(waiting(3 * number + 1, "mid", 5))
+                    queue.push(waiting(3 * number + 2, "low", 0))
+                cost = served_cost(queue, 500, "priority")
+                self.assertAlmostEqual(
+                    (cost[0] + cost[5]) / cost.total(), floor, delta=0.01
+                )
+                self.assertGreater(cost[0], 0)
+                self.assertGreater(cost[5], 0)
+
+
+class RoomTest(unittest.TestCase):
+    TABLE = {
+        # name: waiting (account, priority), arrival, number of the victim
+        "room left": ([("a", 0)], ("b", 0), None),
+        "lower arrival": ([("a", 5), ("a", 5)], ("b", 0), 99),
+        "higher arrival": ([("a", 5), ("b", 0)], ("c", 9), 1),
+        "newest of lowest": ([("a", 0), ("a", 0)], ("c", 9), 1),
+        "equal, lighter": ([("a", 0), ("a", 0)], ("b", 0), 1),
+        "equal, as heavy": ([("a", 0), ("b", 0)], ("c", 0), 99),
+        "own queue": ([("a", 0), ("a", 0)], ("a", 0), 99),
+    }
+
+    def test_who_makes_room(self):
+        for name, (present, (account, priority), victim) in self.TABLE.items():
+            with self.subTest(name):
+                queue = fair_queue.FairQueue(2)
+                for number, (owner, level) in enumerate(present):
+                    queue.push(waiting(number, owner, level))
+                made_room = queue.push(waiting(99, account, priority))
+                found = made_room.number if made_room else None
+                self.assertEqual(found, victim)
+                self.assertEqual(len(queue), 2)
+
+    def test_cost_ahead(self):
+        queue = fair_queue.FairQueue(100)
+        for number in range(4):
+            queue.push(waiting(number, "a", 5))
+        queue.push(waiting(10, "b", 5))
+        queue.push(waiting(11, "c", 7))
+        cases = {("a", 9): 0, ("a", 5): 60, ("z", 5): 10, ("a", 0): 60}
+        cases[("b", 5)] = 30
+        for (account, priority), ahead in cases.items():
+            with self.subTest(account=account, priority=priority):
+                self.assertEqual(
+                    queue.cost_ahead(ids.AccountId(account), priority, 1.0),
+                    ahead,
+                )
+
+    def test_old_accounts_are_forgotten(self):
+        queue = fair_queue.FairQueue(100)
+        queue.push(waiting(-1, "long", cost=1.0))
+        for number in range(20000):
+            queue.push(waiting(number, f"account-{number}"))
+            if number % 2:
+                queue.pop()
+                queue.pop()
+        level = queue._level_by_priority[0]
+        self.assertLess(len(level._ahead_by_account), 4097)
+        self.assertLess(len(level._heap), 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_retry.py
@@ -0,0 +1,65 @@
+"""Retry budgets and backoff."""
+
+import random
+import unittest
+
+from nutmeglift import retry
+
+
+class RetryBudgetTest(unittest.TestCase):
+    def test_storm_is_bounded(self):
+        """Every request fails and every retry fails too."""
+        for ratio, per_second in ((0.1, 100), (0.2, 1000), (0.1, 10)):
+            with self.subTest(ratio=ratio, per_second=per_second):
+                budget = retry.RetryBudget(0.0, ratio=ratio)
+                requests = 0
+                retries = 0
+                for step in range(60 * per_second):
+                    now = step / per_second
+                    budget.note_request(now)
+                    requests += 1
+                    while budget.try_spend(now):
+                        retries += 1
+                bound = ratio * requests
+                bound += retry.MIN_RETRIES_PER_SECOND * (
+                    60 + retry.BUDGET_SECONDS
+                )
+                self.assertLessEqual(retries, bound)
+                self.assertGreater(retries, 0.8 * ratio * requests)
+
+    def test_quiet_router_may_retry(self):
+        budget = retry.RetryBudget(0.0)
+        self.assertTrue(budget.try_spend(0.0))
+
+    def test_budget_is_not_saved_for_long(self):
+        budget = retry.RetryBudget(0.0, min_per_second=0.0)
+        for _ in range(1000):
+            budget.note_request(0.0)
+        later = 20 * retry.BUDGET_SECONDS
+        self.assertFalse(budget.try_spend(later))
+
+
+class BackoffTest(unittest.TestCase):
+    def test_waits_double_to_the_bound_with_jitter(self):
+        for seed in range(5):
+            with self.subTest(seed=seed):
+                backoff = retry.Backoff(
+                    random.Random(seed), first=1.0, largest=5.0
+                )
+                for bound in (1.0, 2.0, 4.0, 5.0, 5.0):
+                    seconds = backoff.next_seconds()
+                    self.assertLessEqual(seconds, bound)
+                    self.assertGreaterEqual(seconds, bound / 2)
+                backoff.reset()
+                self.assertLessEqual(backoff.next_seconds(), 1.0)
+
+    def test_routers_spread(self):
+        waits = {
+            retry.Backoff(random.Random(seed)).next_seconds()
+            for seed in range(20)
+        }
+        self.assertEqual(len(waits), 20)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_shares.py
@@ -0,0 +1,547 @@
+"""Shares of account limits: their sum never passes the limit."""
+
+import asyncio
+import collections
+import random
+import unittest
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from nutmeglift import blackboard
+from nutmeglift import codec
+from nutmeglift import configuration
+from nutmeglift import ids
+from nutmeglift import share_holder
+from nutmeglift import shares
+from nutmeglift_router import entries
+from nutmeglift_router import share_controller
+from nutmeglift_wire import clock as clocks
+from nutmeglift_wire import metrics as metric
+from tests import utils
+from tests import virtual_time
+
+LIMIT = 100.0
+ACCOUNT = utils.make_account("a", requests_per_second=LIMIT)
+REQUESTS = shares.Resource.REQUESTS
+FUZZ = hypothesis.settings(
+    derandomize=True,
+    deadline=None,
+    database=None,
+    max_examples=60,
+    stateful_step_count=60,
+)
+FIND_ONLY = hypothesis.settings(
+    FUZZ, phases=[hypothesis.Phase.generate], report_multiple_bugs=False
+)
+TICK_SECONDS = 0.5
+EPSILON = 1e-6
+
+
+class Fleet:
+    """Holders and owners joined by connections that a test can cut."""
+
+    def __init__(self, routers, owner=shares.ShareOwner, view=None):
+        self.now = 0.0
+        self.make_owner = owner
+        self.view = view or routers
+        self.holder_by_router = {}
+        self.owner_by_epoch = {}
+        self.demands = collections.defaultdict(list)
+        self.grants = collections.defaultdict(list)
+        self.paused = set()
+        self.rate_by_router = {}
+        for number in range(routers):
+            self.add_router(ids.VmId(f"entry-{number}"))
+
+    def add_router(self, router):
+        self.holder_by_router[router] = share_holder.ShareHolder()
+        self.holder_by_router[router].set_routers(self.view)
+        self.rate_by_router[router] = 0.0
+        self.cut(router)
+
+    def elect(self, epoch, first=False, hears=None):
+        owner = self.make_owner(epoch, self.now, first=first)
+        owner.set_accounts([ACCOUNT])
+        self.owner_by_epoch[epoch] = owner
+        for router, holder in self.holder_by_router.items():
+            if hears is None or router in hears:
+                holder.set_owner(epoch)
+
+    def cut(self, router):
+        """Loses what is on its way."""
+        self.demands[router].clear()
+        self.grants[router].clear()
+
+    def ask(self, router, requests):
+        holder = self.holder_by_router[router]
+        for _ in range(requests):
+            holder.take(self.now, ACCOUNT, 0.0)
+        demand = holder.make_demand(self.now)
+        if demand is not None:
+            self.demands[router].append(demand)
+
+    def answer(self, router):
+        """The owner that the router knows answers its oldest demand."""
+        if not self.demands[router]:
+            return
+        demand = self.demands[router].pop(0)
+        owner = self.owner_by_epoch.get(demand.epoch)
+        grant = owner and owner.take_demand(self.now, router, demand)
+        if grant is not None:
+            self.grants[router].append(grant)
+
+    def hear(self, router):
+        if self.grants[router]:
+            grant = self.grants[router].pop(0)
+            self.holder_by_router[router].take_grant(self.now, grant)
+
+    def rates(self):
+        return {
+            router: holder.rate(self.now, ACCOUNT, REQUESTS)
+            for router, holder in self.holder_by_router.items()
+        }
+
+    def run(self, seconds, rate_by_router):
+        """Runs undisturbed; returns how many requests were allowed."""
+        allowed = collections.Counter()
+        rng = random.Random(1)
+        for _ in range(round(seconds / TICK_SECONDS)):
+            self.now += TICK_SECONDS
+            for router, holder in self.holder_by_router.items():
+                if router in self.paused:
+                    continue
+                mean = rate_by_router.get(router, 0.0) * TICK_SECONDS
+                count = int(mean) + (rng.random() < mean % 1)
+                for _ in range(count):
+                    verdict = holder.take(self.now, ACCOUNT, 0.0)
+                    allowed[router] += verdict.allowed
+                self.ask(router, 0)
+                self.answer(router)
+                self.hear(router)
+        return allowed
+
+
+def names(fleet):
+    return list(fleet.holder_by_router)
+
+
+class DivisionTest(unittest.TestCase):
+    def test_shares_follow_demand(self):
+        cases = {
+            "equal": ((60, 60, 60), (1 / 3, 1 / 3, 1 / 3)),
+            "skewed": ((300, 60, 15), (0.8, 0.16, 0.04)),
+            "one only": ((300, 0, 0), (1, 0, 0)),
+        }
+        for name, (demand, wanted) in cases.items():
+            with self.subTest(name):
+                fleet = Fleet(3)
+                fleet.elect(1, first=True)
+                rates = dict(zip(names(fleet), demand, strict=True))
+                fleet.run(20, rates)
+                allowed = fleet.run(20, rates)
+                self.assertAlmostEqual(allowed.total(), 20 * LIMIT, delta=60)
+                for router, share in zip(names(fleet), wanted, strict=True):
+                    self.assertAlmostEqual(
+                        allowed[router] / allowed.total(), share, delta=0.04
+                    )
+
+    def test_lost_routers_share_comes_back(self):
+        fleet = Fleet(3)
+        fleet.elect(1, first=True)
+        first, second, _ = names(fleet)
+        rates = {first: 200.0, second: 200.0}
+        fleet.run(20, rates)
+        fleet.paused.add(first)
+        fleet.run(shares.LEASE_SECONDS + 2, rates)
+        allowed = fleet.run(10, rates)
+        self.assertGreater(allowed[second], 0.95 * 10 * LIMIT)
+
+    def test_paused_router_wakes_without_its_share(self):
+        fleet = Fleet(3)
+        fleet.elect(1, first=True)
+        first, second, _ = names(fleet)
+        rates = {first: 200.0, second: 200.0}
+        fleet.run(20, rates)
+        fleet.paused.add(first)
+        fleet.run(30, rates)
+        self.assertLess(fleet.rates()[first], 0.01 * LIMIT)
+        holder = fleet.holder_by_router[first]
+        taken = [holder.take(fleet.now, ACCOUNT, 0.0) for _ in range(200)]
+        self.assertLess(sum(v.allowed for v in taken), 0.06 * LIMIT)
+
+    def test_new_router_gets_its_share_soon(self):
+        fleet = Fleet(3, view=4)
+        fleet.elect(1, first=True)
+        rates = dict.fromkeys(names(fleet), 200.0)
+        fleet.run(20, rates)
+        added = ids.VmId("entry-9")
+        fleet.add_router(added)
+        fleet.holder_by_router[added].set_owner(1)
+        rates[added] = 200.0
+        fleet.run(12, rates)
+        self.assertGreater(fleet.rates()[added], 0.8 * LIMIT / 4)
+
+    def test_new_limit_counts_at_the_next_grant(self):
+        fleet = Fleet(2)
+        fleet.elect(1, first=True)
+        rates = dict.fromkeys(names(fleet), 200.0)
+        fleet.run(20, rates)
+        lower = ACCOUNT.model_copy(update={"requests_per_second": 10.0})
+        fleet.owner_by_epoch[1].set_accounts([lower])
+        fleet.run(2 * shares.LEASE_SECONDS, rates)
+        total = sum(
+            holder.rate(fleet.now, lower, REQUESTS)
+            for holder in fleet.holder_by_router.values()
+        )
+        self.assertLessEqual(total, 10.0 + EPSILON)
+
+
+class TwoOwnersTest(unittest.TestCase):
+    def test_new_owner_waits_for_the_old_ones_leases(self):
+        fleet = Fleet(2)
+        fleet.elect(1, first=True)
+        rates = dict.fromkeys(names(fleet), 200.0)
+        fleet.run(20, rates)
+        fleet.elect(2)
+        for _ in range(40):
+            fleet.run(TICK_SECONDS, rates)
+            self.assertLessEqual(sum(fleet.rates().values()), LIMIT + EPSILON)
+        self.assertGreater(sum(fleet.rates().values()), 0.9 * LIMIT)
+
+    def test_owner_that_wakes_late_is_ignored(self):
+        fleet = Fleet(2)
+        fleet.elect(1, first=True)
+        router = names(fleet)[0]
+        fleet.ask(router, 50)
+        old = fleet.demands[router][0]
+        late = fleet.owner_by_epoch[1].take_demand(0.0, router, old)
+        fleet.elect(2)
+        holder = fleet.holder_by_router[router]
+        self.assertFalse(holder.take_grant(0.1, late))
+        newer = share_holder.ShareHolder()
+        newer.set_owner(2)
+        newer.take(0.1, ACCOUNT, 0.0)
+        demand = newer.make_demand(0.1)
+        self.assertIsNone(
+            fleet.owner_by_epoch[1].take_demand(0.1, router, demand)
+        )
+
+    def test_excess_of_a_parting_ends_within_a_lease_of_the_news(self):
+        fleet = Fleet(4, view=4)
+        fleet.elect(1, first=True)
+        rates = dict.fromkeys(names(fleet), 200.0)
+        fleet.run(20, rates)
+        near = names(fleet)[:2]
+        fleet.elect(2, hears=near)
+        fleet.run(20, rates)
+        total = sum(fleet.rates().values())
+        self.assertGreater(total, 1.5 * LIMIT)
+        self.assertLessEqual(total, 2 * LIMIT + EPSILON)
+        for holder in fleet.holder_by_router.values():
+            holder.set_owner(2)
+        fleet.run(shares.LEASE_SECONDS, rates)
+        self.assertLessEqual(sum(fleet.rates().values()), LIMIT + EPSILON)
+
+
+class HolderTest(unittest.TestCase):
+    def test_without_an_owner(self):
+        cases = {
+            "single": (1, 0, LIMIT),
+            "three, none heard of": (3, 0, LIMIT / 3),
+            "three, no lease": (3, 1, LIMIT * shares.RESERVED_SHARE / 3),
+        }
+        for name, (routers, epoch, rate) in cases.items():
+            with self.subTest(name):
+                holder = share_holder.ShareHolder()
+                holder.set_routers(routers)
+                holder.set_owner(epoch)
+                self.assertAlmostEqual(
+                    holder.rate(0.0, ACCOUNT, REQUESTS), rate
+                )
+
+    def test_lost_grant_ends_the_share_that_it_lowered(self):
+        cases = {
+            "real": (share_holder.ShareHolder, False),
+            "broken": (GapBlindHolder, True),
+        }
+        for name, (kind, passes) in cases.items():
+            with self.subTest(name):
+                total = self._lose_a_grant(kind)
+                self.assertEqual(total > LIMIT + EPSILON, passes, total)
+
+    def _lose_a_grant(self, kind):
+        """Another account's grant acknowledges a lost one of the account."""
+        other = utils.make_account("b", requests_per_second=LIMIT)
+        owner = shares.ShareOwner(1, 0.0, first=True)
+        owner.set_accounts([ACCOUNT, other])
+        asker, rival = kind(), kind()
+        for holder in (asker, rival):
+            holder.set_routers(2)
+            holder.set_owner(1)
+
+        def exchange(holder, now, account, requests, lost=False):
+            for _ in range(requests):
+                holder.take(now, account, 0.0)
+            demand = holder.make_demand(now)
+            vm = ids.VmId("rival" if holder is rival else "asker")
+            grant = owner.take_demand(now, vm, demand)
+            if not lost:
+                holder.take_grant(now, grant)
+
+        exchange(asker, 0.0, ACCOUNT, 100)
+        exchange(rival, 0.1, ACCOUNT, 900)
+        exchange(asker, 2.1, ACCOUNT, 0, lost=True)
+        exchange(asker, 2.2, other, 10)
+        exchange(asker, 4.15, ACCOUNT, 0, lost=True)
+        exchange(rival, 4.2, ACCOUNT, 900)
+        return sum(h.rate(4.3, ACCOUNT, REQUESTS) for h in (asker, rival))
+
+    def test_only_active_accounts_are_asked_for(self):
+        holder = share_holder.ShareHolder()
+        holder.set_routers(3)
+        holder.set_owner(1)
+        for number in range(300):
+            account = utils.make_account(f"a-{number}", requests_per_second=5)
+            holder.take(0.0, account, 0.0)
+        unlimited = utils.make_account("unlimited")
+        holder.take(0.0, unlimited, 0.0)
+        sizes = []
+        for step in range(8):
+            demand = holder.make_demand(step / 8)
+            sizes.append(len(demand.requests_by_account) if demand else 0)
+        self.assertEqual(sizes[:5], [64, 64, 64, 64, 44])
+        self.assertIsNone(holder.make_demand(60.0))
+        holder.forget_idle(share_holder.IDLE_SECONDS + 1)
+        self.assertEqual(len(holder), 0)
+
+    def test_refused_in_one_resource_takes_nothing_of_the_other(self):
+        holder = share_holder.ShareHolder()
+        account = utils.make_account(
+            "a", requests_per_second=1.0, tokens_per_second=1.0
+        )
+        for _ in range(3):
+            self.assertTrue(holder.take(0.0, account, 1.0).allowed)
+        self.assertFalse(holder.take(0.0, account, 500.0).allowed)
+        self.assertTrue(holder.take(0.0, account, 1.0).allowed)
+        self.assertFalse(holder.take(0.0, account, 1.0).allowed)
+
+
+class HastyDivision(shares.Division):
+    """Broken: a lowered share is free at once."""
+
+    def grant(self, now, router, demand, sequence):
+        share = super().grant(now, router, demand, sequence)
+        self.acknowledge(router, sequence)
+        return share
+
+
+class HastyOwner(shares.ShareOwner):
+    """Broken: does not wait for an earlier owner's leases."""
+
+    def __init__(self, epoch, now, *, first=False):
+        super().__init__(epoch, now, first=True)
+
+
+class GapBlindHolder(share_holder.ShareHolder):
+    """Broken: takes a grant although an earlier one was lost."""
+
+    def _lapse_skipped(self, now, sequence):
+        pass
+
+
+class ShareMachine(stateful.RuleBasedStateMachine):
+    """Moves messages at will; the sum of what may be used is the oracle."""
+
+    division = shares.Division
+    owner = shares.ShareOwner
+
+    def __init__(self):
+        super().__init__()
+        self._real = shares.Division
+        shares.Division = self.division
+        self.fleet = Fleet(3, self.owner, view=3)
+        self.fleet.elect(1, first=True)
+        self.epoch = 1
+
+    def teardown(self):
+        shares.Division = self._real
+
+    def router(self, pick):
+        return names(self.fleet)[pick]
+
+    @stateful.rule(pick=st.integers(0, 2), requests=st.integers(0, 60))
+    def ask(self, pick, requests):
+        self.fleet.ask(self.router(pick), requests)
+
+    @stateful.rule(pick=st.integers(0, 2))
+    def answer(self, pick):
+        self.fleet.answer(self.router(pick))
+
+    @stateful.rule(pick=st.integers(0, 2))
+    def hear(self, pick):
+        self.fleet.hear(self.router(pick))
+
+    @stateful.rule(
+        requests=st.lists(
+            st.sampled_from((0, 0, 5, 60)), min_size=3, max_size=3
+        ),
+        heard=st.lists(st.booleans(), min_size=3, max_size=3),
+    )
+    def round(self, requests, heard):
+        """Half a second in which all ask and some answers are on their way."""
+        self.fleet.now += TICK_SECONDS
+        for pick, (count, hears) in enumerate(
+            zip(requests, heard, strict=True)
+        ):
+            router = self.router(pick)
+            self.fleet.ask(router, count)
+            self.fleet.answer(router)
+            if hears:
+                self.fleet.hear(router)
+
+    @stateful.rule(pick=st.integers(0, 2))
+    def cut(self, pick):
+        self.fleet.cut(self.router(pick))
+
+    @stateful.rule(pick=st.integers(0, 2))
+    def restart(self, pick):
+        router = self.router(pick)
+        self.fleet.add_router(router)
+        self.fleet.holder_by_router[router].set_owner(self.epoch)
+
+    @stateful.rule(seconds=st.sampled_from((0.1, 0.5, 1.0, 4.0)))
+    def wait(self, seconds):
+        self.fleet.now += seconds
+
+    @stateful.precondition(lambda self: self.fleet.now > 6 * self.epoch)
+    @stateful.rule()
+    def elect(self):
+        self.epoch += 1
+        self.fleet.elect(self.epoch)
+
+    @stateful.invariant()
+    def conserves(self):
+        rates = self.fleet.rates()
+        assert sum(rates.values()) <= LIMIT + EPSILON, rates
+
+
+class FuzzTest(unittest.TestCase):
+    def test_sum_never_passes_the_limit(self):
+        stateful.run_state_machine_as_test(ShareMachine, settings=FUZZ)
+
+    def test_oracle_sees_broken_variants(self):
+        cases = {
+            "lowered share free at once": {"division": HastyDivision},
+            "owner does not wait": {"owner": HastyOwner},
+        }
+        more = hypothesis.settings(FIND_ONLY, max_examples=200)
+        for name, broken in cases.items():
+            with self.subTest(name):
+                machine = type("M", (ShareMachine,), broken)
+                with self.assertRaises(AssertionError):
+                    stateful.run_state_machine_as_test(machine, settings=more)
+
+
+class ControllerTest(unittest.TestCase):
+    def make(self, routers=3):
+        """Controllers joined by connections that encode each message."""
+        self.controller_by_vm = {}
+        self.board_by_vm = {}
+        self.clock_by_vm = {}
+        self.sent_bytes = collections.Counter()
+        for number in range(routers):
+            self.add(ids.VmId(f"entry-{number}"), routers)
+
+    def add(self, vm, routers):
+        board = blackboard.Blackboard()
+        declared = utils.make_declaration(client_accounts=(ACCOUNT,))
+        board.write(
+            entries.CONFIGURATION,
+            entries.ConfigurationInForce(configuration.NO_HEAD, declared),
+            blackboard.Controller.CONFIGURATION,
+        )
+
+        def post(target, message):
+            frame = codec.encode(message)
+            self.sent_bytes[vm] += len(frame)
+            peer = self.controller_by_vm.get(target)
+            if peer is not None:
+                peer.take_message(vm, codec.decode(frame))
+            return peer is not None
+
+        self.clock_by_vm[vm] = clocks.PausableClock()
+        self.board_by_vm[vm] = board
+        self.controller_by_vm[vm] = share_controller.ShareController(
+            vm,
+            board=board,
+            clock=self.clock_by_vm[vm],
+            metrics=metric.MemoryMetrics(),
+            post_to_router=post,
+            count_routers=lambda: routers,
+        )
+
+    def elect(self, vm, number):
+        for board in self.board_by_vm.values():
+            board.write(
+                entries.LEADER,
+                entries.Leader(ids.VmId(vm), ids.FencingNumber(number)),
+                blackboard.Controller.LEASE,
+            )
+
+    async def drive(self, seconds, rate=100.0):
+        """Ticks and asks; returns the allowed requests by router."""
+        allowed = collections.Counter()
+        clock = clocks.LoopClock()
+        for _ in range(round(seconds / 0.1)):
+            await clock.sleep(0.1)
+            for vm, controller in self.controller_by_vm.items():
+                for _ in range(round(rate * 0.1)):
+                    allowed[vm] += controller.take(ACCOUNT, 0.0).allowed
+        return allowed
+
+    def test_owner_serves_itself_and_others_and_its_successor_follows(self):
+        async def scenario():
+            self.make()
+            self.elect("entry-0", 1)
+            runs = [
+                asyncio.ensure_future(controller.run())
+                for controller in self.controller_by_vm.values()
+            ]
+            await self.drive(10)
+            first = await self.drive(10)
+            self.elect("entry-1", 2)
+            await self.drive(15)
+            second = await self.drive(10)
+            owners = [c.owns for c in self.controller_by_vm.values()]
+            for run in runs:
+                run.cancel()
+            return first, second, owners
+
+        first, second, owners = virtual_time.run(scenario())
+        for allowed in (first, second):
+            self.assertAlmostEqual(allowed.total(), 10 * LIMIT, delta=60)
+            for count in allowed.values():
+                self.assertAlmostEqual(count, 10 * LIMIT / 3, delta=60)
+        self.assertEqual(owners, [False, True, False])
+
+    def test_paused_owner_grants_nothing_for_a_lease(self):
+        async def scenario():
+            self.make(2)
+            self.elect("entry-0", 1)
+            owner = self.controller_by_vm["entry-0"]
+            owner.tick()
+            clock = clocks.LoopClock()
+            await clock.sleep(30.0)
+            owner.tick()
+            asker = self.controller_by_vm["entry-1"]
+            asker.take(ACCOUNT, 0.0)
+            asker.tick()
+            return self.sent_bytes["entry-0"]
+
+        self.assertEqual(virtual_time.run(scenario()), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
