--- a/packages/nutmeglift/nutmeglift/codec.py
+++ b/packages/nutmeglift/nutmeglift/codec.py
@@ -23,6 +23,7 @@
     | messages.TokenFrame
     | messages.FrameAcknowledged
     | messages.AttemptFailed
+    | messages.AttemptsHeld
     | messages.CancelAttempt
     | messages.ReplaceStage
     | plain_messages.PlainCall
@@ -36,6 +37,7 @@
     | control_messages.ConfigurationWanted
     | control_messages.ConfigurationChunk
     | control_messages.AgentConfiguration
+    | control_messages.DrainOrder
     | control_messages.ShareDemand
     | control_messages.ShareGrant
 )
--- a/packages/nutmeglift/nutmeglift/share_holder.py
+++ b/packages/nutmeglift/nutmeglift/share_holder.py
@@ -78,12 +78,18 @@
         epoch: the newest owner's epoch that was heard of.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, first_sequence: int = 0) -> None:
+        """Makes a holder without shares.
+
+        Args:
+            first_sequence: more than every sequence of an earlier holder on
+                this VM.
+        """
         self.epoch = 0
         self._granted_epoch = 0
         self._routers = 1
         self._view = OwnerView.NONE
-        self._sequence = 0
+        self._sequence = first_sequence
         self._acknowledged = 0
         self._unanswered: list[_Sent] = []
         self._account_by_id: dict[ids.AccountId, _Account] = {}
--- a/packages/nutmeglift/nutmeglift/shares.py
+++ b/packages/nutmeglift/nutmeglift/shares.py
@@ -164,6 +164,7 @@
         self._division_by_key: dict[
             tuple[ids.AccountId, Resource], Division
         ] = {}
+        self._last_by_router: dict[ids.VmId, tuple[int, float]] = {}
 
     def set_accounts(
         self, accounts: Iterable[declaration.ClientAccount]
@@ -187,7 +188,7 @@
         """Answers a router's demand; None while it may not grant."""
         if now < self._grants_from:
             return None
-        if demand.epoch > self.epoch:
+        if demand.epoch > self.epoch or self._is_overtaken(now, router, demand):
             return None
         shares = [
             self._grant_all(now, router, demand, resource, rate_by_account)
@@ -207,11 +208,28 @@
 
     def expire(self, now: float) -> None:
         """Takes back lapsed shares and forgets the limits nobody uses."""
+        for router, (_, until) in list(self._last_by_router.items()):
+            if now >= until:
+                del self._last_by_router[router]
         for key, division in list(self._division_by_key.items()):
             division.expire(now)
             if division.is_unused:
                 del self._division_by_key[key]
 
+    def _is_overtaken(
+        self,
+        now: float,
+        router: ids.VmId,
+        demand: control_messages.ShareDemand,
+    ) -> bool:
+        """Tells whether a later demand came first, by another connection."""
+        last, until = self._last_by_router.get(router, (0, now))
+        if now < until and demand.sequence <= last:
+            return True
+        until = now + LEASE_SECONDS * LEASE_MARGIN
+        self._last_by_router[router] = (demand.sequence, until)
+        return False
+
     def _grant_all(
         self,
         now: float,
--- a/packages/nutmeglift_router/nutmeglift_router/share_controller.py
+++ b/packages/nutmeglift_router/nutmeglift_router/share_controller.py
@@ -18,6 +18,7 @@
 TICK_SECONDS = 0.5
 PAUSE_SECONDS = 2.5
 FIRST_FENCING_NUMBER = 1
+MILLISECONDS = 1000
 
 PostToRouter = Callable[[ids.VmId, codec.AnyMessage], bool]
 CountRouters = Callable[[], int]
@@ -68,7 +69,7 @@
         self._metrics = metrics
         self._post = post_to_router
         self.count_routers = count_routers
-        self._holder = share_holder.ShareHolder()
+        self._holder = share_holder.ShareHolder(int(clock.utc() * MILLISECONDS))
         self._owner: shares.ShareOwner | None = None
         self._ticked_at: float | None = None
         board.watch(entries.LEADER, lambda _: self._take_leader())
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -46,6 +46,7 @@
         self.now = 0.0
         self.make_owner = owner
         self.view = view or routers
+        self.starts = 0
         self.holder_by_router = {}
         self.owner_by_epoch = {}
         self.demands = collections.defaultdict(list)
@@ -56,7 +57,10 @@
             self.add_router(ids.VmId(f"entry-{number}"))
 
     def add_router(self, router):
-        self.holder_by_router[router] = share_holder.ShareHolder()
+        self.starts += 1
+        self.holder_by_router[router] = share_holder.ShareHolder(
+            1000 * self.starts
+        )
         self.holder_by_router[router].set_routers(self.view)
         self.rate_by_router[router] = 0.0
         self.cut(router)
@@ -228,6 +232,22 @@
             fleet.owner_by_epoch[1].take_demand(0.1, router, demand)
         )
 
+    def test_overtaken_demand_is_not_answered(self):
+        fleet = Fleet(2)
+        fleet.elect(1, first=True)
+        router = names(fleet)[0]
+        holder = fleet.holder_by_router[router]
+        owner = fleet.owner_by_epoch[1]
+        fleet.ask(router, 10)
+        fleet.now += 1.0
+        fleet.ask(router, 50)
+        first, second = fleet.demands[router]
+        grant = owner.take_demand(fleet.now, router, second)
+        self.assertIsNone(owner.take_demand(fleet.now, router, first))
+        self.assertTrue(holder.take_grant(fleet.now, grant))
+        fleet.now += 2 * shares.LEASE_SECONDS
+        self.assertIsNotNone(owner.take_demand(fleet.now, router, first))
+
     def test_excess_of_a_parting_ends_within_a_lease_of_the_news(self):
         fleet = Fleet(4, view=4)
         fleet.elect(1, first=True)
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -1,6 +1,7 @@
 """Builders shared by the tests: a whole deployment in memory."""
 
 import asyncio
+import collections
 from collections.abc import Sequence
 import dataclasses
 import random
@@ -8,7 +9,7 @@
 import pydantic
 
 from nutmeglift import auth
-from nutmeglift import configuration
+from nutmeglift import configuration_apply
 from nutmeglift import declaration
 from nutmeglift import ids
 from nutmeglift import kv
@@ -107,9 +108,11 @@
     )
 
 
-def reference_text(prompt: Sequence[int], max_tokens: int) -> str:
+def reference_text(
+    prompt: Sequence[int], max_tokens: int, layers: int = LAYERS
+) -> str:
     """Returns the text of the unsplit model's answer."""
-    tokens = reference(prompt, max_tokens)
+    tokens = reference(prompt, max_tokens, layers)
     return "".join(f" {toy_engine.WORDS[token]}" for token in tokens)
 
 
@@ -119,6 +122,45 @@
     return tokenizer.ByteTokenizer().encode([message])
 
 
+class GatedKv(kv.BaseKv):
+    """One process's client of a shared service; stands still with it."""
+
+    def __init__(self, store: kv.MemoryKv, clock: clocks.PausableClock) -> None:
+        super().__init__()
+        self._store = store
+        self._clock = clock
+
+    async def range(self, get):
+        return await self._call(self._store.range(get))
+
+    async def txn(self, compares, writes, otherwise=None):
+        return await self._call(self._store.txn(compares, writes, otherwise))
+
+    async def grant(self, ttl):
+        return await self._call(self._store.grant(ttl))
+
+    async def keep_alive(self, lease):
+        return await self._call(self._store.keep_alive(lease))
+
+    async def revoke(self, lease):
+        await self._call(self._store.revoke(lease))
+
+    async def watch(self, key, *, prefix=False, start):
+        self.calls += 1
+        async for batch in self._store.watch(key, prefix=prefix, start=start):
+            await self._clock.gate()
+            yield batch
+
+    async def _call(self, work):
+        self.calls += 1
+        try:
+            await self._clock.gate()
+            return await work
+        finally:
+            work.close()
+            await self._clock.gate()
+
+
 @dataclasses.dataclass
 class AgentProcess:
     """An agent of a test, with the stand-in beside it."""
@@ -127,6 +169,7 @@
     clock: clocks.PausableClock
     address: str
     entry: plan.VmEntry
+    metrics: metrics.MemoryMetrics
     engine: toy_engine.ToyEngine | None = None
     service: plain_service.ToyPlainService | None = None
 
@@ -172,12 +215,17 @@
         self._seed = seed
 
     async def start(
-        self, *, runners: int = 6, services: int = 1, routers: int = 1
+        self,
+        *,
+        runners: int = 6,
+        services: int = 1,
+        routers: int = 1,
+        rate: float = 24000.0,
     ) -> None:
         """Applies the declaration and starts everything."""
         await self.apply(self.declared)
         for index in range(runners):
-            self.add_runner(f"runner-{index + 1}", index)
+            self.add_runner(f"runner-{index + 1}", index, rate)
         for index in range(services):
             self.add_service(f"core-{index + 1}", index)
         for index in range(routers):
@@ -187,12 +235,14 @@
     async def apply(self, declared: declaration.Declaration) -> None:
         """Makes a declaration the accepted configuration."""
         self._starts += 1
-        await configuration.apply(
-            self.store,
+        applier = configuration_apply.Applier(self.store, asyncio.sleep)
+        await applier.apply(
             declared,
-            apply_id=ids.ApplyId(f"apply-{self._starts}"),
-            author="ana",
-            time=asyncio.get_running_loop().time(),
+            configuration_apply.Applying(
+                ids.ApplyId(f"apply-{self._starts}"),
+                author="ana",
+                time=asyncio.get_running_loop().time(),
+            ),
         )
 
     def add_runner(
@@ -237,12 +287,14 @@
             incarnation=ids.Incarnation(f"{name}-{self._starts}"),
             clock=clock,
             rng=random.Random(f"{self._seed}/{name}/{self._starts}"),
-            store=self.store,
+            store=GatedKv(self.store, clock),
             vms=self.vms,
             dialer=self.network.dialer(address, clock),
             metrics=counted,
         )
         router.start()
+        self.network.listen(address, router.serve_link, clock)
+        self.vms.put(plan.VmEntry(vm, address, router.own.failure_domain, None))
         process = RouterProcess(router, clock, address, counted)
         self.router_by_vm[vm] = process
         return process
@@ -334,6 +386,12 @@
         """Returns how many calls all plain services executed."""
         return sum(len(service.executions) for service in self.services)
 
+    def counters_of(self, vm: ids.VmId) -> collections.Counter[str]:
+        """Returns the counters of a running process."""
+        if vm in self.router_by_vm:
+            return self.router_by_vm[vm].metrics.total_by_name
+        return self.agent_by_vm[vm].metrics.total_by_name
+
     def find_order_faults(self) -> list[str]:
         """Returns where a layer ran twice or out of order for a sequence."""
         faults = []
@@ -361,6 +419,7 @@
         third = 2 if service is None else 3
         address = f"10.{third}.{index // 250}.{index % 250 + 1}:7000"
         domain = DOMAINS[index % len(DOMAINS)]
+        counted = metrics.MemoryMetrics()
         agent = agents.Agent(
             settings.AgentSettings(
                 vm=vm,
@@ -375,7 +434,7 @@
             incarnation=ids.Incarnation(f"{name}-{self._starts}"),
             clock=clock,
             dialer=self.network.dialer(address, clock),
-            metrics=metrics.MemoryMetrics(),
+            metrics=counted,
             engine=engine,
             service=service,
         )
@@ -383,6 +442,8 @@
         self.network.listen(address, agent.serve_link, clock)
         entry = plan.VmEntry(vm, address, domain, backend_class)
         self.vms.put(entry)
-        process = AgentProcess(agent, clock, address, entry, engine, service)
+        process = AgentProcess(
+            agent, clock, address, entry, counted, engine, service
+        )
         self.agent_by_vm[vm] = process
         return process
