--- a/packages/nutmeglift_router/nutmeglift_router/router.py
+++ b/packages/nutmeglift_router/nutmeglift_router/router.py
@@ -32,6 +32,7 @@
 from nutmeglift_router import plan_controller
 from nutmeglift_router import recovery_controller
 from nutmeglift_router import router_links
+from nutmeglift_router import share_controller
 from nutmeglift_wire import clock as clocks
 from nutmeglift_wire import link as links
 from nutmeglift_wire import metrics as metric
@@ -54,6 +55,7 @@
         lease: the planner's role.
         routers: the connections to other routers.
         membership: the VMs.
+        shares: this router's shares of account limits.
         admission: which request runs when.
         chat: requests to models.
         plain: calls to plain services.
@@ -149,8 +151,20 @@
             metrics=metrics,
             routes=self._routing,
         )
+        self.shares = share_controller.ShareController(
+            own.vm,
+            board=self.board,
+            clock=clock,
+            metrics=metrics,
+            post_to_router=self.routers.post,
+            count_routers=lambda: self.routers.listed + 1,
+        )
         self.admission = admission_controller.AdmissionController(
-            board=self.board, clock=clock, metrics=metrics
+            board=self.board,
+            clock=clock,
+            metrics=metrics,
+            bounds=own.bounds,
+            shares=self.shares,
         )
         self.chat = chat.ChatController(
             own.vm,
@@ -194,6 +208,7 @@
         """Starts the loops."""
         self._spawn(self.membership.run())
         self._spawn(self.configuration.run())
+        self._spawn(self.shares.run())
         self._spawn(self.lease.run())
 
     async def leave(self) -> None:
@@ -217,6 +232,7 @@
     def begin_drain(self) -> None:
         """Refuses new work from now on, and says so."""
         self.drain.begin(self._clock.now())
+        self.admission.drain()
         self.routers.broadcast(messages.Leaving())
 
     def drain_vm(self, vm: ids.VmId, operator: str) -> bool:
@@ -293,6 +309,8 @@
                 self.begin_drain()
             case messages.Leaving():
                 self.routers.note_leaving(vm)
+            case control_messages.ShareDemand() | control_messages.ShareGrant():
+                self.shares.take_message(vm, message)
             case _:
                 if not self.configuration.take_message(vm, message):
                     self._metrics.count("message.unexpected")
