Settle dispatched calls instead of guessing their outcome

Cause: the router made one write a claim, waited for the outcome only on the connection that it dispatched over, and left a claim without outcome behind for ever when it or the agent went.

Change: LedgerController groups claims and outcomes into paced transactions; a lost answer and a conflict are both settled by the next transaction's failure branch. plain_once.Run claims, dispatches to the claimed incarnation only, asks over reopened connections, replaces an attempt only when the agent fenced or refused it, and voids what it never dispatched. AgentLinks can keep a connection to an agent that the list no longer names. Idempotent calls are tried on one other server.

Ruled out: taking random numbers for the clean-up from the router's own generator; that shifted the pipelines which the whole-path test draws, and its killed-stage test then ran for ever (another module's matter, reported).

--- a/packages/nutmeglift/nutmeglift/group_commit.py
+++ b/packages/nutmeglift/nutmeglift/group_commit.py
@@ -181,7 +181,7 @@
             settled = self._sort_out(batch, result.found)
         self._unsure.difference_update(item.write for item in settled)
         reported = [s for s in settled if s.write not in self._withdrawn]
-        self._withdrawn.clear()
+        self._forget_withdrawn()
         return reported
 
     def fail(self, now: float, *, maybe_written: bool) -> None:
@@ -193,7 +193,7 @@
         """
         batch = self._land()
         kept = [w for w in batch if w not in self._withdrawn]
-        self._withdrawn.clear()
+        self._forget_withdrawn()
         if maybe_written:
             self._unsure.update(kept)
         self._put_back(kept)
@@ -206,6 +206,10 @@
         batch, self._in_flight = self._in_flight, None
         return batch.writes
 
+    def _forget_withdrawn(self) -> None:
+        self._unsure -= self._withdrawn
+        self._withdrawn.clear()
+
     def _fill(self, now: float) -> None:
         earned = (now - self._filled_at) * self._starts_per_second
         self._tokens = min(self._burst, self._tokens + earned)
--- a/packages/nutmeglift_router/nutmeglift_router/agent_links.py
+++ b/packages/nutmeglift_router/nutmeglift_router/agent_links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 import logging
 import random
 
@@ -13,6 +14,7 @@
 from nutmeglift import messages
 from nutmeglift import settings
 from nutmeglift import streams
+from nutmeglift_router import attempt_watches
 from nutmeglift_wire import clock as clocks
 from nutmeglift_wire import link as links
 from nutmeglift_wire import metrics as metric
@@ -135,7 +137,13 @@
         return True
 
 
-class AgentLinks:
+@dataclasses.dataclass
+class _Kept:
+    address: str
+    uses: int = 0
+
+
+class AgentLinks(attempt_watches.BaseAgents):
     """All connections to agents, by VM."""
 
     def __init__(
@@ -165,9 +173,14 @@
         self.on_down = on_down
         self.on_message = on_message
         self._link_by_vm: dict[ids.VmId, AgentLink] = {}
+        self._target_by_vm: dict[ids.VmId, str] = {}
+        self._kept_by_vm: dict[ids.VmId, _Kept] = {}
 
     def set_targets(self, address_by_vm: dict[ids.VmId, str]) -> None:
-        """Connects to exactly these agents."""
+        """Connects to exactly these agents, and to those kept."""
+        self._target_by_vm = address_by_vm
+        kept = {vm: kept.address for vm, kept in self._kept_by_vm.items()}
+        address_by_vm = kept | address_by_vm
         for vm, link in list(self._link_by_vm.items()):
             if address_by_vm.get(vm) != link.address:
                 del self._link_by_vm[vm]
@@ -181,6 +194,30 @@
         link = self._link_by_vm.get(vm)
         return link is not None and link.post(message)
 
+    def incarnation(self, vm: ids.VmId) -> ids.Incarnation | None:
+        """Returns the incarnation connected to; None while it is down."""
+        link = self._link_by_vm.get(vm)
+        if link is None or link.peer is None:
+            return None
+        return link.peer.incarnation
+
+    def keep(self, vm: ids.VmId, address: str) -> None:
+        """Connects to an agent, a target or not, until released as often."""
+        kept = self._kept_by_vm.setdefault(vm, _Kept(address))
+        kept.uses += 1
+        if vm not in self._link_by_vm:
+            self.set_targets(self._target_by_vm)
+
+    def release(self, vm: ids.VmId) -> None:
+        """Ends one keep."""
+        kept = self._kept_by_vm[vm]
+        kept.uses -= 1
+        if kept.uses:
+            return
+        del self._kept_by_vm[vm]
+        if vm not in self._target_by_vm:
+            self.set_targets(self._target_by_vm)
+
     def broadcast(self, message: codec.AnyMessage) -> None:
         """Sends a message to every connected agent."""
         for link in self._link_by_vm.values():
--- a/packages/nutmeglift_router/nutmeglift_router/plain.py
+++ b/packages/nutmeglift_router/nutmeglift_router/plain.py
@@ -1,13 +1,12 @@
-"""Calls to plain services, the non-idempotent ones at most once."""
+"""Calls to plain services: the idempotent ones, and what all share."""
 
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import itertools
 import secrets
 
-import msgspec
-
-from nutmeglift import codec
+from nutmeglift import attempts
 from nutmeglift import declaration
 from nutmeglift import errors
 from nutmeglift import ids
@@ -15,16 +14,18 @@
 from nutmeglift import ledger
 from nutmeglift import plain_messages
 from nutmeglift import routing
-from nutmeglift import states
+from nutmeglift import settling
+from nutmeglift_router import attempt_watches
+from nutmeglift_router import ledger_controller
+from nutmeglift_router import plain_once
 from nutmeglift_wire import clock as clocks
 from nutmeglift_wire import metrics as metric
 
-REQUEST_ID_BYTES = 12
-ANSWER_MARGIN_SECONDS = 2.0
-
+EPOCH_BYTES = 8
 FIRST_ATTEMPT = ids.Attempt(1)
+MAX_IDEMPOTENT_ATTEMPTS = 2
+CHOICES = 16
 
-Post = Callable[[ids.VmId, codec.AnyMessage], bool]
 ChooseServer = Callable[[ids.ServiceId], routing.Candidate | None]
 
 
@@ -53,6 +54,19 @@
     key: ids.IdempotencyKey | None
 
 
+@dataclasses.dataclass(frozen=True)
+class PlainAnswer:
+    """What a caller is answered.
+
+    Attributes:
+        outcome: the call's outcome.
+        replayed: whether it is the recorded outcome of an earlier call.
+    """
+
+    outcome: plain_messages.PlainOutcome
+    replayed: bool = False
+
+
 def find_call(
     service: declaration.Service, method: str, path: str
 ) -> declaration.Call | None:
@@ -77,144 +91,179 @@
         clock: clocks.BaseClock,
         metrics: metric.BaseMetrics,
         choose: ChooseServer,
-        post: Post,
+        agents: attempt_watches.BaseAgents,
     ) -> None:
-        self._store = store
-        self._clock = clock
+        self.ledger = ledger_controller.LedgerController(
+            store=store, clock=clock, metrics=metrics
+        )
         self._metrics = metrics
         self._choose = choose
-        self._post = post
-        self._waiting: dict[
-            ids.RequestId, asyncio.Future[plain_messages.PlainOutcome]
-        ] = {}
+        self._epoch = secrets.token_hex(EPOCH_BYTES)
+        self._numbers = itertools.count(1)
+        self._watches = attempt_watches.AttemptWatches(
+            agents=agents, clock=clock, metrics=metrics
+        )
+        self._work_by_claim: dict[ids.Digest, plain_once.Work] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._clock = clock
+        self._idempotent = 0
 
     @property
     def in_flight(self) -> int:
-        """Number of calls that wait for their outcome."""
-        return len(self._waiting)
+        """Calls without outcome, and outcomes that wait to be recorded."""
+        return len(self._tasks) + self._idempotent + self.ledger.unrecorded
 
     async def call(
         self, request: PlainCallRequest
     ) -> plain_messages.PlainOutcome:
+        """Runs a call; as run, without telling whether it is a replay."""
+        return (await self.run(request)).outcome
+
+    async def run(self, request: PlainCallRequest) -> PlainAnswer:
         """Runs a call.
 
         Raises:
             errors.NutmegError: there is no answer; the error tells whether
                 the call ran.
         """
-        server = self._choose(request.service.id)
-        if server is None:
-            raise errors.RefusedError(
-                f"no backend server runs {request.service.id}",
-                kind=errors.ErrorKind.NO_BACKEND,
-                retry_after=1.0,
-            )
-        name = ids.RequestId(secrets.token_hex(REQUEST_ID_BYTES))
         if request.call.idempotent:
-            return await self._dispatch(name, request, server, None)
-        return await self._call_once(name, request, server)
+            return await self._run_idempotent(request)
+        return await self._run_once(request)
 
     def take_outcome(self, outcome: plain_messages.PlainOutcome) -> None:
         """Takes an outcome from an agent."""
-        waiting = self._waiting.get(outcome.request)
-        if waiting is not None and not waiting.done():
-            waiting.set_result(outcome)
+        self._watches.take_outcome(outcome)
 
-    async def _call_once(
-        self,
-        name: ids.RequestId,
-        request: PlainCallRequest,
-        server: routing.Candidate,
-    ) -> plain_messages.PlainOutcome:
+    def take_status(self, status: plain_messages.AttemptStatus) -> None:
+        """Takes an agent's answer to a query."""
+        self._watches.take_status(status)
+
+    def agent_up(self, vm: ids.VmId) -> None:
+        """Notes a new connection to an agent."""
+        self._watches.agent_up(vm)
+
+    def agent_down(self, vm: ids.VmId) -> None:
+        """Notes that the connection to an agent ended."""
+        self._watches.agent_down(vm)
+
+    async def stop(self) -> None:
+        """Ends everything at once."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.ledger.stop()
+
+    def _new_request(self) -> ids.RequestId:
+        return attempts.make_request_id(self._epoch, next(self._numbers))
+
+    def choose_server(
+        self, request: PlainCallRequest, failed: set[ids.VmId]
+    ) -> routing.Candidate | None:
+        """Returns a backend server, preferably one that has not failed."""
+        found = None
+        for _ in range(CHOICES):
+            found = self._choose(request.service.id)
+            if found is None or found.vm not in failed:
+                return found
+        return found
+
+    async def _run_once(self, request: PlainCallRequest) -> PlainAnswer:
         if request.key is None:
             raise errors.RefusedError(
                 "a non-idempotent call needs an Idempotency-Key",
                 kind=errors.ErrorKind.IDEMPOTENCY_KEY_MISSING,
             )
+        ledger.check_key_time(
+            ledger.key_time(request.key),
+            self._clock.utc(),
+            request.service.key_retention_seconds,
+        )
         digest = ledger.claim_digest(
             request.account.id, request.service.id, request.key
         )
-        claim = ledger.Claim(
-            states.ClaimState.CLAIMED,
-            name,
-            FIRST_ATTEMPT,
-            ledger.body_digest(request.method, request.path, request.body),
-            server.vm,
-            server.incarnation,
-            server.address,
-            self._clock.utc(),
-        )
-        key = ledger.CLAIM_PREFIX + digest
-        result = await self._store.txn(
-            [kv.Compare(key, kv.NEVER_WRITTEN)],
-            [kv.Put(key, codec.encode(claim))],
-            [kv.Get(key)],
+        body_digest = ledger.body_digest(
+            request.method, request.path, request.body
         )
-        if not result.succeeded:
-            found = codec.decode_as(result.found[0][0].value, ledger.Claim)
-            return _answer_repeat(found, claim)
-        outcome = await self._dispatch(name, request, server, digest)
-        done = msgspec.structs.replace(
-            claim, state=states.ClaimState.DONE, outcome=outcome
+        before = self._work_by_claim.get(digest)
+        if before is not None:
+            raise _refuse_beside(before, body_digest)
+        work = plain_once.Work(
+            request, self._new_request(), digest, body_digest
         )
-        await self._store.txn([], [kv.Put(key, codec.encode(done))])
-        return outcome
+        self._start(work)
+        outcome = await asyncio.shield(work.answer)
+        return PlainAnswer(outcome, work.replayed)
 
-    async def _dispatch(
-        self,
-        name: ids.RequestId,
-        request: PlainCallRequest,
-        server: routing.Candidate,
-        claim: ids.Digest | None,
-    ) -> plain_messages.PlainOutcome:
-        call = plain_messages.PlainCall(
-            name,
-            FIRST_ATTEMPT,
-            request.service.id,
-            server.incarnation,
-            request.method,
-            request.path,
-            request.headers,
-            request.body,
-            request.call.idempotent,
-            request.call.timeout_seconds,
-            claim,
-        )
-        loop = asyncio.get_running_loop()
-        waiting: asyncio.Future[plain_messages.PlainOutcome] = (
-            loop.create_future()
+    def _start(self, work: plain_once.Work) -> None:
+        run = plain_once.Run(
+            work,
+            ledger=self.ledger,
+            watches=self._watches,
+            clock=self._clock,
+            metrics=self._metrics,
+            choose=self.choose_server,
         )
-        self._waiting[name] = waiting
+        self._work_by_claim[work.digest] = work
+        task = asyncio.ensure_future(run.run())
+        self._tasks.add(task)
+
+        def end(ended: asyncio.Task[None]) -> None:
+            self._tasks.discard(ended)
+            del self._work_by_claim[work.digest]
+
+        task.add_done_callback(end)
+
+    async def _run_idempotent(self, request: PlainCallRequest) -> PlainAnswer:
+        self._idempotent += 1
         try:
-            if not self._post(server.vm, call):
-                raise errors.RefusedError(
-                    "the agent is not connected",
-                    kind=errors.ErrorKind.NO_BACKEND,
-                )
-            timeout = request.call.timeout_seconds + ANSWER_MARGIN_SECONDS
-            outcome = await asyncio.wait_for(waiting, timeout)
-        except TimeoutError as error:
-            raise errors.OutcomeUnknownError("no outcome in time") from error
+            return await self._try_servers(request)
         finally:
-            del self._waiting[name]
-        if outcome.kind is not None:
-            raise errors.NutmegError(
-                outcome.detail, kind=outcome.kind, ran=outcome.ran
-            )
-        return outcome
+            self._idempotent -= 1
+
+    async def _try_servers(self, request: PlainCallRequest) -> PlainAnswer:
+        failed: set[ids.VmId] = set()
+        error = _no_backend(request)
+        for _ in range(MAX_IDEMPOTENT_ATTEMPTS):
+            server = self.choose_server(request, failed)
+            if server is None:
+                break
+            verdict = await self._dispatch_idempotent(request, server)
+            match verdict:
+                case settling.Finished(outcome) if outcome.kind is None:
+                    return PlainAnswer(outcome)
+                case settling.Finished(outcome):
+                    error = plain_once.outcome_error(outcome)
+                case settling.NotRun(detail):
+                    error = errors.RefusedError(
+                        detail, kind=errors.ErrorKind.NO_BACKEND
+                    )
+                case settling.Unknown(detail):
+                    error = errors.OutcomeUnknownError(detail)
+                case settling.StillRunning():
+                    error = errors.OutcomeUnknownError("no answer in time")
+            failed.add(server.vm)
+            self._metrics.count("plain.idempotent_failed")
+        raise error
 
+    async def _dispatch_idempotent(
+        self, request: PlainCallRequest, server: routing.Candidate
+    ) -> settling.Verdict:
+        call = plain_once.make_call(
+            request, self._new_request(), FIRST_ATTEMPT, server.incarnation
+        )
+        return await self._watches.dispatch_idempotent(server.vm, call)
+
+
+def _no_backend(request: PlainCallRequest) -> errors.NutmegError:
+    return plain_once.no_backend(request.service.id)
 
-def _answer_repeat(
-    found: ledger.Claim, wanted: ledger.Claim
-) -> plain_messages.PlainOutcome:
-    if found.body_digest != wanted.body_digest:
-        raise errors.RefusedError(
+
+def _refuse_beside(
+    before: plain_once.Work, digest: ids.Digest
+) -> errors.NutmegError:
+    if before.body_digest != digest:
+        return errors.RefusedError(
             "the idempotency key was used for another call",
             kind=errors.ErrorKind.IDEMPOTENCY_KEY_REUSED,
         )
-    if found.outcome is None:
-        raise errors.RefusedError(
-            "a call with this key is in progress",
-            kind=errors.ErrorKind.IN_PROGRESS,
-        )
-    return found.outcome
+    return plain_once.refusal_error(ledger.in_progress())
--- a/packages/nutmeglift_router/nutmeglift_router/plain_endpoint.py
+++ b/packages/nutmeglift_router/nutmeglift_router/plain_endpoint.py
@@ -13,6 +13,7 @@
 from nutmeglift_router import router as routers
 
 METHODS = ["GET", "HEAD", "PUT", "POST", "PATCH", "DELETE"]
+REPLAYED_HEADER = "Idempotent-Replayed"
 PASSED_HEADERS = frozenset({"content-type", "accept"})
 
 
@@ -34,13 +35,16 @@
             admission_controller.Demand(account, None)
         )
         try:
-            outcome = await router.plain.call(call)
+            answer = await router.plain.run(call)
         finally:
             router.admission.release(ticket, 0)
+        headers = dict(answer.outcome.headers)
+        if answer.replayed:
+            headers[REPLAYED_HEADER] = "true"
         return responses.Response(
-            outcome.body,
-            status_code=outcome.status,
-            headers=dict(outcome.headers),
+            answer.outcome.body,
+            status_code=answer.outcome.status,
+            headers=headers,
         )
 
     def _make_call(
--- a/packages/nutmeglift_router/nutmeglift_router/router.py
+++ b/packages/nutmeglift_router/nutmeglift_router/router.py
@@ -116,7 +116,7 @@
             clock=clock,
             metrics=metrics,
             choose=self.membership.choose_server,
-            post=self._links.post,
+            agents=self._links,
         )
         self.authenticator = auth.Authenticator(
             self.board.read(entries.CONFIGURATION).declared
@@ -127,6 +127,8 @@
         """Starts the loops."""
         self._spawn(self.membership.run())
         self._spawn(self.configuration.run())
+        sweep_rng = random.Random(self.incarnation)
+        self._spawn(self.plain.ledger.sweep(sweep_rng))
 
     async def leave(self) -> None:
         """Refuses new work and waits for the work in flight."""
@@ -139,6 +141,7 @@
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.plain.stop()
         await self._links.stop()
 
     def check_accepts_work(self) -> None:
@@ -174,10 +177,12 @@
 
     def _agent_up(self, vm: ids.VmId, hello: messages.Hello) -> None:
         self.membership.agent_up(vm, hello)
+        self.plain.agent_up(vm)
 
     def _agent_down(self, vm: ids.VmId, reason: errors.NutmegError) -> None:
         self.membership.agent_down(vm)
         self.chat.lose_agent(vm)
+        self.plain.agent_down(vm)
 
     def _take_message(self, vm: ids.VmId, message: codec.AnyMessage) -> None:
         match message:
@@ -187,6 +192,8 @@
                 self.chat.take_failure(message)
             case plain_messages.PlainOutcome():
                 self.plain.take_outcome(message)
+            case plain_messages.AttemptStatus():
+                self.plain.take_status(message)
             case messages.Heartbeat():
                 self._take_heartbeat(vm, message)
             case messages.Leaving():
