--- a/packages/nutmeglift_router/nutmeglift_router/router.py
+++ b/packages/nutmeglift_router/nutmeglift_router/router.py
@@ -195,7 +195,7 @@
             clock=clock,
             metrics=metrics,
             choose=self.membership.choose_server,
-            post=self._links.post,
+            agents=self._links,
         )
         self.authenticator = auth.Authenticator(
             self.board.read(entries.CONFIGURATION).declared
@@ -210,6 +210,8 @@
         self._spawn(self.configuration.run())
         self._spawn(self.shares.run())
         self._spawn(self.lease.run())
+        sweep_rng = random.Random(self.incarnation)
+        self._spawn(self.plain.ledger.sweep(sweep_rng))
 
     async def leave(self) -> None:
         """Refuses new work and waits for the work in flight."""
@@ -222,6 +224,7 @@
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.plain.stop()
         await self._links.stop()
         await self.routers.stop()
 
@@ -335,10 +338,12 @@
         self.lease.note_number(hello.fencing_number)
         self.configuration.note_agent(vm, hello.generation)
         self._tell_agent(vm)
+        self.plain.agent_up(vm)
 
     def _agent_down(self, vm: ids.VmId, reason: errors.NutmegError) -> None:
         self.membership.agent_down(vm)
         self._recovery.agent_down(vm)
+        self.plain.agent_down(vm)
 
     def _agent_unreachable(self, vm: ids.VmId) -> None:
         self._recovery.agent_unreachable(vm)
@@ -353,6 +358,8 @@
                 self._recovery.take_held(vm, message)
             case plain_messages.PlainOutcome():
                 self.plain.take_outcome(message)
+            case plain_messages.AttemptStatus():
+                self.plain.take_status(message)
             case messages.Heartbeat():
                 self._take_heartbeat(vm, message)
             case messages.Leaving():
