--- a/packages/nutmeglift_agent/nutmeglift_agent/agent.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/agent.py
@@ -7,8 +7,10 @@
 
 import msgspec
 
+from nutmeglift import attempts
 from nutmeglift import backend
 from nutmeglift import codec
+from nutmeglift import control_messages
 from nutmeglift import drain
 from nutmeglift import engine as engines
 from nutmeglift import errors
@@ -17,6 +19,8 @@
 from nutmeglift import plain_messages
 from nutmeglift import settings
 from nutmeglift import states
+from nutmeglift_agent import configuration_copy
+from nutmeglift_agent import orders
 from nutmeglift_agent import peers
 from nutmeglift_agent import plain_work
 from nutmeglift_agent import router_ports
@@ -58,14 +62,16 @@
         self._metrics = metrics
         self._engine = engine
         self._key = own.shared_key.get_secret_value().encode()
-        self._generation = ids.Generation(0)
+        self._configuration = configuration_copy.ConfigurationCopy()
         self._load: messages.LoadReport | None = None
         self._ports = router_ports.RouterPorts(metrics)
         self._peers = peers.Peers(dialer, self._open_peer, self._lose_peer)
         self._tasks: set[asyncio.Task[None]] = set()
+        self._orders: orders.Orders | None = None
         self._stages: stage_work.StageWork | None = None
         self._plain: plain_work.PlainWork | None = None
         if engine is not None:
+            self._orders = orders.Orders(engine, metrics)
             self._stages = stage_work.StageWork(
                 own.vm,
                 incarnation,
@@ -77,7 +83,12 @@
                 accepts_work=lambda: self.drain.accepts_work,
             )
         if service is not None:
-            self._plain = plain_work.PlainWork(incarnation, service)
+            self._plain = plain_work.PlainWork(
+                attempts.AttemptTable(incarnation),
+                service,
+                post=self._ports.post,
+                metrics=metrics,
+            )
 
     @property
     def in_flight(self) -> int:
@@ -102,14 +113,17 @@
 
     async def leave(self) -> None:
         """Refuses new work, says so, and waits for the work in flight."""
-        self.drain.begin(self._clock.now())
-        self._ports.broadcast(messages.Leaving())
+        self._begin_drain()
         limit = self._own.bounds.drain_seconds
         while not self.drain.settle(
             self._clock.now(), limit, self._count_unsettled()
         ):
             await self._clock.sleep(self._own.bounds.heartbeat_seconds / 10)
 
+    def _begin_drain(self) -> None:
+        self.drain.begin(self._clock.now())
+        self._ports.broadcast(messages.Leaving())
+
     async def serve_link(self, link: links.BaseLink) -> None:
         """Serves a connection that a router or another agent opened."""
         try:
@@ -146,7 +160,7 @@
             self._own.vm,
             self.incarnation,
             self._own.failure_domain,
-            self._generation,
+            self._configuration.generation,
             not self.drain.accepts_work,
         )
 
@@ -157,7 +171,7 @@
     def _make_heartbeat(self, sequence: int) -> messages.Heartbeat:
         return messages.Heartbeat(
             sequence,
-            self._generation,
+            self._configuration.generation,
             not self.drain.accepts_work,
             load=self._load,
         )
@@ -213,14 +227,21 @@
     ) -> None:
         match message:
             case messages.Heartbeat(generation=generation):
-                self._generation = max(self._generation, generation)
+                self._configuration.note(generation)
+                self._learn_fencing_number(message)
+            case control_messages.AgentConfiguration():
+                self._configuration.take(message)
+            case control_messages.DrainOrder():
+                self._begin_drain()
             case messages.FrameAcknowledged(sequence):
                 self._ports.acknowledge(session.peer.vm, sequence)
             case plain_messages.PlainCall():
                 self._spawn(self._call_plain(session, message))
             case plain_messages.AttemptQuery():
                 if self._plain is not None:
-                    session.post(self._plain.query(message))
+                    session.post(self._plain.query(session.peer.vm, message))
+            case control_messages.Order():
+                self._spawn(self._carry_out(session, message))
             case messages.StartAttempt():
                 self._start_attempt(session, message)
             case _:
@@ -263,24 +284,51 @@
     async def _call_plain(
         self, session: sessions.Session, call: plain_messages.PlainCall
     ) -> None:
-        if self._plain is None or not self.drain.accepts_work:
+        if self._plain is None:
             session.post(
                 plain_messages.PlainOutcome(
                     call.request,
                     call.attempt,
                     states.Ran.NOT_RUN,
-                    kind=errors.ErrorKind.DRAINING,
-                    detail="refused by the agent",
+                    kind=errors.ErrorKind.NO_BACKEND,
+                    detail="no plain service runs here",
                 )
             )
             return
+        accepts_work = self.drain.accepts_work
         self.drain.enter()
         try:
-            outcome = await self._plain.call(call)
+            await self._plain.call(
+                session.peer.vm, call, accepts_work=accepts_work
+            )
         finally:
             self.drain.leave()
-        if outcome is not None:
-            self._ports.post(session.peer.vm, outcome)
+
+    async def _carry_out(
+        self, session: sessions.Session, order: control_messages.Order
+    ) -> None:
+        if self._orders is None:
+            session.post(
+                control_messages.OrderResult(
+                    order.order,
+                    order.fencing_number,
+                    errors.ErrorKind.NO_BACKEND,
+                    "no engine runs here",
+                )
+            )
+            return
+        self.drain.enter()
+        try:
+            result = await self._orders.carry_out(order)
+        finally:
+            self.drain.leave()
+        self._ports.post(session.peer.vm, result)
+
+    def _learn_fencing_number(self, heartbeat: messages.Heartbeat) -> None:
+        if self._orders is not None:
+            self._orders.learn(
+                heartbeat.fencing_number, confirmed=heartbeat.fencing_confirmed
+            )
 
     def _post_to_agent(self, address: str, message: codec.AnyMessage) -> None:
         if address == self._own.listen:
