Replace only the stage that died, with its neighbour's kept states

Change: each stage but the last keeps the hidden states that it sent, within bounds.replay_bytes. When a stage other than the last dies, the router picks a runner with the same layers, and the stage before sends what it kept; a dead first stage is given prompt and released tokens. The other stages keep KV cache and gates, so no layer runs a position again there; what they get twice is dropped. Attempts that lost a neighbour wait for the router instead of ending. The fresh attempt stays the fallback: last stage (it samples, and another engine may sample another token), refused or unknown fault, no runner of the same layers, states not kept, nothing released yet. chat.py is split in the stream, its controller and the dispatcher, and stage_work.py in attempts, batches and replay.

--- a/packages/nutmeglift/nutmeglift/messages.py
+++ b/packages/nutmeglift/nutmeglift/messages.py
@@ -173,11 +173,13 @@
         start: the router's request, with the prompt tokens left out.
         stage: index of the receiver's stage.
         positions: number of prompt positions.
+        alone: whether the stages after it are open already.
     """
 
     start: StartAttempt
     stage: int
     positions: int
+    alone: bool = False
 
 
 class HopFrame(Message, frozen=True):
@@ -299,7 +301,8 @@
     """Router to agents: a stage of a running attempt has a replacement.
 
     The agent before the replaced stage sends its kept hidden states again to
-    the replacement; the agents of other stages go on with what they have.
+    the replacement; the agents of other stages go on with what they have. A
+    replaced first stage gets this message itself, with all tokens.
 
     Attributes:
         start: the attempt with its new pipeline and a higher attempt number.
--- a/packages/nutmeglift/nutmeglift/recovery.py
+++ b/packages/nutmeglift/nutmeglift/recovery.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable
 import dataclasses
 
+import msgspec
+
 from nutmeglift import errors
 from nutmeglift import ids
 from nutmeglift import messages
@@ -132,6 +134,50 @@
         return states.Ran.NOT_RUN
 
 
+def replace_stage(
+    pipeline: messages.Pipeline,
+    failure: Failure,
+    fresh: messages.Pipeline,
+) -> tuple[int, messages.Pipeline] | None:
+    """Finds a replacement for the stage at fault.
+
+    The last stage is not replaced alone: it samples, and an engine may sample
+    another token than the one that its fellows have run already.
+
+    Args:
+        pipeline: the pipeline of the failed attempt.
+        failure: why it failed.
+        fresh: a pipeline that could take the request now.
+
+    Returns:
+        Index of the replaced stage and the new pipeline, or None.
+    """
+    indexes = [
+        index
+        for index, stage in enumerate(pipeline.stages)
+        if stage.vm == failure.vm
+    ]
+    if failure.refused or len(indexes) != 1:
+        return None
+    index = indexes[0]
+    old = pipeline.stages[index]
+    if index == len(pipeline.stages) - 1:
+        return None
+    used = {stage.vm for stage in pipeline.stages}
+    for stage in fresh.stages:
+        same = (stage.first_layer, stage.end_layer) == (
+            old.first_layer,
+            old.end_layer,
+        )
+        if same and stage.vm not in used:
+            stages = list(pipeline.stages)
+            stages[index] = stage
+            return index, msgspec.structs.replace(
+                pipeline, stages=tuple(stages)
+            )
+    return None
+
+
 @dataclasses.dataclass
 class _Suspect:
     incarnation: ids.Incarnation | None
--- a/packages/nutmeglift/nutmeglift/streams.py
+++ b/packages/nutmeglift/nutmeglift/streams.py
@@ -72,19 +72,22 @@
     """Releases each token of a request to its caller once, in order.
 
     Attributes:
-        attempt: the only attempt whose tokens count.
+        attempt: the attempt that counts.
+        oldest: the first attempt that it goes on with; tokens from it on
+            count.
         tokens: tokens released so far.
         finished: whether the stream has ended.
     """
 
     def __init__(self, attempt: ids.Attempt) -> None:
         self.attempt = attempt
+        self.oldest = attempt
         self.tokens: list[int] = []
         self.finished = False
 
     def accept(self, item: messages.TokenItem) -> Release:
         """Judges tokens from an agent."""
-        if item.attempt != self.attempt or self.finished:
+        if self.finished or not self.oldest <= item.attempt <= self.attempt:
             return Release(Arrival.OLD_ATTEMPT)
         count = len(item.tokens)
         if item.sequence > len(self.tokens):
@@ -101,6 +104,13 @@
         if attempt <= self.attempt:
             raise ValueError(f"attempt {attempt} is not after {self.attempt}")
         self.attempt = attempt
+        self.oldest = attempt
+
+    def go_on(self, attempt: ids.Attempt) -> None:
+        """Lets a higher attempt count besides those that it goes on with."""
+        oldest = self.oldest
+        self.restart(attempt)
+        self.oldest = oldest
 
 
 class FrameOutbox:
--- a/packages/nutmeglift_agent/nutmeglift_agent/agent.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/agent.py
@@ -81,6 +81,7 @@
                 post_to_router=self._ports.post,
                 post_tokens=self._ports.post_tokens,
                 accepts_work=lambda: self.drain.accepts_work,
+                replay_bytes=own.bounds.replay_bytes,
             )
         if service is not None:
             self._plain = plain_work.PlainWork(
@@ -253,6 +254,8 @@
         match message:
             case messages.OpenStage():
                 self._stages.open_stage(message)
+            case messages.ReplaceStage():
+                self._stages.replace(message)
             case messages.HopFrame(hops):
                 for hop in hops:
                     self._stages.take_hop(hop)
--- a/packages/nutmeglift_agent/nutmeglift_agent/stage_attempt.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/stage_attempt.py
@@ -1,13 +1,37 @@
 """One stage of one attempt, and its way through the engine."""
 
+import collections
 import dataclasses
 
 from nutmeglift import engine as engines
+from nutmeglift import errors
 from nutmeglift import ids
 from nutmeglift import messages
 from nutmeglift import states
 from nutmeglift import streams
 
+MAX_ENDED_REQUESTS = 8192
+
+
+class EndedAttempts:
+    """Remembers the last ended attempt of requests, so that none runs again."""
+
+    def __init__(self) -> None:
+        self._last_by_request: collections.OrderedDict[
+            ids.RequestId, ids.Attempt
+        ] = collections.OrderedDict()
+
+    def note(self, request: ids.RequestId, attempt: ids.Attempt) -> None:
+        """Notes that an attempt and all earlier ones ended."""
+        before = self._last_by_request.pop(request, ids.Attempt(0))
+        self._last_by_request[request] = max(before, attempt)
+        if len(self._last_by_request) > MAX_ENDED_REQUESTS:
+            self._last_by_request.popitem(last=False)
+
+    def last(self, request: ids.RequestId) -> ids.Attempt:
+        """Returns the last attempt that ended, or 0."""
+        return self._last_by_request.get(request, ids.Attempt(0))
+
 
 @dataclasses.dataclass
 class StageAttempt:
@@ -19,7 +43,10 @@
         positions: number of prompt positions.
         sequence: name of the KV cache at the engine.
         gate: lets each position through once.
+        oldest: the first attempt whose KV cache it goes on with.
         stopped: whether it has ended.
+        broken: whether it waits for the router to replace a stage.
+        last_token: the last token sent to the first stage, if any.
     """
 
     start: messages.StartAttempt
@@ -27,7 +54,10 @@
     positions: int
     sequence: str
     gate: streams.PositionGate
+    oldest: ids.Attempt
     stopped: bool = False
+    broken: bool = False
+    last_token: messages.NextToken | None = None
 
     @property
     def held(self) -> messages.HeldAttempt:
@@ -44,6 +74,23 @@
         """Whether the model's last layer runs here."""
         return self.index == len(self.start.pipeline.stages) - 1
 
+    def stage_sent_to(self, address: str) -> messages.Stage | None:
+        """Returns the later or first stage at an address, if any is there."""
+        stages = self.start.pipeline.stages
+        for stage in stages[self.index + 1 :] + stages[:1]:
+            if stage.address == address:
+                return stage
+        return None
+
+
+def make_attempt(
+    start: messages.StartAttempt, index: int, positions: int
+) -> StageAttempt:
+    """Returns a stage that has run nothing yet."""
+    sequence = f"{start.request}.{start.attempt}"
+    gate = streams.PositionGate()
+    return StageAttempt(start, index, positions, sequence, gate, start.attempt)
+
 
 @dataclasses.dataclass(frozen=True)
 class Work:
@@ -109,6 +156,67 @@
     )
 
 
+def make_hop(
+    attempt: StageAttempt, position: int, hidden: tuple[int, ...]
+) -> messages.Hop:
+    """Returns hidden states from a position on, for the next stage."""
+    return messages.Hop(
+        attempt.start.request,
+        attempt.start.attempt,
+        position,
+        hidden,
+        attempt.start.pipeline.stages[attempt.index + 1].first_layer,
+    )
+
+
+def make_token_item(
+    work: Work, result: engines.StepResult
+) -> messages.TokenItem:
+    """Returns the sampled tokens of a last stage's step, for the router."""
+    attempt = work.attempt
+    start = attempt.start
+    number = _first_sampled(work) - (attempt.positions - 1)
+    exhausted = number + len(result.tokens) >= start.max_tokens
+    return messages.TokenItem(
+        start.request,
+        start.attempt,
+        start.first_sequence + number,
+        result.tokens,
+        result.texts,
+        finish_of(result, exhausted),
+    )
+
+
+def make_next_token(
+    work: Work, result: engines.StepResult
+) -> messages.NextToken:
+    """Returns the last sampled token, for the first stage."""
+    start = work.attempt.start
+    return messages.NextToken(
+        start.request,
+        start.attempt,
+        _first_sampled(work) + len(result.tokens),
+        result.tokens[-1],
+    )
+
+
+def make_failure(
+    start: messages.StartAttempt,
+    detail: str,
+    vm: ids.VmId | None,
+    kind: errors.ErrorKind,
+    ran: states.Ran = states.Ran.UNKNOWN,
+) -> messages.AttemptFailed:
+    """Returns the word to the router that an attempt failed."""
+    return messages.AttemptFailed(
+        start.request, start.attempt, kind, detail, ran, vm
+    )
+
+
+def _first_sampled(work: Work) -> int:
+    return max(work.position, work.attempt.positions - 1)
+
+
 def finish_of(
     result: engines.StepResult, exhausted: bool
 ) -> states.FinishReason | None:
--- /dev/null
+++ b/packages/nutmeglift_agent/nutmeglift_agent/stage_batches.py
@@ -0,0 +1,78 @@
+"""Batches of positions before the engine."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+
+from nutmeglift import engine as engines
+from nutmeglift import errors
+from nutmeglift_agent import stage_attempt
+from nutmeglift_wire import metrics as metric
+
+MAX_BATCH_POSITIONS = 4096
+
+Batch = list[stage_attempt.Work]
+TakeResults = Callable[[Batch, tuple[engines.StepResult, ...]], None]
+FailAttempt = Callable[[stage_attempt.StageAttempt, str], None]
+
+
+class Batches:
+    """Gathers waiting positions and runs them one batch after the other."""
+
+    def __init__(
+        self,
+        engine: engines.BaseEngine,
+        metrics: metric.BaseMetrics,
+        *,
+        take: TakeResults,
+        fail: FailAttempt,
+    ) -> None:
+        self._engine = engine
+        self._metrics = metrics
+        self._take_results = take
+        self._fail = fail
+        self._ready: collections.deque[stage_attempt.Work] = collections.deque()
+        self._wake = asyncio.Event()
+
+    def add(self, work: stage_attempt.Work) -> None:
+        """Queues positions."""
+        self._ready.append(work)
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Runs batches for ever."""
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._ready:
+                await self._run_batch(self._take_batch())
+
+    def _take_batch(self) -> Batch:
+        batch: Batch = []
+        positions = 0
+        while self._ready and positions < MAX_BATCH_POSITIONS:
+            work = self._ready.popleft()
+            if work.attempt.stopped:
+                continue
+            positions += len(work.values)
+            batch.append(work)
+        return batch
+
+    async def _run_batch(self, batch: Batch) -> None:
+        if not batch:
+            return
+        items = tuple(stage_attempt.make_item(work) for work in batch)
+        try:
+            results = await self._engine.step(items)
+        except errors.NutmegError as error:
+            self._fail_batch(batch, error.detail)
+            return
+        self._metrics.count("engine.steps")
+        if len(results) != len(batch):
+            self._fail_batch(batch, "the engine miscounted")
+            return
+        self._take_results(batch, results)
+
+    def _fail_batch(self, batch: Batch, detail: str) -> None:
+        for work in batch:
+            self._fail(work.attempt, detail)
--- /dev/null
+++ b/packages/nutmeglift_agent/nutmeglift_agent/stage_replay.py
@@ -0,0 +1,85 @@
+"""What an agent keeps so that a replaced stage can catch up."""
+
+import collections
+
+from nutmeglift import ids
+from nutmeglift import messages
+from nutmeglift_agent import stage_attempt
+
+HIDDEN_STATE_BYTES = 8
+POSITIONS_PER_HOP = 1024
+MAX_EARLY_REQUESTS = 256
+MAX_EARLY_MESSAGES = 64
+
+Early = messages.Hop | messages.NextToken
+
+
+class KeptStates:
+    """Keeps the hidden states sent to the next stages, within a bound."""
+
+    def __init__(self, max_bytes: int) -> None:
+        self._max_positions = max_bytes // HIDDEN_STATE_BYTES
+        self._positions = 0
+        self._states_by_request: dict[ids.RequestId, list[int]] = {}
+        self._given_up: set[ids.RequestId] = set()
+
+    def add(
+        self, request: ids.RequestId, position: int, hidden: tuple[int, ...]
+    ) -> None:
+        """Keeps the states of further positions, if there is room."""
+        if request in self._given_up:
+            return
+        states = self._states_by_request.setdefault(request, [])
+        if position != len(states):
+            self._give_up(request)
+            return
+        if self._positions + len(hidden) > self._max_positions:
+            self._give_up(request)
+            return
+        states.extend(hidden)
+        self._positions += len(hidden)
+
+    def hops(
+        self, attempt: stage_attempt.StageAttempt
+    ) -> list[messages.Hop] | None:
+        """Returns all hops sent to the next stage, or None if not kept."""
+        request = attempt.start.request
+        if request in self._given_up:
+            return None
+        states = self._states_by_request.get(request, [])
+        return [
+            stage_attempt.make_hop(
+                attempt, first, tuple(states[first : first + POSITIONS_PER_HOP])
+            )
+            for first in range(0, len(states), POSITIONS_PER_HOP)
+        ]
+
+    def forget(self, request: ids.RequestId) -> None:
+        """Frees the states of an attempt that ended."""
+        self._positions -= len(self._states_by_request.pop(request, ()))
+        self._given_up.discard(request)
+
+    def _give_up(self, request: ids.RequestId) -> None:
+        self.forget(request)
+        self._given_up.add(request)
+
+
+class EarlyMessages:
+    """Holds what overtook the message that opens its attempt."""
+
+    def __init__(self) -> None:
+        self._by_request: collections.OrderedDict[
+            ids.RequestId, list[Early]
+        ] = collections.OrderedDict()
+
+    def add(self, message: Early) -> None:
+        """Holds a message; drops the oldest request's when there are many."""
+        held = self._by_request.setdefault(message.request, [])
+        if len(held) < MAX_EARLY_MESSAGES:
+            held.append(message)
+        if len(self._by_request) > MAX_EARLY_REQUESTS:
+            self._by_request.popitem(last=False)
+
+    def take(self, request: ids.RequestId) -> list[Early]:
+        """Hands over a request's messages, in order of arrival."""
+        return self._by_request.pop(request, [])
--- a/packages/nutmeglift_agent/nutmeglift_agent/stage_work.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/stage_work.py
@@ -1,9 +1,10 @@
 """Stages of requests' pipelines that run on the engine beside this agent."""
 
 import asyncio
-import collections
 from collections.abc import Callable
 
+import msgspec
+
 from nutmeglift import codec
 from nutmeglift import engine as engines
 from nutmeglift import errors
@@ -12,11 +13,10 @@
 from nutmeglift import states
 from nutmeglift import streams
 from nutmeglift_agent import stage_attempt
+from nutmeglift_agent import stage_batches
+from nutmeglift_agent import stage_replay
 from nutmeglift_wire import metrics as metric
 
-MAX_BATCH_POSITIONS = 4096
-MAX_ENDED_REQUESTS = 8192
-
 PostToAgent = Callable[[str, codec.AnyMessage], None]
 PostTokens = Callable[[ids.VmId, list[messages.TokenItem]], bool]
 PostToRouter = Callable[[ids.VmId, codec.AnyMessage], None]
@@ -36,6 +36,7 @@
         post_to_router: PostToRouter,
         post_tokens: PostTokens,
         accepts_work: Callable[[], bool],
+        replay_bytes: int = 0,
     ) -> None:
         self._vm = vm
         self._incarnation = incarnation
@@ -48,12 +49,15 @@
         self._attempt_by_request: dict[
             ids.RequestId, stage_attempt.StageAttempt
         ] = {}
-        # The last attempt ended of each request, so that none starts again.
-        self._ended: collections.OrderedDict[ids.RequestId, ids.Attempt] = (
-            collections.OrderedDict()
+        self._ended = stage_attempt.EndedAttempts()
+        self._kept = stage_replay.KeptStates(replay_bytes)
+        self._early = stage_replay.EarlyMessages()
+        self._batches = stage_batches.Batches(
+            engine,
+            metrics,
+            take=self._take_results,
+            fail=lambda attempt, why: self._fail(attempt, why, vm),
         )
-        self._ready: collections.deque[stage_attempt.Work] = collections.deque()
-        self._wake = asyncio.Event()
         self._releases: set[asyncio.Task[None]] = set()
 
     @property
@@ -61,30 +65,65 @@
         """Number of attempts with a stage here."""
         return len(self._attempt_by_request)
 
-    def start(self, start: messages.StartAttempt) -> None:
-        """Starts an attempt as its first stage, or refuses it."""
+    def start(
+        self, start: messages.StartAttempt, *, alone: bool = False
+    ) -> None:
+        """Starts an attempt as its first stage, or refuses it.
+
+        Args:
+            start: the attempt.
+            alone: whether the stages after it are open already.
+        """
         if self._refuse(start, 0):
             return
-        attempt = self._open(start, 0, len(start.tokens))
+        positions = len(start.tokens)
+        attempt = self._open(start, 0, positions)
         if attempt is None:
             return
-        self._open_following(
-            stage_attempt.strip_tokens(start), 1, len(start.tokens)
-        )
+        if not alone:
+            bare = stage_attempt.strip_tokens(start)
+            self._open_following(bare, 1, positions)
         self._arrive(attempt, 0, start.tokens)
+        self._take_early(start.request)
 
     def open_stage(self, opening: messages.OpenStage) -> None:
         """Starts an attempt as a later stage, or refuses it."""
         if self._refuse(opening.start, opening.stage):
             return
-        if self._open(opening.start, opening.stage, opening.positions):
+        if not self._open(opening.start, opening.stage, opening.positions):
+            return
+        if not opening.alone:
             self._open_following(
                 opening.start, opening.stage + 1, opening.positions
             )
+        self._take_early(opening.start.request)
+
+    def replace(self, replacement: messages.ReplaceStage) -> None:
+        """Goes on with an attempt of which one stage is replaced."""
+        start = replacement.start
+        if replacement.receiver == replacement.stage:
+            self.start(start, alone=True)
+            return
+        attempt = self._attempt_by_request.get(start.request)
+        if attempt is None or attempt.start.attempt != replacement.replaced:
+            self._report(start, "nothing to go on with", None)
+            return
+        self._metrics.count("attempt.continued")
+        attempt.broken = False
+        attempt.start = msgspec.structs.replace(
+            attempt.start, attempt=start.attempt, pipeline=start.pipeline
+        )
+        if attempt.index == 0:
+            self._arrive(attempt, 0, start.tokens)
+        if attempt.index + 1 == replacement.stage:
+            self._replay(attempt)
+        if replacement.stage == 0 and attempt.last_token is not None:
+            self._send_token(attempt, attempt.last_token)
+        self._take_early(start.request)
 
     def take_hop(self, hop: messages.Hop) -> None:
         """Takes hidden states from the stage before."""
-        attempt = self._find(hop.request, hop.attempt)
+        attempt = self._find(hop)
         if attempt is None:
             return
         if hop.first_layer != attempt.stage.first_layer:
@@ -95,25 +134,26 @@
 
     def take_token(self, token: messages.NextToken) -> None:
         """Takes a sampled token, as the first stage."""
-        attempt = self._find(token.request, token.attempt)
+        attempt = self._find(token)
         if attempt is not None:
             self._arrive(attempt, token.position, (token.token,))
 
     def cancel(self, request: ids.RequestId, attempt: ids.Attempt) -> None:
         """Ends a request's attempt and all earlier ones, arrived or not."""
-        self._note_ended(request, attempt)
+        self._ended.note(request, attempt)
         found = self._attempt_by_request.get(request)
         if found is not None and found.start.attempt <= attempt:
             self._close(found)
 
     def lose_peer(self, address: str, reason: errors.NutmegError) -> None:
-        """Fails the attempts that run through a lost agent."""
+        """Reports the attempts that run through a lost agent.
+
+        They are kept, because the router may replace that stage only.
+        """
         for attempt in list(self._attempt_by_request.values()):
-            stages = attempt.start.pipeline.stages
-            for stage in stages[attempt.index + 1 :] + stages[:1]:
-                if stage.address == address and stage.vm != self._vm:
-                    self._fail(attempt, reason.detail, stage.vm)
-                    break
+            lost = attempt.stage_sent_to(address)
+            if lost is not None and lost.vm != self._vm:
+                self._break(attempt, reason.detail, lost.vm)
 
     def lose_router(self, router: ids.VmId) -> None:
         """Ends the attempts of a router that is gone."""
@@ -133,16 +173,12 @@
         return tuple(
             attempt.held
             for attempt in self._attempt_by_request.values()
-            if attempt.start.router == router
+            if attempt.start.router == router and not attempt.broken
         )
 
     async def run(self) -> None:
         """Runs batches for ever."""
-        while True:
-            await self._wake.wait()
-            self._wake.clear()
-            while self._ready:
-                await self._run_batch(self._take_batch())
+        await self._batches.run()
 
     def _refuse(self, start: messages.StartAttempt, index: int) -> bool:
         kind = None
@@ -153,13 +189,12 @@
         if kind is None:
             return False
         self._metrics.count("attempt.refused")
-        refusal = messages.AttemptFailed(
-            start.request,
-            start.attempt,
-            kind,
+        refusal = stage_attempt.make_failure(
+            start,
             f"refused by stage {index}",
-            states.Ran.NOT_RUN,
             self._vm,
+            kind,
+            states.Ran.NOT_RUN,
         )
         self._post_to_router(start.router, refusal)
         return True
@@ -168,20 +203,14 @@
         self, start: messages.StartAttempt, index: int, positions: int
     ) -> stage_attempt.StageAttempt | None:
         old = self._attempt_by_request.get(start.request)
-        ended = self._ended.get(start.request, ids.Attempt(0))
+        ended = self._ended.last(start.request)
         newest = max(ended, old.start.attempt if old is not None else ended)
         if start.attempt <= newest:
             self._metrics.count("attempt.old")
             return None
         if old is not None:
             self._close(old)
-        attempt = stage_attempt.StageAttempt(
-            start,
-            index,
-            positions,
-            f"{start.request}.{start.attempt}",
-            streams.PositionGate(),
-        )
+        attempt = stage_attempt.make_attempt(start, index, positions)
         self._attempt_by_request[start.request] = attempt
         return attempt
 
@@ -194,14 +223,45 @@
         opening = messages.OpenStage(start, index, positions)
         self._post_to_agent(start.pipeline.stages[index].address, opening)
 
+    def _replay(self, attempt: stage_attempt.StageAttempt) -> None:
+        hops = self._kept.hops(attempt)
+        if hops is None:
+            self._fail(attempt, "the hidden states were not kept", None)
+            return
+        self._metrics.count("attempt.replayed")
+        opening = messages.OpenStage(
+            stage_attempt.strip_tokens(attempt.start),
+            attempt.index + 1,
+            attempt.positions,
+            alone=True,
+        )
+        address = attempt.start.pipeline.stages[attempt.index + 1].address
+        self._post_to_agent(address, opening)
+        for hop in hops:
+            self._post_to_agent(address, messages.HopFrame((hop,)))
+
+    def _take_early(self, request: ids.RequestId) -> None:
+        for message in self._early.take(request):
+            match message:
+                case messages.Hop():
+                    self.take_hop(message)
+                case messages.NextToken():
+                    self.take_token(message)
+
     def _find(
-        self, request: ids.RequestId, number: ids.Attempt
+        self, message: stage_replay.Early
     ) -> stage_attempt.StageAttempt | None:
-        found = self._attempt_by_request.get(request)
-        if found is None or found.start.attempt != number:
+        found = self._attempt_by_request.get(message.request)
+        newest = self._ended.last(message.request)
+        if found is not None:
+            newest = max(newest, found.start.attempt)
+            if found.oldest <= message.attempt <= found.start.attempt:
+                return found
+        if message.attempt > newest:
+            self._early.add(message)
+        else:
             self._metrics.count("hop.old_attempt")
-            return None
-        return found
+        return None
 
     def _arrive(
         self,
@@ -216,41 +276,19 @@
                 work = stage_attempt.Work(
                     attempt, position + skip, values[skip:]
                 )
-                self._ready.append(work)
-                self._wake.set()
+                self._batches.add(work)
             case streams.Arrival.GAP:
                 self._metrics.count("hop.gap")
                 self._fail(attempt, f"position {position} is early", self._vm)
             case _:
                 self._metrics.count("hop.duplicate")
 
-    def _take_batch(self) -> list[stage_attempt.Work]:
-        batch: list[stage_attempt.Work] = []
-        positions = 0
-        while self._ready and positions < MAX_BATCH_POSITIONS:
-            work = self._ready.popleft()
-            if work.attempt.stopped:
-                continue
-            positions += len(work.values)
-            batch.append(work)
-        return batch
-
-    async def _run_batch(self, batch: list[stage_attempt.Work]) -> None:
-        if not batch:
-            return
-        items = tuple(stage_attempt.make_item(work) for work in batch)
-        try:
-            results = await self._engine.step(items)
-        except errors.NutmegError as error:
-            for work in batch:
-                self._fail(work.attempt, error.detail, self._vm)
-            return
-        self._metrics.count("engine.steps")
+    def _take_results(
+        self,
+        batch: list[stage_attempt.Work],
+        results: tuple[engines.StepResult, ...],
+    ) -> None:
         output = stage_attempt.Output()
-        if len(results) != len(batch):
-            for work in batch:
-                self._fail(work.attempt, "the engine miscounted", self._vm)
-            return
         for work, result in zip(batch, results, strict=True):
             self._take_result(work, result, output)
         self._send(output)
@@ -270,14 +308,12 @@
         if attempt.is_last:
             self._take_tokens(work, result, output)
             return
+        request = attempt.start.request
+        self._kept.add(request, work.position, result.hidden)
+        if attempt.broken:
+            return
         after = attempt.start.pipeline.stages[attempt.index + 1]
-        hop = messages.Hop(
-            attempt.start.request,
-            attempt.start.attempt,
-            work.position,
-            result.hidden,
-            after.first_layer,
-        )
+        hop = stage_attempt.make_hop(attempt, work.position, result.hidden)
         output.hops_by_address.setdefault(after.address, []).append(hop)
 
     def _take_tokens(
@@ -290,28 +326,15 @@
             return
         attempt = work.attempt
         start = attempt.start
-        first = max(work.position, attempt.positions - 1)
-        done = first - (attempt.positions - 1) + len(result.tokens)
-        finish = stage_attempt.finish_of(result, done >= start.max_tokens)
-        item = messages.TokenItem(
-            start.request,
-            start.attempt,
-            start.first_sequence + first - (attempt.positions - 1),
-            result.tokens,
-            result.texts,
-            finish,
-        )
+        item = stage_attempt.make_token_item(work, result)
         output.items_by_router.setdefault(start.router, []).append(item)
-        if finish is not None:
+        if item.finish is not None:
             return
-        following = messages.NextToken(
-            start.request,
-            start.attempt,
-            first + len(result.tokens),
-            result.tokens[-1],
-        )
+        following = stage_attempt.make_next_token(work, result)
+        attempt.last_token = following
         address = start.pipeline.stages[0].address
-        output.next_by_address.setdefault(address, []).append(following)
+        if not attempt.broken:
+            output.next_by_address.setdefault(address, []).append(following)
 
     def _send(self, output: stage_attempt.Output) -> None:
         for router, items in output.items_by_router.items():
@@ -323,6 +346,24 @@
         for address, hops in output.hops_by_address.items():
             self._post_to_agent(address, messages.HopFrame(tuple(hops)))
 
+    def _send_token(
+        self,
+        attempt: stage_attempt.StageAttempt,
+        token: messages.NextToken,
+    ) -> None:
+        renewed = msgspec.structs.replace(token, attempt=attempt.start.attempt)
+        address = attempt.start.pipeline.stages[0].address
+        self._post_to_agent(address, messages.NextTokenFrame((renewed,)))
+
+    def _break(
+        self, attempt: stage_attempt.StageAttempt, detail: str, vm: ids.VmId
+    ) -> None:
+        if attempt.broken:
+            return
+        attempt.broken = True
+        self._metrics.count("attempt.broken")
+        self._report(attempt.start, detail, vm)
+
     def _fail(
         self,
         attempt: stage_attempt.StageAttempt,
@@ -333,30 +374,25 @@
             return
         self._metrics.count("attempt.failed")
         self._close(attempt)
-        failure = messages.AttemptFailed(
-            attempt.start.request,
-            attempt.start.attempt,
-            errors.ErrorKind.STAGE_FAILED,
-            detail,
-            states.Ran.UNKNOWN,
-            vm,
+        self._report(attempt.start, detail, vm)
+
+    def _report(
+        self, start: messages.StartAttempt, detail: str, vm: ids.VmId | None
+    ) -> None:
+        failure = stage_attempt.make_failure(
+            start, detail, vm, errors.ErrorKind.STAGE_FAILED
         )
-        self._post_to_router(attempt.start.router, failure)
+        self._post_to_router(start.router, failure)
 
     def _close(self, attempt: stage_attempt.StageAttempt) -> None:
         attempt.stopped = True
-        self._note_ended(attempt.start.request, attempt.start.attempt)
+        self._ended.note(attempt.start.request, attempt.start.attempt)
         self._attempt_by_request.pop(attempt.start.request, None)
+        self._kept.forget(attempt.start.request)
         task = asyncio.ensure_future(self._release(attempt.sequence))
         self._releases.add(task)
         task.add_done_callback(self._releases.discard)
 
-    def _note_ended(self, request: ids.RequestId, attempt: ids.Attempt) -> None:
-        before = self._ended.pop(request, ids.Attempt(0))
-        self._ended[request] = max(before, attempt)
-        if len(self._ended) > MAX_ENDED_REQUESTS:
-            self._ended.popitem(last=False)
-
     async def _release(self, sequence: str) -> None:
         try:
             await self._engine.release(sequence)
--- a/packages/nutmeglift_router/nutmeglift_router/recovery_controller.py
+++ b/packages/nutmeglift_router/nutmeglift_router/recovery_controller.py
@@ -5,7 +5,8 @@
 from nutmeglift import ids
 from nutmeglift import messages
 from nutmeglift import recovery
-from nutmeglift_router import chat
+from nutmeglift_router import chat_controller
+from nutmeglift_router import chat_dispatch
 from nutmeglift_wire import clock as clocks
 from nutmeglift_wire import metrics as metric
 
@@ -16,10 +17,10 @@
     def __init__(
         self,
         *,
-        chats: chat.ChatController,
+        chats: chat_controller.ChatController,
         clock: clocks.BaseClock,
         metrics: metric.BaseMetrics,
-        post: chat.Post,
+        post: chat_dispatch.Post,
     ) -> None:
         self._chats = chats
         self._clock = clock
--- a/packages/nutmeglift_router/nutmeglift_router/router.py
+++ b/packages/nutmeglift_router/nutmeglift_router/router.py
@@ -21,7 +21,7 @@
 from nutmeglift import states
 from nutmeglift_router import admission_controller
 from nutmeglift_router import agent_links
-from nutmeglift_router import chat
+from nutmeglift_router import chat_controller
 from nutmeglift_router import configuration_controller
 from nutmeglift_router import counted_metrics
 from nutmeglift_router import drain_controller
@@ -166,9 +166,8 @@
             bounds=own.bounds,
             shares=self.shares,
         )
-        self.chat = chat.ChatController(
+        self.chat = chat_controller.ChatController(
             own.vm,
-            board=self.board,
             clock=clock,
             metrics=metrics,
             routes=self._routing,
--- /dev/null
+++ b/tests/test_drain.py
@@ -0,0 +1,136 @@
+"""A process's way out, and a router's over HTTP."""
+
+import asyncio
+import unittest
+
+from nutmeglift import drain
+from nutmeglift import ids
+from nutmeglift_router import drain_controller
+from nutmeglift_router import entries
+from tests import utils
+from tests import virtual_time
+
+
+class DrainTest(unittest.TestCase):
+    TABLE = {
+        # now, limit, in flight, others, forced -> may exit
+        "empty": (0.0, 0.0, 0, 0, False, True),
+        "in flight": (9e9, 0.0, 1, 0, False, False),
+        "counted elsewhere": (9e9, 0.0, 0, 1, False, False),
+        "before the limit": (14.9, 5.0, 1, 0, False, False),
+        "after the limit": (15.0, 5.0, 1, 0, False, True),
+        "forced": (0.0, 0.0, 1, 1, True, True),
+    }
+
+    def test_it_settles_when_nothing_is_in_flight(self):
+        for name, row in self.TABLE.items():
+            with self.subTest(name):
+                now, limit, in_flight, others, forced, settled = row
+                process = drain.Drain()
+                for _ in range(in_flight):
+                    process.enter()
+                self.assertFalse(process.settle(now, limit, others))
+                process.begin(10.0)
+                process.begin(now)
+                if forced:
+                    process.force()
+                self.assertFalse(process.accepts_work)
+                self.assertEqual(process.settle(now, limit, others), settled)
+
+    def test_work_that_ends_lets_it_go(self):
+        process = drain.Drain()
+        process.enter()
+        process.begin()
+        self.assertFalse(process.settle(0.0, 0.0))
+        process.leave()
+        self.assertTrue(process.settle(0.0, 0.0))
+        self.assertIs(process.state, drain.DrainState.DRAINED)
+
+
+class MiddlewareTest(unittest.TestCase):
+    def test_a_request_is_in_flight_until_its_last_byte(self):
+        async def work():
+            own = drain.Drain()
+            go_on = asyncio.Event()
+            seen = []
+
+            async def app(scope, receive, send):
+                await go_on.wait()
+                if scope["fail"]:
+                    raise ValueError
+
+            wrapped = drain_controller.DrainMiddleware(app, own)
+            for fail in (False, True):
+                go_on.clear()
+                task = asyncio.ensure_future(wrapped({"fail": fail}, 0, 0))
+                await asyncio.sleep(0)
+                seen.append(own.in_flight)
+                go_on.set()
+                await asyncio.gather(task, return_exceptions=True)
+                seen.append(own.in_flight)
+            return seen
+
+        self.assertEqual(virtual_time.run(work()), [1, 0, 1, 0])
+
+
+class RouterDrainTest(unittest.TestCase):
+    def test_the_second_signal_cuts_nothing_and_force_does(self):
+        for forced in (False, True):
+            with self.subTest(forced=forced):
+                left, text = virtual_time.run(self._leave(forced))
+                whole = utils.reference_text(utils.PROMPT, 300)
+                self.assertEqual(left, forced)
+                self.assertEqual(text == whole, not forced)
+
+    async def _leave(self, forced):
+        world = utils.World()
+        await world.start()
+        stream = world.start_chat(300)
+        reading = asyncio.ensure_future(world.read(stream))
+        await asyncio.sleep(0.1)
+        leaves = [asyncio.ensure_future(world.router.leave())]
+        await asyncio.sleep(0.1)
+        leaves.append(asyncio.ensure_future(world.router.leave()))
+        if forced:
+            world.router.drain.force()
+        await asyncio.sleep(0.1)
+        left = all(leave.done() for leave in leaves)
+        state = world.router.board.read(entries.DRAIN)
+        self.assertIs(state is drain.DrainState.DRAINED, forced)
+        text = "" if forced else await reading
+        reading.cancel()
+        await asyncio.gather(*leaves)
+        await world.stop()
+        return left, text
+
+
+class AgentDrainTest(unittest.TestCase):
+    def test_it_waits_until_its_tokens_are_acknowledged(self):
+        async def work():
+            world = utils.World()
+            await world.start(runners=2)
+            stream = world.start_chat(100)
+            reading = asyncio.ensure_future(world.read(stream))
+            await asyncio.sleep(0.05)
+            last = stream.pipeline.stages[-1].vm
+            router = world.router_by_vm[ids.VmId("entry-1")]
+            process = world.agent_by_vm[last]
+            world.network.silence(process.address, router.address)
+            await asyncio.sleep(0.2)
+            leave = asyncio.ensure_future(process.agent.leave())
+            await asyncio.sleep(0.3)
+            early = leave.done()
+            text = await reading
+            await asyncio.wait_for(leave, 3.0)
+            attempt = stream.gate.attempt
+            await world.stop()
+            return early, text, attempt
+
+        early, text, attempt = virtual_time.run(work())
+        self.assertFalse(early)
+        self.assertEqual(text, utils.reference_text(utils.PROMPT, 100))
+        self.assertEqual(attempt, 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
