Replace a last stage too; end broken attempts on reconnection

Cause: a last stage's death still took a fresh attempt, because its replacement may sample another token. Fuzzing (80 machines of 26 steps) found an attempt that had lost a neighbour left behind at an agent that was frozen when the router's cancel came: the list of held attempts left it out, so the router never cancelled it. Change: after a last stage's replacement the tokens of older attempts no longer count, the replacement samples from the last released token on, and a stage that ran a token never released fails the attempt, which then starts afresh. A router's reconnection ends its broken attempts at the agent. Engines that sample different tokens are tested: every token must follow from those before it.

--- a/benchmarks/bench_recovery.py
+++ b/benchmarks/bench_recovery.py
@@ -17,6 +17,7 @@
 TOKEN_GAP_SECONDS = 0.052
 FIRST_TOKEN_SECONDS = 0.47
 PROMPT_TOKENS = 512
+LONG_PROMPT_TOKENS = 3000
 ANSWER_TOKENS = 240
 DONE_SHARE = 2 / 3
 DOMAIN_DELAY_SECONDS = 0.0005
@@ -145,23 +146,32 @@
     return virtual_time.run(work())
 
 
+def measure_worst(prompt_tokens: int, *, silent: bool = False) -> Times:
+    """Measures the death of each stage; returns the slowest recovery."""
+    cases = [
+        Case(prompt_tokens, stage=stage, silent=silent)
+        for stage in range(STAGES)
+    ]
+    return max(map(measure, cases), key=lambda times: times.to_next_token)
+
+
 def _ratio() -> figures.Measured:
-    times = measure(Case())
+    times = measure_worst(PROMPT_TOKENS)
     return figures.Measured(times.to_next_token / times.restart, 1.0)
 
 
 def _past_detection() -> figures.Measured:
-    times = measure(Case())
+    times = measure_worst(PROMPT_TOKENS)
     return figures.Measured(times.past_detection, times.restart)
 
 
 def _long_prompt() -> figures.Measured:
-    times = measure(Case(prompt_tokens=3000))
+    times = measure_worst(LONG_PROMPT_TOKENS)
     return figures.Measured(times.past_detection, times.restart)
 
 
 def _heartbeats() -> figures.Measured:
-    times = measure(Case(silent=True))
+    times = measure_worst(PROMPT_TOKENS, silent=True)
     heartbeat = settings.Bounds().heartbeat_seconds
     return figures.Measured(
         times.to_next_token / heartbeat, times.restart / heartbeat
--- a/packages/nutmeglift/nutmeglift/recovery.py
+++ b/packages/nutmeglift/nutmeglift/recovery.py
@@ -141,9 +141,6 @@
 ) -> tuple[int, messages.Pipeline] | None:
     """Finds a replacement for the stage at fault.
 
-    The last stage is not replaced alone: it samples, and an engine may sample
-    another token than the one that its fellows have run already.
-
     Args:
         pipeline: the pipeline of the failed attempt.
         failure: why it failed.
@@ -157,12 +154,10 @@
         for index, stage in enumerate(pipeline.stages)
         if stage.vm == failure.vm
     ]
-    if failure.refused or len(indexes) != 1:
+    if failure.refused or len(indexes) != 1 or len(pipeline.stages) == 1:
         return None
     index = indexes[0]
     old = pipeline.stages[index]
-    if index == len(pipeline.stages) - 1:
-        return None
     used = {stage.vm for stage in pipeline.stages}
     for stage in fresh.stages:
         same = (stage.first_layer, stage.end_layer) == (
--- a/packages/nutmeglift/nutmeglift/streams.py
+++ b/packages/nutmeglift/nutmeglift/streams.py
@@ -107,7 +107,10 @@
         self.oldest = attempt
 
     def go_on(self, attempt: ids.Attempt) -> None:
-        """Lets a higher attempt count besides those that it goes on with."""
+        """Lets a higher attempt count besides those that it goes on with.
+
+        Not where the last stage is replaced: it may sample other tokens.
+        """
         oldest = self.oldest
         self.restart(attempt)
         self.oldest = oldest
--- a/packages/nutmeglift_agent/nutmeglift_agent/agent.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/agent.py
@@ -205,7 +205,7 @@
         if self._stages is not None:
             if self._ports.is_replaced_by(session.peer):
                 self._stages.lose_router(router)
-            held = self._stages.held_by(router)
+            held = self._stages.resume_router(router)
         self._ports.attach(session, messages.AttemptsHeld(held))
 
     async def _sweep(self) -> None:
--- a/packages/nutmeglift_agent/nutmeglift_agent/stage_attempt.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/stage_attempt.py
@@ -3,6 +3,8 @@
 import collections
 import dataclasses
 
+import msgspec
+
 from nutmeglift import engine as engines
 from nutmeglift import errors
 from nutmeglift import ids
@@ -44,6 +46,8 @@
         sequence: name of the KV cache at the engine.
         gate: lets each position through once.
         oldest: the first attempt whose KV cache it goes on with.
+        old_last: the last attempt whose last stage was replaced, or 0.
+        old_end: what it and earlier ones sent counts up to this position.
         stopped: whether it has ended.
         broken: whether it waits for the router to replace a stage.
         last_token: the last token sent to the first stage, if any.
@@ -55,6 +59,8 @@
     sequence: str
     gate: streams.PositionGate
     oldest: ids.Attempt
+    old_last: ids.Attempt = ids.Attempt(0)
+    old_end: int = 0
     stopped: bool = False
     broken: bool = False
     last_token: messages.NextToken | None = None
@@ -74,6 +80,40 @@
         """Whether the model's last layer runs here."""
         return self.index == len(self.start.pipeline.stages) - 1
 
+    def go_on(self, replacement: messages.ReplaceStage) -> bool:
+        """Goes on as a later attempt, of which one stage is replaced.
+
+        Returns:
+            False if positions were run that the replacement can't agree with:
+            it may sample another token than the one that stood there.
+        """
+        start = replacement.start
+        self.positions += start.first_sequence - self.start.first_sequence
+        self.start = msgspec.structs.replace(
+            self.start,
+            attempt=start.attempt,
+            pipeline=start.pipeline,
+            max_tokens=start.max_tokens,
+            first_sequence=start.first_sequence,
+        )
+        self.broken = False
+        if replacement.stage < len(start.pipeline.stages) - 1:
+            return True
+        self.old_last = replacement.replaced
+        self.old_end = self.positions
+        return self.gate.next_position <= self.positions
+
+    def accepts(self, number: ids.Attempt, end: int) -> bool:
+        """Tells whether positions sent under an attempt's number count.
+
+        Args:
+            number: the number.
+            end: one past the last position.
+        """
+        if not self.oldest <= number <= self.start.attempt:
+            return False
+        return number > self.old_last or end <= self.old_end
+
     def stage_sent_to(self, address: str) -> messages.Stage | None:
         """Returns the later or first stage at an address, if any is there."""
         stages = self.start.pipeline.stages
--- a/packages/nutmeglift_agent/nutmeglift_agent/stage_batches.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/stage_batches.py
@@ -33,12 +33,19 @@
         self._fail = fail
         self._ready: collections.deque[stage_attempt.Work] = collections.deque()
         self._wake = asyncio.Event()
+        self._releases: set[asyncio.Task[None]] = set()
 
     def add(self, work: stage_attempt.Work) -> None:
         """Queues positions."""
         self._ready.append(work)
         self._wake.set()
 
+    def release(self, sequence: str) -> None:
+        """Frees a sequence's KV cache, without waiting for it."""
+        task = asyncio.ensure_future(self._release(sequence))
+        self._releases.add(task)
+        task.add_done_callback(self._releases.discard)
+
     async def run(self) -> None:
         """Runs batches for ever."""
         while True:
@@ -76,3 +83,9 @@
     def _fail_batch(self, batch: Batch, detail: str) -> None:
         for work in batch:
             self._fail(work.attempt, detail)
+
+    async def _release(self, sequence: str) -> None:
+        try:
+            await self._engine.release(sequence)
+        except errors.NutmegError:
+            self._metrics.count("engine.release_failed")
--- a/packages/nutmeglift_agent/nutmeglift_agent/stage_work.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/stage_work.py
@@ -1,6 +1,5 @@
 """Stages of requests' pipelines that run on the engine beside this agent."""
 
-import asyncio
 from collections.abc import Callable
 
 import msgspec
@@ -41,7 +40,6 @@
         self._vm = vm
         self._incarnation = incarnation
         self._accepts_work = accepts_work
-        self._engine = engine
         self._metrics = metrics
         self._post_to_agent = post_to_agent
         self._post_to_router = post_to_router
@@ -58,7 +56,6 @@
             take=self._take_results,
             fail=lambda attempt, why: self._fail(attempt, why, vm),
         )
-        self._releases: set[asyncio.Task[None]] = set()
 
     @property
     def in_flight(self) -> int:
@@ -109,10 +106,9 @@
             self._report(start, "nothing to go on with", None)
             return
         self._metrics.count("attempt.continued")
-        attempt.broken = False
-        attempt.start = msgspec.structs.replace(
-            attempt.start, attempt=start.attempt, pipeline=start.pipeline
-        )
+        if not attempt.go_on(replacement):
+            self._fail(attempt, "a token was run but not released", None)
+            return
         if attempt.index == 0:
             self._arrive(attempt, 0, start.tokens)
         if attempt.index + 1 == replacement.stage:
@@ -123,7 +119,7 @@
 
     def take_hop(self, hop: messages.Hop) -> None:
         """Takes hidden states from the stage before."""
-        attempt = self._find(hop)
+        attempt = self._find(hop, hop.position + len(hop.hidden))
         if attempt is None:
             return
         if hop.first_layer != attempt.stage.first_layer:
@@ -134,7 +130,7 @@
 
     def take_token(self, token: messages.NextToken) -> None:
         """Takes a sampled token, as the first stage."""
-        attempt = self._find(token)
+        attempt = self._find(token, token.position + 1)
         if attempt is not None:
             self._arrive(attempt, token.position, (token.token,))
 
@@ -168,13 +164,19 @@
                 self._metrics.count("attempt.orphaned")
                 self._close(attempt)
 
-    def held_by(self, router: ids.VmId) -> tuple[messages.HeldAttempt, ...]:
-        """Returns the attempts that go on for a router."""
-        return tuple(
-            attempt.held
-            for attempt in self._attempt_by_request.values()
-            if attempt.start.router == router and not attempt.broken
-        )
+    def resume_router(
+        self, router: ids.VmId
+    ) -> tuple[messages.HeldAttempt, ...]:
+        """Ends a reconnected router's broken attempts; returns the others.
+
+        Word of the broken ones, or the answer to it, may have been lost.
+        """
+        found = self._attempt_by_request.values()
+        mine = [a for a in found if a.start.router == router]
+        for attempt in mine:
+            if attempt.broken:
+                self._close(attempt)
+        return tuple(a.held for a in mine if not a.stopped)
 
     async def run(self) -> None:
         """Runs batches for ever."""
@@ -249,13 +251,13 @@
                     self.take_token(message)
 
     def _find(
-        self, message: stage_replay.Early
+        self, message: stage_replay.Early, end: int
     ) -> stage_attempt.StageAttempt | None:
         found = self._attempt_by_request.get(message.request)
         newest = self._ended.last(message.request)
         if found is not None:
             newest = max(newest, found.start.attempt)
-            if found.oldest <= message.attempt <= found.start.attempt:
+            if found.accepts(message.attempt, end):
                 return found
         if message.attempt > newest:
             self._early.add(message)
@@ -389,12 +391,4 @@
         self._ended.note(attempt.start.request, attempt.start.attempt)
         self._attempt_by_request.pop(attempt.start.request, None)
         self._kept.forget(attempt.start.request)
-        task = asyncio.ensure_future(self._release(attempt.sequence))
-        self._releases.add(task)
-        task.add_done_callback(self._releases.discard)
-
-    async def _release(self, sequence: str) -> None:
-        try:
-            await self._engine.release(sequence)
-        except errors.NutmegError:
-            self._metrics.count("engine.release_failed")
+        self._batches.release(attempt.sequence)
--- a/packages/nutmeglift_fakes/nutmeglift_fakes/toy_engine.py
+++ b/packages/nutmeglift_fakes/nutmeglift_fakes/toy_engine.py
@@ -84,6 +84,7 @@
         orders: the orders carried out.
         faults: what goes wrong.
         step_overhead: seconds that every step takes besides its positions.
+        sample_salt: engines that differ in it sample different tokens.
     """
 
     def __init__(
@@ -101,6 +102,7 @@
         self.runs: list[LayerRun] = []
         self.orders: list[control_messages.Order] = []
         self.faults = EngineFaults()
+        self.sample_salt = 0
         self._clock = clock
         self._layers = layers
         self._rate = layer_positions_per_second
@@ -242,7 +244,7 @@
         ]
         if item.end_layer < self._layers:
             return engine.StepResult(hidden=tuple(outputs))
-        return _sample_all(item, outputs)
+        return _sample_all(item, outputs, self.sample_salt)
 
     def _run_position(
         self,
@@ -281,10 +283,12 @@
         self._events.append(None if lost else event)
 
 
-def _sample_all(item: engine.StepItem, outputs: list[int]) -> engine.StepResult:
+def _sample_all(
+    item: engine.StepItem, outputs: list[int], salt: int
+) -> engine.StepResult:
     first = max(0, item.sample_from - item.position)
     sampled = outputs[first:]
-    tokens = tuple(_sample(hidden) for hidden in sampled)
+    tokens = tuple(_sample(hidden + salt) for hidden in sampled)
     stop = bool(sampled) and sampled[-1] % STOP_MODULUS == 0
     texts = tuple(f" {WORDS[token]}" for token in tokens)
     return engine.StepResult(tokens=tokens, texts=texts, stop=stop)
--- a/packages/nutmeglift_router/nutmeglift_router/chat_dispatch.py
+++ b/packages/nutmeglift_router/nutmeglift_router/chat_dispatch.py
@@ -87,7 +87,10 @@
         now = self._clock.now()
         self._cancel_on(stream, [old.stages[found[0]]])
         self._routing.ended(old, failure.vm, now)
-        stream.gate.go_on(attempt)
+        if found[0] == len(old.stages) - 1:
+            stream.gate.restart(attempt)
+        else:
+            stream.gate.go_on(attempt)
         stream.pipeline = found[1]
         stream.used |= {stage.vm for stage in found[1].stages}
         self._routing.started(found[1], now)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -16,8 +16,10 @@
 from nutmeglift import states
 from nutmeglift import streams
 from nutmeglift_agent import stage_work
+from nutmeglift_fakes import toy_engine
 from tests import scenario
 from tests import scenario_steps as steps
+from tests import utils
 from tests import virtual_time
 
 VM = ids.VmId("runner-1")
@@ -265,6 +267,57 @@
         return problems + self.runner.find_leaks()
 
 
+class UnlikeEnginesTest(unittest.TestCase):
+    """Engines that sample different tokens of the same hidden state."""
+
+    PLACES = ("first", "2", "last", "last", "2", "last")
+
+    def test_every_token_follows_from_those_before_it(self):
+        for delay in (0.0, 0.004, 0.02):
+            with self.subTest(delay=delay):
+                tokens, attempts = virtual_time.run(self._run(delay))
+                self.assertEqual(len(tokens), TOKENS)
+                self.assertGreater(attempts, 2)
+                self.assertEqual(self._find_strange(tokens), [])
+
+    async def _run(self, delay):
+        runner = scenario.Runner(
+            steps.Scenario(
+                name="unlike",
+                deployment=steps.Deployment(runners=9),
+                steps=(),
+            )
+        )
+        await runner.start()
+        for salt, engine in enumerate(runner.world.engines):
+            engine.sample_salt = salt
+            engine.step_overhead = 0.004
+        await runner.do(
+            steps.Call(name="call", max_tokens=TOKENS, prompt="lot 1")
+        )
+        for count, place in zip((9, 23, 40), self.PLACES[2:], strict=False):
+            await runner.do(steps.Wait(call="call", tokens=count))
+            for pair in (("last", "router"), ("last", "first")):
+                between = tuple(f"call/{end}" for end in pair)
+                await runner.do(steps.Degrade(between=between, delay=delay))
+            await asyncio.sleep(0.01)
+            await runner.do(steps.Kill(vm=f"call/{place}"))
+        await runner.callers.finish(scenario.END_SECONDS)
+        caller = runner.callers.by_name["call"]
+        await runner.world.stop()
+        return caller.stream.gate.tokens, caller.stream.gate.attempt
+
+    def _find_strange(self, tokens):
+        prompt = utils.chat_prompt("lot 1")
+        words = len(toy_engine.WORDS)
+        strange = []
+        for index, token in enumerate(tokens):
+            (plain,) = utils.reference(prompt + tuple(tokens[:index]), 1)
+            if (token - plain) % words >= 9:
+                strange.append(index)
+        return strange
+
+
 FUZZING = hypothesis.settings(
     derandomize=True,
     deadline=None,
