Tend each connection by one task in place of three

Cause: a connection had separate tasks for heartbeats, silence and overflow, with six timer wake-ups a second. Change: one task wakes at each heartbeat, checks silence and overflow, and posts the heartbeat.

--- a/packages/nutmeglift_wire/nutmeglift_wire/session.py
+++ b/packages/nutmeglift_wire/nutmeglift_wire/session.py
@@ -131,7 +131,7 @@
             collections.deque()
         )
         self._posted = asyncio.Event()
-        self._overflown = asyncio.Event()
+        self._overflown = False
         self._closed = False
 
     @property
@@ -148,11 +148,11 @@
         if self._closed:
             return False
         if len(self._outgoing) >= MAX_QUEUED_MESSAGES:
-            self._overflown.set()
+            self._overflown = True
         else:
             self._outgoing.append(message)
         self._posted.set()
-        return not self._overflown.is_set()
+        return not self._overflown
 
     async def run(self) -> errors.NutmegError:
         """Runs the session.
@@ -163,9 +163,7 @@
         tasks = [
             asyncio.create_task(self._write()),
             asyncio.create_task(self._read()),
-            asyncio.create_task(self._beat()),
-            asyncio.create_task(self._watch_silence()),
-            asyncio.create_task(self._watch_overflow()),
+            asyncio.create_task(self._tend()),
         ]
         try:
             done, _ = await asyncio.wait(
@@ -199,31 +197,28 @@
             self.heard_at = self._clock.now()
             self._handler(self, message)
 
-    async def _beat(self) -> None:
+    async def _tend(self) -> None:
         sequence = 0
         while True:
+            before = self._clock.now()
             await self._clock.sleep(self._bounds.heartbeat_seconds)
+            self._check(before)
             sequence += 1
             self.post(self._make_heartbeat(sequence))
 
-    async def _watch_silence(self) -> None:
+    def _check(self, before: float) -> None:
+        if self._overflown:
+            raise errors.LinkClosedError("the peer reads too slowly")
+        now = self._clock.now()
         bound = self._bounds.silence_seconds
-        while True:
-            before = self._clock.now()
-            await self._clock.sleep(self._bounds.heartbeat_seconds / 2)
-            if self._clock.now() - before > bound:
-                # This process was paused, so its own clock proves nothing.
-                self.heard_at = self._clock.now()
-                continue
-            if self._clock.now() - self.heard_at > bound:
-                raise errors.LinkClosedError(
-                    f"no byte from {self.peer.vm} for {bound} s"
-                )
-
-    async def _watch_overflow(self) -> None:
-        # Apart from the writer, which may wait for the peer for ever.
-        await self._overflown.wait()
-        raise errors.LinkClosedError("the peer reads too slowly")
+        if now - before > bound:
+            # This process was paused, so its own clock proves nothing.
+            self.heard_at = now
+            return
+        if now - self.heard_at > bound:
+            raise errors.LinkClosedError(
+                f"no byte from {self.peer.vm} for {bound} s"
+            )
 
 
 def _reason(done: set[asyncio.Task[None]]) -> errors.NutmegError:
