Let connections beat in eight slots of the interval

Cause: each connection's timer woke the event loop by itself, and a wake-up costs more than a heartbeat. Change: a beat falls on the next of eight slots of the interval. The benchmark now counts one end's thread only, connections spread over the interval.

--- a/benchmarks/bench_wire.py
+++ b/benchmarks/bench_wire.py
@@ -2,10 +2,14 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
+from collections.abc import Coroutine
 import gc
+import threading
 import time
 import timeit
 import tracemalloc
+from typing import Any
 
 import cbor2
 import msgspec
@@ -43,8 +47,8 @@
     return messages.Heartbeat(sequence, ids.Generation(7), load=LOAD)
 
 
-class _Pairs:
-    """Sessions over loopback, both ends in this process."""
+class _End:
+    """One end of many sessions, on the running event loop."""
 
     def __init__(self) -> None:
         self.received: collections.Counter[str] = collections.Counter()
@@ -52,33 +56,31 @@
         self._bounds = settings.Bounds(
             heartbeat_seconds=HEARTBEAT_SECONDS, silence_seconds=5.0
         )
-        self._listener = websocket_link.WebsocketListener(self._accept)
 
-    async def start(self, count: int) -> None:
-        """Opens so many sessions."""
-        address = await self._listener.start("127.0.0.1:0")
+    async def dial(self, address: str, count: int) -> None:
+        """Opens so many sessions, spread over a heartbeat interval."""
         dialer = websocket_link.WebsocketDialer()
         for index in range(count):
             link = await dialer.dial(address)
             own = _hello(states.ProcessRole.ROUTER, f"entry-{index}")
             peer = await sessions.shake_hands_as_dialer(link, KEY, own)
-            task = asyncio.ensure_future(self._run(link, peer))
-            self._tasks.append(task)
+            self._tasks.append(asyncio.ensure_future(self._run(link, peer)))
+            await asyncio.sleep(HEARTBEAT_SECONDS / count)
 
-    async def stop(self) -> None:
-        """Closes all sessions."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self._listener.stop()
-
-    async def _accept(self, link: links.BaseLink) -> None:
+    async def accept(self, link: links.BaseLink) -> None:
+        """Serves a session."""
         own = _hello(states.ProcessRole.AGENT, "runner-1")
         peer = await sessions.shake_hands_as_listener(
             link, KEY, lambda hello: own
         )
         await self._run(link, peer)
 
+    async def stop(self) -> None:
+        """Closes the sessions that were dialled."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
     async def _run(self, link: links.BaseLink, peer: messages.Hello) -> object:
         session = sessions.Session(
             link,
@@ -94,41 +96,79 @@
         self.received[type(message).__name__] += 1
 
 
-async def _processor_seconds(count: int) -> float:
-    pairs = _Pairs()
-    await pairs.start(count)
-    await asyncio.sleep(HEARTBEAT_SECONDS)
-    started = time.process_time()
+class _FarEnd(threading.Thread):
+    """The accepting end, in a thread whose time is not counted."""
+
+    def __init__(self) -> None:
+        super().__init__(daemon=True)
+        self.address = ""
+        self.ready = threading.Event()
+        self._loop = asyncio.new_event_loop()
+        self._done = asyncio.Event()
+
+    def run(self) -> None:
+        """Serves until stopped."""
+        self._loop.run_until_complete(self._serve())
+
+    def stop(self) -> None:
+        """Ends the thread."""
+        self._loop.call_soon_threadsafe(self._done.set)
+        self.join()
+
+    async def _serve(self) -> None:
+        listener = websocket_link.WebsocketListener(_End().accept)
+        self.address = await listener.start("127.0.0.1:0")
+        self.ready.set()
+        await self._done.wait()
+        await listener.stop()
+
+
+async def _processor_seconds(address: str, count: int) -> float:
+    end = _End()
+    await end.dial(address, count)
+    started = time.thread_time()
     await asyncio.sleep(SECONDS)
-    spent = time.process_time() - started
-    await pairs.stop()
-    if not pairs.received["Heartbeat"]:
+    spent = time.thread_time() - started
+    await end.stop()
+    if not end.received["Heartbeat"]:
         raise RuntimeError("no heartbeat arrived")
     return spent / SECONDS
 
 
-async def _memory_bytes(count: int) -> int:
+async def _memory_bytes(address: str, count: int) -> int:
     gc.collect()
     tracemalloc.start()
-    pairs = _Pairs()
-    await pairs.start(count)
-    await asyncio.sleep(2 * HEARTBEAT_SECONDS)
+    end = _End()
+    await end.dial(address, count)
     gc.collect()
     used, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    await pairs.stop()
+    await end.stop()
     return used
 
 
+def _measure_sizes(
+    work: Callable[[str, int], Coroutine[Any, Any, float]],
+) -> list[float]:
+    measured = []
+    for size in SIZES:
+        far = _FarEnd()
+        far.start()
+        far.ready.wait()
+        measured.append(asyncio.run(work(far.address, size)))
+        far.stop()
+    return measured
+
+
 def measure_processor() -> figures.Measured:
     """Returns the processor time of one end of one idle connection."""
-    spent = [asyncio.run(_processor_seconds(size)) for size in SIZES]
-    return figures.Measured(figures.slope(SIZES, spent) / 2 * 1e6)
+    spent = _measure_sizes(_processor_seconds)
+    return figures.Measured(figures.slope(SIZES, spent) * 1e6)
 
 
 def measure_memory() -> figures.Measured:
-    """Returns the memory of one end of one idle connection."""
-    used = [float(asyncio.run(_memory_bytes(size))) for size in SIZES]
+    """Returns half the memory of both ends of one idle connection."""
+    used = _measure_sizes(_memory_bytes)
     return figures.Measured(figures.slope(SIZES, used) / 2)
 
 
--- a/packages/nutmeglift_wire/nutmeglift_wire/session.py
+++ b/packages/nutmeglift_wire/nutmeglift_wire/session.py
@@ -18,6 +18,8 @@
 from nutmeglift_wire import link as links
 
 NONCE_BYTES = 16
+BEAT_SLOTS = 8
+"""Moments within a heartbeat interval at which connections beat."""
 MAX_QUEUED_MESSAGES = 16384
 HANDSHAKE_TIMEOUT_SECONDS = 2.0
 
@@ -201,11 +203,18 @@
         sequence = 0
         while True:
             before = self._clock.now()
-            await self._clock.sleep(self._bounds.heartbeat_seconds)
+            await self._clock.sleep(self._until_next_beat(before))
             self._check(before)
             sequence += 1
             self.post(self._make_heartbeat(sequence))
 
+    def _until_next_beat(self, now: float) -> float:
+        # Connections whose beats fall into one slot wake the process once.
+        interval = self._bounds.heartbeat_seconds
+        slot = interval / BEAT_SLOTS
+        wake = (now + interval) // slot * slot
+        return wake - now
+
     def _check(self, before: float) -> None:
         if self._overflown:
             raise errors.LinkClosedError("the peer reads too slowly")
