Test at-most-once calls and fenced orders under faults

Change: tests.test_plain and tests.test_fencing bring each about over the real router and agent code. Heartbeats of the lease holder confirm its number.

--- a/packages/nutmeglift/nutmeglift/fencing.py
+++ b/packages/nutmeglift/nutmeglift/fencing.py
@@ -30,8 +30,8 @@
 
     Attributes:
         highest: highest fencing number seen.
-        confirmed: whether a router that had just read the current number
-            told it since this process started.
+        confirmed: whether a router that held the lease told its number
+            since this process started.
     """
 
     def __init__(self) -> None:
@@ -46,8 +46,7 @@
 
         Args:
             number: the number.
-            confirmed: whether the router read it from the key-value service
-                within its freshness bound.
+            confirmed: whether that router holds the number's lease.
         """
         self._raise(number)
         self.confirmed = self.confirmed or confirmed
--- a/packages/nutmeglift/nutmeglift/messages.py
+++ b/packages/nutmeglift/nutmeglift/messages.py
@@ -106,8 +106,8 @@
         leaving: whether the sender takes no new work any more.
         fencing_number: highest fencing number that the sender knows.
         load: from agents, the engine's last load report.
-        fencing_confirmed: from routers, whether the fencing number was read
-            from the key-value service within the freshness bound.
+        fencing_confirmed: from routers, whether the sender holds the lease
+            that the fencing number belongs to.
     """
 
     sequence: int
--- a/packages/nutmeglift_agent/nutmeglift_agent/agent.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/agent.py
@@ -162,6 +162,7 @@
             self._own.failure_domain,
             self._configuration.generation,
             not self.drain.accepts_work,
+            self._fencing_number(),
         )
 
     def _make_answer(self, peer: messages.Hello) -> messages.Hello:
@@ -173,6 +174,7 @@
             sequence,
             self._configuration.generation,
             not self.drain.accepts_work,
+            self._fencing_number(),
             load=self._load,
         )
 
@@ -324,6 +326,11 @@
             self.drain.leave()
         self._ports.post(session.peer.vm, result)
 
+    def _fencing_number(self) -> ids.FencingNumber:
+        if self._orders is None:
+            return ids.FencingNumber(0)
+        return self._orders.gate.highest
+
     def _learn_fencing_number(self, heartbeat: messages.Heartbeat) -> None:
         if self._orders is not None:
             self._orders.learn(
--- a/packages/nutmeglift_router/nutmeglift_router/router.py
+++ b/packages/nutmeglift_router/nutmeglift_router/router.py
@@ -292,6 +292,7 @@
             self.configuration.generation,
             not self.drain.accepts_work,
             self.lease.fencing_number,
+            fencing_confirmed=self.lease.held_number() is not None,
         )
 
     def _router_up(self, vm: ids.VmId, hello: messages.Hello) -> None:
--- /dev/null
+++ b/tests/test_fencing.py
@@ -0,0 +1,201 @@
+"""Orders to engines: only those of the current lease."""
+
+import asyncio
+import random
+import unittest
+
+from nutmeglift import control_messages
+from nutmeglift import errors
+from nutmeglift import fencing
+from nutmeglift import ids
+from nutmeglift import lease
+from nutmeglift_agent import orders
+from nutmeglift_fakes import toy_engine
+from nutmeglift_wire import clock as clocks
+from nutmeglift_wire import metrics
+from tests import utils
+from tests import virtual_time
+
+STALE = errors.ErrorKind.STALE_FENCING_NUMBER
+NOT_CONFIRMED = errors.ErrorKind.CONFIGURATION_STALE
+
+
+def make_order(name: str, number: int) -> control_messages.Order:
+    return control_messages.Order(
+        ids.RequestId(name),
+        ids.FencingNumber(number),
+        utils.MODEL,
+        utils.VERSION,
+        None,
+        0,
+        utils.LAYERS,
+    )
+
+
+def make_engine(checks: bool) -> toy_engine.ToyEngine:
+    return toy_engine.ToyEngine(
+        clock=clocks.LoopClock(),
+        layers=utils.LAYERS,
+        layer_positions_per_second=24000.0,
+        rng=random.Random(1),
+        checks_fencing_number=checks,
+    )
+
+
+class FencingGateTest(unittest.TestCase):
+    # Numbers learnt (and whether confirmed), order's number, expected kind.
+    CASES = {
+        "just started": ([], 5, NOT_CONFIRMED),
+        "heard of, not confirmed": ([(5, False)], 5, NOT_CONFIRMED),
+        "current": ([(5, True)], 5, None),
+        "newer than known": ([(5, True)], 6, None),
+        "older": ([(5, True)], 4, STALE),
+        "older than heard of": ([(5, True), (7, False)], 6, STALE),
+        "older one confirmed late": ([(7, False), (5, True)], 6, STALE),
+    }
+
+    def test_which_orders_are_carried_out(self):
+        for name, (learnt, number, kind) in self.CASES.items():
+            with self.subTest(name):
+                gate = fencing.FencingGate()
+                for known, confirmed in learnt:
+                    gate.learn(ids.FencingNumber(known), confirmed=confirmed)
+                match gate.judge(make_order("load", number)):
+                    case fencing.CarryOut():
+                        found = None
+                    case fencing.Answer(result):
+                        found = result.kind
+                self.assertEqual(found, kind)
+
+    def test_memory_of_orders_is_bounded(self):
+        gate = fencing.FencingGate()
+        gate.learn(ids.FencingNumber(1), confirmed=True)
+        for index in range(2 * fencing.MAX_REMEMBERED_ORDERS):
+            gate.note_done(make_order(f"load-{index}", 1))
+        self.assertEqual(len(gate._done), fencing.MAX_REMEMBERED_ORDERS)
+        gate.learn(ids.FencingNumber(2), confirmed=False)
+        self.assertEqual(len(gate._done), 0)
+
+
+class OrdersTest(unittest.TestCase):
+    def _run(self, checks: bool, steps):
+        async def scenario():
+            engine = make_engine(checks)
+            work = orders.Orders(engine, metrics.MemoryMetrics())
+            work.learn(ids.FencingNumber(3), confirmed=True)
+            results = [await work.carry_out(make_order(*s)) for s in steps]
+            return engine, results
+
+        return virtual_time.run(scenario())
+
+    def test_old_orders_never_reach_an_engine_that_checks_or_ignores(self):
+        steps = [("a", 3), ("b", 4), ("c", 3), ("d", 4)]
+        for checks in (True, False):
+            with self.subTest(checks=checks):
+                engine, results = self._run(checks, steps)
+                self.assertEqual([o.order for o in engine.orders], [*"abd"])
+                self.assertEqual(
+                    [r.kind for r in results], [None, None, STALE, None]
+                )
+
+    def test_a_repeated_order_is_carried_out_once(self):
+        engine, results = self._run(False, [("a", 3), ("a", 3), ("a", 3)])
+        self.assertEqual(len(engine.orders), 1)
+        self.assertEqual({r.kind for r in results}, {None})
+
+    def test_an_engine_that_knows_better_is_believed(self):
+        async def scenario():
+            engine = make_engine(True)
+            await engine.order(make_order("of another agent", 9))
+            work = orders.Orders(engine, metrics.MemoryMetrics())
+            work.learn(ids.FencingNumber(3), confirmed=True)
+            return await work.carry_out(make_order("a", 3))
+
+        self.assertEqual(virtual_time.run(scenario()).kind, STALE)
+
+    def test_a_newer_order_overtakes_those_that_wait(self):
+        class SlowEngine(toy_engine.ToyEngine):
+            async def order(self, order):
+                await asyncio.sleep(1.0)
+                await super().order(order)
+
+        async def scenario():
+            engine = SlowEngine(
+                clock=clocks.LoopClock(),
+                layers=utils.LAYERS,
+                layer_positions_per_second=24000.0,
+                rng=random.Random(1),
+            )
+            work = orders.Orders(engine, metrics.MemoryMetrics())
+            work.learn(ids.FencingNumber(3), confirmed=True)
+            given = [("a", 3), ("b", 3), ("a", 3), ("c", 4)]
+            results = await asyncio.gather(
+                *(work.carry_out(make_order(*step)) for step in given)
+            )
+            return [o.order for o in engine.orders], [r.kind for r in results]
+
+        carried, kinds = virtual_time.run(scenario())
+        self.assertEqual(carried, ["a", "c"])
+        self.assertEqual(kinds, [None, STALE, STALE, None])
+
+
+class LeaseHolderThatWakesTest(unittest.TestCase):
+    def test_its_order_is_refused_by_every_agent(self):
+        """Two routers; the planner's holder is paused past its lease."""
+
+        async def scenario():
+            world = utils.World()
+            await world.start(runners=2, services=0, routers=2)
+            await asyncio.sleep(lease.TTL_SECONDS)
+            holders = [
+                process
+                for process in world.router_by_vm.values()
+                if process.router.lease.held_number() is not None
+            ]
+            self.assertEqual(len(holders), 1)
+            old = holders[0]
+            number = old.router.lease.held_number()
+            old.clock.pause()
+            await asyncio.sleep(4 * lease.TTL_SECONDS)
+            (new,) = [
+                process
+                for process in world.router_by_vm.values()
+                if process is not old
+            ]
+            newer = new.router.lease.held_number()
+            self.assertGreater(newer, number)
+            # The old holder's order arrives before it has noticed anything.
+            kinds = []
+            for running in world.agent_by_vm.values():
+                work = running.agent._orders
+                late = await work.carry_out(make_order("late", number))
+                good = await work.carry_out(make_order("good", newer))
+                kinds.append((late.kind, good.kind))
+            carried = [o.order for e in world.engines for o in e.orders]
+            old.clock.resume()
+            await world.stop()
+            return kinds, carried
+
+        kinds, carried = virtual_time.run(scenario())
+        self.assertEqual(kinds, [(STALE, None)] * 2)
+        self.assertNotIn("late", carried)
+
+    def test_a_restarted_agent_waits_for_the_holders_word(self):
+        async def scenario():
+            world = utils.World()
+            await world.start(runners=1)
+            await asyncio.sleep(lease.TTL_SECONDS)
+            await world.kill("runner-1")
+            fresh = world.restart_agent("runner-1").agent._orders
+            number = world.router.lease.held_number()
+            early = await fresh.carry_out(make_order("early", number))
+            await asyncio.sleep(5.0)
+            late = await fresh.carry_out(make_order("early", number))
+            await world.stop()
+            return early.kind, late.kind
+
+        self.assertEqual(virtual_time.run(scenario()), (NOT_CONFIRMED, None))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_plain.py
@@ -0,0 +1,482 @@
+"""Non-idempotent calls through real routers and agents, with faults."""
+
+import asyncio
+import unittest
+import uuid
+
+from nutmeglift import codec
+from nutmeglift import errors
+from nutmeglift import ids
+from nutmeglift import kv
+from nutmeglift import ledger
+from nutmeglift import plain_messages
+from nutmeglift import states
+from nutmeglift_router import ledger_controller
+from nutmeglift_router import plain
+from tests import utils
+from tests import virtual_time
+
+Kind = errors.ErrorKind
+Ran = states.Ran
+
+
+class CallResult:
+    """What a caller was answered."""
+
+    def __init__(self, kind, ran, outcome=None):
+        self.kind = kind
+        self.ran = ran
+        self.outcome = outcome
+
+    def __repr__(self):
+        return f"<{self.kind} {self.ran}>"
+
+
+async def call(world, key, *, index=0, body=b"{}", account="bank-a"):
+    """Makes one call; returns what its caller was answered."""
+    router = list(world.router_by_vm.values())[index].router
+    service = world.declared.services[0]
+    request = plain.PlainCallRequest(
+        utils.make_account(account),
+        service,
+        service.calls[0],
+        "POST",
+        "/releases",
+        (),
+        body,
+        ids.IdempotencyKey(key),
+    )
+    try:
+        outcome = await router.plain.call(request)
+    except errors.NutmegError as error:
+        return CallResult(error.kind, error.ran)
+    return CallResult(None, outcome.ran, outcome)
+
+
+async def read(world, service_call=1):
+    """Makes one idempotent call."""
+    service = world.declared.services[0]
+    request = plain.PlainCallRequest(
+        utils.make_account("bank-a"),
+        service,
+        service.calls[service_call],
+        "GET",
+        "/releases/7",
+        (),
+        b"",
+        None,
+    )
+    return await world.router.plain.call(request)
+
+
+def claims(world) -> list[ledger.Claim]:
+    """Returns the claims in the key-value service."""
+    return [
+        codec.decode_as(value, ledger.Claim)
+        for key, value in world.store.dump().items()
+        if key.startswith(ledger.CLAIM_PREFIX)
+    ]
+
+
+def scenario(**start):
+    """Runs a test's coroutine in a world started so."""
+
+    def wrap(test):
+        def run(self):
+            async def work():
+                world = utils.World()
+                await world.start(runners=0, **start)
+                try:
+                    await test(self, world)
+                finally:
+                    await world.stop()
+
+            virtual_time.run(work())
+
+        return run
+
+    return wrap
+
+
+class DuplicateTest(unittest.TestCase):
+    @scenario(services=3, routers=2)
+    async def test_concurrent_duplicates_through_two_routers(self, world):
+        world.store.delay = 0.005
+        results = await asyncio.gather(
+            *(call(world, "key", index=n % 2) for n in range(8))
+        )
+        self.assertEqual(world.executions(), 1)
+        self.assertEqual([r.kind for r in results].count(None), 1)
+        others = {(r.kind, r.ran) for r in results if r.kind is not None}
+        self.assertEqual(others, {(Kind.IN_PROGRESS, Ran.UNKNOWN)})
+        repeat = await call(world, "key", index=1)
+        (first,) = [r.outcome for r in results if r.kind is None]
+        self.assertEqual(repeat.outcome, first)
+
+    @scenario(routers=2)
+    async def test_keys_of_two_accounts_are_independent(self, world):
+        first = await call(world, "key")
+        second = await call(world, "key", account="bank-b")
+        self.assertEqual((first.kind, second.kind), (None, None))
+        self.assertEqual(world.executions(), 2)
+
+    @scenario(routers=2)
+    async def test_another_body_under_the_same_key_is_refused(self, world):
+        await call(world, "key")
+        for index in (0, 1):
+            reused = await call(world, "key", body=b"other", index=index)
+            self.assertEqual(reused.kind, Kind.IDEMPOTENCY_KEY_REUSED)
+            self.assertEqual(reused.ran, Ran.NOT_RUN)
+        self.assertEqual(world.executions(), 1)
+
+    @scenario()
+    async def test_run_tells_a_replay(self, world):
+        service = world.declared.services[0]
+        request = plain.PlainCallRequest(
+            utils.make_account("bank-a"),
+            service,
+            service.calls[0],
+            "POST",
+            "/releases",
+            (),
+            b"",
+            ids.IdempotencyKey("key"),
+        )
+        first = await world.router.plain.run(request)
+        await asyncio.sleep(1.0)
+        second = await world.router.plain.run(request)
+        self.assertEqual((first.replayed, second.replayed), (False, True))
+        self.assertEqual(first.outcome, second.outcome)
+
+
+class KeyValueFaultTest(unittest.TestCase):
+    @scenario(routers=2)
+    async def test_lost_answers_are_settled_by_reading_back(self, world):
+        world.store.lose_answers = 3
+        first = await call(world, "key")
+        self.assertEqual(first.ran, Ran.RAN)
+        world.store.lose_requests = 3
+        self.assertEqual((await call(world, "key-2")).ran, Ran.RAN)
+        await asyncio.sleep(3.0)
+        self.assertEqual((await call(world, "key", index=1)).kind, None)
+        self.assertEqual(world.executions(), 2)
+
+    @scenario(routers=2)
+    async def test_down_before_the_claim_means_not_run(self, world):
+        world.store.set_down(True)
+        refused = await call(world, "key")
+        self.assertEqual(refused.kind, Kind.PLATFORM_UNAVAILABLE)
+        self.assertEqual(refused.ran, Ran.NOT_RUN)
+        world.store.set_down(False)
+        await asyncio.sleep(5.0)
+        self.assertEqual(world.executions(), 0)
+        self.assertEqual((await call(world, "key", index=1)).ran, Ran.RAN)
+        self.assertEqual(world.executions(), 1)
+
+    @scenario(routers=2)
+    async def test_a_claim_that_lands_late_is_voided(self, world):
+        world.store.delay = 4.0
+        refused = await call(world, "key")
+        self.assertEqual(refused.ran, Ran.NOT_RUN)
+        self.assertEqual(claims(world), [])
+        await asyncio.sleep(30.0)
+        (claim,) = claims(world)
+        self.assertEqual(claim.state, states.ClaimState.VOID)
+        self.assertEqual(world.executions(), 0)
+        # The agent's loss does not matter to a voided key.
+        world.store.delay = 0.0
+        await world.kill("core-1")
+        world.restart_agent("core-1")
+        await asyncio.sleep(5.0)
+        self.assertEqual((await call(world, "key", index=1)).ran, Ran.RAN)
+        self.assertEqual(world.executions(), 1)
+
+    @scenario(routers=2)
+    async def test_down_after_dispatch_does_not_hide_the_outcome(self, world):
+        world.services[0].delay = 2.0
+        calling = asyncio.ensure_future(call(world, "key"))
+        await asyncio.sleep(1.0)
+        world.store.set_down(True)
+        first = await calling
+        self.assertEqual(first.ran, Ran.RAN)
+        await asyncio.sleep(30.0)
+        world.store.set_down(False)
+        await asyncio.sleep(3.0)
+        self.assertEqual(claims(world)[0].state, states.ClaimState.DONE)
+        repeat = await call(world, "key", index=1)
+        self.assertEqual(repeat.outcome, first.outcome)
+
+    @scenario()
+    async def test_an_outage_is_probed_once_a_second_not_once_a_call(
+        self, world
+    ):
+        world.store.set_down(True)
+        before = world.router_by_vm["entry-1"].metrics.total_by_name.copy()
+        calls = [call(world, f"key-{n}") for n in range(500)]
+        results = await asyncio.gather(*calls)
+        self.assertEqual({r.ran for r in results}, {Ran.NOT_RUN})
+        after = world.router_by_vm["entry-1"].metrics.total_by_name
+        name = "ledger.transactions"
+        self.assertLessEqual(after[name] - before[name], 10)
+
+
+class RouterDeathTest(unittest.TestCase):
+    @scenario(routers=2, services=2)
+    async def test_between_claim_and_dispatch(self, world):
+        """The claim stands, the call was never sent."""
+        agent = next(iter(world.agent_by_vm.values()))
+        world.network.degrade(
+            world.router_by_vm["entry-1"].address, agent.address, 1.0
+        )
+        for other in world.agent_by_vm.values():
+            world.network.degrade(
+                world.router_by_vm["entry-1"].address, other.address, 1.0
+            )
+        calling = asyncio.ensure_future(call(world, "key"))
+        await asyncio.sleep(0.1)
+        self.assertEqual(len(claims(world)), 1)
+        await world.kill("entry-1")
+        await asyncio.wait([calling])
+        early = await call(world, "key")
+        self.assertEqual(early.kind, Kind.IN_PROGRESS)
+        await asyncio.sleep(ledger.DISPATCH_GRACE_SECONDS)
+        self.assertEqual((await call(world, "key")).ran, Ran.RAN)
+        await asyncio.sleep(5.0)
+        self.assertEqual(world.executions(), 1)
+
+    @scenario(routers=2, services=2)
+    async def test_between_dispatch_and_outcome(self, world):
+        for service in world.services:
+            service.delay = 8.0
+        calling = asyncio.ensure_future(call(world, "key"))
+        await asyncio.sleep(0.5)
+        await world.kill("entry-1")
+        await asyncio.wait([calling])
+        await asyncio.sleep(ledger.DISPATCH_GRACE_SECONDS)
+        self.assertEqual((await call(world, "key")).kind, Kind.IN_PROGRESS)
+        await asyncio.sleep(10.0)
+        # The second router followed the attempt and recorded its outcome.
+        self.assertEqual(claims(world)[0].state, states.ClaimState.DONE)
+        self.assertEqual((await call(world, "key")).ran, Ran.RAN)
+        self.assertEqual(world.executions(), 1)
+
+    @scenario(routers=2)
+    async def test_after_the_outcome_with_its_record_lost(self, world):
+        world.services[0].delay = 1.0
+        calling = asyncio.ensure_future(call(world, "key"))
+        await asyncio.sleep(0.5)
+        world.store.set_down(True)
+        first = await calling
+        await world.kill("entry-1")
+        world.store.set_down(False)
+        await asyncio.sleep(ledger.DISPATCH_GRACE_SECONDS)
+        repeat = await call(world, "key")
+        self.assertEqual(repeat.outcome, first.outcome)
+        self.assertEqual(world.executions(), 1)
+
+
+class AgentFaultTest(unittest.TestCase):
+    @scenario(routers=2)
+    async def test_an_agent_that_restarted_can_tell_nothing(self, world):
+        world.services[0].drop_after_execution = 0
+        world.services[0].delay = 2.0
+        calling = asyncio.ensure_future(call(world, "key"))
+        await asyncio.sleep(0.5)
+        await world.kill("core-1")
+        world.restart_agent("core-1")
+        first = await calling
+        self.assertEqual(first.kind, Kind.OUTCOME_UNKNOWN)
+        self.assertEqual(first.ran, Ran.UNKNOWN)
+        await asyncio.sleep(5.0)
+        for index in (0, 1):
+            again = await call(world, "key", index=index)
+            self.assertEqual(again.ran, Ran.UNKNOWN)
+        self.assertEqual(world.executions(), 0)
+
+    @scenario(routers=1, services=1)
+    async def test_an_agent_gone_for_good_means_unknown(self, world):
+        world.services[0].delay = 2.0
+        calling = asyncio.ensure_future(call(world, "key"))
+        await asyncio.sleep(0.5)
+        world.vms.remove("core-1") if hasattr(world.vms, "remove") else None
+        await world.kill("core-1")
+        first = await calling
+        self.assertEqual(first.kind, Kind.OUTCOME_UNKNOWN)
+
+    @scenario(routers=2)
+    async def test_a_silent_connection_is_settled_over_a_new_one(self, world):
+        """The answer is lost on a connection that went silent."""
+        world.services[0].delay = 1.0
+        router = world.router_by_vm["entry-1"]
+        agent = world.agent_by_vm["core-1"]
+        calling = asyncio.ensure_future(call(world, "key"))
+        await asyncio.sleep(0.5)
+        world.network.silence(router.address, agent.address)
+        first = await calling
+        self.assertEqual(first.ran, Ran.RAN)
+        self.assertEqual(world.executions(), 1)
+
+    @scenario(routers=2, services=2)
+    async def test_a_call_lost_on_the_way_is_fenced_then_replaced(self, world):
+        router = world.router_by_vm["entry-1"]
+        for agent in world.agent_by_vm.values():
+            world.network.silence(router.address, agent.address)
+        first = await call(world, "key")
+        self.assertEqual(first.ran, Ran.RAN)
+        self.assertEqual(world.executions(), 1)
+        self.assertEqual(first.outcome.attempt, 2)
+
+    @scenario(services=3)
+    async def test_refused_connections_move_the_call_elsewhere(self, world):
+        for service in world.services[:2]:
+            service.refuse = True
+        results = [await call(world, f"key-{n}") for n in range(12)]
+        self.assertEqual({r.ran for r in results}, {Ran.RAN})
+        self.assertEqual(world.executions(), 12)
+
+    @scenario(services=2, routers=2)
+    async def test_refused_everywhere_means_not_run_and_can_be_repeated(
+        self, world
+    ):
+        for service in world.services:
+            service.refuse = True
+        refused = await call(world, "key")
+        self.assertEqual(
+            (refused.kind, refused.ran), (Kind.NO_BACKEND, Ran.NOT_RUN)
+        )
+        await asyncio.sleep(1.0)
+        self.assertEqual(claims(world)[0].state, states.ClaimState.VOID)
+        for service in world.services:
+            service.refuse = False
+        self.assertEqual((await call(world, "key", index=1)).ran, Ran.RAN)
+        self.assertEqual(world.executions(), 1)
+
+    @scenario(routers=2)
+    async def test_a_dropped_backend_connection_stays_unknown(self, world):
+        world.services[0].drop_after_execution = 1
+        for index in (0, 1, 0):
+            result = await call(world, "key", index=index)
+            self.assertEqual(
+                (result.kind, result.ran), (Kind.OUTCOME_UNKNOWN, Ran.UNKNOWN)
+            )
+            await asyncio.sleep(1.0)
+        self.assertEqual(world.executions(), 1)
+
+    @scenario(services=2, routers=2)
+    async def test_a_draining_agent_refuses_and_another_runs_it(self, world):
+        # Told to leave, but this router has not heard of it yet.
+        draining = world.agent_by_vm["core-1"].agent
+        draining.drain.begin(0.0)
+        results = [await call(world, f"key-{n}") for n in range(6)]
+        self.assertEqual({r.ran for r in results}, {Ran.RAN})
+        self.assertEqual(len(world.services[0].executions), 0)
+
+    @scenario(services=1, routers=1)
+    async def test_a_paused_router_dispatches_nothing_that_was_fenced(
+        self, world
+    ):
+        """Its call arrives after another router settled the claim."""
+        slow = world.router_by_vm["entry-1"]
+        other = world.add_router("entry-2", 1)
+        await asyncio.sleep(3.0)
+        agent = world.agent_by_vm["core-1"]
+        world.network.degrade(slow.address, agent.address, 1.2)
+        calling = asyncio.ensure_future(call(world, "key"))
+        await asyncio.sleep(0.2)
+        (claim,) = claims(world)
+        held = ledger_controller.Held(
+            next(k for k in world.store.dump() if "claims" in k),
+            claim,
+            kv.NEVER_WRITTEN,
+        )
+        status = agent.agent._plain.query(
+            ids.VmId("entry-2"),
+            plain_messages.AttemptQuery(
+                held.claim.request, held.claim.attempt, held.claim.incarnation
+            ),
+        )
+        self.assertEqual(status.state, states.AttemptState.FENCED)
+        result = await calling
+        self.assertEqual(result.ran, Ran.RAN)
+        self.assertEqual(result.outcome.attempt, 2)
+        self.assertEqual(world.executions(), 1)
+        del other
+
+
+class IdempotentCallTest(unittest.TestCase):
+    @scenario(services=2)
+    async def test_it_is_tried_on_another_server(self, world):
+        world.services[0].refuse = True
+        for _ in range(8):
+            self.assertEqual((await read(world)).ran, Ran.RAN)
+
+    @scenario(services=2)
+    async def test_a_server_that_dies_in_the_middle_is_replaced(self, world):
+        for service in world.services:
+            service.delay = 1.0
+        reading = asyncio.ensure_future(read(world))
+        await asyncio.sleep(0.5)
+        watched = world.router.plain._watches._watched_by_attempt
+        ((one,),) = watched.values()
+        await world.kill(one.vm)
+        self.assertEqual((await reading).ran, Ran.RAN)
+
+    @scenario(services=1)
+    async def test_it_gives_up_after_a_second_try(self, world):
+        world.services[0].refuse = True
+        with self.assertRaises(errors.NutmegError) as caught:
+            await read(world)
+        self.assertEqual(caught.exception.ran, Ran.NOT_RUN)
+
+
+class RetentionTest(unittest.TestCase):
+    @scenario(routers=2)
+    async def test_keys_past_retention_are_refused_not_run_again(self, world):
+        now = asyncio.get_running_loop().time()
+        timed = uuid.UUID(int=(int(now * 1000) << 80) | (7 << 76) | (2 << 62))
+        keys = ("plain-key", str(timed))
+        for key in keys:
+            self.assertEqual((await call(world, key)).ran, Ran.RAN)
+        await asyncio.sleep(1.0)
+        for process in world.router_by_vm.values():
+            real = process.clock
+            offset = 86400.0 + 2 * ledger.MAX_CLOCK_SKEW_SECONDS + 10.0
+            real.utc = lambda real=real, add=offset: real.now() + add
+        for swept in (False, True):
+            with self.subTest(swept=swept):
+                for key in keys:
+                    for body in (b"{}", b"other"):
+                        late = await call(world, key, index=1, body=body)
+                        self.assertEqual(
+                            late.kind, Kind.IDEMPOTENCY_KEY_EXPIRED
+                        )
+            await self._sweep(world)
+        self.assertEqual(world.executions(), 2)
+        (left,) = claims(world)
+        self.assertEqual(left.state, states.ClaimState.EXPIRED)
+        self.assertIsNone(left.outcome)
+
+    async def _sweep(self, world):
+        controller = world.router.plain.ledger
+        for part in range(16):
+            await controller.sweep_part(f"{part:x}")
+
+    @scenario()
+    async def test_a_key_from_the_future_is_refused(self, world):
+        now = asyncio.get_running_loop().time() + 3600.0
+        timed = uuid.UUID(int=(int(now * 1000) << 80) | (7 << 76) | (2 << 62))
+        refused = await call(world, str(timed))
+        self.assertEqual(
+            (refused.kind, refused.ran), (Kind.BAD_REQUEST, Ran.NOT_RUN)
+        )
+
+    @scenario()
+    async def test_a_claim_within_retention_stays(self, world):
+        await call(world, "key")
+        await asyncio.sleep(1.0)
+        await self._sweep(world)
+        self.assertEqual(claims(world)[0].state, states.ClaimState.DONE)
+
+
+if __name__ == "__main__":
+    unittest.main()
