Prove one execution a plain call; name cut answers unknown

Cause: aiosonic lets EOFError and ValueError through when an answer is cut in its body or chunks, which our callers did not expect, and takes headers cut short for a whole answer with an empty body: a call that ran was then answered 200 with nothing in it.

--- a/packages/nutmeglift_agent/nutmeglift_agent/http_backend.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/http_backend.py
@@ -1,9 +1,14 @@
 """Calls a plain service over HTTP, each call at most once."""
 
+import aiosonic
+
 from nutmeglift import backend
 from nutmeglift import errors
 from nutmeglift_wire import http_client
 
+STATUSES_WITHOUT_BODY = frozenset({204, 304})
+LENGTH_HEADERS = frozenset({"content-length", "transfer-encoding"})
+
 
 class HttpPlainBackend(backend.BasePlainBackend):
     """Opens a connection for each call, so that none is ever sent again.
@@ -40,7 +45,23 @@
             ) from error
         finally:
             await client.aclose()
+        if not _tells_length(request.method, response):
+            raise errors.OutcomeUnknownError(
+                "plain service: the answer's headers were cut short"
+            )
         content_type = response.headers.get("content-type", "text/plain")
         return backend.PlainAnswer(
             response.status_code, (("content-type", content_type),), bytes(body)
         )
+
+
+def _tells_length(method: str, response: aiosonic.HttpResponse) -> bool:
+    """Returns whether the headers tell where the body ends.
+
+    The client takes headers that a dropped connection cut short for complete
+    ones, and the body for empty.
+    """
+    if method == "HEAD" or response.status_code in STATUSES_WITHOUT_BODY:
+        return True
+    names = {name.lower() for name in response.headers}
+    return not names.isdisjoint(LENGTH_HEADERS)
--- a/packages/nutmeglift_wire/nutmeglift_wire/http_client.py
+++ b/packages/nutmeglift_wire/nutmeglift_wire/http_client.py
@@ -6,8 +6,9 @@
 from aiosonic import pools
 from aiosonic import timeout as timeouts
 
-ERRORS = (OSError, exceptions.AiosonicError)
-"""Everything that a call may raise."""
+ERRORS = (OSError, EOFError, ValueError, exceptions.AiosonicError)
+"""Everything that a call may raise; the client lets a cut or garbled answer
+through as EOFError or ValueError."""
 
 NOT_SENT_ERRORS = (
     exceptions.ConnectTimeout,
--- /dev/null
+++ b/tests/test_etcd_kv.py
@@ -0,0 +1,220 @@
+"""The key-value client over HTTP, against the gateway's stand-in."""
+
+import asyncio
+import contextlib
+import unittest
+
+from nutmeglift import codec
+from nutmeglift import errors
+from nutmeglift import ids
+from nutmeglift import kv
+from nutmeglift import ledger
+from nutmeglift import states
+from nutmeglift_fakes import kv_server
+from nutmeglift_router import ledger_controller
+from nutmeglift_wire import clock as clocks
+from nutmeglift_wire import etcd_kv
+from nutmeglift_wire import http_server
+from nutmeglift_wire import metrics
+
+ANY_PORT = "127.0.0.1:0"
+TIMEOUT_SECONDS = 1.0
+
+
+class DroppingProxy:
+    """Passes bytes on, and drops answers while told to.
+
+    Attributes:
+        drop_answers: number of further answers dropped, the request having
+            been passed on.
+        address: its address.
+    """
+
+    def __init__(self, target: str) -> None:
+        self.drop_answers = 0
+        self.address = ""
+        host, _, port = target.rpartition(":")
+        self._target = (host, int(port))
+        self._server: asyncio.Server | None = None
+        self._writers: list[asyncio.StreamWriter] = []
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    def drop(self) -> None:
+        """Ends every open connection."""
+        for writer in self._writers:
+            writer.close()
+
+    def stop(self) -> None:
+        assert self._server is not None
+        self._server.close()
+
+    async def _serve(self, reader, writer) -> None:
+        far_reader, far_writer = await asyncio.open_connection(*self._target)
+        self._writers += [writer, far_writer]
+        onward = asyncio.ensure_future(self._pass_on(reader, far_writer))
+        try:
+            while part := await far_reader.read(65536):
+                if self.drop_answers > 0:
+                    self.drop_answers -= 1
+                    break
+                writer.write(part)
+                await writer.drain()
+        except ConnectionError:
+            pass
+        finally:
+            onward.cancel()
+            writer.close()
+            far_writer.close()
+
+    async def _pass_on(self, reader, writer) -> None:
+        with contextlib.suppress(ConnectionError):
+            while part := await reader.read(65536):
+                writer.write(part)
+                await writer.drain()
+
+
+class EtcdKvTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.memory = kv.MemoryKv()
+        self.server = http_server.HttpServer(
+            kv_server.KvServer(self.memory).app
+        )
+        address = await self.server.start(ANY_PORT)
+        self.proxy = DroppingProxy(address)
+        await self.proxy.start()
+        self.store = etcd_kv.EtcdKv(self.proxy.address, TIMEOUT_SECONDS)
+
+    async def asyncTearDown(self):
+        self.memory.set_down(True)
+        await self.store.close()
+        self.proxy.drop()
+        self.proxy.stop()
+        await self.server.stop()
+
+    async def test_transactions_and_ranges(self):
+        done = await self.store.txn(
+            [kv.Compare("/a", kv.NEVER_WRITTEN)],
+            [kv.Put("/a", b"\x00\xff"), kv.Put("/b", b"2")],
+            [kv.Get("/a")],
+        )
+        self.assertTrue(done.succeeded)
+        failed = await self.store.txn(
+            [kv.Compare("/a", kv.NEVER_WRITTEN)],
+            [kv.Put("/a", b"other")],
+            [kv.Get("/a"), kv.Get("/none"), kv.Get("/", prefix=True)],
+        )
+        self.assertFalse(failed.succeeded)
+        first, none, both = failed.found
+        self.assertEqual(first, [kv.KeyValue("/a", b"\x00\xff", done.revision)])
+        self.assertEqual(none, [])
+        self.assertEqual([e.key for e in both], ["/a", "/b"])
+        await self.store.txn([], [kv.Delete("/", prefix=True)])
+        self.assertEqual(await self.store.range(kv.Get("/", prefix=True)), [])
+
+    async def test_reads_newest_first_and_limited(self):
+        for name in "abc":
+            await self.store.txn([], [kv.Put(f"/{name}", b"")])
+        found = await self.store.range(
+            kv.Get("/", prefix=True, limit=2, newest_first=True)
+        )
+        self.assertEqual([e.key for e in found], ["/c", "/b"])
+
+    async def test_leases(self):
+        lease = await self.store.grant(1.5)
+        await self.store.txn([], [kv.Put("/held", b"x", lease)])
+        entry = await self.store.get("/held")
+        self.assertEqual(entry.lease, lease)
+        self.assertEqual(await self.store.keep_alive(lease), 2.0)
+        await self.store.revoke(lease)
+        self.assertIsNone(await self.store.get("/held"))
+        self.assertEqual(await self.store.keep_alive(lease), 0.0)
+
+    async def test_watches(self):
+        result = await self.store.txn([], [kv.Put("/w/a", b"1")])
+        changes = self.store.watch(
+            "/w/", prefix=True, start=ids.Revision(result.revision + 1)
+        )
+        waiting = asyncio.ensure_future(anext(changes))
+        await asyncio.sleep(0.05)
+        await self.store.txn([], [kv.Put("/other", b"1")])
+        await self.store.txn([], [kv.Put("/w/b", b"2")])
+        (event,) = await asyncio.wait_for(waiting, 2.0)
+        self.assertEqual(
+            (event.kind, event.entry.key, event.entry.value),
+            (kv.WatchKind.PUT, "/w/b", b"2"),
+        )
+        await self.store.txn([], [kv.Delete("/w/b")])
+        (event,) = await asyncio.wait_for(anext(changes), 2.0)
+        self.assertEqual(event.kind, kv.WatchKind.DELETE)
+        self.memory.set_down(True)
+        with self.assertRaises(errors.KvUnavailableError):
+            await asyncio.wait_for(anext(changes), 2.0)
+
+    async def test_a_lost_answer_is_told_from_a_failed_write(self):
+        await self.store.get("/warm")
+        self.proxy.drop_answers = 1
+        with self.assertRaises(errors.KvAnswerLostError):
+            await self.store.txn(
+                [kv.Compare("/a", kv.NEVER_WRITTEN)], [kv.Put("/a", b"1")]
+            )
+        self.assertEqual((await self.store.get("/a")).value, b"1")
+        self.assertEqual(self.memory.transactions, 1)
+        self.proxy.stop()
+        gone = etcd_kv.EtcdKv(self.proxy.address, TIMEOUT_SECONDS)
+        with self.assertRaises(errors.KvUnavailableError):
+            await gone.txn([], [kv.Put("/b", b"1")])
+        await gone.close()
+
+    async def test_an_answer_too_late_is_lost(self):
+        self.memory.delay = 0.3
+        hasty = etcd_kv.EtcdKv(self.proxy.address, 0.1)
+        with self.assertRaises(errors.KvAnswerLostError):
+            await hasty.txn([], [kv.Put("/a", b"1")])
+        await hasty.close()
+        await asyncio.sleep(0.4)
+        self.assertEqual((await self.memory.get("/a")).value, b"1")
+
+    async def test_the_ledger_reads_its_claim_back(self):
+        """Claims and a conflict whose answers are lost, over HTTP."""
+        ledgers = [
+            ledger_controller.LedgerController(
+                store=etcd_kv.EtcdKv(self.proxy.address, TIMEOUT_SECONDS),
+                clock=clocks.LoopClock(),
+                metrics=metrics.NoMetrics(),
+            )
+            for _ in range(2)
+        ]
+        claims = [_make_claim(name) for name in ("one", "two")]
+        self.proxy.drop_answers = 2
+        results = []
+        for own, claim in zip(ledgers, claims, strict=True):
+            results.append(await own.write("/c", kv.NEVER_WRITTEN, claim))
+            self.proxy.drop_answers = 2
+        entry = await self.memory.get("/c")
+        self.assertEqual(codec.decode_as(entry.value, ledger.Claim), claims[0])
+        self.assertEqual(results[0].revision, entry.mod_revision)
+        self.assertEqual(results[1].found, entry)
+        for own in ledgers:
+            await own.stop()
+            await own._store.close()
+
+
+def _make_claim(request: str) -> ledger.Claim:
+    return ledger.Claim(
+        states.ClaimState.CLAIMED,
+        ids.RequestId(request),
+        ids.Attempt(1),
+        ids.Digest("d"),
+        ids.VmId("core-1"),
+        ids.Incarnation("core-1-1"),
+        "127.0.0.1:1",
+        0.0,
+    )
+
+
+if __name__ == "__main__":
+    unittest.main()
