--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -140,7 +140,8 @@
                 runner.backend_class,
             )
         )
-    return plan.Plan(1, ids.FencingNumber(0), tuple(assignments))
+    links = planner.make_plan(runners[:0], declared, plan.Plan()).links
+    return plan.Plan(1, ids.FencingNumber(0), tuple(assignments), links)
 
 
 def flow_of(made: plan.Plan, declared: declaration.Declaration) -> float:
--- a/packages/nutmeglift/nutmeglift/prefix_index.py
+++ b/packages/nutmeglift/nutmeglift/prefix_index.py
@@ -190,25 +190,23 @@
         confirmed = self._runners_by_digest
         dispatched, before = self._dispatched, self._before
         levels: list[Level] = []
-        holders = -1
-        length = 0
-        for blocks, digest in digests.items():
-            fewer = holders & (
-                confirmed.get(digest, 0)
+        holders = 0
+        # Who holds a longer prefix holds the shorter ones as well, although
+        # the event for one of them may have been lost.
+        for blocks in reversed(digests):
+            digest = digests[blocks]
+            more = (
+                holders
+                | confirmed.get(digest, 0)
                 | dispatched.get(digest, 0)
                 | before.get(digest, 0)
             )
-            if fewer != holders and length:
-                levels.append(Level(holders, length))
-            holders = fewer
-            if not holders:
-                break
-            length = blocks
-        if holders:
-            levels.append(Level(holders, length))
-        whole = next(reversed(digests))
-        kept = tuple(reversed(levels[-MAX_LEVELS:]))
-        return Match(kept, tuple(digests.values()), whole)
+            if more != holders:
+                levels.append(Level(more, blocks))
+                holders = more
+        longest = next(reversed(digests))
+        kept = tuple(levels[:MAX_LEVELS])
+        return Match(kept, tuple(digests.values()), longest)
 
     def note_dispatch(
         self, vms: Iterable[ids.VmId], match: Match, now: float
--- a/packages/nutmeglift/nutmeglift/routing.py
+++ b/packages/nutmeglift/nutmeglift/routing.py
@@ -179,10 +179,12 @@
             now: seconds.
         """
         self._change_in_flight(pipeline, -1, now)
-        for stage in pipeline.stages:
-            if failed is None or stage.vm == failed:
-                self.outliers.note_result(stage.vm, failed is not None, now)
-        state = self._state_by_vm.get(failed) if failed is not None else None
+        if failed is None:
+            for stage in pipeline.stages:
+                self.outliers.note_result(stage.vm, False, now)
+            return
+        self.outliers.note_result(failed, True, now)
+        state = self._state_by_vm.get(failed)
         if state is not None:
             self._set_trust(state, now)
 
--- /dev/null
+++ b/packages/nutmeglift/nutmeglift/subsets.py
@@ -0,0 +1,103 @@
+"""Which runners a router connects to in a large fleet."""
+
+import collections
+from collections.abc import Mapping
+from collections.abc import Sequence
+import dataclasses
+
+import xxhash
+
+from nutmeglift import ids
+from nutmeglift import plan
+
+MIN_RUNNERS_PER_RANGE = 2
+
+
+@dataclasses.dataclass(frozen=True)
+class ControlBudget:
+    """What a router may spend on its connections.
+
+    Attributes:
+        bytes_per_second: traffic for control.
+        bytes_per_heartbeat: size of a heartbeat with its load report, both
+            ways together.
+        heartbeat_seconds: time between heartbeats.
+    """
+
+    bytes_per_second: float
+    bytes_per_heartbeat: float
+    heartbeat_seconds: float
+
+    @property
+    def connections(self) -> int:
+        """Most connections that stay within the budget."""
+        each = self.bytes_per_heartbeat / self.heartbeat_seconds
+        return int(self.bytes_per_second / each)
+
+
+_RangeKey = tuple[ids.ModelId, ids.VersionId, int, int]
+
+
+def choose_runners(
+    router: ids.VmId, whole: plan.Plan, connections: int
+) -> frozenset[ids.VmId]:
+    """Returns the runners that a router connects to.
+
+    Rendezvous hashing ranks the runners of each layer range, so that a
+    change of routers or runners changes few connections. Every range gets
+    its share, at least MIN_RUNNERS_PER_RANGE, the failure domains by turns:
+    the subset may exceed the number for that.
+
+    Args:
+        router: the router's VM.
+        whole: the plan in force.
+        connections: how many runners are wanted.
+    """
+    if connections >= len({a.vm for a in whole.assignments}):
+        return frozenset(a.vm for a in whole.assignments)
+    members_by_range: dict[_RangeKey, list[plan.Assignment]] = (
+        collections.defaultdict(list)
+    )
+    for a in whole.assignments:
+        key = (a.model, a.version, a.first_layer, a.end_layer)
+        members_by_range[key].append(a)
+    chosen: set[ids.VmId] = set()
+    for members in members_by_range.values():
+        share = connections * len(members) / len(whole.assignments)
+        wanted = max(MIN_RUNNERS_PER_RANGE, round(share))
+        chosen.update(_spread(_rank(router, members), wanted))
+    return frozenset(chosen)
+
+
+def restrict(whole: plan.Plan, vms: frozenset[ids.VmId]) -> plan.Plan:
+    """Returns the plan with the assignments of some runners only."""
+    return plan.Plan(
+        whole.generation,
+        whole.fencing_number,
+        tuple(a for a in whole.assignments if a.vm in vms),
+        whole.links,
+        whole.layers_by_model,
+    )
+
+
+def _rank(
+    router: ids.VmId, members: Sequence[plan.Assignment]
+) -> list[plan.Assignment]:
+    return sorted(
+        members,
+        key=lambda a: (
+            xxhash.xxh64_intdigest(f"{router}/{a.vm}".encode()),
+            a.vm,
+        ),
+    )
+
+
+def _spread(ranked: list[plan.Assignment], wanted: int) -> list[ids.VmId]:
+    """Takes the first of each failure domain, then the second, and so on."""
+    turns: Mapping[ids.FailureDomain, list[int]] = collections.defaultdict(list)
+    ordered = []
+    for index, assignment in enumerate(ranked):
+        turn = turns[assignment.failure_domain]
+        ordered.append((len(turn), index, assignment.vm))
+        turn.append(index)
+    return [vm for _, _, vm in sorted(ordered)[:wanted]]
--- /dev/null
+++ b/tests/test_prefix_index.py
@@ -0,0 +1,144 @@
+import unittest
+
+from nutmeglift import control_messages
+from nutmeglift import ids
+from nutmeglift import prefix_index
+
+BLOCK = prefix_index.BLOCK_TOKENS
+PROMPT = tuple(range(4 * BLOCK))
+BLOCKS = prefix_index.prefix_blocks(PROMPT)
+A, B = ids.VmId("a"), ids.VmId("b")
+
+
+def stored(first: int, blocks: list[str], complete: bool = False):
+    events = tuple(control_messages.CacheEvent(b, True) for b in blocks)
+    return control_messages.CacheEvents(first, events, complete)
+
+
+def removed(first: int, blocks: list[str]):
+    events = tuple(control_messages.CacheEvent(b, False) for b in blocks)
+    return control_messages.CacheEvents(first, events)
+
+
+def blocks_at(index: prefix_index.PrefixIndex, vm: ids.VmId) -> int:
+    number = index.number_of(vm)
+    for level in index.match(PROMPT).levels:
+        if level.runners >> number & 1:
+            return level.blocks
+    return 0
+
+
+class PrefixBlocksTest(unittest.TestCase):
+    def test_blocks_depend_on_everything_before_them(self):
+        other = (1, *PROMPT[1:])
+        changed = prefix_index.prefix_blocks(other)
+        self.assertEqual(len(BLOCKS), 4)
+        self.assertFalse(set(BLOCKS) & set(changed))
+
+    def test_only_whole_blocks_count(self):
+        cases = {0: 0, BLOCK - 1: 0, BLOCK: 1, 2 * BLOCK + 3: 2}
+        for tokens, wanted in cases.items():
+            with self.subTest(tokens=tokens):
+                found = prefix_index.prefix_blocks(PROMPT[:tokens])
+                self.assertEqual(found, BLOCKS[:wanted])
+
+
+class PrefixIndexTest(unittest.TestCase):
+    def test_longest_prefix_wins(self):
+        index = prefix_index.PrefixIndex()
+        index.note_events(A, stored(1, BLOCKS[:2]), 0.0)
+        index.note_events(B, stored(1, BLOCKS), 0.0)
+        self.assertEqual((blocks_at(index, A), blocks_at(index, B)), (2, 4))
+
+    def test_events(self):
+        cases = {
+            "removed": ([stored(1, BLOCKS), removed(5, BLOCKS[2:])], 2),
+            "repeated": ([stored(1, BLOCKS), stored(1, BLOCKS)], 4),
+            "repeat of a removed one": (
+                [
+                    stored(1, BLOCKS[:1]),
+                    removed(2, BLOCKS[:1]),
+                    stored(1, BLOCKS[:1]),
+                ],
+                0,
+            ),
+            "overlap": ([stored(1, BLOCKS[:2]), stored(2, BLOCKS[1:3])], 3),
+            "one lost in the middle": (
+                [stored(1, BLOCKS[:1]), stored(3, BLOCKS[2:])],
+                4,
+            ),
+            "complete replaces": (
+                [stored(1, BLOCKS), stored(9, BLOCKS[:1], complete=True)],
+                1,
+            ),
+            "no hash": ([stored(1, ["none", *BLOCKS[:1]])], 1),
+        }
+        for name, (messages, wanted) in cases.items():
+            with self.subTest(name):
+                index = prefix_index.PrefixIndex()
+                for events in messages:
+                    index.note_events(A, events, 0.0)
+                self.assertEqual(blocks_at(index, A), wanted)
+
+    def test_gap_makes_older_entries_doubtful_until_settled(self):
+        later = prefix_index.DOUBT_SECONDS + 2.0
+        cases = {
+            "not confirmed": (None, 0),
+            "stored again": (stored(11, BLOCKS[:3]), 3),
+            "complete": (stored(11, BLOCKS, complete=True), 4),
+        }
+        for name, (events, wanted) in cases.items():
+            with self.subTest(name):
+                index = prefix_index.PrefixIndex()
+                index.note_events(A, stored(1, BLOCKS), 0.0)
+                index.note_events(A, removed(10, ["ff"]), 1.0)
+                self.assertEqual(index.gaps, 1)
+                if events is not None:
+                    index.note_events(A, events, 2.0)
+                index.expire(later - 2.0)
+                self.assertEqual(blocks_at(index, A), 4)
+                index.expire(later)
+                self.assertEqual(blocks_at(index, A), wanted)
+
+    def test_own_dispatches_count_until_an_event_contradicts(self):
+        index = prefix_index.PrefixIndex()
+        match = index.match(PROMPT)
+        index.note_dispatch([A, B], match, 0.0)
+        self.assertEqual(blocks_at(index, A), 4)
+        index.note_events(A, removed(1, BLOCKS), 1.0)
+        self.assertEqual((blocks_at(index, A), blocks_at(index, B)), (0, 4))
+        step = prefix_index.DISPATCH_SECONDS + 1
+        empty = prefix_index.NO_MATCH
+        index.note_dispatch([A], empty, step)
+        self.assertEqual(blocks_at(index, B), 4)
+        index.note_dispatch([A], empty, 2 * step)
+        self.assertEqual(blocks_at(index, B), 0)
+
+    def test_forgotten_and_restarted_runners_match_nothing(self):
+        for method in ("forget", "clear"):
+            with self.subTest(method):
+                index = prefix_index.PrefixIndex()
+                index.note_events(A, stored(1, BLOCKS), 0.0)
+                index.note_dispatch([A], index.match(PROMPT), 0.0)
+                getattr(index, method)(A)
+                self.assertEqual(blocks_at(index, B), 0)
+                self.assertEqual(blocks_at(index, A), 0)
+                index.note_events(A, stored(1, BLOCKS[:1]), 1.0)
+                self.assertEqual(blocks_at(index, A), 1)
+
+    def test_memory_is_bounded(self):
+        index = prefix_index.PrefixIndex()
+        for runner in range(40):
+            vm = ids.VmId(f"r{runner}")
+            blocks = [f"{runner:x}{n:08x}" for n in range(3000)]
+            index.note_events(vm, stored(1, blocks), 0.0)
+        self.assertLessEqual(
+            index.count_entries(), 40 * prefix_index.MAX_ENTRIES_PER_RUNNER
+        )
+        newest = prefix_index.prefix_blocks(PROMPT)
+        index.note_events(vm, stored(3001, newest), 1.0)
+        self.assertEqual(blocks_at(index, vm), 4)
+
+
+if __name__ == "__main__":
+    unittest.main()
