--- a/packages/nutmeglift_agent/nutmeglift_agent/agent.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/agent.py
@@ -5,8 +5,12 @@
 import logging
 from typing import Any
 
+import msgspec
+
+from nutmeglift import attempts
 from nutmeglift import backend
 from nutmeglift import codec
+from nutmeglift import control_messages
 from nutmeglift import drain
 from nutmeglift import engine as engines
 from nutmeglift import errors
@@ -15,6 +19,8 @@
 from nutmeglift import plain_messages
 from nutmeglift import settings
 from nutmeglift import states
+from nutmeglift_agent import configuration_copy
+from nutmeglift_agent import orders
 from nutmeglift_agent import peers
 from nutmeglift_agent import plain_work
 from nutmeglift_agent import router_ports
@@ -24,6 +30,9 @@
 from nutmeglift_wire import metrics as metric
 from nutmeglift_wire import session as sessions
 
+FORGET_SILENCES = 2
+"""A router that is away for so many silence bounds is forgotten."""
+
 _logger = logging.getLogger(__name__)
 
 
@@ -53,27 +62,43 @@
         self._metrics = metrics
         self._engine = engine
         self._key = own.shared_key.get_secret_value().encode()
-        self._generation = ids.Generation(0)
+        self._configuration = configuration_copy.ConfigurationCopy()
         self._load: messages.LoadReport | None = None
         self._ports = router_ports.RouterPorts(metrics)
         self._peers = peers.Peers(dialer, self._open_peer, self._lose_peer)
         self._tasks: set[asyncio.Task[None]] = set()
+        self._orders: orders.Orders | None = None
         self._stages: stage_work.StageWork | None = None
         self._plain: plain_work.PlainWork | None = None
         if engine is not None:
+            self._orders = orders.Orders(engine, metrics)
             self._stages = stage_work.StageWork(
                 own.vm,
+                incarnation,
                 engine,
                 metrics,
                 post_to_agent=self._post_to_agent,
                 post_to_router=self._ports.post,
                 post_tokens=self._ports.post_tokens,
+                accepts_work=lambda: self.drain.accepts_work,
             )
         if service is not None:
-            self._plain = plain_work.PlainWork(incarnation, service)
+            self._plain = plain_work.PlainWork(
+                attempts.AttemptTable(incarnation),
+                service,
+                post=self._ports.post,
+                metrics=metrics,
+            )
+
+    @property
+    def in_flight(self) -> int:
+        """Stages and calls that are not over."""
+        stages = self._stages.in_flight if self._stages is not None else 0
+        return stages + self.drain.in_flight
 
     def start(self) -> None:
         """Starts the loops."""
+        self._spawn(self._sweep())
         if self._stages is not None:
             self._spawn(self._stages.run())
         if self._engine is not None:
@@ -88,22 +113,25 @@
 
     async def leave(self) -> None:
         """Refuses new work, says so, and waits for the work in flight."""
-        self.drain.begin()
-        self._ports.broadcast(messages.Leaving())
-        while self._stages is not None and self._stages.in_flight:
-            await self._clock.sleep(self._own.bounds.heartbeat_seconds / 10)
-        while self.drain.in_flight:
+        self._begin_drain()
+        limit = self._own.bounds.drain_seconds
+        while not self.drain.settle(
+            self._clock.now(), limit, self._count_unsettled()
+        ):
             await self._clock.sleep(self._own.bounds.heartbeat_seconds / 10)
 
+    def _begin_drain(self) -> None:
+        self.drain.begin(self._clock.now())
+        self._ports.broadcast(messages.Leaving())
+
     async def serve_link(self, link: links.BaseLink) -> None:
         """Serves a connection that a router or another agent opened."""
         try:
-            peer = await asyncio.wait_for(
-                sessions.shake_hands_as_listener(
+            # wait_for can swallow a cancellation.
+            async with asyncio.timeout(sessions.HANDSHAKE_TIMEOUT_SECONDS):
+                peer = await sessions.shake_hands_as_listener(
                     link, self._key, self._make_answer
-                ),
-                sessions.HANDSHAKE_TIMEOUT_SECONDS,
-            )
+                )
         except (errors.NutmegError, TimeoutError) as error:
             self._metrics.count("link.refused")
             _logger.warning("connection refused", extra={"reason": str(error)})
@@ -119,7 +147,11 @@
             extra={"peer": peer.vm, "reason": reason.detail},
         )
         if peer.role is states.ProcessRole.ROUTER:
-            await self._detach_router(session)
+            self._ports.detach(session, self._clock.now())
+
+    def _count_unsettled(self) -> int:
+        stages = self._stages.in_flight if self._stages is not None else 0
+        return stages + (not self._ports.all_acknowledged)
 
     def _hello(self) -> messages.Hello:
         return messages.Hello(
@@ -128,17 +160,18 @@
             self._own.vm,
             self.incarnation,
             self._own.failure_domain,
-            self._generation,
+            self._configuration.generation,
             not self.drain.accepts_work,
         )
 
     def _make_answer(self, peer: messages.Hello) -> messages.Hello:
-        return self._hello()
+        made = self._ports.frames_made(peer)
+        return msgspec.structs.replace(self._hello(), resume=made)
 
     def _make_heartbeat(self, sequence: int) -> messages.Heartbeat:
         return messages.Heartbeat(
             sequence,
-            self._generation,
+            self._configuration.generation,
             not self.drain.accepts_work,
             load=self._load,
         )
@@ -166,28 +199,49 @@
             self._stages.lose_peer(address, reason)
 
     def _attach_router(self, session: sessions.Session) -> None:
-        if self._ports.attach(session) and self._stages is not None:
-            self._stages.lose_router(session.peer.vm)
+        router = session.peer.vm
+        held: tuple[messages.HeldAttempt, ...] = ()
+        if self._stages is not None:
+            if self._ports.is_replaced_by(session.peer):
+                self._stages.lose_router(router)
+            held = self._stages.held_by(router)
+        self._ports.attach(session, messages.AttemptsHeld(held))
 
-    async def _detach_router(self, session: sessions.Session) -> None:
-        self._ports.detach(session)
-        await self._clock.sleep(2 * self._own.bounds.silence_seconds)
-        if self._ports.forget_if_detached(session) and self._stages:
-            self._stages.lose_router(session.peer.vm)
+    async def _sweep(self) -> None:
+        """Forgets routers and agents that did not come back, for ever."""
+        bound = FORGET_SILENCES * self._own.bounds.silence_seconds
+        known = self._ports.routers
+        while True:
+            await self._clock.sleep(bound)
+            self._peers.forget_idle()
+            gone = self._ports.forget_detached(self._clock.now() - bound)
+            before, known = known, self._ports.routers
+            if self._stages is None:
+                continue
+            for router in gone:
+                self._stages.lose_router(router)
+            self._stages.lose_orphans(before | known)
 
     def _handle(
         self, session: sessions.Session, message: codec.AnyMessage
     ) -> None:
         match message:
             case messages.Heartbeat(generation=generation):
-                self._generation = max(self._generation, generation)
+                self._configuration.note(generation)
+                self._learn_fencing_number(message)
+            case control_messages.AgentConfiguration():
+                self._configuration.take(message)
+            case control_messages.DrainOrder():
+                self._begin_drain()
             case messages.FrameAcknowledged(sequence):
                 self._ports.acknowledge(session.peer.vm, sequence)
             case plain_messages.PlainCall():
                 self._spawn(self._call_plain(session, message))
             case plain_messages.AttemptQuery():
                 if self._plain is not None:
-                    session.post(self._plain.query(message))
+                    session.post(self._plain.query(session.peer.vm, message))
+            case control_messages.Order():
+                self._spawn(self._carry_out(session, message))
             case messages.StartAttempt():
                 self._start_attempt(session, message)
             case _:
@@ -213,26 +267,14 @@
     def _start_attempt(
         self, session: sessions.Session, start: messages.StartAttempt
     ) -> None:
-        stage = start.pipeline.stages[0]
-        if self._stages is None or stage.incarnation != self.incarnation:
-            self._refuse(session, start, errors.ErrorKind.NO_BACKEND)
-            return
-        if not self.drain.accepts_work:
-            self._refuse(session, start, errors.ErrorKind.DRAINING)
+        if self._stages is not None:
+            self._stages.start(start)
             return
-        self._stages.start(start)
-
-    def _refuse(
-        self,
-        session: sessions.Session,
-        start: messages.StartAttempt,
-        kind: errors.ErrorKind,
-    ) -> None:
         session.post(
             messages.AttemptFailed(
                 start.request,
                 start.attempt,
-                kind,
+                errors.ErrorKind.NO_BACKEND,
                 "refused by the first stage",
                 states.Ran.NOT_RUN,
                 self._own.vm,
@@ -242,24 +284,51 @@
     async def _call_plain(
         self, session: sessions.Session, call: plain_messages.PlainCall
     ) -> None:
-        if self._plain is None or not self.drain.accepts_work:
+        if self._plain is None:
             session.post(
                 plain_messages.PlainOutcome(
                     call.request,
                     call.attempt,
                     states.Ran.NOT_RUN,
-                    kind=errors.ErrorKind.DRAINING,
-                    detail="refused by the agent",
+                    kind=errors.ErrorKind.NO_BACKEND,
+                    detail="no plain service runs here",
                 )
             )
             return
+        accepts_work = self.drain.accepts_work
         self.drain.enter()
         try:
-            outcome = await self._plain.call(call)
+            await self._plain.call(
+                session.peer.vm, call, accepts_work=accepts_work
+            )
         finally:
             self.drain.leave()
-        if outcome is not None:
-            self._ports.post(session.peer.vm, outcome)
+
+    async def _carry_out(
+        self, session: sessions.Session, order: control_messages.Order
+    ) -> None:
+        if self._orders is None:
+            session.post(
+                control_messages.OrderResult(
+                    order.order,
+                    order.fencing_number,
+                    errors.ErrorKind.NO_BACKEND,
+                    "no engine runs here",
+                )
+            )
+            return
+        self.drain.enter()
+        try:
+            result = await self._orders.carry_out(order)
+        finally:
+            self.drain.leave()
+        self._ports.post(session.peer.vm, result)
+
+    def _learn_fencing_number(self, heartbeat: messages.Heartbeat) -> None:
+        if self._orders is not None:
+            self._orders.learn(
+                heartbeat.fencing_number, confirmed=heartbeat.fencing_confirmed
+            )
 
     def _post_to_agent(self, address: str, message: codec.AnyMessage) -> None:
         if address == self._own.listen:
