Split planner and routing by job

Change: fleet.py (runners, shares of versions), plan_assembly.py (a plan from ranges), route_search.py (any way through the layers); no change of behaviour. Conclusion: the tests of planner and routing pass unchanged.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -7,6 +7,7 @@
 from nutmeglift import flow
 from nutmeglift import ids
 from nutmeglift import plan
+from nutmeglift import plan_assembly
 from nutmeglift import planner
 
 LAYERS = 60
@@ -103,7 +104,7 @@
     """Returns what no placement can exceed, in tokens a second."""
     model = declared.models[0]
     share = planner.WEIGHT_MEMORY_SHARES[0]
-    best_link = max(planner.link_limits(declared, model).values())
+    best_link = max(plan_assembly.link_limits(declared, model).values())
     return flow.fluid_bound(
         [r.layer_positions_per_second for r in runners],
         [int(r.memory_bytes * share) // model.layer_bytes for r in runners],
@@ -158,5 +159,5 @@
         )
         for a in made.assignments
     ]
-    limits = planner.link_limits(declared, model)
+    limits = plan_assembly.link_limits(declared, model)
     return flow.max_flow(holders, model.layers, limits).tokens_per_second
--- /dev/null
+++ b/packages/nutmeglift/nutmeglift/fleet.py
@@ -0,0 +1,142 @@
+"""The runners of a fleet, and how model versions share them."""
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+import dataclasses
+
+from nutmeglift import declaration
+from nutmeglift import ids
+from nutmeglift import plan
+
+SURPLUS_TOLERANCE = 0.1
+"""Surplus of speed with which a version gives no runner away."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Runner:
+    """A model runner that can be given layers.
+
+    Attributes:
+        vm: its VM.
+        failure_domain: where it runs.
+        layer_positions_per_second: speed: layers times positions a second.
+        memory_bytes: memory for weights.
+        backend_class: its backend class.
+    """
+
+    vm: ids.VmId
+    failure_domain: ids.FailureDomain
+    layer_positions_per_second: float
+    memory_bytes: int
+    backend_class: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class ModelVersion:
+    """What is placed: one version of a model.
+
+    Attributes:
+        model: the model.
+        version: the version's name.
+        demand: share of the fleet's work expected for it, relative.
+    """
+
+    model: declaration.Model
+    version: ids.VersionId
+    demand: float
+
+    @property
+    def key(self) -> tuple[ids.ModelId, ids.VersionId]:
+        """Names it."""
+        return (self.model.id, self.version)
+
+
+def routed_versions(declared: declaration.Declaration) -> list[ModelVersion]:
+    """Returns the model versions that routes lead to, most demand first."""
+    model_by_id = {model.id: model for model in declared.models}
+    demand_by_key: dict[tuple[ids.ModelId, ids.VersionId], float] = {}
+    for route in declared.routes:
+        key = (route.model, route.version)
+        demand_by_key[key] = demand_by_key.get(key, 0.0) + route.demand
+    versions = [
+        ModelVersion(model_by_id[model], version, demand)
+        for (model, version), demand in demand_by_key.items()
+    ]
+    return sorted(versions, key=lambda v: (-v.demand, v.key))
+
+
+def divide_runners(
+    runners: Sequence[Runner],
+    versions: Sequence[ModelVersion],
+    previous: plan.Plan,
+) -> dict[tuple[ids.ModelId, ids.VersionId], list[Runner]]:
+    """Gives each model version runners by its demand, few of them new to it."""
+    members: dict[tuple[ids.ModelId, ids.VersionId], list[Runner]] = {
+        version.key: [] for version in versions
+    }
+    if not versions:
+        return members
+    total = sum(r.layer_positions_per_second for r in runners)
+    work = [max(v.demand, 1e-9) * v.model.layers for v in versions]
+    wanted_by_key = {
+        version.key: total * part / sum(work)
+        for version, part in zip(versions, work, strict=True)
+    }
+    old_by_vm = {a.vm: (a.model, a.version) for a in previous.assignments}
+    ordered = _by_kind_and_domain(runners)
+    free: list[Runner] = []
+    for runner in ordered:
+        key = old_by_vm.get(runner.vm)
+        if key in members:
+            members[key].append(runner)
+        else:
+            free.append(runner)
+    for key, held in members.items():
+        members[key] = _keep_share(held, wanted_by_key[key])
+        kept = {runner.vm for runner in members[key]}
+        free += [runner for runner in held if runner.vm not in kept]
+    for runner in free:
+        key = max(
+            members,
+            key=lambda k: (
+                _missing(members, wanted_by_key, k) / wanted_by_key[k]
+            ),
+        )
+        members[key].append(runner)
+    return members
+
+
+def _keep_share(held: Sequence[Runner], wanted: float) -> list[Runner]:
+    """Returns runners of every kind that together have the wanted speed."""
+    total = sum(r.layer_positions_per_second for r in held)
+    if total <= wanted * (1 + SURPLUS_TOLERANCE):
+        return list(held)
+    kept: list[Runner] = []
+    due = 0.0
+    for runner in held:
+        due += runner.layer_positions_per_second * wanted / total
+        if due >= runner.layer_positions_per_second / 2:
+            due -= runner.layer_positions_per_second
+            kept.append(runner)
+    return kept
+
+
+def _missing(
+    members: Mapping[tuple[ids.ModelId, ids.VersionId], Sequence[Runner]],
+    wanted_by_key: Mapping[tuple[ids.ModelId, ids.VersionId], float],
+    key: tuple[ids.ModelId, ids.VersionId],
+) -> float:
+    present = sum(r.layer_positions_per_second for r in members[key])
+    return wanted_by_key[key] - present
+
+
+def _by_kind_and_domain(runners: Sequence[Runner]) -> list[Runner]:
+    """Sorts by speed, the failure domains taking turns."""
+    ordered: list[tuple[float, int, Runner]] = []
+    turn_by_kind: dict[tuple[float, ids.FailureDomain], int] = {}
+    for runner in sorted(runners, key=lambda r: r.vm):
+        kind = (runner.layer_positions_per_second, runner.failure_domain)
+        turn_by_kind[kind] = turn_by_kind.get(kind, 0) + 1
+        ordered.append((-kind[0], turn_by_kind[kind], runner))
+    ordered.sort(key=lambda o: (o[0], o[1], o[2].failure_domain, o[2].vm))
+    return [runner for _, _, runner in ordered]
--- a/packages/nutmeglift/nutmeglift/plan.py
+++ b/packages/nutmeglift/nutmeglift/plan.py
@@ -6,6 +6,8 @@
 
 from nutmeglift import ids
 
+VersionKey = tuple[ids.ModelId, ids.VersionId]
+
 
 class Entry(msgspec.Struct, frozen=True, array_like=True):
     """Flow that comes into a runner at a layer of its range.
--- /dev/null
+++ b/packages/nutmeglift/nutmeglift/plan_assembly.py
@@ -0,0 +1,134 @@
+"""Puts a plan together from ranges and their largest flow."""
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+
+from nutmeglift import declaration
+from nutmeglift import fleet
+from nutmeglift import flow
+from nutmeglift import ids
+from nutmeglift import placement
+from nutmeglift import plan
+
+NEGLIGIBLE_SHARE = 1e-6
+
+RangeByVm = Mapping[ids.VmId, placement.Range]
+
+
+def link_limits(
+    declared: declaration.Declaration, model: declaration.Model
+) -> dict[tuple[ids.FailureDomain, ids.FailureDomain], float]:
+    """Returns what the links carry of a model's hidden states."""
+    limits = {}
+    for link in declared.links:
+        limit = link.bytes_per_second / model.hidden_bytes
+        first, second = link.between
+        limits[first, second] = limit
+        limits[second, first] = limit
+    return limits
+
+
+def make_links(
+    versions: Sequence[fleet.ModelVersion], declared: declaration.Declaration
+) -> tuple[plan.LinkLimit, ...]:
+    """Returns what the links carry of each model's hidden states."""
+    latency_by_pair = {}
+    for link in declared.links:
+        first, second = link.between
+        latency_by_pair[first, second] = link.latency_seconds
+        latency_by_pair[second, first] = link.latency_seconds
+    model_by_id = {v.model.id: v.model for v in versions}
+    return tuple(
+        plan.LinkLimit(name, *pair, limit, latency_by_pair[pair])
+        for name, model in sorted(model_by_id.items())
+        for pair, limit in sorted(link_limits(declared, model).items())
+    )
+
+
+def make_assignments(
+    runners: Sequence[fleet.Runner],
+    version: fleet.ModelVersion,
+    range_by_vm: RangeByVm,
+    largest: flow.Flow,
+) -> list[plan.Assignment]:
+    """Returns the assignments of one model version."""
+    runner_by_vm = {runner.vm: runner for runner in runners}
+    assignments = []
+    for vm, held in range_by_vm.items():
+        inflow = largest.inflow_by_vm.get(vm, {})
+        smallest = NEGLIGIBLE_SHARE * largest.tokens_per_second
+        entries = tuple(
+            plan.Entry(layer, amount)
+            for layer, amount in sorted(inflow.items())
+            if amount > smallest
+        )
+        assignments.append(
+            plan.Assignment(
+                vm,
+                version.model.id,
+                version.version,
+                held.first_layer,
+                held.end_layer,
+                sum(entry.tokens_per_second for entry in entries),
+                entries,
+                runner_by_vm[vm].failure_domain,
+                runner_by_vm[vm].backend_class,
+            )
+        )
+    return assignments
+
+
+def make_holders(
+    runners: Sequence[fleet.Runner], range_by_vm: RangeByVm
+) -> list[flow.Holder]:
+    """Returns the runners that hold a range."""
+    return [
+        flow.Holder(
+            runner.vm,
+            runner.failure_domain,
+            runner.layer_positions_per_second,
+            range_by_vm[runner.vm].first_layer,
+            range_by_vm[runner.vm].end_layer,
+        )
+        for runner in runners
+        if runner.vm in range_by_vm
+    ]
+
+
+def assemble(
+    runners: Sequence[fleet.Runner],
+    declared: declaration.Declaration,
+    ranges_by_version: Mapping[plan.VersionKey, RangeByVm],
+    generation: int,
+    fencing_number: ids.FencingNumber,
+) -> plan.Plan:
+    """Returns the plan that makes most of ranges that are held already."""
+    versions = fleet.routed_versions(declared)
+    assignments: list[plan.Assignment] = []
+    for version in versions:
+        range_by_vm = ranges_by_version.get(version.key, {})
+        holders = make_holders(runners, range_by_vm)
+        limits = link_limits(declared, version.model)
+        largest = flow.max_flow(holders, version.model.layers, limits)
+        present = {holder.vm: range_by_vm[holder.vm] for holder in holders}
+        assignments += make_assignments(runners, version, present, largest)
+    return make_plan(
+        versions, declared, assignments, generation, fencing_number
+    )
+
+
+def make_plan(
+    versions: Sequence[fleet.ModelVersion],
+    declared: declaration.Declaration,
+    assignments: Sequence[plan.Assignment],
+    generation: int,
+    fencing_number: ids.FencingNumber,
+) -> plan.Plan:
+    """Returns a plan of some assignments."""
+    return plan.Plan(
+        generation,
+        fencing_number,
+        tuple(sorted(assignments, key=lambda a: (a.model, a.version, a.vm))),
+        make_links(versions, declared),
+        {version.model.id: version.model.layers for version in versions},
+    )
--- /dev/null
+++ b/packages/nutmeglift/nutmeglift/route_search.py
@@ -0,0 +1,96 @@
+"""Finds any way through the layers when the plan's ways are broken."""
+
+from collections.abc import Callable
+import dataclasses
+
+from nutmeglift import ids
+from nutmeglift import messages
+from nutmeglift import route_tables
+
+
+@dataclasses.dataclass(frozen=True)
+class Candidate:
+    """A runner that can be chosen now.
+
+    Attributes:
+        vm: its VM.
+        address: address of its agent.
+        incarnation: the agent's incarnation.
+        failure_domain: where it runs.
+    """
+
+    vm: ids.VmId
+    address: str
+    incarnation: ids.Incarnation
+    failure_domain: ids.FailureDomain
+
+
+Find = Callable[[ids.VmId], Candidate | None]
+
+FindCandidate = Callable[[route_tables.Candidate], Candidate | None]
+
+
+def search(
+    table: route_tables.VersionTable,
+    find: FindCandidate,
+    avoid: frozenset[ids.VmId],
+) -> list[messages.Stage] | None:
+    """Searches all ways through the layers, planned or not.
+
+    Args:
+        table: the runners.
+        find: returns a runner's candidate, or None when it can't be used.
+        avoid: VMs to use only when there is no other way.
+
+    Returns:
+        The stages, or None when there is no way.
+    """
+    for excluded in (avoid, frozenset[ids.VmId]()):
+        found = _search_from(table, 0, find, excluded, set())
+        if found is not None:
+            return found
+    return None
+
+
+def make_stage(
+    chosen: route_tables.Candidate, found: Candidate
+) -> messages.Stage:
+    """Returns the stage of a request that enters a runner."""
+    return messages.Stage(
+        found.vm,
+        found.address,
+        found.incarnation,
+        chosen.first_layer,
+        chosen.end_layer,
+    )
+
+
+def _search_from(
+    table: route_tables.VersionTable,
+    layer: int,
+    find: FindCandidate,
+    excluded: frozenset[ids.VmId],
+    dead_ends: set[int],
+) -> list[messages.Stage] | None:
+    if layer >= table.layers:
+        return []
+    at_layer = table.table_by_layer.get(layer)
+    if at_layer is None or layer in dead_ends:
+        return None
+    for candidate in sorted(at_layer.all, key=_cost_of):
+        if candidate.state.vm in excluded:
+            continue
+        found = find(candidate)
+        if found is None:
+            continue
+        end = candidate.end_layer
+        rest = _search_from(table, end, find, excluded, dead_ends)
+        if rest is not None:
+            return [make_stage(candidate, found), *rest]
+    dead_ends.add(layer)
+    return None
+
+
+def _cost_of(candidate: route_tables.Candidate) -> float:
+    state = candidate.state
+    return state.cost + candidate.cost * state.distrust
--- a/packages/nutmeglift/nutmeglift/route_tables.py
+++ b/packages/nutmeglift/nutmeglift/route_tables.py
@@ -15,8 +15,6 @@
 MAX_SAMPLE = 4
 """Runners that are compared for one stage."""
 
-VersionKey = tuple[ids.ModelId, ids.VersionId]
-
 
 class RunnerState:
     """One runner, shared by the tables of all model versions.
@@ -181,14 +179,14 @@
 
 def make_tables(
     new_plan: plan.Plan, find_state: Callable[[ids.VmId], RunnerState]
-) -> dict[VersionKey, VersionTable]:
+) -> dict[plan.VersionKey, VersionTable]:
     """Returns the tables of every model version in a plan.
 
     Args:
         new_plan: the plan.
         find_state: returns a runner's state.
     """
-    assignments_by_key: dict[VersionKey, list[plan.Assignment]] = {}
+    assignments_by_key: dict[plan.VersionKey, list[plan.Assignment]] = {}
     for assignment in new_plan.assignments:
         key = (assignment.model, assignment.version)
         assignments_by_key.setdefault(key, []).append(assignment)
@@ -270,3 +268,28 @@
         table.planned.append(candidate)
         table.runners |= 1 << candidate.state.number
         table.candidate_by_number[candidate.state.number] = candidate
+
+
+def ranges_by_vm(
+    of_plan: plan.Plan,
+) -> dict[ids.VmId, set[tuple[ids.ModelId, ids.VersionId, int, int]]]:
+    """Returns what each runner holds."""
+    found: dict[ids.VmId, set[tuple[ids.ModelId, ids.VersionId, int, int]]] = {}
+    for a in of_plan.assignments:
+        held = (a.model, a.version, a.first_layer, a.end_layer)
+        found.setdefault(a.vm, set()).add(held)
+    return found
+
+
+def carry_over(
+    old: dict[plan.VersionKey, VersionTable],
+    new: dict[plan.VersionKey, VersionTable],
+) -> None:
+    """Takes the requests in flight from the tables of an older plan."""
+    for key, table in new.items():
+        if key not in old:
+            continue
+        for entry, before in old[key].candidate_by_entry.items():
+            candidate = table.candidate_by_entry.get(entry)
+            if candidate is not None:
+                candidate.change(before.own)
--- a/packages/nutmeglift/nutmeglift/routing.py
+++ b/packages/nutmeglift/nutmeglift/routing.py
@@ -1,7 +1,5 @@
 """Chooses a pipeline for each request."""
 
-from collections.abc import Callable
-import dataclasses
 import random
 
 from nutmeglift import control_messages
@@ -11,6 +9,7 @@
 from nutmeglift import outliers
 from nutmeglift import plan
 from nutmeglift import prefix_index
+from nutmeglift import route_search
 from nutmeglift import route_tables
 
 REFRESH_SECONDS = 0.5
@@ -22,24 +21,8 @@
 RETRY_AFTER_SECONDS = 1.0
 
 
-@dataclasses.dataclass(frozen=True)
-class Candidate:
-    """A runner that can be chosen now.
-
-    Attributes:
-        vm: its VM.
-        address: address of its agent.
-        incarnation: the agent's incarnation.
-        failure_domain: where it runs.
-    """
-
-    vm: ids.VmId
-    address: str
-    incarnation: ids.Incarnation
-    failure_domain: ids.FailureDomain
-
-
-Find = Callable[[ids.VmId], Candidate | None]
+Candidate = route_search.Candidate
+Find = route_search.Find
 
 
 class Routing:
@@ -60,7 +43,7 @@
         self._plan = plan.Plan()
         self._state_by_vm: dict[ids.VmId, route_tables.RunnerState] = {}
         self._table_by_version: dict[
-            route_tables.VersionKey, route_tables.VersionTable
+            plan.VersionKey, route_tables.VersionTable
         ] = {}
         self._refreshed_at = float("-inf")
         self._unusable: list[route_tables.RunnerState] = []
@@ -85,7 +68,7 @@
             state = self._state_by_vm[assignment.vm]
             state.joining = bool(known) and assignment.vm not in known
             self._distrusted.add(state)
-        _carry_over(old_tables, self._table_by_version)
+        route_tables.carry_over(old_tables, self._table_by_version)
         self._plan = new_plan
         self._refreshed_at = float("-inf")
         return True
@@ -156,7 +139,7 @@
         match = self.prefixes.match(tokens)
         stages = self._follow_plan(table, match, find, avoid)
         if stages is None:
-            stages = self._search(table, find, avoid)
+            stages = route_search.search(table, self._find_all(find), avoid)
         if stages is None:
             raise _refuse(f"some layer of {model} {version} has no runner")
         if match.digests:
@@ -198,8 +181,8 @@
 
     def _forget_moved(self, new_plan: plan.Plan) -> None:
         """Drops what is known of runners that left or hold other layers."""
-        ranges_by_vm = _ranges_by_vm(new_plan)
-        for vm, old in _ranges_by_vm(self._plan).items():
+        ranges_by_vm = route_tables.ranges_by_vm(new_plan)
+        for vm, old in route_tables.ranges_by_vm(self._plan).items():
             if vm not in ranges_by_vm:
                 gone = self._state_by_vm.pop(vm, None)
                 if gone is not None:
@@ -277,7 +260,7 @@
         while chosen is not None:
             found = self._find(chosen, find)
             if found is not None:
-                return _make_stage(chosen, found)
+                return route_search.make_stage(chosen, found)
             candidates = at_layer.planned
             chosen = self._find_cheapest(candidates, sender, match, avoid)
         return None
@@ -344,44 +327,8 @@
             state.incarnation = found.incarnation
         return found
 
-    def _search(
-        self,
-        table: route_tables.VersionTable,
-        find: Find,
-        avoid: frozenset[ids.VmId],
-    ) -> list[messages.Stage] | None:
-        """Searches all ways through the layers, planned or not."""
-        for excluded in (avoid, frozenset[ids.VmId]()):
-            found = self._search_from(table, 0, find, excluded, set())
-            if found is not None:
-                return found
-        return None
-
-    def _search_from(
-        self,
-        table: route_tables.VersionTable,
-        layer: int,
-        find: Find,
-        excluded: frozenset[ids.VmId],
-        dead_ends: set[int],
-    ) -> list[messages.Stage] | None:
-        if layer >= table.layers:
-            return []
-        at_layer = table.table_by_layer.get(layer)
-        if at_layer is None or layer in dead_ends:
-            return None
-        for candidate in sorted(at_layer.all, key=_cost_of):
-            if candidate.state.vm in excluded:
-                continue
-            found = self._find(candidate, find)
-            if found is None:
-                continue
-            end = candidate.end_layer
-            rest = self._search_from(table, end, find, excluded, dead_ends)
-            if rest is not None:
-                return [_make_stage(candidate, found), *rest]
-        dead_ends.add(layer)
-        return None
+    def _find_all(self, find: Find) -> route_search.FindCandidate:
+        return lambda chosen: self._find(chosen, find)
 
     def _change_in_flight(
         self, pipeline: messages.Pipeline, by: int, now: float
@@ -405,52 +352,9 @@
             sender = state
 
 
-def _cost_of(candidate: route_tables.Candidate) -> float:
-    """Returns requests in flight over planned flow, there and at the entry."""
-    state = candidate.state
-    return state.cost + candidate.cost * state.distrust
-
-
-def _ranges_by_vm(
-    of_plan: plan.Plan,
-) -> dict[ids.VmId, set[tuple[ids.ModelId, ids.VersionId, int, int]]]:
-    ranges_by_vm: dict[
-        ids.VmId, set[tuple[ids.ModelId, ids.VersionId, int, int]]
-    ] = {}
-    for a in of_plan.assignments:
-        held = (a.model, a.version, a.first_layer, a.end_layer)
-        ranges_by_vm.setdefault(a.vm, set()).add(held)
-    return ranges_by_vm
-
-
-def _carry_over(
-    old: dict[route_tables.VersionKey, route_tables.VersionTable],
-    new: dict[route_tables.VersionKey, route_tables.VersionTable],
-) -> None:
-    for key, table in new.items():
-        if key not in old:
-            continue
-        for entry, before in old[key].candidate_by_entry.items():
-            candidate = table.candidate_by_entry.get(entry)
-            if candidate is not None:
-                candidate.change(before.own)
-
-
 def _refuse(detail: str) -> errors.RefusedError:
     return errors.RefusedError(
         detail,
         kind=errors.ErrorKind.NO_BACKEND,
         retry_after=RETRY_AFTER_SECONDS,
     )
-
-
-def _make_stage(
-    chosen: route_tables.Candidate, found: Candidate
-) -> messages.Stage:
-    return messages.Stage(
-        found.vm,
-        found.address,
-        found.incarnation,
-        chosen.first_layer,
-        chosen.end_layer,
-    )
