Propose plans under the lease and roll them out by orders

Cause: every router planned for itself at every change of members. Ruled out: planning on each change (a flapping VM moved weights); writing the target at once (routers would send work to runners that still load).

--- /dev/null
+++ b/packages/nutmeglift/nutmeglift/rollout.py
@@ -0,0 +1,301 @@
+"""Brings runners from the ranges they hold to those of a new plan."""
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+import dataclasses
+
+from nutmeglift import control_messages
+from nutmeglift import ids
+from nutmeglift import placement
+from nutmeglift import plan
+
+SETTLE_SECONDS = 3.0
+"""Time between a runner's last planned work and its order to load."""
+RETRY_SECONDS = 5.0
+ORDER_TIMEOUT_SECONDS = 300.0
+MIN_LOADING = 2
+MAX_LOADING_SHARE = 0.1
+"""Share of the runners that load weights at a time, as their store is slow."""
+
+HeldKey = tuple[ids.VmId, ids.ModelId, ids.VersionId]
+
+
+@dataclasses.dataclass(frozen=True)
+class GiveOrder:
+    """An order for the agent of a runner."""
+
+    vm: ids.VmId
+    order: control_messages.Order
+
+
+@dataclasses.dataclass(frozen=True)
+class Loaded:
+    """What an order puts on a runner.
+
+    Attributes:
+        held: the layers.
+        incarnation: the agent's incarnation that was ordered.
+    """
+
+    held: placement.Range
+    incarnation: ids.Incarnation
+
+
+@dataclasses.dataclass(frozen=True)
+class _Load:
+    """Weights to load, without an adapter or with one."""
+
+    key: HeldKey
+    adapter: ids.AdapterId | None
+
+
+@dataclasses.dataclass(frozen=True)
+class _Pending:
+    vm: ids.VmId
+    load: _Load
+    loaded: Loaded
+    sent_at: float
+
+
+class Rollout:
+    """Moves few runners at a time and leaves no layer without a runner.
+
+    A runner that has to move is first taken out of the plan, if others hold
+    its layers; it is ordered to load some time later, and comes back into
+    the plan once it has carried the order out.
+
+    Attributes:
+        held_by_key: the ranges that the plan in force may use.
+    """
+
+    def __init__(self, fencing_number: ids.FencingNumber) -> None:
+        self.held_by_key: dict[HeldKey, placement.Range] = {}
+        self._fencing_number = fencing_number
+        self._target_by_key: dict[HeldKey, placement.Range] = {}
+        self._layers_by_model: Mapping[ids.ModelId, int] = {}
+        self._adapters_by_version: Mapping[
+            plan.VersionKey, Sequence[ids.AdapterId]
+        ] = {}
+        self._loaded: dict[_Load, Loaded] = {}
+        self._pending: dict[ids.RequestId, _Pending] = {}
+        self._retry_at: dict[_Load, float] = {}
+        self._taken_out_at: dict[ids.VmId, float] = {}
+        # Model versions some layer of which no live runner holds.
+        self._broken: set[plan.VersionKey] = set()
+        self._orders = 0
+
+    @property
+    def done(self) -> bool:
+        """Whether the plan's target is in force."""
+        return self.held_by_key == self._target_by_key
+
+    def start_from(self, in_force: plan.Plan) -> None:
+        """Takes the ranges of the plan in force."""
+        self.held_by_key = _ranges_of(in_force)
+
+    def set_target(
+        self,
+        target: plan.Plan,
+        adapters_by_version: Mapping[plan.VersionKey, Sequence[ids.AdapterId]],
+    ) -> None:
+        """Sets where the runners are to come to.
+
+        Args:
+            target: the plan to bring into force.
+            adapters_by_version: adapters that each version's runners load.
+        """
+        self._target_by_key = _ranges_of(target)
+        self._layers_by_model = target.layers_by_model
+        self._adapters_by_version = adapters_by_version
+
+    def step(
+        self, incarnation_by_vm: Mapping[ids.VmId, ids.Incarnation], now: float
+    ) -> list[GiveOrder]:
+        """Changes what is in force where that is safe; returns new orders.
+
+        Args:
+            incarnation_by_vm: the live runners.
+            now: seconds.
+        """
+        self._drop_lost(incarnation_by_vm, now)
+        self._broken = self._find_broken(incarnation_by_vm)
+        self._take_out(incarnation_by_vm, now)
+        self._put_in(incarnation_by_vm)
+        return self._make_orders(incarnation_by_vm, now)
+
+    def take_result(
+        self, vm: ids.VmId, result: control_messages.OrderResult, now: float
+    ) -> bool:
+        """Takes an agent's answer; returns whether it was expected."""
+        pending = self._pending.get(result.order)
+        if pending is None or pending.vm != vm:
+            return False
+        del self._pending[result.order]
+        if result.kind is None:
+            self._loaded[pending.load] = pending.loaded
+        else:
+            self._retry_at[pending.load] = now + RETRY_SECONDS
+        return True
+
+    def _drop_lost(
+        self, live: Mapping[ids.VmId, ids.Incarnation], now: float
+    ) -> None:
+        """Forgets runners that are neither live nor in the target."""
+        targeted = {vm for vm, _, _ in self._target_by_key}
+        for key in list(self.held_by_key):
+            if key[0] not in live and key[0] not in targeted:
+                del self.held_by_key[key]
+        for order, pending in list(self._pending.items()):
+            restarted = live.get(pending.vm) != pending.loaded.incarnation
+            late = now - pending.sent_at > ORDER_TIMEOUT_SECONDS
+            if restarted or late:
+                del self._pending[order]
+
+    def _take_out(
+        self, live: Mapping[ids.VmId, ids.Incarnation], now: float
+    ) -> None:
+        loading = {vm for vm in self._taken_out_at if self._is_waiting(vm)}
+        most = self._max_loading()
+        for key in sorted(self.held_by_key):
+            held = self.held_by_key[key]
+            if self._target_by_key.get(key) == held:
+                continue
+            broken = key[1:] in self._broken
+            if not broken and key[0] not in loading and len(loading) >= most:
+                continue
+            if self._is_needed(key, held, live):
+                continue
+            del self.held_by_key[key]
+            self._taken_out_at[key[0]] = now
+            loading.add(key[0])
+
+    def _put_in(self, live: Mapping[ids.VmId, ids.Incarnation]) -> None:
+        for key, wanted in self._target_by_key.items():
+            if key in self.held_by_key:
+                continue
+            loaded = self._loaded.get(_Load(key, None))
+            incarnation = live.get(key[0])
+            if incarnation and loaded == Loaded(wanted, incarnation):
+                self.held_by_key[key] = wanted
+                self._taken_out_at.pop(key[0], None)
+
+    def _make_orders(
+        self, live: Mapping[ids.VmId, ids.Incarnation], now: float
+    ) -> list[GiveOrder]:
+        ordered = {pending.load for pending in self._pending.values()}
+        loading = {pending.vm for pending in self._pending.values()}
+        orders = []
+        for key, wanted in sorted(self._target_by_key.items()):
+            vm = key[0]
+            if vm not in live or not self._may_load(key, wanted, now):
+                continue
+            broken = key[1:] in self._broken
+            full = len(loading) >= self._max_loading()
+            if full and not broken and vm not in loading:
+                continue
+            loaded = Loaded(wanted, live[vm])
+            for load in self._loads_of(key):
+                if load in ordered or self._loaded.get(load) == loaded:
+                    continue
+                if now < self._retry_at.get(load, now):
+                    continue
+                loading.add(vm)
+                orders.append(self._make_order(load, loaded, now))
+        return orders
+
+    def _make_order(self, load: _Load, loaded: Loaded, now: float) -> GiveOrder:
+        self._orders += 1
+        vm, model, version = load.key
+        name = ids.RequestId(f"{self._fencing_number}.{self._orders}")
+        self._pending[name] = _Pending(vm, load, loaded, now)
+        order = control_messages.Order(
+            name,
+            self._fencing_number,
+            model,
+            version,
+            load.adapter,
+            loaded.held.first_layer,
+            loaded.held.end_layer,
+        )
+        return GiveOrder(vm, order)
+
+    def _loads_of(self, key: HeldKey) -> list[_Load]:
+        adapters = self._adapters_by_version.get((key[1], key[2]), ())
+        return [_Load(key, None), *(_Load(key, a) for a in adapters)]
+
+    def _may_load(
+        self, key: HeldKey, wanted: placement.Range, now: float
+    ) -> bool:
+        if self.held_by_key.get(key, wanted) != wanted:
+            return False
+        vm = key[0]
+        leaving = (
+            other
+            for other in self.held_by_key
+            if other[0] == vm and other not in self._target_by_key
+        )
+        if any(leaving):
+            return False
+        if key[1:] in self._broken:
+            return True
+        taken_out_at = self._taken_out_at.get(vm)
+        return taken_out_at is None or now - taken_out_at >= SETTLE_SECONDS
+
+    def _max_loading(self) -> int:
+        runners = len({vm for vm, _, _ in self._target_by_key})
+        return max(MIN_LOADING, int(runners * MAX_LOADING_SHARE))
+
+    def _is_waiting(self, vm: ids.VmId) -> bool:
+        wanted = [key for key in self._target_by_key if key[0] == vm]
+        return any(key not in self.held_by_key for key in wanted)
+
+    def _find_broken(
+        self, live: Mapping[ids.VmId, ids.Incarnation]
+    ) -> set[plan.VersionKey]:
+        held_by_version: dict[plan.VersionKey, list[placement.Range]] = {
+            (model, version): [] for _, model, version in self._target_by_key
+        }
+        for (vm, model, version), held in self.held_by_key.items():
+            if vm in live and (model, version) in held_by_version:
+                held_by_version[model, version].append(held)
+        return {
+            key
+            for key, held in held_by_version.items()
+            if not _covers(held, self._layers_by_model.get(key[0], 0))
+        }
+
+    def _is_needed(
+        self,
+        key: HeldKey,
+        held: placement.Range,
+        live: Mapping[ids.VmId, ids.Incarnation],
+    ) -> bool:
+        """Returns whether some layer has no other live runner."""
+        _, model, version = key
+        if not any(k[1:] == (model, version) for k in self._target_by_key):
+            return False
+        if key[0] not in live:
+            return False
+        others = [
+            other_held
+            for other, other_held in self.held_by_key.items()
+            if other != key and other[1:] == key[1:] and other[0] in live
+        ]
+        return not all(
+            any(o.first_layer <= layer < o.end_layer for o in others)
+            for layer in range(held.first_layer, held.end_layer)
+        )
+
+
+def _covers(held: Sequence[placement.Range], layers: int) -> bool:
+    return all(
+        any(h.first_layer <= layer < h.end_layer for h in held)
+        for layer in range(layers)
+    )
+
+
+def _ranges_of(of_plan: plan.Plan) -> dict[HeldKey, placement.Range]:
+    return {
+        (a.vm, a.model, a.version): placement.Range(a.first_layer, a.end_layer)
+        for a in of_plan.assignments
+    }
--- /dev/null
+++ b/packages/nutmeglift/nutmeglift/stable_members.py
@@ -0,0 +1,62 @@
+"""Which VMs a plan should count on, so that flapping moves no weights."""
+
+from collections.abc import Iterable
+
+from nutmeglift import ids
+
+JOIN_SECONDS = 3.0
+"""How long a VM has to be live before a plan counts on it."""
+HOLD_SECONDS = 20.0
+"""How long a plan counts on a VM that is not live any more."""
+
+
+class StableMembers:
+    """Follows the VMs with hysteresis."""
+
+    def __init__(self) -> None:
+        self._live_since: dict[ids.VmId, float] = {}
+        self._lost_at: dict[ids.VmId, float] = {}
+        self._stable: set[ids.VmId] = set()
+
+    def note(
+        self,
+        live: Iterable[ids.VmId],
+        leaving: Iterable[ids.VmId],
+        now: float,
+    ) -> None:
+        """Takes the VMs as they are seen now.
+
+        Args:
+            live: VMs that take work.
+            leaving: VMs that the platform is taking away.
+            now: seconds.
+        """
+        present = set(live)
+        for vm in present:
+            self._live_since.setdefault(vm, now)
+            self._lost_at.pop(vm, None)
+        for vm in set(self._live_since) - present:
+            del self._live_since[vm]
+            self._lost_at[vm] = now
+        for vm in leaving:
+            self._stable.discard(vm)
+            self._live_since.pop(vm, None)
+            self._lost_at.pop(vm, None)
+
+    def stable(self, now: float) -> frozenset[ids.VmId]:
+        """Returns the VMs to count on."""
+        for vm, since in self._live_since.items():
+            if now - since >= JOIN_SECONDS:
+                self._stable.add(vm)
+        for vm, lost_at in list(self._lost_at.items()):
+            if now - lost_at >= HOLD_SECONDS:
+                del self._lost_at[vm]
+                self._stable.discard(vm)
+        return frozenset(self._stable)
+
+    def adopt(self, vms: Iterable[ids.VmId], now: float) -> None:
+        """Counts on VMs that a plan in force already uses."""
+        for vm in vms:
+            self._stable.add(vm)
+            if vm not in self._live_since:
+                self._lost_at.setdefault(vm, now)
--- a/packages/nutmeglift_router/nutmeglift_router/router.py
+++ b/packages/nutmeglift_router/nutmeglift_router/router.py
@@ -145,11 +145,13 @@
             set_routers=self.routers.set_listed,
         )
         self._plan = plan_controller.PlanController(
+            own.vm,
             board=self.board,
             store=store,
             clock=clock,
             metrics=metrics,
             routes=self._routing,
+            post=self._links.post,
         )
         self.shares = share_controller.ShareController(
             own.vm,
@@ -208,6 +210,7 @@
         """Starts the loops."""
         self._spawn(self.membership.run())
         self._spawn(self.configuration.run())
+        self._spawn(self._plan.run())
         self._spawn(self.shares.run())
         self._spawn(self.lease.run())
         sweep_rng = random.Random(self.incarnation)
@@ -292,6 +295,7 @@
             self.configuration.generation,
             not self.drain.accepts_work,
             self.lease.fencing_number,
+            fencing_confirmed=self.lease.held_number() is not None,
         )
 
     def _router_up(self, vm: ids.VmId, hello: messages.Hello) -> None:
@@ -364,6 +368,8 @@
                 self._take_heartbeat(vm, message)
             case messages.Leaving():
                 self.membership.take_leaving(vm)
+            case control_messages.OrderResult():
+                self._plan.take_order_result(vm, message)
             case control_messages.CacheEvents():
                 self._routing.note_cache_events(vm, message, self._clock.now())
             case _:
