Test the spread of the configuration; let a stop end a handshake

Cause: asyncio.wait_for (Python 3.11) returns the result of a handshake that ends in the same step as a cancellation, so AgentLinks.stop waited for ever (seen in the test of a paused process: entry-3 never stopped). Ruled out: the key-value service's client and the session, whose tasks ended.

--- a/packages/nutmeglift_router/nutmeglift_router/agent_links.py
+++ b/packages/nutmeglift_router/nutmeglift_router/agent_links.py
@@ -78,10 +78,11 @@
             hello = msgspec.structs.replace(
                 owner.make_hello(), resume=self._inbox.sequence
             )
-            peer = await asyncio.wait_for(
-                sessions.shake_hands_as_dialer(link, owner.key, hello),
-                sessions.HANDSHAKE_TIMEOUT_SECONDS,
-            )
+            # Unlike wait_for, this never swallows a cancellation.
+            async with asyncio.timeout(sessions.HANDSHAKE_TIMEOUT_SECONDS):
+                peer = await sessions.shake_hands_as_dialer(
+                    link, owner.key, hello
+                )
         except (errors.NutmegError, TimeoutError):
             await link.close()
             raise
--- a/packages/nutmeglift_router/nutmeglift_router/router_links.py
+++ b/packages/nutmeglift_router/nutmeglift_router/router_links.py
@@ -143,12 +143,10 @@
 
     async def _serve_accepted(self, link: links.BaseLink) -> None:
         try:
-            peer = await asyncio.wait_for(
-                sessions.shake_hands_as_listener(
+            async with asyncio.timeout(sessions.HANDSHAKE_TIMEOUT_SECONDS):
+                peer = await sessions.shake_hands_as_listener(
                     link, self._key, lambda _: self._make_hello()
-                ),
-                sessions.HANDSHAKE_TIMEOUT_SECONDS,
-            )
+                )
             _check_router(peer)
         except (errors.NutmegError, TimeoutError):
             self._metrics.count("router_link.refused")
@@ -192,12 +190,10 @@
             self._metrics.count("router_link.dial_failed")
             return False
         try:
-            peer = await asyncio.wait_for(
-                sessions.shake_hands_as_dialer(
+            async with asyncio.timeout(sessions.HANDSHAKE_TIMEOUT_SECONDS):
+                peer = await sessions.shake_hands_as_dialer(
                     link, self._key, self._make_hello()
-                ),
-                sessions.HANDSHAKE_TIMEOUT_SECONDS,
-            )
+                )
             _check_router(peer)
         except (errors.NutmegError, TimeoutError):
             self._metrics.count("router_link.dial_failed")
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -10,6 +10,7 @@
 from nutmeglift import auth
 from nutmeglift import configuration_apply
 from nutmeglift import declaration
+from nutmeglift import errors
 from nutmeglift import ids
 from nutmeglift import kv
 from nutmeglift import plain_messages
@@ -120,10 +121,17 @@
 
 
 class GatedKv(kv.BaseKv):
-    """One process's client of a shared service; stands still with it."""
+    """One process's client of a shared service; stands still with it.
+
+    Attributes:
+        lost: whether this process alone can't reach the service.
+        watch_silent: whether its watches see nothing any more.
+    """
 
     def __init__(self, store: kv.MemoryKv, clock: clocks.PausableClock) -> None:
         super().__init__()
+        self.lost = False
+        self.watch_silent = False
         self._store = store
         self._clock = clock
 
@@ -146,12 +154,17 @@
         self.calls += 1
         async for batch in self._store.watch(key, prefix=prefix, start=start):
             await self._clock.gate()
-            yield batch
+            if self.lost:
+                raise errors.KvUnavailableError("this process is cut off")
+            if not self.watch_silent:
+                yield batch
 
     async def _call(self, work):
         self.calls += 1
         try:
             await self._clock.gate()
+            if self.lost:
+                raise errors.KvUnavailableError("this process is cut off")
             return await work
         finally:
             work.close()
