--- a/packages/nutmeglift_router/nutmeglift_router/agent_links.py
+++ b/packages/nutmeglift_router/nutmeglift_router/agent_links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 import logging
 import random
 
@@ -13,6 +14,7 @@
 from nutmeglift import messages
 from nutmeglift import settings
 from nutmeglift import streams
+from nutmeglift_router import attempt_watches
 from nutmeglift_wire import clock as clocks
 from nutmeglift_wire import link as links
 from nutmeglift_wire import metrics as metric
@@ -25,6 +27,7 @@
 _logger = logging.getLogger(__name__)
 
 UpListener = Callable[[ids.VmId, messages.Hello], None]
+UnreachableListener = Callable[[ids.VmId], None]
 DownListener = Callable[[ids.VmId, errors.NutmegError], None]
 MessageListener = Callable[[ids.VmId, codec.AnyMessage], None]
 
@@ -34,6 +37,7 @@
 
     Attributes:
         peer: the agent's Hello on the open connection, or None.
+        address: the agent's address.
     """
 
     def __init__(self, vm: ids.VmId, address: str, owner: "AgentLinks") -> None:
@@ -63,6 +67,7 @@
                 session = await self._open()
             except (errors.NutmegError, TimeoutError):
                 self._owner.metrics.count("agent_link.dial_failed")
+                self._owner.on_unreachable(self._vm)
                 await self._owner.clock.sleep(
                     backoff * self._owner.rng.uniform(0.5, 1.0)
                 )
@@ -78,7 +83,7 @@
             hello = msgspec.structs.replace(
                 owner.make_hello(), resume=self._inbox.sequence
             )
-            # Unlike wait_for, this never swallows a cancellation.
+            # wait_for can swallow a cancellation.
             async with asyncio.timeout(sessions.HANDSHAKE_TIMEOUT_SECONDS):
                 peer = await sessions.shake_hands_as_dialer(
                     link, owner.key, hello
@@ -89,6 +94,8 @@
         if peer.incarnation != self._incarnation:
             self._inbox = streams.FrameInbox()
             self._incarnation = peer.incarnation
+        self._inbox.meet(peer.resume)
+        self._unacknowledged = 0
         return sessions.Session(
             link,
             peer,
@@ -122,21 +129,36 @@
             case messages.TokenFrame(sequence):
                 if not self._take_frame(session, sequence):
                     return
+            case messages.Heartbeat() if self._unacknowledged:
+                self._acknowledge(session)
         self._owner.on_message(self._vm, message)
 
     def _take_frame(self, session: sessions.Session, sequence: int) -> bool:
         arrival = self._inbox.accept(sequence)
         if arrival is not streams.Arrival.NEXT:
             self._owner.metrics.count(f"token_frame.{arrival.value}")
+        if arrival is streams.Arrival.GAP:
+            # A new connection resumes from the last frame that arrived.
+            raise errors.LinkClosedError(f"frame {sequence} came too early")
+        if arrival is not streams.Arrival.NEXT:
             return False
         self._unacknowledged += 1
         if self._unacknowledged >= ACKNOWLEDGE_FRAMES:
-            self._unacknowledged = 0
-            session.post(messages.FrameAcknowledged(sequence))
+            self._acknowledge(session)
         return True
 
+    def _acknowledge(self, session: sessions.Session) -> None:
+        self._unacknowledged = 0
+        session.post(messages.FrameAcknowledged(self._inbox.sequence))
+
 
-class AgentLinks:
+@dataclasses.dataclass
+class _Kept:
+    address: str
+    uses: int = 0
+
+
+class AgentLinks(attempt_watches.BaseAgents):
     """All connections to agents, by VM."""
 
     def __init__(
@@ -153,6 +175,8 @@
         on_up: UpListener,
         on_down: DownListener,
         on_message: MessageListener,
+        on_unreachable: UnreachableListener,
+        is_busy: Callable[[ids.VmId], bool],
     ) -> None:
         self.key = key
         self.clock = clock
@@ -165,23 +189,68 @@
         self.on_up = on_up
         self.on_down = on_down
         self.on_message = on_message
+        self.on_unreachable = on_unreachable
+        self._is_busy = is_busy
         self._link_by_vm: dict[ids.VmId, AgentLink] = {}
+        self._stops: set[asyncio.Task[None]] = set()
+        self._target_by_vm: dict[ids.VmId, str] = {}
+        self._kept_by_vm: dict[ids.VmId, _Kept] = {}
 
     def set_targets(self, address_by_vm: dict[ids.VmId, str]) -> None:
-        """Connects to exactly these agents."""
+        """Connects to these agents, those kept, and those still busy."""
+        self._target_by_vm = address_by_vm
+        kept = {vm: kept.address for vm, kept in self._kept_by_vm.items()}
+        address_by_vm = kept | address_by_vm
         for vm, link in list(self._link_by_vm.items()):
-            if address_by_vm.get(vm) != link.address:
-                del self._link_by_vm[vm]
-                asyncio.ensure_future(link.stop())
+            address = address_by_vm.get(vm)
+            if address == link.address:
+                continue
+            if address is None and link.peer is not None and self._is_busy(vm):
+                continue
+            self._drop(vm, link)
         for vm, address in address_by_vm.items():
             if vm not in self._link_by_vm:
                 self._link_by_vm[vm] = AgentLink(vm, address, self)
 
+    def _drop(self, vm: ids.VmId, link: AgentLink) -> None:
+        del self._link_by_vm[vm]
+        was_up = link.peer is not None
+        stop = asyncio.ensure_future(link.stop())
+        self._stops.add(stop)
+        stop.add_done_callback(self._stops.discard)
+        if was_up:
+            self.on_down(vm, errors.LinkClosedError("no longer wanted"))
+        self.on_unreachable(vm)
+
     def post(self, vm: ids.VmId, message: codec.AnyMessage) -> bool:
         """Sends a message; returns False when there is no connection."""
         link = self._link_by_vm.get(vm)
         return link is not None and link.post(message)
 
+    def incarnation(self, vm: ids.VmId) -> ids.Incarnation | None:
+        """Returns the incarnation connected to; None while it is down."""
+        link = self._link_by_vm.get(vm)
+        if link is None or link.peer is None:
+            return None
+        return link.peer.incarnation
+
+    def keep(self, vm: ids.VmId, address: str) -> None:
+        """Connects to an agent, a target or not, until released as often."""
+        kept = self._kept_by_vm.setdefault(vm, _Kept(address))
+        kept.uses += 1
+        if vm not in self._link_by_vm:
+            self.set_targets(self._target_by_vm)
+
+    def release(self, vm: ids.VmId) -> None:
+        """Ends one keep."""
+        kept = self._kept_by_vm[vm]
+        kept.uses -= 1
+        if kept.uses:
+            return
+        del self._kept_by_vm[vm]
+        if vm not in self._target_by_vm:
+            self.set_targets(self._target_by_vm)
+
     def broadcast(self, message: codec.AnyMessage) -> None:
         """Sends a message to every connected agent."""
         for link in self._link_by_vm.values():
--- a/packages/nutmeglift_router/nutmeglift_router/router.py
+++ b/packages/nutmeglift_router/nutmeglift_router/router.py
@@ -24,12 +24,15 @@
 from nutmeglift_router import chat
 from nutmeglift_router import configuration_controller
 from nutmeglift_router import counted_metrics
+from nutmeglift_router import drain_controller
 from nutmeglift_router import entries
 from nutmeglift_router import lease_controller
 from nutmeglift_router import membership_controller
 from nutmeglift_router import plain
 from nutmeglift_router import plan_controller
+from nutmeglift_router import recovery_controller
 from nutmeglift_router import router_links
+from nutmeglift_router import share_controller
 from nutmeglift_wire import clock as clocks
 from nutmeglift_wire import link as links
 from nutmeglift_wire import metrics as metric
@@ -52,6 +55,7 @@
         lease: the planner's role.
         routers: the connections to other routers.
         membership: the VMs.
+        shares: this router's shares of account limits.
         admission: which request runs when.
         chat: requests to models.
         plain: calls to plain services.
@@ -90,6 +94,8 @@
             make_heartbeat=self._make_heartbeat,
             on_up=self._agent_up,
             on_down=self._agent_down,
+            on_unreachable=self._agent_unreachable,
+            is_busy=lambda vm: bool(self.chat.attempts_on(vm)),
             on_message=self._take_message,
         )
         self.routers = router_links.RouterLinks(
@@ -145,8 +151,20 @@
             metrics=metrics,
             routes=self._routing,
         )
+        self.shares = share_controller.ShareController(
+            own.vm,
+            board=self.board,
+            clock=clock,
+            metrics=metrics,
+            post_to_router=self.routers.post,
+            count_routers=lambda: self.routers.listed + 1,
+        )
         self.admission = admission_controller.AdmissionController(
-            board=self.board, clock=clock, metrics=metrics
+            board=self.board,
+            clock=clock,
+            metrics=metrics,
+            bounds=own.bounds,
+            shares=self.shares,
         )
         self.chat = chat.ChatController(
             own.vm,
@@ -156,13 +174,28 @@
             routes=self._routing,
             find=self.membership.find_candidate,
             post=self._links.post,
+            token_buffer=own.bounds.token_buffer,
+        )
+        self._recovery = recovery_controller.RecoveryController(
+            chats=self.chat,
+            clock=clock,
+            metrics=metrics,
+            post=self._links.post,
+        )
+        self._draining = drain_controller.DrainController(
+            self.drain,
+            board=self.board,
+            clock=clock,
+            metrics=metrics,
+            limit=own.bounds.drain_seconds,
+            count_others=lambda: self.chat.in_flight + self.plain.in_flight,
         )
         self.plain = plain.PlainController(
             store=store,
             clock=clock,
             metrics=metrics,
             choose=self.membership.choose_server,
-            post=self._links.post,
+            agents=self._links,
         )
         self.authenticator = auth.Authenticator(
             self.board.read(entries.CONFIGURATION).declared
@@ -175,20 +208,23 @@
         """Starts the loops."""
         self._spawn(self.membership.run())
         self._spawn(self.configuration.run())
+        self._spawn(self.shares.run())
         self._spawn(self.lease.run())
+        sweep_rng = random.Random(self.incarnation)
+        self._spawn(self.plain.ledger.sweep(sweep_rng))
 
     async def leave(self) -> None:
         """Refuses new work and waits for the work in flight."""
         self.begin_drain()
         await self.lease.hand_over()
-        while self.chat.in_flight or self.plain.in_flight:
-            await self._clock.sleep(self.own.bounds.heartbeat_seconds / 10)
+        await self._draining.run()
 
     async def stop(self) -> None:
         """Ends everything at once."""
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.plain.stop()
         await self._links.stop()
         await self.routers.stop()
 
@@ -198,7 +234,8 @@
 
     def begin_drain(self) -> None:
         """Refuses new work from now on, and says so."""
-        self.drain.begin()
+        self.drain.begin(self._clock.now())
+        self.admission.drain()
         self.routers.broadcast(messages.Leaving())
 
     def drain_vm(self, vm: ids.VmId, operator: str) -> bool:
@@ -275,6 +312,8 @@
                 self.begin_drain()
             case messages.Leaving():
                 self.routers.note_leaving(vm)
+            case control_messages.ShareDemand() | control_messages.ShareGrant():
+                self.shares.take_message(vm, message)
             case _:
                 if not self.configuration.take_message(vm, message):
                     self._metrics.count("message.unexpected")
@@ -295,13 +334,19 @@
 
     def _agent_up(self, vm: ids.VmId, hello: messages.Hello) -> None:
         self.membership.agent_up(vm, hello)
+        self._recovery.agent_up(vm, hello)
         self.lease.note_number(hello.fencing_number)
         self.configuration.note_agent(vm, hello.generation)
         self._tell_agent(vm)
+        self.plain.agent_up(vm)
 
     def _agent_down(self, vm: ids.VmId, reason: errors.NutmegError) -> None:
         self.membership.agent_down(vm)
-        self.chat.lose_agent(vm)
+        self._recovery.agent_down(vm)
+        self.plain.agent_down(vm)
+
+    def _agent_unreachable(self, vm: ids.VmId) -> None:
+        self._recovery.agent_unreachable(vm)
 
     def _take_message(self, vm: ids.VmId, message: codec.AnyMessage) -> None:
         match message:
@@ -309,8 +354,12 @@
                 self.chat.take_frame(message)
             case messages.AttemptFailed():
                 self.chat.take_failure(message)
+            case messages.AttemptsHeld():
+                self._recovery.take_held(vm, message)
             case plain_messages.PlainOutcome():
                 self.plain.take_outcome(message)
+            case plain_messages.AttemptStatus():
+                self.plain.take_status(message)
             case messages.Heartbeat():
                 self._take_heartbeat(vm, message)
             case messages.Leaving():
