--- /dev/null
+++ b/tests/test_auth.py
@@ -0,0 +1,174 @@
+"""Tests of tokens, failed logins, and proofs between processes."""
+
+import asyncio
+import unittest
+
+import msgspec
+
+from nutmeglift import auth
+from nutmeglift import errors
+from nutmeglift import ids
+from nutmeglift import messages
+from nutmeglift import states
+from nutmeglift_wire import session as sessions
+from tests import utils
+from tests import virtual_time
+
+
+class AuthenticatorTest(unittest.TestCase):
+    def setUp(self):
+        self.authenticator = auth.Authenticator(utils.make_declaration())
+
+    def test_known_tokens(self):
+        header = f"Bearer {utils.TOKEN}"
+        self.assertEqual(self.authenticator.account(header).id, "bank-a")
+        self.assertEqual(self.authenticator.operator(header).id, "ana")
+
+    def test_others_are_refused_without_showing_the_token(self):
+        for header in (None, "", "Bearer ", "Basic x", "Bearer secret-guess"):
+            for method in ("account", "operator"):
+                with (
+                    self.subTest(header=header, method=method),
+                    self.assertRaises(errors.RefusedError) as caught,
+                ):
+                    getattr(self.authenticator, method)(header)
+                self.assertEqual(
+                    caught.exception.kind, errors.ErrorKind.UNAUTHENTICATED
+                )
+                self.assertNotIn("guess", caught.exception.detail)
+
+    def test_revoked_token_is_refused_once_the_apply_is_in_force(self):
+        async def scenario():
+            world = utils.World()
+            await world.start(routers=3, runners=0)
+            account = utils.make_account("bank-a").model_copy(
+                update={"token_sha256": (auth.hash_token("other"),)}
+            )
+            await world.apply(
+                utils.make_declaration(client_accounts=(account,))
+            )
+            await asyncio.sleep(2.0)
+            found = [
+                process.router.authenticator
+                for process in world.router_by_vm.values()
+            ]
+            await world.stop()
+            return found
+
+        for authenticator in virtual_time.run(scenario()):
+            with self.assertRaises(errors.RefusedError):
+                authenticator.account(f"Bearer {utils.TOKEN}")
+            self.assertEqual(authenticator.account("Bearer other").id, "bank-a")
+
+
+class LoginLimiterTest(unittest.TestCase):
+    def _fail(self, limiter, source, count, now=0.0):
+        for _ in range(count):
+            limiter.check(source, now)
+            limiter.note_failure(source, now)
+
+    def test_limit_is_per_source_and_ends(self):
+        limiter = auth.LoginLimiter()
+        self._fail(limiter, "10.0.0.1", auth.MAX_FAILED_LOGINS)
+        limiter.check("10.0.0.2", 1.0)
+        with self.assertRaises(errors.RefusedError) as caught:
+            limiter.check("10.0.0.1", 1.0)
+        self.assertEqual(
+            caught.exception.kind, errors.ErrorKind.TOO_MANY_LOGINS
+        )
+        self.assertEqual(
+            caught.exception.retry_after, auth.FAILED_LOGINS_SECONDS - 1
+        )
+        later = auth.FAILED_LOGINS_SECONDS
+        self._fail(limiter, "10.0.0.1", auth.MAX_FAILED_LOGINS, later)
+        with self.assertRaises(errors.RefusedError):
+            limiter.check("10.0.0.1", later)
+
+    def test_memory_is_bounded(self):
+        limiter = auth.LoginLimiter()
+        for n in range(2 * auth.MAX_SOURCES):
+            limiter.note_failure(f"{n}", 0.0)
+        self.assertEqual(len(limiter._failures_by_source), auth.MAX_SOURCES)
+
+
+class ProofTest(unittest.TestCase):
+    """Attacks on the handshake by somebody who does not know the key."""
+
+    KEY = b"a key of the tests only"
+
+    def _hello(self, vm, role=states.ProcessRole.ROUTER):
+        return messages.Hello(
+            messages.PROTOCOL_VERSION,
+            role,
+            ids.VmId(vm),
+            ids.Incarnation(f"{vm}-1"),
+            ids.FailureDomain("luzon-1"),
+        )
+
+    def test_reflected_proof_is_refused(self):
+        """The attacker sends a dialler's nonce back to the same process."""
+
+        async def scenario():
+            world = utils.World()
+            # The victim accepts connections under the same identity.
+            own = self._hello("entry-1")
+            clock = world.add_router("entry-7").clock
+            accepted = []
+
+            async def accept(link):
+                try:
+                    await sessions.shake_hands_as_listener(
+                        link, self.KEY, lambda _: own
+                    )
+                    accepted.append(True)
+                except errors.NutmegError:
+                    accepted.append(False)
+                await link.close()
+
+            world.network.listen("10.8.0.2:1", accept, clock)
+            victim = world.network
+            attacker = []
+
+            async def reflect(link):
+                """Poses as a peer by asking the victim for its own proof."""
+                first = await link.receive()
+                other = await victim.connect("10.8.0.9:1", "10.8.0.2:1", clock)
+                await other.send(first)
+                answer = await other.receive()
+                await link.send(answer)
+                attacker.append(True)
+
+            world.network.listen("10.8.0.3:1", reflect, clock)
+            link = await victim.connect("10.8.0.2:2", "10.8.0.3:1", clock)
+            try:
+                peer = await sessions.shake_hands_as_dialer(link, self.KEY, own)
+            except errors.NutmegError as error:
+                peer = error
+            await world.stop()
+            return attacker, peer
+
+        attacker, peer = virtual_time.run(scenario())
+        self.assertEqual(attacker, [True])
+        self.assertIsInstance(peer, errors.MalformedMessageError)
+
+    def test_proof_binds_what_the_hello_says(self):
+        hello = self._hello("entry-1")
+        proof = sessions.prove(self.KEY, b"nonce", hello)
+        for name, other in {
+            "vm": msgspec.structs.replace(hello, vm=ids.VmId("entry-2")),
+            "role": msgspec.structs.replace(
+                hello, role=states.ProcessRole.AGENT
+            ),
+            "incarnation": msgspec.structs.replace(
+                hello, incarnation=ids.Incarnation("x")
+            ),
+        }.items():
+            with self.subTest(name):
+                self.assertNotEqual(
+                    sessions.prove(self.KEY, b"nonce", other), proof
+                )
+        self.assertNotEqual(sessions.prove(self.KEY, b"other", hello), proof)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_lease.py
@@ -0,0 +1,216 @@
+"""Tests of the planner's role and its fencing numbers."""
+
+import asyncio
+import unittest
+
+from nutmeglift import errors
+from nutmeglift import ids
+from nutmeglift import kv
+from nutmeglift import lease
+from nutmeglift_router import entries
+from tests import utils
+from tests import virtual_time
+
+
+class TenureTest(unittest.TestCase):
+    def test_ends_by_the_own_clock_before_the_lease_does(self):
+        tenure = lease.Tenure()
+        self.assertIsNone(tenure.number(0.0))
+        tenure.extend(ids.FencingNumber(3), sent_at=10.0, ttl=6.0)
+        for now, number in ((10.0, 3), (14.9, 3), (15.0, None), (99.0, None)):
+            with self.subTest(now):
+                self.assertEqual(tenure.number(now), number)
+        tenure.extend(ids.FencingNumber(3), sent_at=14.0, ttl=6.0)
+        tenure.end()
+        self.assertIsNone(tenure.number(14.1))
+
+
+class TakeTest(unittest.TestCase):
+    async def _take(self, store, name, known=0):
+        role = await lease.read(store)
+        return await lease.take(
+            store,
+            role,
+            await store.grant(6.0),
+            vm=ids.VmId(name),
+            incarnation=ids.Incarnation(name),
+            highest_known=ids.FencingNumber(known),
+        )
+
+    def test_numbers_rise_strictly(self):
+        async def scenario():
+            store = kv.MemoryKv()
+            numbers = []
+            for name in ("a", "b", "c"):
+                holder = await self._take(store, name)
+                numbers.append(holder.fencing_number)
+                self.assertIsNone(await self._take(store, "other"))
+                await asyncio.sleep(6.1)
+            backup = store.dump()
+            numbers.append((await self._take(store, "d")).fencing_number)
+            store.restore(backup)
+            holder = await self._take(store, "e", known=numbers[-1])
+            numbers.append(holder.fencing_number)
+            return numbers
+
+        self.assertEqual(virtual_time.run(scenario()), [1, 2, 3, 4, 5])
+
+    def test_race_has_one_winner(self):
+        async def scenario():
+            store = kv.MemoryKv()
+            store.delay = 0.01
+            return await asyncio.gather(
+                *(self._take(store, f"{n}") for n in range(5))
+            )
+
+        found = virtual_time.run(scenario())
+        self.assertEqual(sum(holder is not None for holder in found), 1)
+
+    def test_holder_that_a_restore_left_without_a_lease_is_replaced(self):
+        async def scenario():
+            store = kv.MemoryKv()
+            await self._take(store, "old")
+            store.restore(store.dump())
+            return await self._take(store, "new")
+
+        self.assertEqual(virtual_time.run(scenario()).fencing_number, 2)
+
+
+class ControllerTest(unittest.TestCase):
+    """The role among whole routers."""
+
+    def _run(self, scenario, routers=3):
+        async def run():
+            world = utils.World()
+            await world.start(runners=0, services=0, routers=routers)
+            try:
+                return await scenario(world)
+            finally:
+                await world.stop()
+
+        return virtual_time.run(run())
+
+    @staticmethod
+    def _holders(world):
+        return {
+            vm: number
+            for vm, process in world.router_by_vm.items()
+            if (number := process.router.lease.held_number()) is not None
+        }
+
+    @staticmethod
+    def _leaders(world):
+        return {
+            process.router.board.read(entries.LEADER)
+            for process in world.router_by_vm.values()
+        }
+
+    def test_one_holds_and_all_know(self):
+        async def scenario(world):
+            await asyncio.sleep(20.0)
+            return self._holders(world), self._leaders(world)
+
+        holders, leaders = self._run(scenario)
+        ((vm, number),) = holders.items()
+        self.assertEqual(leaders, {entries.Leader(vm, number)})
+        self.assertEqual(number, 1)
+
+    def test_paused_holder_wakes_without_the_role(self):
+        async def scenario(world):
+            ((vm, _),) = self._holders(world).items()
+            old = world.router_by_vm[vm]
+            old.clock.pause()
+            await asyncio.sleep(20.0)
+            old.clock.resume()
+            at_once = old.router.lease.held_number()
+            await asyncio.sleep(10.0)
+            known = {
+                p.router.lease.fencing_number
+                for p in world.router_by_vm.values()
+            }
+            return vm, at_once, self._holders(world), known
+
+        vm, at_once, holders, known = self._run(scenario)
+        self.assertIsNone(at_once)
+        ((new, number),) = holders.items()
+        self.assertNotEqual(new, vm)
+        self.assertEqual(number, 2)
+        self.assertEqual(known, {2})
+
+    def test_never_two_holders(self):
+        """Pauses, cuts and outages in turn; checked all along."""
+
+        async def scenario(world):
+            names = list(world.router_by_vm)
+            numbers = []
+            for step in range(30):
+                holders = [*self._holders(world), names[step % len(names)]]
+                process = world.router_by_vm[holders[0]]
+                store = process.router.lease._store
+                match step % 4:
+                    case 0:
+                        process.clock.pause()
+                    case 1:
+                        store.lost = True
+                    case 2:
+                        world.store.set_down(True)
+                for _ in range(40):
+                    await asyncio.sleep(0.2)
+                    running = {
+                        vm: number
+                        for vm, number in self._holders(world).items()
+                        if world.router_by_vm[vm].clock._running.is_set()
+                    }
+                    self.assertLessEqual(len(running), 1, step)
+                    numbers += running.values()
+                process.clock.resume()
+                store.lost = False
+                world.store.set_down(False)
+                await asyncio.sleep(3.0)
+            return numbers
+
+        numbers = self._run(scenario)
+        self.assertEqual(numbers, sorted(numbers))
+        self.assertGreater(numbers[-1], 3)
+
+    def test_drained_holder_hands_over_at_once(self):
+        async def scenario(world):
+            ((vm, _),) = self._holders(world).items()
+            await world.router_by_vm[vm].router.leave()
+            await asyncio.sleep(0.5)
+            return vm, self._holders(world)
+
+        vm, holders = self._run(scenario)
+        ((new, number),) = holders.items()
+        self.assertNotEqual(new, vm)
+        self.assertEqual(number, 2)
+
+    def test_lost_answer_to_taking_does_not_lose_the_role(self):
+        async def scenario():
+            world = utils.World()
+            await world.apply(world.declared)
+            router = world.add_router("entry-1").router
+            original = world.store.txn
+
+            async def txn(compares, writes, otherwise=None):
+                if any(w.key == lease.ROLE_KEY for w in writes):
+                    world.store.lose_answers = 1
+                return await original(compares, writes, otherwise)
+
+            world.store.txn = txn
+            await asyncio.sleep(20.0)
+            number = router.lease.held_number()
+            found = await world.store.get(lease.ROLE_KEY)
+            await world.stop()
+            return number, lease.decode_holder(found.value).fencing_number
+
+        number, stored = virtual_time.run(scenario())
+        self.assertEqual(number, stored)
+
+    def test_damaged_holder_is_an_error_of_the_closed_list(self):
+        with self.assertRaises(errors.MalformedMessageError):
+            lease.decode_holder(b"\xff")
+
+
+if __name__ == "__main__":
+    unittest.main()
