Bind link proofs to both ends; renew the planner's lease on every take

Cause (proofs): a listener proved itself over any nonce that a dialler chose, so an attacker who can reach two processes could pose as one to the other, and reflect a process's own proof back to it. Cause (lease): a router that lost its lease in a pause took the role with the lapsed lease; the memory twin stored the key, and the role stayed taken for ever. Found by test_never_two_holders. Ruled out: the watch and the polling of the role, which saw the key as stored. Change: the proof covers direction, both nonces and both identities; a process refuses itself as a peer. Every take gets a new lease; the memory twin refuses a lease that it does not know, as etcd does.

--- a/packages/nutmeglift/nutmeglift/kv.py
+++ b/packages/nutmeglift/nutmeglift/kv.py
@@ -347,9 +347,16 @@
             if actual != compare.mod_revision:
                 found = [self._read(get) for get in gets]
                 return TxnResult(False, self._revision, found)
+        for write in writes:
+            if isinstance(write, Put) and write.lease:
+                self._check_lease(write.lease)
         self._commit(writes)
         return TxnResult(True, self._revision)
 
+    def _check_lease(self, lease: ids.LeaseId) -> None:
+        if lease not in self._lease_by_id:
+            raise errors.KvUnavailableError(f"lease {lease} is not known")
+
     def _commit(self, writes: list[Write]) -> None:
         self._revision = ids.Revision(self._revision + 1)
         for write in writes:
--- a/packages/nutmeglift_router/nutmeglift_router/lease_controller.py
+++ b/packages/nutmeglift_router/nutmeglift_router/lease_controller.py
@@ -99,7 +99,8 @@
 
     async def _try_to_take(self, role: lease.Role) -> None:
         sent_at = self._clock.now()
-        granted = self._lease or await self._store.grant(lease.TTL_SECONDS)
+        # An older lease of this process may have lapsed.
+        granted = await self._store.grant(lease.TTL_SECONDS)
         self._lease = granted
         holder = await lease.take(
             self._store,
@@ -111,9 +112,7 @@
         )
         if holder is None:
             # A lost answer may have left the role with this process: the
-            # next reading shows it. A lapsed lease is granted anew.
-            if not await self._store.keep_alive(granted):
-                self._lease = None
+            # next reading shows it.
             return
         self._tenure.extend(holder.fencing_number, sent_at, lease.TTL_SECONDS)
         self._note_role(holder, holder.fencing_number)
--- a/packages/nutmeglift_wire/nutmeglift_wire/session.py
+++ b/packages/nutmeglift_wire/nutmeglift_wire/session.py
@@ -4,6 +4,7 @@
 import collections
 from collections.abc import Callable
 import contextlib
+import enum
 import hmac
 import logging
 import secrets
@@ -28,10 +29,27 @@
 Handler = Callable[["Session", codec.AnyMessage], None]
 
 
-def prove(key: bytes, nonce: bytes, hello: messages.Hello) -> bytes:
-    """Returns the proof that the sender of a Hello knows the shared key."""
-    text = f"{hello.role.value}/{hello.vm}/{hello.incarnation}".encode()
-    return hmac.digest(key, nonce + text, "sha256")
+class LinkEnd(enum.Enum):
+    """Which end of a connection a process is."""
+
+    DIALER = "dialer"
+    LISTENER = "listener"
+
+
+def prove(
+    key: bytes, end: LinkEnd, sender: messages.Hello, receiver: messages.Hello
+) -> bytes:
+    """Returns the proof that the sender of a Hello knows the shared key.
+
+    It binds both nonces, both identities and which end sends it, so that no
+    process can be made to prove something for another or for the other end.
+    """
+    parts = [end.value.encode()]
+    for hello in (sender, receiver):
+        identity = f"{hello.role.value}/{hello.vm}/{hello.incarnation}"
+        parts += [hello.nonce, identity.encode()]
+    sized = b"".join(len(part).to_bytes(4, "big") + part for part in parts)
+    return hmac.digest(key, sized, "sha256")
 
 
 async def shake_hands_as_dialer(
@@ -46,11 +64,12 @@
         errors.MalformedMessageError: the peer's protocol or proof is wrong.
         errors.LinkClosedError: the connection closed.
     """
-    nonce = secrets.token_bytes(NONCE_BYTES)
-    await link.send(msgspec.structs.replace(own, nonce=nonce))
+    own = _with_nonce(own)
+    await link.send(own)
     peer = _expect_hello(await link.receive())
-    _check_proof(key, nonce, peer)
-    proof = prove(key, peer.nonce, own)
+    _check_other(own, peer)
+    _check_proof(peer.proof, prove(key, LinkEnd.LISTENER, peer, own))
+    proof = prove(key, LinkEnd.DIALER, own, peer)
     await link.send(msgspec.structs.replace(own, proof=proof))
     return peer
 
@@ -75,13 +94,13 @@
         errors.LinkClosedError: the connection closed.
     """
     first = _expect_hello(await link.receive())
-    own = make_own(first)
-    nonce = secrets.token_bytes(NONCE_BYTES)
-    proof = prove(key, first.nonce, own)
-    await link.send(msgspec.structs.replace(own, nonce=nonce, proof=proof))
-    peer = _expect_hello(await link.receive())
-    _check_proof(key, nonce, peer)
-    return peer
+    own = _with_nonce(make_own(first))
+    _check_other(own, first)
+    proof = prove(key, LinkEnd.LISTENER, own, first)
+    await link.send(msgspec.structs.replace(own, proof=proof))
+    last = _expect_hello(await link.receive())
+    _check_proof(last.proof, prove(key, LinkEnd.DIALER, first, own))
+    return first
 
 
 def _expect_hello(message: codec.AnyMessage) -> messages.Hello:
@@ -94,8 +113,25 @@
     return message
 
 
-def _check_proof(key: bytes, nonce: bytes, peer: messages.Hello) -> None:
-    if not hmac.compare_digest(prove(key, nonce, peer), peer.proof):
+def _with_nonce(hello: messages.Hello) -> messages.Hello:
+    nonce = secrets.token_bytes(NONCE_BYTES)
+    return msgspec.structs.replace(hello, nonce=nonce)
+
+
+def _check_other(own: messages.Hello, peer: messages.Hello) -> None:
+    if (own.role, own.vm, own.incarnation) == (
+        peer.role,
+        peer.vm,
+        peer.incarnation,
+    ):
+        raise errors.MalformedMessageError(
+            "the peer claims to be this very process",
+            kind=errors.ErrorKind.UNAUTHENTICATED,
+        )
+
+
+def _check_proof(proof: bytes, expected: bytes) -> None:
+    if not hmac.compare_digest(expected, proof):
         raise errors.MalformedMessageError(
             "the peer does not know the shared key",
             kind=errors.ErrorKind.UNAUTHENTICATED,
