--- a/packages/nutmeglift_router/nutmeglift_router/router.py
+++ b/packages/nutmeglift_router/nutmeglift_router/router.py
@@ -145,11 +145,13 @@
             set_routers=self.routers.set_listed,
         )
         self._plan = plan_controller.PlanController(
+            own.vm,
             board=self.board,
             store=store,
             clock=clock,
             metrics=metrics,
             routes=self._routing,
+            post=self._links.post,
         )
         self.shares = share_controller.ShareController(
             own.vm,
@@ -207,10 +209,11 @@
         """Starts the loops."""
         self._spawn(self.membership.run())
         self._spawn(self.configuration.run())
-        self._spawn(self.shares.run())
-        self._spawn(self.lease.run())
+        self._spawn(self._plan.run())
         sweep_rng = random.Random(self.incarnation)
         self._spawn(self.plain.ledger.sweep(sweep_rng))
+        self._spawn(self.shares.run())
+        self._spawn(self.lease.run())
 
     async def leave(self) -> None:
         """Refuses new work and waits for the work in flight."""
@@ -291,6 +294,7 @@
             self.configuration.generation,
             not self.drain.accepts_work,
             self.lease.fencing_number,
+            fencing_confirmed=self.lease.held_number() is not None,
         )
 
     def _router_up(self, vm: ids.VmId, hello: messages.Hello) -> None:
@@ -333,16 +337,16 @@
 
     def _agent_up(self, vm: ids.VmId, hello: messages.Hello) -> None:
         self.membership.agent_up(vm, hello)
+        self.plain.agent_up(vm)
         self._recovery.agent_up(vm, hello)
         self.lease.note_number(hello.fencing_number)
         self.configuration.note_agent(vm, hello.generation)
         self._tell_agent(vm)
-        self.plain.agent_up(vm)
 
     def _agent_down(self, vm: ids.VmId, reason: errors.NutmegError) -> None:
         self.membership.agent_down(vm)
-        self._recovery.agent_down(vm)
         self.plain.agent_down(vm)
+        self._recovery.agent_down(vm)
 
     def _agent_unreachable(self, vm: ids.VmId) -> None:
         self._recovery.agent_unreachable(vm)
@@ -363,6 +367,8 @@
                 self._take_heartbeat(vm, message)
             case messages.Leaving():
                 self.membership.take_leaving(vm)
+            case control_messages.OrderResult():
+                self._plan.take_order_result(vm, message)
             case control_messages.CacheEvents():
                 self._routing.note_cache_events(vm, message, self._clock.now())
             case _:
