--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -179,6 +179,8 @@
         self._note_addresses()
 
     async def _kill(self, vm: ids.VmId) -> None:
+        if vm not in {*self.world.agent_by_vm, *self.world.router_by_vm}:
+            raise steps.ScenarioError(f"{vm} does not run any more")
         self.callers.abandon_router(vm)
         await self.world.kill(vm)
 
