Notice callers that leave a whole answer

Cause: Starlette tells of a caller that leaves only to streamed answers; a JSON answer went on to its end for nobody. Change: the work is raced against the caller's disconnection. Conclusion: both forms end everywhere, shown over the ASGI interface.

--- a/packages/nutmeglift_router/nutmeglift_router/chat_endpoint.py
+++ b/packages/nutmeglift_router/nutmeglift_router/chat_endpoint.py
@@ -13,6 +13,7 @@
 from nutmeglift_router import admission_controller
 from nutmeglift_router import answers
 from nutmeglift_router import bodies
+from nutmeglift_router import caller_watch
 from nutmeglift_router import chat
 from nutmeglift_router import entries
 from nutmeglift_router import router as routers
@@ -77,7 +78,9 @@
                 self._events(stream, body.model),
                 media_type="text/event-stream",
             )
-        return await self._whole_answer(stream, body.model)
+        return await caller_watch.answer_unless_gone(
+            request, self._whole_answer(stream, body.model)
+        )
 
     async def _whole_answer(
         self, stream: chat.Stream, model: str
