--- a/packages/nutmeglift/nutmeglift/messages.py
+++ b/packages/nutmeglift/nutmeglift/messages.py
@@ -281,10 +281,12 @@
 
 
 class AttemptsHeld(Message, frozen=True):
-    """Agent to router, first on each connection: the attempts it goes on with.
+    """Agent to router: attempts that it has a stage of.
 
-    What was sent on the connection before may be lost: the router recovers
-    its attempts that are missing here, and cancels those it does not know.
+    First on each connection it names all that go on. What was sent on the
+    connection before may be lost: the router recovers its attempts that are
+    missing, and cancels those that it does not know. Later messages name
+    those that ran nothing for a while, for the router to cancel if unknown.
     """
 
     attempts: tuple[HeldAttempt, ...]
--- a/packages/nutmeglift_agent/nutmeglift_agent/agent.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/agent.py
@@ -224,6 +224,9 @@
             for router in gone:
                 self._stages.lose_router(router)
             self._stages.lose_orphans(before | known)
+            # A cancel may have been lost before the attempt was opened.
+            for router, idle in self._stages.find_idle().items():
+                self._ports.post(router, messages.AttemptsHeld(tuple(idle)))
 
     def _handle(
         self, session: sessions.Session, message: codec.AnyMessage
--- a/packages/nutmeglift_agent/nutmeglift_agent/stage_attempt.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/stage_attempt.py
@@ -1,6 +1,7 @@
 """One stage of one attempt, and its way through the engine."""
 
 import collections
+from collections.abc import Iterable
 import dataclasses
 
 import msgspec
@@ -50,6 +51,7 @@
         old_end: what it and earlier ones sent counts up to this position.
         stopped: whether it has ended.
         broken: whether it waits for the router to replace a stage.
+        swept_position: next position at the last search for idle attempts.
         last_token: the last token sent to the first stage, if any.
     """
 
@@ -63,6 +65,7 @@
     old_end: int = 0
     stopped: bool = False
     broken: bool = False
+    swept_position: int = -1
     last_token: messages.NextToken | None = None
 
     @property
@@ -132,6 +135,19 @@
     return StageAttempt(start, index, positions, sequence, gate, start.attempt)
 
 
+def find_idle(
+    attempts: Iterable[StageAttempt],
+) -> dict[ids.VmId, list[messages.HeldAttempt]]:
+    """Returns by router the attempts that ran nothing since the last call."""
+    idle_by_router: dict[ids.VmId, list[messages.HeldAttempt]] = {}
+    for attempt in attempts:
+        if attempt.swept_position == attempt.gate.next_position:
+            idle = idle_by_router.setdefault(attempt.start.router, [])
+            idle.append(attempt.held)
+        attempt.swept_position = attempt.gate.next_position
+    return idle_by_router
+
+
 @dataclasses.dataclass(frozen=True)
 class Work:
     """Consecutive positions that wait for the engine.
--- a/packages/nutmeglift_agent/nutmeglift_agent/stage_work.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/stage_work.py
@@ -178,6 +178,10 @@
                 self._close(attempt)
         return tuple(a.held for a in mine if not a.stopped)
 
+    def find_idle(self) -> dict[ids.VmId, list[messages.HeldAttempt]]:
+        """Returns by router the attempts that ran nothing since last time."""
+        return stage_attempt.find_idle(self._attempt_by_request.values())
+
     async def run(self) -> None:
         """Runs batches for ever."""
         await self._batches.run()
