--- a/benchmarks/bench_recovery.py
+++ b/benchmarks/bench_recovery.py
@@ -4,9 +4,11 @@
 import collections
 from collections.abc import Callable
 import dataclasses
+from unittest import mock
 
 from benchmarks import figures
 from nutmeglift import ids
+from nutmeglift import recovery
 from nutmeglift import settings
 from nutmeglift_router import chat
 from tests import utils
@@ -205,6 +207,36 @@
     )
 
 
+def _reopening_gap() -> figures.Measured:
+    resumed = virtual_time.run(_cut_last_stage())
+    with mock.patch.object(recovery, "REOPEN_SECONDS", 0.0):
+        recovered = virtual_time.run(_cut_last_stage())
+    return figures.Measured(resumed, recovered)
+
+
+async def _cut_last_stage() -> float:
+    """Returns the longest time between tokens around a cut connection."""
+    bench = Bench()
+    await bench.start()
+    world = bench.world
+    prompt = (utils.PROMPT * PROMPT_TOKENS)[:PROMPT_TOKENS]
+    stream = world.start_chat(60, prompt=prompt)
+    reading = asyncio.ensure_future(world.read(stream))
+    await _wait_for_tokens(stream, 20)
+    assert stream.pipeline is not None
+    last = world.agent_by_vm[stream.pipeline.stages[-1].vm]
+    router = next(iter(world.router_by_vm.values()))
+    world.network.cut(router.address, last.address)
+    longest = 0.0
+    for count in range(21, 30):
+        began = _now()
+        await _wait_for_tokens(stream, count)
+        longest = max(longest, _now() - began)
+    await reading
+    await world.stop()
+    return longest
+
+
 def _silence() -> figures.Measured:
     async def work() -> float:
         bench = Bench()
@@ -243,6 +275,7 @@
     figures.Figure(
         "recovery_layer_positions_3000", "positions", "", _layer_positions
     ),
+    figures.Figure("reopened_connection_gap", "s", "", _reopening_gap),
     figures.Figure("recovery_heartbeats", "heartbeats", "", _heartbeats),
     figures.Figure("silent_connection_detection", "s", "<= 3", _silence),
 ]
--- a/packages/nutmeglift/nutmeglift/drain.py
+++ b/packages/nutmeglift/nutmeglift/drain.py
@@ -68,8 +68,11 @@
         self.trigger("_leave")  # type: ignore[attr-defined]
 
     def force(self) -> None:
-        """Cuts the work in flight, because the operator wants it."""
-        self.forced = True
+        """Cuts the work in flight, because the operator wants it.
+
+        Changes nothing before the process was told to leave.
+        """
+        self.forced = not self.accepts_work
 
     def settle(self, now: float, limit: float, others: int = 0) -> bool:
         """Tells whether the process may exit.
--- a/packages/nutmeglift_agent/nutmeglift_agent/cli.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/cli.py
@@ -23,7 +23,10 @@
 
 
 async def serve_agent(own: settings.AgentSettings, *, plain: bool) -> None:
-    """Runs an agent until it is told to leave by SIGTERM or SIGINT."""
+    """Runs an agent until it is told to leave by SIGTERM or SIGINT.
+
+    Work in flight ends first; SIGQUIT after that cuts it.
+    """
     engine = None if plain else http_engine.HttpEngine(own.backend, 30.0)
     service = http_backend.HttpPlainBackend(own.backend) if plain else None
     agent = agents.Agent(
@@ -42,6 +45,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, leave.set)
+    loop.add_signal_handler(signal.SIGQUIT, agent.drain.force)
     await leave.wait()
     await agent.leave()
     await listener.stop()
--- a/packages/nutmeglift_router/nutmeglift_router/cli.py
+++ b/packages/nutmeglift_router/nutmeglift_router/cli.py
@@ -40,7 +40,10 @@
 
 
 async def serve_router(own: settings.RouterSettings) -> None:
-    """Runs a router until it is told to leave by SIGTERM or SIGINT."""
+    """Runs a router until it is told to leave by SIGTERM or SIGINT.
+
+    Work in flight ends first; SIGQUIT after that cuts it.
+    """
     platform = own.platform
     router = routers.Router(
         own,
@@ -61,6 +64,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, leave.set)
+    loop.add_signal_handler(signal.SIGQUIT, router.drain.force)
     await leave.wait()
     await router.leave()
     await server.stop()
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -29,6 +29,7 @@
                 process = drain.Drain()
                 for _ in range(in_flight):
                     process.enter()
+                process.force()
                 self.assertFalse(process.settle(now, limit, others))
                 process.begin(10.0)
                 process.begin(now)
