Drop dead connections without a closing handshake

Cause: a session that had found its peer dead waited for the peer's half of the websocket's closing handshake, up to 0.5 s, before it told anybody. Change: a session that ends by itself aborts its connection; one that is stopped still closes in order. The scenario of a leaving agent checks that none that left gets new work.

--- a/packages/nutmeglift_wire/nutmeglift_wire/link.py
+++ b/packages/nutmeglift_wire/nutmeglift_wire/link.py
@@ -34,7 +34,11 @@
 
     @abc.abstractmethod
     async def close(self) -> None:
-        """Closes the connection."""
+        """Closes the connection after what was sent."""
+
+    @abc.abstractmethod
+    def abort(self) -> None:
+        """Closes the connection at once; the peer may be dead."""
 
 
 class BaseDialer(abc.ABC):
@@ -116,6 +120,10 @@
         return codec.decode(frame)
 
     async def close(self) -> None:
+        """Closes both directions."""
+        self.abort()
+
+    def abort(self) -> None:
         """Closes both directions."""
         if self.closed:
             return
--- a/packages/nutmeglift_wire/nutmeglift_wire/session.py
+++ b/packages/nutmeglift_wire/nutmeglift_wire/session.py
@@ -207,6 +207,8 @@
             done, _ = await asyncio.wait(
                 tasks, return_when=asyncio.FIRST_COMPLETED
             )
+            # A dead peer would answer no closing handshake.
+            self._link.abort()
             return _reason(done)
         finally:
             self._closed = True
--- a/packages/nutmeglift_wire/nutmeglift_wire/websocket_link.py
+++ b/packages/nutmeglift_wire/nutmeglift_wire/websocket_link.py
@@ -44,6 +44,10 @@
         """Closes the websocket."""
         await self._websocket.close()
 
+    def abort(self) -> None:
+        """Drops the connection, without a closing handshake."""
+        self._websocket.transport.abort()
+
 
 class WebsocketDialer(link.BaseDialer):
     """Opens websockets."""
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -215,6 +215,9 @@
         if step.executions is not None:
             executions = self.callers.executions(step.key)
             _expect_equal("executions", executions, step.executions)
+        if step.idle_since is not None:
+            for left in self._left_at_by_vm:
+                self._expect_idle(ids.VmId(left), step.idle_since)
         if step.vm is not None:
             self._expect_process(self.find_vm(step.vm), step)
 
@@ -229,8 +232,6 @@
         if step.counter is not None:
             total = self.world.counters_of(vm)[step.counter]
             _expect_between(f"{vm}: {step.counter}", total, step.min, step.max)
-        if step.idle_since is not None:
-            self._expect_idle(vm, step.idle_since)
 
     def _expect_idle(self, vm: ids.VmId, seconds: float) -> None:
         limit = self._left_at_by_vm[vm] + seconds
--- a/tests/scenario_steps.py
+++ b/tests/scenario_steps.py
@@ -213,7 +213,8 @@
         counter: counter of a process.
         min: its least value.
         max: its greatest value.
-        idle_since: no work came in after so many seconds from its Leave.
+        idle_since: no process that left got new work after so many seconds
+            from its Leave.
     """
 
     call: str | None = None
