Let an idle account's first requests run at once on any router

Ruled out: a larger reserve for routers without a share (it lowers what can be used at 510 routers); waiting instead of refusing (up to 2 s). Change: the owner saves up the part of a limit that is not outstanding, for at most 4 s, and gives it as credit to a router where requests wait; the router asks at once, again after 50 ms at the earliest, and not for 0.5 s after a credit that did not suffice. A share is at most four times the demand, so that unused limit can be saved.

--- a/packages/nutmeglift/nutmeglift/control_messages.py
+++ b/packages/nutmeglift/nutmeglift/control_messages.py
@@ -121,6 +121,8 @@
         tokens_by_account: tokens a second asked for, by account.
         sequence: rises by one with every demand of the sender.
         acknowledged: sequence of the last grant that the sender took.
+        wanted_requests_by_account: requests that wait now, by account.
+        wanted_tokens_by_account: tokens that wait now, by account.
     """
 
     epoch: int
@@ -128,6 +130,8 @@
     tokens_by_account: dict[ids.AccountId, float]
     sequence: int = 0
     acknowledged: int = 0
+    wanted_requests_by_account: dict[ids.AccountId, float] = {}
+    wanted_tokens_by_account: dict[ids.AccountId, float] = {}
 
 
 class ShareGrant(messages.Message, frozen=True):
@@ -139,6 +143,8 @@
         requests_by_account: requests a second, by account.
         tokens_by_account: tokens a second, by account.
         sequence: sequence of the demand that it answers.
+        request_credits_by_account: requests that may run at once, by account.
+        token_credits_by_account: tokens that may be used at once, by account.
     """
 
     epoch: int
@@ -146,3 +152,5 @@
     requests_by_account: dict[ids.AccountId, float]
     tokens_by_account: dict[ids.AccountId, float]
     sequence: int = 0
+    request_credits_by_account: dict[ids.AccountId, float] = {}
+    token_credits_by_account: dict[ids.AccountId, float] = {}
--- a/packages/nutmeglift/nutmeglift/share_holder.py
+++ b/packages/nutmeglift/nutmeglift/share_holder.py
@@ -12,6 +12,7 @@
 METER_SECONDS = 5.0
 RENEW_SECONDS = 2.0
 SHORTEST_REPORT_SECONDS = 0.5
+SHORTEST_ASK_SECONDS = 0.05
 CHANGE_REPORTED = 0.25
 SMALLEST_DEMAND = 0.01
 ACCOUNTS_PER_DEMAND = 64
@@ -29,7 +30,16 @@
 class _Budget:
     """One account's budget of one resource on this router."""
 
-    __slots__ = ("bucket", "expires", "limit", "meter", "reported", "share")
+    __slots__ = (
+        "asked",
+        "bucket",
+        "expires",
+        "limit",
+        "meter",
+        "reported",
+        "share",
+        "wanted",
+    )
 
     def __init__(
         self, now: float, limit: float, bucket: limits.TokenBucket
@@ -40,22 +50,27 @@
         self.share = 0.0
         self.expires = 0.0
         self.reported = 0.0
+        self.wanted = 0.0
+        self.asked = 0.0
 
 
 class _Account:
     """One account's budgets and when they were last asked for."""
 
     __slots__ = (
+        "asking",
         "budget_by_resource",
+        "refused_until",
         "reported_at",
         "seen_at",
-        "sequence",
     )
 
     def __init__(self, now: float) -> None:
         self.budget_by_resource: dict[shares.Resource, _Budget] = {}
         self.reported_at = -METER_SECONDS
         self.seen_at = now
+        self.asking = False
+        self.refused_until = now
 
 
 @dataclasses.dataclass(frozen=True)
@@ -157,6 +172,43 @@
         self._put_back(state, shares.Resource.REQUESTS, 1.0)
         self._put_back(state, shares.Resource.TOKENS, tokens)
 
+    def want(
+        self, now: float, account: declaration.ClientAccount, tokens: float
+    ) -> bool:
+        """Notes a request that waits for credit.
+
+        Returns:
+            Whether asking the owner at once may help.
+        """
+        state = self._account_by_id.get(account.id)
+        if state is None or self._view is OwnerView.NONE or self._routers == 1:
+            return False
+        if now < state.refused_until:
+            return False
+        for resource, cost in (
+            (shares.Resource.REQUESTS, 1.0),
+            (shares.Resource.TOKENS, tokens),
+        ):
+            budget = state.budget_by_resource.get(resource)
+            if budget is not None:
+                budget.wanted += cost
+        state.asking = True
+        return True
+
+    def has_unsent(self) -> bool:
+        """Tells whether some account's credit was not asked for yet."""
+        return any(
+            budget.wanted
+            for account in self._account_by_id.values()
+            if account.asking
+            for budget in account.budget_by_resource.values()
+        )
+
+    def is_asking(self, account: ids.AccountId) -> bool:
+        """Tells whether an account's credit was not answered yet."""
+        state = self._account_by_id.get(account)
+        return state is not None and state.asking
+
     def make_demand(self, now: float) -> control_messages.ShareDemand | None:
         """Returns what to ask the owner for now, or None for nothing."""
         due = [
@@ -177,6 +229,8 @@
             self._report(now, chosen, shares.Resource.TOKENS),
             self._sequence,
             self._acknowledged,
+            self._report_wanted(chosen, shares.Resource.REQUESTS),
+            self._report_wanted(chosen, shares.Resource.TOKENS),
         )
 
     def take_grant(
@@ -206,6 +260,16 @@
         ):
             for name, share in share_by_account.items():
                 self._set_share(now, name, resource, share, expires)
+        for resource, credit_by_account in (
+            (shares.Resource.REQUESTS, grant.request_credits_by_account),
+            (shares.Resource.TOKENS, grant.token_credits_by_account),
+        ):
+            for name, credit in credit_by_account.items():
+                self._add_credit(now, name, resource, credit)
+        for name in sent.accounts:
+            account = self._account_by_id.get(name)
+            if account is not None:
+                account.asking = False
         return True
 
     def forget_idle(self, now: float) -> None:
@@ -276,6 +340,9 @@
 
     def _is_due(self, now: float, account: _Account) -> bool:
         age = now - account.reported_at
+        budgets = account.budget_by_resource.values()
+        if age >= SHORTEST_ASK_SECONDS and any(b.wanted for b in budgets):
+            return True
         if age < SHORTEST_REPORT_SECONDS:
             return False
         for budget in account.budget_by_resource.values():
@@ -304,6 +371,34 @@
             rate_by_account[name] = budget.reported
         return rate_by_account
 
+    def _report_wanted(
+        self, names: tuple[ids.AccountId, ...], resource: shares.Resource
+    ) -> dict[ids.AccountId, float]:
+        wanted_by_account = {}
+        for name in names:
+            account = self._account_by_id[name]
+            budget = account.budget_by_resource.get(resource)
+            if budget is None or not budget.wanted:
+                continue
+            wanted_by_account[name] = budget.asked = budget.wanted
+            budget.wanted = 0.0
+        return wanted_by_account
+
+    def _add_credit(
+        self,
+        now: float,
+        name: ids.AccountId,
+        resource: shares.Resource,
+        credit: float,
+    ) -> None:
+        account = self._account_by_id.get(name)
+        budget = account.budget_by_resource.get(resource) if account else None
+        if account is None or budget is None:
+            return
+        budget.bucket.put_back(credit)
+        if credit < budget.asked:
+            account.refused_until = now + SHORTEST_REPORT_SECONDS
+
     def _find_sent(self, sequence: int) -> _Sent | None:
         for sent in self._unanswered:
             if sent.sequence == sequence:
--- a/packages/nutmeglift/nutmeglift/shares.py
+++ b/packages/nutmeglift/nutmeglift/shares.py
@@ -15,6 +15,10 @@
 RESERVED_SHARE = 0.02
 """Part of each limit that routers without a share use, equally divided."""
 SUMS_RENEWED_AFTER = 1024
+HEADROOM = 4.0
+"""A share is at most so many times what its router asks for."""
+SAVED_SECONDS = 4.0
+"""Seconds of an unused limit that are saved up for credits."""
 
 
 class Resource(enum.Enum):
@@ -56,11 +60,20 @@
     """Divides one limit; what is outstanding never passes it.
 
     A share that was lowered counts in full until its router acknowledges the
-    lower one or the lease ends.
+    lower one or the lease ends. What is not outstanding is saved up, for
+    credits that let a first request run at once.
     """
 
-    def __init__(self, limit: float) -> None:
+    def __init__(self, limit: float, since: float = 0.0) -> None:
+        """Makes a division.
+
+        Args:
+            limit: the limit, a second.
+            since: clock time since when none of it was outstanding.
+        """
         self.limit = limit
+        self._saved = 0.0
+        self._saved_at = since
         self._lease_by_router: dict[ids.VmId, _Lease] = {}
         self._expiries: list[tuple[float, ids.VmId]] = []
         self._demand = 0.0
@@ -74,8 +87,9 @@
 
     @property
     def is_unused(self) -> bool:
-        """Whether no router holds a share."""
-        return not self._lease_by_router
+        """Whether no router holds a share and nothing more is saved up."""
+        full = self.limit * (1 - RESERVED_SHARE) * SAVED_SECONDS
+        return not self._lease_by_router and self._saved >= full
 
     def acknowledge(self, router: ids.VmId, sequence: int) -> None:
         """Notes that a router took its grants up to a sequence."""
@@ -111,8 +125,16 @@
         self._renew_sums()
         return share
 
+    def take_credit(self, now: float, wanted: float) -> float:
+        """Takes what waits at a router out of what was saved up."""
+        self._save(now)
+        credit = min(wanted, self._saved)
+        self._saved -= credit
+        return credit
+
     def expire(self, now: float) -> None:
         """Takes back the shares whose leases have ended."""
+        self._save(now)
         while self._expiries and self._expiries[0][0] <= now:
             _, router = heapq.heappop(self._expiries)
             lease = self._lease_by_router.get(router)
@@ -122,13 +144,21 @@
             self._demand -= lease.demand
             self._outstanding -= lease.outstanding
 
+    def _save(self, now: float) -> None:
+        usable = self.limit * (1 - RESERVED_SHARE)
+        seconds = max(0.0, now - self._saved_at)
+        self._saved_at = max(now, self._saved_at)
+        unused = max(0.0, usable - self._outstanding) * seconds
+        self._saved = min(self._saved + unused, usable * SAVED_SECONDS)
+
     def _find_share(self, lease: _Lease) -> float:
         usable = self.limit * (1 - RESERVED_SHARE)
         others = self._outstanding - lease.outstanding
         free = max(0.0, usable - others)
         if self._demand <= 0:
             return 0.0
-        return min(free, usable * lease.demand / self._demand)
+        part = usable * lease.demand / self._demand
+        return min(free, part, HEADROOM * lease.demand)
 
     def _renew_sums(self) -> None:
         self._changes += 1
@@ -197,8 +227,21 @@
                 (Resource.TOKENS, demand.tokens_by_account),
             )
         ]
+        credits = [
+            self._credit_all(now, resource, wanted_by_account)
+            for resource, wanted_by_account in (
+                (Resource.REQUESTS, demand.wanted_requests_by_account),
+                (Resource.TOKENS, demand.wanted_tokens_by_account),
+            )
+        ]
         return control_messages.ShareGrant(
-            self.epoch, LEASE_SECONDS, shares[0], shares[1], demand.sequence
+            self.epoch,
+            LEASE_SECONDS,
+            shares[0],
+            shares[1],
+            demand.sequence,
+            credits[0],
+            credits[1],
         )
 
     def outstanding(self, account: ids.AccountId, resource: Resource) -> float:
@@ -245,9 +288,23 @@
                 continue
             division = self._division_by_key.get((name, resource))
             if division is None:
-                division = Division(limit_of(account, resource))
+                limit = limit_of(account, resource)
+                division = Division(limit, self._grants_from)
                 self._division_by_key[name, resource] = division
             if demand.epoch == self.epoch:
                 division.acknowledge(router, demand.acknowledged)
             shares[name] = division.grant(now, router, rate, demand.sequence)
         return shares
+
+    def _credit_all(
+        self,
+        now: float,
+        resource: Resource,
+        wanted_by_account: dict[ids.AccountId, float],
+    ) -> dict[ids.AccountId, float]:
+        credits = {}
+        for name, wanted in wanted_by_account.items():
+            division = self._division_by_key.get((name, resource))
+            if division is not None:
+                credits[name] = division.take_credit(now, wanted)
+        return credits
--- a/packages/nutmeglift_router/nutmeglift_router/admission_controller.py
+++ b/packages/nutmeglift_router/nutmeglift_router/admission_controller.py
@@ -168,6 +168,10 @@
             return
         tokens = _most_tokens(demand)
         verdict = self._shares.take(demand.account, tokens)
+        if not verdict.allowed and await self._shares.ask(
+            demand.account, tokens
+        ):
+            verdict = self._shares.take(demand.account, tokens)
         if not verdict.allowed:
             raise self._refuse(
                 errors.ErrorKind.LIMIT_EXCEEDED,
--- a/packages/nutmeglift_router/nutmeglift_router/share_controller.py
+++ b/packages/nutmeglift_router/nutmeglift_router/share_controller.py
@@ -1,5 +1,6 @@
 """Keeps this router's shares of account limits; grants them as the owner."""
 
+import asyncio
 from collections.abc import Callable
 import logging
 
@@ -19,6 +20,9 @@
 PAUSE_SECONDS = 2.5
 FIRST_FENCING_NUMBER = 1
 MILLISECONDS = 1000
+ASK_DELAY_SECONDS = 0.002
+"""Time in which requests that wait are gathered into one demand."""
+MAX_ASK_SECONDS = 1.0
 
 PostToRouter = Callable[[ids.VmId, codec.AnyMessage], bool]
 CountRouters = Callable[[], int]
@@ -72,6 +76,8 @@
         self._holder = share_holder.ShareHolder(int(clock.utc() * MILLISECONDS))
         self._owner: shares.ShareOwner | None = None
         self._ticked_at: float | None = None
+        self._answered = asyncio.Event()
+        self._asking: asyncio.Task[None] | None = None
         board.watch(entries.LEADER, lambda _: self._take_leader())
         board.watch(entries.CONFIGURATION, lambda _: self._take_accounts())
 
@@ -86,6 +92,27 @@
         """Takes a request out of its account's budgets."""
         return self._holder.take(self._clock.now(), account, tokens)
 
+    async def ask(
+        self, account: declaration.ClientAccount, tokens: float
+    ) -> bool:
+        """Asks the owner for credit at once.
+
+        Returns:
+            Whether it answered, so that taking again may succeed.
+        """
+        if not self._holder.want(self._clock.now(), account, tokens):
+            return False
+        self._metrics.count("shares.asked")
+        if self._asking is None or self._asking.done():
+            self._asking = asyncio.ensure_future(self._ask_soon())
+        try:
+            async with asyncio.timeout(MAX_ASK_SECONDS):
+                while self._holder.is_asking(account.id):
+                    await self._answered.wait()
+        except TimeoutError:
+            return False
+        return True
+
     def settle(self, account: ids.AccountId, taken: float, used: float) -> None:
         """Gives back the tokens that an ended request did not use."""
         self._holder.settle(account, taken, used)
@@ -127,6 +154,14 @@
         elif not self._post(leader.vm, demand):
             self._metrics.count("shares.owner_unreachable")
 
+    async def _ask_soon(self) -> None:
+        await self._clock.sleep(ASK_DELAY_SECONDS)
+        self.tick()
+        asked_until = self._clock.now() + MAX_ASK_SECONDS
+        while self._holder.has_unsent() and self._clock.now() < asked_until:
+            await self._clock.sleep(share_holder.SHORTEST_ASK_SECONDS)
+            self.tick()
+
     def _take_demand(
         self, vm: ids.VmId, demand: control_messages.ShareDemand
     ) -> None:
@@ -146,6 +181,9 @@
     def _take_grant(self, grant: control_messages.ShareGrant) -> None:
         if not self._holder.take_grant(self._clock.now(), grant):
             self._metrics.count("shares.old_grant")
+            return
+        answered, self._answered = self._answered, asyncio.Event()
+        answered.set()
 
     def _take_leader(self) -> None:
         leader = self._board.read(entries.LEADER)
--- /dev/null
+++ b/tests/test_share_credits.py
@@ -0,0 +1,122 @@
+"""Credits: a first request runs at once, and the limit still holds."""
+
+import random
+import unittest
+
+from nutmeglift import declaration
+from nutmeglift import ids
+from nutmeglift import share_holder
+from nutmeglift import shares
+
+LIMIT = 10.0
+ACCOUNT = declaration.ClientAccount(
+    id=ids.AccountId("bank-a"), requests_per_second=LIMIT
+)
+TICK_SECONDS = 0.05
+IDLE_SECONDS = 10.0
+
+
+class GenerousDivision(shares.Division):
+    """Broken: forgets what it gave."""
+
+    def take_credit(self, now, wanted):
+        credit = super().take_credit(now, wanted)
+        self._saved += credit
+        return credit
+
+
+class Routers:
+    """Holders that ask the owner at once when a request has to wait."""
+
+    def __init__(self, count):
+        self.now = 0.0
+        self.owner = shares.ShareOwner(1, 0.0, first=True)
+        self.owner.set_accounts([ACCOUNT])
+        self.holders = [share_holder.ShareHolder() for _ in range(count)]
+        for holder in self.holders:
+            holder.set_routers(count)
+            holder.set_owner(1)
+
+    def request(self, index):
+        """Makes a request; returns whether it was allowed."""
+        holder = self.holders[index]
+        if holder.take(self.now, ACCOUNT, 0.0).allowed:
+            return True
+        if not holder.want(self.now, ACCOUNT, 0.0):
+            return False
+        self.now += share_holder.SHORTEST_ASK_SECONDS
+        self.tick(index)
+        return holder.take(self.now, ACCOUNT, 0.0).allowed
+
+    def tick(self, index):
+        holder = self.holders[index]
+        demand = holder.make_demand(self.now)
+        if demand is None:
+            return
+        vm = ids.VmId(f"entry-{index}")
+        grant = self.owner.take_demand(self.now, vm, demand)
+        holder.take_grant(self.now, grant)
+
+
+class FirstRequestTest(unittest.TestCase):
+    # routers: requests at each, one after the other
+    CASES = {1: 8, 3: 4, 30: 1}
+
+    def test_idle_accounts_first_requests_run_at_once(self):
+        for count, each in self.CASES.items():
+            with self.subTest(routers=count):
+                routers = Routers(count)
+                routers.now = IDLE_SECONDS
+                allowed = [
+                    routers.request(index)
+                    for index in range(count)
+                    for _ in range(each)
+                ]
+                self.assertTrue(all(allowed), allowed)
+
+    def test_exhausted_account_is_not_asked_for_at_each_request(self):
+        routers = Routers(3)
+        routers.now = IDLE_SECONDS
+        while routers.request(0):
+            routers.now += share_holder.SHORTEST_ASK_SECONDS
+        account = routers.holders[0]
+        asks = sum(account.want(routers.now, ACCOUNT, 0.0) for _ in range(50))
+        self.assertEqual(asks, 0)
+
+
+class ConservationTest(unittest.TestCase):
+    def count_allowed(self, seed, seconds):
+        """Runs bursts at changing routers; returns allowed requests."""
+        rng = random.Random(seed)
+        routers = Routers(4)
+        allowed = 0
+        rates = [0.0] * 4
+        for step in range(round(seconds / TICK_SECONDS)):
+            routers.now += TICK_SECONDS
+            if step % 40 == 0:
+                rates = [rng.choice((0.0, 0.0, 2.0, 30.0)) for _ in rates]
+            for index, rate in enumerate(rates):
+                if rng.random() < rate * TICK_SECONDS:
+                    allowed += routers.request(index)
+                if step % 10 == 0:
+                    routers.tick(index)
+        return allowed
+
+    def test_allowed_never_passes_limit_and_what_was_saved(self):
+        seconds = 60.0
+        most = LIMIT * (seconds + shares.SAVED_SECONDS)
+        for seed in range(20):
+            with self.subTest(seed=seed):
+                allowed = self.count_allowed(seed, seconds)
+                self.assertLessEqual(allowed, most)
+                self.assertGreater(allowed, most / 4)
+
+    def test_oracle_sees_credit_given_twice(self):
+        real, shares.Division = shares.Division, GenerousDivision
+        self.addCleanup(setattr, shares, "Division", real)
+        most = LIMIT * (60.0 + shares.SAVED_SECONDS)
+        self.assertGreater(self.count_allowed(1, 60.0), most)
+
+
+if __name__ == "__main__":
+    unittest.main()
