Measure the ledger; end a busy loop in its pace

A start that was due within a nanosecond was put off by less than the loop's clock can tell, and asked for again at the same time, for ever.

Change: GroupCommit takes a token that is a millionth short for whole, so that a wait is always longer than the clock's step. bench_ledger adds Poisson arrivals in virtual time against a key-value service of 5 ms.

--- /dev/null
+++ b/benchmarks/bench_ledger.py
@@ -0,0 +1,137 @@
+"""Cost of claims: key-value writes a claim, and added latency."""
+
+import asyncio
+import random
+
+from benchmarks import figures
+from nutmeglift import ids
+from nutmeglift import kv
+from nutmeglift import ledger
+from nutmeglift import plain_messages
+from nutmeglift import states
+from nutmeglift_router import ledger_controller
+from nutmeglift_wire import clock as clocks
+from nutmeglift_wire import metrics
+from tests import virtual_time
+
+ROUND_TRIP_SECONDS = 0.005
+CALL_SECONDS = 0.02
+SEED = 1
+ARRIVALS = 20_000
+MAX_SECONDS = 60.0
+BODY = b"x" * 200
+
+
+def make_claim(number: int) -> ledger.Claim:
+    """Returns the claim of a numbered call."""
+    return ledger.Claim(
+        states.ClaimState.CLAIMED,
+        ids.RequestId(f"epoch-{number}"),
+        ids.Attempt(1),
+        ledger.body_digest("POST", "/releases", b"%d" % number),
+        ids.VmId("core-1"),
+        ids.Incarnation("core-1-1"),
+        "10.0.0.1:7000",
+        0.0,
+        expires_at=86400.0,
+    )
+
+
+class Load:
+    """Calls that arrive by a Poisson process at one router.
+
+    Attributes:
+        waits: seconds that each claim took.
+        store: the key-value service.
+    """
+
+    def __init__(self, rate: float) -> None:
+        self.waits: list[float] = []
+        self.store = kv.MemoryKv()
+        self.store.delay = ROUND_TRIP_SECONDS
+        self._rate = rate
+        self._rng = random.Random(SEED)
+        self._ledger = ledger_controller.LedgerController(
+            store=self.store,
+            clock=clocks.PausableClock(),
+            metrics=metrics.NoMetrics(),
+        )
+
+    async def run(self) -> None:
+        """Runs until all outcomes are recorded."""
+        calls = min(ARRIVALS, int(self._rate * MAX_SECONDS))
+        tasks = []
+        for number in range(calls):
+            await asyncio.sleep(self._rng.expovariate(self._rate))
+            tasks.append(asyncio.ensure_future(self._call(number)))
+        await asyncio.gather(*tasks)
+        while self._ledger.unrecorded:  # noqa: ASYNC110
+            await asyncio.sleep(ROUND_TRIP_SECONDS)
+
+    async def _call(self, number: int) -> None:
+        claim = make_claim(number)
+        key = ledger.claim_key(ids.Digest(f"{number:064x}"))
+        began = asyncio.get_running_loop().time()
+        result = await self._ledger.write(key, kv.NEVER_WRITTEN, claim)
+        self.waits.append(asyncio.get_running_loop().time() - began)
+        await asyncio.sleep(CALL_SECONDS)
+        outcome = plain_messages.PlainOutcome(
+            claim.request, claim.attempt, states.Ran.RAN, 200, body=BODY
+        )
+        held = ledger_controller.Held(key, claim, result.revision)  # type: ignore[union-attr]
+        self._ledger.record(held, ledger.make_done(claim, outcome))
+
+
+def measure_claims_per_write(rate: float) -> figures.Measured:
+    """Counts claims a transaction, outcome records included.
+
+    The baseline writes each claim and each outcome by itself.
+    """
+    load = Load(rate)
+    virtual_time.run(load.run())
+    return figures.Measured(
+        round(len(load.waits) / load.store.transactions, 2), 0.5
+    )
+
+
+def measure_added_latency() -> figures.Measured:
+    """Measures the mean wait for a claim at 10 calls a second.
+
+    The baseline is one write for each claim: one round trip.
+    """
+    load = Load(10.0)
+    virtual_time.run(load.run())
+    mean = sum(load.waits) / len(load.waits)
+    return figures.Measured(round(mean, 6), ROUND_TRIP_SECONDS)
+
+
+def measure_latency_at(rate: float, share: float) -> figures.Measured:
+    """Measures a quantile of the wait for a claim."""
+    load = Load(rate)
+    virtual_time.run(load.run())
+    waits = sorted(load.waits)
+    return figures.Measured(
+        round(waits[int(share * len(waits))], 6), ROUND_TRIP_SECONDS
+    )
+
+
+FIGURES = [
+    *(
+        figures.Figure(
+            f"ledger_claims_per_write_{rate}",
+            "claims",
+            ">= 20" if rate == 1000 else "",  # noqa: PLR2004
+            lambda rate=rate: measure_claims_per_write(float(rate)),  # type: ignore[misc]
+        )
+        for rate in (10, 100, 1000)
+    ),
+    figures.Figure(
+        "ledger_added_latency_10", "s", "<= 0.010", measure_added_latency
+    ),
+    figures.Figure(
+        "ledger_added_latency_1000_p99",
+        "s",
+        "",
+        lambda: measure_latency_at(1000.0, 0.99),
+    ),
+]
--- a/packages/nutmeglift/nutmeglift/group_commit.py
+++ b/packages/nutmeglift/nutmeglift/group_commit.py
@@ -10,6 +10,8 @@
 """etcd refuses a transaction with more operations of one kind."""
 MAX_BATCH_BYTES = 1024 * 1024
 MAX_URGENT_SHARE = 0.75
+TOKEN_TOLERANCE = 1e-6
+"""Rounding must not leave a start that is due a hair short of its token."""
 FIRST_BACKOFF_SECONDS = 0.05
 MAX_BACKOFF_SECONDS = 1.0
 
@@ -154,9 +156,10 @@
         if waiting >= MAX_BATCH_WRITES:
             return max(now, self._not_before)
         self._fill(now)
-        missing = max(0.0, 1.0 - self._tokens)
-        paced = now + missing / self._starts_per_second
-        return max(paced, self._not_before)
+        missing = 1.0 - self._tokens
+        if missing <= TOKEN_TOLERANCE:
+            return max(now, self._not_before)
+        return max(now + missing / self._starts_per_second, self._not_before)
 
     def start(self, now: float) -> Batch | None:
         """Returns the batch to execute now, if one is due."""
@@ -213,8 +216,6 @@
     def _fill(self, now: float) -> None:
         earned = (now - self._filled_at) * self._starts_per_second
         self._tokens = min(self._burst, self._tokens + earned)
-        # Rounding must not leave a due start a hair short of its token.
-        self._tokens = round(self._tokens, 9)
         self._filled_at = now
 
     def _take(self) -> list[KeyWrite]:
