Test the ledger's decisions by table

Cause: the scenarios reach the decisions only through whole processes, so that the bounds of batches, memory and patience were not tested by themselves.

--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,419 @@
+"""Decisions of the ledger: group commit, judgements, attempts, settling."""
+
+from typing import Any
+import unittest
+import uuid
+
+import hypothesis
+from hypothesis import strategies
+
+from nutmeglift import attempts
+from nutmeglift import errors
+from nutmeglift import group_commit
+from nutmeglift import ids
+from nutmeglift import kv
+from nutmeglift import ledger
+from nutmeglift import plain_messages
+from nutmeglift import settling
+from nutmeglift import states
+
+Kind = errors.ErrorKind
+ClaimState = states.ClaimState
+AttemptState = states.AttemptState
+DIGEST = ids.Digest("body")
+EXPIRY = 86400.0
+
+
+def make_write(key, value=b"own", expected=0, urgent=True):
+    return group_commit.KeyWrite(key, ids.Revision(expected), value, urgent)
+
+
+def make_claim(state=ClaimState.CLAIMED, **changes) -> ledger.Claim:
+    fields: dict[str, Any] = {
+        "request": ids.RequestId("epoch-1"),
+        "attempt": ids.Attempt(1),
+        "body_digest": DIGEST,
+        "vm": ids.VmId("core-1"),
+        "incarnation": ids.Incarnation("core-1-1"),
+        "address": "10.0.0.1:1",
+        "claimed_at": 0.0,
+        "expires_at": EXPIRY,
+    }
+    return ledger.Claim(state=state, **(fields | changes))
+
+
+def make_outcome(ran=states.Ran.RAN, number=1, body=b"done"):
+    return plain_messages.PlainOutcome(
+        ids.RequestId(f"epoch-{number}"), ids.Attempt(1), ran, 200, body=body
+    )
+
+
+def make_call(number=1, incarnation="one", epoch="epoch"):
+    return plain_messages.PlainCall(
+        ids.RequestId(f"{epoch}-{number}"),
+        ids.Attempt(1),
+        ids.ServiceId("core"),
+        ids.Incarnation(incarnation),
+        "POST",
+        "/releases",
+        (),
+        b"",
+        False,
+        10.0,
+    )
+
+
+def make_query(number=1, incarnation="one", epoch="epoch"):
+    return plain_messages.AttemptQuery(
+        ids.RequestId(f"{epoch}-{number}"),
+        ids.Attempt(1),
+        ids.Incarnation(incarnation),
+    )
+
+
+class GroupCommitTest(unittest.TestCase):
+    def setUp(self):
+        self.group = group_commit.GroupCommit(40.0, 4.0)
+
+    def _start(self, now=0.0):
+        batch = self.group.start(now)
+        self.assertIsNotNone(batch)
+        return batch
+
+    def test_one_transaction_is_in_flight_and_the_rest_gathers(self):
+        self.group.add(make_write("/a"))
+        first = self._start()
+        for name in "bcd":
+            self.group.add(make_write(f"/{name}"))
+        self.assertIsNone(self.group.start(0.0))
+        settled = self.group.finish(kv.TxnResult(True, ids.Revision(7)), 0.01)
+        self.assertEqual([s.write for s in settled], list(first.writes))
+        self.assertEqual(settled[0].result, group_commit.Written(7))
+        self.assertEqual(len(self._start(0.01).writes), 3)
+
+    def test_a_batch_is_bounded_and_holds_a_key_once(self):
+        cases = {
+            "many": ([make_write(f"/{n}") for n in range(300)], 128),
+            "same key": ([make_write("/a", b"%d" % n) for n in range(3)], 1),
+            "large": ([make_write(f"/{n}", b"x" * 600_000) for n in "ab"], 1),
+            "one too large": ([make_write("/a", b"x" * 3_000_000)], 1),
+        }
+        for name, (writes, size) in cases.items():
+            with self.subTest(name):
+                self.group = group_commit.GroupCommit(40.0, 4.0)
+                for write in writes:
+                    self.group.add(write)
+                total = 0
+                now = 0.0
+                first = None
+                while self.group.pending:
+                    batch = self._start(now)
+                    first = first or batch
+                    total += len(batch.writes)
+                    self.group.finish(kv.TxnResult(True, 1), now)
+                    now += 1.0
+                self.assertEqual(len(first.writes), size)
+                self.assertEqual(total, len(writes))
+
+    def test_claims_go_first_but_outcomes_are_not_starved(self):
+        for n in range(200):
+            self.group.add(make_write(f"/o{n}", urgent=False))
+            self.group.add(make_write(f"/c{n}"))
+        urgent = [w.urgent for w in self._start().writes]
+        self.assertEqual((urgent.count(True), urgent.count(False)), (96, 32))
+
+    def test_one_conflict_does_not_fail_the_others(self):
+        found = {
+            "/mine": [kv.KeyValue("/mine", b"own", 5)],
+            "/other": [kv.KeyValue("/other", b"other", 4)],
+            "/absent": [],
+            "/gone": [],
+        }
+        for key in ("/mine", "/other", "/absent"):
+            self.group.add(make_write(key))
+        self.group.add(make_write("/gone", expected=3))
+        batch = self._start()
+        self.group.fail(0.0, maybe_written=True)
+        batch = self._start(10.0)
+        answer = kv.TxnResult(False, 9, [found[w.key] for w in batch.writes])
+        settled = self.group.finish(answer, 10.0)
+        self.assertEqual(
+            {s.write.key: s.result for s in settled},
+            {
+                "/mine": group_commit.Written(5),
+                "/other": group_commit.Conflict(found["/other"][0]),
+                "/gone": group_commit.Conflict(None),
+            },
+        )
+        again = self._start(10.1)
+        self.assertEqual([w.key for w in again.writes], ["/absent"])
+
+    def test_a_withdrawn_write_tells_whether_it_may_have_landed(self):
+        waiting, flying, lost, unsent = (make_write(f"/{n}") for n in "abcd")
+        self.group.add(lost)
+        self._start()
+        self.group.fail(0.0, maybe_written=True)
+        self.assertTrue(self.group.withdraw(lost))
+        self.group.add(unsent)
+        self._start(5.0)
+        self.group.fail(5.0, maybe_written=False)
+        self.assertFalse(self.group.withdraw(unsent))
+        self.group.add(flying)
+        self._start(20.0)
+        self.group.add(waiting)
+        self.assertFalse(self.group.withdraw(waiting))
+        self.assertTrue(self.group.withdraw(flying))
+        self.assertEqual(self.group.finish(kv.TxnResult(True, 1), 20.0), [])
+        self.assertEqual(self.group.pending, 0)
+        self.assertEqual(self.group._unsure, set())
+
+    def test_starts_are_paced_unless_a_batch_is_full(self):
+        now, starts = 0.0, 0
+        for n in range(1000):
+            self.group.add(make_write(f"/{n}"))
+            now += 0.001
+            if self.group.start(now):
+                starts += 1
+                self.group.finish(kv.TxnResult(True, 1), now)
+        self.assertLessEqual(starts, 4 + 40 + 1)
+        for n in range(128):
+            self.group.add(make_write(f"/full{n}"))
+        self.assertEqual(self.group.start_at(now), now)
+
+    @hypothesis.given(
+        strategies.lists(strategies.floats(0.0, 0.2), max_size=60),
+        strategies.floats(0.0, 1e6),
+    )
+    @hypothesis.settings(derandomize=True, deadline=None, database=None)
+    def test_a_start_that_is_put_off_is_put_off_past_the_clocks_step(
+        self, gaps, now
+    ):
+        group = group_commit.GroupCommit(40.0, 4.0)
+        for gap in gaps:
+            now += gap
+            group.add(make_write(f"/{now}"))
+            due = group.start_at(now)
+            if due > now:
+                self.assertGreater(due - now, 1e-8)
+                now = due
+            self.assertIsNotNone(group.start(now))
+            group.finish(kv.TxnResult(True, 1), now)
+
+    def test_failures_back_off_up_to_a_second(self):
+        self.group.add(make_write("/a"))
+        now, starts = 0.0, 0
+        while now < 60.0:
+            now = self.group.start_at(now)
+            self._start(now)
+            starts += 1
+            self.group.fail(now, maybe_written=False)
+        self.assertLess(starts, 70)
+
+
+class JudgeTest(unittest.TestCase):
+    DONE = make_claim(ClaimState.DONE, outcome=make_outcome())
+    NOT_RUN = make_claim(
+        ClaimState.DONE, outcome=make_outcome(states.Ran.NOT_RUN)
+    )
+    # The claim found, the caller's body, seconds, the judgement.
+    CASES = {
+        "just claimed": (make_claim(), DIGEST, 1.0, Kind.IN_PROGRESS),
+        "claimed long ago": (make_claim(), DIGEST, 9.0, ledger.Settle),
+        "another body": (make_claim(), "x", 9.0, Kind.IDEMPOTENCY_KEY_REUSED),
+        "done": (DONE, DIGEST, 1.0, ledger.Replay),
+        "done, another body": (DONE, "x", 1.0, Kind.IDEMPOTENCY_KEY_REUSED),
+        "done, not run": (NOT_RUN, DIGEST, 1.0, ledger.Replace),
+        "void": (make_claim(ClaimState.VOID), DIGEST, 1.0, ledger.Replace),
+        "void, another body": (
+            make_claim(ClaimState.VOID),
+            "x",
+            1.0,
+            ledger.Replace,
+        ),
+        "old": (DONE, DIGEST, EXPIRY, Kind.IDEMPOTENCY_KEY_EXPIRED),
+        "never settled, old": (
+            make_claim(),
+            DIGEST,
+            EXPIRY,
+            Kind.IDEMPOTENCY_KEY_EXPIRED,
+        ),
+        "shrunk": (
+            make_claim(ClaimState.EXPIRED),
+            "x",
+            1.0,
+            Kind.IDEMPOTENCY_KEY_EXPIRED,
+        ),
+    }
+
+    def test_what_a_call_does_that_finds_its_key_claimed(self):
+        for name, (claim, digest, now, wanted) in self.CASES.items():
+            with self.subTest(name):
+                judgement = ledger.judge(claim, ids.Digest(digest), now)
+                if isinstance(wanted, Kind):
+                    self.assertEqual(judgement.kind, wanted)
+                else:
+                    self.assertIsInstance(judgement, wanted)
+
+    def test_key_times(self):
+        made = uuid.UUID(int=(1_700_000_000_000 << 80) | (7 << 76) | (2 << 62))
+        self.assertEqual(ledger.key_time(str(made)), 1_700_000_000.0)
+        for other in ("key-1", "", str(uuid.UUID(int=1 << 76)), "0" * 31):
+            self.assertIsNone(ledger.key_time(ids.IdempotencyKey(other)))
+
+    def test_what_becomes_of_a_claim_with_age(self):
+        margin = 2 * ledger.MAX_CLOCK_SKEW_SECONDS
+        old = EXPIRY + margin
+        late_key = make_claim(keyed_at=200.0)
+        cases = {
+            "within": (self.DONE, old - 1, ledger.Keep),
+            "past": (self.DONE, old, ledger.Shrink),
+            "void": (make_claim(ClaimState.VOID), old, ledger.Drop),
+            "shrunk": (make_claim(ClaimState.EXPIRED), old, ledger.Keep),
+            "timed, within": (late_key, old + 199, ledger.Keep),
+            "timed, past": (late_key, old + 200, ledger.Drop),
+        }
+        for name, (claim, now, wanted) in cases.items():
+            with self.subTest(name):
+                self.assertIsInstance(ledger.judge_age(claim, now), wanted)
+
+    def test_a_too_large_answer_is_recorded_as_run_without_it(self):
+        large = make_outcome(body=b"x" * (ledger.MAX_RECORDED_BODY_BYTES + 1))
+        kept = ledger.make_done(make_claim(), large).outcome
+        self.assertEqual((kept.ran, kept.body), (states.Ran.RAN, b""))
+        self.assertIsNotNone(kept.kind)
+
+
+class AttemptTableTest(unittest.TestCase):
+    def _make(self, **bounds):
+        return attempts.AttemptTable(ids.Incarnation("one"), **bounds)
+
+    def test_an_attempt_runs_once(self):
+        table = self._make()
+        self.assertIs(table.begin(make_call()), attempts.Admission.RUN)
+        self.assertIs(table.begin(make_call()), attempts.Admission.RUNNING)
+        self.assertIs(table.query(make_query()).state, AttemptState.RUNNING)
+        table.finish(make_outcome())
+        self.assertIs(table.begin(make_call()), attempts.Admission.SETTLED)
+        status = table.query(make_query())
+        self.assertEqual(status.outcome, make_outcome())
+
+    def test_a_query_fences_what_was_never_seen(self):
+        table = self._make()
+        self.assertIs(table.query(make_query()).state, AttemptState.FENCED)
+        self.assertIs(table.begin(make_call()), attempts.Admission.SETTLED)
+
+    def test_another_incarnation_knows_and_runs_nothing(self):
+        table = self._make()
+        self.assertIsNone(table.query(make_query(1, "two")).state)
+        self.assertIs(
+            table.begin(make_call(1, "two")),
+            attempts.Admission.OTHER_INCARNATION,
+        )
+        self.assertIs(table.begin(make_call()), attempts.Admission.RUN)
+
+    def test_what_was_forgotten_neither_runs_nor_counts_as_not_run(self):
+        cases = {
+            "by number": {"max_settled": 10},
+            "by bytes": {"max_outcome_bytes": 10 * len(b"done")},
+        }
+        for name, bounds in cases.items():
+            with self.subTest(name):
+                table = self._make(**bounds)
+                table.begin(make_call(0))  # Runs on all the while.
+                for number in range(1, 101):
+                    table.begin(make_call(number))
+                    table.finish(make_outcome(number=number))
+                self.assertEqual(len(table), 11)
+                for number in range(1, 91):
+                    admission = table.begin(make_call(number))
+                    self.assertIs(admission, attempts.Admission.FORGOTTEN)
+                    self.assertIsNone(table.query(make_query(number)).state)
+                self.assertIs(
+                    table.begin(make_call(0)), attempts.Admission.RUNNING
+                )
+                for number, epoch in ((101, "epoch"), (1, "other")):
+                    call = make_call(number, epoch=epoch)
+                    self.assertIs(table.begin(call), attempts.Admission.RUN)
+
+    def test_memory_for_epochs_is_bounded_by_refusing_new_ones(self):
+        table = self._make(max_settled=0, max_epochs=2)
+        for epoch in ("a", "b"):
+            table.query(make_query(1, epoch=epoch))
+        call = make_call(9, epoch="c")
+        self.assertIs(table.begin(call), attempts.Admission.FORGOTTEN)
+        self.assertIsNone(table.query(make_query(9, epoch="c")).state)
+        self.assertIs(
+            table.begin(make_call(9, epoch="a")), attempts.Admission.RUN
+        )
+
+
+class AttemptWatchTest(unittest.TestCase):
+    def _make(self, connected=True, ask_at=12.0):
+        return settling.AttemptWatch(
+            make_claim(),
+            connected=connected,
+            now=0.0,
+            ask_at=ask_at,
+            give_up_at=20.0,
+        )
+
+    def _status(self, state, outcome=None):
+        return plain_messages.AttemptStatus(
+            ids.RequestId("epoch-1"),
+            ids.Attempt(1),
+            ids.Incarnation("core-1-1"),
+            state,
+            outcome,
+        )
+
+    def test_only_the_agents_word_makes_it_not_run(self):
+        refused = make_outcome(states.Ran.NOT_RUN)
+        unsure = make_outcome(states.Ran.UNKNOWN)
+        done = AttemptState.DONE
+        cases = {
+            "fenced": (self._status(AttemptState.FENCED), settling.NotRun),
+            "refused": (self._status(done, refused), settling.NotRun),
+            "done": (self._status(done, make_outcome()), settling.Finished),
+            "unsure": (self._status(done, unsure), settling.Finished),
+            "another start": (self._status(None), settling.Unknown),
+            "running": (self._status(AttemptState.RUNNING), settling.Wait),
+        }
+        for name, (status, wanted) in cases.items():
+            with self.subTest(name):
+                watch = self._make()
+                watch.take_status(status)
+                self.assertIsInstance(watch.next_step(1.0), wanted)
+
+    def test_silence_is_never_not_run(self):
+        watch = self._make()
+        self.assertEqual(watch.next_step(0.0), settling.Wait(12.0))
+        self.assertIsInstance(watch.next_step(12.0), settling.Ask)
+        self.assertEqual(watch.next_step(12.0), settling.Wait(13.0))
+        self.assertIsInstance(watch.next_step(20.0), settling.Unknown)
+
+    def test_it_asks_over_the_new_connection_at_once(self):
+        watch = self._make()
+        watch.link_down(3.0)
+        self.assertEqual(
+            watch.next_step(3.0),
+            settling.Wait(3.0 + settling.REOPEN_SECONDS),
+        )
+        watch.link_up(5.0)
+        self.assertIsInstance(watch.next_step(5.0), settling.Ask)
+
+    def test_it_gives_up_when_nobody_answers_at_the_address(self):
+        watch = self._make(connected=False, ask_at=0.0)
+        late = settling.REOPEN_SECONDS
+        self.assertEqual(watch.next_step(0.0), settling.Wait(late))
+        self.assertIsInstance(watch.next_step(late), settling.Unknown)
+
+    def test_the_first_word_counts(self):
+        watch = self._make()
+        watch.take_outcome(make_outcome())
+        watch.take_status(self._status(AttemptState.FENCED))
+        watch.take_status(self._status(None))
+        self.assertIsInstance(watch.next_step(1.0), settling.Finished)
+
+
+if __name__ == "__main__":
+    unittest.main()
