--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -7,11 +7,9 @@
 from nutmeglift import codec
 from nutmeglift import errors
 from nutmeglift import ids
-from nutmeglift import kv
 from nutmeglift import ledger
 from nutmeglift import plain_messages
 from nutmeglift import states
-from nutmeglift_router import ledger_controller
 from nutmeglift_router import plain
 from tests import utils
 from tests import virtual_time
@@ -298,10 +296,50 @@
         world.services[0].delay = 2.0
         calling = asyncio.ensure_future(call(world, "key"))
         await asyncio.sleep(0.5)
-        world.vms.remove("core-1") if hasattr(world.vms, "remove") else None
+        world.vms.remove(ids.VmId("core-1"))
         await world.kill("core-1")
         first = await calling
         self.assertEqual(first.kind, Kind.OUTCOME_UNKNOWN)
+        self.assertEqual(world.router._links._kept_by_vm, {})
+
+    @scenario(routers=2)
+    async def test_an_agent_that_the_list_no_longer_names_is_asked(self, world):
+        world.services[0].delay = 6.0
+        calling = asyncio.ensure_future(call(world, "key"))
+        await asyncio.sleep(0.5)
+        world.vms.remove(ids.VmId("core-1"))
+        router = world.router_by_vm["entry-1"]
+        agent = world.agent_by_vm["core-1"]
+        await asyncio.sleep(2.0)
+        world.network.silence(router.address, agent.address)
+        await world.kill("entry-2")
+        self.assertEqual((await calling).ran, Ran.RAN)
+
+    @scenario(routers=1)
+    async def test_an_agent_that_leaves_hands_over_every_outcome(self, world):
+        world.services[0].delay = 2.0
+        calls = [
+            asyncio.ensure_future(call(world, f"key-{n}")) for n in range(20)
+        ]
+        await asyncio.sleep(0.5)
+        await world.agent_by_vm["core-1"].agent.leave()
+        await world.kill("core-1")
+        results = await asyncio.gather(*calls)
+        self.assertEqual({r.ran for r in results}, {Ran.RAN})
+
+    @scenario(routers=2)
+    async def test_a_router_that_leaves_records_every_outcome(self, world):
+        world.services[0].delay = 2.0
+        calls = [
+            asyncio.ensure_future(call(world, f"key-{n}")) for n in range(20)
+        ]
+        await asyncio.sleep(0.5)
+        await world.router.leave()
+        await world.kill("entry-1")
+        results = await asyncio.gather(*calls)
+        self.assertEqual({r.ran for r in results}, {Ran.RAN})
+        states_found = {claim.state for claim in claims(world)}
+        self.assertEqual(states_found, {states.ClaimState.DONE})
 
     @scenario(routers=2)
     async def test_a_silent_connection_is_settled_over_a_new_one(self, world):
@@ -377,22 +415,15 @@
     ):
         """Its call arrives after another router settled the claim."""
         slow = world.router_by_vm["entry-1"]
-        other = world.add_router("entry-2", 1)
-        await asyncio.sleep(3.0)
         agent = world.agent_by_vm["core-1"]
         world.network.degrade(slow.address, agent.address, 1.2)
         calling = asyncio.ensure_future(call(world, "key"))
         await asyncio.sleep(0.2)
         (claim,) = claims(world)
-        held = ledger_controller.Held(
-            next(k for k in world.store.dump() if "claims" in k),
-            claim,
-            kv.NEVER_WRITTEN,
-        )
         status = agent.agent._plain.query(
             ids.VmId("entry-2"),
             plain_messages.AttemptQuery(
-                held.claim.request, held.claim.attempt, held.claim.incarnation
+                claim.request, claim.attempt, claim.incarnation
             ),
         )
         self.assertEqual(status.state, states.AttemptState.FENCED)
@@ -400,7 +431,6 @@
         self.assertEqual(result.ran, Ran.RAN)
         self.assertEqual(result.outcome.attempt, 2)
         self.assertEqual(world.executions(), 1)
-        del other
 
 
 class IdempotentCallTest(unittest.TestCase):
