Let a leaving agent answer for its last outcomes

Cause: an agent left as soon as its last call ended. Where the router's connection had gone silent, nobody could tell the outcome any more: a graceful shutdown turned an executed call into unknown. Also, a claim decided in the very moment in which its caller's patience ended was taken for never written.

Change: an agent that leaves stays 4 s past its last outcome, long enough for a router to notice the silence (1.5 s) and ask over a new connection. write() looks at the result after the timeout. asyncio.timeout replaces wait_for, which can swallow a cancellation.

Ruled out: an acknowledgement of each outcome; it costs a message a call for the sake of the last seconds of a process.

--- a/packages/nutmeglift_agent/nutmeglift_agent/agent.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/agent.py
@@ -87,6 +87,7 @@
                 attempts.AttemptTable(incarnation),
                 service,
                 post=self._ports.post,
+                clock=clock,
                 metrics=metrics,
             )
 
@@ -151,7 +152,8 @@
 
     def _count_unsettled(self) -> int:
         stages = self._stages.in_flight if self._stages is not None else 0
-        return stages + (not self._ports.all_acknowledged)
+        plain = self._plain is not None and self._plain.may_be_asked
+        return stages + (not self._ports.all_acknowledged) + plain
 
     def _hello(self) -> messages.Hello:
         return messages.Hello(
--- a/packages/nutmeglift_agent/nutmeglift_agent/plain_work.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/plain_work.py
@@ -10,8 +10,12 @@
 from nutmeglift import ids
 from nutmeglift import plain_messages
 from nutmeglift import states
+from nutmeglift_wire import clock as clocks
 from nutmeglift_wire import metrics as metric
 
+LINGER_SECONDS = 4.0
+"""Time for a router to notice that its connection is silent and ask anew."""
+
 _logger = logging.getLogger(__name__)
 
 PostToRouter = Callable[[ids.VmId, codec.AnyMessage], None]
@@ -26,14 +30,22 @@
         service: backend.BasePlainBackend,
         *,
         post: PostToRouter,
+        clock: clocks.BaseClock,
         metrics: metric.BaseMetrics,
     ) -> None:
         self._table = table
         self._service = service
         self._post = post
+        self._clock = clock
         self._metrics = metrics
+        self._finished_at = float("-inf")
         self._routers_by_attempt: dict[attempts.AttemptKey, set[ids.VmId]] = {}
 
+    @property
+    def may_be_asked(self) -> bool:
+        """Whether a router may still ask for an outcome that it missed."""
+        return self._clock.now() < self._finished_at + LINGER_SECONDS
+
     async def call(
         self,
         router: ids.VmId,
@@ -94,6 +106,7 @@
         else:
             outcome = _refuse(call, "the agent is leaving")
         self._table.finish(outcome)
+        self._finished_at = self._clock.now()
         for name in sorted(self._routers_by_attempt.pop(key)):
             self._post(name, outcome)
 
--- a/packages/nutmeglift_router/nutmeglift_router/attempt_watches.py
+++ b/packages/nutmeglift_router/nutmeglift_router/attempt_watches.py
@@ -147,7 +147,8 @@
             if not self._agents.post(vm, call):
                 return settling.NotRun("the agent is not connected")
             timeout = call.timeout_seconds + ANSWER_MARGIN_SECONDS
-            await asyncio.wait_for(watched.changed.wait(), timeout)
+            async with asyncio.timeout(timeout):
+                await watched.changed.wait()
         except TimeoutError:
             return settling.Unknown("no answer in time")
         finally:
@@ -194,7 +195,8 @@
     async def _wait(self, watched: _Watched, until: float) -> None:
         wait = max(0.0, until - self._clock.now())
         try:
-            await asyncio.wait_for(watched.changed.wait(), wait)
+            async with asyncio.timeout(wait):
+                await watched.changed.wait()
         except TimeoutError:
             return
         watched.changed.clear()
--- a/packages/nutmeglift_router/nutmeglift_router/ledger_controller.py
+++ b/packages/nutmeglift_router/nutmeglift_router/ledger_controller.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import dataclasses
 import random
+from typing import NoReturn
 
 from nutmeglift import codec
 from nutmeglift import errors
@@ -78,16 +79,25 @@
             errors.KvAnswerLostError: it may have been, or still may be.
         """
         write = group_commit.KeyWrite(key, expected, codec.encode(claim))
-        loop = asyncio.get_running_loop()
-        waiting: asyncio.Future[group_commit.Result] = loop.create_future()
-        self._add(write, waiting.set_result)
+        decided = asyncio.Event()
+        results: list[group_commit.Result] = []
+
+        def take(result: group_commit.Result) -> None:
+            results.append(result)
+            decided.set()
+
+        self._add(write, take)
         try:
-            return await asyncio.wait_for(waiting, CLAIM_SECONDS)
+            async with asyncio.timeout(CLAIM_SECONDS):
+                await decided.wait()
         except TimeoutError:
-            return self._give_up(write)
+            # The result may have come in this very moment.
+            if not results:
+                self._give_up(write)
         finally:
             if self._listener_by_write.pop(write, None) is not None:
                 self._group.withdraw(write)
+        return results[0]
 
     def record(self, held: Held, done: ledger.Claim) -> None:
         """Replaces a claim by the one with its outcome, some time soon."""
@@ -165,7 +175,7 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
 
-    def _give_up(self, write: group_commit.KeyWrite) -> group_commit.Result:
+    def _give_up(self, write: group_commit.KeyWrite) -> NoReturn:
         self._listener_by_write.pop(write, None)
         if self._group.withdraw(write):
             raise errors.KvAnswerLostError("no answer to the claim in time")
@@ -235,7 +245,8 @@
     async def _wait_or_added(self, seconds: float) -> None:
         # A full batch starts before the pace allows the next.
         try:
-            await asyncio.wait_for(self._added.wait(), seconds)
+            async with asyncio.timeout(seconds):
+                await self._added.wait()
         except TimeoutError:
             return
 
@@ -244,10 +255,10 @@
         self._metrics.count("ledger.writes", len(batch.writes))
         began = self._clock.now()
         try:
-            result = await asyncio.wait_for(
-                self._store.txn(batch.compares(), batch.puts(), batch.gets()),
-                TRANSACTION_SECONDS,
-            )
+            async with asyncio.timeout(TRANSACTION_SECONDS):
+                result = await self._store.txn(
+                    batch.compares(), batch.puts(), batch.gets()
+                )
         except errors.KvUnavailableError:
             self._fail("ledger.unavailable", maybe_written=False)
             return
--- a/tests/plain_rig.py
+++ b/tests/plain_rig.py
@@ -115,6 +115,7 @@
             rig.make_table(self.incarnation),
             Backend(rig),
             post=self._post,
+            clock=clocks.PausableClock(),
             metrics=rig.metrics,
         )
 
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -10,6 +10,7 @@
 from nutmeglift import ledger
 from nutmeglift import plain_messages
 from nutmeglift import states
+from nutmeglift_router import ledger_controller
 from nutmeglift_router import plain
 from tests import utils
 from tests import virtual_time
@@ -218,6 +219,26 @@
         self.assertLessEqual(after[name] - before[name], 10)
 
 
+class ClaimDeadlineTest(unittest.TestCase):
+    @scenario()
+    async def test_a_claim_decided_as_patience_ends_is_not_lost(self, world):
+        """Whatever the order of events, no claim is left open."""
+        steps = [n * 1e-4 for n in range(-3, 4)]
+        for index, step in enumerate(steps):
+            world.store.delay = ledger_controller.CLAIM_SECONDS + step
+            result = await call(world, f"key-{index}")
+            await asyncio.sleep(30.0)
+            state = states.ClaimState.VOID
+            if result.kind is None:
+                state = states.ClaimState.DONE
+            found = {
+                c.state
+                for c in claims(world)
+                if c.request.endswith(f"-{index + 1}")
+            }
+            self.assertEqual(found, {state}, step)
+
+
 class RouterDeathTest(unittest.TestCase):
     @scenario(routers=2, services=2)
     async def test_between_claim_and_dispatch(self, world):
@@ -327,6 +348,18 @@
         results = await asyncio.gather(*calls)
         self.assertEqual({r.ran for r in results}, {Ran.RAN})
 
+    @scenario(routers=1)
+    async def test_an_agent_that_leaves_waits_for_a_silent_router(self, world):
+        world.services[0].delay = 2.0
+        calling = asyncio.ensure_future(call(world, "key"))
+        await asyncio.sleep(1.9)
+        agent = world.agent_by_vm["core-1"]
+        router = world.router_by_vm["entry-1"]
+        world.network.silence(router.address, agent.address)
+        await agent.agent.leave()
+        await world.kill("core-1")
+        self.assertEqual((await calling).ran, Ran.RAN)
+
     @scenario(routers=2)
     async def test_a_router_that_leaves_records_every_outcome(self, world):
         world.services[0].delay = 2.0
