--- a/benchmarks/bench_ledger.py
+++ b/benchmarks/bench_ledger.py
@@ -2,8 +2,12 @@
 
 import asyncio
 import random
+import time
+import tracemalloc
 
 from benchmarks import figures
+from nutmeglift import attempts
+from nutmeglift import codec
 from nutmeglift import ids
 from nutmeglift import kv
 from nutmeglift import ledger
@@ -115,7 +119,79 @@
     )
 
 
+def measure_cpu_per_call() -> figures.Measured:
+    """Measures the ledger's processor time a call, claim and outcome.
+
+    The in-memory key-value service and the event loop are included.
+    """
+    load = Load(1000.0)
+    began = time.process_time()
+    virtual_time.run(load.run())
+    spent = time.process_time() - began
+    return figures.Measured(round(spent / len(load.waits) * 1e6, 1))
+
+
+def measure_claim_bytes(state: states.ClaimState) -> figures.Measured:
+    """Measures key and value of a claim in the key-value service."""
+    claim = make_claim(1_000_000)
+    outcome = plain_messages.PlainOutcome(
+        claim.request, claim.attempt, states.Ran.RAN, 200, body=BODY
+    )
+    if state is not states.ClaimState.CLAIMED:
+        claim = ledger.make_done(claim, outcome)
+    if state is states.ClaimState.EXPIRED:
+        aged = ledger.judge_age(claim, 1e9)
+        claim = aged.claim  # type: ignore[union-attr]
+    key = ledger.claim_key(ids.Digest("0" * 64))
+    return figures.Measured(len(key) + len(codec.encode(claim)))
+
+
+def measure_attempt_bytes() -> figures.Measured:
+    """Measures an agent's memory for a settled attempt."""
+    count = attempts.MAX_SETTLED
+    table = attempts.AttemptTable(ids.Incarnation("one"))
+    tracemalloc.start()
+    for number in range(count):
+        call = plain_messages.PlainCall(
+            ids.RequestId(f"{number % 16:016x}-{number}"),
+            ids.Attempt(1),
+            ids.ServiceId("core"),
+            ids.Incarnation("one"),
+            "POST",
+            "/releases",
+            (),
+            b"",
+            False,
+            10.0,
+        )
+        table.begin(call)
+        body = BODY + b"%d" % number
+        table.finish(
+            plain_messages.PlainOutcome(
+                call.request, call.attempt, states.Ran.RAN, 200, body=body
+            )
+        )
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return figures.Measured(round(held / count))
+
+
 FIGURES = [
+    figures.Figure("ledger_cpu_per_call", "us", "", measure_cpu_per_call),
+    *(
+        figures.Figure(
+            f"ledger_{state.value}_bytes",
+            "B",
+            "",
+            lambda state=state: measure_claim_bytes(state),  # type: ignore[misc]
+        )
+        for state in (
+            states.ClaimState.CLAIMED,
+            states.ClaimState.DONE,
+            states.ClaimState.EXPIRED,
+        )
+    ),
+    figures.Figure("agent_attempt_bytes", "B", "", measure_attempt_bytes),
     *(
         figures.Figure(
             f"ledger_claims_per_write_{rate}",
--- /dev/null
+++ b/tests/test_plain_endpoint.py
@@ -0,0 +1,118 @@
+"""How the answers of at-most-once calls read over HTTP."""
+
+import json
+import unittest
+
+from nutmeglift import errors
+from nutmeglift_router import http_app
+from nutmeglift_router import plain_endpoint
+from tests import utils
+from tests import virtual_time
+
+
+class Answer:
+    """One HTTP answer."""
+
+    def __init__(self, status, headers, body):
+        self.status = status
+        self.headers = {name.decode(): v.decode() for name, v in headers}
+        self.body = body
+
+    @property
+    def error(self):
+        return json.loads(self.body)["error"]
+
+
+async def post(app, key=None, body=b"{}", path="/releases", method="POST"):
+    """Sends one request to the ASGI application."""
+    headers = [(b"authorization", f"Bearer {utils.TOKEN}".encode())]
+    if key is not None:
+        headers.append((b"idempotency-key", key.encode()))
+    scope = {
+        "type": "http",
+        "method": method,
+        "path": f"/services/{utils.SERVICE}{path}",
+        "query_string": b"",
+        "headers": headers,
+        "client": ("127.0.0.1", 1),
+        "server": ("127.0.0.1", 2),
+        "scheme": "http",
+        "root_path": "",
+    }
+    sent = []
+
+    async def receive():
+        return {"type": "http.request", "body": body, "more_body": False}
+
+    async def send(message):
+        sent.append(message)
+
+    await app(scope, receive, send)
+    start = sent[0]
+    content = b"".join(m.get("body", b"") for m in sent[1:])
+    return Answer(start["status"], start["headers"], content)
+
+
+class PlainEndpointTest(unittest.TestCase):
+    def _run(self, test):
+        async def work():
+            world = utils.World()
+            await world.start(runners=0, routers=2)
+            apps = [
+                http_app.HttpApp(process.router).app
+                for process in world.router_by_vm.values()
+            ]
+            try:
+                await test(world, *apps)
+            finally:
+                await world.stop()
+
+        virtual_time.run(work())
+
+    def test_a_repeat_gets_the_recorded_answer_and_is_told_so(self):
+        async def test(world, one, other):
+            first = await post(one, "key")
+            repeat = await post(other, "key")
+            self.assertEqual((first.status, repeat.status), (200, 200))
+            self.assertEqual(first.body, repeat.body)
+            header = plain_endpoint.REPLAYED_HEADER.lower()
+            self.assertNotIn(header, first.headers)
+            self.assertEqual(repeat.headers[header], "true")
+
+        self._run(test)
+
+    def test_errors_tell_whether_it_ran(self):
+        async def test(world, one, other):
+            await post(one, "used")
+            world.services[0].drop_after_execution = 1
+            await post(one, "dropped")
+            cases = {
+                "no key": (None, b"{}", 400, "idempotency_key_missing"),
+                "reused": ("used", b"x", 422, "idempotency_key_reused"),
+                "dropped": ("dropped", b"{}", 502, "outcome_unknown"),
+            }
+            for name, (key, body, status, kind) in cases.items():
+                with self.subTest(name):
+                    answer = await post(other, key, body)
+                    self.assertEqual(answer.status, status)
+                    self.assertEqual(answer.error["kind"], kind)
+                    ran = errors.ANSWER_BY_KIND[errors.ErrorKind(kind)].ran
+                    self.assertEqual(answer.error["ran"], ran.value)
+            world.store.set_down(True)
+            down = await post(one, "later")
+            self.assertEqual((down.status, down.error["ran"]), (503, "not_run"))
+            self.assertIn("retry-after", down.headers)
+
+        self._run(test)
+
+    def test_undeclared_calls_are_refused(self):
+        async def test(world, one, other):
+            answer = await post(one, "key", method="DELETE")
+            self.assertEqual(answer.error["kind"], "unknown_route")
+            self.assertEqual(world.executions(), 0)
+
+        self._run(test)
+
+
+if __name__ == "__main__":
+    unittest.main()
