Keep a key refused when the retention is raised

Cause: the claim of a key that bears its time was deleted after the declared retention. Had an operator raised the retention then, the key counted as fresh again and would have run a second time.

Change: such a claim shrinks after the retention and goes a week after the key's own time; keys older than a week are refused whatever is declared.

--- a/packages/nutmeglift/nutmeglift/ledger.py
+++ b/packages/nutmeglift/nutmeglift/ledger.py
@@ -15,6 +15,8 @@
 DISPATCH_GRACE_SECONDS = 3.0
 """A younger claim's router is left alone, as it is about to dispatch."""
 MAX_CLOCK_SKEW_SECONDS = 300.0
+MAX_KEY_AGE_SECONDS = 7 * 86400.0
+"""A key that bears an older time is refused, whatever the retention."""
 MAX_RECORDED_BODY_BYTES = 512 * 1024
 UUID_VERSION_WITH_TIME = 7
 
@@ -102,7 +104,8 @@
     """
     if keyed_at is None:
         return
-    if keyed_at + retention_seconds <= now:
+    oldest = now - min(retention_seconds, MAX_KEY_AGE_SECONDS)
+    if keyed_at <= oldest:
         raise errors.RefusedError(
             "the idempotency key is older than its retention",
             kind=errors.ErrorKind.IDEMPOTENCY_KEY_EXPIRED,
@@ -228,17 +231,23 @@
 def judge_age(claim: Claim, now: float) -> Retention:
     """Decides what becomes of a claim with age.
 
-    A key that bears its time is refused by that time alone, so its claim
-    goes. Any other key leaves a small claim for good, as nothing else could
-    tell an old key from a new one.
+    A key that bears its time is refused by that time alone once it is a week
+    old, so its claim can go then, also when the declared retention was raised
+    meanwhile. Any other key leaves a small claim for good, as nothing else
+    could tell an old key from a new one.
 
     Args:
         claim: the claim.
         now: seconds since the epoch.
     """
-    if not claim.expires_at or now < _forget_at(claim):
+    # Twice the skew: the writer's clock and this one may both be wrong.
+    now -= 2 * MAX_CLOCK_SKEW_SECONDS
+    if not claim.expires_at or now < claim.expires_at:
         return Keep()
-    if claim.keyed_at is not None or claim.state is states.ClaimState.VOID:
+    if claim.state is states.ClaimState.VOID:
+        return Drop()
+    keyed_at = claim.keyed_at
+    if keyed_at is not None and keyed_at + MAX_KEY_AGE_SECONDS <= now:
         return Drop()
     if claim.state is states.ClaimState.EXPIRED:
         return Keep()
@@ -253,10 +262,3 @@
             outcome=None,
         )
     )
-
-
-def _forget_at(claim: Claim) -> float:
-    # Twice the skew: the key's maker and a router may both be wrong.
-    born_at = max(claim.claimed_at, claim.keyed_at or 0.0)
-    retention = claim.expires_at - claim.claimed_at
-    return born_at + retention + 2 * MAX_CLOCK_SKEW_SECONDS
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -263,14 +263,16 @@
     def test_what_becomes_of_a_claim_with_age(self):
         margin = 2 * ledger.MAX_CLOCK_SKEW_SECONDS
         old = EXPIRY + margin
+        week = ledger.MAX_KEY_AGE_SECONDS + margin
         late_key = make_claim(keyed_at=200.0)
         cases = {
             "within": (self.DONE, old - 1, ledger.Keep),
             "past": (self.DONE, old, ledger.Shrink),
             "void": (make_claim(ClaimState.VOID), old, ledger.Drop),
             "shrunk": (make_claim(ClaimState.EXPIRED), old, ledger.Keep),
-            "timed, within": (late_key, old + 199, ledger.Keep),
-            "timed, past": (late_key, old + 200, ledger.Drop),
+            "timed, past": (late_key, old, ledger.Shrink),
+            "timed, within a week": (late_key, week + 199, ledger.Shrink),
+            "timed, past a week": (late_key, week + 200, ledger.Drop),
         }
         for name, (claim, now, wanted) in cases.items():
             with self.subTest(name):
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -501,23 +501,45 @@
         for key in keys:
             self.assertEqual((await call(world, key)).ran, Ran.RAN)
         await asyncio.sleep(1.0)
-        for process in world.router_by_vm.values():
-            real = process.clock
-            offset = 86400.0 + 2 * ledger.MAX_CLOCK_SKEW_SECONDS + 10.0
-            real.utc = lambda real=real, add=offset: real.now() + add
-        for swept in (False, True):
-            with self.subTest(swept=swept):
+        day = 86400.0 + 2 * ledger.MAX_CLOCK_SKEW_SECONDS + 10.0
+        for offset, left in ((day, 2), (7 * day, 1)):
+            self._move_clocks(world, offset)
+            for _ in range(2):
                 for key in keys:
                     for body in (b"{}", b"other"):
                         late = await call(world, key, index=1, body=body)
                         self.assertEqual(
                             late.kind, Kind.IDEMPOTENCY_KEY_EXPIRED
                         )
+                await self._sweep(world)
+            found = [(c.state, c.outcome) for c in claims(world)]
+            self.assertEqual(found, [(states.ClaimState.EXPIRED, None)] * left)
+        self.assertEqual(world.executions(), 2)
+
+    @scenario(routers=2)
+    async def test_a_raised_retention_revives_no_key(self, world):
+        now = asyncio.get_running_loop().time()
+        timed = uuid.UUID(int=(int(now * 1000) << 80) | (7 << 76) | (2 << 62))
+        keys = ("plain-key", str(timed))
+        for key in keys:
+            await call(world, key)
+        await asyncio.sleep(1.0)
+        raised = world.declared.services[0].model_copy(
+            update={"key_retention_seconds": 1e9}
+        )
+        for days in (2, 6, 8):
+            self._move_clocks(world, days * 86400.0)
             await self._sweep(world)
+            world.declared = utils.make_declaration(services=(raised,))
+            for key in keys:
+                late = await call(world, key)
+                self.assertEqual(late.kind, Kind.IDEMPOTENCY_KEY_EXPIRED)
         self.assertEqual(world.executions(), 2)
-        (left,) = claims(world)
-        self.assertEqual(left.state, states.ClaimState.EXPIRED)
-        self.assertIsNone(left.outcome)
+
+    def _move_clocks(self, world, offset):
+        for process in world.router_by_vm.values():
+            real = process.clock
+            real.utc = lambda real=real, add=offset: real.now() + add
 
     async def _sweep(self, world):
         controller = world.router.plain.ledger
