--- a/packages/nutmeglift_router/nutmeglift_router/agent_links.py
+++ b/packages/nutmeglift_router/nutmeglift_router/agent_links.py
@@ -192,12 +192,12 @@
         self.on_unreachable = on_unreachable
         self._is_busy = is_busy
         self._link_by_vm: dict[ids.VmId, AgentLink] = {}
-        self._stops: set[asyncio.Task[None]] = set()
         self._target_by_vm: dict[ids.VmId, str] = {}
         self._kept_by_vm: dict[ids.VmId, _Kept] = {}
+        self._stops: set[asyncio.Task[None]] = set()
 
     def set_targets(self, address_by_vm: dict[ids.VmId, str]) -> None:
-        """Connects to these agents, those kept, and those still busy."""
+        """Connects to these agents, and keeps others that are in use."""
         self._target_by_vm = address_by_vm
         kept = {vm: kept.address for vm, kept in self._kept_by_vm.items()}
         address_by_vm = kept | address_by_vm
--- a/packages/nutmeglift_router/nutmeglift_router/router.py
+++ b/packages/nutmeglift_router/nutmeglift_router/router.py
@@ -21,7 +21,7 @@
 from nutmeglift import states
 from nutmeglift_router import admission_controller
 from nutmeglift_router import agent_links
-from nutmeglift_router import chat
+from nutmeglift_router import chat_controller
 from nutmeglift_router import configuration_controller
 from nutmeglift_router import counted_metrics
 from nutmeglift_router import drain_controller
@@ -145,11 +145,13 @@
             set_routers=self.routers.set_listed,
         )
         self._plan = plan_controller.PlanController(
+            own.vm,
             board=self.board,
             store=store,
             clock=clock,
             metrics=metrics,
             routes=self._routing,
+            post=self._links.post,
         )
         self.shares = share_controller.ShareController(
             own.vm,
@@ -166,9 +168,8 @@
             bounds=own.bounds,
             shares=self.shares,
         )
-        self.chat = chat.ChatController(
+        self.chat = chat_controller.ChatController(
             own.vm,
-            board=self.board,
             clock=clock,
             metrics=metrics,
             routes=self._routing,
@@ -208,10 +209,11 @@
         """Starts the loops."""
         self._spawn(self.membership.run())
         self._spawn(self.configuration.run())
-        self._spawn(self.shares.run())
-        self._spawn(self.lease.run())
+        self._spawn(self._plan.run())
         sweep_rng = random.Random(self.incarnation)
         self._spawn(self.plain.ledger.sweep(sweep_rng))
+        self._spawn(self.shares.run())
+        self._spawn(self.lease.run())
 
     async def leave(self) -> None:
         """Refuses new work and waits for the work in flight."""
@@ -335,16 +337,16 @@
 
     def _agent_up(self, vm: ids.VmId, hello: messages.Hello) -> None:
         self.membership.agent_up(vm, hello)
+        self.plain.agent_up(vm)
         self._recovery.agent_up(vm, hello)
         self.lease.note_number(hello.fencing_number)
         self.configuration.note_agent(vm, hello.generation)
         self._tell_agent(vm)
-        self.plain.agent_up(vm)
 
     def _agent_down(self, vm: ids.VmId, reason: errors.NutmegError) -> None:
         self.membership.agent_down(vm)
-        self._recovery.agent_down(vm)
         self.plain.agent_down(vm)
+        self._recovery.agent_down(vm)
 
     def _agent_unreachable(self, vm: ids.VmId) -> None:
         self._recovery.agent_unreachable(vm)
@@ -365,6 +367,8 @@
                 self._take_heartbeat(vm, message)
             case messages.Leaving():
                 self.membership.take_leaving(vm)
+            case control_messages.OrderResult():
+                self._plan.take_order_result(vm, message)
             case control_messages.CacheEvents():
                 self._routing.note_cache_events(vm, message, self._clock.now())
             case _:
--- a/packages/nutmeglift_wire/nutmeglift_wire/session.py
+++ b/packages/nutmeglift_wire/nutmeglift_wire/session.py
@@ -4,6 +4,7 @@
 import collections
 from collections.abc import Callable
 import contextlib
+import enum
 import hmac
 import logging
 import secrets
@@ -18,6 +19,8 @@
 from nutmeglift_wire import link as links
 
 NONCE_BYTES = 16
+BEAT_SLOTS = 8
+"""Moments within a heartbeat interval at which connections beat."""
 MAX_QUEUED_MESSAGES = 16384
 HANDSHAKE_TIMEOUT_SECONDS = 2.0
 
@@ -28,10 +31,27 @@
 Handler = Callable[["Session", codec.AnyMessage], None]
 
 
-def prove(key: bytes, nonce: bytes, hello: messages.Hello) -> bytes:
-    """Returns the proof that the sender of a Hello knows the shared key."""
-    text = f"{hello.role.value}/{hello.vm}/{hello.incarnation}".encode()
-    return hmac.digest(key, nonce + text, "sha256")
+class LinkEnd(enum.Enum):
+    """Which end of a connection a process is."""
+
+    DIALER = "dialer"
+    LISTENER = "listener"
+
+
+def prove(
+    key: bytes, end: LinkEnd, sender: messages.Hello, receiver: messages.Hello
+) -> bytes:
+    """Returns the proof that the sender of a Hello knows the shared key.
+
+    It binds both nonces, both identities and which end sends it, so that no
+    process can be made to prove something for another or for the other end.
+    """
+    parts = [end.value.encode()]
+    for hello in (sender, receiver):
+        identity = f"{hello.role.value}/{hello.vm}/{hello.incarnation}"
+        parts += [hello.nonce, identity.encode()]
+    sized = b"".join(len(part).to_bytes(4, "big") + part for part in parts)
+    return hmac.digest(key, sized, "sha256")
 
 
 async def shake_hands_as_dialer(
@@ -46,11 +66,12 @@
         errors.MalformedMessageError: the peer's protocol or proof is wrong.
         errors.LinkClosedError: the connection closed.
     """
-    nonce = secrets.token_bytes(NONCE_BYTES)
-    await link.send(msgspec.structs.replace(own, nonce=nonce))
+    own = _with_nonce(own)
+    await link.send(own)
     peer = _expect_hello(await link.receive())
-    _check_proof(key, nonce, peer)
-    proof = prove(key, peer.nonce, own)
+    _check_other(own, peer)
+    _check_proof(peer.proof, prove(key, LinkEnd.LISTENER, peer, own))
+    proof = prove(key, LinkEnd.DIALER, own, peer)
     await link.send(msgspec.structs.replace(own, proof=proof))
     return peer
 
@@ -75,13 +96,13 @@
         errors.LinkClosedError: the connection closed.
     """
     first = _expect_hello(await link.receive())
-    own = make_own(first)
-    nonce = secrets.token_bytes(NONCE_BYTES)
-    proof = prove(key, first.nonce, own)
-    await link.send(msgspec.structs.replace(own, nonce=nonce, proof=proof))
-    peer = _expect_hello(await link.receive())
-    _check_proof(key, nonce, peer)
-    return peer
+    own = _with_nonce(make_own(first))
+    _check_other(own, first)
+    proof = prove(key, LinkEnd.LISTENER, own, first)
+    await link.send(msgspec.structs.replace(own, proof=proof))
+    last = _expect_hello(await link.receive())
+    _check_proof(last.proof, prove(key, LinkEnd.DIALER, first, own))
+    return first
 
 
 def _expect_hello(message: codec.AnyMessage) -> messages.Hello:
@@ -94,8 +115,25 @@
     return message
 
 
-def _check_proof(key: bytes, nonce: bytes, peer: messages.Hello) -> None:
-    if not hmac.compare_digest(prove(key, nonce, peer), peer.proof):
+def _with_nonce(hello: messages.Hello) -> messages.Hello:
+    nonce = secrets.token_bytes(NONCE_BYTES)
+    return msgspec.structs.replace(hello, nonce=nonce)
+
+
+def _check_other(own: messages.Hello, peer: messages.Hello) -> None:
+    if (own.role, own.vm, own.incarnation) == (
+        peer.role,
+        peer.vm,
+        peer.incarnation,
+    ):
+        raise errors.MalformedMessageError(
+            "the peer claims to be this very process",
+            kind=errors.ErrorKind.UNAUTHENTICATED,
+        )
+
+
+def _check_proof(proof: bytes, expected: bytes) -> None:
+    if not hmac.compare_digest(expected, proof):
         raise errors.MalformedMessageError(
             "the peer does not know the shared key",
             kind=errors.ErrorKind.UNAUTHENTICATED,
@@ -131,7 +169,7 @@
             collections.deque()
         )
         self._posted = asyncio.Event()
-        self._overflown = asyncio.Event()
+        self._overflown = False
         self._closed = False
 
     @property
@@ -148,11 +186,11 @@
         if self._closed:
             return False
         if len(self._outgoing) >= MAX_QUEUED_MESSAGES:
-            self._overflown.set()
+            self._overflown = True
         else:
             self._outgoing.append(message)
         self._posted.set()
-        return not self._overflown.is_set()
+        return not self._overflown
 
     async def run(self) -> errors.NutmegError:
         """Runs the session.
@@ -163,9 +201,7 @@
         tasks = [
             asyncio.create_task(self._write()),
             asyncio.create_task(self._read()),
-            asyncio.create_task(self._beat()),
-            asyncio.create_task(self._watch_silence()),
-            asyncio.create_task(self._watch_overflow()),
+            asyncio.create_task(self._tend()),
         ]
         try:
             done, _ = await asyncio.wait(
@@ -199,31 +235,35 @@
             self.heard_at = self._clock.now()
             self._handler(self, message)
 
-    async def _beat(self) -> None:
+    async def _tend(self) -> None:
         sequence = 0
         while True:
-            await self._clock.sleep(self._bounds.heartbeat_seconds)
+            before = self._clock.now()
+            await self._clock.sleep(self._until_next_beat(before))
+            self._check(before)
             sequence += 1
             self.post(self._make_heartbeat(sequence))
 
-    async def _watch_silence(self) -> None:
+    def _until_next_beat(self, now: float) -> float:
+        # Connections whose beats fall into one slot wake the process once.
+        interval = self._bounds.heartbeat_seconds
+        slot = interval / BEAT_SLOTS
+        wake = (now + interval) // slot * slot
+        return wake - now
+
+    def _check(self, before: float) -> None:
+        if self._overflown:
+            raise errors.LinkClosedError("the peer reads too slowly")
+        now = self._clock.now()
         bound = self._bounds.silence_seconds
-        while True:
-            before = self._clock.now()
-            await self._clock.sleep(self._bounds.heartbeat_seconds / 2)
-            if self._clock.now() - before > bound:
-                # This process was paused, so its own clock proves nothing.
-                self.heard_at = self._clock.now()
-                continue
-            if self._clock.now() - self.heard_at > bound:
-                raise errors.LinkClosedError(
-                    f"no byte from {self.peer.vm} for {bound} s"
-                )
-
-    async def _watch_overflow(self) -> None:
-        # Apart from the writer, which may wait for the peer for ever.
-        await self._overflown.wait()
-        raise errors.LinkClosedError("the peer reads too slowly")
+        if now - before > bound:
+            # This process was paused, so its own clock proves nothing.
+            self.heard_at = now
+            return
+        if now - self.heard_at > bound:
+            raise errors.LinkClosedError(
+                f"no byte from {self.peer.vm} for {bound} s"
+            )
 
 
 def _reason(done: set[asyncio.Task[None]]) -> errors.NutmegError:
