Bound a plain answer below a frame; mark replayed errors

Cause: an answer larger than a frame (4 MiB) would have closed the router's connection, and again on every question about it. A recorded outcome that is an error did not carry Idempotent-Replayed.

Change: an agent answers 'ran, answer too large' above 2 MiB; errors of recorded outcomes carry the header.

--- a/packages/nutmeglift/nutmeglift/errors.py
+++ b/packages/nutmeglift/nutmeglift/errors.py
@@ -94,9 +94,11 @@
         kind: the entry of the closed list.
         ran: whether the operation ran.
         retry_after: seconds after which to try again, or None.
+        replayed: whether it is the recorded outcome of an earlier call.
     """
 
     kind = ErrorKind.INTERNAL
+    replayed = False
 
     def __init__(
         self,
--- a/packages/nutmeglift_agent/nutmeglift_agent/plain_work.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/plain_work.py
@@ -13,6 +13,8 @@
 from nutmeglift_wire import clock as clocks
 from nutmeglift_wire import metrics as metric
 
+MAX_ANSWER_BYTES = 2 * 1024 * 1024
+"""Well under a frame, which would close the router's connection."""
 LINGER_SECONDS = 4.0
 """Time for a router to notice that its connection is silent and ask anew."""
 
@@ -142,6 +144,13 @@
                 errors.ErrorKind.OUTCOME_UNKNOWN,
                 "the agent failed in the middle of the call",
             )
+        if len(answer.body) > MAX_ANSWER_BYTES:
+            return _fail(
+                call,
+                states.Ran.RAN,
+                errors.ErrorKind.OUTCOME_UNKNOWN,
+                f"the call ran; its answer exceeds {MAX_ANSWER_BYTES} bytes",
+            )
         return plain_messages.PlainOutcome(
             call.request,
             call.attempt,
--- a/packages/nutmeglift_fakes/nutmeglift_fakes/plain_service.py
+++ b/packages/nutmeglift_fakes/nutmeglift_fakes/plain_service.py
@@ -29,6 +29,7 @@
         delay: seconds that each call takes before it is executed.
         drop_after_execution: number of further calls whose answer is lost.
         refuse: no connection is accepted.
+        padding: bytes that follow each answer.
         app: ASGI application.
     """
 
@@ -37,6 +38,7 @@
         self.delay = 0.0
         self.drop_after_execution = 0
         self.refuse = False
+        self.padding = b""
         self._clock = clock
         self.app = applications.Starlette(
             routes=[
@@ -67,7 +69,9 @@
             self.drop_after_execution -= 1
             raise errors.OutcomeUnknownError("the connection dropped")
         return backend.PlainAnswer(
-            200, (("content-type", "text/plain"),), text.encode()
+            200,
+            (("content-type", "text/plain"),),
+            text.encode() + self.padding,
         )
 
     def _execute(self, method: str, path: str, body: bytes) -> str:
--- a/packages/nutmeglift_router/nutmeglift_router/answers.py
+++ b/packages/nutmeglift_router/nutmeglift_router/answers.py
@@ -7,6 +7,8 @@
 
 from nutmeglift import errors
 
+REPLAYED_HEADER = "Idempotent-Replayed"
+
 
 def error_body(error: errors.NutmegError, request: str) -> dict[str, Any]:
     """Returns what a caller is told about an error."""
@@ -28,6 +30,8 @@
     headers = {}
     if error.retry_after is not None:
         headers["Retry-After"] = str(max(1, round(error.retry_after)))
+    if error.replayed:
+        headers[REPLAYED_HEADER] = "true"
     return responses.JSONResponse(
         {"error": error_body(error, request.headers.get("x-request-id", ""))},
         status_code=error.answer.status,
--- a/packages/nutmeglift_router/nutmeglift_router/plain_endpoint.py
+++ b/packages/nutmeglift_router/nutmeglift_router/plain_endpoint.py
@@ -7,13 +7,13 @@
 from nutmeglift import errors
 from nutmeglift import ids
 from nutmeglift_router import admission_controller
+from nutmeglift_router import answers
 from nutmeglift_router import bodies
 from nutmeglift_router import entries
 from nutmeglift_router import plain
 from nutmeglift_router import router as routers
 
 METHODS = ["GET", "HEAD", "PUT", "POST", "PATCH", "DELETE"]
-REPLAYED_HEADER = "Idempotent-Replayed"
 PASSED_HEADERS = frozenset({"content-type", "accept"})
 
 
@@ -40,7 +40,7 @@
             router.admission.release(ticket, 0)
         headers = dict(answer.outcome.headers)
         if answer.replayed:
-            headers[REPLAYED_HEADER] = "true"
+            headers[answers.REPLAYED_HEADER] = "true"
         return responses.Response(
             answer.outcome.body,
             status_code=answer.outcome.status,
--- a/packages/nutmeglift_router/nutmeglift_router/plain_once.py
+++ b/packages/nutmeglift_router/nutmeglift_router/plain_once.py
@@ -68,7 +68,9 @@
         if outcome.kind is None:
             self.answer.set_result(outcome)
         else:
-            self.fail(outcome_error(outcome))
+            error = outcome_error(outcome)
+            error.replayed = self.replayed
+            self.fail(error)
 
     def fail(self, error: errors.NutmegError) -> None:
         """Answers the caller with an error, unless that was done."""
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -433,6 +433,26 @@
             await asyncio.sleep(1.0)
         self.assertEqual(world.executions(), 1)
 
+    @scenario(routers=2)
+    async def test_a_large_answer_harms_nobody_else(self, world):
+        """Neither a frame nor the key-value service could carry it."""
+        # Size; whether the first caller gets it, whether a repeat does.
+        cases = (
+            (500_000, True, True),
+            (1_000_000, True, False),
+            (5_000_000, False, False),
+        )
+        for size, first_gets, repeat_gets in cases:
+            world.services[0].padding = b"x" * size
+            for index, gets in ((0, first_gets), (1, repeat_gets)):
+                result = await call(world, f"key-{size}", index=index)
+                self.assertEqual(result.ran, Ran.RAN)
+                self.assertEqual(result.outcome is not None, gets)
+                await asyncio.sleep(1.0)
+        self.assertEqual(world.executions(), len(cases))
+        lost = world.router_by_vm["entry-1"].metrics.total_by_name
+        self.assertEqual(lost["agent_link.lost"], 0)
+
     @scenario(services=2, routers=2)
     async def test_a_draining_agent_refuses_and_another_runs_it(self, world):
         # Told to leave, but this router has not heard of it yet.
--- a/tests/test_plain_endpoint.py
+++ b/tests/test_plain_endpoint.py
@@ -4,8 +4,8 @@
 import unittest
 
 from nutmeglift import errors
+from nutmeglift_router import answers
 from nutmeglift_router import http_app
-from nutmeglift_router import plain_endpoint
 from tests import utils
 from tests import virtual_time
 
@@ -75,7 +75,7 @@
             repeat = await post(other, "key")
             self.assertEqual((first.status, repeat.status), (200, 200))
             self.assertEqual(first.body, repeat.body)
-            header = plain_endpoint.REPLAYED_HEADER.lower()
+            header = answers.REPLAYED_HEADER.lower()
             self.assertNotIn(header, first.headers)
             self.assertEqual(repeat.headers[header], "true")
 
@@ -98,6 +98,10 @@
                     self.assertEqual(answer.error["kind"], kind)
                     ran = errors.ANSWER_BY_KIND[errors.ErrorKind(kind)].ran
                     self.assertEqual(answer.error["ran"], ran.value)
+                    replayed = answers.REPLAYED_HEADER.lower()
+                    self.assertEqual(
+                        replayed in answer.headers, name == "dropped"
+                    )
             world.store.set_down(True)
             down = await post(one, "later")
             self.assertEqual((down.status, down.error["ran"]), (503, "not_run"))
