--- a/packages/nutmeglift_agent/nutmeglift_agent/agent.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/agent.py
@@ -209,7 +209,7 @@
         if self._stages is not None:
             if self._ports.is_replaced_by(session.peer):
                 self._stages.lose_router(router)
-            held = self._stages.held_by(router)
+            held = self._stages.resume_router(router)
         self._ports.attach(session, messages.AttemptsHeld(held))
 
     async def _sweep(self) -> None:
@@ -226,6 +226,9 @@
             for router in gone:
                 self._stages.lose_router(router)
             self._stages.lose_orphans(before | known)
+            # A cancel may have been lost before the attempt was opened.
+            for router, idle in self._stages.find_idle().items():
+                self._ports.post(router, messages.AttemptsHeld(tuple(idle)))
 
     def _handle(
         self, session: sessions.Session, message: codec.AnyMessage
