--- a/packages/nutmeglift/nutmeglift/rollout.py
+++ b/packages/nutmeglift/nutmeglift/rollout.py
@@ -123,6 +123,11 @@
         self._put_in(incarnation_by_vm)
         return self._make_orders(incarnation_by_vm, now)
 
+    def withdraw(self, orders: Sequence[GiveOrder]) -> None:
+        """Takes orders back that were not given."""
+        for given in orders:
+            self._pending.pop(given.order.order, None)
+
     def take_result(
         self, vm: ids.VmId, result: control_messages.OrderResult, now: float
     ) -> bool:
--- a/packages/nutmeglift_router/nutmeglift_router/plan_controller.py
+++ b/packages/nutmeglift_router/nutmeglift_router/plan_controller.py
@@ -28,7 +28,8 @@
 
 TICK_SECONDS = 1.0
 READ_AGAIN_SECONDS = 5.0
-MAX_WATCH_SECONDS = 300.0
+MAX_WATCH_SECONDS = 120.0
+"""Time after which the plan is read again, as a watch can go silent."""
 MIN_VISIBLE_SHARE = 0.34
 """Share of the planned runners that the planner has to see, or it waits."""
 MAX_RUNNERS_IN_LOOP = 200
@@ -192,6 +193,10 @@
             self._adopt(new)
 
     async def _lead(self, number: ids.FencingNumber, now: float) -> None:
+        if self._board.read(entries.PLAN).fencing_number > number:
+            self._metrics.count("plan.planner_stale")
+            self._rollout = None
+            return
         if self._rollout is None or number != self._fencing_number:
             await self._begin(number, now)
         if self._rollout is None or not self._sees_enough():
@@ -199,10 +204,16 @@
         runners = self._choose_runners(now)
         await self._renew_target(self._rollout, runners)
         orders = self._rollout.step(self._incarnations(), now)
+        # Written first: a planner that another has replaced orders nothing.
+        running = self._rollout
+        try:
+            await self._publish(running, runners)
+        except errors.NutmegError:
+            running.withdraw(orders)
+            raise
         for given in orders:
             self._metrics.count("plan.orders")
             self._post(given.vm, given.order)
-        await self._publish(self._rollout, runners)
 
     async def _begin(self, number: ids.FencingNumber, now: float) -> None:
         """Starts from the newest plan that is known, if there is any."""
