--- a/benchmarks/bench_placement.py
+++ b/benchmarks/bench_placement.py
@@ -13,7 +13,8 @@
 def measure_flow_to_bound() -> figures.Measured:
     """Worst of several fleets; the baseline splits the layers equally."""
     declared = fleet.make_declaration()
-    ratios, baselines = [], []
+    ratios: list[float] = []
+    baselines: list[float] = []
     for seed in SEEDS:
         runners = fleet.make_runners(40, seed)
         bound = fleet.fluid_bound(runners, declared)
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -1,7 +1,9 @@
 """Fleets for the benchmarks and a fluid model of the work on them."""
 
+from collections.abc import Mapping
 import dataclasses
 import random
+from types import MappingProxyType
 
 from nutmeglift import declaration
 from nutmeglift import flow
@@ -145,15 +147,25 @@
     return plan.Plan(1, ids.FencingNumber(0), tuple(assignments), links)
 
 
-def flow_of(made: plan.Plan, declared: declaration.Declaration) -> float:
-    """Returns the largest flow through a plan, in tokens a second."""
+def flow_of(
+    made: plan.Plan,
+    declared: declaration.Declaration,
+    speed_by_vm: Mapping[ids.VmId, float] = MappingProxyType({}),
+) -> float:
+    """Returns the largest flow through a plan, in tokens a second.
+
+    Args:
+        made: the plan.
+        declared: the model and its links.
+        speed_by_vm: factors on the speeds of some runners.
+    """
     model = declared.models[0]
     rate_by_class = {kind.name: kind.rate for kind in KINDS}
     holders = [
         flow.Holder(
             a.vm,
             a.failure_domain,
-            rate_by_class[a.backend_class],
+            rate_by_class[a.backend_class] * speed_by_vm.get(a.vm, 1.0),
             a.first_layer,
             a.end_layer,
         )
