--- a/packages/nutmeglift/nutmeglift/flow.py
+++ b/packages/nutmeglift/nutmeglift/flow.py
@@ -51,6 +51,14 @@
     tokens_per_second: float
     inflow_by_vm: Mapping[ids.VmId, Mapping[int, float]]
 
+    @property
+    def mean_stages(self) -> float:
+        """Runners that a token passes through, on average."""
+        if self.tokens_per_second <= 0:
+            return 0.0
+        entered = sum(sum(i.values()) for i in self.inflow_by_vm.values())
+        return entered / self.tokens_per_second
+
 
 @dataclasses.dataclass(frozen=True)
 class _Group:
--- a/packages/nutmeglift/nutmeglift/planner.py
+++ b/packages/nutmeglift/nutmeglift/planner.py
@@ -22,7 +22,8 @@
 MOVE_WEIGHT = 0.2
 """Loss of flow that is accepted to keep all weights where they are."""
 REPLICA_WEIGHT = 0.3
-HOP_WEIGHT = 0.002
+HOP_WEIGHT = 0.01
+"""Loss of flow that is accepted to save each token one stage."""
 
 Runner = fleet.Runner
 
@@ -211,7 +212,7 @@
     if held_by_vm:
         score *= 1 - MOVE_WEIGHT * moved / max(1, total)
     score *= 1 - REPLICA_WEIGHT * (1 - _replica_share(holders, model.layers))
-    score *= 1 - HOP_WEIGHT * min(100, grid.cells)
+    score *= max(0.0, 1 - HOP_WEIGHT * largest.mean_stages)
     return Placed(range_by_vm, largest, score)
 
 
--- a/packages/nutmeglift/nutmeglift/prefix_index.py
+++ b/packages/nutmeglift/nutmeglift/prefix_index.py
@@ -1,6 +1,5 @@
 """Which runners probably have a prompt's prefix in their cache."""
 
-from collections.abc import Iterable
 import dataclasses
 import struct
 
@@ -12,7 +11,7 @@
 BLOCK_TOKENS = 16
 TOKEN_BYTES = 8
 BLOCK_BYTES = BLOCK_TOKENS * TOKEN_BYTES
-LOOKED_UP_BLOCKS = (1, 2, 3, 4, 6, 8, 12, 16, 24, 32)
+LOOKED_UP_BLOCKS = (1, 2, 4, 8, 16, 32)
 """Lengths of a prompt's prefix that are looked up, in blocks."""
 MAX_LOOKED_UP_TOKENS = LOOKED_UP_BLOCKS[-1] * BLOCK_TOKENS
 MAX_LEVELS = 3
@@ -208,13 +207,14 @@
         kept = tuple(levels[:MAX_LEVELS])
         return Match(kept, tuple(digests.values()), longest)
 
-    def note_dispatch(
-        self, vms: Iterable[ids.VmId], match: Match, now: float
-    ) -> None:
-        """Notes that runners got a prompt and will hold its prefix."""
-        runners = 0
-        for vm in vms:
-            runners |= 1 << self.number_of(vm)
+    def note_dispatch(self, runners: int, match: Match, now: float) -> None:
+        """Notes that runners got a prompt and will hold its prefix.
+
+        Args:
+            runners: bits of their numbers.
+            match: what match returned for the prompt.
+            now: seconds.
+        """
         if (
             now - self._rotated_at > DISPATCH_SECONDS
             or len(self._dispatched) > MAX_DISPATCHED
--- a/packages/nutmeglift/nutmeglift/routing.py
+++ b/packages/nutmeglift/nutmeglift/routing.py
@@ -143,8 +143,7 @@
         if stages is None:
             raise _refuse(f"some layer of {model} {version} has no runner")
         if match.digests:
-            vms = [stage.vm for stage in stages]
-            self.prefixes.note_dispatch(vms, match, now)
+            self.prefixes.note_dispatch(self._bits_of(stages), match, now)
         return messages.Pipeline(model, version, adapter, tuple(stages))
 
     def started(self, pipeline: messages.Pipeline, now: float) -> None:
@@ -293,9 +292,10 @@
         lowest = float("inf")
         link_costs = sender.link_cost_by_domain if sender is not None else None
         levels = match.levels
+        selective = bool(avoid or self._unusable)
         for candidate in candidates:
             state = candidate.state
-            if not state.usable or (avoid and state.vm in avoid):
+            if selective and (not state.usable or state.vm in avoid):
                 continue
             cost = state.cost + candidate.cost * state.distrust
             for level in levels:
@@ -327,6 +327,12 @@
             state.incarnation = found.incarnation
         return found
 
+    def _bits_of(self, stages: list[messages.Stage]) -> int:
+        bits = 0
+        for stage in stages:
+            bits |= 1 << self._state_by_vm[stage.vm].number
+        return bits
+
     def _find_all(self, find: Find) -> route_search.FindCandidate:
         return lambda chosen: self._find(chosen, find)
 
