Answer chat calls with fewer writes; free what a disconnected caller holds

Cause: each token took a write through starlette, its middleware and h11; a caller that left the queue or waited for a whole answer was not noticed; a failure before the first token came as an event after status 200. Change: a plain ASGI endpoint that watches for the disconnect from admission on; the status is chosen when the first part is there; tokens that come within 40 ms of a write go out together; parts of a begun body skip the middleware; X-Request-Timeout shortens the route's deadline, which agents are told.

--- /dev/null
+++ b/benchmarks/router_load.py
@@ -0,0 +1,232 @@
+"""Load on a router from another thread: an agent stand-in and callers."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import json
+import threading
+
+from nutmeglift import codec
+from nutmeglift import ids
+from nutmeglift import messages
+from nutmeglift import settings
+from nutmeglift import states
+from nutmeglift_wire import clock as clocks
+from nutmeglift_wire import link as links
+from nutmeglift_wire import session as sessions
+from nutmeglift_wire import websocket_link
+
+AGENT = ids.VmId("runner-1")
+TOKEN = "bench"
+ROUTE = "letters"
+KEY = b"a key of the benchmark"
+STEP_SECONDS = 0.02
+SETTLE_SECONDS = 0.2
+BUFFER_BYTES = 1024 * 1024
+TEXT = " shipment"
+
+
+@dataclasses.dataclass(frozen=True)
+class Shape:
+    """What the callers ask for.
+
+    Attributes:
+        callers: callers at the same time, each on its own connection.
+        requests: requests that each makes, one after the other.
+        tokens: tokens of each answer.
+        stream: whether the answers are server-sent events.
+    """
+
+    callers: int
+    requests: int
+    tokens: int
+    stream: bool
+
+
+class AgentStandIn:
+    """Gives every request its tokens, one each step, without an engine."""
+
+    def __init__(self, expected: int) -> None:
+        self._expected = expected
+        self._started: dict[ids.RequestId, messages.StartAttempt] = {}
+        self._sent: dict[ids.RequestId, int] = {}
+        self._sequence = 0
+        self._session: sessions.Session | None = None
+        self.release = asyncio.Event()
+        self.all_started = asyncio.Event()
+        self.all_sent = asyncio.Event()
+
+    async def serve(self, link: links.BaseLink) -> None:
+        """Serves the router's connection."""
+        hello = messages.Hello(
+            messages.PROTOCOL_VERSION,
+            states.ProcessRole.AGENT,
+            AGENT,
+            ids.Incarnation("1"),
+            ids.FailureDomain("luzon-1"),
+        )
+        peer = await sessions.shake_hands_as_listener(
+            link, KEY, lambda _: hello
+        )
+        self._session = sessions.Session(
+            link,
+            peer,
+            clock=clocks.LoopClock(),
+            bounds=settings.Bounds(),
+            handler=self._handle,
+            make_heartbeat=lambda sequence: messages.Heartbeat(
+                sequence, ids.Generation(0)
+            ),
+        )
+        await self._session.run()
+
+    async def pump(self) -> None:
+        """Runs steps for ever, once released."""
+        await self.release.wait()
+        while True:
+            if self._started and self._session is not None:
+                self._sequence += 1
+                items = tuple(
+                    self._next_item(start)
+                    for start in list(self._started.values())
+                )
+                self._session.post(messages.TokenFrame(self._sequence, items))
+                if not self._started:
+                    self.all_sent.set()
+            await asyncio.sleep(STEP_SECONDS)
+
+    def _handle(
+        self, session: sessions.Session, message: codec.AnyMessage
+    ) -> None:
+        if not isinstance(message, messages.StartAttempt):
+            return
+        self._started[message.request] = message
+        self._sent[message.request] = 0
+        if len(self._started) >= self._expected:
+            self.all_started.set()
+
+    def _next_item(self, start: messages.StartAttempt) -> messages.TokenItem:
+        sequence = self._sent[start.request]
+        self._sent[start.request] = sequence + 1
+        last = sequence + 1 == start.max_tokens
+        if last:
+            del self._started[start.request]
+            del self._sent[start.request]
+        return messages.TokenItem(
+            start.request,
+            start.attempt,
+            sequence,
+            (7,),
+            (TEXT,),
+            states.FinishReason.LENGTH if last else None,
+        )
+
+
+class Caller:
+    """Makes requests over one connection, with the least processor time.
+
+    A stream is read when it has ended: until then it stays in the kernel, so
+    that this thread does not contend with the router's.
+    """
+
+    def __init__(
+        self, address: str, shape: Shape, may_read: asyncio.Event
+    ) -> None:
+        self._address = address
+        self._may_read = may_read
+        self._shape = shape
+        body = json.dumps(
+            {
+                "model": ROUTE,
+                "messages": [{"role": "user", "content": "check"}],
+                "max_tokens": shape.tokens,
+                "stream": shape.stream,
+            }
+        ).encode()
+        self._request = (
+            f"POST /v1/chat/completions HTTP/1.1\r\nHost: {address}\r\n"
+            f"Authorization: Bearer {TOKEN}\r\n"
+            f"Content-Type: application/json\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        ).encode() + body
+
+    async def run(self) -> int:
+        """Makes all requests; returns the number of tokens received."""
+        host, _, port = self._address.rpartition(":")
+        reader, writer = await asyncio.open_connection(
+            host, int(port), limit=BUFFER_BYTES
+        )
+        tokens = 0
+        for _ in range(self._shape.requests):
+            writer.write(self._request)
+            if self._shape.stream:
+                writer.transport.pause_reading()  # type: ignore[attr-defined]
+                await self._may_read.wait()
+                writer.transport.resume_reading()  # type: ignore[attr-defined]
+            tokens += await self._read_answer(reader)
+        writer.close()
+        return tokens
+
+    async def _read_answer(self, reader: asyncio.StreamReader) -> int:
+        head = await reader.readuntil(b"\r\n\r\n")
+        if b" 200 " not in head.split(b"\r\n")[0]:
+            raise RuntimeError(head.decode())
+        if self._shape.stream:
+            answer = await reader.readuntil(b"0\r\n\r\n")
+            return answer.count(TEXT.encode())
+        length = head.lower().split(b"content-length:")[1].split(b"\r\n")[0]
+        answer = await reader.readexactly(int(length))
+        return answer.count(TEXT.encode())
+
+
+class Load(threading.Thread):
+    """The load's thread with its own event loop.
+
+    Attributes:
+        agent_address: where the agent stand-in listens.
+        tokens: tokens that the callers received.
+    """
+
+    def __init__(self, shape: Shape, on_event: Callable[[str], None]) -> None:
+        super().__init__(daemon=True)
+        self.agent_address = ""
+        self.tokens = 0
+        self.listening = threading.Event()
+        self.router_address: str | None = None
+        self.go = threading.Event()
+        self._shape = shape
+        self._on_event = on_event
+
+    def run(self) -> None:
+        """Runs the load to its end."""
+        asyncio.run(self._run())
+
+    async def _run(self) -> None:
+        shape = self._shape
+        stand_in = AgentStandIn(shape.callers)
+        listener = websocket_link.WebsocketListener(stand_in.serve)
+        self.agent_address = await listener.start("127.0.0.1:0")
+        self.listening.set()
+        pump = asyncio.ensure_future(stand_in.pump())
+        await asyncio.to_thread(self.go.wait, 30.0)
+        assert self.router_address is not None
+        may_read = asyncio.Event()
+        callers = [
+            asyncio.ensure_future(
+                Caller(self.router_address, shape, may_read).run()
+            )
+            for _ in range(shape.callers)
+        ]
+        if shape.stream:
+            await stand_in.all_started.wait()
+            self._on_event("started")
+            await asyncio.sleep(SETTLE_SECONDS)
+        stand_in.release.set()
+        if shape.stream:
+            await stand_in.all_sent.wait()
+            await asyncio.sleep(SETTLE_SECONDS)
+            self._on_event("sent")
+        may_read.set()
+        self.tokens = sum(await asyncio.gather(*callers))
+        pump.cancel()
+        self._on_event("ended")
--- a/packages/nutmeglift_router/nutmeglift_router/chat.py
+++ b/packages/nutmeglift_router/nutmeglift_router/chat.py
@@ -1,7 +1,7 @@
 """Requests to a model: from admission to the last token."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from collections.abc import Callable
 import dataclasses
 import secrets
@@ -25,6 +25,7 @@
 CandidateFinder = Callable[[ids.VmId], routing.Candidate | None]
 Post = Callable[[ids.VmId, codec.AnyMessage], bool]
 REQUEST_ID_BYTES = 12
+SHORTEST_DEADLINE_SECONDS = 0.001
 REFUSALS = frozenset({errors.ErrorKind.DRAINING, errors.ErrorKind.NO_BACKEND})
 
 
@@ -37,12 +38,14 @@
         route: the route.
         prompt: tokens of the prompt.
         max_tokens: how many tokens to generate at most.
+        ends: clock time of the caller's deadline, or None.
     """
 
     account: declaration.ClientAccount
     route: declaration.Route
     prompt: tuple[int, ...]
     max_tokens: int
+    ends: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -180,7 +183,7 @@
         self._metrics.count("chat.started")
         return stream
 
-    async def parts(self, stream: Stream) -> AsyncIterator[ChatPart]:
+    async def parts(self, stream: Stream) -> AsyncGenerator[ChatPart, None]:
         """Yields the parts of an answer to the last one.
 
         Raises:
@@ -346,8 +349,14 @@
             chat.max_tokens - len(released),
             len(released),
             chat.account.priority,
+            self._seconds_left(chat),
         )
 
+    def _seconds_left(self, chat: ChatRequest) -> float:
+        if chat.ends is None:
+            return 0.0
+        return max(chat.ends - self._clock.now(), SHORTEST_DEADLINE_SECONDS)
+
     def _give_up(self, stream: Stream, error: errors.NutmegError) -> None:
         stream.put(error)
         self._unread.add(stream)
--- a/packages/nutmeglift_router/nutmeglift_router/chat_endpoint.py
+++ b/packages/nutmeglift_router/nutmeglift_router/chat_endpoint.py
@@ -1,23 +1,26 @@
 """Chat completions over HTTP: JSON, or server-sent events."""
 
 from collections.abc import AsyncIterator
-import json
 
 import msgspec
 from starlette import requests
 from starlette import responses
+from starlette import types
 
 from nutmeglift import declaration
 from nutmeglift import errors
 from nutmeglift import tokenizer
 from nutmeglift_router import admission_controller
-from nutmeglift_router import answers
 from nutmeglift_router import bodies
 from nutmeglift_router import chat
+from nutmeglift_router import disconnects
 from nutmeglift_router import entries
+from nutmeglift_router import events
 from nutmeglift_router import router as routers
 
 DEFAULT_MAX_TOKENS = 256
+TIMEOUT_HEADER = "X-Request-Timeout"
+"""Seconds within which the caller needs the whole answer."""
 
 
 class ChatBody(msgspec.Struct, frozen=True):
@@ -43,28 +46,54 @@
         self._router = router
         self._tokenizer = tokenizer.ByteTokenizer()
 
-    async def serve(self, request: requests.Request) -> responses.Response:
+    async def __call__(
+        self, scope: types.Scope, receive: types.Receive, send: types.Send
+    ) -> None:
         """Answers one request."""
         router = self._router
+        request = requests.Request(scope, receive)
         router.check_accepts_work()
         header = request.headers.get("authorization")
         account = router.authenticator.account(header)
         bound = router.own.bounds.body_bytes
         body = _parse_chat(await bodies.read(request, bound))
         route = self._find_route(body.model, account)
+        deadline = _find_deadline(request, route)
+        async with disconnects.DisconnectWatch(receive):
+            stream = await self._start(account, route, body, deadline)
+            parts = router.chat.parts(stream)
+            try:
+                if body.stream:
+                    writer = events.EventWriter(
+                        stream, body.model, router.clock, scope, send
+                    )
+                    await writer.write(parts)
+                else:
+                    answer = await _whole_answer(stream, parts, body.model)
+                    await answer(scope, receive, send)
+            finally:
+                await parts.aclose()
+
+    async def _start(
+        self,
+        account: declaration.ClientAccount,
+        route: declaration.Route,
+        body: ChatBody,
+        deadline: float,
+    ) -> chat.Stream:
+        """Waits for the request's turn and starts it."""
+        router = self._router
         prompt = self._tokenizer.encode(body.messages)
         ticket = await router.admission.admit(
             admission_controller.Demand(
-                account,
-                route.id,
-                len(prompt),
-                body.max_tokens,
-                route.deadline_seconds,
+                account, route.id, len(prompt), body.max_tokens, deadline
             )
         )
+        left = ticket.deadline_seconds
+        ends = router.clock.now() + left if left else None
         try:
             stream = router.chat.start(
-                chat.ChatRequest(account, route, prompt, body.max_tokens)
+                chat.ChatRequest(account, route, prompt, body.max_tokens, ends)
             )
         except errors.NutmegError:
             router.admission.release(ticket, 0)
@@ -72,60 +101,7 @@
         stream.on_end = lambda: router.admission.release(
             ticket, len(stream.gate.tokens)
         )
-        if body.stream:
-            return responses.StreamingResponse(
-                self._events(stream, body.model),
-                media_type="text/event-stream",
-            )
-        return await self._whole_answer(stream, body.model)
-
-    async def _whole_answer(
-        self, stream: chat.Stream, model: str
-    ) -> responses.Response:
-        texts: list[str] = []
-        finish = ""
-        async for part in self._router.chat.parts(stream):
-            texts += part.texts
-            if part.finish is not None:
-                finish = part.finish.value
-        prompt_tokens = len(stream.chat.prompt)
-        choice = {
-            "index": 0,
-            "message": {"role": "assistant", "content": "".join(texts)},
-            "finish_reason": finish,
-        }
-        usage = {
-            "prompt_tokens": prompt_tokens,
-            "completion_tokens": len(texts),
-            "total_tokens": prompt_tokens + len(texts),
-        }
-        return responses.JSONResponse(
-            {
-                "id": stream.request,
-                "object": "chat.completion",
-                "model": model,
-                "choices": [choice],
-                "usage": usage,
-            }
-        )
-
-    async def _events(
-        self, stream: chat.Stream, model: str
-    ) -> AsyncIterator[bytes]:
-        head = (
-            f'data: {{"id":{json.dumps(stream.request)},'
-            f'"object":"chat.completion.chunk","model":{json.dumps(model)},'
-            '"choices":[{"index":0,"delta":{"content":'
-        ).encode()
-        try:
-            async for part in self._router.chat.parts(stream):
-                yield _encode_part(head, part)
-            yield b"data: [DONE]\n\n"
-        except errors.NutmegError as error:
-            body = json.dumps(
-                {"error": answers.error_body(error, stream.request)}
-            )
-            yield f"event: error\ndata: {body}\n\n".encode()
+        return stream
 
     def _find_route(
         self, name: str, account: declaration.ClientAccount
@@ -157,12 +133,49 @@
     return parsed
 
 
-def _encode_part(head: bytes, part: chat.ChatPart) -> bytes:
-    chunks = [
-        b'%s%s},"finish_reason":null}]}\n\n' % (head, json.dumps(text).encode())
-        for text in part.texts
-    ]
-    if part.finish is not None:
-        reason = part.finish.value.encode()
-        chunks.append(b'%s""},"finish_reason":"%s"}]}\n\n' % (head, reason))
-    return b"".join(chunks)
+def _find_deadline(
+    request: requests.Request, route: declaration.Route
+) -> float:
+    """Returns the smaller of the caller's and the route's; 0 for none."""
+    header = request.headers.get(TIMEOUT_HEADER)
+    if header is None:
+        return route.deadline_seconds
+    try:
+        seconds = float(header)
+    except ValueError:
+        seconds = 0.0
+    if not 0 < seconds < float("inf"):
+        raise errors.RefusedError(f"{TIMEOUT_HEADER}: must be seconds above 0")
+    return min(seconds, route.deadline_seconds or seconds)
+
+
+async def _whole_answer(
+    stream: chat.Stream, parts: AsyncIterator[chat.ChatPart], model: str
+) -> responses.Response:
+    texts: list[str] = []
+    finish = ""
+    async for part in parts:
+        texts += part.texts
+        if part.finish is not None:
+            finish = part.finish.value
+    prompt_tokens = len(stream.chat.prompt)
+    choice = {
+        "index": 0,
+        "message": {"role": "assistant", "content": "".join(texts)},
+        "finish_reason": finish,
+    }
+    usage = {
+        "prompt_tokens": prompt_tokens,
+        "completion_tokens": len(texts),
+        "total_tokens": prompt_tokens + len(texts),
+    }
+    answer = {
+        "id": stream.request,
+        "object": "chat.completion",
+        "model": model,
+        "choices": [choice],
+        "usage": usage,
+    }
+    return responses.Response(
+        msgspec.json.encode(answer), media_type="application/json"
+    )
--- /dev/null
+++ b/packages/nutmeglift_router/nutmeglift_router/events.py
@@ -0,0 +1,118 @@
+"""Answers as server-sent events, with few writes and little encoding."""
+
+from collections.abc import AsyncIterator
+
+import msgspec
+from starlette import types
+
+from nutmeglift import errors
+from nutmeglift_router import answers
+from nutmeglift_router import chat
+from nutmeglift_wire import clock as clocks
+from nutmeglift_wire import http_server
+
+FLUSH_SECONDS = 0.04
+"""Tokens that come sooner after a write wait for the next one."""
+
+_HEADERS = [
+    (b"content-type", b"text/event-stream; charset=utf-8"),
+    (b"cache-control", b"no-store"),
+]
+_DONE = b"data: [DONE]\n\n"
+
+
+class EventWriter:
+    """Writes one answer to its caller."""
+
+    def __init__(
+        self,
+        stream: chat.Stream,
+        model: str,
+        clock: clocks.BaseClock,
+        scope: types.Scope,
+        send: types.Send,
+    ) -> None:
+        """Makes a writer.
+
+        Args:
+            stream: the answer.
+            model: the route, as the caller named it.
+            clock: the clock.
+            scope: the request's ASGI scope.
+            send: the request's ASGI send.
+        """
+        self._stream = stream
+        self._clock = clock
+        self._send = send
+        self._writer = http_server.body_writer(scope)
+        name = msgspec.json.encode(stream.request)
+        self._head = (
+            b'data: {"id":%s,"object":"chat.completion.chunk","model":%s,'
+            b'"choices":[{"index":0,"delta":{"content":'
+        ) % (name, msgspec.json.encode(model))
+
+    async def write(self, parts: AsyncIterator[chat.ChatPart]) -> None:
+        """Writes an answer to its end.
+
+        Raises:
+            errors.NutmegError: it failed before its first part; nothing was
+                written.
+        """
+        first = await anext(parts)
+        await self._send(
+            {
+                "type": "http.response.start",
+                "status": 200,
+                "headers": _HEADERS,
+            }
+        )
+        try:
+            await self._write_parts(first, parts)
+            await self._end(_DONE)
+        except errors.NutmegError as error:
+            body = answers.error_body(error, self._stream.request)
+            text = msgspec.json.encode({"error": body})
+            await self._end(b"event: error\ndata: %s\n\n" % text)
+
+    async def _write_parts(
+        self, first: chat.ChatPart, parts: AsyncIterator[chat.ChatPart]
+    ) -> None:
+        await self._write(self._encode(first))
+        written_at = self._clock.now()
+        part = first
+        while part.finish is None:
+            part = await anext(parts)
+            chunks = [self._encode(part)]
+            early = written_at + FLUSH_SECONDS - self._clock.now()
+            if early > 0 and part.finish is None:
+                await self._clock.sleep(early)
+            while self._stream.waiting and part.finish is None:
+                part = await anext(parts)
+                chunks.append(self._encode(part))
+            await self._write(b"".join(chunks))
+            written_at = self._clock.now()
+
+    async def _write(self, body: bytes) -> None:
+        if self._writer is not None:
+            await self._writer.write(body)
+            return
+        await self._send(
+            {"type": "http.response.body", "body": body, "more_body": True}
+        )
+
+    async def _end(self, body: bytes) -> None:
+        await self._send(
+            {"type": "http.response.body", "body": body, "more_body": False}
+        )
+
+    def _encode(self, part: chat.ChatPart) -> bytes:
+        head = self._head
+        encode = msgspec.json.encode
+        chunks = [
+            b'%s%s},"finish_reason":null}]}\n\n' % (head, encode(text))
+            for text in part.texts
+        ]
+        if part.finish is not None:
+            reason = part.finish.value.encode()
+            chunks.append(b'%s""},"finish_reason":"%s"}]}\n\n' % (head, reason))
+        return b"".join(chunks)
--- a/packages/nutmeglift_router/nutmeglift_router/http_app.py
+++ b/packages/nutmeglift_router/nutmeglift_router/http_app.py
@@ -28,7 +28,7 @@
         self.app = applications.Starlette(
             routes=[
                 routing.Route(
-                    "/v1/chat/completions", self._chat.serve, methods=["POST"]
+                    "/v1/chat/completions", self._chat, methods=["POST"]
                 ),
                 routing.Route(
                     "/services/{service}/{path:path}",
--- a/packages/nutmeglift_wire/nutmeglift_wire/http_server.py
+++ b/packages/nutmeglift_wire/nutmeglift_wire/http_server.py
@@ -2,16 +2,60 @@
 
 import asyncio
 from collections.abc import Iterator
+from collections.abc import MutableMapping
 import contextlib
 import socket
 from typing import Any
 
 import uvicorn
+from uvicorn.protocols.http import h11_impl
 
 BACKLOG = 2048
+_WRITER_KEY = "nutmeglift.body_writer"
 SHUTDOWN_SECONDS = 1
 
 
+class BodyWriter:
+    """Writes parts of a body that has begun, past the middleware.
+
+    The parts go out as HTTP/1.1 chunks; the server's own send begins and
+    ends the body.
+    """
+
+    def __init__(self, cycle: h11_impl.RequestResponseCycle) -> None:
+        self._cycle = cycle
+
+    async def write(self, part: bytes) -> None:
+        """Writes a part, once the caller has room; none to a gone caller."""
+        cycle = self._cycle
+        if cycle.flow.write_paused and not cycle.disconnected:
+            await cycle.flow.drain()
+        if not cycle.disconnected:
+            cycle.transport.write(b"%x\r\n%b\r\n" % (len(part), part))
+
+
+def body_writer(scope: MutableMapping[str, Any]) -> BodyWriter | None:
+    """Returns the writer of a request's answer, or None for want of one."""
+    return scope.get(_WRITER_KEY)
+
+
+class _WriterMiddleware:
+    """ASGI middleware, outermost, that offers a BodyWriter."""
+
+    def __init__(self, app: Any) -> None:
+        self._app = app
+
+    async def __call__(
+        self, scope: MutableMapping[str, Any], receive: Any, send: Any
+    ) -> None:
+        """Serves one request."""
+        cycle = getattr(send, "__self__", None)
+        chunked = scope.get("http_version") == "1.1"
+        if chunked and isinstance(cycle, h11_impl.RequestResponseCycle):
+            scope[_WRITER_KEY] = BodyWriter(cycle)
+        await self._app(scope, receive, send)
+
+
 class _Server(uvicorn.Server):
     """A server that leaves signals to the process."""
 
@@ -40,12 +84,13 @@
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind((host.strip("[]"), int(port)))
         config = uvicorn.Config(
-            self._app,
+            _WriterMiddleware(self._app),
             log_config=None,
             access_log=False,
             lifespan="off",
             backlog=BACKLOG,
             timeout_graceful_shutdown=SHUTDOWN_SECONDS,
+            http="h11",
             ws="none",
         )
         self._server = _Server(config)
