--- a/packages/nutmeglift/nutmeglift/limits.py
+++ b/packages/nutmeglift/nutmeglift/limits.py
@@ -3,7 +3,7 @@
 import dataclasses
 import math
 
-BURST_SECONDS = 1.0
+BURST_SECONDS = 0.5
 BURST_COSTS = 4.0
 MAX_WAIT_SECONDS = 0.5
 SMALLEST_RATE = 1e-9
--- a/packages/nutmeglift/nutmeglift/share_holder.py
+++ b/packages/nutmeglift/nutmeglift/share_holder.py
@@ -9,10 +9,11 @@
 from nutmeglift import limits
 from nutmeglift import shares
 
-METER_SECONDS = 5.0
+METER_SECONDS = 2.0
 RENEW_SECONDS = 2.0
 SHORTEST_REPORT_SECONDS = 0.5
 CHANGE_REPORTED = 0.25
+LOWERED_REPORTED = 0.95
 SMALLEST_DEMAND = 0.01
 ACCOUNTS_PER_DEMAND = 64
 IDLE_SECONDS = 60.0
@@ -43,10 +44,18 @@
 
 
 class _Account:
-    """One account's budgets and when they were last asked for."""
+    """One account's budgets and when they were last asked for.
+
+    Attributes:
+        budget_by_resource: its budgets.
+        reported_at: when it was last in a demand.
+        seen_at: when it was last asked for.
+        lowered: whether the owner waits to hear that a share was lowered.
+    """
 
     __slots__ = (
         "budget_by_resource",
+        "lowered",
         "reported_at",
         "seen_at",
         "sequence",
@@ -56,6 +65,7 @@
         self.budget_by_resource: dict[shares.Resource, _Budget] = {}
         self.reported_at = -METER_SECONDS
         self.seen_at = now
+        self.lowered = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -282,6 +292,8 @@
             rate = budget.meter.rate(now, METER_SECONDS)
             if rate < SMALLEST_DEMAND:
                 continue
+            if account.lowered:
+                return True
             change = abs(rate - budget.reported)
             if age >= RENEW_SECONDS or change > CHANGE_REPORTED * rate:
                 return True
@@ -297,6 +309,7 @@
         for name in names:
             account = self._account_by_id[name]
             account.reported_at = now
+            account.lowered = False
             budget = account.budget_by_resource.get(resource)
             if budget is None:
                 continue
@@ -353,10 +366,12 @@
         expires: float,
     ) -> None:
         account = self._account_by_id.get(name)
-        budget = account.budget_by_resource.get(resource) if account else None
-        if budget is None:
+        if account is None or resource not in account.budget_by_resource:
             return
+        budget = account.budget_by_resource[resource]
         self._renew_rate(now, budget)
+        if share < LOWERED_REPORTED * budget.share:
+            account.lowered = True
         budget.share = share
         budget.expires = expires
         self._renew_rate(now, budget)
--- a/packages/nutmeglift/nutmeglift/shares.py
+++ b/packages/nutmeglift/nutmeglift/shares.py
@@ -14,6 +14,10 @@
 """The owner holds a share back for longer, since clocks run unequally."""
 RESERVED_SHARE = 0.02
 """Part of each limit that routers without a share use, equally divided."""
+KEPT_SHARE = 0.8
+"""A share is kept that exceeds its router's fair one by less than this."""
+UNMET_TOLERATED = 0.1
+"""Shares are kept while routers lack less than this part of the limit."""
 SUMS_RENEWED_AFTER = 1024
 
 
@@ -40,6 +44,7 @@
     Attributes:
         demand: what it last asked for, a second.
         granted: its newest share.
+        unmet: what its newest share lacks of its fair share.
         outstanding: most that it may be using.
         sequence: sequence of the newest grant.
         expires: when all of this ends.
@@ -47,6 +52,7 @@
 
     demand: float = 0.0
     granted: float = 0.0
+    unmet: float = 0.0
     outstanding: float = 0.0
     sequence: int = 0
     expires: float = 0.0
@@ -65,6 +71,7 @@
         self._expiries: list[tuple[float, ids.VmId]] = []
         self._demand = 0.0
         self._outstanding = 0.0
+        self._unmet = 0.0
         self._changes = 0
 
     @property
@@ -101,6 +108,9 @@
         self._demand += demand - lease.demand
         lease.demand = demand
         share = self._find_share(lease)
+        self._unmet -= lease.unmet
+        lease.unmet = max(0.0, self._fair_share(lease) - share)
+        self._unmet += lease.unmet
         lease.granted = share
         lease.sequence = sequence
         if share > lease.outstanding:
@@ -121,14 +131,25 @@
             del self._lease_by_router[router]
             self._demand -= lease.demand
             self._outstanding -= lease.outstanding
+            self._unmet -= lease.unmet
 
     def _find_share(self, lease: _Lease) -> float:
         usable = self.limit * (1 - RESERVED_SHARE)
         others = self._outstanding - lease.outstanding
         free = max(0.0, usable - others)
+        wanted = self._fair_share(lease)
+        calm = self._unmet < UNMET_TOLERATED * usable
+        if calm and wanted > KEPT_SHARE * lease.granted:
+            # What is lowered and raised again with the noise of demand is of
+            # use to nobody until the lower share is acknowledged.
+            wanted = max(wanted, lease.granted)
+        return min(free, wanted)
+
+    def _fair_share(self, lease: _Lease) -> float:
         if self._demand <= 0:
             return 0.0
-        return min(free, usable * lease.demand / self._demand)
+        usable = self.limit * (1 - RESERVED_SHARE)
+        return usable * lease.demand / self._demand
 
     def _renew_sums(self) -> None:
         self._changes += 1
@@ -138,6 +159,7 @@
         leases = self._lease_by_router.values()
         self._demand = sum(lease.demand for lease in leases)
         self._outstanding = sum(lease.outstanding for lease in leases)
+        self._unmet = sum(lease.unmet for lease in leases)
 
 
 class ShareOwner:
