--- a/packages/nutmeglift/nutmeglift/admission.py
+++ b/packages/nutmeglift/nutmeglift/admission.py
@@ -12,6 +12,8 @@
 DEFAULT_TARGET_SECONDS = 30.0
 TARGET_SHARE = 0.5
 """Share of a deadline that a request should spend in flight."""
+LONGEST_RESERVE_SHARE = 0.92
+"""Part of a deadline that is kept for the time in flight at most."""
 ESTIMATES_KEPT = 4096
 ESTIMATE_SMOOTHING = 0.1
 SHORTEST_RETRY_SECONDS = 1.0
@@ -76,16 +78,21 @@
 
 
 class TokenEstimate:
-    """Expects what accounts generate, from what they generated before."""
+    """Expects what accounts generate, from what they generated before.
+
+    Of an account without an answer yet it expects what all others generate.
+    """
 
     def __init__(self) -> None:
+        self._share_of_all = 1.0
         self._share_by_account: collections.OrderedDict[
             ids.AccountId, float
         ] = collections.OrderedDict()
 
     def expect(self, account: ids.AccountId, max_tokens: int) -> float:
         """Returns the expected number of generated tokens."""
-        return max_tokens * self._share_by_account.get(account, 1.0)
+        share = self._share_by_account.get(account, self._share_of_all)
+        return max_tokens * share
 
     def note(
         self, account: ids.AccountId, max_tokens: int, generated: int
@@ -93,8 +100,9 @@
         """Notes how many of the allowed tokens were generated."""
         if not max_tokens:
             return
-        old = self._share_by_account.pop(account, 1.0)
+        old = self._share_by_account.pop(account, self._share_of_all)
         sample = min(1.0, generated / max_tokens)
+        self._share_of_all += ESTIMATE_SMOOTHING * (sample - self._share_of_all)
         new = old + ESTIMATE_SMOOTHING * (sample - old)
         self._share_by_account[account] = new
         if len(self._share_by_account) > ESTIMATES_KEPT:
@@ -257,7 +265,7 @@
             return [self._refuse_overloaded(number)]
         self._request_by_number[number] = request
         if request.deadline is not None:
-            latest = request.deadline - self._service_seconds(request)
+            latest = request.deadline - self._reserve(request)
             heapq.heappush(self._expiries, (latest, number))
         if victim is None:
             return []
@@ -292,9 +300,13 @@
         self._queue.correct(request.waiting, cost)
         self._estimate.note(arrival.account, arrival.max_tokens, generated)
         if generated or not arrival.max_tokens:
-            self._service_time.note(cost, seconds)
+            self._service_time.note(seconds)
             self._work_limit.note_done(
-                cost, seconds, _target_seconds(arrival), self.in_flight_tokens
+                cost,
+                float(generated),
+                seconds,
+                _target_seconds(arrival),
+                self.in_flight_tokens,
             )
         if self._queue:
             self._drain_rate.note_done(cost)
@@ -319,7 +331,7 @@
         wait = self.estimate_wait(
             arrival.account, arrival.priority, arrival.weight
         )
-        needed = wait + self._service_seconds(request)
+        needed = wait + self._reserve(request)
         if needed <= arrival.deadline_seconds:
             return None
         return Refuse(
@@ -356,10 +368,12 @@
     def _is_late(self, now: float, request: _Request) -> bool:
         if request.deadline is None:
             return False
-        return now + self._service_seconds(request) > request.deadline
+        return now + self._reserve(request) > request.deadline
 
-    def _service_seconds(self, request: _Request) -> float:
-        return self._service_time.estimate(request.waiting.cost)
+    def _reserve(self, request: _Request) -> float:
+        """Returns the seconds to keep for a request's time in flight."""
+        longest = request.arrival.deadline_seconds * LONGEST_RESERVE_SHARE
+        return min(self._service_time.estimate(), longest)
 
     def _advance(self, now: float) -> None:
         self._drain_rate.advance(now, bool(self._queue))
--- a/packages/nutmeglift/nutmeglift/concurrency.py
+++ b/packages/nutmeglift/nutmeglift/concurrency.py
@@ -9,10 +9,16 @@
 SMALLEST_TOKENS = 1024.0
 LARGEST_TOKENS = 1e9
 GAIN = 0.2
+PACE_SMOOTHING = 0.01
+PACE_TOLERANCE = 1.9
+"""Seconds a token over the best ones at which the fleet is full."""
+BEST_GROWTH = 1.000001
+SAME_PACE = 1.02
+PROBED_SHARE = 0.7
 STRONGEST_FALL = -4.0
 USED_SHARE = 0.8
 SMOOTHING = 0.05
-DEVIATIONS = 2.0
+DEVIATIONS = 4.0
 RATE_HORIZON_SECONDS = 5.0
 SHORTEST_MEASURED_SECONDS = 0.5
 
@@ -30,6 +36,7 @@
     def note_done(
         self,
         cost: float,
+        generated: float,
         seconds: float,
         target_seconds: float,
         in_flight: float,
@@ -38,6 +45,7 @@
 
         Args:
             cost: its work, in tokens.
+            generated: tokens that it generated.
             seconds: how long it was in flight.
             target_seconds: how long it should have been at most.
             in_flight: tokens in flight when it ended, its own included.
@@ -53,6 +61,7 @@
     def note_done(
         self,
         cost: float,
+        generated: float,
         seconds: float,
         target_seconds: float,
         in_flight: float,
@@ -60,59 +69,94 @@
         """Does nothing."""
 
 
-class LatencyLimit(BaseWorkLimit):
-    """Steers the limit to where requests take their target time.
+class PaceLimit(BaseWorkLimit):
+    """Steers the limit to where more work would only take longer.
 
-    Batching engines give the more tokens a second, the more work they have,
-    until their memory is full, and every request then takes longer. The
-    limit therefore grows while it is used and requests stay within their
-    target, and falls when they take longer.
+    Batching engines give the more tokens a second, the more streams they
+    have, at the same seconds a token, until they are full; from there on the
+    seconds a token rise. The limit grows while it is used and the pace is
+    near the best one seen, and falls when it is slower. Where requests take
+    longer than their target, the limit is lowered a little below the load at
+    which the best pace was seen, to find out whether there is a better one.
     """
 
     def __init__(self, tokens: float = INITIAL_TOKENS) -> None:
         self.tokens = tokens
-        self._slowness: float | None = None
+        self._seconds = 0.0
+        self._generated = 0.0
+        self._lateness = 0.0
+        self._best_pace = math.inf
+        self._load_pace = math.inf
+        self._best_load = 0.0
 
     def note_done(
         self,
         cost: float,
+        generated: float,
         seconds: float,
         target_seconds: float,
         in_flight: float,
     ) -> None:
         """Notes that a request ended."""
-        sample = seconds / target_seconds
-        if self._slowness is None:
-            self._slowness = sample
-        self._slowness += SMOOTHING * (sample - self._slowness)
-        push = max(STRONGEST_FALL, 1.0 - self._slowness)
+        if not generated or seconds <= 0:
+            return
+        if not self._generated:
+            self._seconds, self._generated = seconds, generated
+        self._seconds += PACE_SMOOTHING * (seconds - self._seconds)
+        self._generated += PACE_SMOOTHING * (generated - self._generated)
+        late = seconds / target_seconds
+        self._lateness += SMOOTHING * (late - self._lateness)
+        pace = self._seconds / self._generated
+        self._note_pace(pace, in_flight)
+        push = max(STRONGEST_FALL, 1.0 - self._crowding(pace))
         if push > 0 and in_flight < USED_SHARE * self.tokens:
             return
         tokens = self.tokens + GAIN * push * cost
         self.tokens = max(SMALLEST_TOKENS, min(LARGEST_TOKENS, tokens))
 
+    def _note_pace(self, pace: float, in_flight: float) -> None:
+        """Keeps the best pace and the largest load at which it was seen."""
+        self._best_pace = min(self._best_pace * BEST_GROWTH, pace)
+        if pace < self._load_pace / SAME_PACE:
+            self._load_pace = pace
+            self._best_load = in_flight
+        elif pace < self._load_pace * SAME_PACE:
+            self._best_load = max(self._best_load, in_flight)
+
+    def _crowding(self, pace: float) -> float:
+        """Returns how full the fleet is; 1 is just right."""
+        crowding = pace / (PACE_TOLERANCE * self._best_pace)
+        if crowding >= 1.0 or self._lateness <= 1.0:
+            return crowding
+        if self.tokens > PROBED_SHARE * self._best_load:
+            return self._lateness
+        return crowding
+
 
 class ServiceTime:
-    """Seconds that a request takes once it is in flight."""
+    """Seconds that requests take once they are in flight.
+
+    It leaves out what a request is expected to cost: an account whose
+    requests seem too long would never be let in to show otherwise.
+    """
 
     def __init__(self) -> None:
         self._mean: float | None = None
         self._deviation = 0.0
 
-    def note(self, cost: float, seconds: float) -> None:
+    def note(self, seconds: float) -> None:
         """Notes that a request took so long."""
-        sample = seconds / cost
         if self._mean is None:
-            self._mean = sample
-        error = sample - self._mean
+            self._mean = seconds
+        error = seconds - self._mean
         self._mean += SMOOTHING * error
         self._deviation += SMOOTHING * (abs(error) - self._deviation)
 
-    def estimate(self, cost: float) -> float:
-        """Returns the seconds that most requests of this cost stay within."""
+    def estimate(self) -> float:
+        """Returns the seconds that most requests stay within."""
         if self._mean is None:
             return 0.0
-        return cost * (self._mean + DEVIATIONS * self._deviation)
+        return self._mean + DEVIATIONS * self._deviation
 
 
 class DrainRate:
--- a/packages/nutmeglift_router/nutmeglift_router/admission_controller.py
+++ b/packages/nutmeglift_router/nutmeglift_router/admission_controller.py
@@ -303,10 +303,10 @@
             and f"{assignment.model}/{assignment.version}" == name
         )
         if not flow:
-            return concurrency.LatencyLimit()
+            return concurrency.PaceLimit()
         routers = self._shares.count_routers() if self._shares else 1
         target = admission.DEFAULT_TARGET_SECONDS
-        return concurrency.LatencyLimit(flow * target / routers)
+        return concurrency.PaceLimit(flow * target / routers)
 
     def _take_drain(self, state: drains.DrainState) -> None:
         if state is not drains.DrainState.SERVING:
