--- a/packages/nutmeglift/nutmeglift/shares.py
+++ b/packages/nutmeglift/nutmeglift/shares.py
@@ -14,6 +14,12 @@
 """The owner holds a share back for longer, since clocks run unequally."""
 RESERVED_SHARE = 0.02
 """Part of each limit that routers without a share use, equally divided."""
+KEPT_SHARE = 0.8
+"""A share is kept that exceeds its router's fair one by less than this."""
+UNMET_TOLERATED = 0.1
+"""Shares are kept while routers lack less than this part of the limit."""
+STARVING_SHARE = 0.5
+"""A router with less than this part of its fair share is starving."""
 SUMS_RENEWED_AFTER = 1024
 HEADROOM = 4.0
 """A share is at most so many times what its router asks for."""
@@ -44,6 +50,8 @@
     Attributes:
         demand: what it last asked for, a second.
         granted: its newest share.
+        unmet: what its newest share lacks of its fair share.
+        starving: whether that is most of it.
         outstanding: most that it may be using.
         sequence: sequence of the newest grant.
         expires: when all of this ends.
@@ -51,6 +59,8 @@
 
     demand: float = 0.0
     granted: float = 0.0
+    unmet: float = 0.0
+    starving: bool = False
     outstanding: float = 0.0
     sequence: int = 0
     expires: float = 0.0
@@ -78,6 +88,8 @@
         self._expiries: list[tuple[float, ids.VmId]] = []
         self._demand = 0.0
         self._outstanding = 0.0
+        self._unmet = 0.0
+        self._starving = 0
         self._changes = 0
 
     @property
@@ -115,6 +127,13 @@
         self._demand += demand - lease.demand
         lease.demand = demand
         share = self._find_share(lease)
+        self._unmet -= lease.unmet
+        fair = self._fair_share(lease)
+        lease.unmet = max(0.0, fair - share)
+        self._unmet += lease.unmet
+        self._starving -= lease.starving
+        lease.starving = share < STARVING_SHARE * fair
+        self._starving += lease.starving
         lease.granted = share
         lease.sequence = sequence
         if share > lease.outstanding:
@@ -143,6 +162,8 @@
             del self._lease_by_router[router]
             self._demand -= lease.demand
             self._outstanding -= lease.outstanding
+            self._unmet -= lease.unmet
+            self._starving -= lease.starving
 
     def _save(self, now: float) -> None:
         usable = self.limit * (1 - RESERVED_SHARE)
@@ -155,10 +176,20 @@
         usable = self.limit * (1 - RESERVED_SHARE)
         others = self._outstanding - lease.outstanding
         free = max(0.0, usable - others)
+        wanted = self._fair_share(lease)
+        calm = not self._starving and self._unmet < UNMET_TOLERATED * usable
+        if calm and wanted > KEPT_SHARE * lease.granted:
+            # What is lowered and raised again with the noise of demand is of
+            # use to nobody until the lower share is acknowledged.
+            wanted = max(wanted, lease.granted)
+        return min(free, wanted)
+
+    def _fair_share(self, lease: _Lease) -> float:
         if self._demand <= 0:
             return 0.0
+        usable = self.limit * (1 - RESERVED_SHARE)
         part = usable * lease.demand / self._demand
-        return min(free, part, HEADROOM * lease.demand)
+        return min(part, HEADROOM * lease.demand)
 
     def _renew_sums(self) -> None:
         self._changes += 1
@@ -168,6 +199,7 @@
         leases = self._lease_by_router.values()
         self._demand = sum(lease.demand for lease in leases)
         self._outstanding = sum(lease.outstanding for lease in leases)
+        self._unmet = sum(lease.unmet for lease in leases)
 
 
 class ShareOwner:
@@ -291,6 +323,8 @@
                 limit = limit_of(account, resource)
                 division = Division(limit, self._grants_from)
                 self._division_by_key[name, resource] = division
+            # Saves up what was unused before the acknowledgement frees more.
+            division.expire(now)
             if demand.epoch == self.epoch:
                 division.acknowledge(router, demand.acknowledged)
             shares[name] = division.grant(now, router, rate, demand.sequence)
--- a/packages/nutmeglift_router/nutmeglift_router/share_controller.py
+++ b/packages/nutmeglift_router/nutmeglift_router/share_controller.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import logging
 
+from nutmeglift import account_budget
 from nutmeglift import blackboard
 from nutmeglift import codec
 from nutmeglift import control_messages
@@ -159,7 +160,7 @@
         self.tick()
         asked_until = self._clock.now() + MAX_ASK_SECONDS
         while self._holder.has_unsent() and self._clock.now() < asked_until:
-            await self._clock.sleep(share_holder.SHORTEST_ASK_SECONDS)
+            await self._clock.sleep(account_budget.SHORTEST_ASK_SECONDS)
             self.tick()
 
     def _take_demand(
