--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -43,7 +43,7 @@
 
 LISTED = ("list", [ENTRY])
 LISTED_LEAVING = ("list", [LEAVING_ENTRY])
-UNLISTED = ("list", [])
+UNLISTED: tuple[str, list[plan.VmEntry]] = ("list", [])
 UP = ("hello", hello())
 DOWN = ("lost",)
 
