--- a/tests/test_configuration_fuzz.py
+++ b/tests/test_configuration_fuzz.py
@@ -11,7 +11,6 @@
 
 from nutmeglift import configuration
 from nutmeglift import configuration_apply
-from nutmeglift import configuration_spread
 from nutmeglift import errors
 from nutmeglift import ids
 from nutmeglift import settings
@@ -48,9 +47,15 @@
 
     acknowledged: list[str] = dataclasses.field(default_factory=list)
     maybe: list[str] = dataclasses.field(default_factory=list)
-    shown_by_process: dict = dataclasses.field(default_factory=dict)
-    digest_by_order: dict = dataclasses.field(default_factory=dict)
-    apply_by_generation: dict = dataclasses.field(default_factory=dict)
+    shown_by_process: dict[str, tuple[int, float, str]] = dataclasses.field(
+        default_factory=dict
+    )
+    digest_by_order: dict[tuple[int, float, str], str] = dataclasses.field(
+        default_factory=dict
+    )
+    apply_by_generation: dict[int, str] = dataclasses.field(
+        default_factory=dict
+    )
 
     def accept(self, head: configuration.Head) -> None:
         other = self.apply_by_generation.setdefault(head.generation, head.apply)
@@ -272,7 +277,7 @@
             lambda stored, own: None,
         ),
         "a process takes any head": (
-            configuration_spread.configuration,
+            configuration,
             "is_newer",
             lambda head, other: head != other,
         ),
--- /dev/null
+++ b/tests/test_router_links.py
@@ -0,0 +1,165 @@
+"""Tests of the connections between routers."""
+
+import asyncio
+import collections
+import unittest
+
+import networkx
+
+from nutmeglift import ids
+from nutmeglift import messages
+from nutmeglift import neighbours
+from nutmeglift import plan
+from nutmeglift import states
+from tests import utils
+from tests import virtual_time
+
+
+def make_entries(count, domains=18):
+    """Returns so many routers, spread over failure domains."""
+    return [
+        plan.VmEntry(
+            ids.VmId(f"entry-{n}"),
+            f"10.1.{n // 250}.{n % 250}:7000",
+            ids.FailureDomain(f"domain-{n % domains}"),
+            None,
+        )
+        for n in range(count)
+    ]
+
+
+class NeighboursTest(unittest.TestCase):
+    def test_choice_spreads_over_failure_domains(self):
+        entries = make_entries(510)
+        for entry in entries[:20]:
+            chosen = neighbours.choose(entry.vm, entries)
+            self.assertEqual(len(chosen), neighbours.DIALLED_NEIGHBOURS)
+            domains = {other.failure_domain for other in chosen}
+            self.assertEqual(len(domains), len(chosen))
+            self.assertNotIn(entry, chosen)
+
+    def test_graph_is_connected_small_and_survives_a_domain(self):
+        entries = make_entries(510)
+        graph = networkx.Graph()
+        for entry in entries:
+            for other in neighbours.choose(entry.vm, entries):
+                graph.add_edge(entry.vm, other.vm)
+        self.assertLessEqual(networkx.diameter(graph), 7)
+        self.assertLess(max(degree for _, degree in graph.degree), 24)
+        for lost in ("domain-0", "domain-7"):
+            rest = [e.vm for e in entries if e.failure_domain != lost]
+            self.assertTrue(networkx.is_connected(graph.subgraph(rest)))
+
+    def test_one_vm_more_changes_few_choices(self):
+        before, after = make_entries(100), make_entries(101)
+        changed = sum(
+            {e.vm for e in neighbours.choose(entry.vm, before)}
+            != {e.vm for e in neighbours.choose(entry.vm, after)}
+            for entry in before
+        )
+        self.assertLess(changed, 15)
+
+
+class RouterLinksTest(unittest.TestCase):
+    def _run(self, scenario, routers):
+        async def run():
+            world = utils.World()
+            await world.start(runners=1, services=0, routers=routers)
+            try:
+                return await scenario(world)
+            finally:
+                await world.stop()
+
+        return virtual_time.run(run())
+
+    def test_few_routers_are_all_connected_and_post_both_ways(self):
+        async def scenario(world):
+            got = collections.Counter()
+            routers = [p.router for p in world.router_by_vm.values()]
+            for router in routers:
+                router.routers._on_message = (
+                    lambda vm, message, own=router.own.vm: got.update(
+                        [(vm, own)] * isinstance(message, messages.Leaving)
+                    )
+                )
+            sent = [
+                router.routers.post(other.own.vm, messages.Leaving())
+                for router in routers
+                for other in routers
+                if other is not router
+            ]
+            await asyncio.sleep(0.1)
+            missing = routers[0].routers.post(
+                ids.VmId("nobody"), messages.Leaving()
+            )
+            return sent, got, missing
+
+        sent, got, missing = self._run(scenario, 4)
+        self.assertEqual(sent, [True] * 12)
+        self.assertEqual(set(got.values()), {1})
+        self.assertEqual(len(got), 12)
+        self.assertFalse(missing)
+
+    def test_lost_routers_and_silent_connections_are_replaced(self):
+        async def scenario(world):
+            one, two, three = world.router_by_vm.values()
+            world.network.silence(one.address, two.address)
+            await asyncio.sleep(5.0)
+            reopened = one.router.routers.connected
+            await world.kill("entry-3")
+            await asyncio.sleep(5.0)
+            lost = one.router.routers.connected
+            world.add_router("entry-3", 2)
+            await asyncio.sleep(8.0)
+            return reopened, lost, one.router.routers.connected
+
+        reopened, lost, back = self._run(scenario, 3)
+        self.assertEqual(reopened, ["entry-2", "entry-3"])
+        self.assertEqual(lost, ["entry-2"])
+        self.assertEqual(back, ["entry-2", "entry-3"])
+
+    def test_leader_is_always_connected(self):
+        async def scenario(world):
+            await asyncio.sleep(8.0)
+            ((leader, _),) = [
+                (vm, p)
+                for vm, p in world.router_by_vm.items()
+                if p.router.lease.held_number() is not None
+            ]
+            return [
+                leader in p.router.routers.connected
+                for vm, p in world.router_by_vm.items()
+                if vm != leader
+            ]
+
+        self.assertEqual(set(self._run(scenario, 24)), {True})
+
+    def test_stranger_is_refused(self):
+        async def scenario(world):
+            (process,) = world.router_by_vm.values()
+            link = await world.network.connect(
+                "10.8.0.1:1", process.address, process.clock
+            )
+            await link.send(
+                messages.Hello(
+                    messages.PROTOCOL_VERSION,
+                    states.ProcessRole.ROUTER,
+                    ids.VmId("stranger"),
+                    ids.Incarnation("x"),
+                    ids.FailureDomain("x"),
+                )
+            )
+            answer = await link.receive()
+            await link.send(answer)
+            await asyncio.sleep(3.0)
+            return process.router.routers.connected, dict(
+                process.router.counters.total_by_name
+            )
+
+        connected, counters = self._run(scenario, 1)
+        self.assertEqual(connected, [])
+        self.assertEqual(counters["router_link.refused"], 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
