--- a/packages/nutmeglift_agent/nutmeglift_agent/agent.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/agent.py
@@ -81,6 +81,7 @@
                 post_to_router=self._ports.post,
                 post_tokens=self._ports.post_tokens,
                 accepts_work=lambda: self.drain.accepts_work,
+                replay_bytes=own.bounds.replay_bytes,
             )
         if service is not None:
             self._plain = plain_work.PlainWork(
@@ -162,6 +163,7 @@
             self._own.failure_domain,
             self._configuration.generation,
             not self.drain.accepts_work,
+            self._fencing_number(),
         )
 
     def _make_answer(self, peer: messages.Hello) -> messages.Hello:
@@ -173,6 +175,7 @@
             sequence,
             self._configuration.generation,
             not self.drain.accepts_work,
+            self._fencing_number(),
             load=self._load,
         )
 
@@ -253,6 +256,8 @@
         match message:
             case messages.OpenStage():
                 self._stages.open_stage(message)
+            case messages.ReplaceStage():
+                self._stages.replace(message)
             case messages.HopFrame(hops):
                 for hop in hops:
                     self._stages.take_hop(hop)
@@ -324,6 +329,11 @@
             self.drain.leave()
         self._ports.post(session.peer.vm, result)
 
+    def _fencing_number(self) -> ids.FencingNumber:
+        if self._orders is None:
+            return ids.FencingNumber(0)
+        return self._orders.gate.highest
+
     def _learn_fencing_number(self, heartbeat: messages.Heartbeat) -> None:
         if self._orders is not None:
             self._orders.learn(
