--- a/packages/nutmeglift/nutmeglift/configuration_chunks.py
+++ b/packages/nutmeglift/nutmeglift/configuration_chunks.py
@@ -158,7 +158,29 @@
         raise errors.DeclarationError(
             [f"a chunk is damaged: {type(error).__name__}"]
         ) from error
-    return {name: getattr(declared, name) for name in declared.model_fields_set}
+    found = {
+        name: getattr(declared, name) for name in declared.model_fields_set
+    }
+    for entries in found.values():
+        for entry in entries:
+            _share_memory(entry)
+    return found
+
+
+def _share_memory(entry: pydantic.BaseModel) -> None:
+    """Lets entries share what most have in common: field names and numbers."""
+    kind = type(entry)
+    names = _FIELD_NAMES_BY_KIND.setdefault(kind, set(kind.model_fields))
+    if entry.__pydantic_fields_set__ == names:
+        object.__setattr__(entry, "__pydantic_fields_set__", names)
+    values = entry.__dict__
+    for name, value in values.items():
+        if isinstance(value, float):
+            values[name] = _COMMON_NUMBERS.get(value, value)
+
+
+_FIELD_NAMES_BY_KIND: dict[type[pydantic.BaseModel], set[str]] = {}
+_COMMON_NUMBERS = {float(number): float(number) for number in range(101)}
 
 
 def _make_leaves(declared: declaration.Declaration) -> Iterable[bytes]:
