--- a/packages/nutmeglift/nutmeglift/status.py
+++ b/packages/nutmeglift/nutmeglift/status.py
@@ -50,6 +50,7 @@
         accepts_work: whether new work may come in.
         leader: VM that holds the planner's role; empty for none.
         fencing_number: highest fencing number known.
+        waiting: requests queued.
         chats_in_flight: answers on their way.
         calls_in_flight: calls of plain services on their way.
         processes: this process and those connected to it.
@@ -65,6 +66,7 @@
     accepts_work: bool
     leader: str
     fencing_number: ids.FencingNumber
+    waiting: int
     chats_in_flight: int
     calls_in_flight: int
     processes: tuple[ProcessStatus, ...]
@@ -109,7 +111,7 @@
             f" accepts work {_yes(router.accepts_work)},"
             f" leader {router.leader or '-'}"
             f" (fencing number {router.fencing_number}),"
-            f" {router.chats_in_flight} chats and"
+            f" {router.waiting} queued, {router.chats_in_flight} chats and"
             f" {router.calls_in_flight} calls in flight"
         )
     lines.append(f"{'VM':24} {'role':7} {'state':8} {'generation':>10}  domain")
--- a/packages/nutmeglift_router/nutmeglift_router/status_maker.py
+++ b/packages/nutmeglift_router/nutmeglift_router/status_maker.py
@@ -19,6 +19,7 @@
         router.drain.accepts_work,
         leader.vm if leader is not None else "",
         router.lease.fencing_number,
+        router.admission.waiting,
         router.chat.in_flight,
         router.plain.in_flight,
         (_own(router), *_other_routers(router), *_agents(router)),
--- a/tests/test_operator_client.py
+++ b/tests/test_operator_client.py
@@ -152,6 +152,7 @@
         code, out, _ = run("status", router)
         self.assertEqual(code, 0)
         self.assertIn("router entry-1: generation 3", out)
+        self.assertIn("0 queued", out)
 
         code, out, err = run("drain", "nobody", router)
         self.assertEqual(code, 1)
