--- a/tests/test_router_links.py
+++ b/tests/test_router_links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import random
 import unittest
 
 import networkx
@@ -10,7 +11,17 @@
 from nutmeglift import messages
 from nutmeglift import neighbours
 from nutmeglift import plan
+from nutmeglift import settings
 from nutmeglift import states
+from nutmeglift_fakes import deployment
+from nutmeglift_router import entries
+from nutmeglift_router import router as routers
+from nutmeglift_wire import clock as clocks
+from nutmeglift_wire import etcd_kv
+from nutmeglift_wire import metrics
+from nutmeglift_wire import vm_list
+from nutmeglift_wire import websocket_link
+from tests import test_configuration
 from tests import utils
 from tests import virtual_time
 
@@ -161,5 +172,66 @@
         self.assertEqual(counters["router_link.refused"], 1)
 
 
+class WebsocketTest(unittest.TestCase):
+    """Two routers as the binary wires them, over real sockets."""
+
+    def test_second_router_learns_in_an_outage(self):
+        found = asyncio.run(asyncio.wait_for(self._run(), 20))
+        self.assertEqual(found, [1, 1])
+
+    async def _run(self):
+        deployed = deployment.Deployment()
+        platform = await deployed.start()
+        started = []
+        try:
+            started.append(await self._start(deployed, platform, "entry-1"))
+            await test_configuration.apply(
+                deployed.store, utils.make_declaration()
+            )
+            await self._wait(started[0][0])
+            deployed.store.set_down(True)
+            started.append(await self._start(deployed, platform, "entry-2"))
+            await self._wait(started[1][0])
+            return [router.configuration.generation for router, _ in started]
+        finally:
+            for router, listener in started:
+                await router.stop()
+                await listener.stop()
+            await deployed.stop()
+
+    async def _start(self, deployed, platform, name):
+        listener = websocket_link.WebsocketListener(
+            lambda link: router.serve_link(link)  # noqa: PLW0108
+        )
+        address = await listener.start(deployment.ANY_PORT)
+        vm, domain = ids.VmId(name), ids.FailureDomain("luzon-1")
+        router = routers.Router(
+            settings.RouterSettings(
+                vm=vm,
+                listen=address,
+                http=deployment.ANY_PORT,
+                failure_domain=domain,
+                platform=platform,
+                shared_key=deployment.SHARED_KEY,
+            ),
+            incarnation=ids.Incarnation(f"{name}-1"),
+            clock=clocks.LoopClock(),
+            rng=random.Random(1),
+            store=etcd_kv.EtcdKv(platform.key_value, platform.timeout_seconds),
+            vms=vm_list.HttpVmList(platform.vm_list, platform.timeout_seconds),
+            dialer=websocket_link.WebsocketDialer(),
+            metrics=metrics.NoMetrics(),
+        )
+        router.start()
+        deployed.vms.put(plan.VmEntry(vm, address, domain, None))
+        return router, listener
+
+    async def _wait(self, router):
+        in_force = asyncio.Event()
+        router.board.watch(entries.CONFIGURATION, lambda _: in_force.set())
+        if router.configuration.generation == 0:
+            await in_force.wait()
+
+
 if __name__ == "__main__":
     unittest.main()
