--- a/packages/nutmeglift/nutmeglift/configuration_spread.py
+++ b/packages/nutmeglift/nutmeglift/configuration_spread.py
@@ -259,7 +259,7 @@
         self, peer: ids.VmId, generation: ids.Generation, now: float
     ) -> None:
         """Notes the generation that a peer shows."""
-        if now >= self._trusted_from:
+        if not self._confirmed and now >= self._trusted_from:
             self._generation_by_peer[peer] = generation
 
     def is_fresh(
@@ -275,6 +275,8 @@
         self.tick(now)
         if not self._confirmed:
             self._confirmed = self._is_confirmed_by_peers(own, known_peers)
+        if self._confirmed:
+            self._generation_by_peer.clear()
         return self._confirmed
 
     def _is_confirmed_by_peers(
--- a/tests/test_admin_endpoint.py
+++ b/tests/test_admin_endpoint.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import logging
 import unittest
 
 from nutmeglift import auth
@@ -117,6 +118,38 @@
             self.assertNotIn(auth.hash_token(secret), text)
         self.assertNotIn(utils.SHARED_KEY.get_secret_value(), text)
 
+    def test_logs_hold_no_secret(self):
+        records = []
+        handler = logging.Handler()
+        handler.emit = lambda record: records.append(str(vars(record)))
+        root = logging.getLogger()
+        level, disabled = root.level, root.manager.disable
+
+        async def scenario(world, app):
+            for token in (TOKEN, "wrong-token", utils.TOKEN):
+                await call(app, "GET", "/admin/v1/status", token)
+            body = {"vm": "runner-1"}
+            await call(app, "POST", "/admin/v1/drain", body=body)
+            await world.apply(utils.make_declaration())
+            await asyncio.sleep(2.0)
+
+        try:
+            logging.disable(logging.NOTSET)
+            root.setLevel(logging.DEBUG)
+            root.addHandler(handler)
+            self._run(scenario)
+        finally:
+            root.removeHandler(handler)
+            root.setLevel(level)
+            logging.disable(disabled)
+        text = "\n".join(records)
+        for line in ("configuration in force", "drain ordered"):
+            self.assertIn(line, text)
+        for secret in (TOKEN, utils.TOKEN, "wrong-token"):
+            self.assertNotIn(secret, text)
+            self.assertNotIn(auth.hash_token(secret), text)
+        self.assertNotIn(utils.SHARED_KEY.get_secret_value(), text)
+
     def test_drained_agent_gets_no_new_work(self):
         async def scenario(world, app):
             vm = ids.VmId("runner-1")
--- a/tests/test_configuration_spread.py
+++ b/tests/test_configuration_spread.py
@@ -153,6 +153,13 @@
                     freshness.is_fresh(self.OWN, 2, 0.5 + pause), fresh
                 )
 
+    def test_confirmed_process_keeps_nothing_about_its_peers(self):
+        freshness = self._make()
+        freshness.note_peer(PEER, self.OWN, 0.1)
+        self.assertTrue(freshness.is_fresh(self.OWN, 1, 0.2))
+        freshness.note_peer(OTHER, self.OWN, 0.3)
+        self.assertEqual(freshness._generation_by_peer, {})
+
     def test_what_was_said_before_the_pause_ended_proves_nothing(self):
         freshness = self._make()
         freshness.note_service(0.0)
