--- a/packages/nutmeglift/nutmeglift/share_holder.py
+++ b/packages/nutmeglift/nutmeglift/share_holder.py
@@ -3,18 +3,14 @@
 import dataclasses
 import enum
 
+from nutmeglift import account_budget
 from nutmeglift import control_messages
 from nutmeglift import declaration
 from nutmeglift import ids
 from nutmeglift import limits
 from nutmeglift import shares
 
-METER_SECONDS = 5.0
-RENEW_SECONDS = 2.0
-SHORTEST_REPORT_SECONDS = 0.5
-SHORTEST_ASK_SECONDS = 0.05
-CHANGE_REPORTED = 0.25
-SMALLEST_DEMAND = 0.01
+LOWERED_REPORTED = 0.95
 ACCOUNTS_PER_DEMAND = 64
 IDLE_SECONDS = 60.0
 
@@ -27,52 +23,6 @@
     KNOWN = "known"
 
 
-class _Budget:
-    """One account's budget of one resource on this router."""
-
-    __slots__ = (
-        "asked",
-        "bucket",
-        "expires",
-        "limit",
-        "meter",
-        "reported",
-        "share",
-        "wanted",
-    )
-
-    def __init__(
-        self, now: float, limit: float, bucket: limits.TokenBucket
-    ) -> None:
-        self.limit = limit
-        self.bucket = bucket
-        self.meter = limits.DemandMeter(now)
-        self.share = 0.0
-        self.expires = 0.0
-        self.reported = 0.0
-        self.wanted = 0.0
-        self.asked = 0.0
-
-
-class _Account:
-    """One account's budgets and when they were last asked for."""
-
-    __slots__ = (
-        "asking",
-        "budget_by_resource",
-        "refused_until",
-        "reported_at",
-        "seen_at",
-    )
-
-    def __init__(self, now: float) -> None:
-        self.budget_by_resource: dict[shares.Resource, _Budget] = {}
-        self.reported_at = -METER_SECONDS
-        self.seen_at = now
-        self.asking = False
-        self.refused_until = now
-
-
 @dataclasses.dataclass(frozen=True)
 class _Sent:
     """A demand that was sent and not answered."""
@@ -107,7 +57,7 @@
         self._sequence = first_sequence
         self._acknowledged = 0
         self._unanswered: list[_Sent] = []
-        self._account_by_id: dict[ids.AccountId, _Account] = {}
+        self._account_by_id: dict[ids.AccountId, account_budget.Account] = {}
 
     def __len__(self) -> int:
         return len(self._account_by_id)
@@ -120,7 +70,7 @@
         self._view = OwnerView.KNOWN
         self._unanswered.clear()
         for account in self._account_by_id.values():
-            account.reported_at = -METER_SECONDS
+            account.reported_at = -account_budget.METER_SECONDS
 
     def set_routers(self, routers: int) -> None:
         """Notes how many routers there are, this one included."""
@@ -140,7 +90,7 @@
             return limits.Verdict(True, 0.0)
         state = self._account_by_id.get(account.id)
         if state is None:
-            state = _Account(now)
+            state = account_budget.Account(now)
             self._account_by_id[account.id] = state
         state.seen_at = now
         first = self._take_one(
@@ -153,24 +103,24 @@
         if first.allowed and second.allowed:
             return limits.Verdict(True, seconds)
         if first.allowed:
-            self._put_back(state, shares.Resource.REQUESTS, 1.0)
+            state.put_back(shares.Resource.REQUESTS, 1.0)
         if second.allowed:
-            self._put_back(state, shares.Resource.TOKENS, tokens)
+            state.put_back(shares.Resource.TOKENS, tokens)
         return limits.Verdict(False, seconds)
 
     def settle(self, account: ids.AccountId, taken: float, used: float) -> None:
         """Gives back the tokens that an ended request did not use."""
         state = self._account_by_id.get(account)
         if state is not None:
-            self._put_back(state, shares.Resource.TOKENS, taken - used)
+            state.put_back(shares.Resource.TOKENS, taken - used)
 
     def give_back(self, account: ids.AccountId, tokens: float) -> None:
         """Gives back all that was taken for a request that did not run."""
         state = self._account_by_id.get(account)
         if state is None:
             return
-        self._put_back(state, shares.Resource.REQUESTS, 1.0)
-        self._put_back(state, shares.Resource.TOKENS, tokens)
+        state.put_back(shares.Resource.REQUESTS, 1.0)
+        state.put_back(shares.Resource.TOKENS, tokens)
 
     def want(
         self, now: float, account: declaration.ClientAccount, tokens: float
@@ -214,7 +164,7 @@
         due = [
             name
             for name, account in self._account_by_id.items()
-            if self._is_due(now, account)
+            if account.is_due(now)
         ]
         if not due:
             return None
@@ -289,7 +239,9 @@
         budget = state.budget_by_resource.get(resource) if state else None
         return self._rate(now, budget, shares.limit_of(account, resource))
 
-    def _rate(self, now: float, budget: _Budget | None, limit: float) -> float:
+    def _rate(
+        self, now: float, budget: account_budget.Budget | None, limit: float
+    ) -> float:
         if self._routers == 1:
             return limit
         if self._view is OwnerView.NONE:
@@ -302,7 +254,7 @@
     def _take_one(
         self,
         now: float,
-        state: _Account,
+        state: account_budget.Account,
         account: declaration.ClientAccount,
         resource: shares.Resource,
         cost: float,
@@ -316,14 +268,14 @@
             bucket = limits.TokenBucket(
                 now, rate, full=self._routers == 1, cost=cost
             )
-            budget = _Budget(now, limit, bucket)
+            budget = account_budget.Budget(now, limit, bucket)
             state.budget_by_resource[resource] = budget
-        budget.meter.add(now, cost, METER_SECONDS)
+        budget.meter.add(now, cost, account_budget.METER_SECONDS)
         budget.limit = limit
         self._renew_rate(now, budget)
         return budget.bucket.take(now, cost)
 
-    def _renew_rate(self, now: float, budget: _Budget) -> None:
+    def _renew_rate(self, now: float, budget: account_budget.Budget) -> None:
         if budget.share and now >= budget.expires:
             # What was saved up to here was filled at the lapsed rate.
             budget.bucket.set_rate(budget.expires, 0.0)
@@ -331,29 +283,6 @@
         rate = self._rate(now, budget, budget.limit)
         budget.bucket.set_rate(now, rate)
 
-    def _put_back(
-        self, state: _Account, resource: shares.Resource, amount: float
-    ) -> None:
-        budget = state.budget_by_resource.get(resource)
-        if budget is not None:
-            budget.bucket.put_back(amount)
-
-    def _is_due(self, now: float, account: _Account) -> bool:
-        age = now - account.reported_at
-        budgets = account.budget_by_resource.values()
-        if age >= SHORTEST_ASK_SECONDS and any(b.wanted for b in budgets):
-            return True
-        if age < SHORTEST_REPORT_SECONDS:
-            return False
-        for budget in account.budget_by_resource.values():
-            rate = budget.meter.rate(now, METER_SECONDS)
-            if rate < SMALLEST_DEMAND:
-                continue
-            change = abs(rate - budget.reported)
-            if age >= RENEW_SECONDS or change > CHANGE_REPORTED * rate:
-                return True
-        return False
-
     def _report(
         self,
         now: float,
@@ -364,10 +293,13 @@
         for name in names:
             account = self._account_by_id[name]
             account.reported_at = now
+            account.lowered = False
             budget = account.budget_by_resource.get(resource)
             if budget is None:
                 continue
-            budget.reported = budget.meter.rate(now, METER_SECONDS)
+            budget.reported = budget.meter.rate(
+                now, account_budget.METER_SECONDS
+            )
             rate_by_account[name] = budget.reported
         return rate_by_account
 
@@ -397,7 +329,7 @@
             return
         budget.bucket.put_back(credit)
         if credit < budget.asked:
-            account.refused_until = now + SHORTEST_REPORT_SECONDS
+            account.refused_until = now + account_budget.SHORTEST_REPORT_SECONDS
 
     def _find_sent(self, sequence: int) -> _Sent | None:
         for sent in self._unanswered:
@@ -422,22 +354,17 @@
             if sent.sequence >= sequence:
                 continue
             for name in sent.accounts:
-                self._lapse(now, name)
+                account = self._account_by_id.get(name)
+                if account is not None:
+                    account.lapse(now)
         self._unanswered = [
             sent for sent in self._unanswered if sent.sequence > sequence
         ]
 
     def _lapse_all(self, now: float) -> None:
         """Ends the shares of an earlier owner."""
-        for name in self._account_by_id:
-            self._lapse(now, name)
-
-    def _lapse(self, now: float, name: ids.AccountId) -> None:
-        account = self._account_by_id.get(name)
-        if account is None:
-            return
-        for budget in account.budget_by_resource.values():
-            budget.expires = min(budget.expires, now)
+        for account in self._account_by_id.values():
+            account.lapse(now)
 
     def _set_share(
         self,
@@ -448,10 +375,12 @@
         expires: float,
     ) -> None:
         account = self._account_by_id.get(name)
-        budget = account.budget_by_resource.get(resource) if account else None
-        if budget is None:
+        if account is None or resource not in account.budget_by_resource:
             return
+        budget = account.budget_by_resource[resource]
         self._renew_rate(now, budget)
+        if share < LOWERED_REPORTED * budget.share:
+            account.lowered = True
         budget.share = share
         budget.expires = expires
         self._renew_rate(now, budget)
--- a/packages/nutmeglift_agent/nutmeglift_agent/agent.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/agent.py
@@ -88,6 +88,7 @@
                 attempts.AttemptTable(incarnation),
                 service,
                 post=self._ports.post,
+                clock=clock,
                 metrics=metrics,
             )
 
@@ -152,7 +153,8 @@
 
     def _count_unsettled(self) -> int:
         stages = self._stages.in_flight if self._stages is not None else 0
-        return stages + (not self._ports.all_acknowledged)
+        plain = self._plain is not None and self._plain.may_be_asked
+        return stages + (not self._ports.all_acknowledged) + plain
 
     def _hello(self) -> messages.Hello:
         return messages.Hello(
@@ -207,7 +209,7 @@
         if self._stages is not None:
             if self._ports.is_replaced_by(session.peer):
                 self._stages.lose_router(router)
-            held = self._stages.held_by(router)
+            held = self._stages.resume_router(router)
         self._ports.attach(session, messages.AttemptsHeld(held))
 
     async def _sweep(self) -> None:
@@ -224,6 +226,9 @@
             for router in gone:
                 self._stages.lose_router(router)
             self._stages.lose_orphans(before | known)
+            # A cancel may have been lost before the attempt was opened.
+            for router, idle in self._stages.find_idle().items():
+                self._ports.post(router, messages.AttemptsHeld(tuple(idle)))
 
     def _handle(
         self, session: sessions.Session, message: codec.AnyMessage
--- a/packages/nutmeglift_agent/nutmeglift_agent/stage_attempt.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/stage_attempt.py
@@ -1,8 +1,11 @@
 """One stage of one attempt, and its way through the engine."""
 
 import collections
+from collections.abc import Iterable
 import dataclasses
 
+import msgspec
+
 from nutmeglift import engine as engines
 from nutmeglift import errors
 from nutmeglift import ids
@@ -44,8 +47,11 @@
         sequence: name of the KV cache at the engine.
         gate: lets each position through once.
         oldest: the first attempt whose KV cache it goes on with.
+        old_last: the last attempt whose last stage was replaced, or 0.
+        old_end: what it and earlier ones sent counts up to this position.
         stopped: whether it has ended.
         broken: whether it waits for the router to replace a stage.
+        swept_position: next position at the last search for idle attempts.
         last_token: the last token sent to the first stage, if any.
     """
 
@@ -55,8 +61,11 @@
     sequence: str
     gate: streams.PositionGate
     oldest: ids.Attempt
+    old_last: ids.Attempt = ids.Attempt(0)
+    old_end: int = 0
     stopped: bool = False
     broken: bool = False
+    swept_position: int = -1
     last_token: messages.NextToken | None = None
 
     @property
@@ -74,6 +83,40 @@
         """Whether the model's last layer runs here."""
         return self.index == len(self.start.pipeline.stages) - 1
 
+    def go_on(self, replacement: messages.ReplaceStage) -> bool:
+        """Goes on as a later attempt, of which one stage is replaced.
+
+        Returns:
+            False if positions were run that the replacement can't agree with:
+            it may sample another token than the one that stood there.
+        """
+        start = replacement.start
+        self.positions += start.first_sequence - self.start.first_sequence
+        self.start = msgspec.structs.replace(
+            self.start,
+            attempt=start.attempt,
+            pipeline=start.pipeline,
+            max_tokens=start.max_tokens,
+            first_sequence=start.first_sequence,
+        )
+        self.broken = False
+        if replacement.stage < len(start.pipeline.stages) - 1:
+            return True
+        self.old_last = replacement.replaced
+        self.old_end = self.positions
+        return self.gate.next_position <= self.positions
+
+    def accepts(self, number: ids.Attempt, end: int) -> bool:
+        """Tells whether positions sent under an attempt's number count.
+
+        Args:
+            number: the number.
+            end: one past the last position.
+        """
+        if not self.oldest <= number <= self.start.attempt:
+            return False
+        return number > self.old_last or end <= self.old_end
+
     def stage_sent_to(self, address: str) -> messages.Stage | None:
         """Returns the later or first stage at an address, if any is there."""
         stages = self.start.pipeline.stages
@@ -92,6 +135,19 @@
     return StageAttempt(start, index, positions, sequence, gate, start.attempt)
 
 
+def find_idle(
+    attempts: Iterable[StageAttempt],
+) -> dict[ids.VmId, list[messages.HeldAttempt]]:
+    """Returns by router the attempts that ran nothing since the last call."""
+    idle_by_router: dict[ids.VmId, list[messages.HeldAttempt]] = {}
+    for attempt in attempts:
+        if attempt.swept_position == attempt.gate.next_position:
+            idle = idle_by_router.setdefault(attempt.start.router, [])
+            idle.append(attempt.held)
+        attempt.swept_position = attempt.gate.next_position
+    return idle_by_router
+
+
 @dataclasses.dataclass(frozen=True)
 class Work:
     """Consecutive positions that wait for the engine.
--- a/packages/nutmeglift_router/nutmeglift_router/chat.py
+++ b/packages/nutmeglift_router/nutmeglift_router/chat.py
@@ -22,12 +22,14 @@
         route: the route.
         prompt: tokens of the prompt.
         max_tokens: how many tokens to generate at most.
+        ends: clock time of the caller's deadline, or None.
     """
 
     account: declaration.ClientAccount
     route: declaration.Route
     prompt: tuple[int, ...]
     max_tokens: int
+    ends: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/nutmeglift_router/nutmeglift_router/chat_dispatch.py
+++ b/packages/nutmeglift_router/nutmeglift_router/chat_dispatch.py
@@ -19,6 +19,8 @@
 CandidateFinder = Callable[[ids.VmId], routing.Candidate | None]
 Post = Callable[[ids.VmId, codec.AnyMessage], bool]
 
+SHORTEST_DEADLINE_SECONDS = 0.001
+
 
 class Dispatcher:
     """Sends the router's orders about streams to the agents."""
@@ -48,7 +50,7 @@
         while len(unconnected) < MAX_DISPATCHES:
             pipeline = self._choose(stream, unconnected)
             first = pipeline.stages[0].vm
-            if self._post(first, self._make_start(stream, pipeline)):
+            if self._post(first, self.make_start(stream, pipeline)):
                 stream.pipeline = pipeline
                 stream.used |= {stage.vm for stage in pipeline.stages}
                 stream.tokens_before = len(stream.gate.tokens)
@@ -87,7 +89,10 @@
         now = self._clock.now()
         self._cancel_on(stream, [old.stages[found[0]]])
         self._routing.ended(old, failure.vm, now)
-        stream.gate.go_on(attempt)
+        if found[0] == len(old.stages) - 1:
+            stream.gate.restart(attempt)
+        else:
+            stream.gate.go_on(attempt)
         stream.pipeline = found[1]
         stream.used |= {stage.vm for stage in found[1].stages}
         self._routing.started(found[1], now)
@@ -123,7 +128,7 @@
         self, stream: chat.Stream, index: int, replaced: ids.Attempt
     ) -> None:
         assert stream.pipeline is not None
-        start = self._make_start(stream, stream.pipeline)
+        start = self.make_start(stream, stream.pipeline)
         bare = msgspec.structs.replace(start, tokens=())
         for receiver, stage in enumerate(stream.pipeline.stages):
             if receiver == index and index > 0:
@@ -146,9 +151,10 @@
             now=self._clock.now(),
         )
 
-    def _make_start(
+    def make_start(
         self, stream: chat.Stream, pipeline: messages.Pipeline
     ) -> messages.StartAttempt:
+        """Returns the order to go on after the tokens released so far."""
         asked = stream.chat
         released = tuple(stream.gate.tokens)
         return messages.StartAttempt(
@@ -160,8 +166,15 @@
             asked.max_tokens - len(released),
             len(released),
             asked.account.priority,
+            self._seconds_left(asked),
         )
 
+    def _seconds_left(self, asked: chat.ChatRequest) -> float:
+        if asked.ends is None:
+            return 0.0
+        left = asked.ends - self._clock.now()
+        return max(left, SHORTEST_DEADLINE_SECONDS)
+
     def _cancel_on(
         self, stream: chat.Stream, stages: Iterable[messages.Stage]
     ) -> None:
