--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -8,6 +8,7 @@
 
 import benchmarks
 from benchmarks import figures
+from benchmarks import report
 
 LATEST = pathlib.Path(__file__).parent.parent / "docs/measurements/latest.jsonl"
 
@@ -35,6 +36,9 @@
         print(line, flush=True)
         line_by_name[figure.name] = line
         write_latest(line_by_name)
+    lines = [line_by_name[name] for name in sorted(line_by_name)]
+    report.write_table(lines)
+    report.write_plots(lines)
 
 
 def read_latest() -> dict[str, str]:
@@ -48,6 +52,7 @@
 def write_latest(line_by_name: dict[str, str]) -> None:
     """Writes one line a figure, sorted by name."""
     lines = [line_by_name[name] for name in sorted(line_by_name)]
+    LATEST.parent.mkdir(exist_ok=True)
     LATEST.write_text("\n".join(lines) + "\n", encoding="utf-8")
 
 
--- /dev/null
+++ b/benchmarks/report.py
@@ -0,0 +1,91 @@
+"""The dated table and the plots of the main slopes."""
+
+import collections
+import datetime
+import json
+import os
+import pathlib
+import platform
+import re
+
+import matplotlib
+
+matplotlib.use("svg")
+
+from matplotlib import pyplot  # noqa: E402
+
+MEASUREMENTS = pathlib.Path(__file__).parent.parent / "docs/measurements"
+SIZED_NAME = re.compile(r"^(.*)_(\d+)(?:_(outage))?$")
+GIB = 1024**3
+
+
+def describe_machine() -> str:
+    """Returns the machine in a line, without names."""
+    pages = os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE")
+    return (
+        f"{os.cpu_count()} cores, {pages / GIB:.0f} GiB,"
+        f" {platform.system()} {platform.machine()},"
+        f" Python {platform.python_version()}"
+    )
+
+
+def write_table(lines: list[str]) -> None:
+    """Writes the figures as a dated table.
+
+    Args:
+        lines: one JSON object each.
+    """
+    today = datetime.datetime.now(datetime.UTC).date().isoformat()
+    rows = [
+        "| figure | value | unit | goal | baseline |",
+        "| --- | --- | --- | --- | --- |",
+    ]
+    for line in lines:
+        found = json.loads(line)
+        baseline = found["baseline"]
+        shown = "" if baseline is None else f"{baseline:.4g}"
+        rows.append(
+            f"| `{found['name']}` | {found['value']:.4g} | {found['unit']}"
+            f" | {found['goal']} | {shown} |"
+        )
+    text = (
+        f"# Figures\n\nWritten {today} by `make bench` on {describe_machine()}."
+        " Each by `make bench ONLY=<figure>`; a figure stands as its last run"
+        " gave it.\n\n" + "\n".join(rows) + "\n"
+    )
+    (MEASUREMENTS / "table.md").write_text(text, encoding="utf-8")
+
+
+def write_plots(lines: list[str]) -> None:
+    """Plots every figure that was measured at three sizes or more."""
+    points_by_series: dict[str, list[tuple[int, float]]] = (
+        collections.defaultdict(list)
+    )
+    unit_by_series: dict[str, str] = {}
+    for line in lines:
+        found = json.loads(line)
+        match = SIZED_NAME.match(found["name"])
+        if match is None:
+            continue
+        series = "_".join(part for part in match.group(1, 3) if part)
+        point = (int(match.group(2)), found["value"])
+        points_by_series[series].append(point)
+        unit_by_series[series] = found["unit"]
+    for series, points in points_by_series.items():
+        if len(points) >= 3:  # noqa: PLR2004
+            _plot(series, sorted(points), unit_by_series[series])
+
+
+def _plot(series: str, points: list[tuple[int, float]], unit: str) -> None:
+    figure, axes = pyplot.subplots(figsize=(5, 3))
+    axes.plot([x for x, _ in points], [y for _, y in points], marker="o")
+    axes.set_xscale("log")
+    axes.set_ylim(bottom=0)
+    axes.set_xlabel("size")
+    axes.set_ylabel(unit)
+    axes.set_title(series)
+    figure.tight_layout()
+    matplotlib.rcParams["svg.hashsalt"] = "nutmeglift"
+    path = MEASUREMENTS / f"{series}.svg"
+    figure.savefig(path, metadata={"Date": None})
+    pyplot.close(figure)
