--- a/benchmarks/bench_control.py
+++ b/benchmarks/bench_control.py
@@ -78,6 +78,10 @@
         """Closes the connection."""
         await self._inner.close()
 
+    def abort(self) -> None:
+        """Ends the connection at once."""
+        self._inner.abort()
+
 
 class _Peers:
     """Agents' ends of connections, in a thread of their own."""
