--- a/benchmarks/bench_control.py
+++ b/benchmarks/bench_control.py
@@ -79,7 +79,7 @@
         await self._inner.close()
 
     def abort(self) -> None:
-        """Closes the connection at once."""
+        """Ends the connection at once."""
         self._inner.abort()
 
 
