--- a/packages/nutmeglift_router/nutmeglift_router/chat_controller.py
+++ b/packages/nutmeglift_router/nutmeglift_router/chat_controller.py
@@ -1,7 +1,7 @@
 """Requests to a model: from admission to the last token."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 import secrets
 import weakref
 
@@ -81,7 +81,9 @@
         self._metrics.count("chat.started")
         return stream
 
-    async def parts(self, stream: chat.Stream) -> AsyncIterator[chat.ChatPart]:
+    async def parts(
+        self, stream: chat.Stream
+    ) -> AsyncGenerator[chat.ChatPart, None]:
         """Yields the parts of an answer to the last one.
 
         Raises:
--- a/packages/nutmeglift_router/nutmeglift_router/chat_dispatch.py
+++ b/packages/nutmeglift_router/nutmeglift_router/chat_dispatch.py
@@ -19,6 +19,8 @@
 CandidateFinder = Callable[[ids.VmId], routing.Candidate | None]
 Post = Callable[[ids.VmId, codec.AnyMessage], bool]
 
+SHORTEST_DEADLINE_SECONDS = 0.001
+
 
 class Dispatcher:
     """Sends the router's orders about streams to the agents."""
@@ -164,8 +166,15 @@
             asked.max_tokens - len(released),
             len(released),
             asked.account.priority,
+            self._seconds_left(asked),
         )
 
+    def _seconds_left(self, asked: chat.ChatRequest) -> float:
+        if asked.ends is None:
+            return 0.0
+        left = asked.ends - self._clock.now()
+        return max(left, SHORTEST_DEADLINE_SECONDS)
+
     def _cancel_on(
         self, stream: chat.Stream, stages: Iterable[messages.Stage]
     ) -> None:
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -7,7 +7,6 @@
 from nutmeglift import codec
 from nutmeglift import errors
 from nutmeglift import ids
-from nutmeglift import kv
 from nutmeglift import ledger
 from nutmeglift import plain_messages
 from nutmeglift import states
@@ -220,6 +219,26 @@
         self.assertLessEqual(after[name] - before[name], 10)
 
 
+class ClaimDeadlineTest(unittest.TestCase):
+    @scenario()
+    async def test_a_claim_decided_as_patience_ends_is_not_lost(self, world):
+        """Whatever the order of events, no claim is left open."""
+        steps = [n * 1e-4 for n in range(-3, 4)]
+        for index, step in enumerate(steps):
+            world.store.delay = ledger_controller.CLAIM_SECONDS + step
+            result = await call(world, f"key-{index}")
+            await asyncio.sleep(30.0)
+            state = states.ClaimState.VOID
+            if result.kind is None:
+                state = states.ClaimState.DONE
+            found = {
+                c.state
+                for c in claims(world)
+                if c.request.endswith(f"-{index + 1}")
+            }
+            self.assertEqual(found, {state}, step)
+
+
 class RouterDeathTest(unittest.TestCase):
     @scenario(routers=2, services=2)
     async def test_between_claim_and_dispatch(self, world):
@@ -298,10 +317,62 @@
         world.services[0].delay = 2.0
         calling = asyncio.ensure_future(call(world, "key"))
         await asyncio.sleep(0.5)
-        world.vms.remove("core-1") if hasattr(world.vms, "remove") else None
+        world.vms.remove(ids.VmId("core-1"))
         await world.kill("core-1")
         first = await calling
         self.assertEqual(first.kind, Kind.OUTCOME_UNKNOWN)
+        self.assertEqual(world.router._links._kept_by_vm, {})
+
+    @scenario(routers=2)
+    async def test_an_agent_that_the_list_no_longer_names_is_asked(self, world):
+        world.services[0].delay = 6.0
+        calling = asyncio.ensure_future(call(world, "key"))
+        await asyncio.sleep(0.5)
+        world.vms.remove(ids.VmId("core-1"))
+        router = world.router_by_vm["entry-1"]
+        agent = world.agent_by_vm["core-1"]
+        await asyncio.sleep(2.0)
+        world.network.silence(router.address, agent.address)
+        await world.kill("entry-2")
+        self.assertEqual((await calling).ran, Ran.RAN)
+
+    @scenario(routers=1)
+    async def test_an_agent_that_leaves_hands_over_every_outcome(self, world):
+        world.services[0].delay = 2.0
+        calls = [
+            asyncio.ensure_future(call(world, f"key-{n}")) for n in range(20)
+        ]
+        await asyncio.sleep(0.5)
+        await world.agent_by_vm["core-1"].agent.leave()
+        await world.kill("core-1")
+        results = await asyncio.gather(*calls)
+        self.assertEqual({r.ran for r in results}, {Ran.RAN})
+
+    @scenario(routers=1)
+    async def test_an_agent_that_leaves_waits_for_a_silent_router(self, world):
+        world.services[0].delay = 2.0
+        calling = asyncio.ensure_future(call(world, "key"))
+        await asyncio.sleep(1.9)
+        agent = world.agent_by_vm["core-1"]
+        router = world.router_by_vm["entry-1"]
+        world.network.silence(router.address, agent.address)
+        await agent.agent.leave()
+        await world.kill("core-1")
+        self.assertEqual((await calling).ran, Ran.RAN)
+
+    @scenario(routers=2)
+    async def test_a_router_that_leaves_records_every_outcome(self, world):
+        world.services[0].delay = 2.0
+        calls = [
+            asyncio.ensure_future(call(world, f"key-{n}")) for n in range(20)
+        ]
+        await asyncio.sleep(0.5)
+        await world.router.leave()
+        await world.kill("entry-1")
+        results = await asyncio.gather(*calls)
+        self.assertEqual({r.ran for r in results}, {Ran.RAN})
+        states_found = {claim.state for claim in claims(world)}
+        self.assertEqual(states_found, {states.ClaimState.DONE})
 
     @scenario(routers=2)
     async def test_a_silent_connection_is_settled_over_a_new_one(self, world):
@@ -362,6 +433,26 @@
             await asyncio.sleep(1.0)
         self.assertEqual(world.executions(), 1)
 
+    @scenario(routers=2)
+    async def test_a_large_answer_harms_nobody_else(self, world):
+        """Neither a frame nor the key-value service could carry it."""
+        # Size; whether the first caller gets it, whether a repeat does.
+        cases = (
+            (500_000, True, True),
+            (1_000_000, True, False),
+            (5_000_000, False, False),
+        )
+        for size, first_gets, repeat_gets in cases:
+            world.services[0].padding = b"x" * size
+            for index, gets in ((0, first_gets), (1, repeat_gets)):
+                result = await call(world, f"key-{size}", index=index)
+                self.assertEqual(result.ran, Ran.RAN)
+                self.assertEqual(result.outcome is not None, gets)
+                await asyncio.sleep(1.0)
+        self.assertEqual(world.executions(), len(cases))
+        lost = world.router_by_vm["entry-1"].metrics.total_by_name
+        self.assertEqual(lost["agent_link.lost"], 0)
+
     @scenario(services=2, routers=2)
     async def test_a_draining_agent_refuses_and_another_runs_it(self, world):
         # Told to leave, but this router has not heard of it yet.
@@ -377,22 +468,15 @@
     ):
         """Its call arrives after another router settled the claim."""
         slow = world.router_by_vm["entry-1"]
-        other = world.add_router("entry-2", 1)
-        await asyncio.sleep(3.0)
         agent = world.agent_by_vm["core-1"]
         world.network.degrade(slow.address, agent.address, 1.2)
         calling = asyncio.ensure_future(call(world, "key"))
         await asyncio.sleep(0.2)
         (claim,) = claims(world)
-        held = ledger_controller.Held(
-            next(k for k in world.store.dump() if "claims" in k),
-            claim,
-            kv.NEVER_WRITTEN,
-        )
         status = agent.agent._plain.query(
             ids.VmId("entry-2"),
             plain_messages.AttemptQuery(
-                held.claim.request, held.claim.attempt, held.claim.incarnation
+                claim.request, claim.attempt, claim.incarnation
             ),
         )
         self.assertEqual(status.state, states.AttemptState.FENCED)
@@ -400,7 +484,6 @@
         self.assertEqual(result.ran, Ran.RAN)
         self.assertEqual(result.outcome.attempt, 2)
         self.assertEqual(world.executions(), 1)
-        del other
 
 
 class IdempotentCallTest(unittest.TestCase):
@@ -438,23 +521,45 @@
         for key in keys:
             self.assertEqual((await call(world, key)).ran, Ran.RAN)
         await asyncio.sleep(1.0)
-        for process in world.router_by_vm.values():
-            real = process.clock
-            offset = 86400.0 + 2 * ledger.MAX_CLOCK_SKEW_SECONDS + 10.0
-            real.utc = lambda real=real, add=offset: real.now() + add
-        for swept in (False, True):
-            with self.subTest(swept=swept):
+        day = 86400.0 + 2 * ledger.MAX_CLOCK_SKEW_SECONDS + 10.0
+        for offset, left in ((day, 2), (7 * day, 1)):
+            self._move_clocks(world, offset)
+            for _ in range(2):
                 for key in keys:
                     for body in (b"{}", b"other"):
                         late = await call(world, key, index=1, body=body)
                         self.assertEqual(
                             late.kind, Kind.IDEMPOTENCY_KEY_EXPIRED
                         )
+                await self._sweep(world)
+            found = [(c.state, c.outcome) for c in claims(world)]
+            self.assertEqual(found, [(states.ClaimState.EXPIRED, None)] * left)
+        self.assertEqual(world.executions(), 2)
+
+    @scenario(routers=2)
+    async def test_a_raised_retention_revives_no_key(self, world):
+        now = asyncio.get_running_loop().time()
+        timed = uuid.UUID(int=(int(now * 1000) << 80) | (7 << 76) | (2 << 62))
+        keys = ("plain-key", str(timed))
+        for key in keys:
+            await call(world, key)
+        await asyncio.sleep(1.0)
+        raised = world.declared.services[0].model_copy(
+            update={"key_retention_seconds": 1e9}
+        )
+        for days in (2, 6, 8):
+            self._move_clocks(world, days * 86400.0)
             await self._sweep(world)
+            world.declared = utils.make_declaration(services=(raised,))
+            for key in keys:
+                late = await call(world, key)
+                self.assertEqual(late.kind, Kind.IDEMPOTENCY_KEY_EXPIRED)
         self.assertEqual(world.executions(), 2)
-        (left,) = claims(world)
-        self.assertEqual(left.state, states.ClaimState.EXPIRED)
-        self.assertIsNone(left.outcome)
+
+    def _move_clocks(self, world, offset):
+        for process in world.router_by_vm.values():
+            real = process.clock
+            real.utc = lambda real=real, add=offset: real.now() + add
 
     async def _sweep(self, world):
         controller = world.router.plain.ledger
