Spend a retry budget on idempotent calls; take odd answers as lost

Cause: retry.RetryBudget had no caller: when all servers of a plain service fail, each idempotent call was tried twice, doubling the load. EtcdKv let a JSONDecodeError out when an answer 200 was no JSON, which would end a controller's loop (found by reading). Change: a second try spends the budget; such an answer is KvAnswerLostError.

--- a/packages/nutmeglift_router/nutmeglift_router/plain.py
+++ b/packages/nutmeglift_router/nutmeglift_router/plain.py
@@ -13,6 +13,7 @@
 from nutmeglift import kv
 from nutmeglift import ledger
 from nutmeglift import plain_messages
+from nutmeglift import retry
 from nutmeglift import routing
 from nutmeglift import settling
 from nutmeglift_router import attempt_watches
@@ -107,6 +108,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._clock = clock
         self._idempotent = 0
+        self._retries = retry.RetryBudget(0.0)
 
     @property
     def in_flight(self) -> int:
@@ -223,7 +225,11 @@
     async def _try_servers(self, request: PlainCallRequest) -> PlainAnswer:
         failed: set[ids.VmId] = set()
         error = _no_backend(request)
+        self._retries.note_request(self._clock.now())
         for _ in range(MAX_IDEMPOTENT_ATTEMPTS):
+            if failed and not self._retries.try_spend(self._clock.now()):
+                self._metrics.count("plain.no_retry_left")
+                break
             server = self.choose_server(request, failed)
             if server is None:
                 break
--- a/packages/nutmeglift_wire/nutmeglift_wire/etcd_kv.py
+++ b/packages/nutmeglift_wire/nutmeglift_wire/etcd_kv.py
@@ -178,7 +178,10 @@
         if response.status_code != HTTP_OK:
             # The gateway also answers so when a write timed out half-way.
             raise errors.KvAnswerLostError(f"HTTP {response.status_code}")
-        answer: dict[str, Any] = json.loads(text)
+        try:
+            answer: dict[str, Any] = json.loads(text)
+        except ValueError as error:
+            raise errors.KvAnswerLostError("the answer is no JSON") from error
         return answer
 
 
--- a/tests/test_etcd_kv.py
+++ b/tests/test_etcd_kv.py
@@ -203,6 +203,34 @@
             await own._store.close()
 
 
+class ForeignAnswerTest(unittest.IsolatedAsyncioTestCase):
+    ANSWERS = {
+        "no JSON": b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\noops",
+        "server error": b"HTTP/1.1 504 Late\r\nContent-Length: 0\r\n\r\n",
+        "no HTTP": b"\x00\x01\x02\r\n\r\n",
+    }
+
+    async def test_a_write_answered_oddly_may_have_taken_effect(self):
+        for name, answer in self.ANSWERS.items():
+
+            async def serve(reader, writer, answer=answer):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(answer)
+                await writer.drain()
+                writer.close()
+
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            store = etcd_kv.EtcdKv(f"127.0.0.1:{port}", TIMEOUT_SECONDS)
+            with (
+                self.subTest(name),
+                self.assertRaises(errors.KvAnswerLostError),
+            ):
+                await store.txn([], [kv.Put("a", b"1")])
+            await store.close()
+            server.close()
+
+
 def _make_claim(request: str) -> ledger.Claim:
     return ledger.Claim(
         states.ClaimState.CLAIMED,
--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -1,9 +1,15 @@
 """Retry budgets and backoff."""
 
+import asyncio
 import random
 import unittest
 
+from nutmeglift import ids
 from nutmeglift import retry
+from nutmeglift import states
+from nutmeglift_router import plain
+from tests import utils
+from tests import virtual_time
 
 
 class RetryBudgetTest(unittest.TestCase):
@@ -39,6 +45,46 @@
         self.assertFalse(budget.try_spend(later))
 
 
+class PlainCallsTest(unittest.TestCase):
+    def test_failing_servers_do_not_double_the_idempotent_calls(self):
+        calls = 60
+
+        async def work():
+            world = utils.World()
+            await world.start(runners=0, services=2)
+            for service in world.services:
+                service.refuse = True
+            results = await asyncio.gather(
+                *(self.read(world) for _ in range(calls)),
+                return_exceptions=True,
+            )
+            counters = world.counters_of(ids.VmId("entry-1"))
+            await world.stop()
+            return results, counters
+
+        results, counters = virtual_time.run(work())
+        for result in results:
+            self.assertIs(result.ran, states.Ran.NOT_RUN, result)
+        spare = retry.MIN_RETRIES_PER_SECOND * retry.BUDGET_SECONDS
+        most = calls + retry.BUDGET_RATIO * calls + spare
+        self.assertLessEqual(counters["plain.idempotent_failed"], most)
+        self.assertGreater(counters["plain.idempotent_failed"], calls)
+
+    async def read(self, world):
+        service = world.declared.services[0]
+        request = plain.PlainCallRequest(
+            world.declared.client_accounts[0],
+            service,
+            service.calls[1],
+            "GET",
+            "/releases/7",
+            (),
+            b"",
+            None,
+        )
+        return await world.router.plain.call(request)
+
+
 class BackoffTest(unittest.TestCase):
     def test_waits_double_to_the_bound_with_jitter(self):
         for seed in range(5):
