--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -7,7 +7,6 @@
 import hypothesis
 from hypothesis import strategies
 
-from nutmeglift import attempts
 from nutmeglift import errors
 from nutmeglift import group_commit
 from nutmeglift import ids
@@ -48,29 +47,6 @@
     )
 
 
-def make_call(number=1, incarnation="one", epoch="epoch"):
-    return plain_messages.PlainCall(
-        ids.RequestId(f"{epoch}-{number}"),
-        ids.Attempt(1),
-        ids.ServiceId("core"),
-        ids.Incarnation(incarnation),
-        "POST",
-        "/releases",
-        (),
-        b"",
-        False,
-        10.0,
-    )
-
-
-def make_query(number=1, incarnation="one", epoch="epoch"):
-    return plain_messages.AttemptQuery(
-        ids.RequestId(f"{epoch}-{number}"),
-        ids.Attempt(1),
-        ids.Incarnation(incarnation),
-    )
-
-
 class GroupCommitTest(unittest.TestCase):
     def setUp(self):
         self.group = group_commit.GroupCommit(40.0, 4.0)
@@ -285,70 +261,6 @@
         self.assertIsNotNone(kept.kind)
 
 
-class AttemptTableTest(unittest.TestCase):
-    def _make(self, **bounds):
-        return attempts.AttemptTable(ids.Incarnation("one"), **bounds)
-
-    def test_an_attempt_runs_once(self):
-        table = self._make()
-        self.assertIs(table.begin(make_call()), attempts.Admission.RUN)
-        self.assertIs(table.begin(make_call()), attempts.Admission.RUNNING)
-        self.assertIs(table.query(make_query()).state, AttemptState.RUNNING)
-        table.finish(make_outcome())
-        self.assertIs(table.begin(make_call()), attempts.Admission.SETTLED)
-        status = table.query(make_query())
-        self.assertEqual(status.outcome, make_outcome())
-
-    def test_a_query_fences_what_was_never_seen(self):
-        table = self._make()
-        self.assertIs(table.query(make_query()).state, AttemptState.FENCED)
-        self.assertIs(table.begin(make_call()), attempts.Admission.SETTLED)
-
-    def test_another_incarnation_knows_and_runs_nothing(self):
-        table = self._make()
-        self.assertIsNone(table.query(make_query(1, "two")).state)
-        self.assertIs(
-            table.begin(make_call(1, "two")),
-            attempts.Admission.OTHER_INCARNATION,
-        )
-        self.assertIs(table.begin(make_call()), attempts.Admission.RUN)
-
-    def test_what_was_forgotten_neither_runs_nor_counts_as_not_run(self):
-        cases = {
-            "by number": {"max_settled": 10},
-            "by bytes": {"max_outcome_bytes": 10 * len(b"done")},
-        }
-        for name, bounds in cases.items():
-            with self.subTest(name):
-                table = self._make(**bounds)
-                table.begin(make_call(0))  # Runs on all the while.
-                for number in range(1, 101):
-                    table.begin(make_call(number))
-                    table.finish(make_outcome(number=number))
-                self.assertEqual(len(table), 11)
-                for number in range(1, 91):
-                    admission = table.begin(make_call(number))
-                    self.assertIs(admission, attempts.Admission.FORGOTTEN)
-                    self.assertIsNone(table.query(make_query(number)).state)
-                self.assertIs(
-                    table.begin(make_call(0)), attempts.Admission.RUNNING
-                )
-                for number, epoch in ((101, "epoch"), (1, "other")):
-                    call = make_call(number, epoch=epoch)
-                    self.assertIs(table.begin(call), attempts.Admission.RUN)
-
-    def test_memory_for_epochs_is_bounded_by_refusing_new_ones(self):
-        table = self._make(max_settled=0, max_epochs=2)
-        for epoch in ("a", "b"):
-            table.query(make_query(1, epoch=epoch))
-        call = make_call(9, epoch="c")
-        self.assertIs(table.begin(call), attempts.Admission.FORGOTTEN)
-        self.assertIsNone(table.query(make_query(9, epoch="c")).state)
-        self.assertIs(
-            table.begin(make_call(9, epoch="a")), attempts.Admission.RUN
-        )
-
-
 class AttemptWatchTest(unittest.TestCase):
     def _make(self, connected=True, ask_at=12.0):
         return settling.AttemptWatch(
