Share the ledger's pace out over the routers

Cause: each router might start 40 transactions a second for claims; 510 of them would ask for 20,400 of a service that takes several hundred. Change: all routers together start 120 a second, each its part; a full batch of 128 still starts at once. Figures: one of 510 routers starts at most 9 transactions in 20 s under 50 claims a second (tests.test_ledger.PaceTest), 804 before.

--- a/benchmarks/bench_placement.py
+++ b/benchmarks/bench_placement.py
@@ -4,10 +4,12 @@
 
 from benchmarks import figures
 from benchmarks import fleet
+from nutmeglift import codec
 from nutmeglift import plan
 from nutmeglift import planner
 
 SEEDS = range(1, 6)
+PLAN_RUNNERS = (40, 400, 1200)
 
 
 def measure_flow_to_bound() -> figures.Measured:
@@ -55,7 +57,24 @@
     return figures.Measured(max(shares), max(baselines))
 
 
+def measure_plan_bytes() -> figures.Measured:
+    """Size of a stored plan for each runner, by slope."""
+    declared = fleet.make_declaration()
+    sizes = [
+        len(
+            codec.encode(
+                planner.make_plan(
+                    fleet.make_runners(count), declared, plan.Plan()
+                )
+            )
+        )
+        for count in PLAN_RUNNERS
+    ]
+    return figures.Measured(figures.slope(PLAN_RUNNERS, sizes))
+
+
 FIGURES = [
+    figures.Figure("plan_bytes_per_runner", "bytes", "", measure_plan_bytes),
     figures.Figure(
         "placement_flow_to_fluid_bound",
         "ratio",
--- a/packages/nutmeglift/nutmeglift/group_commit.py
+++ b/packages/nutmeglift/nutmeglift/group_commit.py
@@ -111,6 +111,13 @@
         self._unsure: set[KeyWrite] = set()
         self._withdrawn: set[KeyWrite] = set()
 
+    def set_pace(self, now: float, starts_per_second: float) -> None:
+        """Changes how many transactions may start a second."""
+        if starts_per_second == self._starts_per_second:
+            return
+        self._fill(now)
+        self._starts_per_second = starts_per_second
+
     @property
     def pending(self) -> int:
         """Number of writes that wait, those in flight included."""
--- a/packages/nutmeglift_router/nutmeglift_router/ledger_controller.py
+++ b/packages/nutmeglift_router/nutmeglift_router/ledger_controller.py
@@ -17,6 +17,8 @@
 from nutmeglift_wire import metrics as metric
 
 STARTS_PER_SECOND = 40.0
+FLEET_STARTS_PER_SECOND = 120.0
+"""Of all routers together: the service takes several hundred writes."""
 """Transactions that a router starts when calls keep coming."""
 START_BURST = 4.0
 CLAIM_SECONDS = 2.0
@@ -55,7 +57,10 @@
         metrics: metric.BaseMetrics,
         starts_per_second: float = STARTS_PER_SECOND,
         burst: float = START_BURST,
+        count_routers: Callable[[], int] = lambda: 1,
     ) -> None:
+        self._starts_per_second = starts_per_second
+        self._count_routers = count_routers
         self._store = store
         self._clock = clock
         self._metrics = metrics
@@ -232,6 +237,7 @@
     async def _run(self) -> None:
         while self._group.pending:
             self._added.clear()
+            self._group.set_pace(self._clock.now(), self._find_pace())
             due = self._group.start_at(self._clock.now())
             assert due is not None
             wait = due - self._clock.now()
@@ -242,6 +248,10 @@
             assert batch is not None
             await self._execute(batch)
 
+    def _find_pace(self) -> float:
+        part = FLEET_STARTS_PER_SECOND / max(1, self._count_routers())
+        return min(self._starts_per_second, part)
+
     async def _wait_or_added(self, seconds: float) -> None:
         # A full batch starts before the pace allows the next.
         try:
--- a/packages/nutmeglift_router/nutmeglift_router/plain.py
+++ b/packages/nutmeglift_router/nutmeglift_router/plain.py
@@ -93,9 +93,13 @@
         metrics: metric.BaseMetrics,
         choose: ChooseServer,
         agents: attempt_watches.BaseAgents,
+        count_routers: Callable[[], int] = lambda: 1,
     ) -> None:
         self.ledger = ledger_controller.LedgerController(
-            store=store, clock=clock, metrics=metrics
+            store=store,
+            clock=clock,
+            metrics=metrics,
+            count_routers=count_routers,
         )
         self._metrics = metrics
         self._choose = choose
--- a/packages/nutmeglift_router/nutmeglift_router/router.py
+++ b/packages/nutmeglift_router/nutmeglift_router/router.py
@@ -197,6 +197,7 @@
             metrics=metrics,
             choose=self.membership.choose_server,
             agents=self._links,
+            count_routers=lambda: self.routers.listed + 1,
         )
         self.authenticator = auth.Authenticator(
             self.board.read(entries.CONFIGURATION).declared
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -1,5 +1,6 @@
 """Decisions of the ledger: group commit, judgements, attempts, settling."""
 
+import asyncio
 from typing import Any
 import unittest
 import uuid
@@ -15,6 +16,10 @@
 from nutmeglift import plain_messages
 from nutmeglift import settling
 from nutmeglift import states
+from nutmeglift_router import ledger_controller
+from nutmeglift_wire import clock as clocks
+from nutmeglift_wire import metrics
+from tests import virtual_time
 
 Kind = errors.ErrorKind
 ClaimState = states.ClaimState
@@ -47,6 +52,39 @@
     )
 
 
+class PaceTest(unittest.TestCase):
+    # routers: most transactions of one of them in 20 s, its burst included
+    MOST = {1: 804, 3: 804, 30: 84, 510: 9}
+
+    def test_all_routers_together_keep_a_pace(self):
+        for routers, most in self.MOST.items():
+            with self.subTest(routers=routers):
+                store = virtual_time.run(self._write(routers))
+                self.assertLessEqual(store.transactions, most)
+                self.assertGreater(store.transactions, 0)
+
+    async def _write(self, routers):
+        store = kv.MemoryKv()
+        controller = ledger_controller.LedgerController(
+            store=store,
+            clock=clocks.LoopClock(),
+            metrics=metrics.MemoryMetrics(),
+            count_routers=lambda: routers,
+        )
+        writes = []
+        for number in range(1000):
+            key = ledger.claim_key(ids.Digest(f"{number}"))
+            claim = make_claim()
+            writing = controller.write(key, kv.NEVER_WRITTEN, claim)
+            writes.append(asyncio.ensure_future(writing))
+            await asyncio.sleep(0.02)
+        seen = store.transactions
+        await asyncio.gather(*writes, return_exceptions=True)
+        store.transactions = seen
+        await controller.stop()
+        return store
+
+
 class GroupCommitTest(unittest.TestCase):
     def setUp(self):
         self.group = group_commit.GroupCommit(40.0, 4.0)
