--- a/packages/nutmeglift_router/nutmeglift_router/admission_controller.py
+++ b/packages/nutmeglift_router/nutmeglift_router/admission_controller.py
@@ -183,7 +183,9 @@
         self._metrics.count("admission.paced")
         try:
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._drained.wait(), verdict.seconds)
+                # wait_for can swallow a cancellation.
+                async with asyncio.timeout(verdict.seconds):
+                    await self._drained.wait()
         except asyncio.CancelledError:
             self._shares.give_back(demand.account.id, tokens)
             raise
--- a/packages/nutmeglift_router/nutmeglift_router/chat.py
+++ b/packages/nutmeglift_router/nutmeglift_router/chat.py
@@ -60,6 +60,7 @@
         used: VMs that this request was given to.
         tokens_before: tokens released when it was last dispatched.
         on_end: called once, when nothing more will be generated.
+        sink: takes a part at once, or returns False to have it queued.
         waiting: tokens that wait for the caller.
     """
 
@@ -72,6 +73,7 @@
         self.used: set[ids.VmId] = set()
         self.tokens_before = 0
         self.on_end: Callable[[], None] = _do_nothing
+        self.sink: Callable[[ChatPart], bool] | None = None
         self.waiting = 0
         self._parts: asyncio.Queue[ChatPart | errors.NutmegError] = (
             asyncio.Queue()
@@ -89,11 +91,20 @@
         return any(stage.vm == vm for stage in self.pipeline.stages)
 
     def put(self, part: ChatPart | errors.NutmegError) -> None:
-        """Queues a part, or the error that ends the stream."""
+        """Passes a part on, or queues it or the error that ends the stream."""
         if isinstance(part, ChatPart):
+            if self._pass_on(part):
+                return
             self.waiting += len(part.texts)
+        else:
+            self.sink = None
         self._parts.put_nowait(part)
 
+    def _pass_on(self, part: ChatPart) -> bool:
+        if self.sink is None or part.finish is not None:
+            return False
+        return self._parts.empty() and self.sink(part)
+
     def end(self) -> None:
         """Tells the listener that nothing more will be generated."""
         # The listener often refers to the stream.
--- a/packages/nutmeglift_router/nutmeglift_router/events.py
+++ b/packages/nutmeglift_router/nutmeglift_router/events.py
@@ -12,7 +12,8 @@
 from nutmeglift_wire import http_server
 
 FLUSH_SECONDS = 0.04
-"""Tokens that come sooner after a write wait for the next one."""
+"""Tokens that come sooner after a write wait for the next one, where each
+write goes through the server's own send."""
 
 _HEADERS = [
     (b"content-type", b"text/event-stream; charset=utf-8"),
@@ -46,6 +47,7 @@
         self._clock = clock
         self._send = send
         self._writer = http_server.body_writer(scope)
+        self._writing = False
         name = msgspec.json.encode(stream.request)
         self._head = (
             b'data: {"id":%s,"object":"chat.completion.chunk","model":%s,'
@@ -78,23 +80,34 @@
     async def _write_parts(self, first: chat.ChatPart) -> None:
         # The rest is taken from the stream itself, which saves a generator's
         # turn for each token; closing the generator ends the stream.
+        # A part that comes while the caller has room is written by the frame
+        # handler itself, which saves this task's turn.
         await self._write(self._encode(first))
         stream = self._stream
+        if self._writer is not None:
+            stream.sink = self._write_now
         now = self._clock.now
         written_at = now()
         part = first
         while part.finish is None:
             part = await stream.next()
+            self._writing = True
             body = self._encode(part)
             early = written_at + FLUSH_SECONDS - now()
-            if early > 0 and part.finish is None:
+            if early > 0 and part.finish is None and self._writer is None:
                 await self._clock.sleep(early)
             while stream.waiting and part.finish is None:
                 part = await stream.next()
                 body += self._encode(part)
             await self._write(body)
+            self._writing = False
             written_at = now()
 
+    def _write_now(self, part: chat.ChatPart) -> bool:
+        if self._writing or self._writer is None:
+            return False
+        return self._writer.try_write(self._encode(part))
+
     async def _write(self, body: bytes) -> None:
         if self._writer is not None:
             await self._writer.write(body)
--- a/packages/nutmeglift_wire/nutmeglift_wire/http_server.py
+++ b/packages/nutmeglift_wire/nutmeglift_wire/http_server.py
@@ -33,6 +33,20 @@
         if not cycle.disconnected:
             cycle.transport.write(b"%x\r\n%b\r\n" % (len(part), part))
 
+    def try_write(self, part: bytes) -> bool:
+        """Writes a part unless the caller has no room for it now.
+
+        Returns:
+            False when it was not written.
+        """
+        cycle = self._cycle
+        if cycle.disconnected:
+            return True
+        if cycle.flow.write_paused:
+            return False
+        cycle.transport.write(b"%x\r\n%b\r\n" % (len(part), part))
+        return True
+
 
 def body_writer(scope: MutableMapping[str, Any]) -> BodyWriter | None:
     """Returns the writer of a request's answer, or None for want of one."""
