Serve stand-ins by a command; follow the two-router page

Cause: a newcomer had no platform to run two routers against. Change: python -m nutmeglift_fakes.platform; examples/two-routers; the page; transitions no longer warns in the log of every event that changes nothing.

--- a/packages/nutmeglift_wire/nutmeglift_wire/logs.py
+++ b/packages/nutmeglift_wire/nutmeglift_wire/logs.py
@@ -19,5 +19,7 @@
     root = logging.getLogger()
     root.handlers = [handler]
     root.setLevel(logging.WARNING)
+    # It warns of every event that changes no state.
+    logging.getLogger("transitions").setLevel(logging.ERROR)
     for name in ("nutmeglift", "nutmeglift_router", "nutmeglift_agent"):
         logging.getLogger(name).setLevel(logging.INFO)
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -5,6 +5,7 @@
 
 from nutmeglift import declaration
 from nutmeglift import settings
+from nutmeglift_fakes import platform
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
 # directory: (accounts, plain services, kinds of accelerators)
@@ -43,6 +44,23 @@
                 loaded = settings.load(EXAMPLES / "settings" / name, kind)
                 self.assertNotIn("replace", repr(loaded))
 
+    def test_two_routers(self):
+        directory = EXAMPLES / "two-routers"
+        found = platform.load(directory / "stand-ins.yaml")
+        for vm in found.vms:
+            kind = settings.RouterSettings
+            if vm.backend_class is not None:
+                kind = settings.AgentSettings
+            with self.subTest(vm.name):
+                own = settings.load(directory / f"{vm.name}.yaml", kind)
+                self.assertEqual(
+                    (own.vm, own.listen, own.failure_domain),
+                    (vm.name, vm.address, vm.failure_domain),
+                )
+                self.assertEqual(own.platform.key_value, found.key_value)
+                if vm.backend_class is not None:
+                    self.assertEqual(own.backend, vm.backend)
+
 
 if __name__ == "__main__":
     unittest.main()
