Let a draining router answer what waited for its turn

Ruled out: keeping the refusal: it is true and retryable, but it gives work away that this router can still do. Change: only newcomers are refused; a router ends when nothing waits or runs. Conclusion: a long queue delays the exit; bounds.drain_seconds bounds that.

--- a/packages/nutmeglift/nutmeglift/admission.py
+++ b/packages/nutmeglift/nutmeglift/admission.py
@@ -18,7 +18,6 @@
 ESTIMATE_SMOOTHING = 0.1
 SHORTEST_RETRY_SECONDS = 1.0
 LONGEST_RETRY_SECONDS = 60.0
-DRAIN_RETRY_SECONDS = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -154,7 +153,6 @@
         self._drain_rate = concurrency.DrainRate()
         self._service_time = concurrency.ServiceTime()
         self._estimate = TokenEstimate()
-        self._draining = False
 
     @property
     def waiting(self) -> int:
@@ -169,8 +167,6 @@
     def arrive(self, now: float, arrival: Arrival) -> list[Action]:
         """Takes a request; other requests may be answered because of it."""
         self._advance(now)
-        if self._draining:
-            return [_refuse_draining(arrival.number)]
         request = self._make_request(now, arrival)
         late = self._refuse_if_late_on_arrival(now, request)
         if late is not None:
@@ -215,17 +211,6 @@
                 actions.append(self._refuse_late(now, number))
         return actions + self._fill(now)
 
-    def drain(self, now: float) -> list[Action]:
-        """Refuses everything that waits, and all that arrives from now on."""
-        self._advance(now)
-        self._draining = True
-        actions: list[Action] = []
-        for number in self._queue.numbers():
-            self._queue.remove(number)
-            del self._request_by_number[number]
-            actions.append(_refuse_draining(number))
-        return actions
-
     def next_expiry(self) -> float | None:
         """Returns when tick has to be called next, or None."""
         while self._expiries and self._expiries[0][1] not in self._queue:
@@ -385,14 +370,5 @@
     return arrival.deadline_seconds * TARGET_SHARE
 
 
-def _refuse_draining(number: int) -> Refuse:
-    return Refuse(
-        number,
-        errors.ErrorKind.DRAINING,
-        "this router is shutting down",
-        DRAIN_RETRY_SECONDS,
-    )
-
-
 def _bound_retry(seconds: float) -> float:
     return max(SHORTEST_RETRY_SECONDS, min(seconds, LONGEST_RETRY_SECONDS))
--- a/packages/nutmeglift_router/nutmeglift_router/admission_controller.py
+++ b/packages/nutmeglift_router/nutmeglift_router/admission_controller.py
@@ -1,7 +1,6 @@
 """Lets requests in, or refuses them before anything ran."""
 
 import asyncio
-import contextlib
 import dataclasses
 import itertools
 
@@ -9,7 +8,6 @@
 from nutmeglift import blackboard
 from nutmeglift import concurrency
 from nutmeglift import declaration
-from nutmeglift import drain as drains
 from nutmeglift import errors
 from nutmeglift import ids
 from nutmeglift import settings
@@ -102,16 +100,14 @@
         self._bounds = bounds or settings.Bounds()
         self._shares = shares
         self._numbers = itertools.count(1)
+        self._waiting = 0
         self._lane_by_name: dict[str, _Lane] = {}
         self._ticket_by_number: dict[int, Ticket] = {}
-        self._drained = asyncio.Event()
-        board.watch(entries.DRAIN, self._take_drain)
 
     @property
     def waiting(self) -> int:
-        """Number of requests that wait."""
-        lanes = self._lane_by_name.values()
-        return sum(lane.admission.waiting for lane in lanes)
+        """Number of requests that wait, in a queue or for their budget."""
+        return self._waiting
 
     @property
     def in_flight(self) -> int:
@@ -124,6 +120,13 @@
         Raises:
             errors.RefusedError: it can't run within its limits or deadline.
         """
+        self._waiting += 1
+        try:
+            return await self._pass(demand)
+        finally:
+            self._waiting -= 1
+
+    async def _pass(self, demand: Demand) -> Ticket:
         arrived = self._clock.now()
         await self._pass_limits(demand)
         try:
@@ -154,15 +157,6 @@
             lane, lane.admission.release(now, ticket.number, tokens)
         )
 
-    def drain(self) -> None:
-        """Refuses what waits and what comes from now on."""
-        if self._drained.is_set():
-            return
-        self._drained.set()
-        now = self._clock.now()
-        for lane in self._lane_by_name.values():
-            self._carry_out(lane, lane.admission.drain(now))
-
     async def _pass_limits(self, demand: Demand) -> None:
         if self._shares is None:
             return
@@ -182,10 +176,7 @@
             return
         self._metrics.count("admission.paced")
         try:
-            with contextlib.suppress(TimeoutError):
-                # wait_for can swallow a cancellation.
-                async with asyncio.timeout(verdict.seconds):
-                    await self._drained.wait()
+            await self._clock.sleep(verdict.seconds)
         except asyncio.CancelledError:
             self._shares.give_back(demand.account.id, tokens)
             raise
@@ -294,8 +285,6 @@
         lane = self._lane_by_name.get(name)
         if lane is None:
             lane = _Lane(self._bounds, self._make_limit(name))
-            if self._drained.is_set():
-                lane.admission.drain(self._clock.now())
             self._lane_by_name[name] = lane
         return lane
 
@@ -314,10 +303,6 @@
         target = admission.DEFAULT_TARGET_SECONDS
         return concurrency.PaceLimit(flow * target / routers)
 
-    def _take_drain(self, state: drains.DrainState) -> None:
-        if state is not drains.DrainState.SERVING:
-            self.drain()
-
 
 def _most_tokens(demand: Demand) -> float:
     return float(demand.prompt_tokens + demand.max_tokens)
--- a/packages/nutmeglift_router/nutmeglift_router/router.py
+++ b/packages/nutmeglift_router/nutmeglift_router/router.py
@@ -189,7 +189,7 @@
             clock=clock,
             metrics=metrics,
             limit=own.bounds.drain_seconds,
-            count_others=lambda: self.chat.in_flight + self.plain.in_flight,
+            count_others=self._count_in_flight,
         )
         self.plain = plain.PlainController(
             store=store,
@@ -238,7 +238,6 @@
     def begin_drain(self) -> None:
         """Refuses new work from now on, and says so."""
         self.drain.begin(self._clock.now())
-        self.admission.drain()
         self.routers.broadcast(messages.Leaving())
 
     def drain_vm(self, vm: ids.VmId, operator: str) -> bool:
@@ -277,6 +276,10 @@
     def _renew_authenticator(self, new: entries.ConfigurationInForce) -> None:
         self.authenticator = auth.Authenticator(new.declared)
 
+    def _count_in_flight(self) -> int:
+        running = self.chat.in_flight + self.plain.in_flight
+        return running + self.admission.waiting
+
     def _make_hello(self) -> messages.Hello:
         return messages.Hello(
             messages.PROTOCOL_VERSION,
