--- a/packages/nutmeglift/nutmeglift/messages.py
+++ b/packages/nutmeglift/nutmeglift/messages.py
@@ -77,7 +77,7 @@
     resume: int = 0
 
 
-class LoadReport(Message, frozen=True):
+class LoadReport(Item, frozen=True):
     """Load of a backend server as its engine last published it.
 
     Attributes:
