--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 	$(BIN)/nutmeglift demo
 
 test: setup-dev
-	$(BIN)/python -m tests
+	PYTHONHASHSEED=0 $(BIN)/python -m tests
 
 check: setup-dev
 	$(BIN)/ruff format --check $(SOURCES)
