Open the router's connections in one place; take dead code out

Cause: the read of the whole change: AgentLinks and RouterLinks each took, kept and used the same eight parts, and each had its own dial, handshake with timeout and session; two callers counted the routers by the same expression; asking for credit ran the whole tick, which walks all accounts and, at the share owner, all divisions, up to every 50 ms; LinkState and FairQueue.numbers had no use left. Change: LinkContext holds the parts and opens sessions for both; the Hello maker's type is the one that session.py had; asking sends the demand only, forgetting stays with the regular tick. Ruled out: one class for both kinds of connection (their life cycles differ: resume and reopening there, either end here); one loop for accounts and operators in auth.py (two typed results for two four-line bodies).

--- a/packages/nutmeglift/nutmeglift/fair_queue.py
+++ b/packages/nutmeglift/nutmeglift/fair_queue.py
@@ -250,10 +250,6 @@
         """Returns all work that waits, in tokens."""
         return sum(level.cost for level in self._level_by_priority.values())
 
-    def numbers(self) -> list[int]:
-        """Returns all that wait."""
-        return list(self._request_by_number)
-
     def _busy_priorities(self) -> list[int]:
         return sorted(
             (
--- a/packages/nutmeglift/nutmeglift/states.py
+++ b/packages/nutmeglift/nutmeglift/states.py
@@ -52,11 +52,3 @@
 
     STOP = "stop"
     LENGTH = "length"
-
-
-class LinkState(enum.Enum):
-    """State of a connection between two processes."""
-
-    CONNECTING = "connecting"
-    UP = "up"
-    DOWN = "down"
--- a/packages/nutmeglift_router/nutmeglift_router/agent_links.py
+++ b/packages/nutmeglift_router/nutmeglift_router/agent_links.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 import dataclasses
 import logging
-import random
 
 import msgspec
 
@@ -12,12 +11,9 @@
 from nutmeglift import errors
 from nutmeglift import ids
 from nutmeglift import messages
-from nutmeglift import settings
 from nutmeglift import streams
 from nutmeglift_router import attempt_watches
-from nutmeglift_wire import clock as clocks
-from nutmeglift_wire import link as links
-from nutmeglift_wire import metrics as metric
+from nutmeglift_router import link_context
 from nutmeglift_wire import session as sessions
 
 FIRST_BACKOFF_SECONDS = 0.05
@@ -45,6 +41,7 @@
         self.address = address
         self._vm = vm
         self._owner = owner
+        self._context = owner.context
         self._session: sessions.Session | None = None
         self._inbox = streams.FrameInbox()
         self._incarnation: ids.Incarnation | None = None
@@ -66,10 +63,10 @@
             try:
                 session = await self._open()
             except (errors.NutmegError, TimeoutError):
-                self._owner.metrics.count("agent_link.dial_failed")
+                self._context.metrics.count("agent_link.dial_failed")
                 self._owner.on_unreachable(self._vm)
-                await self._owner.clock.sleep(
-                    backoff * self._owner.rng.uniform(0.5, 1.0)
+                await self._context.clock.sleep(
+                    backoff * self._context.rng.uniform(0.5, 1.0)
                 )
                 backoff = min(2 * backoff, MAX_BACKOFF_SECONDS)
                 continue
@@ -77,33 +74,18 @@
             await self._serve(session)
 
     async def _open(self) -> sessions.Session:
-        owner = self._owner
-        link = await owner.dialer.dial(self.address)
-        try:
-            hello = msgspec.structs.replace(
-                owner.make_hello(), resume=self._inbox.sequence
-            )
-            # wait_for can swallow a cancellation.
-            async with asyncio.timeout(sessions.HANDSHAKE_TIMEOUT_SECONDS):
-                peer = await sessions.shake_hands_as_dialer(
-                    link, owner.key, hello
-                )
-        except (errors.NutmegError, TimeoutError):
-            await link.close()
-            raise
+        context = self._context
+        hello = msgspec.structs.replace(
+            context.make_hello(), resume=self._inbox.sequence
+        )
+        session = await context.open(self.address, hello, self._handle)
+        peer = session.peer
         if peer.incarnation != self._incarnation:
             self._inbox = streams.FrameInbox()
             self._incarnation = peer.incarnation
         self._inbox.meet(peer.resume)
         self._unacknowledged = 0
-        return sessions.Session(
-            link,
-            peer,
-            clock=owner.clock,
-            bounds=owner.bounds,
-            handler=self._handle,
-            make_heartbeat=owner.make_heartbeat,
-        )
+        return session
 
     async def _serve(self, session: sessions.Session) -> None:
         self._session = session
@@ -115,7 +97,7 @@
         finally:
             self._session = None
             self.peer = None
-        self._owner.metrics.count("agent_link.lost")
+        self._context.metrics.count("agent_link.lost")
         _logger.info(
             "agent disconnected",
             extra={"agent": self._vm, "reason": reason.detail},
@@ -136,7 +118,7 @@
     def _take_frame(self, session: sessions.Session, sequence: int) -> bool:
         arrival = self._inbox.accept(sequence)
         if arrival is not streams.Arrival.NEXT:
-            self._owner.metrics.count(f"token_frame.{arrival.value}")
+            self._context.metrics.count(f"token_frame.{arrival.value}")
         if arrival is streams.Arrival.GAP:
             # A new connection resumes from the last frame that arrived.
             raise errors.LinkClosedError(f"frame {sequence} came too early")
@@ -163,29 +145,15 @@
 
     def __init__(
         self,
+        context: link_context.LinkContext,
         *,
-        key: bytes,
-        clock: clocks.BaseClock,
-        rng: random.Random,
-        dialer: links.BaseDialer,
-        bounds: settings.Bounds,
-        metrics: metric.BaseMetrics,
-        make_hello: Callable[[], messages.Hello],
-        make_heartbeat: sessions.HeartbeatMaker,
         on_up: UpListener,
         on_down: DownListener,
         on_message: MessageListener,
         on_unreachable: UnreachableListener,
         is_busy: Callable[[ids.VmId], bool],
     ) -> None:
-        self.key = key
-        self.clock = clock
-        self.rng = rng
-        self.dialer = dialer
-        self.bounds = bounds
-        self.metrics = metrics
-        self.make_hello = make_hello
-        self.make_heartbeat = make_heartbeat
+        self.context = context
         self.on_up = on_up
         self.on_down = on_down
         self.on_message = on_message
--- a/packages/nutmeglift_router/nutmeglift_router/router.py
+++ b/packages/nutmeglift_router/nutmeglift_router/router.py
@@ -27,6 +27,7 @@
 from nutmeglift_router import drain_controller
 from nutmeglift_router import entries
 from nutmeglift_router import lease_controller
+from nutmeglift_router import link_context
 from nutmeglift_router import membership_controller
 from nutmeglift_router import plain
 from nutmeglift_router import plan_controller
@@ -83,7 +84,7 @@
         self._metrics = metrics
         self._tasks: set[asyncio.Task[None]] = set()
         self._routing = routing.Routing(rng)
-        self._links = agent_links.AgentLinks(
+        context = link_context.LinkContext(
             key=own.shared_key.get_secret_value().encode(),
             clock=clock,
             rng=rng,
@@ -92,6 +93,9 @@
             metrics=metrics,
             make_hello=self._make_hello,
             make_heartbeat=self._make_heartbeat,
+        )
+        self._links = agent_links.AgentLinks(
+            context,
             on_up=self._agent_up,
             on_down=self._agent_down,
             on_unreachable=self._agent_unreachable,
@@ -100,14 +104,7 @@
         )
         self.routers = router_links.RouterLinks(
             own.vm,
-            key=own.shared_key.get_secret_value().encode(),
-            clock=clock,
-            rng=rng,
-            dialer=dialer,
-            bounds=own.bounds,
-            metrics=metrics,
-            make_hello=self._make_hello,
-            make_heartbeat=self._make_heartbeat,
+            context,
             on_up=self._router_up,
             on_down=self._router_down,
             on_message=self._take_router_message,
@@ -159,7 +156,7 @@
             clock=clock,
             metrics=metrics,
             post_to_router=self.routers.post,
-            count_routers=lambda: self.routers.listed + 1,
+            count_routers=self._count_routers,
         )
         self.admission = admission_controller.AdmissionController(
             board=self.board,
@@ -197,7 +194,7 @@
             metrics=metrics,
             choose=self.membership.choose_server,
             agents=self._links,
-            count_routers=lambda: self.routers.listed + 1,
+            count_routers=self._count_routers,
         )
         self.authenticator = auth.Authenticator(
             self.board.read(entries.CONFIGURATION).declared
@@ -276,6 +273,9 @@
     def _renew_authenticator(self, new: entries.ConfigurationInForce) -> None:
         self.authenticator = auth.Authenticator(new.declared)
 
+    def _count_routers(self) -> int:
+        return self.routers.listed + 1
+
     def _count_in_flight(self) -> int:
         running = self.chat.in_flight + self.plain.in_flight
         return running + self.admission.waiting
--- a/packages/nutmeglift_router/nutmeglift_router/router_links.py
+++ b/packages/nutmeglift_router/nutmeglift_router/router_links.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 import contextlib
 import logging
-import random
 
 from nutmeglift import codec
 from nutmeglift import errors
@@ -12,11 +11,9 @@
 from nutmeglift import messages
 from nutmeglift import neighbours
 from nutmeglift import plan
-from nutmeglift import settings
 from nutmeglift import states
-from nutmeglift_wire import clock as clocks
+from nutmeglift_router import link_context
 from nutmeglift_wire import link as links
-from nutmeglift_wire import metrics as metric
 from nutmeglift_wire import session as sessions
 
 FIRST_BACKOFF_SECONDS = 0.1
@@ -36,28 +33,14 @@
     def __init__(
         self,
         own: ids.VmId,
+        context: link_context.LinkContext,
         *,
-        key: bytes,
-        clock: clocks.BaseClock,
-        rng: random.Random,
-        dialer: links.BaseDialer,
-        bounds: settings.Bounds,
-        metrics: metric.BaseMetrics,
-        make_hello: Callable[[], messages.Hello],
-        make_heartbeat: sessions.HeartbeatMaker,
         on_up: UpListener,
         on_down: DownListener,
         on_message: MessageListener,
     ) -> None:
         self._own = own
-        self._key = key
-        self._clock = clock
-        self._rng = rng
-        self._dialer = dialer
-        self._bounds = bounds
-        self._metrics = metrics
-        self._make_hello = make_hello
-        self._make_heartbeat = make_heartbeat
+        self._context = context
         self._on_up = on_up
         self._on_down = on_down
         self._on_message = on_message
@@ -124,7 +107,7 @@
     async def serve_link(self, link: links.BaseLink) -> None:
         """Serves a connection that another router opened."""
         if len(self._accepted) >= MAX_ACCEPTED:
-            self._metrics.count("router_link.too_many")
+            self._context.metrics.count("router_link.too_many")
             await link.close()
             return
         task = asyncio.ensure_future(self._serve_accepted(link))
@@ -145,14 +128,16 @@
         try:
             async with asyncio.timeout(sessions.HANDSHAKE_TIMEOUT_SECONDS):
                 peer = await sessions.shake_hands_as_listener(
-                    link, self._key, lambda _: self._make_hello()
+                    link,
+                    self._context.key,
+                    lambda _: self._context.make_hello(),
                 )
             _check_router(peer)
         except (errors.NutmegError, TimeoutError):
-            self._metrics.count("router_link.refused")
+            self._context.metrics.count("router_link.refused")
             await link.close()
             return
-        await self._serve(link, peer)
+        await self._serve(self._context.make_session(link, peer, self._handle))
 
     def _set_targets(self) -> None:
         entries = list(self._listed_by_vm.values())
@@ -172,54 +157,45 @@
         backoff = FIRST_BACKOFF_SECONDS
         # Of two routers that choose each other, one often finds itself
         # connected already.
-        await self._clock.sleep(self._rng.uniform(0, FIRST_BACKOFF_SECONDS))
+        await self._context.clock.sleep(
+            self._context.rng.uniform(0, FIRST_BACKOFF_SECONDS)
+        )
         while True:
             if vm in self._sessions_by_vm:
-                await self._clock.sleep(self._bounds.heartbeat_seconds)
+                await self._context.clock.sleep(
+                    self._context.bounds.heartbeat_seconds
+                )
                 continue
             if await self._connect(address):
                 backoff = FIRST_BACKOFF_SECONDS
-            await self._clock.sleep(backoff * self._rng.uniform(0.5, 1.0))
+            await self._context.clock.sleep(
+                backoff * self._context.rng.uniform(0.5, 1.0)
+            )
             backoff = min(2 * backoff, MAX_BACKOFF_SECONDS)
 
     async def _connect(self, address: str) -> bool:
         """Opens and serves a connection; returns whether it was opened."""
+        context = self._context
         try:
-            link = await self._dialer.dial(address)
-        except errors.NutmegError:
-            self._metrics.count("router_link.dial_failed")
-            return False
-        try:
-            async with asyncio.timeout(sessions.HANDSHAKE_TIMEOUT_SECONDS):
-                peer = await sessions.shake_hands_as_dialer(
-                    link, self._key, self._make_hello()
-                )
-            _check_router(peer)
+            session = await context.open(
+                address, context.make_hello(), self._handle, _check_router
+            )
         except (errors.NutmegError, TimeoutError):
-            self._metrics.count("router_link.dial_failed")
-            await link.close()
+            context.metrics.count("router_link.dial_failed")
             return False
-        await self._serve(link, peer)
+        await self._serve(session)
         return True
 
-    async def _serve(self, link: links.BaseLink, peer: messages.Hello) -> None:
-        session = sessions.Session(
-            link,
-            peer,
-            clock=self._clock,
-            bounds=self._bounds,
-            handler=self._handle,
-            make_heartbeat=self._make_heartbeat,
-        )
+    async def _serve(self, session: sessions.Session) -> None:
         self._attach(session)
         try:
             reason = await session.run()
         finally:
             self._detach(session)
-        self._metrics.count("router_link.lost")
+        self._context.metrics.count("router_link.lost")
         _logger.info(
             "router disconnected",
-            extra={"router": peer.vm, "reason": reason.detail},
+            extra={"router": session.peer.vm, "reason": reason.detail},
         )
 
     def _handle(
--- a/packages/nutmeglift_router/nutmeglift_router/share_controller.py
+++ b/packages/nutmeglift_router/nutmeglift_router/share_controller.py
@@ -137,13 +137,17 @@
             await self._clock.sleep(TICK_SECONDS)
 
     def tick(self) -> None:
-        """Asks for shares now, if there is something to ask for."""
+        """Asks for shares, and forgets what has lapsed."""
         now = self._clock.now()
-        self._check_pause(now)
-        self._holder.set_routers(self.count_routers())
+        self._send_demand(now)
         self._holder.forget_idle(now)
         if self._owner is not None:
             self._owner.expire(now)
+
+    def _send_demand(self, now: float) -> None:
+        """Asks for shares now, if there is something to ask for."""
+        self._check_pause(now)
+        self._holder.set_routers(self.count_routers())
         leader = self._board.read(entries.LEADER)
         if leader is None:
             return
@@ -157,11 +161,11 @@
 
     async def _ask_soon(self) -> None:
         await self._clock.sleep(ASK_DELAY_SECONDS)
-        self.tick()
+        self._send_demand(self._clock.now())
         asked_until = self._clock.now() + MAX_ASK_SECONDS
         while self._holder.has_unsent() and self._clock.now() < asked_until:
             await self._clock.sleep(account_budget.SHORTEST_ASK_SECONDS)
-            self.tick()
+            self._send_demand(self._clock.now())
 
     def _take_demand(
         self, vm: ids.VmId, demand: control_messages.ShareDemand
