--- a/Makefile
+++ b/Makefile
@@ -2,14 +2,15 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 PACKAGES := nutmeglift nutmeglift_wire nutmeglift_agent nutmeglift_fakes \
-	nutmeglift_router
-EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package))
+	nutmeglift_router nutmeglift_gateway
+EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package)) -e platform
 PIP := $(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt
-SOURCES := packages tests benchmarks
+SOURCES := packages platform tests benchmarks
 
 .PHONY: demo test check format bench setup setup-dev
 
-$(VENV)/.runtime: constraints.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/.runtime: constraints.txt $(wildcard packages/*/pyproject.toml) \
+		platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(PIP) $(EDITABLE)
 	touch $@
@@ -32,7 +33,7 @@
 	$(BIN)/ruff format --check $(SOURCES)
 	$(BIN)/ruff check $(SOURCES)
 	$(BIN)/mypy $(foreach package,$(PACKAGES),packages/$(package)/$(package)) \
-		tests benchmarks
+		platform/nutmeglift_platform tests benchmarks
 
 format: setup-dev
 	$(BIN)/ruff format $(SOURCES)
--- a/packages/nutmeglift/nutmeglift/errors.py
+++ b/packages/nutmeglift/nutmeglift/errors.py
@@ -16,6 +16,8 @@
     DEADLINE = "deadline_not_reachable"
     DRAINING = "draining"
     FORBIDDEN = "forbidden"
+    HEADER_TIMEOUT = "header_timeout"
+    HEADER_TOO_LARGE = "header_too_large"
     IDEMPOTENCY_KEY_EXPIRED = "idempotency_key_expired"
     IDEMPOTENCY_KEY_MISSING = "idempotency_key_missing"
     IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
@@ -32,6 +34,7 @@
     STAGE_FAILED = "stage_failed"
     STALE_FENCING_NUMBER = "stale_fencing_number"
     STREAM_BROKEN = "stream_broken"
+    TIMEOUT = "timeout"
     TOO_MANY_LOGINS = "too_many_logins"
     UNAUTHENTICATED = "unauthenticated"
     UNKNOWN_ROUTE = "unknown_route"
@@ -64,6 +67,8 @@
     ErrorKind.DEADLINE: Answer(503, _NOT_RUN, True),
     ErrorKind.DRAINING: Answer(503, _NOT_RUN, True),
     ErrorKind.FORBIDDEN: Answer(403, _NOT_RUN, False),
+    ErrorKind.HEADER_TIMEOUT: Answer(408, _NOT_RUN, True),
+    ErrorKind.HEADER_TOO_LARGE: Answer(431, _NOT_RUN, False),
     ErrorKind.IDEMPOTENCY_KEY_EXPIRED: Answer(410, _UNKNOWN, False),
     ErrorKind.IDEMPOTENCY_KEY_MISSING: Answer(400, _NOT_RUN, False),
     ErrorKind.IDEMPOTENCY_KEY_REUSED: Answer(422, _NOT_RUN, False),
@@ -80,6 +85,7 @@
     ErrorKind.STAGE_FAILED: Answer(502, _UNKNOWN, True),
     ErrorKind.STALE_FENCING_NUMBER: Answer(409, _NOT_RUN, False),
     ErrorKind.STREAM_BROKEN: Answer(502, _UNKNOWN, True),
+    ErrorKind.TIMEOUT: Answer(504, _UNKNOWN, False),
     ErrorKind.TOO_MANY_LOGINS: Answer(429, _NOT_RUN, True),
     ErrorKind.UNAUTHENTICATED: Answer(401, _NOT_RUN, False),
     ErrorKind.UNKNOWN_ROUTE: Answer(404, _NOT_RUN, False),
@@ -165,6 +171,10 @@
     """The key-value service gave no answer; a write may have taken effect."""
 
 
+class KvCompactedError(KvUnavailableError):
+    """The history from the wanted revision on is no longer kept."""
+
+
 class ConflictError(NutmegError):
     """Somebody else changed the same thing first."""
 
--- a/packages/nutmeglift/nutmeglift/kv.py
+++ b/packages/nutmeglift/nutmeglift/kv.py
@@ -97,6 +97,19 @@
     found: list[list[KeyValue]] = dataclasses.field(default_factory=list)
 
 
+@dataclasses.dataclass(frozen=True)
+class Snapshot:
+    """All keys with a prefix.
+
+    Attributes:
+        entries: the keys.
+        revision: a watch from the one after it misses no later change.
+    """
+
+    entries: list[KeyValue]
+    revision: ids.Revision
+
+
 class WatchKind(enum.Enum):
     """What happened to a watched key."""
 
@@ -166,6 +179,10 @@
     ) -> AsyncIterator[list[WatchEvent]]:
         """Yields changes from a revision on, until it fails."""
 
+    @abc.abstractmethod
+    async def snapshot(self, prefix: str) -> Snapshot:
+        """Reads all keys with a prefix, and where a watch goes on."""
+
     async def get(self, key: str) -> KeyValue | None:
         """Reads one key; None when it does not exist."""
         found = await self.range(Get(key))
@@ -271,6 +288,11 @@
                 continue
             await changed.wait()
 
+    async def snapshot(self, prefix: str) -> Snapshot:
+        """Reads all keys with a prefix."""
+        await self._enter()
+        return Snapshot(self._read(Get(prefix, True)), self._revision)
+
     def set_down(self, down: bool) -> None:
         """Starts or ends an outage; waiting watches end with an error."""
         self.down = down
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Forwards callers' HTTP requests to backend servers as they are."""
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/answers.py
@@ -0,0 +1,166 @@
+"""Formats our own answers, and checks and passes on those of servers."""
+
+import enum
+
+import msgspec
+
+from nutmeglift import errors
+from nutmeglift import states
+from nutmeglift_gateway import http_call
+from nutmeglift_gateway import ports
+
+_REASON_BY_STATUS = {
+    200: b"OK",
+    400: b"Bad Request",
+    401: b"Unauthorized",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+HOP_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+"""Headers that concern one connection only (RFC 9110, 7.6.1)."""
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""They promise that the request has not run and never will."""
+
+
+class _Body(msgspec.Struct):
+    kind: str
+    ran: str
+    request_id: str
+
+
+class Verdict(enum.Enum):
+    """What a server's whole answer is worth."""
+
+    GOOD = "good"
+    NOT_RUN = "not_run"
+    SERVER_ERROR = "server_error"
+    SPOILED = "spoiled"
+
+
+def own_answer(
+    kind: errors.ErrorKind,
+    *,
+    request_id: str = "",
+    retry_after: float | None = None,
+    retry_name: bytes = b"retry-after",
+    id_name: bytes | None = None,
+    keep: bool = False,
+) -> bytes:
+    """Returns our own answer to an error kind.
+
+    Args:
+        kind: the error kind.
+        request_id: the caller's id, where it is known.
+        retry_after: seconds after which to come back.
+        retry_name: header for it.
+        id_name: header that echoes the id.
+        keep: whether the connection goes on.
+    """
+    answer = errors.ANSWER_BY_KIND[kind]
+    body = msgspec.json.encode(_Body(kind.value, answer.ran.value, request_id))
+    reason = _REASON_BY_STATUS.get(answer.status, b"Error")
+    lines = [
+        b"HTTP/1.1 %d %s" % (answer.status, reason),
+        b"content-type: application/json",
+        b"content-length: %d" % len(body),
+    ]
+    if retry_after is not None and answer.ran is states.Ran.NOT_RUN:
+        lines.append(retry_name + b": %.3f" % retry_after)
+    if id_name is not None and request_id:
+        lines.append(id_name + b": " + request_id.encode("latin-1"))
+    if not keep:
+        lines.append(b"connection: close")
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+def judge(
+    names: ports.HeaderNames, head: http_call.Head, request_id: bytes
+) -> Verdict:
+    """Judges a server's answer by its head.
+
+    Args:
+        names: names of the headers.
+        head: status and headers.
+        request_id: the id that the request carried.
+    """
+    if head.get(names.not_run) is not None:
+        return Verdict.NOT_RUN
+    if head.status == 421:  # noqa: PLR2004 - misdirected: it did not run.
+        return Verdict.NOT_RUN
+    if head.get(names.request_id) not in (None, request_id):
+        return Verdict.SPOILED
+    if head.get(b"content-encoding") is not None:
+        return Verdict.SPOILED
+    if 200 <= head.status < 300:  # noqa: PLR2004 - success.
+        if head.get(names.receipt) is None:
+            return Verdict.SPOILED
+        return Verdict.GOOD
+    if head.status >= 500 or head.status in NOT_RUN_STATUSES:  # noqa: PLR2004
+        return Verdict.SERVER_ERROR
+    return Verdict.GOOD
+
+
+def pass_on_head(
+    head: http_call.Head,
+    *,
+    length: int | None,
+    chunked: bool,
+    keep: bool,
+    without_body: bool = False,
+) -> bytes:
+    """Returns a server's head for the caller.
+
+    Args:
+        head: what the server sent.
+        length: length of the body, where it is known.
+        chunked: the body follows in chunks.
+        keep: whether the connection goes on.
+        without_body: the answer has none, whatever its length says.
+    """
+    dropped = set(HOP_HEADERS)
+    for name, value in head.headers:
+        if name == b"connection":
+            dropped.update(p.strip().lower() for p in value.split(b","))
+    if not without_body:
+        dropped.add(b"content-length")
+    reason = _REASON_BY_STATUS.get(head.status, b"Status")
+    lines = [b"HTTP/1.1 %d %s" % (head.status, reason)]
+    lines += [
+        name + b": " + value
+        for name, value in head.headers
+        if name not in dropped
+    ]
+    if chunked:
+        lines.append(b"transfer-encoding: chunked")
+    elif length is not None and not without_body:
+        lines.append(b"content-length: %d" % length)
+    if not keep:
+        lines.append(b"connection: close")
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+def chunk(data: bytes) -> bytes:
+    """Returns data as one chunk."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+LAST_CHUNK = b"0\r\n\r\n"
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
@@ -0,0 +1,197 @@
+"""One attempt at a request: what is sent, and how the answer is taken."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+
+from nutmeglift_gateway import answers
+from nutmeglift_gateway import dispatch
+from nutmeglift_gateway import http_call
+from nutmeglift_gateway import http_listener
+from nutmeglift_gateway import intake
+from nutmeglift_gateway import ports
+from nutmeglift_gateway import sse
+
+EVENT_STREAM = b"text/event-stream"
+
+
+@dataclasses.dataclass(frozen=True)
+class Outcome:
+    """How an attempt ended.
+
+    Attributes:
+        failure: None where the whole answer arrived.
+        response: the whole answer, unless it was streamed.
+        fault: address of the runner that was named at fault, if any.
+        detail: for the log.
+    """
+
+    failure: dispatch.Failure | None
+    response: http_call.Response | None = None
+    fault: str = ""
+    detail: str = ""
+
+
+_FAILURE_BY_VERDICT = {
+    answers.Verdict.GOOD: None,
+    answers.Verdict.NOT_RUN: dispatch.Failure.REJECTED,
+    answers.Verdict.SERVER_ERROR: dispatch.Failure.SERVER_ERROR,
+    answers.Verdict.SPOILED: dispatch.Failure.SPOILED,
+}
+
+
+def forwarded_headers(
+    names: ports.HeaderNames, request: http_listener.Request
+) -> http_call.Headers:
+    """Returns the caller's headers that a server gets."""
+    dropped = set(answers.HOP_HEADERS)
+    dropped |= {
+        b"content-length",
+        b"expect",
+        names.key,
+        names.account,
+        names.deadline,
+        names.expected_instance,
+        names.expected_version,
+        names.path,
+        names.priority,
+        names.last_event_id,
+    }
+    for name, value in request.headers:
+        if name == b"connection":
+            dropped.update(p.strip().lower() for p in value.split(b","))
+    return [
+        (name, value) for name, value in request.headers if name not in dropped
+    ]
+
+
+def own_headers(
+    names: ports.HeaderNames,
+    admitted: intake.Admitted,
+    *,
+    instance: str,
+    remaining: float,
+    path: bytes | None,
+    last_event_id: bytes | None,
+) -> http_call.Headers:
+    """Returns the headers that the router sets itself."""
+    headers = [
+        (names.deadline, b"%d" % max(1, int(remaining * 1000))),
+        (names.expected_instance, instance.encode()),
+    ]
+    if admitted.account is not None:
+        headers.append((names.account, admitted.account.id.encode()))
+    if path is not None:
+        headers.append((names.path, path))
+        headers.append((names.priority, b"%d" % admitted.priority))
+    if last_event_id is not None:
+        headers.append((names.last_event_id, last_event_id))
+    return headers
+
+
+class Answer(http_call.BaseReceiver):
+    """Takes one answer: streamed events as they come, all else whole.
+
+    Attributes:
+        done: set to the outcome once.
+        last_byte_at: loop time of the last byte of the answer's body.
+        events_seen: whether an event arrived.
+    """
+
+    def __init__(
+        self,
+        names: ports.HeaderNames,
+        request_id: bytes,
+        *,
+        events: sse.EventSplitter | None,
+        on_events: Callable[[http_call.Head, bytes], None] | None,
+    ) -> None:
+        """Makes it.
+
+        Args:
+            names: names of the headers.
+            request_id: the id that the answer has to echo.
+            events: splits the stream; None where none is expected.
+            on_events: takes the head and whole events.
+        """
+        loop = asyncio.get_running_loop()
+        self.done: asyncio.Future[Outcome] = loop.create_future()
+        self.last_byte_at = loop.time()
+        self.events_seen = False
+        self._loop = loop
+        self._names = names
+        self._request_id = request_id
+        self._events = events
+        self._on_events = on_events
+        self._streaming = False
+        self._head: http_call.Head | None = None
+        self._verdict = answers.Verdict.SPOILED
+        self._parts: list[bytes] = []
+
+    def on_head(self, head: http_call.Head) -> None:
+        """Takes status and headers."""
+        self._head = head
+        self._verdict = answers.judge(self._names, head, self._request_id)
+        kind = head.get(b"content-type") or b""
+        self._streaming = (
+            self._events is not None
+            and self._verdict is answers.Verdict.GOOD
+            and kind.startswith(EVENT_STREAM)
+        )
+
+    def on_body(self, data: bytes) -> None:
+        """Takes a part of the body."""
+        if not self._streaming:
+            self._parts.append(data)
+            return
+        if self.done.done():
+            return
+        assert self._events is not None
+        assert self._on_events is not None
+        assert self._head is not None
+        try:
+            whole = self._events.feed(data)
+        except sse.BrokenStreamError as error:
+            self._finish(Outcome(dispatch.Failure.SPOILED, detail=str(error)))
+            return
+        if whole:
+            self.last_byte_at = self._loop.time()
+            self.events_seen = True
+            self._on_events(self._head, whole)
+
+    def on_complete(self) -> None:
+        """The answer is whole."""
+        assert self._head is not None
+        if self._streaming:
+            assert self._events is not None
+            if self._events.is_clean:
+                self._finish(Outcome(None))
+            else:
+                self._finish(
+                    Outcome(dispatch.Failure.LOST, detail="an event was cut")
+                )
+            return
+        fault = self._head.get(self._names.fault) or b""
+        self._finish(
+            Outcome(
+                _FAILURE_BY_VERDICT[self._verdict],
+                http_call.Response(self._head, b"".join(self._parts)),
+                fault.decode("latin-1"),
+                f"status {self._head.status}",
+            )
+        )
+
+    def on_failure(self, error: http_call.CallError) -> None:
+        """The answer ended early."""
+        failure = dispatch.Failure.LOST
+        if error.failure is http_call.CallFailure.MALFORMED:
+            failure = dispatch.Failure.SPOILED
+        self._finish(Outcome(failure, detail=str(error)))
+
+    def give_up(self, failure: dispatch.Failure, detail: str) -> None:
+        """Ends the attempt from our side."""
+        self._finish(Outcome(failure, detail=detail))
+
+    def _finish(self, outcome: Outcome) -> None:
+        if not self.done.done():
+            self.done.set_result(outcome)
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
@@ -0,0 +1,151 @@
+"""The state that a router's controllers read and write.
+
+Each field names its only writer. All times are seconds of the loop's clock
+but those of `freshness`.
+"""
+
+from collections.abc import Callable
+import dataclasses
+
+from nutmeglift import ids
+from nutmeglift_gateway import catalog
+from nutmeglift_gateway import directory
+from nutmeglift_gateway import freshness
+from nutmeglift_gateway import loads
+from nutmeglift_gateway import paths
+from nutmeglift_gateway import retry_shares
+from nutmeglift_gateway import settings
+from nutmeglift_gateway import trust
+
+PACE_SECONDS = 3.0
+"""A pace that was read longer ago says nothing: runners recover in seconds."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Pace:
+    """How slow a runner was, and when."""
+
+    value: float
+    read_at: float
+
+
+class Board:
+    """What one router knows.
+
+    Attributes:
+        catalog: the configuration in force; written by the store reader.
+        catalog_revision: revision of its entry.
+        directory: the backend servers; written by the store reader.
+        freshness: when the configuration was confirmed; written by the store
+            reader and by the peers' links.
+        trust: suspects; written by the requests and the prober.
+        book: what is in flight; written by the requests and the peers' links.
+        pace_by_address: runners' paces; written by the stream guard and the
+            planner.
+        router_by_name: addresses of the live routers, by VM; written by the
+            store reader.
+        draining: whether this process is leaving; written by the drain.
+        coverage_eta: loop time at which missing layers will be loaded;
+            written by the planner and the peers' links.
+    """
+
+    def __init__(
+        self, bounds: settings.Bounds, home: ids.FailureDomain
+    ) -> None:
+        """Makes an empty board.
+
+        Args:
+            bounds: the operators' bounds.
+            home: the router's failure domain.
+        """
+        self.home = home
+        self.bounds = bounds
+        self.catalog: catalog.Catalog | None = None
+        self.catalog_revision = ids.Revision(0)
+        self.directory = directory.Directory()
+        self.freshness = freshness.Freshness(bounds.revocation_seconds)
+        self.trust = trust.Trust()
+        self.book = loads.LoadBook()
+        self.pace_by_address: dict[str, Pace] = {}
+        self.router_by_name: dict[str, str] = {}
+        self.draining = False
+        self.coverage_eta = 0.0
+        self._budget_by_service: dict[
+            ids.ServiceId, retry_shares.RetryShares
+        ] = {}
+        self._usable_version = (-1, -1)
+        self._usable: dict[ids.ServiceId, list[directory.Server]] = {}
+
+    def set_catalog(
+        self, revision: ids.Revision, found: catalog.Catalog
+    ) -> bool:
+        """Puts a configuration in force unless it is older."""
+        if self.catalog and self.catalog.generation >= found.generation:
+            return False
+        self.catalog = found
+        self.catalog_revision = revision
+        return True
+
+    def limits(self) -> catalog.ClientLimits:
+        """Returns what callers may send."""
+        if self.catalog is None:
+            return catalog.ClientLimits()
+        return self.catalog.limits
+
+    def usable(self, service: ids.ServiceId) -> list[directory.Server]:
+        """Returns the servers of a service that may get new requests."""
+        version = (self.directory.version, self.trust.version)
+        if version != self._usable_version:
+            self._usable_version = version
+            self._usable = {}
+            for server in self.directory.server_by_id.values():
+                if server.state is not directory.ServerState.READY:
+                    continue
+                if self.trust.is_suspect(server.address, server.lifetime):
+                    continue
+                self._usable.setdefault(server.service, []).append(server)
+        return self._usable.get(service, [])
+
+    def finder(self, engine: catalog.Engine, now: float) -> paths.PathFinder:
+        """Returns a path finder for a service's runners at present."""
+        return paths.PathFinder(engine, self.book, self.pace_reader(now))
+
+    def pace_reader(self, now: float) -> Callable[[str], float]:
+        """Returns a function from an address to the runner's pace."""
+
+        def pace_of(address: str) -> float:
+            found = self.pace_by_address.get(address)
+            if found is None or now - found.read_at > PACE_SECONDS:
+                return 1.0
+            return max(1.0, found.value)
+
+        return pace_of
+
+    def budget(self, service: ids.ServiceId) -> retry_shares.RetryShares:
+        """Returns this router's share of a service's retry budget."""
+        found = self._budget_by_service.get(service)
+        if found is None:
+            found = self._budget_by_service[service] = retry_shares.RetryShares(
+                ratio=self.bounds.retry_ratio,
+                slack=self.bounds.retry_slack,
+                window=self.bounds.retry_window_seconds,
+            )
+        return found
+
+    def suspect(
+        self, now: float, server: directory.Server, reason: str
+    ) -> bool:
+        """Leaves a server out until it has recovered."""
+        return self.trust.suspect(now, server.address, server.lifetime, reason)
+
+    def server_at(self, address: str) -> directory.Server | None:
+        """Returns the server at an address, the youngest of several."""
+        return max(
+            (
+                server
+                for server in self.directory.server_by_id.values()
+                if server.address == address
+            ),
+            key=lambda server: server.revision,
+            default=None,
+        )
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/cli.py
@@ -0,0 +1,50 @@
+"""Command line of a router that forwards requests."""
+
+import pathlib
+import sys
+
+import fire
+
+from nutmeglift import errors
+from nutmeglift_gateway import gateway
+from nutmeglift_gateway import settings
+
+EXIT_SETTINGS = 2
+
+
+class Commands:
+    """A router that forwards callers' requests to backend servers."""
+
+    def __init__(self, run: gateway.RunGateway, default_path: str) -> None:
+        self._run = run
+        self._default_path = default_path
+
+    def serve(self, path: str = "") -> None:
+        """Serves until SIGTERM.
+
+        Args:
+            path: the settings file; the platform's where left out.
+        """
+        import uvloop  # noqa: PLC0415 - `check` starts without it.
+
+        uvloop.run(self._run(self._load(path)))
+
+    def check(self, path: str = "") -> None:
+        """Checks a settings file.
+
+        Args:
+            path: the settings file; the platform's where left out.
+        """
+        print(f"{self._load(path).vm}: the settings are sound")
+
+    def _load(self, path: str) -> settings.Settings:
+        try:
+            return settings.load(pathlib.Path(path or self._default_path))
+        except errors.SettingsError as error:
+            print(error, file=sys.stderr)
+            sys.exit(EXIT_SETTINGS)
+
+
+def main(run: gateway.RunGateway, default_path: str) -> None:
+    """Runs the command that the arguments name."""
+    fire.Fire(Commands(run, default_path))
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/decision_log.py
@@ -0,0 +1,107 @@
+"""Structured log lines on standard output, bounded under load."""
+
+import logging
+import os
+import sys
+import time
+from typing import Any
+
+from pythonjsonlogger import msgspec as json_logger
+
+LINES_PER_SECOND = 40.0
+"""Lines of one event name a second: the processor time of logging stays under
+a hundredth of a core."""
+BURST_LINES = 200.0
+"""Lines that may come at once, as when a failure touches all requests."""
+LOGGER_NAME = "nutmeglift_gateway"
+
+
+class _NonBlockingHandler(logging.Handler):
+    """Writes lines to a descriptor; drops and counts what would block."""
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__()
+        self._descriptor = descriptor
+        self._dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Writes one line."""
+        if self._dropped:
+            record.dropped_before = self._dropped
+        line = self.format(record) + "\n"
+        try:
+            os.write(self._descriptor, line.encode())
+            self._dropped = 0
+        except BlockingIOError:
+            self._dropped += 1
+        except OSError:
+            self.handleError(record)
+
+
+class _Budget:
+    """Lines of one event that may still be written."""
+
+    def __init__(self) -> None:
+        self.lines = BURST_LINES
+        self.at = time.monotonic()
+        self.folded = 0
+
+    def try_spend(self) -> bool:
+        now = time.monotonic()
+        earned = (now - self.at) * LINES_PER_SECOND
+        self.at = now
+        self.lines = min(BURST_LINES, self.lines + earned)
+        if self.lines < 1.0:
+            self.folded += 1
+            return False
+        self.lines -= 1.0
+        return True
+
+
+class DecisionLog:
+    """Writes one line for each decision, folding what comes too often."""
+
+    def __init__(self, logger: logging.Logger) -> None:
+        self._logger = logger
+        self._budget_by_event: dict[str, _Budget] = {}
+
+    def write(self, event: str, **fields: Any) -> None:
+        """Writes a line, or counts it where the event comes too often.
+
+        Args:
+            event: what was decided.
+            **fields: the inputs that decided it, their age or version, and
+                the outcome.
+        """
+        budget = self._budget_by_event.setdefault(event, _Budget())
+        if not budget.try_spend():
+            return
+        if budget.folded:
+            fields["folded_before"] = budget.folded
+            budget.folded = 0
+        self._logger.info(event, extra=fields)
+
+
+def set_up(vm: str) -> DecisionLog:
+    """Sends the logs of all our packages to standard output as JSON."""
+    handler = _NonBlockingHandler(sys.stdout.fileno())
+    handler.setFormatter(
+        json_logger.MsgspecFormatter(
+            "%(created)f %(levelname)s %(message)s",
+            rename_fields={
+                "created": "time",
+                "levelname": "level",
+                "message": "event",
+            },
+            static_fields={"vm": vm},
+        )
+    )
+    root = logging.getLogger()
+    root.handlers = [handler]
+    root.setLevel(logging.WARNING)
+    # It warns of every event that changes no state.
+    logging.getLogger("transitions").setLevel(logging.ERROR)
+    logger = logging.getLogger(LOGGER_NAME)
+    logger.setLevel(logging.INFO)
+    return DecisionLog(logger)
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/drain.py
@@ -0,0 +1,36 @@
+"""Decides the steps of leaving after SIGTERM."""
+
+import enum
+
+ACCEPT_SECONDS = 3.2
+"""The platform takes a VM out after two missed checks, one a second; until
+then new connections arrive, and a second more while they are on their way."""
+EXIT_MARGIN_SECONDS = 0.4
+"""Before the process is killed."""
+TICK_SECONDS = 0.05
+"""How often the step is judged."""
+
+
+class Step(enum.Enum):
+    """What to do while leaving."""
+
+    ACCEPT = "accept"
+    """Not ready any more, but all that arrives is served."""
+    FINISH = "finish"
+    """Nothing new is accepted; what is in flight is ended."""
+    EXIT = "exit"
+
+
+def judge(*, elapsed: float, in_flight: int, shutdown_seconds: float) -> Step:
+    """Decides on the step.
+
+    Args:
+        elapsed: seconds since SIGTERM.
+        in_flight: requests that are not answered yet.
+        shutdown_seconds: the process is killed so long after SIGTERM.
+    """
+    if elapsed >= shutdown_seconds - EXIT_MARGIN_SECONDS:
+        return Step.EXIT
+    if elapsed < ACCEPT_SECONDS:
+        return Step.ACCEPT
+    return Step.FINISH if in_flight else Step.EXIT
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
@@ -0,0 +1,489 @@
+"""Carries one caller's request to its end."""
+
+import asyncio
+import dataclasses
+import random
+
+from nutmeglift import errors
+from nutmeglift_gateway import answers
+from nutmeglift_gateway import attempt
+from nutmeglift_gateway import board as boards
+from nutmeglift_gateway import decision_log
+from nutmeglift_gateway import directory
+from nutmeglift_gateway import dispatch
+from nutmeglift_gateway import freshness
+from nutmeglift_gateway import http_call
+from nutmeglift_gateway import http_listener
+from nutmeglift_gateway import intake
+from nutmeglift_gateway import loads
+from nutmeglift_gateway import metrics as metric_sets
+from nutmeglift_gateway import paths
+from nutmeglift_gateway import picks
+from nutmeglift_gateway import ports
+from nutmeglift_gateway import refusals
+from nutmeglift_gateway import sse
+from nutmeglift_gateway import stream_guard
+
+MAX_CONNECT_FAILURES = 6
+"""Servers that are tried until one takes the connection: by then the entries
+of a crashed group have had time to lapse."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Context:
+    """What every exchange uses.
+
+    Attributes:
+        board: what the router knows.
+        names: names of the headers.
+        runners: calls to the runners beside requests.
+        guard: watches running streams.
+        log: decisions.
+        metrics: counters and histograms.
+        rng: random numbers.
+    """
+
+    board: boards.Board
+    names: ports.HeaderNames
+    runners: ports.BaseRunners
+    guard: stream_guard.StreamGuard
+    log: decision_log.DecisionLog
+    metrics: metric_sets.Metrics
+    rng: random.Random
+
+
+class Exchange:
+    """One caller's request, from its last byte to the end of its answer."""
+
+    def __init__(
+        self,
+        context: Context,
+        connection: http_listener.CallerConnection,
+        request: http_listener.Request,
+    ) -> None:
+        self._context = context
+        self._connection = connection
+        self._request = request
+        self._loop = asyncio.get_running_loop()
+        self._progress = dispatch.Progress()
+        self._tried: set[str] = set()
+        self._upstream: http_call.Connection | None = None
+        self._events: sse.EventSplitter | None = None
+        self._keep = request.keep_alive and not context.board.draining
+        self._paths: list[str] = []
+
+    async def run(self) -> None:
+        """Serves the request; the caller's close cancels it."""
+        context = self._context
+        verdict = intake.admit(
+            context.board,
+            context.names,
+            self._request,
+            freshness.boot_clock(),
+            context.rng,
+        )
+        if isinstance(verdict, intake.Refused):
+            self._refuse(verdict.kind, verdict.retry_after, verdict.detail)
+            return
+        context.board.budget(verdict.service.id).note_request(self._now())
+        try:
+            await self._serve(verdict)
+        except asyncio.CancelledError:
+            context.log.write(
+                "caller left",
+                request=verdict.request_id.decode("latin-1"),
+                sent=self._progress.sent,
+                seconds=round(self._elapsed(), 3),
+            )
+            context.metrics.requests.labels(
+                verdict.route.id, "caller_left"
+            ).inc()
+            raise
+        finally:
+            if self._upstream is not None:
+                self._upstream.abort()
+
+    async def _serve(self, admitted: intake.Admitted) -> None:
+        streaming = admitted.route.streaming
+        if streaming:
+            self._events = sse.EventSplitter(self._first_event_id())
+        connect_failures = 0
+        while True:
+            try:
+                async with asyncio.timeout_at(admitted.deadline):
+                    if streaming and admitted.service.engine is not None:
+                        outcome = await self._attempt_stream(admitted)
+                    else:
+                        outcome = await self._attempt_plain(admitted)
+            except TimeoutError:
+                outcome = attempt.Outcome(
+                    dispatch.Failure.TIMEOUT, detail="the time is over"
+                )
+            if outcome is None:
+                self._end(
+                    admitted, dispatch.give_up_without_server(self._progress)
+                )
+                return
+            if outcome.failure is None:
+                self._deliver(admitted, outcome)
+                return
+            self._note_failure(admitted, outcome)
+            decision = dispatch.decide(
+                admitted.route,
+                self._progress,
+                outcome.failure,
+                admitted.deadline - self._now(),
+            )
+            if outcome.failure is dispatch.Failure.NOT_SENT:
+                connect_failures += 1
+                if connect_failures >= MAX_CONNECT_FAILURES:
+                    decision = dispatch.give_up_without_server(self._progress)
+            if isinstance(decision, dispatch.Retry) and decision.repeat:
+                decision = self._spend(admitted, outcome, decision)
+            if isinstance(decision, dispatch.Retry):
+                context = self._context
+                context.metrics.attempts.labels("retried").inc()
+                context.log.write(
+                    "retried",
+                    request=admitted.request_id.decode("latin-1"),
+                    failure=outcome.failure.value,
+                    detail=outcome.detail,
+                    sent=self._progress.sent,
+                    started=self._progress.started,
+                )
+                continue
+            if isinstance(decision, dispatch.Deliver):
+                self._deliver(admitted, outcome)
+                return
+            self._end(admitted, decision, outcome.detail)
+            return
+
+    # Attempts.
+
+    async def _attempt_plain(
+        self, admitted: intake.Admitted
+    ) -> attempt.Outcome | None:
+        board = self._context.board
+        usable = board.usable(admitted.service.id)
+        fresh = [s for s in usable if s.id not in self._tried] or usable
+        if admitted.service.engine is not None:
+            # Without a path, a runner serves alone with all layers.
+            layers = admitted.service.engine.layers
+            fresh = [s for s in fresh if s.layers.count == layers]
+        server = picks.pick_server(fresh, board.book, board.home, {})
+        if server is None:
+            return None
+        self._tried.add(server.id)
+        reserved = (loads.Reservation(server.address, True, 0.0),)
+        answer = self._new_answer(admitted, None)
+        return await self._send(admitted, server, reserved, answer, None)
+
+    async def _attempt_stream(
+        self, admitted: intake.Admitted
+    ) -> attempt.Outcome | None:
+        context = self._context
+        engine = admitted.service.engine
+        assert engine is not None
+        tokens = admitted.prompt_tokens + admitted.answer_tokens
+        wanted = paths.Wanted(context.board.home, tokens)
+        usable = context.board.usable(admitted.service.id)
+        finder = context.board.finder(engine, self._now())
+        path = finder.find(
+            [s for s in usable if s.id not in self._tried], wanted
+        )
+        if path is None:
+            return None
+        self._paths.append(describe(path))
+        answer = self._new_answer(admitted, self._events)
+        stream = stream_guard.Stream(
+            admitted, path, answer, self._loop.time(), tokens
+        )
+        context.guard.add(stream)
+        try:
+            return await self._send(
+                admitted, path.first, stream.reserve(context.board), answer,
+                path,
+            )  # fmt: skip
+        finally:
+            context.guard.remove(stream)
+            stream.release(context.board)
+
+    def _new_answer(
+        self,
+        admitted: intake.Admitted,
+        events: sse.EventSplitter | None,
+    ) -> attempt.Answer:
+        if events is not None:
+            events.restart()
+        return attempt.Answer(
+            self._context.names,
+            admitted.request_id,
+            events=events,
+            on_events=self._on_events,
+        )
+
+    async def _send(
+        self,
+        admitted: intake.Admitted,
+        server: directory.Server,
+        reserved: tuple[loads.Reservation, ...],
+        answer: attempt.Answer,
+        path: paths.Path | None,
+    ) -> attempt.Outcome:
+        """Sends the request to a server and waits for the answer's end."""
+        board = self._context.board
+        if path is None:
+            board.book.reserve(reserved)
+        try:
+            try:
+                upstream = await http_call.connect(server.address)
+            except http_call.CallError as error:
+                board.suspect(self._now(), server, "connect")
+                return attempt.Outcome(
+                    dispatch.Failure.NOT_SENT, detail=str(error)
+                )
+            if not board.directory.is_current(server):
+                upstream.abort()
+                return attempt.Outcome(
+                    dispatch.Failure.NOT_SENT, detail="the server left"
+                )
+            self._upstream = upstream
+            self._connection.on_writable = self._on_writable
+            ran_before = self._progress.may_have_run
+            self._progress.sent += 1
+            self._progress.may_have_run = True
+            upstream.send(
+                self._format(admitted, server, path),
+                answer,
+                head_only=self._request.method == "HEAD",
+            )
+            outcome = await answer.done
+            if outcome.failure is dispatch.Failure.REJECTED:
+                self._progress.may_have_run = ran_before
+            return outcome
+        finally:
+            if path is None:
+                board.book.release(reserved)
+            if self._upstream is not None:
+                self._upstream.abort()
+                self._upstream = None
+
+    def _format(
+        self,
+        admitted: intake.Admitted,
+        server: directory.Server,
+        path: paths.Path | None,
+    ) -> bytes:
+        names = self._context.names
+        last_event_id = self._request.get(names.last_event_id)
+        if self._events is not None and self._events.last_id is not None:
+            last_event_id = b"%d" % self._events.last_id
+        headers = attempt.forwarded_headers(names, self._request)
+        headers += attempt.own_headers(
+            names,
+            admitted,
+            instance=server.id,
+            remaining=admitted.deadline - self._now(),
+            path=self._context.runners.path_value(path) if path else None,
+            last_event_id=last_event_id,
+        )
+        return http_call.format_request(
+            self._request.method,
+            self._request.target,
+            headers,
+            self._request.body,
+        )
+
+    # Answers.
+
+    def _on_events(self, head: http_call.Head, data: bytes) -> None:
+        """Passes whole events on."""
+        chunked = self._request.chunked_answer
+        if not self._progress.started:
+            self._progress.started = True
+            if not chunked:
+                self._keep = False
+            self._connection.write(
+                answers.pass_on_head(
+                    head, length=None, chunked=chunked, keep=self._keep
+                )
+                + (answers.chunk(data) if chunked else data)
+            )
+            self._context.metrics.first_event.observe(self._elapsed())
+            return
+        self._connection.write(answers.chunk(data) if chunked else data)
+
+    def _on_writable(self, writable: bool) -> None:
+        if self._upstream is None:
+            return
+        if writable:
+            self._upstream.resume()
+        else:
+            self._upstream.pause()
+
+    def _deliver(
+        self, admitted: intake.Admitted, outcome: attempt.Outcome
+    ) -> None:
+        keep = self._keep and not self._context.board.draining
+        if self._progress.started:
+            if self._request.chunked_answer:
+                self._connection.write(answers.LAST_CHUNK)
+        else:
+            response = outcome.response
+            if response is None:
+                # A stream that ended well without any event.
+                self._end(
+                    admitted,
+                    dispatch.Fail(errors.ErrorKind.OUTCOME_UNKNOWN),
+                    "a stream without events",
+                )
+                return
+            if response.status in answers.NOT_RUN_STATUSES:
+                # It may have run, so its promise can't be passed on.
+                self._end(
+                    admitted,
+                    dispatch.Fail(errors.ErrorKind.OUTCOME_UNKNOWN),
+                    outcome.detail,
+                )
+                return
+            self._connection.write(
+                answers.pass_on_head(
+                    response.head,
+                    length=len(response.body),
+                    chunked=False,
+                    keep=keep,
+                    without_body=self._request.method == "HEAD",
+                )
+                + response.body
+            )
+            self._context.metrics.answer.observe(self._elapsed())
+        result = "failed" if outcome.failure else "served"
+        self._count(admitted, result)
+        self._connection.finish(keep=keep)
+
+    def _end(
+        self,
+        admitted: intake.Admitted,
+        decision: dispatch.Refuse | dispatch.Fail,
+        detail: str = "",
+    ) -> None:
+        if self._progress.started:
+            self._context.log.write(
+                "stream cut",
+                request=admitted.request_id.decode("latin-1"),
+                kind=decision.kind.value,
+                detail=detail,
+                paths=self._paths,
+                sent=self._progress.sent,
+                seconds=round(self._elapsed(), 3),
+            )
+            self._count(admitted, "cut")
+            self._connection.abort()
+            return
+        retry_after = None
+        if isinstance(decision, dispatch.Refuse):
+            retry_after = refusals.retry_after(
+                self._context.board, decision.kind, self._now()
+            )
+        self._count(admitted, decision.kind.value)
+        self._refuse(decision.kind, retry_after, detail or "no server for it")
+
+    def _refuse(
+        self,
+        kind: errors.ErrorKind,
+        retry_after: float | None,
+        detail: str,
+    ) -> None:
+        context = self._context
+        names = context.names
+        request_id = (self._request.get(names.request_id) or b"").decode(
+            "latin-1"
+        )
+        context.metrics.refusals.labels(kind.value).inc()
+        catalog = context.board.catalog
+        context.log.write(
+            "refused",
+            request=request_id,
+            kind=kind.value,
+            detail=detail,
+            retry_after=retry_after,
+            generation=catalog.generation if catalog else None,
+            confirmation_age=round(
+                min(context.board.freshness.age(freshness.boot_clock()), 1e6),
+                3,
+            ),
+            directory_version=context.board.directory.version,
+            sent=self._progress.sent,
+            paths=self._paths,
+            seconds=round(self._elapsed(), 3),
+        )
+        keep = self._keep and not context.board.draining
+        self._connection.write(
+            answers.own_answer(
+                kind,
+                request_id=request_id,
+                retry_after=retry_after,
+                retry_name=names.retry_after,
+                id_name=names.request_id,
+                keep=keep,
+            )
+        )
+        self._connection.finish(keep=keep)
+
+    # Failures.
+
+    def _note_failure(
+        self, admitted: intake.Admitted, outcome: attempt.Outcome
+    ) -> None:
+        assert outcome.failure is not None
+        context = self._context
+        context.metrics.attempts.labels(outcome.failure.value).inc()
+        if outcome.fault:
+            server = context.board.server_at(outcome.fault)
+            if server is not None:
+                self._tried.add(server.id)
+        context.log.write(
+            "attempt failed",
+            request=admitted.request_id.decode("latin-1"),
+            service=admitted.service.id,
+            failure=outcome.failure.value,
+            detail=outcome.detail,
+            fault=outcome.fault,
+            path=self._paths[-1:] or None,
+            started=self._progress.started,
+            seconds=round(self._elapsed(), 3),
+        )
+
+    def _spend(
+        self,
+        admitted: intake.Admitted,
+        outcome: attempt.Outcome,
+        decision: dispatch.Retry,
+    ) -> dispatch.Decision:
+        board = self._context.board
+        routers = max(1, len(board.router_by_name))
+        if board.budget(admitted.service.id).try_spend(self._now(), routers):
+            return decision
+        if outcome.failure is dispatch.Failure.SERVER_ERROR:
+            return dispatch.Deliver()
+        return dispatch.give_up_without_server(self._progress)
+
+    def _first_event_id(self) -> int | None:
+        raw = self._request.get(self._context.names.last_event_id)
+        return int(raw) if raw is not None and raw.isdigit() else None
+
+    def _count(self, admitted: intake.Admitted, outcome: str) -> None:
+        self._context.metrics.requests.labels(admitted.route.id, outcome).inc()
+
+    def _elapsed(self) -> float:
+        return self._now() - self._request.received_at
+
+    def _now(self) -> float:
+        return self._loop.time()
+
+
+def describe(path: paths.Path) -> str:
+    """Returns a path for the log."""
+    return " ".join(
+        f"{part.server.address}={part.start}-{part.end}" for part in path.parts
+    )
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -0,0 +1,261 @@
+"""One router: wires listeners and controllers together, and drains."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+import functools
+import gc
+import random
+import signal
+from typing import Any
+
+from nutmeglift import errors
+from nutmeglift import ids
+from nutmeglift import kv
+from nutmeglift_gateway import answers
+from nutmeglift_gateway import board as boards
+from nutmeglift_gateway import decision_log
+from nutmeglift_gateway import drain
+from nutmeglift_gateway import exchange
+from nutmeglift_gateway import freshness
+from nutmeglift_gateway import http_listener
+from nutmeglift_gateway import metrics as metric_sets
+from nutmeglift_gateway import peer_links
+from nutmeglift_gateway import planner_controller
+from nutmeglift_gateway import ports
+from nutmeglift_gateway import prober
+from nutmeglift_gateway import registration
+from nutmeglift_gateway import settings
+from nutmeglift_gateway import store_reader
+from nutmeglift_gateway import stream_guard
+
+BACKLOG = 1024
+"""New connections that wait for the loop; a full queue costs seconds."""
+
+
+class Gateway:
+    """A router process."""
+
+    def __init__(
+        self,
+        config: settings.Settings,
+        *,
+        store: kv.BaseKv,
+        schema: ports.BaseSchema,
+        runners: ports.BaseRunners,
+        names: ports.HeaderNames,
+        readiness_path: str,
+        log: decision_log.DecisionLog,
+        rng: random.Random,
+    ) -> None:
+        self._config = config
+        self._log = log
+        self._readiness_path = readiness_path
+        self.metrics = metric_sets.Metrics()
+        self.board = boards.Board(
+            config.bounds, ids.FailureDomain(config.failure_domain)
+        )
+        self._reader = store_reader.StoreReader(
+            store, schema, self.board, log, rng
+        )
+        self._registration = registration.Registration(
+            store, config.vm, config.listen.peers, log, rng
+        )
+        self._guard = stream_guard.StreamGuard(
+            self.board, runners, log, self.metrics
+        )
+        self._prober = prober.Prober(self.board, runners, log)
+        self._planner = planner_controller.PlannerController(
+            store,
+            self._reader,
+            self._registration,
+            self.board,
+            runners,
+            config.vm,
+            log,
+            self.metrics,
+            rng,
+        )
+        self._peers = peer_links.PeerLinks(
+            self.board, self._reader, config.vm, log, rng
+        )
+        self._context = exchange.Context(
+            self.board, names, runners, self._guard, log, self.metrics, rng
+        )
+        self._callers: set[http_listener.CallerConnection] = set()
+        self._checkers: set[http_listener.CallerConnection] = set()
+        self._exchanges: set[asyncio.Task[None]] = set()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def run(self) -> None:
+        """Serves until SIGTERM, then drains."""
+        loop = asyncio.get_running_loop()
+        leaving = asyncio.Event()
+        loop.add_signal_handler(signal.SIGTERM, leaving.set)
+        listen = self._config.listen
+        callers = await self._listen(
+            listen.callers, self._on_request, self._callers
+        )
+        checkers = [
+            await self._listen(address, self._on_check, self._checkers)
+            for address in sorted({listen.readiness, listen.metrics})
+        ]
+        for work in (
+            self._reader.watch(),
+            self._reader.confirm(),
+            self._registration.run(),
+            self._guard.run(),
+            self._prober.run(),
+            self._planner.run(),
+            self._peers.serve(listen.peers),
+            self._peers.dial(),
+        ):
+            self._start(work)
+        gc.collect()
+        gc.freeze()
+        self._log.write(
+            "started",
+            failure_domain=self._config.failure_domain,
+            callers=listen.callers,
+            first_start=self._config.first_start,
+        )
+        await leaving.wait()
+        await self._drain(callers)
+        for each in checkers:
+            each.close()
+
+    async def _drain(self, callers: asyncio.Server) -> None:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        self.board.draining = True
+        self._log.write("draining", in_flight=len(self._exchanges))
+        self._start(self._registration.end())
+        listening = True
+        while True:
+            step = drain.judge(
+                elapsed=loop.time() - began,
+                in_flight=len(self._exchanges),
+                shutdown_seconds=self._config.bounds.shutdown_seconds,
+            )
+            if step is drain.Step.EXIT:
+                break
+            if step is drain.Step.FINISH and listening:
+                listening = False
+                callers.close()
+            if not listening:
+                for connection in list(self._callers):
+                    connection.close_if_idle()
+            await asyncio.sleep(drain.TICK_SECONDS)
+        self._log.write("stopped", in_flight=len(self._exchanges))
+        for task in [*self._exchanges, *self._tasks]:
+            task.cancel()
+
+    async def _listen(
+        self,
+        address: str,
+        handler: http_listener.Handler,
+        connections: set[http_listener.CallerConnection],
+    ) -> asyncio.Server:
+        host, _, port = address.rpartition(":")
+
+        def make() -> http_listener.CallerConnection:
+            return http_listener.CallerConnection(
+                handler, self.board.limits, answers.own_answer, connections
+            )
+
+        return await asyncio.get_running_loop().create_server(
+            make, host, int(port), backlog=BACKLOG
+        )
+
+    def _on_request(
+        self,
+        connection: http_listener.CallerConnection,
+        request: http_listener.Request,
+    ) -> None:
+        work = exchange.Exchange(self._context, connection, request)
+        task = asyncio.get_running_loop().create_task(
+            self._run_exchange(connection, work)
+        )
+        self._exchanges.add(task)
+        connection.on_close = functools.partial(_cancel, task)
+        task.add_done_callback(self._exchanges.discard)
+
+    async def _run_exchange(
+        self,
+        connection: http_listener.CallerConnection,
+        work: exchange.Exchange,
+    ) -> None:
+        self.metrics.in_flight.inc()
+        try:
+            await work.run()
+        except asyncio.CancelledError:
+            connection.abort()
+        except Exception as error:
+            # Whatever went wrong, the caller must not take it for an answer.
+            self._log.write("internal error", detail=repr(error))
+            self.metrics.refusals.labels("internal").inc()
+            connection.abort()
+        finally:
+            self.metrics.in_flight.dec()
+
+    def _on_check(
+        self,
+        connection: http_listener.CallerConnection,
+        request: http_listener.Request,
+    ) -> None:
+        path = request.target.partition("?")[0]
+        if path == self._readiness_path:
+            status = b"200 OK" if self.is_ready() else b"503 Not Ready"
+            body = b""
+        else:
+            status, body = b"200 OK", self._metrics_text()
+        keep = request.keep_alive and not self.board.draining
+        connection.write(
+            b"HTTP/1.1 %b\r\ncontent-type: text/plain\r\n"
+            b"content-length: %d\r\n%b\r\n%b"
+            % (
+                status,
+                len(body),
+                b"" if keep else b"connection: close\r\n",
+                body,
+            )
+        )
+        connection.finish(keep=keep)
+
+    def is_ready(self) -> bool:
+        """Tells whether new connections are wanted."""
+        return (
+            not self.board.draining
+            and self.board.catalog is not None
+            and self.board.freshness.is_fresh(freshness.boot_clock())
+        )
+
+    def _metrics_text(self) -> bytes:
+        board = self.board
+        if board.catalog is not None:
+            self.metrics.generation.set(board.catalog.generation)
+            age = board.freshness.age(freshness.boot_clock())
+            self.metrics.confirmation_age.set(age)
+        return self.metrics.text()
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        task.add_done_callback(self._on_done)
+        self._tasks.append(task)
+
+    def _on_done(self, task: "asyncio.Task[None]") -> None:
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            # A controller that is gone would leave the router half alive.
+            self._log.write("controller failed", detail=repr(error))
+            raise errors.NutmegError(repr(error)) from error
+
+
+def _cancel(task: "asyncio.Task[None]") -> None:
+    task.cancel()
+
+
+RunGateway = Callable[[settings.Settings], Coroutine[Any, Any, None]]
+"""Makes a router with the platform's adapters and runs it."""
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
@@ -0,0 +1,313 @@
+"""Reads callers' HTTP requests and writes the answers."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import socket
+from typing import cast
+
+import httptools
+
+from nutmeglift import errors
+from nutmeglift_gateway import catalog
+from nutmeglift_gateway import http_call
+
+MAX_PIPELINED = 16
+"""More requests that wait on one connection are not read."""
+WRITE_HIGH_WATER_BYTES = 256 * 1024
+"""A caller that reads slower than this far behind slows its stream down."""
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """A caller's whole request.
+
+    Attributes:
+        method: the method.
+        target: path and query as sent.
+        headers: names in lower case.
+        body: the whole body.
+        keep_alive: whether the caller keeps the connection.
+        chunked_answer: whether an answer may be sent in chunks (HTTP/1.1).
+        received_at: when its last byte was read, in seconds of the loop.
+    """
+
+    method: str
+    target: str
+    headers: http_call.Headers
+    body: bytes
+    keep_alive: bool
+    chunked_answer: bool
+    received_at: float
+
+    def get(self, name: bytes) -> bytes | None:
+        """Returns a header's first value, by its name in lower case."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+    def count(self, name: bytes) -> int:
+        """Returns how often a header was sent."""
+        return sum(1 for key, _ in self.headers if key == name)
+
+
+Handler = Callable[["CallerConnection", Request], None]
+"""Starts the work on a request; it ends with CallerConnection.finish."""
+
+
+class CallerConnection(asyncio.Protocol):
+    """One caller's connection; its requests are answered in turn.
+
+    Attributes:
+        closed: whether the caller, or we, closed it.
+        on_close: called once when it closes while a request is at work.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        limits: Callable[[], catalog.ClientLimits],
+        refuse: Callable[[errors.ErrorKind], bytes],
+        connections: "set[CallerConnection]",
+    ) -> None:
+        """Makes it.
+
+        Args:
+            handler: starts the work on a request.
+            limits: returns what callers may send, at present.
+            refuse: formats the whole answer to a request that can't be read.
+            connections: all open connections; it adds itself.
+        """
+        self.closed = False
+        self.on_close: Callable[[], None] | None = None
+        self.on_writable: Callable[[bool], None] | None = None
+        self._handler = handler
+        self._limits = limits
+        self._refuse = refuse
+        self._connections = connections
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._waiting: list[Request] = []
+        self._busy = False
+        self._last = False
+        self._broken = False
+        self._paused = False
+        self._timer: asyncio.TimerHandle | None = None
+        self._begun = False
+        self._head_done = False
+        self._head_bytes = 0
+        self._reset_request()
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is being read or worked on."""
+        return not self._busy and not self._waiting and not self._begun
+
+    def write(self, data: bytes) -> None:
+        """Writes a part of an answer."""
+        if self._transport is not None and not self.closed:
+            self._transport.write(data)
+
+    def finish(self, *, keep: bool) -> None:
+        """Ends the present request.
+
+        Args:
+            keep: whether the connection goes on; else it is closed after
+                what was written has been sent.
+        """
+        self._busy = False
+        self.on_close = None
+        self.on_writable = None
+        if self.closed:
+            return
+        if not keep or self._last:
+            self._close()
+            return
+        if self._paused and len(self._waiting) < MAX_PIPELINED:
+            self._paused = False
+            assert self._transport is not None
+            self._transport.resume_reading()
+        self._start_next()
+        if self.is_idle:
+            self._set_timer(self._limits().idle_timeout, self._on_idle)
+
+    def abort(self) -> None:
+        """Drops the connection, so that an answer doesn't look complete."""
+        self._busy = False
+        self.on_close = None
+        if self._transport is not None and not self.closed:
+            self.closed = True
+            self._transport.abort()
+
+    def close_if_idle(self) -> None:
+        """Closes the connection unless a request is at work."""
+        if self.is_idle:
+            self._close()
+
+    # Protocol.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes the transport."""
+        # Not all event loops derive their transports from asyncio's class.
+        self._transport = cast(asyncio.Transport, transport)
+        self._connections.add(self)
+        self._transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
+        found = transport.get_extra_info("socket")
+        if found is not None:
+            found.setsockopt(
+                socket.IPPROTO_TCP,
+                socket.TCP_USER_TIMEOUT,
+                10 * http_call.USER_TIMEOUT_MILLISECONDS,
+            )
+        self._set_timer(self._limits().idle_timeout, self._on_idle)
+
+    def data_received(self, data: bytes) -> None:
+        """Feeds the parser."""
+        if self._broken or self.closed:
+            return
+        if not self._begun:
+            self._begun = True
+            if not self._busy:
+                self._set_timer(
+                    self._limits().header_timeout, self._on_header_timeout
+                )
+        if not self._head_done:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._reject(errors.ErrorKind.BAD_REQUEST)
+        except httptools.HttpParserError:
+            self._reject(errors.ErrorKind.BAD_REQUEST)
+        limits = self._limits()
+        if not self._head_done and self._head_bytes > limits.header_bytes:
+            self._reject(errors.ErrorKind.HEADER_TOO_LARGE)
+
+    def eof_received(self) -> bool:
+        """The caller closed its side: it waits for nothing more."""
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The caller is gone."""
+        self.closed = True
+        self._connections.discard(self)
+        self._cancel_timer()
+        self._waiting.clear()
+        on_close, self.on_close = self.on_close, None
+        if on_close is not None:
+            on_close()
+
+    def pause_writing(self) -> None:
+        """The caller reads too slowly."""
+        if self.on_writable is not None:
+            self.on_writable(False)
+
+    def resume_writing(self) -> None:
+        """The caller has caught up."""
+        if self.on_writable is not None:
+            self.on_writable(True)
+
+    # Parser.
+
+    def on_url(self, url: bytes) -> None:
+        """Takes a part of the target."""
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes a header."""
+        self._headers.append((name.lower(), value))
+        self._header_sum += len(name) + len(value) + 4
+        if self._header_sum > self._limits().header_bytes:
+            self._reject(errors.ErrorKind.HEADER_TOO_LARGE)
+
+    def on_headers_complete(self) -> None:
+        """Takes the end of the head."""
+        self._head_done = True
+        if not self._busy:
+            self._set_timer(
+                max(self._limits().header_timeout, self._limits().idle_timeout),
+                self._on_header_timeout,
+            )
+        for name, value in self._headers:
+            if name == b"expect" and value.lower() == b"100-continue":
+                self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, data: bytes) -> None:
+        """Takes a part of the body."""
+        self._body.append(data)
+        self._body_bytes += len(data)
+        if self._body_bytes > self._limits().body_bytes:
+            self._reject(errors.ErrorKind.BODY_TOO_LARGE)
+
+    def on_message_complete(self) -> None:
+        """Takes the end of a request."""
+        if self._broken:
+            return
+        request = Request(
+            self._parser.get_method().decode("latin-1"),
+            self._url.decode("latin-1"),
+            self._headers,
+            b"".join(self._body),
+            self._parser.should_keep_alive(),
+            self._parser.get_http_version() == "1.1",
+            self._loop.time(),
+        )
+        self._reset_request()
+        self._cancel_timer()
+        self._waiting.append(request)
+        if len(self._waiting) >= MAX_PIPELINED and not self._paused:
+            self._paused = True
+            assert self._transport is not None
+            self._transport.pause_reading()
+        self._start_next()
+
+    def _reset_request(self) -> None:
+        self._begun = False
+        self._head_done = False
+        self._head_bytes = 0
+        self._header_sum = 0
+        self._url = b""
+        self._headers: http_call.Headers = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+
+    def _start_next(self) -> None:
+        if self._busy or self.closed or not self._waiting:
+            return
+        request = self._waiting.pop(0)
+        self._busy = True
+        self._last = not request.keep_alive
+        self._handler(self, request)
+
+    def _reject(self, kind: errors.ErrorKind) -> None:
+        if self._broken:
+            return
+        self._broken = True
+        # Without a request at work the answer belongs to the unread one.
+        if not self._busy and not self._waiting:
+            self.write(self._refuse(kind))
+            self._close()
+        else:
+            self._last = True
+
+    def _on_header_timeout(self) -> None:
+        self._reject(errors.ErrorKind.HEADER_TIMEOUT)
+
+    def _on_idle(self) -> None:
+        self.close_if_idle()
+
+    def _set_timer(self, seconds: float, call: Callable[[], None]) -> None:
+        self._cancel_timer()
+        self._timer = self._loop.call_later(seconds, call)
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _close(self) -> None:
+        if self._transport is not None and not self.closed:
+            self.closed = True
+            self._transport.close()
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/intake.py
@@ -0,0 +1,204 @@
+"""Decides whether a caller's request is taken, and what it needs."""
+
+import dataclasses
+import random
+
+from nutmeglift import errors
+from nutmeglift import ids
+from nutmeglift_gateway import board as boards
+from nutmeglift_gateway import catalog
+from nutmeglift_gateway import http_listener
+from nutmeglift_gateway import ports
+
+CERTAIN_SECONDS = 1.8
+"""A route or key that is missing in a configuration confirmed this recently
+does not exist; the operators' bound for a change to be in force is 2 s."""
+HINT_MARGIN = 1.3
+"""Half of the answers are longer than the caller's estimate."""
+UNKNOWN_ANSWER_SHARE = 0.4
+"""Part of the largest answer that is reserved without an estimate."""
+MAX_PRIORITY = 9
+CONFIGURATION_RETRY_SECONDS = 0.6
+"""Half of the interval in which the configuration is confirmed, and a store
+round trip."""
+MAX_DEADLINE_DIGITS = 10
+
+
+@dataclasses.dataclass(frozen=True)
+class Admitted:
+    """A request that is taken.
+
+    Attributes:
+        request_id: the caller's id.
+        route: its route.
+        service: the service that runs it.
+        account: the account that holds its key, if it has one.
+        deadline: loop time at which it has to be answered.
+        deadline_known: whether the caller set one.
+        prompt_tokens: tokens to read; 0 for a plain service.
+        answer_tokens: tokens that its answer is expected to have.
+    """
+
+    request_id: bytes
+    route: catalog.Route
+    service: catalog.Service
+    account: catalog.Account | None
+    deadline: float
+    deadline_known: bool
+    prompt_tokens: int
+    answer_tokens: float
+
+    @property
+    def priority(self) -> int:
+        """Rank at the engines; 0 is served first."""
+        own = self.account.priority if self.account else None
+        found = self.route.priority if own is None else own
+        return max(0, min(MAX_PRIORITY, found))
+
+
+@dataclasses.dataclass(frozen=True)
+class Refused:
+    """A request that is not taken.
+
+    Attributes:
+        kind: why.
+        retry_after: seconds after which to come back, or None.
+        detail: what decided it.
+    """
+
+    kind: errors.ErrorKind
+    retry_after: float | None
+    detail: str
+
+
+def admit(
+    board: boards.Board,
+    names: ports.HeaderNames,
+    request: http_listener.Request,
+    boot_now: float,
+    rng: random.Random,
+) -> Admitted | Refused:
+    """Decides on a request.
+
+    Args:
+        board: what the router knows.
+        names: names of the headers.
+        request: the caller's request.
+        boot_now: seconds on the clock that counts suspension, read after the
+            request was received.
+        rng: spreads the requests of a route over its services.
+    """
+    found = board.catalog
+    if found is None:
+        return _stale("no configuration yet")
+    problem = _malformed(names, request)
+    if problem:
+        return Refused(errors.ErrorKind.BAD_REQUEST, None, problem)
+    certain = board.freshness.age(boot_now) < CERTAIN_SECONDS
+    host = request.get(b"host") or b""
+    route = found.find_route(host.decode("latin-1"), request.target)
+    if route is None:
+        if not certain:
+            return _stale("no such route in an old configuration")
+        return Refused(errors.ErrorKind.UNKNOWN_ROUTE, None, request.target)
+    key = (request.get(names.key) or b"").decode("latin-1")
+    account = found.account_by_key.get(key)
+    if found.accounts_required and not route.anonymous and account is None:
+        if not certain:
+            return _stale("no such key in an old configuration")
+        return Refused(errors.ErrorKind.UNAUTHENTICATED, None, "unknown key")
+    if account is not None and not board.freshness.is_fresh(boot_now):
+        return _stale("the key can't be confirmed")
+    service = found.service_by_id.get(_pick_service(route, rng))
+    if service is None:
+        return Refused(
+            errors.ErrorKind.NO_BACKEND,
+            CONFIGURATION_RETRY_SECONDS,
+            "the route's service is not configured",
+        )
+    return _measure(names, request, route, service, account)
+
+
+def _stale(detail: str) -> Refused:
+    return Refused(
+        errors.ErrorKind.CONFIGURATION_STALE,
+        CONFIGURATION_RETRY_SECONDS,
+        detail,
+    )
+
+
+def _malformed(names: ports.HeaderNames, request: http_listener.Request) -> str:
+    """Returns what is wrong with a request's head, or an empty text."""
+    if request.count(b"host") != 1:
+        return "not just one Host header"
+    if request.count(names.request_id) != 1:
+        return "not just one id"
+    if not request.get(names.request_id):
+        return "an empty id"
+    if request.count(names.key) > 1:
+        return "more than one key"
+    if not request.target.startswith("/"):
+        return "the target is no path"
+    return ""
+
+
+def _pick_service(route: catalog.Route, rng: random.Random) -> ids.ServiceId:
+    if len(route.services) == 1:
+        return route.services[0].service
+    weights = [each.weight for each in route.services]
+    if sum(weights) <= 0:
+        return route.services[0].service
+    return rng.choices(route.services, weights)[0].service
+
+
+def _measure(
+    names: ports.HeaderNames,
+    request: http_listener.Request,
+    route: catalog.Route,
+    service: catalog.Service,
+    account: catalog.Account | None,
+) -> Admitted | Refused:
+    raw = request.get(names.deadline)
+    limit = route.timeout
+    if raw is not None:
+        if not raw.isdigit() or len(raw) > MAX_DEADLINE_DIGITS:
+            return Refused(
+                errors.ErrorKind.BAD_REQUEST, None, "a malformed deadline"
+            )
+        limit = min(limit, int(raw) / 1000)
+    prompt, answer = 0, 0.0
+    if service.engine is not None:
+        sizes = _sizes(names, request)
+        if sizes is None:
+            return Refused(
+                errors.ErrorKind.BAD_REQUEST, None, "malformed token counts"
+            )
+        prompt, answer = sizes
+    return Admitted(
+        request_id=request.get(names.request_id) or b"",
+        route=route,
+        service=service,
+        account=account,
+        deadline=request.received_at + limit,
+        deadline_known=raw is not None,
+        prompt_tokens=prompt,
+        answer_tokens=answer,
+    )
+
+
+def _sizes(
+    names: ports.HeaderNames, request: http_listener.Request
+) -> tuple[int, float] | None:
+    """Returns prompt tokens and expected answer tokens, if well-formed."""
+    raw = request.get(names.tokens)
+    if raw is None:
+        return None
+    first, _, second = raw.partition(b",")
+    first, second = first.strip(), second.strip()
+    if not (first.isdigit() and second.isdigit()):
+        return None
+    most = int(second)
+    hint = request.get(names.length_hint)
+    if hint is not None and hint.strip().isdigit():
+        return int(first), min(float(most), int(hint) * HINT_MARGIN)
+    return int(first), most * UNKNOWN_ANSWER_SHARE
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/loads.py
@@ -0,0 +1,108 @@
+"""What is in flight on each backend server, over all routers."""
+
+from collections.abc import Mapping
+import dataclasses
+
+PEER_SILENCE_SECONDS = 1.5
+"""What a lost router had reserved lapses: five of its reports are missing."""
+
+
+@dataclasses.dataclass(slots=True)
+class Load:
+    """Work in flight on one backend server.
+
+    Attributes:
+        requests: requests that pass through it.
+        firsts: requests that were sent to it.
+        token_layers: reserved KV cache, in tokens times layers.
+    """
+
+    requests: int = 0
+    firsts: int = 0
+    token_layers: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reservation:
+    """What one request reserves on one backend server."""
+
+    address: str
+    first: bool
+    token_layers: float
+
+
+NO_LOAD = Load()
+
+
+class LoadBook:
+    """Adds up our own reservations and those that other routers report."""
+
+    def __init__(self) -> None:
+        self._own_by_address: dict[str, Load] = {}
+        self._peer_loads: dict[str, tuple[float, Mapping[str, Load]]] = {}
+        self._total_by_address: dict[str, Load] = {}
+
+    def reserve(self, reservations: tuple[Reservation, ...]) -> None:
+        """Notes the start of a request."""
+        for each in reservations:
+            self._add(self._own_by_address, each, 1)
+            self._add(self._total_by_address, each, 1)
+
+    def release(self, reservations: tuple[Reservation, ...]) -> None:
+        """Notes the end of a request."""
+        for each in reservations:
+            self._add(self._own_by_address, each, -1)
+            self._add(self._total_by_address, each, -1)
+
+    def take_report(
+        self, now: float, peer: str, loads: Mapping[str, Load]
+    ) -> None:
+        """Replaces what a peer reported before."""
+        self._peer_loads[peer] = (now, loads)
+        self._sum_up()
+
+    def expire(self, now: float) -> None:
+        """Drops the reports of peers that fell silent."""
+        silent = [
+            peer
+            for peer, (taken_at, _) in self._peer_loads.items()
+            if now - taken_at > PEER_SILENCE_SECONDS
+        ]
+        for peer in silent:
+            del self._peer_loads[peer]
+        if silent:
+            self._sum_up()
+
+    def own(self) -> dict[str, Load]:
+        """Returns our own load by address, without idle servers."""
+        return {
+            address: load
+            for address, load in self._own_by_address.items()
+            if load.requests > 0
+        }
+
+    def at(self, address: str) -> Load:
+        """Returns the load of a backend server over all routers."""
+        return self._total_by_address.get(address, NO_LOAD)
+
+    def _sum_up(self) -> None:
+        totals: dict[str, Load] = {}
+        sources = [self._own_by_address]
+        sources += [dict(loads) for _, loads in self._peer_loads.values()]
+        for source in sources:
+            for address, load in source.items():
+                total = totals.setdefault(address, Load())
+                total.requests += load.requests
+                total.firsts += load.firsts
+                total.token_layers += load.token_layers
+        self._total_by_address = totals
+
+    @staticmethod
+    def _add(loads: dict[str, Load], each: Reservation, sign: int) -> None:
+        load = loads.get(each.address)
+        if load is None:
+            load = loads[each.address] = Load()
+        load.requests += sign
+        load.token_layers += sign * each.token_layers
+        if each.first:
+            load.firsts += sign
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/metrics.py
@@ -0,0 +1,73 @@
+"""Counters and latency histograms, as text for the platform."""
+
+import prometheus_client
+from prometheus_client import exposition
+
+LATENCY_BUCKETS = (
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0,
+)  # fmt: skip
+"""Seconds; they bracket the latency objectives of plain calls and streams."""
+PREFIX = "nutmeglift_gateway_"
+
+
+class Metrics:
+    """All metrics of one router."""
+
+    def __init__(self) -> None:
+        self._registry = prometheus_client.CollectorRegistry()
+        self.requests = self._counter(
+            "requests", "Requests by how they ended.", ["route", "outcome"]
+        )
+        self.refusals = self._counter(
+            "refusals", "Requests refused by error kind.", ["kind"]
+        )
+        self.attempts = self._counter(
+            "attempts", "Attempts at backend servers.", ["outcome"]
+        )
+        self.repairs = self._counter(
+            "stream_repairs", "Running streams moved.", ["how", "outcome"]
+        )
+        self.store_calls = self._counter(
+            "store_calls", "Calls to the key-value service.", ["call"]
+        )
+        self.orders = self._counter(
+            "orders", "Orders to runners.", ["order", "outcome"]
+        )
+        self.suspects = self._counter(
+            "suspects", "Backend servers left out.", ["reason"]
+        )
+        self.first_event = self._histogram(
+            "first_event_seconds", "Time to a stream's first event."
+        )
+        self.answer = self._histogram(
+            "answer_seconds", "Time to a plain answer."
+        )
+        self.in_flight = self._gauge("in_flight", "Requests at work.")
+        self.generation = self._gauge("generation", "Configuration in force.")
+        self.confirmation_age = self._gauge(
+            "confirmation_age_seconds", "Age of the last confirmation."
+        )
+
+    def text(self) -> bytes:
+        """Returns all metrics as text."""
+        return exposition.generate_latest(self._registry)
+
+    def _counter(
+        self, name: str, text: str, labels: list[str]
+    ) -> prometheus_client.Counter:
+        return prometheus_client.Counter(
+            PREFIX + name, text, labels, registry=self._registry
+        )
+
+    def _gauge(self, name: str, text: str) -> prometheus_client.Gauge:
+        return prometheus_client.Gauge(
+            PREFIX + name, text, registry=self._registry
+        )
+
+    def _histogram(self, name: str, text: str) -> prometheus_client.Histogram:
+        return prometheus_client.Histogram(
+            PREFIX + name,
+            text,
+            buckets=LATENCY_BUCKETS,
+            registry=self._registry,
+        )
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_links.py
@@ -0,0 +1,158 @@
+"""Keeps a websocket to every other router."""
+
+import asyncio
+import random
+
+from websockets import exceptions
+from websockets.asyncio import client
+from websockets.asyncio import connection
+from websockets.asyncio import server
+
+from nutmeglift import errors
+from nutmeglift import retry
+from nutmeglift_gateway import board as boards
+from nutmeglift_gateway import decision_log
+from nutmeglift_gateway import freshness
+from nutmeglift_gateway import peer_messages
+from nutmeglift_gateway import peer_state
+from nutmeglift_gateway import store_reader
+
+REPORT_SECONDS = 0.25
+"""Interval of reports; requests last several of them."""
+SILENCE_SECONDS = 1.2
+"""A link without a report for five intervals is opened anew."""
+OPEN_SECONDS = 0.5
+"""Longest time to open a link."""
+DIAL_TICK_SECONDS = 0.2
+"""How often the list of routers is looked at."""
+
+
+class PeerLinks:
+    """Dials the routers with greater names, and takes the others' links."""
+
+    def __init__(
+        self,
+        board: boards.Board,
+        reader: store_reader.StoreReader,
+        vm: str,
+        log: decision_log.DecisionLog,
+        rng: random.Random,
+    ) -> None:
+        self._board = board
+        self._reader = reader
+        self._vm = vm
+        self._log = log
+        self._rng = rng
+        self._task_by_peer: dict[str, asyncio.Task[None]] = {}
+
+    async def serve(self, address: str) -> None:
+        """Takes links until cancelled."""
+        host, _, port = address.rpartition(":")
+        async with server.serve(
+            self._run_link,
+            host,
+            int(port),
+            compression=None,
+            max_size=peer_messages.MAX_MESSAGE_BYTES,
+            ping_interval=None,
+            close_timeout=OPEN_SECONDS,
+        ):
+            await asyncio.get_running_loop().create_future()
+
+    async def dial(self) -> None:
+        """Keeps links to the routers with greater names until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            wanted = {
+                name: address
+                for name, address in self._board.router_by_name.items()
+                if name > self._vm
+            }
+            for name in list(self._task_by_peer):
+                if name not in wanted:
+                    self._task_by_peer.pop(name).cancel()
+            for name, address in wanted.items():
+                task = self._task_by_peer.get(name)
+                if task is None:
+                    self._task_by_peer[name] = loop.create_task(
+                        self._keep(name, address)
+                    )
+            await asyncio.sleep(DIAL_TICK_SECONDS)
+
+    async def _keep(self, name: str, address: str) -> None:
+        backoff = retry.Backoff(self._rng)
+        while True:
+            address = self._board.router_by_name.get(name, address)
+            try:
+                async with client.connect(
+                    f"ws://{address}/",
+                    compression=None,
+                    max_size=peer_messages.MAX_MESSAGE_BYTES,
+                    open_timeout=OPEN_SECONDS,
+                    close_timeout=OPEN_SECONDS,
+                    ping_interval=None,
+                    proxy=None,
+                ) as link:
+                    backoff.reset()
+                    await self._run_link(link)
+            except (
+                OSError,
+                TimeoutError,
+                exceptions.WebSocketException,
+            ) as error:
+                self._log.write(
+                    "peer not reached", peer=name, detail=repr(error)
+                )
+            await asyncio.sleep(backoff.next_seconds())
+
+    async def _run_link(self, link: connection.Connection) -> None:
+        state = peer_state.PeerState(self._board, self._reader, self._vm)
+        sender = asyncio.get_running_loop().create_task(
+            self._send_reports(link, state)
+        )
+        try:
+            await self._receive(link, state)
+        except TimeoutError:
+            self._log.write("peer silent", peer=str(link.remote_address))
+            link.transport.abort()
+        except (exceptions.ConnectionClosed, OSError) as error:
+            self._log.write(
+                "peer link closed",
+                peer=str(link.remote_address),
+                detail=repr(error),
+            )
+        except errors.MalformedMessageError as error:
+            self._log.write(
+                "peer message malformed",
+                peer=str(link.remote_address),
+                detail=str(error),
+            )
+        finally:
+            sender.cancel()
+
+    async def _receive(
+        self, link: connection.Connection, state: peer_state.PeerState
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            async with asyncio.timeout(SILENCE_SECONDS):
+                raw = await link.recv()
+            if isinstance(raw, str):
+                raise errors.MalformedMessageError("a text message")
+            message = peer_messages.decode(raw)
+            answers = state.take(message, loop.time(), freshness.boot_clock())
+            for answer in answers:
+                await link.send(peer_messages.encode(answer))
+
+    async def _send_reports(
+        self, link: connection.Connection, state: peer_state.PeerState
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            while True:
+                report = state.make_report(loop.time(), freshness.boot_clock())
+                await link.send(peer_messages.encode(report))
+                await asyncio.sleep(REPORT_SECONDS)
+        except (exceptions.ConnectionClosed, OSError):
+            # The receiving side logs why the link ended.
+            return
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
@@ -0,0 +1,107 @@
+"""What routers tell each other, as CBOR."""
+
+import cbor2
+import msgspec
+
+from nutmeglift import errors
+
+
+class LoadRow(msgspec.Struct, array_like=True, frozen=True):
+    """Our own work in flight on one backend server."""
+
+    address: str
+    requests: int
+    firsts: int
+    token_layers: float
+
+
+class SuspectRow(msgspec.Struct, array_like=True, frozen=True):
+    """A backend server that we leave out."""
+
+    address: str
+    server: str
+    born: int
+    reason: str
+
+
+class PaceRow(msgspec.Struct, array_like=True, frozen=True):
+    """How slow a runner was, and how long ago that was read."""
+
+    address: str
+    pace: float
+    age: float
+
+
+class PeerReport(msgspec.Struct, array_like=True, frozen=True, tag="report"):
+    """One router's state, sent several times a second.
+
+    Attributes:
+        vm: the sender.
+        sequence: rises with every report to this peer.
+        echo: the last sequence received from this peer; 0 for none.
+        generation: the sender's configuration; 0 for none.
+        confirmation_age: age of its confirmation in seconds when sent;
+            negative for none.
+        store_live: whether the sender's watch of the store works.
+        coverage_in: seconds until missing layers are loaded; 0 if none are.
+        loads: work in flight that the sender itself dispatched.
+        suspects: backend servers that the sender leaves out.
+        paces: runners that the sender found slow.
+    """
+
+    vm: str
+    sequence: int
+    echo: int
+    generation: int
+    confirmation_age: float
+    store_live: bool
+    coverage_in: float
+    loads: list[LoadRow]
+    suspects: list[SuspectRow]
+    paces: list[PaceRow]
+
+
+class EntryRow(msgspec.Struct, array_like=True, frozen=True):
+    """One entry of the store."""
+
+    key: str
+    value: bytes
+    revision: int
+
+
+class CatalogCopy(msgspec.Struct, array_like=True, frozen=True, tag="catalog"):
+    """The configuration, for a router that has an older one."""
+
+    entry: EntryRow
+
+
+class ServersCopy(msgspec.Struct, array_like=True, frozen=True, tag="servers"):
+    """All backend servers, for a router that the store turns away."""
+
+    entries: list[EntryRow]
+
+
+Message = PeerReport | CatalogCopy | ServersCopy
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+"""Four times the largest value of the store."""
+
+
+def encode(message: Message) -> bytes:
+    """Returns a message's bytes."""
+    raw: bytes = cbor2.dumps(
+        msgspec.to_builtins(message, builtin_types=(bytes,))
+    )
+    return raw
+
+
+def decode(raw: bytes) -> Message:
+    """Decodes and checks a message.
+
+    Raises:
+        errors.MalformedMessageError: it is none.
+    """
+    try:
+        message: Message = msgspec.convert(cbor2.loads(raw), Message)
+    except (cbor2.CBORDecodeError, msgspec.ValidationError) as error:
+        raise errors.MalformedMessageError(str(error)) from error
+    return message
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
@@ -0,0 +1,185 @@
+"""What a router tells its peers, and what it takes from them."""
+
+from nutmeglift import errors
+from nutmeglift import ids
+from nutmeglift import kv
+from nutmeglift_gateway import board as boards
+from nutmeglift_gateway import loads
+from nutmeglift_gateway import peer_messages
+from nutmeglift_gateway import store_reader
+
+COPY_INTERVAL_SECONDS = 0.5
+"""A peer that the store turns away learns of leaving servers within a quarter
+of the operators' bound."""
+WATCH_HEAD_START_SECONDS = 0.4
+"""A peer's own watch usually brings a configuration sooner than a copy."""
+SHARED_REASONS = frozenset({"stalled"})
+"""A runner that other runners miss is lost for all routers; one that a router
+can't reach may be cut off from that router alone."""
+
+
+class PeerState:
+    """One side of the link between two routers, without the socket."""
+
+    def __init__(
+        self,
+        board: boards.Board,
+        reader: store_reader.StoreReader,
+        vm: str,
+    ) -> None:
+        self._board = board
+        self._reader = reader
+        self._vm = vm
+        self._sequence = 0
+        self._received = 0
+        self._sent_at_by_sequence: dict[int, float] = {}
+        self._copied_at = float("-inf")
+        self._behind_since: float | None = None
+
+    def make_report(
+        self, now: float, boot_now: float
+    ) -> peer_messages.PeerReport:
+        """Returns the next report.
+
+        Args:
+            now: seconds of the loop.
+            boot_now: seconds on the clock that counts suspension.
+        """
+        board = self._board
+        self._sequence += 1
+        self._sent_at_by_sequence[self._sequence] = boot_now
+        for old in list(self._sent_at_by_sequence):
+            if old < self._received or old < self._sequence - 50:
+                del self._sent_at_by_sequence[old]
+        age = board.freshness.age(boot_now)
+        return peer_messages.PeerReport(
+            vm=self._vm,
+            sequence=self._sequence,
+            echo=self._received,
+            generation=board.catalog.generation if board.catalog else 0,
+            confirmation_age=age if age < 1e6 else -1.0,  # noqa: PLR2004
+            store_live=self._reader.is_live(now),
+            coverage_in=max(0.0, board.coverage_eta - now),
+            loads=[
+                peer_messages.LoadRow(
+                    address, load.requests, load.firsts, load.token_layers
+                )
+                for address, load in board.book.own().items()
+            ],
+            suspects=[
+                peer_messages.SuspectRow(
+                    address,
+                    lifetime[0],
+                    lifetime[1],
+                    board.trust.reason(address),
+                )  # fmt: skip
+                for address, lifetime in board.trust.suspects().items()
+            ],
+            paces=[
+                peer_messages.PaceRow(address, pace.value, now - pace.read_at)
+                for address, pace in board.pace_by_address.items()
+                if pace.value > 1.0 and now - pace.read_at < boards.PACE_SECONDS
+            ],
+        )
+
+    def take(
+        self, message: peer_messages.Message, now: float, boot_now: float
+    ) -> list[peer_messages.Message]:
+        """Takes a message; returns what to send in answer."""
+        match message:
+            case peer_messages.PeerReport():
+                return self._take_report(message, now, boot_now)
+            case peer_messages.CatalogCopy(entry):
+                self._reader.take_catalog(_key_value(entry))
+            case peer_messages.ServersCopy(entries):
+                if not self._reader.is_live(now):
+                    self._reader.take_servers(
+                        [_key_value(entry) for entry in entries]
+                    )
+        return []
+
+    def _take_report(
+        self, report: peer_messages.PeerReport, now: float, boot_now: float
+    ) -> list[peer_messages.Message]:
+        if report.vm == self._vm:
+            raise errors.MalformedMessageError("a report of our own")
+        board = self._board
+        self._received = report.sequence
+        board.book.take_report(
+            now,
+            report.vm,
+            {
+                row.address: loads.Load(
+                    row.requests, row.firsts, row.token_layers
+                )
+                for row in report.loads
+            },
+        )
+        if report.coverage_in > 0:
+            board.coverage_eta = max(
+                board.coverage_eta, now + report.coverage_in
+            )
+        for row in report.suspects:
+            server = board.server_at(row.address)
+            if (
+                server is not None
+                and row.reason in SHARED_REASONS
+                and server.lifetime == (row.server, row.born)
+            ):
+                board.suspect(now, server, "peer")
+        for pace in report.paces:
+            known = board.pace_by_address.get(pace.address)
+            read_at = now - pace.age
+            if known is None or known.read_at < read_at:
+                board.pace_by_address[pace.address] = boards.Pace(
+                    pace.pace, read_at
+                )
+        self._take_confirmation(report)
+        return self._copies(report, now)
+
+    def _take_confirmation(self, report: peer_messages.PeerReport) -> None:
+        """Dates a peer's confirmation by when we sent what it answers."""
+        sent_at = self._sent_at_by_sequence.get(report.echo)
+        own = self._board.catalog
+        if sent_at is None or own is None or report.confirmation_age < 0:
+            return
+        if own.generation < report.generation:
+            return
+        self._board.freshness.confirm(sent_at - report.confirmation_age)
+
+    def _copies(
+        self, report: peer_messages.PeerReport, now: float
+    ) -> list[peer_messages.Message]:
+        own = self._board.catalog
+        behind = own is not None and report.generation < own.generation
+        if not behind:
+            self._behind_since = None
+        elif self._behind_since is None:
+            self._behind_since = now
+        if now - self._copied_at < COPY_INTERVAL_SECONDS:
+            return []
+        copies: list[peer_messages.Message] = []
+        entry = self._reader.catalog_entry()
+        if (
+            self._behind_since is not None
+            and now - self._behind_since >= WATCH_HEAD_START_SECONDS
+            and entry is not None
+        ):
+            copies.append(peer_messages.CatalogCopy(_row(entry)))
+        if not report.store_live and self._reader.is_live(now):
+            copies.append(
+                peer_messages.ServersCopy(
+                    [_row(e) for e in self._reader.server_entries()]
+                )
+            )
+        if copies:
+            self._copied_at = now
+        return copies
+
+
+def _row(entry: kv.KeyValue) -> peer_messages.EntryRow:
+    return peer_messages.EntryRow(entry.key, entry.value, entry.mod_revision)
+
+
+def _key_value(row: peer_messages.EntryRow) -> kv.KeyValue:
+    return kv.KeyValue(row.key, row.value, ids.Revision(row.revision))
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/planner_controller.py
@@ -0,0 +1,255 @@
+"""Places layers: one router at a time, by the store's lease."""
+
+import asyncio
+import dataclasses
+import random
+
+from nutmeglift import errors
+from nutmeglift import ids
+from nutmeglift import kv
+from nutmeglift_gateway import board as boards
+from nutmeglift_gateway import catalog
+from nutmeglift_gateway import decision_log
+from nutmeglift_gateway import directory
+from nutmeglift_gateway import layer_planner
+from nutmeglift_gateway import metrics as metric_sets
+from nutmeglift_gateway import ports
+from nutmeglift_gateway import registration
+from nutmeglift_gateway import store_reader
+
+TICK_SECONDS = 0.15
+"""A lost layer is noticed within it; a tenth of the time to load a part."""
+SETTLE_SECONDS = 0.6
+"""The first plan waits until no new runner has come for half a heartbeat."""
+ELECTION_SPREAD_SECONDS = 0.15
+"""Routers try in turn, so that one write settles it."""
+OVERDUE_FACTOR = 1.5
+"""Loads slow each other down; a later one is asked about."""
+OVERDUE_SECONDS = 0.8
+"""A runner's entry is written this late at most after its load, by a
+heartbeat."""
+BEFORE_TRAFFIC_FACTOR = 0.1
+"""Loads take a tenth of the time before the first request."""
+
+
+@dataclasses.dataclass
+class _Pending:
+    target: directory.LayerRange
+    lifetime: tuple[str, int]
+    due: float
+    asking: bool = False
+
+
+class PlannerController:
+    """Gives orders to the runners while it holds the planner's role."""
+
+    def __init__(
+        self,
+        store: kv.BaseKv,
+        reader: store_reader.StoreReader,
+        registered: registration.Registration,
+        board: boards.Board,
+        runners: ports.BaseRunners,
+        vm: str,
+        log: decision_log.DecisionLog,
+        metrics: metric_sets.Metrics,
+        rng: random.Random,
+    ) -> None:
+        self._store = store
+        self._reader = reader
+        self._registered = registered
+        self._board = board
+        self._runners = runners
+        self._vm = vm
+        self._log = log
+        self._metrics = metrics
+        self._rng = rng
+        self._fence = ids.FencingNumber(0)
+        self._pending_by_id: dict[str, _Pending] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._counted = (-1, 0.0)
+
+    async def run(self) -> None:
+        """Stands for the role, and plans while holding it."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            await self._stand()
+            if self._leads():
+                self._plan(loop.time())
+
+    def _leads(self) -> bool:
+        holder = self._reader.planner
+        return (
+            holder is not None
+            and holder.value.decode("latin-1") == self._vm
+            and int(holder.mod_revision) == int(self._fence)
+            and not self._board.draining
+        )
+
+    async def _stand(self) -> None:
+        if self._reader.planner is not None or self._board.draining:
+            return
+        if self._registered.lease == registration.NO_LEASE:
+            return
+        if not self._reader.is_live(asyncio.get_running_loop().time()):
+            return
+        await asyncio.sleep(self._rng.uniform(0, ELECTION_SPREAD_SECONDS))
+        if self._reader.planner is not None:
+            return
+        key = store_reader.PLANNER_KEY
+        put = kv.Put(key, self._vm.encode(), self._registered.lease)
+        try:
+            result = await self._store.txn(
+                [kv.Compare(key, kv.NEVER_WRITTEN)], [put], [kv.Get(key)]
+            )
+        except errors.PlatformError as error:
+            # The watch shows what became of it.
+            self._log.write("election failed", detail=str(error))
+            return
+        if not result.succeeded:
+            return
+        self._fence = ids.FencingNumber(result.revision)
+        self._pending_by_id.clear()
+        self._log.write("planner elected", fence=self._fence)
+        self._reader.planner = kv.KeyValue(
+            key, self._vm.encode(), result.revision, self._registered.lease
+        )
+
+    def _plan(self, now: float) -> None:
+        found = self._board.catalog
+        if found is None:
+            return
+        eta = 0.0
+        for service in found.service_by_id.values():
+            if service.engine is not None:
+                eta = max(eta, self._plan_service(service, now))
+        self._board.coverage_eta = eta
+
+    def _plan_service(self, service: catalog.Service, now: float) -> float:
+        engine = service.engine
+        assert engine is not None
+        servers = self._board.directory.of_service(service.id)
+        starting = not any(server.layers.count for server in servers)
+        if starting and not self._settled(len(servers), now):
+            return 0.0
+        usable = {s.id for s in self._board.usable(service.id)}
+        holdings = [self._holding(s, usable, now) for s in servers]
+        planner = layer_planner.LayerPlanner(engine)
+        for move in planner.plan(holdings, starting=starting):
+            self._order(engine, move, now, starting=starting)
+        return max(
+            (pending.due for pending in self._pending_by_id.values()),
+            default=0.0,
+        )
+
+    def _settled(self, count: int, now: float) -> bool:
+        if count != self._counted[0]:
+            self._counted = (count, now)
+        return count > 0 and now - self._counted[1] >= SETTLE_SECONDS
+
+    def _holding(
+        self, server: directory.Server, usable: set[str], now: float
+    ) -> layer_planner.Holding:
+        pending = self._pending_by_id.get(server.id)
+        if pending is not None and (
+            pending.lifetime != server.lifetime
+            or pending.target == server.layers
+        ):
+            del self._pending_by_id[server.id]
+            pending = None
+        if pending is None:
+            return layer_planner.Holding(
+                server, server.layers, server.id in usable, busy=False
+            )
+        if now > pending.due and not pending.asking:
+            pending.asking = True
+            self._start(self._ask(server, pending))
+        return layer_planner.Holding(
+            server, pending.target, server.id in usable, busy=True
+        )
+
+    def _order(
+        self,
+        engine: catalog.Engine,
+        move: layer_planner.Move,
+        now: float,
+        *,
+        starting: bool,
+    ) -> None:
+        held = move.server.layers
+        new = sum(
+            1
+            for layer in range(move.layers.start, move.layers.end)
+            if not held.start <= layer < held.end
+        )
+        seconds = engine.load_seconds * new / engine.layers
+        if starting:
+            seconds *= BEFORE_TRAFFIC_FACTOR
+        busy = len(self._pending_by_id) + 1
+        crowd = max(1.0, busy / max(1, engine.loads_at_once))
+        due = now + seconds * crowd * OVERDUE_FACTOR + OVERDUE_SECONDS
+        pending = _Pending(move.layers, move.server.lifetime, due)
+        self._pending_by_id[move.server.id] = pending
+        self._log.write(
+            "layers placed",
+            server=move.server.id,
+            address=move.server.address,
+            held=f"{held.start}-{held.end}",
+            target=f"{move.layers.start}-{move.layers.end}",
+            reason=move.reason,
+            fence=self._fence,
+            due_in=round(due - now, 2),
+        )
+        self._start(self._place(move, pending))
+
+    async def _place(self, move: layer_planner.Move, pending: _Pending) -> None:
+        outcome = await self._runners.place(
+            move.server, move.layers, self._fence
+        )
+        self._metrics.orders.labels("place", outcome.value).inc()
+        if outcome is ports.OrderOutcome.BEGUN:
+            self._board.directory.note_order(move.server)
+            return
+        if outcome is ports.OrderOutcome.DONE:
+            return
+        self._log.write(
+            "order failed", server=move.server.id, outcome=outcome.value
+        )
+        if outcome is ports.OrderOutcome.STALE_FENCE:
+            self._fence = ids.FencingNumber(0)
+            return
+        await self._ask(move.server, pending)
+
+    async def _ask(self, server: directory.Server, pending: _Pending) -> None:
+        """Reads a runner's state before ordering anything again."""
+        loop = asyncio.get_running_loop()
+        try:
+            report = await self._runners.report(server.address)
+        except ports.RunnerUnavailableError as error:
+            self._board.suspect(loop.time(), server, "no report")
+            self._log.write(
+                "server suspect",
+                address=server.address,
+                reason="no report",
+                detail=str(error),
+            )
+            self._drop(server, pending)
+            return
+        self._board.directory.update_layers(
+            server, report.layers, report.orders
+        )
+        if report.busy:
+            pending.due = loop.time() + OVERDUE_SECONDS
+            pending.asking = False
+            return
+        self._drop(server, pending)
+
+    def _drop(self, server: directory.Server, pending: _Pending) -> None:
+        if self._pending_by_id.get(server.id) is pending:
+            del self._pending_by_id[server.id]
+
+    def _start(self, work: "asyncio._CoroutineLike[None]") -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/prober.py
@@ -0,0 +1,65 @@
+"""Finds out when a suspect server is well again."""
+
+import asyncio
+
+from nutmeglift_gateway import board as boards
+from nutmeglift_gateway import decision_log
+from nutmeglift_gateway import http_call
+from nutmeglift_gateway import ports
+
+TICK_SECONDS = 0.1
+"""How often due probes are looked for."""
+
+
+class Prober:
+    """Probes suspects until they answer."""
+
+    def __init__(
+        self,
+        board: boards.Board,
+        runners: ports.BaseRunners,
+        log: decision_log.DecisionLog,
+    ) -> None:
+        self._board = board
+        self._runners = runners
+        self._log = log
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Probes until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            now = loop.time()
+            board = self._board
+            for server_id in board.directory.expire(now):
+                self._log.write("server lapsed", server=server_id)
+            board.book.expire(now)
+            board.trust.keep_only(
+                {s.address for s in board.directory.server_by_id.values()}
+            )
+            for address in board.trust.due_probes(now):
+                task = loop.create_task(self._probe(address))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+
+    async def _probe(self, address: str) -> None:
+        server = self._board.server_at(address)
+        if server is None:
+            return
+        try:
+            if server.kind:
+                report = await self._runners.report(address)
+                self._board.directory.update_layers(
+                    server, report.layers, report.orders
+                )
+            else:
+                connection = await http_call.connect(address)
+                connection.close()
+        except (ports.RunnerUnavailableError, http_call.CallError):
+            return
+        reason = self._board.trust.reason(address)
+        if self._board.trust.clear(address):
+            self._log.write(
+                "server trusted again", address=address, reason=reason
+            )
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/registration.py
@@ -0,0 +1,82 @@
+"""This router's entry in the store, and the lease that it hangs on."""
+
+import asyncio
+import random
+
+from nutmeglift import errors
+from nutmeglift import ids
+from nutmeglift import kv
+from nutmeglift import retry
+from nutmeglift_gateway import decision_log
+from nutmeglift_gateway import store_reader
+
+TTL_SECONDS = 3.0
+"""A lost planner is replaced after it; engines hold work that waits for a
+runner for two seconds."""
+RENEWALS_PER_TTL = 3
+NO_LEASE = ids.LeaseId(0)
+
+
+class Registration:
+    """Keeps the entry under a lease.
+
+    Attributes:
+        lease: the lease, or NO_LEASE.
+    """
+
+    def __init__(
+        self,
+        store: kv.BaseKv,
+        vm: str,
+        address: str,
+        log: decision_log.DecisionLog,
+        rng: random.Random,
+    ) -> None:
+        self.lease = NO_LEASE
+        self._store = store
+        self._key = store_reader.ROUTER_PREFIX + vm
+        self._address = address
+        self._log = log
+        self._rng = rng
+        self._ended = False
+
+    async def run(self) -> None:
+        """Registers, and renews the lease, until cancelled."""
+        backoff = retry.Backoff(self._rng)
+        while not self._ended:
+            try:
+                if self.lease == NO_LEASE:
+                    await self._register()
+                else:
+                    await self._renew()
+                backoff.reset()
+            except errors.PlatformError as error:
+                self._log.write("registration failed", detail=str(error))
+                await asyncio.sleep(backoff.next_seconds())
+                continue
+            await asyncio.sleep(TTL_SECONDS / RENEWALS_PER_TTL)
+
+    async def end(self) -> None:
+        """Ends the lease, so that others take over at once."""
+        self._ended = True
+        lease, self.lease = self.lease, NO_LEASE
+        if lease == NO_LEASE:
+            return
+        try:
+            await self._store.revoke(lease)
+        except errors.PlatformError as error:
+            self._log.write("lease not ended", detail=str(error))
+
+    async def _register(self) -> None:
+        lease = await self._store.grant(TTL_SECONDS)
+        await self._store.txn(
+            [], [kv.Put(self._key, self._address.encode(), lease)]
+        )
+        self.lease = lease
+        self._log.write("registered", lease=lease)
+
+    async def _renew(self) -> None:
+        if await self._store.keep_alive(self.lease) <= 0:
+            self._log.write("lease lapsed", lease=self.lease)
+            self.lease = NO_LEASE
+            await self._register()
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stalls.py
@@ -0,0 +1,59 @@
+"""Decides when a silent stream stalls, and when it is given up."""
+
+import dataclasses
+import enum
+
+GAP_SHARE = 0.5
+"""Part of the longest pause on time after which the runner is asked."""
+FIRST_SHARE = 0.5
+"""The same of the objective for the first event."""
+GIVE_UP_SECONDS = 1.6
+"""Callers leave a silent stream after two seconds; another pipeline gives its
+first event in well under the rest."""
+STEPS_PER_EVENT = 4
+"""Tokens that an event holds."""
+SLOW_FACTOR = 4.0
+"""Pauses under so many expected events are no stall on a loaded pipeline."""
+
+
+class Action(enum.Enum):
+    """What to do about a stream."""
+
+    WAIT = "wait"
+    ASK = "ask"
+    """Ask its first runner which runner it waits for."""
+    GIVE_UP = "give_up"
+    """Break it off and go on at another pipeline."""
+
+
+@dataclasses.dataclass(frozen=True)
+class StreamState:
+    """What decides.
+
+    Attributes:
+        silent: seconds since the last event, or since it was sent.
+        begun: whether an event arrived.
+        objective: seconds to the first event.
+        gap_objective: longest pause on time, in seconds.
+        step_seconds: expected time of a token step.
+        prompt_tokens: tokens that are read before the first event.
+    """
+
+    silent: float
+    begun: bool
+    objective: float
+    gap_objective: float
+    step_seconds: float
+    prompt_tokens: int
+
+
+def judge(state: StreamState) -> Action:
+    """Decides what to do about a stream."""
+    if state.silent >= GIVE_UP_SECONDS:
+        return Action.GIVE_UP
+    expected = state.step_seconds * STEPS_PER_EVENT * SLOW_FACTOR
+    if state.begun:
+        limit = max(state.gap_objective * GAP_SHARE, expected)
+    else:
+        limit = max(state.objective * FIRST_SHARE, expected)
+    return Action.ASK if state.silent >= limit else Action.WAIT
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
@@ -0,0 +1,276 @@
+"""Keeps the configuration and the directory as the store has them."""
+
+import asyncio
+import random
+
+from nutmeglift import errors
+from nutmeglift import ids
+from nutmeglift import kv
+from nutmeglift import retry
+from nutmeglift_gateway import board as boards
+from nutmeglift_gateway import decision_log
+from nutmeglift_gateway import directory
+from nutmeglift_gateway import freshness
+from nutmeglift_gateway import ports
+
+CONFIRM_SECONDS = 0.9
+"""Half of the operators' bound for a change to be in force everywhere."""
+CONFIRM_SPREAD_SECONDS = 0.3
+"""Spreads the routers: whoever confirms first tells the others."""
+TICK_SECONDS = 0.1
+"""How often the age of the confirmation is looked at."""
+OUTAGE_MEMORY_SECONDS = 3.0
+"""A backend server's entry that goes so soon after an outage may have lapsed
+for it."""
+OWN_PREFIX = "nutmeglift/"
+ROUTER_PREFIX = OWN_PREFIX + "routers/"
+PLANNER_KEY = OWN_PREFIX + "planner"
+EVERYTHING = ""
+
+
+class StoreReader:
+    """Reads the store by one watch, and confirms the configuration."""
+
+    def __init__(
+        self,
+        store: kv.BaseKv,
+        schema: ports.BaseSchema,
+        board: boards.Board,
+        log: decision_log.DecisionLog,
+        rng: random.Random,
+    ) -> None:
+        self._store = store
+        self._schema = schema
+        self._board = board
+        self._log = log
+        self._rng = rng
+        self._trouble_at = float("-inf")
+        self._down = False
+        self._unreadable: set[tuple[str, int]] = set()
+        self.live_at = float("-inf")
+        self.entry_by_key: dict[str, kv.KeyValue] = {}
+        self.planner: kv.KeyValue | None = None
+        self.planner_changed = asyncio.Event()
+
+    async def watch(self) -> None:
+        """Follows all changes until cancelled."""
+        backoff = retry.Backoff(self._rng)
+        while True:
+            try:
+                await self._follow(backoff)
+            except errors.KvCompactedError:
+                self._log.write("store history dropped")
+            except errors.PlatformError as error:
+                self._note_trouble(str(error))
+                await asyncio.sleep(backoff.next_seconds())
+
+    async def confirm(self) -> None:
+        """Confirms the configuration until cancelled."""
+        backoff = retry.Backoff(self._rng)
+        while True:
+            limit = CONFIRM_SECONDS + self._rng.uniform(
+                0, CONFIRM_SPREAD_SECONDS
+            )
+            await asyncio.sleep(TICK_SECONDS)
+            age = self._board.freshness.age(freshness.boot_clock())
+            if age < limit or self._board.catalog is None:
+                continue
+            try:
+                await self._confirm_once()
+                backoff.reset()
+            except errors.PlatformError as error:
+                self._note_trouble(str(error))
+                await asyncio.sleep(backoff.next_seconds())
+
+    def is_live(self, now: float) -> bool:
+        """Tells whether the watch works."""
+        return not self._down and now - self.live_at < OUTAGE_MEMORY_SECONDS
+
+    def take_servers(self, entries: list[kv.KeyValue]) -> None:
+        """Takes a listing of backend servers that a peer passed on."""
+        servers = [s for e in entries if (s := self._decode_server(e))]
+        for entry in entries:
+            self.entry_by_key[entry.key] = entry
+        self._board.directory.replace_all(self._now(), servers, lapsed=False)
+
+    def take_catalog(self, entry: kv.KeyValue) -> None:
+        """Takes a configuration, from the store or from a peer."""
+        if entry.mod_revision <= self._board.catalog_revision:
+            return
+        try:
+            found = self._schema.decode_catalog(entry)
+        except ports.UndecodableEntryError as error:
+            self._log_unreadable(entry, str(error))
+            return
+        if self._board.set_catalog(entry.mod_revision, found):
+            self.entry_by_key[entry.key] = entry
+            self._log.write(
+                "configuration in force",
+                generation=found.generation,
+                revision=entry.mod_revision,
+                routes=len(found.routes),
+            )
+
+    def server_entries(self) -> list[kv.KeyValue]:
+        """Returns the raw entries of all listed backend servers."""
+        prefix = self._schema.server_prefix
+        return [
+            entry
+            for key, entry in self.entry_by_key.items()
+            if key.startswith(prefix)
+        ]
+
+    def catalog_entry(self) -> kv.KeyValue | None:
+        """Returns the raw configuration."""
+        return self.entry_by_key.get(self._schema.catalog_key)
+
+    async def _follow(self, backoff: retry.Backoff) -> None:
+        sent_at = freshness.boot_clock()
+        snapshot = await self._store.snapshot(EVERYTHING)
+        self._take_snapshot(snapshot)
+        if self._board.catalog is not None:
+            self._board.freshness.confirm(sent_at)
+        self._note_recovery()
+        backoff.reset()
+        start = ids.Revision(snapshot.revision + 1)
+        async for batch in self._store.watch(
+            EVERYTHING, prefix=True, start=start
+        ):
+            self._note_recovery()
+            for event in batch:
+                self._take_event(event)
+
+    async def _confirm_once(self) -> None:
+        sent_at = freshness.boot_clock()
+        key = self._schema.catalog_key
+        revision = self._board.catalog_revision
+        result = await self._store.txn(
+            [kv.Compare(key, revision)], [], [kv.Get(key)]
+        )
+        if not result.succeeded:
+            found = result.found[0] if result.found else []
+            if not found:
+                self._log.write("configuration missing in the store")
+                return
+            self.take_catalog(found[0])
+        if self._board.catalog_revision >= revision:
+            self._board.freshness.confirm(sent_at)
+
+    def _take_snapshot(self, snapshot: kv.Snapshot) -> None:
+        servers = []
+        routers = {}
+        planner = None
+        self.entry_by_key = {
+            key: entry
+            for key, entry in self.entry_by_key.items()
+            if key == self._schema.catalog_key
+        }
+        for entry in snapshot.entries:
+            if entry.key == self._schema.catalog_key:
+                self.take_catalog(entry)
+            elif entry.key.startswith(self._schema.server_prefix):
+                self.entry_by_key[entry.key] = entry
+                server = self._decode_server(entry)
+                if server is not None:
+                    servers.append(server)
+            elif entry.key.startswith(ROUTER_PREFIX):
+                name = entry.key.removeprefix(ROUTER_PREFIX)
+                routers[name] = entry.value.decode("latin-1")
+            elif entry.key == PLANNER_KEY:
+                planner = entry
+        now = self._now()
+        self._board.directory.replace_all(
+            now, servers, lapsed=self._after_outage(now)
+        )
+        self._board.router_by_name = routers
+        self._set_planner(planner)
+        self._log.write(
+            "store listed",
+            revision=snapshot.revision,
+            servers=len(servers),
+            routers=len(routers),
+            planner=planner.value.decode("latin-1") if planner else None,
+        )
+
+    def _take_event(self, event: kv.WatchEvent) -> None:
+        entry = event.entry
+        removed = event.kind is kv.WatchKind.DELETE
+        if entry.key == self._schema.catalog_key:
+            if not removed:
+                self.take_catalog(entry)
+        elif entry.key.startswith(self._schema.server_prefix):
+            self._take_server(entry, removed)
+        elif entry.key.startswith(ROUTER_PREFIX):
+            name = entry.key.removeprefix(ROUTER_PREFIX)
+            routers = dict(self._board.router_by_name)
+            if removed:
+                routers.pop(name, None)
+            else:
+                routers[name] = entry.value.decode("latin-1")
+            self._board.router_by_name = routers
+        elif entry.key == PLANNER_KEY:
+            self._set_planner(None if removed else entry)
+
+    def _take_server(self, entry: kv.KeyValue, removed: bool) -> None:
+        now = self._now()
+        server_id = entry.key.removeprefix(self._schema.server_prefix)
+        if removed:
+            self.entry_by_key.pop(entry.key, None)
+            lapsed = self._after_outage(now)
+            self._log.write("server removed", server=server_id, lapsed=lapsed)
+            self._board.directory.remove(now, server_id, lapsed=lapsed)
+            return
+        self.entry_by_key[entry.key] = entry
+        server = self._decode_server(entry)
+        if server is None or not self._board.directory.put(now, server):
+            return
+        self._log.write(
+            "server",
+            server=server_id,
+            address=server.address,
+            state=server.state.value,
+            layers=f"{server.layers.start}-{server.layers.end}",
+            revision=entry.mod_revision,
+        )
+
+    def _decode_server(self, entry: kv.KeyValue) -> directory.Server | None:
+        try:
+            return self._schema.decode_server(entry)
+        except ports.UndecodableEntryError as error:
+            self._log_unreadable(entry, str(error))
+            return None
+
+    def _log_unreadable(self, entry: kv.KeyValue, detail: str) -> None:
+        seen = (entry.key, entry.mod_revision)
+        if seen in self._unreadable:
+            return
+        self._unreadable.add(seen)
+        self._log.write(
+            "entry skipped",
+            key=entry.key,
+            revision=entry.mod_revision,
+            detail=detail,
+        )
+
+    def _set_planner(self, planner: kv.KeyValue | None) -> None:
+        self.planner = planner
+        self.planner_changed.set()
+
+    def _after_outage(self, now: float) -> bool:
+        return now - self._trouble_at < OUTAGE_MEMORY_SECONDS
+
+    def _note_trouble(self, detail: str) -> None:
+        self._trouble_at = self._now()
+        if not self._down:
+            self._down = True
+            self._log.write("store lost", detail=detail)
+
+    def _note_recovery(self) -> None:
+        self.live_at = self._now()
+        if self._down:
+            self._down = False
+            self._log.write("store regained")
+
+    @staticmethod
+    def _now() -> float:
+        return asyncio.get_running_loop().time()
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/trust.py
@@ -0,0 +1,110 @@
+"""Backend servers that failed requests and are left out until they recover."""
+
+import dataclasses
+
+FIRST_HOLD_SECONDS = 0.3
+"""A suspect is left out at least as long as a crash takes to show."""
+LONGEST_HOLD_SECONDS = 4.0
+"""Under two heartbeats of a backend server that is alive again."""
+MEMORY_SECONDS = 15.0
+"""Failures further apart count as unrelated."""
+PROBE_INTERVAL_SECONDS = 0.5
+"""A third of the time within which a restarted runner loads a part."""
+
+
+@dataclasses.dataclass
+class _Record:
+    lifetime: tuple[str, int]
+    reason: str
+    suspect: bool
+    since: float
+    hold: float
+    probed_at: float
+
+
+class Trust:
+    """Knows which backend servers are suspect, by address.
+
+    Trust follows from what requests met, not from what a server says of
+    itself. A suspect is used again once a probe that began after its hold
+    succeeded. Every relapse doubles the hold.
+    """
+
+    def __init__(self) -> None:
+        self._record_by_address: dict[str, _Record] = {}
+        self.version = 0
+
+    def suspect(
+        self,
+        now: float,
+        address: str,
+        lifetime: tuple[str, int],
+        reason: str,
+    ) -> bool:
+        """Notes a failure; returns whether the address was trusted before."""
+        record = self._record_by_address.get(address)
+        if record is not None and record.lifetime == lifetime:
+            if record.suspect:
+                return False
+            recent = now - record.since < MEMORY_SECONDS
+            hold = record.hold * 2 if recent else FIRST_HOLD_SECONDS
+        else:
+            hold = FIRST_HOLD_SECONDS
+        self._record_by_address[address] = _Record(
+            lifetime,
+            reason,
+            True,
+            now,
+            min(hold, LONGEST_HOLD_SECONDS),
+            now,
+        )
+        self.version += 1
+        return True
+
+    def is_suspect(self, address: str, lifetime: tuple[str, int]) -> bool:
+        """Tells whether this lifetime at the address is suspect."""
+        record = self._record_by_address.get(address)
+        return (
+            record is not None
+            and record.suspect
+            and record.lifetime == lifetime
+        )
+
+    def reason(self, address: str) -> str:
+        """Returns why the address is suspect, or an empty text."""
+        record = self._record_by_address.get(address)
+        return record.reason if record and record.suspect else ""
+
+    def due_probes(self, now: float) -> list[str]:
+        """Returns the suspects to probe now, and notes that they are."""
+        due = []
+        for address, record in self._record_by_address.items():
+            if not record.suspect or now < record.since + record.hold:
+                continue
+            if now - record.probed_at >= PROBE_INTERVAL_SECONDS:
+                record.probed_at = now
+                due.append(address)
+        return due
+
+    def clear(self, address: str) -> bool:
+        """Trusts an address again; returns whether it was suspect."""
+        record = self._record_by_address.get(address)
+        if record is None or not record.suspect:
+            return False
+        record.suspect = False
+        self.version += 1
+        return True
+
+    def keep_only(self, addresses: set[str]) -> None:
+        """Forgets addresses that are no longer listed."""
+        for address in list(self._record_by_address):
+            if address not in addresses:
+                del self._record_by_address[address]
+
+    def suspects(self) -> dict[str, tuple[str, int]]:
+        """Returns the lifetime of each suspect by address."""
+        return {
+            address: record.lifetime
+            for address, record in self._record_by_address.items()
+            if record.suspect
+        }
--- a/packages/nutmeglift_wire/nutmeglift_wire/etcd_kv.py
+++ b/packages/nutmeglift_wire/nutmeglift_wire/etcd_kv.py
@@ -25,6 +25,8 @@
 def prefix_end(prefix: str) -> bytes:
     """Returns the first key after all keys with a prefix."""
     raw = prefix.encode()
+    if not raw:
+        return b"\0"
     return raw[:-1] + bytes([raw[-1] + 1])
 
 
@@ -158,6 +160,13 @@
             await client.aclose()
         raise errors.KvUnavailableError("the watch ended")
 
+    async def snapshot(self, prefix: str) -> kv.Snapshot:
+        """Reads all keys with a prefix."""
+        body = _range_body(kv.Get(prefix, True))
+        answer = await self._post("/v3/kv/range", body)
+        revision = ids.Revision(int(answer["header"]["revision"]))
+        return kv.Snapshot(_entries(answer), revision)
+
     async def close(self) -> None:
         """Closes all connections."""
         await self._client.aclose()
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -162,6 +162,9 @@
     async def revoke(self, lease):
         await self._call(self._store.revoke(lease))
 
+    async def snapshot(self, prefix):
+        return await self._call(self._store.snapshot(prefix))
+
     async def watch(self, key, *, prefix=False, start):
         self.calls += 1
         async for batch in self._store.watch(key, prefix=prefix, start=start):
