Place layers by a concave worth of the room over each layer

The planner covered a gap of five layers by moving an a100 that held 28, as its layers had second copies, and stretched another to 37 layers, which left room for a dozen requests. Runners that rejected for a moment counted as lost, so it moved more.

Change: the gap goes to the runner that gives least up for each layer; a rejecting runner is left out by routers at once but counts as lost only after it relapses; a rejected send is no attempt; peers pass on their view of the servers whenever it is the newer one; Retry-After follows the load's end.

Ruled out: late answers of streams themselves (logged now; few).

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/dispatch.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/dispatch.py
@@ -13,8 +13,9 @@
 
 MIN_REMAINING_SECONDS = 0.03
 """Less time than a backend server needs for the shortest answer."""
-GONE_STATUSES = frozenset({429, 503, 421})
-SERVER_ERROR = 500
+MAX_SENT = 4
+"""Servers that one request is offered to, those that rejected it included:
+a rejection costs a round trip, and callers count the time."""
 
 
 class Failure(enum.Enum):
@@ -40,14 +41,19 @@
 
     Attributes:
         sent: times that it was written to a backend server.
-        may_have_run: whether any of these may have run.
+        runs: times that it may have run; the route bounds these.
         started: whether a part of the answer was delivered.
     """
 
     sent: int = 0
-    may_have_run: bool = False
+    runs: int = 0
     started: bool = False
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any of what was sent may have run."""
+        return self.runs > 0
+
 
 @dataclasses.dataclass(frozen=True)
 class Retry:
@@ -100,7 +106,7 @@
         return _give_up(progress, errors.ErrorKind.DEADLINE)
     if failure is Failure.NOT_SENT:
         return Retry(repeat=False)
-    if progress.sent >= route.max_attempts:
+    if progress.runs >= route.max_attempts or progress.sent >= MAX_SENT:
         if failure is Failure.SERVER_ERROR:
             return Deliver()
         return _give_up(progress, errors.ErrorKind.OVERLOADED)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/drain.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/drain.py
@@ -5,8 +5,8 @@
 ACCEPT_SECONDS = 3.2
 """The platform takes a VM out after two missed checks, one a second; until
 then new connections arrive, and a second more while they are on their way."""
-EXIT_MARGIN_SECONDS = 0.4
-"""Before the process is killed."""
+EXIT_MARGIN_SECONDS = 0.8
+"""Before the process is killed; what is then still at work was sent late."""
 TICK_SECONDS = 0.05
 """How often the step is judged."""
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
@@ -23,6 +23,7 @@
 from nutmeglift_gateway import refusals
 from nutmeglift_gateway import sse
 from nutmeglift_gateway import stream_guard
+from nutmeglift_gateway import trust
 
 MAX_CONNECT_FAILURES = 6
 """Servers that are tried until one takes the connection: by then the entries
@@ -71,6 +72,9 @@
         self._events: sse.EventSplitter | None = None
         self._keep = request.keep_alive and not context.board.draining
         self._paths: list[str] = []
+        self._first = ""
+        self._answer: attempt.Answer | None = None
+        self._first_event_after = 0.0
 
     async def run(self) -> None:
         """Serves the request; the caller's close cancels it."""
@@ -194,7 +198,8 @@
         if path is None:
             return None
         self._paths.append(describe(path))
-        answer = self._new_answer(admitted, self._events)
+        self._first = path.first.id
+        answer = self._answer = self._new_answer(admitted, self._events)
         stream = stream_guard.Stream(
             admitted, path, answer, self._loop.time(), tokens
         )
@@ -249,9 +254,8 @@
                 )
             self._upstream = upstream
             self._connection.on_writable = self._on_writable
-            ran_before = self._progress.may_have_run
             self._progress.sent += 1
-            self._progress.may_have_run = True
+            self._progress.runs += 1
             upstream.send(
                 self._format(admitted, server, path),
                 answer,
@@ -259,7 +263,7 @@
             )
             outcome = await answer.done
             if outcome.failure is dispatch.Failure.REJECTED:
-                self._progress.may_have_run = ran_before
+                self._progress.runs -= 1
             return outcome
         finally:
             if path is None:
@@ -309,6 +313,7 @@
                 )
                 + (answers.chunk(data) if chunked else data)
             )
+            self._first_event_after = self._elapsed()
             self._context.metrics.first_event.observe(self._elapsed())
             return
         self._connection.write(answers.chunk(data) if chunked else data)
@@ -357,10 +362,34 @@
                 + response.body
             )
             self._context.metrics.answer.observe(self._elapsed())
-        result = "failed" if outcome.failure else "served"
-        self._count(admitted, result)
+        self._count(admitted, self._judge_time(admitted, outcome))
         self._connection.finish(keep=keep)
 
+    def _judge_time(
+        self, admitted: intake.Admitted, outcome: attempt.Outcome
+    ) -> str:
+        """Returns how a delivered answer counts; logs a late one."""
+        if outcome.failure is not None:
+            return "failed"
+        gap = self._answer.longest_gap if self._answer else 0.0
+        route = admitted.route
+        first = self._first_event_after or self._elapsed()
+        if first <= route.objective and gap <= route.gap_objective:
+            return "served"
+        self._context.log.write(
+            "answer late",
+            request=admitted.request_id.decode("latin-1"),
+            route=route.id,
+            first=round(first, 3),
+            objective=route.objective,
+            longest_gap=round(gap, 3),
+            gap_objective=route.gap_objective,
+            seconds=round(self._elapsed(), 3),
+            sent=self._progress.sent,
+            paths=self._paths,
+        )
+        return "late"
+
     def _end(
         self,
         admitted: intake.Admitted,
@@ -441,7 +470,9 @@
         if outcome.fault:
             server = context.board.server_at(outcome.fault)
             if server is not None:
-                self._tried.add(server.id)
+                context.board.suspect(self._now(), server, trust.REJECTED)
+        elif outcome.failure is dispatch.Failure.REJECTED and self._first:
+            self._tried.add(self._first)
         context.log.write(
             "attempt failed",
             request=admitted.request_id.decode("latin-1"),
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/layer_planner.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/layer_planner.py
@@ -1,22 +1,41 @@
 """Decides which layers each runner is to hold.
 
 Every failure domain whose memory allows it holds a whole copy of the model,
-so that tokens cross no slow link; the other failure domains share one. Layers
-that nobody holds go first: to an empty runner, to one whose layers others hold
-too, or to neighbours that take a few layers more. What memory is left holds
-second copies of the layers that would take longest to load again.
+so that tokens cross no slow link; the other failure domains share one. What
+the copies are worth is a concave function of the room for requests over each
+layer: a layer without a holder costs most, one with little room costs more
+than another with plenty gains. So a gap goes to the runner that gives least
+up for it, and memory that is left holds second copies where they help most.
 """
 
 from collections.abc import Iterable
+from collections.abc import Iterator
 import dataclasses
 
 from nutmeglift_gateway import catalog
 from nutmeglift_gateway import directory
 
-GAP_VALUE = 1000.0
-"""A layer that nobody holds goes before every second copy."""
 MIN_ROOM_SHARE = 0.25
 """Part of the nominal room for requests that a stretched runner keeps."""
+DEMAND_SHARE = 0.5
+"""Part of the nominal room that the requests of one copy take when busy."""
+GAP_FLOOR = 0.02
+"""Bounds the worth of a layer without any room."""
+PACE_COST = 0.02
+"""Cost of a layer's step time, for each unit of its fastest holder's pace."""
+SINGLE_COST = 0.01
+"""Cost of a layer with one holder, for each layer that this one would take
+with it: they have to be loaded again together."""
+LOAD_COST = 1.0
+"""Cost of a second of loading where nothing waits for it."""
+WAITING_LOAD_COST = 20.0
+"""Cost of a second of loading while requests wait for the layers."""
+ORDER_COST = 0.3
+"""Cost of an order: short waits are not worth one."""
+MIN_GAIN = 2.0
+"""A runner that serves is given more layers only for so much."""
+SPARE_LAYERS = 2
+"""A runner with fewer layers than fit by more than this may take more."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -45,6 +64,120 @@
     reason: str
 
 
+class _Cell:
+    """Runners that hold one copy together, and what it is worth."""
+
+    def __init__(self, engine: catalog.Engine, members: list[Holding]) -> None:
+        self.engine = engine
+        self.member_by_id = {m.server.id: m for m in members}
+        self.held_by_id = {m.server.id: m.layers for m in members}
+        self._kind_by_id = {
+            m.server.id: engine.kind(m.server.kind) for m in members
+        }
+        self._room_by_id: dict[str, float] = {}
+        self._holders: list[set[str]] = [set() for _ in range(engine.layers)]
+        for server_id, held in self.held_by_id.items():
+            self._enter(server_id, held)
+
+    def move(self, server_id: str, target: directory.LayerRange) -> None:
+        """Changes what a runner holds."""
+        held = self.held_by_id[server_id]
+        for layer in range(held.start, held.end):
+            self._holders[layer].discard(server_id)
+        self.held_by_id[server_id] = target
+        self._enter(server_id, target)
+
+    def gain(self, server_id: str, target: directory.LayerRange) -> float:
+        """Returns what a change would be worth."""
+        held = self.held_by_id[server_id]
+        layers = set(range(held.start, held.end))
+        layers |= set(range(target.start, target.end))
+        before = sum(self._worth(layer) for layer in layers)
+        self.move(server_id, target)
+        after = sum(self._worth(layer) for layer in layers)
+        self.move(server_id, held)
+        return after - before
+
+    def first_gap(self) -> directory.LayerRange | None:
+        """Returns the first run of layers that nobody holds."""
+        start = next((i for i, h in enumerate(self._holders) if not h), None)
+        if start is None:
+            return None
+        end = start
+        while end < len(self._holders) and not self._holders[end]:
+            end += 1
+        return directory.LayerRange(start, end)
+
+    def missing(self, layers: directory.LayerRange) -> int:
+        """Returns how many of the layers nobody holds."""
+        return sum(
+            1
+            for layer in range(layers.start, layers.end)
+            if not self._holders[layer]
+        )
+
+    def load_seconds(
+        self, server_id: str, target: directory.LayerRange
+    ) -> float:
+        """Returns the time that a runner loads new layers."""
+        held = self.held_by_id[server_id]
+        kept = min(held.end, target.end) - max(held.start, target.start)
+        new = target.count - max(0, kept)
+        return self.engine.load_seconds * new / self.engine.layers
+
+    def roomy(self, server_id: str) -> int:
+        """Returns the layers that leave nominal room for requests."""
+        return roomy_layers(self.engine, self._kind_by_id[server_id])
+
+    def most(self, server_id: str) -> int:
+        """Returns the layers that leave the least room for requests."""
+        return most_layers(self.engine, self._kind_by_id[server_id])
+
+    def pace(self, server_id: str) -> float:
+        """Returns a runner's pace."""
+        return self._kind_by_id[server_id].pace
+
+    def boundaries(self) -> set[int]:
+        """Returns the layers at which a part begins or ends."""
+        found = {0, self.engine.layers}
+        for held in self.held_by_id.values():
+            if held.count:
+                found |= {held.start, held.end}
+        return found
+
+    def _enter(self, server_id: str, held: directory.LayerRange) -> None:
+        kind = self._kind_by_id[server_id]
+        if held.count:
+            room = self.engine.room(kind, held.count) / held.count
+            self._room_by_id[server_id] = room
+        for layer in range(held.start, min(held.end, self.engine.layers)):
+            self._holders[layer].add(server_id)
+
+    def _worth(self, layer: int) -> float:
+        holders = self._holders[layer]
+        if not holders:
+            return -1.0 / GAP_FLOOR
+        room = sum(self._room_by_id[h] for h in holders)
+        demand = self.engine.nominal_tokens * DEMAND_SHARE
+        worth = -1.0 / (room / demand + GAP_FLOOR)
+        worth -= PACE_COST * min(self._kind_by_id[h].pace for h in holders)
+        if len(holders) == 1:
+            (only,) = holders
+            worth -= SINGLE_COST * self.held_by_id[only].count
+        return worth
+
+
+def roomy_layers(engine: catalog.Engine, kind: catalog.RunnerKind) -> int:
+    """Returns the layers of a kind that leave nominal room for requests."""
+    return max(1, engine.roomy_layers(kind, engine.nominal_tokens))
+
+
+def most_layers(engine: catalog.Engine, kind: catalog.RunnerKind) -> int:
+    """Returns the layers of a kind that leave the least room."""
+    tokens = engine.nominal_tokens * MIN_ROOM_SHARE
+    return engine.roomy_layers(kind, tokens)
+
+
 class LayerPlanner:
     """Plans the layers of one service's runners."""
 
@@ -58,15 +191,18 @@
 
         Args:
             holdings: all runners of the service.
-            starting: nothing serves yet and loads are cheap: empty runners
-                take as many layers as leave nominal room.
+            starting: nothing serves yet and loads are cheap.
         """
         moves: list[Move] = []
-        for members in self._cells(list(holdings)):
-            moves += self._plan_cell(members, starting=starting)
+        for members in self._group(holdings):
+            cell = _Cell(self._engine, members)
+            moves += self._place_empty(cell, starting=starting)
+            moves += self._fill_gaps(cell)
+            if not moves and not starting:
+                moves += self._grow_one(cell)
         return moves
 
-    def _cells(self, holdings: list[Holding]) -> list[list[Holding]]:
+    def _group(self, holdings: Iterable[Holding]) -> list[list[Holding]]:
         """Groups failure domains so that each group can hold a copy."""
         by_domain: dict[str, list[Holding]] = {}
         for holding in holdings:
@@ -89,204 +225,130 @@
         return whole
 
     def _capacity(self, members: list[Holding]) -> int:
-        return sum(self._most(member.server) for member in members)
-
-    def _roomy(self, server: directory.Server) -> int:
-        """Layers that leave nominal room for requests."""
-        engine = self._engine
-        kind = engine.kind(server.kind)
-        return max(1, engine.roomy_layers(kind, engine.nominal_tokens))
-
-    def _most(self, server: directory.Server) -> int:
-        """Layers that leave the least room for requests."""
-        engine = self._engine
-        kind = engine.kind(server.kind)
-        tokens = engine.nominal_tokens * MIN_ROOM_SHARE
-        return engine.roomy_layers(kind, tokens)
-
-    def _plan_cell(
-        self, members: list[Holding], *, starting: bool
-    ) -> list[Move]:
-        held_by_id = {m.server.id: m.layers for m in members}
-        moves: list[Move] = []
-        empty = [m for m in members if not m.layers.count and not m.busy]
-        empty.sort(key=lambda m: (self._pace(m.server), m.server.id))
-        for member in empty:
-            target = self._best_window(
-                members, held_by_id, member.server, whole=starting
-            )
-            if target is None:
-                continue
-            held_by_id[member.server.id] = target
-            moves.append(Move(member.server, target, "empty runner"))
-        moves += self._fill_gaps(members, held_by_id)
-        return moves
-
-    def _pace(self, server: directory.Server) -> float:
-        return self._engine.kind(server.kind).pace
+        return sum(
+            most_layers(self._engine, self._engine.kind(m.server.kind))
+            for m in members
+        )
 
-    def _holders(
-        self,
-        members: list[Holding],
-        held_by_id: dict[str, directory.LayerRange],
-    ) -> list[list[directory.Server]]:
-        holders: list[list[directory.Server]] = [
-            [] for _ in range(self._engine.layers)
+    def _place_empty(self, cell: _Cell, *, starting: bool) -> list[Move]:
+        empty = [
+            server_id
+            for server_id, member in cell.member_by_id.items()
+            if not member.layers.count and not member.busy
         ]
-        for member in members:
-            held = held_by_id[member.server.id]
-            for layer in range(held.start, held.end):
-                holders[layer].append(member.server)
-        return holders
+        empty.sort(key=lambda server_id: (cell.pace(server_id), server_id))
+        moves = []
+        for server_id in empty:
+            target = self._best_window(cell, server_id, starting=starting)
+            cell.move(server_id, target)
+            server = cell.member_by_id[server_id].server
+            moves.append(Move(server, target, "empty runner"))
+        return moves
 
     def _best_window(
-        self,
-        members: list[Holding],
-        held_by_id: dict[str, directory.LayerRange],
-        server: directory.Server,
-        *,
-        whole: bool,
-    ) -> directory.LayerRange | None:
-        holders = self._holders(members, held_by_id)
-        size = min(self._roomy(server), self._engine.layers)
-        values = [
-            self._layer_value(server, found, held_by_id) for found in holders
-        ]
-        best = max(
-            range(self._engine.layers - size + 1),
-            key=lambda start: (
-                sum(values[start : start + size]),
-                # Aligned with a boundary, any runner there can replace it.
-                self._is_boundary(start, held_by_id),
-                -start,
-            ),
-        )
-        window = directory.LayerRange(best, best + size)
-        if whole:
-            return window
-        return self._trim_to_gap(window, holders)
+        self, cell: _Cell, server_id: str, *, starting: bool
+    ) -> directory.LayerRange:
+        boundaries = cell.boundaries()
 
-    @staticmethod
-    def _is_boundary(
-        layer: int, held_by_id: dict[str, directory.LayerRange]
-    ) -> bool:
-        return any(
-            held.count and layer in (held.start, held.end)
-            for held in held_by_id.values()
-        )
+        def rank(window: directory.LayerRange) -> tuple[float, int, int]:
+            gain = cell.gain(server_id, window)
+            if not starting:
+                waiting = cell.missing(window) > 0
+                cost = WAITING_LOAD_COST if waiting else LOAD_COST
+                gain -= cost * cell.load_seconds(server_id, window)
+            # Parts with common boundaries can stand in for each other.
+            aligned = (window.start in boundaries) + (window.end in boundaries)
+            return (round(gain, 3), aligned, -window.start)
 
-    def _layer_value(
-        self,
-        server: directory.Server,
-        holders: list[directory.Server],
-        held_by_id: dict[str, directory.LayerRange],
-    ) -> float:
-        if not holders:
-            return GAP_VALUE
-        # The time to load again what its only holder would lose.
-        lost = min(held_by_id[h.id].count for h in holders)
-        value = lost / len(holders) ** 3
-        fastest = min(self._pace(holder) for holder in holders)
-        return value + max(0.0, fastest - self._pace(server))
-
-    def _trim_to_gap(
-        self,
-        window: directory.LayerRange,
-        holders: list[list[directory.Server]],
-    ) -> directory.LayerRange:
-        """Leaves out held layers at both ends: a gap is loaded sooner."""
-        start, end = window.start, window.end
-        missing = [i for i in range(start, end) if not holders[i]]
-        if not missing:
-            return window
-        return directory.LayerRange(missing[0], missing[-1] + 1)
-
-    def _fill_gaps(
-        self,
-        members: list[Holding],
-        held_by_id: dict[str, directory.LayerRange],
-    ) -> list[Move]:
+        return max(self._windows(cell, server_id, starting), key=rank)
+
+    def _windows(
+        self, cell: _Cell, server_id: str, starting: bool
+    ) -> Iterator[directory.LayerRange]:
+        layers = self._engine.layers
+        size = min(cell.roomy(server_id), layers)
+        for start in range(layers - size + 1):
+            yield directory.LayerRange(start, start + size)
+        gap = cell.first_gap()
+        if gap is not None and not starting:
+            count = min(gap.count, cell.roomy(server_id))
+            yield directory.LayerRange(gap.start, gap.start + count)
+            yield directory.LayerRange(gap.end - count, gap.end)
+
+    def _fill_gaps(self, cell: _Cell) -> list[Move]:
         moves: list[Move] = []
-        moved = {m.server.id for m in members if m.busy}
-        for _ in range(self._engine.layers):
-            gap = self._first_gap(members, held_by_id)
+        moved = {i for i, m in cell.member_by_id.items() if m.busy}
+        while True:
+            gap = cell.first_gap()
             if gap is None:
-                break
-            move = self._cover(members, held_by_id, moved, gap)
-            if move is None:
-                break
-            held_by_id[move.server.id] = move.layers
-            moved.add(move.server.id)
-            moves.append(move)
-        return moves
-
-    def _first_gap(
-        self,
-        members: list[Holding],
-        held_by_id: dict[str, directory.LayerRange],
-    ) -> directory.LayerRange | None:
-        holders = self._holders(members, held_by_id)
-        start = next((i for i, h in enumerate(holders) if not h), None)
-        if start is None:
-            return None
-        end = start
-        while end < len(holders) and not holders[end]:
-            end += 1
-        return directory.LayerRange(start, end)
+                return moves
+            found = self._cover(cell, moved, gap)
+            if found is None:
+                return moves
+            server_id, target = found
+            cell.move(server_id, target)
+            moved.add(server_id)
+            server = cell.member_by_id[server_id].server
+            moves.append(Move(server, target, "gap"))
 
     def _cover(
-        self,
-        members: list[Holding],
-        held_by_id: dict[str, directory.LayerRange],
-        moved: set[str],
-        gap: directory.LayerRange,
-    ) -> Move | None:
-        """Finds the runner that covers most of a gap and loses least."""
-        holders = self._holders(members, held_by_id)
-        best: Move | None = None
-        best_rank: tuple[int, int, float, str] | None = None
-        for member in members:
-            server = member.server
-            held = held_by_id[server.id]
-            if server.id in moved or not held.count:
+        self, cell: _Cell, moved: set[str], gap: directory.LayerRange
+    ) -> tuple[str, directory.LayerRange] | None:
+        """Finds the runner that gives least up for each layer of a gap."""
+        best: tuple[str, directory.LayerRange] | None = None
+        best_cost = float("inf")
+        gap_worth = 1.0 / GAP_FLOOR
+        for server_id, held in cell.held_by_id.items():
+            if server_id in moved or not held.count:
                 continue
-            spare = all(
-                len(holders[i]) > 1 for i in range(held.start, held.end)
-            )
-            for target, covered in self._options(server, held, gap, spare):
-                new = sum(
-                    1
-                    for i in range(target.start, target.end)
-                    if not held.start <= i < held.end
-                )
-                rank = (-covered, new, self._pace(server), server.id)
-                if best_rank is None or rank < best_rank:
-                    best, best_rank = Move(server, target, "gap"), rank
+            for target in self._gap_targets(cell, server_id, gap):
+                lost = cell.missing(target)
+                gain = cell.gain(server_id, target)
+                covered = min(lost, gap.count)
+                loss = covered * gap_worth - gain
+                if not covered or loss >= covered * gap_worth:
+                    # It opens another gap as large as the one it fills.
+                    continue
+                loss += LOAD_COST * cell.load_seconds(server_id, target)
+                cost = (loss + ORDER_COST) / covered
+                if cost < best_cost:
+                    best, best_cost = (server_id, target), cost
         return best
 
-    def _options(
-        self,
-        server: directory.Server,
-        held: directory.LayerRange,
-        gap: directory.LayerRange,
-        spare: bool,
-    ) -> list[tuple[directory.LayerRange, int]]:
-        options = []
-        most = self._most(server)
-        room = most - held.count
-        if room > 0 and held.end == gap.start:
-            count = min(room, gap.count)
-            options.append(
-                (directory.LayerRange(held.start, gap.start + count), count)
-            )
-        if room > 0 and held.start == gap.end:
-            count = min(room, gap.count)
-            options.append(
-                (directory.LayerRange(gap.end - count, held.end), count)
-            )
-        if spare:
-            count = min(self._roomy(server), gap.count)
-            options.append(
-                (directory.LayerRange(gap.start, gap.start + count), count)
-            )
-        return options
+    @staticmethod
+    def _gap_targets(
+        cell: _Cell, server_id: str, gap: directory.LayerRange
+    ) -> Iterator[directory.LayerRange]:
+        held = cell.held_by_id[server_id]
+        room = cell.most(server_id) - held.count
+        for count in range(1, min(room, gap.count) + 1):
+            if held.end == gap.start:
+                yield directory.LayerRange(held.start, gap.start + count)
+            if held.start == gap.end:
+                yield directory.LayerRange(gap.end - count, held.end)
+        count = min(cell.roomy(server_id), gap.count)
+        yield directory.LayerRange(gap.start, gap.start + count)
+        if count < gap.count:
+            yield directory.LayerRange(gap.end - count, gap.end)
+
+    def _grow_one(self, cell: _Cell) -> list[Move]:
+        """Gives one runner more layers where that is worth the load."""
+        if any(member.busy for member in cell.member_by_id.values()):
+            return []
+        best: Move | None = None
+        best_gain = MIN_GAIN
+        for server_id, held in cell.held_by_id.items():
+            size = cell.roomy(server_id)
+            if not held.count or held.count + SPARE_LAYERS >= size:
+                continue
+            more = size - held.count
+            for before in {0, more // 2, more}:
+                start = max(0, held.start - before)
+                end = min(self._engine.layers, start + size)
+                target = directory.LayerRange(start, end)
+                gain = cell.gain(server_id, target) - ORDER_COST
+                gain -= LOAD_COST * cell.load_seconds(server_id, target)
+                if gain > best_gain:
+                    server = cell.member_by_id[server_id].server
+                    best, best_gain = Move(server, target, "grow"), gain
+        return [best] if best is not None else []
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_links.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_links.py
@@ -23,6 +23,8 @@
 """A link without a report for five intervals is opened anew."""
 OPEN_SECONDS = 0.5
 """Longest time to open a link."""
+CLOSE_SECONDS = 0.1
+"""Longest wait for a peer to agree to a close; the process is leaving."""
 DIAL_TICK_SECONDS = 0.2
 """How often the list of routers is looked at."""
 
@@ -55,7 +57,7 @@
             compression=None,
             max_size=peer_messages.MAX_MESSAGE_BYTES,
             ping_interval=None,
-            close_timeout=OPEN_SECONDS,
+            close_timeout=CLOSE_SECONDS,
         ):
             await asyncio.get_running_loop().create_future()
 
@@ -89,7 +91,7 @@
                     compression=None,
                     max_size=peer_messages.MAX_MESSAGE_BYTES,
                     open_timeout=OPEN_SECONDS,
-                    close_timeout=OPEN_SECONDS,
+                    close_timeout=CLOSE_SECONDS,
                     ping_interval=None,
                     proxy=None,
                 ) as link:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
@@ -42,7 +42,8 @@
         generation: the sender's configuration; 0 for none.
         confirmation_age: age of its confirmation in seconds when sent;
             negative for none.
-        store_live: whether the sender's watch of the store works.
+        store_age: age of the sender's view of the directory, in seconds;
+            negative for none.
         coverage_in: seconds until missing layers are loaded; 0 if none are.
         loads: work in flight that the sender itself dispatched.
         suspects: backend servers that the sender leaves out.
@@ -54,7 +55,7 @@
     echo: int
     generation: int
     confirmation_age: float
-    store_live: bool
+    store_age: float
     coverage_in: float
     loads: list[LoadRow]
     suspects: list[SuspectRow]
@@ -76,8 +77,14 @@
 
 
 class ServersCopy(msgspec.Struct, array_like=True, frozen=True, tag="servers"):
-    """All backend servers, for a router that the store turns away."""
+    """All backend servers, for a router whose view is older.
 
+    Attributes:
+        age: age of the sender's view, in seconds.
+        entries: the entries.
+    """
+
+    age: float
     entries: list[EntryRow]
 
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
@@ -18,6 +18,14 @@
 can't reach may be cut off from that router alone."""
 
 
+VIEW_LEAD_SECONDS = 2.6
+"""A view of the store is live by one watch call after the other; a view that
+is older by more than one call belongs to a router that the store does not
+serve."""
+NEVER = 1e9
+"""Seconds; greater than any age."""
+
+
 class PeerState:
     """One side of the link between two routers, without the socket."""
 
@@ -57,8 +65,8 @@
             sequence=self._sequence,
             echo=self._received,
             generation=board.catalog.generation if board.catalog else 0,
-            confirmation_age=age if age < 1e6 else -1.0,  # noqa: PLR2004
-            store_live=self._reader.is_live(now),
+            confirmation_age=_known_age(age),
+            store_age=_known_age(self._reader.age(now)),
             coverage_in=max(0.0, board.coverage_eta - now),
             loads=[
                 peer_messages.LoadRow(
@@ -91,10 +99,10 @@
                 return self._take_report(message, now, boot_now)
             case peer_messages.CatalogCopy(entry):
                 self._reader.take_catalog(_key_value(entry))
-            case peer_messages.ServersCopy(entries):
-                if not self._reader.is_live(now):
+            case peer_messages.ServersCopy(age, entries):
+                if age + VIEW_LEAD_SECONDS < self._reader.age(now):
                     self._reader.take_servers(
-                        [_key_value(entry) for entry in entries]
+                        [_key_value(entry) for entry in entries], now - age
                     )
         return []
 
@@ -166,10 +174,12 @@
             and entry is not None
         ):
             copies.append(peer_messages.CatalogCopy(_row(entry)))
-        if not report.store_live and self._reader.is_live(now):
+        own_age = self._reader.age(now)
+        peer_age = report.store_age if report.store_age >= 0 else NEVER
+        if own_age + VIEW_LEAD_SECONDS < peer_age:
             copies.append(
                 peer_messages.ServersCopy(
-                    [_row(e) for e in self._reader.server_entries()]
+                    own_age, [_row(e) for e in self._reader.server_entries()]
                 )
             )
         if copies:
@@ -177,6 +187,10 @@
         return copies
 
 
+def _known_age(age: float) -> float:
+    return age if age < NEVER else -1.0
+
+
 def _row(entry: kv.KeyValue) -> peer_messages.EntryRow:
     return peer_messages.EntryRow(entry.key, entry.value, entry.mod_revision)
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/planner_controller.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/planner_controller.py
@@ -36,6 +36,7 @@
 class _Pending:
     target: directory.LayerRange
     lifetime: tuple[str, int]
+    eta: float
     due: float
     asking: bool = False
 
@@ -133,16 +134,22 @@
         starting = not any(server.layers.count for server in servers)
         if starting and not self._settled(len(servers), now):
             return 0.0
-        usable = {s.id for s in self._board.usable(service.id)}
+        usable = {s.id for s in servers if self._is_usable(s)}
         holdings = [self._holding(s, usable, now) for s in servers]
         planner = layer_planner.LayerPlanner(engine)
         for move in planner.plan(holdings, starting=starting):
             self._order(engine, move, now, starting=starting)
         return max(
-            (pending.due for pending in self._pending_by_id.values()),
+            (pending.eta for pending in self._pending_by_id.values()),
             default=0.0,
         )
 
+    def _is_usable(self, server: directory.Server) -> bool:
+        return (
+            server.state is directory.ServerState.READY
+            and not self._board.trust.is_lost(server.address, server.lifetime)
+        )
+
     def _settled(self, count: int, now: float) -> bool:
         if count != self._counted[0]:
             self._counted = (count, now)
@@ -188,8 +195,9 @@
             seconds *= BEFORE_TRAFFIC_FACTOR
         busy = len(self._pending_by_id) + 1
         crowd = max(1.0, busy / max(1, engine.loads_at_once))
+        eta = now + seconds * crowd
         due = now + seconds * crowd * OVERDUE_FACTOR + OVERDUE_SECONDS
-        pending = _Pending(move.layers, move.server.lifetime, due)
+        pending = _Pending(move.layers, move.server.lifetime, eta, due)
         self._pending_by_id[move.server.id] = pending
         self._log.write(
             "layers placed",
@@ -199,7 +207,7 @@
             target=f"{move.layers.start}-{move.layers.end}",
             reason=move.reason,
             fence=self._fence,
-            due_in=round(due - now, 2),
+            eta_in=round(eta - now, 2),
         )
         self._start(self._place(move, pending))
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
@@ -84,10 +84,20 @@
 
     def is_live(self, now: float) -> bool:
         """Tells whether the watch works."""
-        return not self._down and now - self.live_at < OUTAGE_MEMORY_SECONDS
+        return not self._down and self.age(now) < OUTAGE_MEMORY_SECONDS
 
-    def take_servers(self, entries: list[kv.KeyValue]) -> None:
-        """Takes a listing of backend servers that a peer passed on."""
+    def age(self, now: float) -> float:
+        """Returns how old our view of the directory is, in seconds."""
+        return now - self.live_at
+
+    def take_servers(self, entries: list[kv.KeyValue], read_at: float) -> None:
+        """Takes a listing of backend servers that a peer passed on.
+
+        Args:
+            entries: the raw entries.
+            read_at: loop time at which the peer's view was live.
+        """
+        self.live_at = max(self.live_at, read_at)
         servers = [s for e in entries if (s := self._decode_server(e))]
         for entry in entries:
             self.entry_by_key[entry.key] = entry
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/trust.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/trust.py
@@ -8,6 +8,9 @@
 """Under two heartbeats of a backend server that is alive again."""
 MEMORY_SECONDS = 15.0
 """Failures further apart count as unrelated."""
+LOST_HOLD_SECONDS = 1.0
+"""After the third relapse in a row a server that rejects counts as lost."""
+REJECTED = "rejected"
 PROBE_INTERVAL_SECONDS = 0.5
 """A third of the time within which a restarted runner loads a part."""
 
@@ -70,6 +73,17 @@
             and record.lifetime == lifetime
         )
 
+    def is_lost(self, address: str, lifetime: tuple[str, int]) -> bool:
+        """Tells whether a suspect's layers have to be loaded elsewhere.
+
+        A server that rejects requests may be short of memory for a moment;
+        one that goes on rejecting is leaving without having said so.
+        """
+        if not self.is_suspect(address, lifetime):
+            return False
+        record = self._record_by_address[address]
+        return record.reason != REJECTED or record.hold >= LOST_HOLD_SECONDS
+
     def reason(self, address: str) -> str:
         """Returns why the address is suspect, or an empty text."""
         record = self._record_by_address.get(address)
