Take no answer without its id; reload settings on SIGHUP

Change: an answer has to echo the id, or it is spoiled; SIGHUP reads the settings again and puts changed bounds in force.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/answers.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/answers.py
@@ -106,7 +106,8 @@
         return Verdict.NOT_RUN
     if head.status == 421:  # noqa: PLR2004 - misdirected: it did not run.
         return Verdict.NOT_RUN
-    if head.get(names.request_id) not in (None, request_id):
+    if head.get(names.request_id) != request_id:
+        # Servers echo the id: without it the answer may be another request's.
         return Verdict.SPOILED
     if head.get(b"content-encoding") is not None:
         return Verdict.SPOILED
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
@@ -86,6 +86,17 @@
         self.catalog_revision = revision
         return True
 
+    def set_bounds(self, bounds: settings.Bounds) -> None:
+        """Puts the operators' bounds in force."""
+        self.bounds = bounds
+        self.freshness.bound = bounds.revocation_seconds
+        for budget in self._budget_by_service.values():
+            budget.set_bounds(
+                ratio=bounds.retry_ratio,
+                slack=bounds.retry_slack,
+                window=bounds.retry_window_seconds,
+            )
+
     def limits(self) -> catalog.ClientLimits:
         """Returns what callers may send."""
         if self.catalog is None:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/cli.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/cli.py
@@ -27,7 +27,10 @@
         """
         import uvloop  # noqa: PLC0415 - `check` starts without it.
 
-        uvloop.run(self._run(self._load(path)))
+        def load() -> settings.Settings:
+            return settings.load(pathlib.Path(path or self._default_path))
+
+        uvloop.run(self._run(self._load(path), load))
 
     def check(self, path: str = "") -> None:
         """Checks a settings file.
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/freshness.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/freshness.py
@@ -22,18 +22,15 @@
     """Tells whether requests with a key may still be taken.
 
     Attributes:
+        bound: seconds after which a key that was taken away has to be
+            refused.
         confirmed_at: when the newest confirmation was sent, in seconds of the
             clock that counts suspension.
     """
 
     def __init__(self, bound: float) -> None:
-        """Makes it.
-
-        Args:
-            bound: seconds after which a key that was taken away has to be
-                refused.
-        """
-        self._bound = bound
+        """Makes it without any confirmation."""
+        self.bound = bound
         self.confirmed_at = float("-inf")
 
     def confirm(self, sent_at: float) -> None:
@@ -46,4 +43,4 @@
 
     def is_fresh(self, now: float) -> bool:
         """Tells whether a request received now may use its key."""
-        return self.age(now) < self._bound - MARGIN_SECONDS
+        return self.age(now) < self.bound - MARGIN_SECONDS
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -47,8 +47,23 @@
         readiness_path: str,
         log: decision_log.DecisionLog,
         rng: random.Random,
+        load_settings: Callable[[], settings.Settings] | None = None,
     ) -> None:
+        """Makes a router.
+
+        Args:
+            config: its settings.
+            store: the key-value service.
+            schema: what the platform keeps there.
+            runners: calls to the runners beside requests.
+            names: names of the headers.
+            readiness_path: where the platform asks whether it is ready.
+            log: decisions.
+            rng: random numbers.
+            load_settings: reads the settings again on SIGHUP.
+        """
         self._config = config
+        self._load_settings = load_settings or (lambda: config)
         self._log = log
         self._readiness_path = readiness_path
         self.metrics = metric_sets.Metrics()
@@ -92,6 +107,7 @@
         loop = asyncio.get_running_loop()
         leaving = asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, leaving.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
         listen = self._config.listen
         callers = await self._listen(
             listen.callers, self._on_request, self._callers
@@ -124,6 +140,18 @@
         for each in checkers:
             each.close()
 
+    def _reload(self) -> None:
+        """Puts changed bounds in force; addresses stay as they are."""
+        try:
+            found = self._load_settings()
+        except errors.SettingsError as error:
+            self._log.write("settings not reloaded", detail=str(error))
+            return
+        changed = found.bounds != self._config.bounds
+        self._config = found
+        self.board.set_bounds(found.bounds)
+        self._log.write("settings reloaded", bounds_changed=changed)
+
     async def _drain(self, callers: asyncio.Server) -> None:
         loop = asyncio.get_running_loop()
         began = loop.time()
@@ -257,5 +285,11 @@
     task.cancel()
 
 
-RunGateway = Callable[[settings.Settings], Coroutine[Any, Any, None]]
-"""Makes a router with the platform's adapters and runs it."""
+RunGateway = Callable[
+    [settings.Settings, Callable[[], settings.Settings]],
+    Coroutine[Any, Any, None],
+]
+"""Makes a router with the platform's adapters and runs it.
+
+It takes the settings, and a function that reads them again.
+"""
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/retry_shares.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/retry_shares.py
@@ -30,6 +30,12 @@
         self._requests: collections.deque[float] = collections.deque()
         self._repeats: collections.deque[float] = collections.deque()
 
+    def set_bounds(self, *, ratio: float, slack: float, window: float) -> None:
+        """Replaces what the constructor took."""
+        self._ratio = ratio
+        self._slack = slack
+        self._window = window
+
     def note_request(self, now: float) -> None:
         """Notes a caller's request for the service."""
         self._requests.append(now)
