Test the gateway's decisions and exchanges; go elsewhere after a failure

Cause: found by the new tests. A stream whose first runner broke off was sent to the same runner again, and a rejected call to the only server was offered to it four times. A plan moved a runner twice, or left a gap where only a shift of all ranges fills it.

Change: servers that failed are tried last, those that rejected not again; the planner gives out final targets and spreads a group anew where no single change helps.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
@@ -53,6 +53,11 @@
     rng: random.Random
 
 
+_ELSEWHERE_ONLY = frozenset(
+    {dispatch.Failure.REJECTED, dispatch.Failure.NOT_SENT}
+)
+
+
 class Exchange:
     """One caller's request, from its last byte to the end of its answer."""
 
@@ -73,6 +78,7 @@
         self._keep = request.keep_alive and not context.board.draining
         self._paths: list[str] = []
         self._first = ""
+        self._last: attempt.Outcome | None = None
         self._answer: attempt.Answer | None = None
         self._first_event_after = 0.0
 
@@ -124,14 +130,13 @@
                     dispatch.Failure.TIMEOUT, detail="the time is over"
                 )
             if outcome is None:
-                self._end(
-                    admitted, dispatch.give_up_without_server(self._progress)
-                )
+                self._end_without_server(admitted)
                 return
             if outcome.failure is None:
                 self._deliver(admitted, outcome)
                 return
             self._note_failure(admitted, outcome)
+            self._last = outcome
             decision = dispatch.decide(
                 admitted.route,
                 self._progress,
@@ -162,6 +167,32 @@
             self._end(admitted, decision, outcome.detail)
             return
 
+    def _end_without_server(self, admitted: intake.Admitted) -> None:
+        last = self._last
+        if last and last.failure is dispatch.Failure.SERVER_ERROR:
+            self._deliver(admitted, last)
+            return
+        self._end(
+            admitted,
+            dispatch.give_up_without_server(self._progress),
+            last.detail if last else "",
+        )
+
+    def _untried(
+        self, usable: list[directory.Server]
+    ) -> list[directory.Server]:
+        """Returns the servers to choose from, those not tried first.
+
+        A server that rejected the request, or took no connection, is not
+        asked again; one whose answer was lost may be, where no other is left.
+        """
+        untried = [s for s in usable if s.id not in self._tried]
+        if untried or self._last is None:
+            return untried
+        if self._last.failure in _ELSEWHERE_ONLY:
+            return []
+        return usable
+
     # Attempts.
 
     async def _attempt_plain(
@@ -169,7 +200,7 @@
     ) -> attempt.Outcome | None:
         board = self._context.board
         usable = board.usable(admitted.service.id)
-        fresh = [s for s in usable if s.id not in self._tried] or usable
+        fresh = self._untried(usable)
         if admitted.service.engine is not None:
             # Without a path, a runner serves alone with all layers.
             layers = admitted.service.engine.layers
@@ -177,7 +208,7 @@
         server = picks.pick_server(fresh, board.book, board.home, {})
         if server is None:
             return None
-        self._tried.add(server.id)
+        self._first = server.id
         reserved = (loads.Reservation(server.address, True, 0.0),)
         answer = self._new_answer(admitted, None)
         return await self._send(admitted, server, reserved, answer, None)
@@ -192,9 +223,9 @@
         wanted = paths.Wanted(context.board.home, tokens)
         usable = context.board.usable(admitted.service.id)
         finder = context.board.finder(engine, self._now())
-        path = finder.find(
-            [s for s in usable if s.id not in self._tried], wanted
-        )
+        path = finder.find(self._untried(usable), wanted)
+        if path is None and self._progress.started:
+            path = finder.find(usable, wanted)
         if path is None:
             return None
         self._paths.append(describe(path))
@@ -471,7 +502,7 @@
             server = context.board.server_at(outcome.fault)
             if server is not None:
                 context.board.suspect(self._now(), server, trust.REJECTED)
-        elif outcome.failure is dispatch.Failure.REJECTED and self._first:
+        else:
             self._tried.add(self._first)
         context.log.write(
             "attempt failed",
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/layer_planner.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/layer_planner.py
@@ -98,15 +98,17 @@
         self.move(server_id, held)
         return after - before
 
-    def first_gap(self) -> directory.LayerRange | None:
-        """Returns the first run of layers that nobody holds."""
-        start = next((i for i, h in enumerate(self._holders) if not h), None)
-        if start is None:
-            return None
-        end = start
-        while end < len(self._holders) and not self._holders[end]:
-            end += 1
-        return directory.LayerRange(start, end)
+    def gaps(self) -> list[directory.LayerRange]:
+        """Returns the runs of layers that nobody holds."""
+        found = []
+        start: int | None = None
+        for layer, holders in enumerate([*self._holders, {"end"}]):
+            if not holders and start is None:
+                start = layer
+            elif holders and start is not None:
+                found.append(directory.LayerRange(start, layer))
+                start = None
+        return found
 
     def missing(self, layers: directory.LayerRange) -> int:
         """Returns how many of the layers nobody holds."""
@@ -196,10 +198,17 @@
         moves: list[Move] = []
         for members in self._group(holdings):
             cell = _Cell(self._engine, members)
-            moves += self._place_empty(cell, starting=starting)
-            moves += self._fill_gaps(cell)
-            if not moves and not starting:
-                moves += self._grow_one(cell)
+            reason_by_id = self._place_empty(cell, starting=starting)
+            reason_by_id |= self._fill_gaps(cell)
+            if cell.gaps():
+                reason_by_id |= self._spread_anew(cell)
+            if not reason_by_id and not starting:
+                reason_by_id = self._grow_one(cell)
+            for server_id, reason in reason_by_id.items():
+                member = cell.member_by_id[server_id]
+                target = cell.held_by_id[server_id]
+                if target != member.layers:
+                    moves.append(Move(member.server, target, reason))
         return moves
 
     def _group(self, holdings: Iterable[Holding]) -> list[list[Holding]]:
@@ -230,20 +239,17 @@
             for m in members
         )
 
-    def _place_empty(self, cell: _Cell, *, starting: bool) -> list[Move]:
+    def _place_empty(self, cell: _Cell, *, starting: bool) -> dict[str, str]:
         empty = [
             server_id
             for server_id, member in cell.member_by_id.items()
             if not member.layers.count and not member.busy
         ]
         empty.sort(key=lambda server_id: (cell.pace(server_id), server_id))
-        moves = []
         for server_id in empty:
             target = self._best_window(cell, server_id, starting=starting)
             cell.move(server_id, target)
-            server = cell.member_by_id[server_id].server
-            moves.append(Move(server, target, "empty runner"))
-        return moves
+        return dict.fromkeys(empty, "empty runner")
 
     def _best_window(
         self, cell: _Cell, server_id: str, *, starting: bool
@@ -269,44 +275,46 @@
         size = min(cell.roomy(server_id), layers)
         for start in range(layers - size + 1):
             yield directory.LayerRange(start, start + size)
-        gap = cell.first_gap()
-        if gap is not None and not starting:
+        for gap in [] if starting else cell.gaps():
             count = min(gap.count, cell.roomy(server_id))
             yield directory.LayerRange(gap.start, gap.start + count)
             yield directory.LayerRange(gap.end - count, gap.end)
 
-    def _fill_gaps(self, cell: _Cell) -> list[Move]:
-        moves: list[Move] = []
-        moved = {i for i, m in cell.member_by_id.items() if m.busy}
+    def _fill_gaps(self, cell: _Cell) -> dict[str, str]:
+        """Changes the cell until no change fills more than it opens.
+
+        Each change gains, so this ends; the runners' targets are given out
+        when it has.
+        """
+        reason_by_id: dict[str, str] = {}
         while True:
-            gap = cell.first_gap()
-            if gap is None:
-                return moves
-            found = self._cover(cell, moved, gap)
+            found = None
+            for gap in cell.gaps():
+                found = self._cover(cell, gap)
+                if found is not None:
+                    break
             if found is None:
-                return moves
+                return reason_by_id
             server_id, target = found
             cell.move(server_id, target)
-            moved.add(server_id)
-            server = cell.member_by_id[server_id].server
-            moves.append(Move(server, target, "gap"))
+            reason_by_id[server_id] = "gap"
 
     def _cover(
-        self, cell: _Cell, moved: set[str], gap: directory.LayerRange
+        self, cell: _Cell, gap: directory.LayerRange
     ) -> tuple[str, directory.LayerRange] | None:
         """Finds the runner that gives least up for each layer of a gap."""
         best: tuple[str, directory.LayerRange] | None = None
         best_cost = float("inf")
         gap_worth = 1.0 / GAP_FLOOR
         for server_id, held in cell.held_by_id.items():
-            if server_id in moved or not held.count:
+            if cell.member_by_id[server_id].busy or not held.count:
                 continue
             for target in self._gap_targets(cell, server_id, gap):
                 lost = cell.missing(target)
                 gain = cell.gain(server_id, target)
                 covered = min(lost, gap.count)
                 loss = covered * gap_worth - gain
-                if not covered or loss >= covered * gap_worth:
+                if not covered or gain <= MIN_GAIN:
                     # It opens another gap as large as the one it fills.
                     continue
                 loss += LOAD_COST * cell.load_seconds(server_id, target)
@@ -331,11 +339,57 @@
         if count < gap.count:
             yield directory.LayerRange(gap.end - count, gap.end)
 
-    def _grow_one(self, cell: _Cell) -> list[Move]:
+    def _spread_anew(self, cell: _Cell) -> dict[str, str]:
+        """Shifts all ranges where no single change fills a gap.
+
+        Each runner gets layers by its memory, near those that it holds.
+        """
+        if any(member.busy for member in cell.member_by_id.values()):
+            return {}
+        counts = self._counts_by_memory(cell)
+        if sum(counts.values()) < self._engine.layers:
+            return {}
+        order = sorted(
+            counts,
+            key=lambda i: (
+                cell.held_by_id[i].start + cell.held_by_id[i].end,
+                i,
+            ),
+        )
+        at = 0
+        for server_id in order:
+            end = at + counts[server_id]
+            cell.move(server_id, directory.LayerRange(at, end))
+            at = end
+        return dict.fromkeys(order, "spread anew")
+
+    def _counts_by_memory(self, cell: _Cell) -> dict[str, int]:
+        layers = self._engine.layers
+        memory_by_id = {
+            i: self._engine.kind(member.server.kind).memory_mb
+            for i, member in cell.member_by_id.items()
+        }
+        total = sum(memory_by_id.values())
+        counts = {
+            i: min(cell.most(i), int(layers * memory / total))
+            for i, memory in memory_by_id.items()
+        }
+        while sum(counts.values()) < layers:
+            free = [i for i in counts if counts[i] < cell.most(i)]
+            if not free:
+                break
+            # Memory for each layer stays as even as it can.
+            widest = max(
+                free, key=lambda i: (memory_by_id[i] / (counts[i] + 1), i)
+            )
+            counts[widest] += 1
+        return {i: count for i, count in counts.items() if count}
+
+    def _grow_one(self, cell: _Cell) -> dict[str, str]:
         """Gives one runner more layers where that is worth the load."""
         if any(member.busy for member in cell.member_by_id.values()):
-            return []
-        best: Move | None = None
+            return {}
+        best: tuple[str, directory.LayerRange] | None = None
         best_gain = MIN_GAIN
         for server_id, held in cell.held_by_id.items():
             size = cell.roomy(server_id)
@@ -349,6 +403,8 @@
                 gain = cell.gain(server_id, target) - ORDER_COST
                 gain -= LOAD_COST * cell.load_seconds(server_id, target)
                 if gain > best_gain:
-                    server = cell.member_by_id[server_id].server
-                    best, best_gain = Move(server, target, "grow"), gain
-        return [best] if best is not None else []
+                    best, best_gain = (server_id, target), gain
+        if best is None:
+            return {}
+        cell.move(*best)
+        return {best[0]: "grow"}
--- /dev/null
+++ b/tests/gateway/test_catalog.py
@@ -0,0 +1,89 @@
+import unittest
+
+from nutmeglift import ids
+from nutmeglift_gateway import catalog
+from tests.gateway import rig
+
+ROUTES = tuple(
+    rig.make_route(name, catalog.Idempotency.SAFE, rig.CORE, prefix=prefix)
+    for name, prefix in [
+        ("root", "/"),
+        ("desk", "/desk/"),
+        ("deep", "/desk/names/"),
+    ]
+)
+
+
+class FindRouteTest(unittest.TestCase):
+    def test_longest_prefix_wins(self):
+        found = rig.make_catalog(routes=ROUTES)
+        cases = [
+            ("desk.example", "/desk/names/1", "deep"),
+            ("desk.example", "/desk/names/", "deep"),
+            ("desk.example", "/desk/names", "desk"),
+            ("desk.example", "/desk/namesake/2", "desk"),
+            ("desk.example", "/desk", "root"),
+            ("desk.example", "/other?a=/desk/names/", "root"),
+            ("DESK.example:8080", "/desk/x", "desk"),
+            ("other.example", "/desk/x", None),
+            ("", "/desk/x", None),
+        ]
+        for host, target, expected in cases:
+            with self.subTest(host=host, target=target):
+                route = found.find_route(host, target)
+                self.assertEqual(route.id if route else None, expected)
+
+
+class EngineTest(unittest.TestCase):
+    def test_layers_that_leave_room(self):
+        cases = [("big", 28, 41), ("mid", 5, 8), ("slow", 8, 12)]
+        for name, roomy, fitting in cases:
+            with self.subTest(name):
+                kind = rig.KINDS[name]
+                self.assertEqual(rig.ENGINE.roomy_layers(kind, 50000), roomy)
+                self.assertEqual(rig.ENGINE.fitting_layers(kind), fitting)
+
+    def test_room_shrinks_with_layers(self):
+        kind = rig.KINDS["mid"]
+        rooms = [rig.ENGINE.room(kind, count) for count in range(10)]
+        self.assertEqual(rooms, sorted(rooms, reverse=True))
+        self.assertEqual(rooms[-1], 0.0)
+
+    def test_unknown_kind_counts_as_the_slowest(self):
+        self.assertEqual(rig.ENGINE.kind("new").name, "slow")
+
+
+class RouteTest(unittest.TestCase):
+    def test_what_may_be_repeated(self):
+        cases = [
+            (rig.SAFE, True),
+            (rig.UNSAFE, False),
+            (rig.STREAM, True),
+            (
+                rig.make_route(
+                    "once",
+                    catalog.Idempotency.STREAM,
+                    rig.MODEL,
+                    resumable=False,
+                ),
+                False,
+            ),
+        ]
+        for route, expected in cases:
+            with self.subTest(route.id):
+                self.assertEqual(route.repeatable, expected)
+
+
+class BoardCatalogTest(unittest.TestCase):
+    def test_generations_only_rise(self):
+        board = rig.make_board(generation=7)
+        older = rig.make_catalog(generation=6)
+        self.assertFalse(board.set_catalog(ids.Revision(9), older))
+        self.assertEqual(board.catalog.generation, 7)
+        newer = rig.make_catalog(generation=12)
+        self.assertTrue(board.set_catalog(ids.Revision(10), newer))
+        self.assertEqual(board.catalog.generation, 12)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/gateway/test_decisions.py
@@ -0,0 +1,206 @@
+"""Decisions of a request: freshness, dispatch, stalls, drain, refusals."""
+
+import unittest
+
+from nutmeglift import errors
+from nutmeglift_gateway import answers
+from nutmeglift_gateway import dispatch
+from nutmeglift_gateway import drain
+from nutmeglift_gateway import freshness
+from nutmeglift_gateway import http_call
+from nutmeglift_gateway import refusals
+from nutmeglift_gateway import stalls
+from nutmeglift_platform import names
+from tests.gateway import rig
+
+
+class FreshnessTest(unittest.TestCase):
+    def test_bound_counts_from_the_sending_of_the_confirmation(self):
+        cases = [(100.0, True), (104.7, True), (104.9, False), (160.0, False)]
+        for now, fresh in cases:
+            with self.subTest(now):
+                found = freshness.Freshness(5.0)
+                found.confirm(100.0)
+                self.assertEqual(found.is_fresh(now), fresh)
+
+    def test_older_confirmations_change_nothing(self):
+        found = freshness.Freshness(5.0)
+        found.confirm(100.0)
+        found.confirm(90.0)
+        self.assertEqual(found.confirmed_at, 100.0)
+
+    def test_never_confirmed_is_not_fresh(self):
+        self.assertFalse(freshness.Freshness(5.0).is_fresh(0.0))
+
+    def test_suspension_counts(self):
+        # The clock that counts it jumps by the suspended time.
+        found = freshness.Freshness(5.0)
+        found.confirm(100.0)
+        self.assertFalse(found.is_fresh(100.0 + 30.0))
+
+
+F = dispatch.Failure
+RETRY = dispatch.Retry(repeat=True)
+AGAIN = dispatch.Retry(repeat=False)
+UNKNOWN = dispatch.Fail(errors.ErrorKind.OUTCOME_UNKNOWN)
+OVERLOADED = dispatch.Refuse(errors.ErrorKind.OVERLOADED)
+DELIVER = dispatch.Deliver()
+
+
+class DispatchTest(unittest.TestCase):
+    def test_what_follows_from_each_failure(self):
+        cases = [
+            # route, sent, runs, failure, decision
+            (rig.UNSAFE, 0, 0, F.NOT_SENT, AGAIN),
+            (rig.UNSAFE, 1, 0, F.REJECTED, RETRY),
+            (rig.UNSAFE, 1, 1, F.LOST, UNKNOWN),
+            (rig.UNSAFE, 1, 1, F.SPOILED, UNKNOWN),
+            (rig.UNSAFE, 1, 1, F.SERVER_ERROR, DELIVER),
+            (rig.SAFE, 1, 1, F.LOST, RETRY),
+            (rig.SAFE, 1, 1, F.SPOILED, RETRY),
+            (rig.SAFE, 1, 1, F.SERVER_ERROR, RETRY),
+            (rig.SAFE, 2, 2, F.SERVER_ERROR, DELIVER),
+            (rig.SAFE, 2, 2, F.LOST, UNKNOWN),
+            (rig.SAFE, 2, 1, F.REJECTED, RETRY),
+            (rig.STREAM, 1, 1, F.LOST, RETRY),
+            (rig.STREAM, 2, 2, F.LOST, UNKNOWN),
+            (rig.STREAM, 3, 0, F.REJECTED, RETRY),
+            (rig.STREAM, 4, 0, F.REJECTED, OVERLOADED),
+        ]
+        for route, sent, runs, failure, expected in cases:
+            with self.subTest(route=route.id, sent=sent, failure=failure):
+                progress = dispatch.Progress(sent, runs)
+                self.assertEqual(
+                    dispatch.decide(route, progress, failure, 1.0), expected
+                )
+
+    def test_not_run_is_promised_only_when_nothing_ran(self):
+        for route in (rig.SAFE, rig.UNSAFE, rig.STREAM):
+            for failure in F:
+                for runs in (0, 1, 2):
+                    with self.subTest(route.id, failure=failure, runs=runs):
+                        progress = dispatch.Progress(4, runs)
+                        decision = dispatch.decide(
+                            route, progress, failure, 0.0
+                        )
+                        refused = isinstance(decision, dispatch.Refuse)
+                        self.assertEqual(refused, runs == 0)
+
+    def test_no_server_left(self):
+        self.assertEqual(
+            dispatch.give_up_without_server(dispatch.Progress(1, 0)),
+            dispatch.Refuse(errors.ErrorKind.NO_BACKEND),
+        )
+        self.assertEqual(
+            dispatch.give_up_without_server(dispatch.Progress(1, 1)), UNKNOWN
+        )
+
+
+class StallsTest(unittest.TestCase):
+    def test_when_a_silent_stream_is_looked_after(self):
+        wait, ask = stalls.Action.WAIT, stalls.Action.ASK
+        cases = [
+            # silent, begun, step, action
+            (0.05, True, 0.008, wait),
+            (0.13, True, 0.008, ask),
+            (0.13, False, 0.008, wait),
+            (0.26, False, 0.008, ask),
+            (0.3, True, 0.03, wait),
+            (1.7, True, 0.03, stalls.Action.GIVE_UP),
+            (1.7, False, 0.008, stalls.Action.GIVE_UP),
+        ]
+        for silent, begun, step, expected in cases:
+            with self.subTest(silent=silent, begun=begun, step=step):
+                state = stalls.StreamState(silent, begun, 0.5, 0.25, step, 800)
+                self.assertEqual(stalls.judge(state), expected)
+
+    def test_given_up_before_callers_leave(self):
+        # Callers leave a stream that is silent for two seconds.
+        self.assertLess(stalls.GIVE_UP_SECONDS, 2.0)
+
+
+class DrainTest(unittest.TestCase):
+    def test_steps(self):
+        accept, finish, leave = (
+            drain.Step.ACCEPT,
+            drain.Step.FINISH,
+            drain.Step.EXIT,
+        )
+        cases = [
+            (0.0, 0, accept),
+            (2.9, 5, accept),
+            (3.3, 5, finish),
+            (3.3, 0, leave),
+            (7.1, 5, finish),
+            (7.3, 5, leave),
+        ]
+        for elapsed, in_flight, expected in cases:
+            with self.subTest(elapsed=elapsed, in_flight=in_flight):
+                step = drain.judge(
+                    elapsed=elapsed, in_flight=in_flight, shutdown_seconds=8.0
+                )
+                self.assertEqual(step, expected)
+
+
+class RefusalsTest(unittest.TestCase):
+    def test_callers_come_back_when_the_layers_are_loaded(self):
+        cases = [
+            (errors.ErrorKind.NO_BACKEND, 0.0, 1.0),
+            (errors.ErrorKind.NO_BACKEND, 52.0, 2.15),
+            (errors.ErrorKind.NO_BACKEND, 90.0, 5.0),
+            (errors.ErrorKind.OVERLOADED, 52.0, 0.5),
+        ]
+        for kind, eta, expected in cases:
+            with self.subTest(kind=kind, eta=eta):
+                board = rig.make_board()
+                board.coverage_eta = eta
+                self.assertAlmostEqual(
+                    refusals.retry_after(board, kind, 50.0), expected
+                )
+
+
+class JudgeTest(unittest.TestCase):
+    def test_answers(self):
+        verdict = answers.Verdict
+        good = {b"x-attempt-id": b"a", b"x-response-seal": b"r"}
+        cases = [
+            (200, good, verdict.GOOD),
+            (200, {b"x-attempt-id": b"a"}, verdict.SPOILED),
+            (200, {b"x-response-seal": b"r"}, verdict.SPOILED),
+            (200, good | {b"x-attempt-id": b"b"}, verdict.SPOILED),
+            (200, good | {b"content-encoding": b"gzip"}, verdict.SPOILED),
+            (404, good, verdict.GOOD),
+            (500, good, verdict.SERVER_ERROR),
+            (503, good, verdict.SERVER_ERROR),
+            (429, good, verdict.SERVER_ERROR),
+            (503, {b"x-not-executed": b"1"}, verdict.NOT_RUN),
+            (400, {b"x-not-executed": b"1"}, verdict.NOT_RUN),
+            (421, {}, verdict.NOT_RUN),
+        ]
+        for status, headers, expected in cases:
+            with self.subTest(status=status, headers=headers):
+                head = http_call.Head(status, list(headers.items()))
+                self.assertEqual(
+                    answers.judge(names.HEADERS, head, b"a"), expected
+                )
+
+
+class OwnAnswerTest(unittest.TestCase):
+    def test_retry_after_goes_with_not_run_only(self):
+        for kind, answer in errors.ANSWER_BY_KIND.items():
+            with self.subTest(kind):
+                raw = answers.own_answer(kind, retry_after=0.5)
+                self.assertEqual(
+                    b"retry-after" in raw, answer.ran.value == "not_run"
+                )
+                self.assertNotIn(names.HEADERS.receipt, raw.lower())
+
+    def test_no_promise_without_truth(self):
+        for kind, answer in errors.ANSWER_BY_KIND.items():
+            with self.subTest(kind):
+                if answer.status in answers.NOT_RUN_STATUSES:
+                    self.assertEqual(answer.ran.value, "not_run")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/gateway/test_directory.py
@@ -0,0 +1,86 @@
+import unittest
+
+from nutmeglift_gateway import directory
+from tests.gateway import rig
+
+DRAINING = directory.ServerState.DRAINING
+
+
+class DirectoryTest(unittest.TestCase):
+    def setUp(self):
+        self.directory = directory.Directory()
+
+    def test_older_entries_are_ignored(self):
+        self.directory.put(1.0, rig.make_server("s", revision=5))
+        stale = rig.make_server("s", revision=4, state=DRAINING)
+        self.assertFalse(self.directory.put(2.0, stale))
+        self.assertEqual(self.directory.draining_since_by_id, {})
+
+    def test_draining_counts_from_its_first_sight(self):
+        for revision in (5, 6):
+            self.directory.put(
+                float(revision),
+                rig.make_server("s", revision=revision, state=DRAINING),
+            )
+        self.assertEqual(self.directory.draining_since_by_id, {"s": 5.0})
+
+    def test_same_id_with_another_birth_is_another_lifetime(self):
+        first = rig.make_server("s", revision=5)
+        self.directory.put(1.0, first)
+        self.directory.note_order(first)
+        self.assertEqual(self.directory.server_by_id["s"].orders, 1)
+        self.directory.put(2.0, rig.make_server("s", revision=6, born=2))
+        self.assertEqual(self.directory.server_by_id["s"].orders, 0)
+        self.assertFalse(self.directory.is_current(first))
+
+    def test_orders_outlast_new_entries_of_a_lifetime(self):
+        first = rig.make_server("s", revision=5)
+        self.directory.put(1.0, first)
+        self.directory.note_order(first)
+        self.directory.put(2.0, rig.make_server("s", revision=6))
+        self.assertEqual(self.directory.server_by_id["s"].orders, 1)
+
+    def test_removal(self):
+        cases = [
+            # lapsed, back after, seconds later, still listed
+            (False, None, 0.0, False),
+            (True, None, 1.9, True),
+            (True, None, 2.1, False),
+            (True, 1.0, 5.0, True),
+        ]
+        for lapsed, back_after, later, listed in cases:
+            with self.subTest(lapsed=lapsed, back=back_after, later=later):
+                found = directory.Directory()
+                found.put(0.0, rig.make_server("s", revision=5))
+                found.remove(10.0, "s", lapsed=lapsed)
+                if back_after is not None:
+                    found.put(
+                        10.0 + back_after, rig.make_server("s", revision=9)
+                    )
+                found.expire(10.0 + later)
+                self.assertEqual("s" in found.server_by_id, listed)
+
+    def test_listing_replaces_everything(self):
+        self.directory.put(0.0, rig.make_server("gone", revision=5))
+        self.directory.put(0.0, rig.make_server("kept", revision=6))
+        listing = [rig.make_server("kept", revision=6)]
+        self.directory.replace_all(1.0, listing, lapsed=False)
+        self.assertEqual(list(self.directory.server_by_id), ["kept"])
+
+    def test_reports_update_layers_of_the_same_lifetime_only(self):
+        server = rig.make_server("s", revision=5)
+        self.directory.put(0.0, server)
+        layers = directory.LayerRange(3, 8)
+        other = rig.make_server("s", revision=5, born=9)
+        self.directory.update_layers(other, layers, 1)
+        self.assertEqual(
+            self.directory.server_by_id["s"].layers, directory.NO_LAYERS
+        )
+        self.directory.update_layers(server, layers, 1)
+        self.assertEqual(self.directory.server_by_id["s"].layers, layers)
+        self.directory.update_layers(server, directory.NO_LAYERS, 0)
+        self.assertEqual(self.directory.server_by_id["s"].layers, layers)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/gateway/test_exchange_stream.py
@@ -0,0 +1,180 @@
+"""Streams over layers, before runners that fail in every way."""
+
+import asyncio
+import unittest
+
+from nutmeglift_gateway import directory
+from nutmeglift_gateway import http_call
+from nutmeglift_gateway import ports
+from tests.gateway import stand_ins
+
+LAST = b"0\r\n\r\n"
+
+
+def stream(first, last, end=LAST):
+    """Returns a script that streams events; `end` ends it."""
+
+    async def script(request, writer, number):
+        writer.write(stand_ins.stream_head(request))
+        writer.write(stand_ins.events(first, last))
+        await writer.drain()
+        if end is None:
+            stand_ins.drop(writer)
+        else:
+            writer.write(end)
+
+    return script
+
+
+async def resumable(request, writer, number):
+    begin = int(request.headers.get("last-event-id", 0)) + 1
+    await stream(begin, 9)(request, writer, number)
+
+
+async def stuck(request, writer, number):
+    writer.write(stand_ins.stream_head(request) + stand_ins.events(1, 3))
+    await asyncio.sleep(60)
+
+
+class StreamCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.rig = stand_ins.GatewayRig()
+        await self.rig.start()
+        self.addAsyncCleanup(self.rig.stop)
+
+    async def ids(self, **headers):
+        answer = await self.rig.call("/draft/1", **headers)
+        self.assertEqual(answer.status, 200)
+        return stand_ins.event_ids(answer.body)
+
+
+class StreamTest(StreamCase):
+    async def test_a_path_over_two_runners(self):
+        one = await self.rig.add_runner(stream(1, 9), "x", 0, 50)
+        two = await self.rig.add_runner(stream(1, 9), "y", 50, 80)
+        self.assertEqual(await self.ids(), list(range(1, 10)))
+        (seen,) = one.seen
+        self.assertEqual(
+            seen.headers["x-hop-count"],
+            f"{one.address}=0-50,{two.address}=50-80",
+        )
+        self.assertEqual(seen.headers["x-expect-instance"], "x")
+        self.assertEqual(two.seen, [])
+        self.assertEqual(self.rig.board.book.own(), {})
+
+    async def test_a_lost_first_runner_is_resumed_after_the_last_event(self):
+        cut = stand_ins.events(4, 4)[:-8]
+        cases = [
+            ("reset", stream(1, 3, None)),
+            ("a cut event", stream(1, 3, cut)),
+            ("a missing event", stream(1, 3, stand_ins.events(5, 6))),
+            ("an event twice", stream(1, 3, stand_ins.events(3, 4))),
+        ]
+        for name, script in cases:
+            with self.subTest(name):
+                await self.rig.add_runner(script, "x", 0, 80)
+                other = await self.rig.add_runner(
+                    resumable, "y", 0, 80, domain="b"
+                )
+                self.assertEqual(await self.ids(), list(range(1, 10)))
+                self.assertEqual(other.seen[0].headers["last-event-id"], "3")
+
+    async def test_a_stream_that_cannot_go_on_never_looks_complete(self):
+        await self.rig.add_runner(stream(1, 3, None), "x", 0, 80)
+        with self.assertRaises(http_call.CallError):
+            await self.rig.call("/draft/1")
+        self.assertIn("stream cut", self.rig.log.events())
+
+    async def test_a_callers_own_resumption(self):
+        server = await self.rig.add_runner(resumable, "x", 0, 80)
+        self.assertEqual(await self.ids(last_event_id=b"5"), [6, 7, 8, 9])
+        self.assertEqual(server.seen[0].headers["last-event-id"], "5")
+
+    async def test_rejections_go_elsewhere_and_name_the_fault(self):
+        fault = self.rig.list(
+            "z", "127.0.0.1:9", "model", kind="whole",
+            layers=directory.LayerRange(50, 80),
+        )  # fmt: skip
+        await self.rig.add_runner(stand_ins.not_run(fault.address), "x", 0, 50)
+        other = await self.rig.add_runner(resumable, "y", 0, 80, domain="b")
+        self.assertEqual(await self.ids(), list(range(1, 10)))
+        self.assertEqual(len(other.seen), 1)
+        self.assertTrue(
+            self.rig.board.trust.is_suspect(fault.address, fault.lifetime)
+        )
+
+    async def test_no_path(self):
+        await self.rig.add_runner(stream(1, 9), "x", 0, 50)
+        answer = await self.rig.call("/draft/1")
+        self.assertEqual(answer.status, 503)
+        self.assertIsNotNone(answer.head.get(b"retry-after"))
+
+    async def test_a_caller_that_leaves_cancels_its_stream(self):
+        server = await self.rig.add_runner(stuck, "x", 0, 80)
+        connection = await http_call.connect(self.rig.address)
+        call = asyncio.ensure_future(
+            http_call.exchange(
+                connection, "POST", self.rig.format("/draft/1"), 9.0
+            )
+        )
+        while not server.seen:
+            await asyncio.sleep(0.01)
+        call.cancel()
+        await asyncio.wait_for(server.lost.wait(), stand_ins.WAIT_SECONDS)
+
+    async def test_an_old_caller_gets_the_stream_without_chunks(self):
+        await self.rig.add_runner(stream(1, 9), "x", 0, 80)
+        reader, writer = await asyncio.open_connection(
+            *self.rig.address.split(":")
+        )
+        raw = self.rig.format("/draft/1").replace(b"HTTP/1.1", b"HTTP/1.0")
+        writer.write(raw)
+        answer = await asyncio.wait_for(reader.read(), 5.0)
+        writer.close()
+        self.assertNotIn(b"transfer-encoding", answer)
+        self.assertEqual(stand_ins.event_ids(answer), list(range(1, 10)))
+
+
+class StallTest(StreamCase):
+    async def test_a_stalled_stream_is_moved_around_the_lost_runner(self):
+        go_on = asyncio.Event()
+
+        async def script(request, writer, number):
+            writer.write(
+                stand_ins.stream_head(request) + stand_ins.events(1, 3)
+            )
+            await go_on.wait()
+            writer.write(stand_ins.events(4, 9) + LAST)
+
+        first = await self.rig.add_runner(script, "x", 0, 50)
+        lost = await self.rig.add_runner(stand_ins.silent, "y", 50, 80)
+        spare = await self.rig.add_runner(
+            stand_ins.silent, "z", 50, 80, kind="whole-slow"
+        )
+        self.rig.runners.report_by_address[first.address] = ports.Report(
+            directory.LayerRange(0, 50), 0, False, 1.0,
+            (ports.Stalled("attempt-1", lost.address),),
+        )  # fmt: skip
+        call = asyncio.ensure_future(self.ids())
+        while not self.rig.runners.redirected:
+            await asyncio.sleep(0.01)
+        go_on.set()
+        self.assertEqual(await call, list(range(1, 10)))
+        request_id, path = self.rig.runners.redirected[0]
+        self.assertEqual(request_id, "attempt-1")
+        self.assertEqual(
+            [(p.server.address, p.start, p.end) for p in path.parts],
+            [(first.address, 0, 50), (spare.address, 50, 80)],
+        )
+        self.assertEqual(len(first.seen), 1)
+
+    async def test_a_silent_first_runner_is_left(self):
+        # It gives no report either.
+        await self.rig.add_runner(stuck, "x", 0, 80)
+        other = await self.rig.add_runner(resumable, "y", 0, 80, domain="b")
+        self.assertEqual(await self.ids(), list(range(1, 10)))
+        self.assertEqual(other.seen[0].headers["last-event-id"], "3")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/gateway/test_intake.py
@@ -0,0 +1,87 @@
+import unittest
+
+from nutmeglift import errors
+from nutmeglift_gateway import intake
+from nutmeglift_platform import names
+from tests.gateway import rig
+
+K = errors.ErrorKind
+
+
+def admit(board, request, boot_now=100.5):
+    return intake.admit(board, names.HEADERS, request, boot_now, rig.make_rng())
+
+
+class AdmitTest(unittest.TestCase):
+    def test_refusals(self):
+        cases = [
+            ("unknown route", {"path": "/none/1"}, 100.5, K.UNKNOWN_ROUTE),
+            ("route may be new", {"path": "/none/1"}, 103.0,
+             K.CONFIGURATION_STALE),
+            ("no key", {"x_api_key": None}, 100.5, K.UNAUTHENTICATED),
+            ("unknown key", {"x_api_key": b"k"}, 100.5, K.UNAUTHENTICATED),
+            ("key may be new", {"x_api_key": b"k"}, 103.0,
+             K.CONFIGURATION_STALE),
+            ("key may be gone", {}, 104.9, K.CONFIGURATION_STALE),
+            ("no host", {"host": None}, 100.5, K.BAD_REQUEST),
+            ("no id", {"x_attempt_id": None}, 100.5, K.BAD_REQUEST),
+            ("empty id", {"x_attempt_id": b""}, 100.5, K.BAD_REQUEST),
+            ("no tokens", {"x_token_usage": None}, 100.5, K.BAD_REQUEST),
+            ("bad tokens", {"x_token_usage": b"1;2"}, 100.5, K.BAD_REQUEST),
+            ("bad deadline", {"x_deadline_ms": b"-5"}, 100.5, K.BAD_REQUEST),
+            ("no path", {"path": "*"}, 100.5, K.BAD_REQUEST),
+        ]  # fmt: skip
+        for name, changes, boot_now, kind in cases:
+            with self.subTest(name):
+                verdict = admit(
+                    rig.make_board(), rig.make_request(**changes), boot_now
+                )
+                self.assertIsInstance(verdict, intake.Refused)
+                self.assertEqual(verdict.kind, kind)
+
+    def test_without_a_configuration_nothing_is_denied(self):
+        board = rig.make_board()
+        board.catalog = None
+        verdict = admit(board, rig.make_request())
+        self.assertEqual(verdict.kind, K.CONFIGURATION_STALE)
+
+    def test_open_routes_are_served_without_confirmation(self):
+        request = rig.make_request("/open/1", x_api_key=None)
+        verdict = admit(rig.make_board(), request, 160.0)
+        self.assertIsInstance(verdict, intake.Admitted)
+        self.assertIsNone(verdict.account)
+
+    def test_two_ids_or_keys_are_refused(self):
+        for name in (names.HEADERS.request_id, names.HEADERS.key):
+            with self.subTest(name):
+                request = rig.make_request()
+                request.headers.append((name, b"other"))
+                verdict = admit(rig.make_board(), request)
+                self.assertEqual(verdict.kind, K.BAD_REQUEST)
+
+    def test_what_is_read_from_a_request(self):
+        cases = [
+            # headers, deadline, prompt, answer
+            ({}, 20.0, 100, 16.0),
+            ({"x_deadline_ms": b"700"}, 0.7, 100, 16.0),
+            ({"x_deadline_ms": None}, 20.0, 100, 16.0),
+            ({"x_deadline_ms": b"90000"}, 20.0, 100, 16.0),
+            ({"x_length_hint": b"20"}, 20.0, 100, 26.0),
+            ({"x_length_hint": b"60"}, 20.0, 100, 40.0),
+        ]
+        for headers, deadline, prompt, answer in cases:
+            with self.subTest(headers):
+                verdict = admit(rig.make_board(), rig.make_request(**headers))
+                self.assertAlmostEqual(verdict.deadline, deadline)
+                self.assertEqual(verdict.prompt_tokens, prompt)
+                self.assertAlmostEqual(verdict.answer_tokens, answer)
+
+    def test_an_accounts_priority_goes_first(self):
+        verdict = admit(rig.make_board(), rig.make_request())
+        self.assertEqual(verdict.priority, 0)
+        request = rig.make_request("/open/1", x_api_key=None)
+        self.assertEqual(admit(rig.make_board(), request).priority, 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/gateway/test_paths.py
@@ -0,0 +1,181 @@
+import unittest
+
+from nutmeglift import ids
+from nutmeglift_gateway import directory
+from nutmeglift_gateway import loads
+from nutmeglift_gateway import paths
+from tests.gateway import rig
+
+HOME = ids.FailureDomain("a")
+
+
+def runner(name, domain, start, end, kind="whole"):
+    return rig.make_server(
+        name,
+        domain=ids.FailureDomain(domain),
+        kind=kind,
+        layers=directory.LayerRange(start, end),
+        address=f"{name}:1",
+    )
+
+
+def find(servers, *, tokens=1000.0, book=None, paces=None):
+    finder = paths.PathFinder(
+        rig.ENGINE,
+        book or loads.LoadBook(),
+        lambda address: (paces or {}).get(address, 1.0),
+    )
+    return finder.find(servers, paths.Wanted(HOME, tokens))
+
+
+def parts(path):
+    if path is None:
+        return None
+    return [(p.server.id, p.start, p.end) for p in path.parts]
+
+
+class FindTest(unittest.TestCase):
+    def test_paths(self):
+        x = runner("x", "a", 0, 30)
+        y = runner("y", "a", 30, 60)
+        z = runner("z", "a", 60, 80)
+        far = [runner("p", "b", 0, 40), runner("q", "b", 40, 80)]
+        cases = [
+            ("a chain", [z, y, x], [("x", 0, 30), ("y", 30, 60), ("z", 60, 80)]),
+            (
+                "ranges that overlap",
+                [x, runner("w", "a", 20, 60), z],
+                [("x", 0, 30), ("w", 30, 60), ("z", 60, 80)],
+            ),
+            ("a gap", [x, z], None),
+            ("nothing", [], None),
+            ("home first", [x, y, z, *far],
+             [("x", 0, 30), ("y", 30, 60), ("z", 60, 80)]),
+            ("away when home lacks layers", [x, z, *far],
+             [("p", 0, 40), ("q", 40, 80)]),
+            (
+                "missing layers are borrowed",
+                [x, z, runner("p", "b", 25, 70)],
+                [("x", 0, 30), ("p", 30, 70), ("z", 70, 80)],
+            ),
+        ]  # fmt: skip
+        for name, servers, expected in cases:
+            with self.subTest(name):
+                self.assertEqual(parts(find(servers)), expected)
+
+    def test_the_faster_of_two_holders(self):
+        fast = runner("f", "a", 0, 80, "whole")
+        slow = runner("s", "a", 0, 80, "whole-slow")
+        self.assertEqual(parts(find([slow, fast])), [("f", 0, 80)])
+        slowed = {"f:1": 9.0}
+        self.assertEqual(
+            parts(find([slow, fast], paces=slowed)), [("s", 0, 80)]
+        )
+
+    def test_load_of_all_routers_counts(self):
+        one, two = runner("1", "a", 0, 30), runner("2", "a", 0, 30)
+        rest = runner("r", "a", 30, 80, "whole")
+        book = loads.LoadBook()
+        book.take_report(0.0, "peer", {"1:1": loads.Load(40, 40, 30000.0)})
+        self.assertEqual(parts(find([one, two, rest], book=book))[0][0], "2")
+        book.expire(10.0)
+        self.assertEqual(parts(find([one, two, rest], book=book))[0][0], "1")
+
+    def test_no_runner_beyond_its_memory_or_slots(self):
+        one, two = runner("1", "a", 0, 28, "big"), runner("2", "a", 28, 56)
+        three = runner("3", "a", 56, 80)
+        room = rig.ENGINE.room(rig.KINDS["big"], 28)
+        cases = [
+            ("free", loads.Load(), True),
+            ("full memory", loads.Load(1, 0, room), False),
+            ("full slots", loads.Load(95, 95, 0.0), False),
+        ]
+        for name, load, found in cases:
+            with self.subTest(name):
+                book = loads.LoadBook()
+                book.take_report(0.0, "peer", {"1:1": load})
+                path = find([one, two, three], book=book)
+                self.assertEqual(path is not None, found)
+
+    def test_every_layer_once_and_in_order(self):
+        rng = rig.make_rng()
+        found = 0
+        for _ in range(300):
+            servers = []
+            for number in range(rng.randint(3, 14)):
+                start = rng.randrange(0, 80, 5)
+                servers.append(
+                    runner(
+                        f"s{number}",
+                        rng.choice("abc"),
+                        start,
+                        min(80, start + rng.randrange(5, 40, 5)),
+                        rng.choice(["whole", "whole-slow"]),
+                    )
+                )
+            path = find(servers, tokens=1.0)
+            if path is None:
+                continue
+            found += 1
+            at = 0
+            for part in path.parts:
+                self.assertEqual(part.start, at)
+                self.assertLessEqual(part.server.layers.start, part.start)
+                self.assertLessEqual(part.end, part.server.layers.end)
+                at = part.end
+            self.assertEqual(at, 80)
+            names = [part.server.id for part in path.parts]
+            self.assertEqual(len(names), len(set(names)))
+        self.assertGreater(found, 50)
+
+
+class RepairTest(unittest.TestCase):
+    def setUp(self):
+        self.x = runner("x", "a", 0, 30)
+        self.y = runner("y", "a", 30, 60)
+        self.z = runner("z", "a", 60, 80)
+        self.path = find([self.x, self.y, self.z])
+        self.finder = paths.PathFinder(
+            rig.ENGINE, loads.LoadBook(), lambda address: 1.0
+        )
+
+    def repair(self, servers):
+        return parts(
+            self.finder.repair(self.path, servers, paths.Wanted(HOME, 10.0))
+        )
+
+    def test_repairs(self):
+        wide = runner("w", "b", 20, 70)
+        left, right = runner("l", "b", 30, 40), runner("r", "c", 35, 64)
+        cases = [
+            ("one stands in", [self.x, self.z, wide],
+             [("x", 0, 30), ("w", 30, 60), ("z", 60, 80)]),
+            ("a chain stands in", [self.x, self.z, left, right],
+             [("x", 0, 30), ("l", 30, 40), ("r", 40, 60), ("z", 60, 80)]),
+            ("nobody holds them", [self.x, self.z, left], None),
+            ("the first is lost", [self.y, self.z, wide], None),
+            ("nothing is lost", [self.x, self.y, self.z],
+             [("x", 0, 30), ("y", 30, 60), ("z", 60, 80)]),
+        ]  # fmt: skip
+        for name, servers, expected in cases:
+            with self.subTest(name):
+                self.assertEqual(self.repair(servers), expected)
+
+
+class LoadBookTest(unittest.TestCase):
+    def test_what_is_reserved_is_released(self):
+        book = loads.LoadBook()
+        path = find([runner("x", "a", 0, 50), runner("y", "a", 50, 80)])
+        reserved = path.reservations(100.0)
+        book.reserve(reserved)
+        self.assertEqual(book.at("x:1"), loads.Load(1, 1, 5000.0))
+        self.assertEqual(book.at("y:1"), loads.Load(1, 0, 3000.0))
+        book.take_report(0.0, "peer", {"x:1": loads.Load(2, 2, 10.0)})
+        self.assertEqual(book.at("x:1"), loads.Load(3, 3, 5010.0))
+        book.release(reserved)
+        self.assertEqual(book.at("x:1"), loads.Load(2, 2, 10.0))
+        self.assertEqual(book.own(), {})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/gateway/test_sse.py
@@ -0,0 +1,58 @@
+import unittest
+
+from nutmeglift_gateway import sse
+
+EVENTS = b"".join(b"id: %d\ndata: t\n\n" % i for i in range(1, 8))
+
+
+class EventSplitterTest(unittest.TestCase):
+    def test_whole_events_only_however_the_bytes_come(self):
+        for size in range(1, len(EVENTS) + 1):
+            with self.subTest(size):
+                splitter = sse.EventSplitter()
+                got = b""
+                for start in range(0, len(EVENTS), size):
+                    part = splitter.feed(EVENTS[start : start + size])
+                    self.assertTrue(not part or part.endswith(b"\n\n"))
+                    got += part
+                self.assertEqual(got, EVENTS)
+                self.assertEqual(splitter.last_id, 7)
+                self.assertTrue(splitter.is_clean)
+
+    def test_order(self):
+        cases = [
+            (None, [1, 2, 3], True),
+            (None, [5, 6], True),
+            (4, [5, 6], True),
+            (4, [6], False),
+            (4, [4], False),
+            (None, [1, 1], False),
+            (None, [2, 1], False),
+        ]
+        for last, numbers, sound in cases:
+            with self.subTest(last=last, numbers=numbers):
+                splitter = sse.EventSplitter(last)
+                data = b"".join(b"id: %d\n\n" % n for n in numbers)
+                if sound:
+                    self.assertEqual(splitter.feed(data), data)
+                    continue
+                with self.assertRaises(sse.BrokenStreamError):
+                    splitter.feed(data)
+
+    def test_a_cut_event_is_dropped_when_a_stream_goes_on(self):
+        splitter = sse.EventSplitter()
+        splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
+        self.assertFalse(splitter.is_clean)
+        splitter.restart()
+        self.assertEqual(
+            splitter.feed(b"id: 2\ndata: b\n\n"), b"id: 2\ndata: b\n\n"
+        )
+
+    def test_an_endless_event_is_refused(self):
+        splitter = sse.EventSplitter()
+        with self.assertRaises(sse.BrokenStreamError):
+            splitter.feed(b"x" * (sse.MAX_EVENT_BYTES + 1))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/gateway/test_trust.py
@@ -0,0 +1,60 @@
+import unittest
+
+from nutmeglift_gateway import trust
+
+LIFE = ("s", 1)
+
+
+class TrustTest(unittest.TestCase):
+    def setUp(self):
+        self.trust = trust.Trust()
+
+    def test_a_suspect_is_probed_after_its_hold_only(self):
+        self.assertTrue(self.trust.suspect(10.0, "a", LIFE, "stalled"))
+        self.assertFalse(self.trust.suspect(10.1, "a", LIFE, "stalled"))
+        cases = [(10.1, []), (10.4, []), (10.51, ["a"]), (10.6, [])]
+        for now, due in cases:
+            with self.subTest(now):
+                self.assertEqual(self.trust.due_probes(now), due)
+
+    def test_another_lifetime_at_the_address_is_trusted(self):
+        self.trust.suspect(10.0, "a", LIFE, "stalled")
+        self.assertTrue(self.trust.is_suspect("a", LIFE))
+        self.assertFalse(self.trust.is_suspect("a", ("s", 2)))
+
+    def test_relapses_are_held_longer_up_to_a_bound(self):
+        now, probes = 0.0, []
+        for _ in range(7):
+            self.trust.suspect(now, "a", LIFE, "stalled")
+            began = now
+            while not self.trust.due_probes(now):
+                now += 0.05
+            probes.append(now - began)
+            self.trust.clear("a")
+        self.assertEqual(probes, sorted(probes))
+        self.assertLess(probes[-1], trust.LONGEST_HOLD_SECONDS + 0.1)
+
+    def test_unrelated_failures_start_anew(self):
+        self.trust.suspect(0.0, "a", LIFE, trust.REJECTED)
+        self.trust.clear("a")
+        self.trust.suspect(60.0, "a", LIFE, trust.REJECTED)
+        self.assertEqual(self.trust.due_probes(60.51), ["a"])
+
+    def test_rejections_count_as_lost_after_relapses(self):
+        lost = []
+        for number in range(4):
+            self.trust.suspect(float(number), "a", LIFE, trust.REJECTED)
+            lost.append(self.trust.is_lost("a", LIFE))
+            self.trust.clear("a")
+        self.assertEqual(lost, [False, False, True, True])
+        self.trust.suspect(9.0, "b", LIFE, "connect")
+        self.assertTrue(self.trust.is_lost("b", LIFE))
+
+    def test_gone_addresses_are_forgotten(self):
+        self.trust.suspect(0.0, "a", LIFE, "stalled")
+        self.trust.keep_only(set())
+        self.assertEqual(self.trust.suspects(), {})
+
+
+if __name__ == "__main__":
+    unittest.main()
