--- a/tests/gateway/rig.py
+++ b/tests/gateway/rig.py
@@ -1,5 +1,6 @@
 """What the gateway's tests share: a small deployment without a network."""
 
+import asyncio
 import logging
 import random
 
@@ -176,6 +177,7 @@
         outcomes: answers to the next orders; BEGUN afterwards.
         placed: the orders to place layers.
         redirected: the orders to move requests.
+        moved: set at the first of these.
     """
 
     def __init__(self):
@@ -183,6 +185,7 @@
         self.outcomes = []
         self.placed = []
         self.redirected = []
+        self.moved = asyncio.Event()
 
     async def report(self, address):
         found = self.report_by_address.get(address)
@@ -196,6 +199,7 @@
 
     async def redirect(self, request_id, path):
         self.redirected.append((request_id, path))
+        self.moved.set()
         return self._outcome()
 
     def path_value(self, path):
--- a/tests/gateway/stand_ins.py
+++ b/tests/gateway/stand_ins.py
@@ -53,10 +53,12 @@
         address: IP number and port.
     """
 
-    def __init__(self, script):
+    def __init__(self, script, *, keep=False):
         self.script = script
+        self._keep = keep
         self.seen = []
         self.lost = asyncio.Event()
+        self._asked = asyncio.Event()
         self.address = ""
         self._server = None
 
@@ -69,10 +71,18 @@
     def close(self):
         self._server.close()
 
+    async def wait_for_request(self):
+        """Waits until a request has come."""
+        await asyncio.wait_for(self._asked.wait(), WAIT_SECONDS)
+
     async def _run(self, reader, writer):
         try:
             while (request := await read_request(reader)) is not None:
                 self.seen.append(request)
+                self._asked.set()
+                if self._keep:
+                    await self.script(request, writer, len(self.seen))
+                    continue
                 work = asyncio.ensure_future(
                     self.script(request, writer, len(self.seen))
                 )
@@ -85,6 +95,9 @@
                     work.cancel()
                 gone.cancel()
                 break
+        except asyncio.CancelledError:
+            # The test is over; nobody waits for this connection.
+            return
         finally:
             if not writer.is_closing():
                 writer.close()
--- /dev/null
+++ b/tests/gateway/store_stand_in.py
@@ -0,0 +1,144 @@
+"""A stand-in of the platform's store, by its page."""
+
+import asyncio
+import base64
+import json
+from urllib import parse
+
+from nutmeglift import errors
+from nutmeglift import ids
+from nutmeglift import kv
+from tests.gateway import stand_ins
+
+
+def _item(entry):
+    return {
+        "key": entry.key,
+        "value": base64.b64encode(entry.value).decode(),
+        "revision": entry.mod_revision,
+        "created_rev": entry.mod_revision,
+        "lease": entry.lease,
+    }
+
+
+class StoreStandIn:
+    """Speaks the store's calls over an in-memory key-value service.
+
+    Attributes:
+        memory: what it keeps.
+        fault: None, or a function from a request to bytes that are sent
+            instead of an answer; an empty answer is none at all.
+        page: most items of one listing.
+    """
+
+    def __init__(self):
+        self.memory = kv.MemoryKv()
+        self.fault = None
+        self.page = 500
+        self.server = stand_ins.ScriptedServer(self._answer, keep=True)
+
+    async def start(self):
+        await self.server.start()
+        return self
+
+    async def _answer(self, request, writer, number):
+        method, target, _ = request.head.split(" ")
+        url = parse.urlsplit(target)
+        query = dict(parse.parse_qsl(url.query, keep_blank_values=True))
+        if self.fault is not None:
+            raw = self.fault(request)
+            if raw is not None:
+                writer.write(raw)
+                if not raw:
+                    await asyncio.sleep(60)
+                return
+        body = json.loads(request.body) if request.body else {}
+        status, answer = await self._do(method, url.path, query, body)
+        raw = json.dumps(answer).encode()
+        writer.write(
+            b"HTTP/1.1 %d X\r\ncontent-length: %d\r\n\r\n%b"
+            % (status, len(raw), raw)
+        )
+
+    async def _do(self, method, path, query, body):
+        match path.split("/")[2:]:
+            case ["kv-key"]:
+                entry = await self.memory.get(query["key"])
+                if entry is None:
+                    return 404, {}
+                return 200, _item(entry)
+            case ["kv-range"]:
+                found = await self.memory.snapshot(query["prefix"])
+                rest = [
+                    entry
+                    for entry in found.entries
+                    if entry.key > query.get("after", "")
+                ]
+                return 200, {
+                    "items": [_item(entry) for entry in rest[: self.page]],
+                    "more_pages": len(rest) > self.page,
+                    "store_revision": found.revision,
+                }
+            case ["kv-watch"]:
+                return await self._watch(query)
+            case ["kv-txn"]:
+                return await self._txn(body)
+            case ["kv-lease"]:
+                lease = await self.memory.grant(body["ttl_ms"] / 1000)
+                return 200, {"lease": lease, "ttl_ms": body["ttl_ms"]}
+            case ["kv-keep", lease]:
+                ttl = await self.memory.keep_alive(ids.LeaseId(int(lease)))
+                if not ttl:
+                    return 404, {}
+                return 200, {"ttl_ms": ttl * 1000}
+            case ["kv-lease-end", lease]:
+                await self.memory.revoke(ids.LeaseId(int(lease)))
+                return 200, {}
+        return 400, {"error": path}
+
+    async def _watch(self, query):
+        after = int(query["after"])
+        watch = self.memory.watch(
+            query["prefix"], prefix=True, start=ids.Revision(after + 1)
+        )
+        try:
+            async with asyncio.timeout(int(query["wait_ms"]) / 1000):
+                batch = await anext(watch)
+        except TimeoutError:
+            batch = []
+        events = [
+            {
+                "key": event.entry.key,
+                "revision": event.entry.mod_revision,
+                "removed": True,
+            }
+            if event.kind is kv.WatchKind.DELETE
+            else _item(event.entry)
+            for event in batch
+        ]
+        revision = (await self.memory.snapshot("")).revision
+        return 200, {"events": events, "store_revision": revision}
+
+    async def _txn(self, body):
+        compares = [
+            kv.Compare(row["key"], ids.Revision(row["revision"]))
+            for row in body["expected"]
+        ]
+        writes = [
+            kv.Put(
+                row["key"],
+                base64.b64decode(row["value"]),
+                ids.LeaseId(row.get("lease", 0)),
+            )
+            for row in body["puts"]
+        ]
+        writes += [kv.Delete(key) for key in body["remove"]]
+        gets = [kv.Get(compare.key) for compare in compares]
+        try:
+            result = await self.memory.txn(compares, writes, gets)
+        except errors.KvUnavailableError:
+            return 404, {}
+        if result.succeeded:
+            return 200, {"revision": result.revision}
+        items = [_item(entry) for found in result.found for entry in found]
+        return 412, {"items": items}
--- a/tests/gateway/test_exchange_plain.py
+++ b/tests/gateway/test_exchange_plain.py
@@ -222,8 +222,7 @@
                 connection, "POST", self.rig.format("/release/1"), 9.0
             )
         )
-        while not server.seen:
-            await asyncio.sleep(0.01)
+        await server.wait_for_request()
         collector.cancel()
         await asyncio.wait_for(server.lost.wait(), stand_ins.WAIT_SECONDS)
 
--- a/tests/gateway/test_exchange_stream.py
+++ b/tests/gateway/test_exchange_stream.py
@@ -117,8 +117,7 @@
                 connection, "POST", self.rig.format("/draft/1"), 9.0
             )
         )
-        while not server.seen:
-            await asyncio.sleep(0.01)
+        await server.wait_for_request()
         call.cancel()
         await asyncio.wait_for(server.lost.wait(), stand_ins.WAIT_SECONDS)
 
@@ -156,8 +155,9 @@
             (ports.Stalled("attempt-1", lost.address),),
         )  # fmt: skip
         call = asyncio.ensure_future(self.ids())
-        while not self.rig.runners.redirected:
-            await asyncio.sleep(0.01)
+        await asyncio.wait_for(
+            self.rig.runners.moved.wait(), stand_ins.WAIT_SECONDS
+        )
         go_on.set()
         self.assertEqual(await call, list(range(1, 10)))
         request_id, path = self.rig.runners.redirected[0]
--- /dev/null
+++ b/tests/gateway/test_listener.py
@@ -0,0 +1,124 @@
+"""The callers' listener, by raw bytes."""
+
+import asyncio
+import unittest
+
+from nutmeglift_gateway import answers
+from nutmeglift_gateway import catalog
+from nutmeglift_gateway import http_listener
+
+LIMITS = catalog.ClientLimits(
+    header_bytes=400, body_bytes=50, header_timeout=0.2, idle_timeout=0.3
+)
+HEAD = b"POST /a HTTP/1.1\r\nhost: h\r\n"
+
+
+class ListenerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.requests = []
+        self.connections = set()
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            lambda: http_listener.CallerConnection(
+                self.handle,
+                lambda: LIMITS,
+                answers.own_answer,
+                self.connections,
+            ),
+            "127.0.0.1",
+            0,
+        )
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def asyncTearDown(self):
+        self.server.close()
+        for connection in list(self.connections):
+            connection.abort()
+
+    def handle(self, connection, request):
+        self.requests.append(request)
+        body = b"%d" % len(self.requests)
+        connection.write(
+            b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body) + body
+        )
+        connection.finish(keep=request.keep_alive)
+
+    async def talk(self, *parts, wait=0.0):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        for part in parts:
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(wait)
+        answer = await asyncio.wait_for(reader.read(), 5.0)
+        writer.close()
+        return answer
+
+    async def test_answers(self):
+        close = b"connection: close\r\n"
+        cases = [
+            (
+                "a length",
+                [HEAD + close + b"content-length: 2\r\n\r\nab"],
+                b"200",
+            ),
+            (
+                "chunks",
+                [
+                    HEAD + close + b"transfer-encoding: chunked\r\n\r\n",
+                    b"1\r\na\r\n1\r\nb\r\n0\r\n\r\n",
+                ],
+                b"200",
+            ),
+            ("idle ends", [HEAD + b"content-length: 0\r\n\r\n"], b"200"),
+            ("garbage", [b"\x00\x01\r\n\r\n"], b"400"),
+            (
+                "a length and chunks",
+                [
+                    HEAD + b"content-length: 2\r\n"
+                    b"transfer-encoding: chunked\r\n\r\n0\r\n\r\n"
+                ],
+                b"400",
+            ),
+            ("two lengths", [HEAD + b"content-length: 1\r\n"
+             b"content-length: 2\r\n\r\nab"], b"400"),
+            ("a large head", [HEAD + b"x: " + b"y" * 500], b"431"),
+            ("a large body", [HEAD + b"content-length: 60\r\n\r\n" + b"z" * 60],
+             b"413"),
+            ("a slow head", [HEAD], b"408"),
+        ]  # fmt: skip
+        for name, parts, status in cases:
+            with self.subTest(name):
+                answer = await self.talk(*parts)
+                self.assertEqual(answer.split(b" ", 2)[1], status)
+
+    async def test_silence_is_closed_without_an_answer(self):
+        self.assertEqual(await self.talk(b""), b"")
+
+    async def test_requests_on_one_connection_are_answered_in_turn(self):
+        one = HEAD + b"content-length: 1\r\n\r\na"
+        last = HEAD + b"connection: close\r\ncontent-length: 1\r\n\r\nb"
+        answer = await self.talk(one + one + last)
+        self.assertEqual(answer.count(b"HTTP/1.1 200"), 3)
+        self.assertEqual([r.body for r in self.requests], [b"a", b"a", b"b"])
+
+    async def test_bytes_in_any_pieces(self):
+        raw = HEAD + b"connection: close\r\ncontent-length: 3\r\n\r\nabc"
+        for size in (1, 7, 30):
+            with self.subTest(size):
+                self.requests.clear()
+                pieces = [raw[i : i + size] for i in range(0, len(raw), size)]
+                answer = await self.talk(*pieces)
+                self.assertIn(b"200 OK", answer)
+                self.assertEqual(self.requests[0].body, b"abc")
+
+    async def test_a_smuggled_request_is_none(self):
+        raw = (
+            HEAD + b"transfer-encoding: chunked\r\ncontent-length: 5\r\n\r\n"
+            b"0\r\n\r\nPOST /smuggled HTTP/1.1\r\nhost: h\r\n\r\n"
+        )
+        await self.talk(raw)
+        self.assertEqual(self.requests, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/gateway/test_platform_schema.py
@@ -0,0 +1,130 @@
+import json
+import unittest
+
+from nutmeglift_gateway import catalog
+from nutmeglift_gateway import directory
+from nutmeglift_gateway import ports
+from nutmeglift_platform import schema
+from tests.gateway import rig
+
+ENGINE = {
+    "slots": 96, "kv_capacity": 50000, "kv_token_bytes": 1180000,
+    "link_mbps": 400000.0, "stride": 4,
+    "models": [{"name": "m", "pace": 1.0, "load_s": 14.0, "warm_s": 1.0}],
+    "step_ms": 1.02, "per_seq_ms": 0.00918, "context_per_k": 0.0123,
+    "read_per_s": 164000.0, "pairs_per_m": 0.199, "chunk": 512,
+    "report_lag_ms": 200.0, "loads_at_once": 6,
+    "delays": [{"from": "a", "target": "b", "delay_ms": 0.5}],
+    "layers": 80, "layer_mb": 1750.0, "act_bytes": 59000,
+    "pipe_mbps": 13000.0,
+    "kinds": [{"name": "big", "mb": 72000.0, "pace": 2.4, "read_x": 3.2}],
+}  # fmt: skip
+ROUTE = {
+    "name": "r", "host": "h", "prefix": "/p/", "kind": "streaming",
+    "timeout_ms": 20000, "target_latency_ms": 500, "priority": 1,
+    "backends": [{"service": "s", "weight": 90},
+                 {"service": "t", "weight": 10}],
+    "max_attempts": 2, "allow_anonymous": False, "sticky": True,
+    "resumable": True, "gap_aim_ms": 250,
+}  # fmt: skip
+CONFIG = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [
+        {"name": "s", "health_path": "/health", "engine": ENGINE},
+        {"name": "t", "health_path": "/health", "max_conns": 110},
+    ],
+    "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
+               "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+    "tenants": [{"name": "bank", "api_keys": ["k1", "k2"], "priority": 1}],
+    "a field of the future": {},
+}  # fmt: skip
+BEAT = {
+    "service": "s", "address": "10.0.0.9:80", "zone": "a", "version": "v1",
+    "slots": 96, "state": "ready", "cold_remaining_ms": 0, "sequence": 4,
+    "born": 1771442496052, "kind": "big",
+    "layers": {"from": 3, "target": 9, "version": 1},
+}  # fmt: skip
+SCHEMA = schema.PlatformSchema()
+
+
+def entry(value, key="servers/i-1"):
+    raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return rig.make_entry(key, raw, 42)
+
+
+class CatalogTest(unittest.TestCase):
+    def test_a_configuration(self):
+        found = SCHEMA.decode_catalog(entry(CONFIG, "op/config"))
+        (route,) = found.routes
+        self.assertEqual(found.generation, 7)
+        self.assertEqual(route.idempotency, catalog.Idempotency.STREAM)
+        self.assertEqual((route.timeout, route.gap_objective), (20.0, 0.25))
+        self.assertEqual([s.service for s in route.services], ["s", "t"])
+        self.assertEqual(found.account_by_key["k2"].id, "bank")
+        self.assertTrue(found.accounts_required)
+        engine = found.service_by_id["s"].engine
+        self.assertEqual((engine.layers, engine.load_seconds), (80, 14.0))
+        self.assertAlmostEqual(engine.context_seconds, 0.0123e-6 * 1e0, 9)
+        self.assertIsNone(found.service_by_id["t"].engine)
+        self.assertEqual(found.limits.idle_timeout, 15.0)
+
+    def test_without_accounts_no_key_is_needed(self):
+        config = {k: v for k, v in CONFIG.items() if k != "tenants"}
+        found = SCHEMA.decode_catalog(entry(config))
+        self.assertFalse(found.accounts_required)
+
+    def test_what_is_no_configuration(self):
+        cases = [
+            b"\xff\xfe",
+            b"[]",
+            {},
+            CONFIG | {"version": "7"},
+            CONFIG | {"routes": [ROUTE | {"kind": "new kind"}]},
+            CONFIG | {"routes": [{}]},
+            CONFIG | {"services": [{"name": "s", "engine": {}}]},
+        ]
+        for value in cases:
+            with (
+                self.subTest(str(value)[:60]),
+                self.assertRaises(ports.UndecodableEntryError),
+            ):
+                SCHEMA.decode_catalog(entry(value))
+
+
+class ServerTest(unittest.TestCase):
+    def test_entries(self):
+        cases = [
+            (BEAT, directory.LayerRange(3, 9)),
+            (BEAT | {"layers": None}, directory.NO_LAYERS),
+            (BEAT | {"layers": {"from": 0, "target": 0}}, directory.NO_LAYERS),
+        ]
+        for beat, layers in cases:
+            with self.subTest(beat["layers"]):
+                server = SCHEMA.decode_server(entry(beat))
+                self.assertEqual(server.id, "i-1")
+                self.assertEqual(server.layers, layers)
+                self.assertEqual(server.revision, 42)
+                # The entry's sequence counts heartbeats, not orders.
+                self.assertEqual(server.orders, 0)
+
+    def test_entries_of_other_writers(self):
+        cases = [
+            b"\x00",
+            [],
+            BEAT | {"state": "resting"},
+            BEAT | {"address": 5},
+            BEAT | {"born": "yesterday"},
+            BEAT | {"layers": [1, 2]},
+            {k: v for k, v in BEAT.items() if k != "service"},
+        ]
+        for value in cases:
+            with (
+                self.subTest(str(value)[:60]),
+                self.assertRaises(ports.UndecodableEntryError),
+            ):
+                SCHEMA.decode_server(entry(value))
+
+
+if __name__ == "__main__":
+    unittest.main()
