Keep more room, bound the pipes, and plan with what runners are doing

Change: runners keep room for 1.3 nominal loads; a path that crosses is taken only while the pipe keeps up, and a stream whose layers are elsewhere is resumed on a whole pipeline; second copies go where room is least; a new planner reads all reports and tells the others its moves; giving up layers in use has a cost.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -13,7 +13,11 @@
 for package in packages/nutmeglift/nutmeglift \
 	packages/nutmeglift_gateway/nutmeglift_gateway \
 	platform/nutmeglift_platform; do
-	rm -rf "$deps/$(basename "$package")"
-	cp -R "$package" "$deps/"
-	python3 -m compileall -q "$deps/$(basename "$package")"
+	target="$deps/$(basename "$package")"
+	# Processes may be running from it: an unchanged package stays as it is.
+	if ! diff -rq -x __pycache__ "$package" "$target" >/dev/null 2>&1; then
+		rm -rf "$target"
+		cp -R "$package" "$deps/"
+		python3 -m compileall -q "$target"
+	fi
 done
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/answers.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/answers.py
@@ -37,6 +37,8 @@
     }
 )
 """Headers that concern one connection only (RFC 9110, 7.6.1)."""
+MISDIRECTED = 421
+"""Another server has the address, or it holds other layers: it did not run."""
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """They promise that the request has not run and never will."""
 
@@ -104,7 +106,7 @@
     """
     if head.get(names.not_run) is not None:
         return Verdict.NOT_RUN
-    if head.status == 421:  # noqa: PLR2004 - misdirected: it did not run.
+    if head.status == MISDIRECTED:
         return Verdict.NOT_RUN
     if head.get(names.request_id) != request_id:
         # Servers echo the id: without it the answer may be another request's.
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
@@ -13,6 +13,7 @@
 from nutmeglift_gateway import freshness
 from nutmeglift_gateway import loads
 from nutmeglift_gateway import paths
+from nutmeglift_gateway import pipes
 from nutmeglift_gateway import retry_shares
 from nutmeglift_gateway import settings
 from nutmeglift_gateway import trust
@@ -21,6 +22,10 @@
 """A pace that was read longer ago says nothing: runners recover in seconds."""
 
 
+MOVES_SECONDS = 1.5
+"""Five of the planner's reports are missing: another will be elected."""
+
+
 @dataclasses.dataclass(frozen=True)
 class Pace:
     """How slow a runner was, and when."""
@@ -29,6 +34,19 @@
     read_at: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Moving:
+    """A runner that was ordered to hold other layers.
+
+    Attributes:
+        lifetime: which life of the runner.
+        kept: the layers that it goes on serving meanwhile.
+    """
+
+    lifetime: tuple[str, int]
+    kept: directory.LayerRange
+
+
 class Board:
     """What one router knows.
 
@@ -44,7 +62,10 @@
             planner.
         router_by_name: addresses of the live routers, by VM; written by the
             store reader.
+        pipes: what we sent over the pipes; written by the requests and the
+            stream guard.
         draining: whether this process is leaving; written by the drain.
+        plans: whether this router is the planner; written by the planner.
         coverage_eta: loop time at which missing layers will be loaded;
             written by the planner and the peers' links.
     """
@@ -68,12 +89,17 @@
         self.book = loads.LoadBook()
         self.pace_by_address: dict[str, Pace] = {}
         self.router_by_name: dict[str, str] = {}
+        self.pipes = pipes.PipeBudget()
         self.draining = False
         self.coverage_eta = 0.0
+        self.plans = False
         self._budget_by_service: dict[
             ids.ServiceId, retry_shares.RetryShares
         ] = {}
-        self._usable_version = (-1, -1)
+        self._moves: dict[str, Moving] = {}
+        self._moves_taken_at = float("-inf")
+        self._moves_version = 0
+        self._usable_version = (-1, -1, -1)
         self._usable: dict[ids.ServiceId, list[directory.Server]] = {}
 
     def set_catalog(
@@ -103,9 +129,26 @@
             return catalog.ClientLimits()
         return self.catalog.limits
 
+    def fill(self, engine: catalog.Engine, server: directory.Server) -> float:
+        """Returns the reserved part of a runner's room for requests."""
+        kind = engine.kind(server.kind)
+        room = engine.room(kind, server.layers.count)
+        if room <= 0:
+            return 1.0
+        return self.book.at(server.address).token_layers / room
+
+    @property
+    def routers(self) -> int:
+        """Number of live routers, this one included."""
+        return max(1, len(self.router_by_name))
+
     def usable(self, service: ids.ServiceId) -> list[directory.Server]:
         """Returns the servers of a service that may get new requests."""
-        version = (self.directory.version, self.trust.version)
+        version = (
+            self.directory.version,
+            self.trust.version,
+            self._moves_version,
+        )
         if version != self._usable_version:
             self._usable_version = version
             self._usable = {}
@@ -114,9 +157,46 @@
                     continue
                 if self.trust.is_suspect(server.address, server.lifetime):
                     continue
-                self._usable.setdefault(server.service, []).append(server)
+                self._usable.setdefault(server.service, []).append(
+                    self._as_kept(server)
+                )
         return self._usable.get(service, [])
 
+    @property
+    def moves(self) -> dict[str, Moving]:
+        """The runners that are being moved, by id."""
+        return self._moves
+
+    def set_moves(self, now: float, moves: dict[str, Moving]) -> None:
+        """Takes what the planner ordered, before the runners' entries tell.
+
+        Args:
+            now: seconds.
+            moves: all moves under way, by the runner's id.
+        """
+        self._moves_taken_at = now
+        if moves != self._moves:
+            self._moves = moves
+            self._moves_version += 1
+
+    def expire_moves(self, now: float) -> None:
+        """Forgets the moves of a planner that fell silent."""
+        if self._moves and now - self._moves_taken_at > MOVES_SECONDS:
+            self.set_moves(now, {})
+
+    def _as_kept(self, server: directory.Server) -> directory.Server:
+        moving = self._moves.get(server.id)
+        if moving is None or moving.lifetime != server.lifetime:
+            return server
+        start = max(server.layers.start, moving.kept.start)
+        end = min(server.layers.end, moving.kept.end)
+        if (start, end) == (server.layers.start, server.layers.end):
+            return server
+        kept = directory.LayerRange(start, end)
+        if end <= start:
+            kept = directory.NO_LAYERS
+        return dataclasses.replace(server, layers=kept)
+
     def finder(self, engine: catalog.Engine, now: float) -> paths.PathFinder:
         """Returns a path finder for a service's runners at present."""
         return paths.PathFinder(engine, self.book, self.pace_reader(now))
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/directory.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/directory.py
@@ -9,6 +9,10 @@
 """An entry that lapsed in a store outage is back so soon after it."""
 
 
+REPORT_LAG_SECONDS = 0.5
+"""A report is at most so old: its own lag, and the way of an entry."""
+
+
 class ServerState(enum.Enum):
     """What a backend server says of itself."""
 
@@ -81,6 +85,7 @@
         self.server_by_id: dict[str, Server] = {}
         self.draining_since_by_id: dict[str, float] = {}
         self._gone_at_by_id: dict[str, float] = {}
+        self._changed_at_by_id: dict[str, float] = {}
         self.version = 0
 
     def put(self, now: float, server: Server) -> bool:
@@ -93,6 +98,8 @@
         elif known is not None:
             server = dataclasses.replace(server, orders=known.orders)
         self._gone_at_by_id.pop(server.id, None)
+        if known is None or known.layers != server.layers:
+            self._changed_at_by_id[server.id] = now
         self.server_by_id[server.id] = server
         self.version += 1
         if server.state is ServerState.DRAINING:
@@ -102,16 +109,21 @@
         return True
 
     def update_layers(
-        self, server: Server, layers: LayerRange, orders: int
+        self, now: float, server: Server, layers: LayerRange, orders: int
     ) -> None:
-        """Takes what a runner itself reported, newer than its entry."""
+        """Takes what a runner itself reported.
+
+        Reports lag: one that may be older than the entry's last change says
+        nothing about the layers.
+        """
         known = self.server_by_id.get(server.id)
         if known is None or known.lifetime != server.lifetime:
             return
         if known.layers == layers and known.orders == orders:
             return
-        if orders < known.orders:
-            return
+        changed_at = self._changed_at_by_id.get(server.id, float("-inf"))
+        if now - changed_at < REPORT_LAG_SECONDS:
+            layers = known.layers
         self.server_by_id[server.id] = dataclasses.replace(
             known, layers=layers, orders=orders
         )
@@ -185,4 +197,5 @@
         self.server_by_id.pop(server_id, None)
         self.draining_since_by_id.pop(server_id, None)
         self._gone_at_by_id.pop(server_id, None)
+        self._changed_at_by_id.pop(server_id, None)
         self.version += 1
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
@@ -53,6 +53,9 @@
     rng: random.Random
 
 
+FULL_SHARE = 0.5
+"""Part of a runner's room that is reserved when it is believed to be full;
+what it holds may be twice what requests hold on average."""
 _ELSEWHERE_ONLY = frozenset(
     {dispatch.Failure.REJECTED, dispatch.Failure.NOT_SENT}
 )
@@ -79,6 +82,7 @@
         self._paths: list[str] = []
         self._first = ""
         self._last: attempt.Outcome | None = None
+        self._why = ""
         self._answer: attempt.Answer | None = None
         self._first_event_after = 0.0
 
@@ -175,7 +179,7 @@
         self._end(
             admitted,
             dispatch.give_up_without_server(self._progress),
-            last.detail if last else "",
+            "; ".join(filter(None, [last.detail if last else "", self._why])),
         )
 
     def _untried(
@@ -219,20 +223,26 @@
         context = self._context
         engine = admitted.service.engine
         assert engine is not None
-        tokens = admitted.prompt_tokens + admitted.answer_tokens
-        wanted = paths.Wanted(context.board.home, tokens)
-        usable = context.board.usable(admitted.service.id)
-        finder = context.board.finder(engine, self._now())
+        board = context.board
+        now = self._now()
+        wanted = paths.Wanted(board.home, admitted.held_tokens)
+        usable = board.usable(admitted.service.id)
+        finder = board.finder(engine, now)
         path = finder.find(self._untried(usable), wanted)
         if path is None and self._progress.started:
             path = finder.find(usable, wanted)
         if path is None:
+            self._why = finder.explain(usable, wanted)
+            return None
+        if not board.pipes.has_room(now, path, board.routers):
+            self._why = f"the pipes are full for {describe(path)}"
             return None
         self._paths.append(describe(path))
         self._first = path.first.id
         answer = self._answer = self._new_answer(admitted, self._events)
+        board.pipes.spend(now, engine, path, admitted.prompt_tokens)
         stream = stream_guard.Stream(
-            admitted, path, answer, self._loop.time(), tokens
+            admitted, path, answer, now, admitted.held_tokens, self._progress
         )
         context.guard.add(stream)
         try:
@@ -498,12 +508,7 @@
         assert outcome.failure is not None
         context = self._context
         context.metrics.attempts.labels(outcome.failure.value).inc()
-        if outcome.fault:
-            server = context.board.server_at(outcome.fault)
-            if server is not None:
-                context.board.suspect(self._now(), server, trust.REJECTED)
-        else:
-            self._tried.add(self._first)
+        self._leave_out(admitted, outcome)
         context.log.write(
             "attempt failed",
             request=admitted.request_id.decode("latin-1"),
@@ -516,6 +521,31 @@
             seconds=round(self._elapsed(), 3),
         )
 
+    def _leave_out(
+        self, admitted: intake.Admitted, outcome: attempt.Outcome
+    ) -> None:
+        """Leaves out the server at fault: for all requests, or this one.
+
+        A runner that is full by our own count rejects for want of room, and
+        has some again in a moment; any other that rejects is on its way out.
+        """
+        board = self._context.board
+        server = board.server_at(outcome.fault) if outcome.fault else None
+        if server is None:
+            self._tried.add(self._first)
+            return
+        engine = admitted.service.engine
+        misdirected = (
+            outcome.response is not None
+            and outcome.response.status == answers.MISDIRECTED
+        )
+        if misdirected:
+            board.suspect(self._now(), server, trust.MOVED)
+        elif engine is not None and board.fill(engine, server) > FULL_SHARE:
+            self._tried.add(server.id)
+        else:
+            board.suspect(self._now(), server, trust.REJECTED)
+
     def _spend(
         self,
         admitted: intake.Admitted,
@@ -523,8 +553,8 @@
         decision: dispatch.Retry,
     ) -> dispatch.Decision:
         board = self._context.board
-        routers = max(1, len(board.router_by_name))
-        if board.budget(admitted.service.id).try_spend(self._now(), routers):
+        budget = board.budget(admitted.service.id)
+        if budget.try_spend(self._now(), board.routers):
             return decision
         if outcome.failure is dispatch.Failure.SERVER_ERROR:
             return dispatch.Deliver()
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/intake.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/intake.py
@@ -15,6 +15,8 @@
 does not exist; the operators' bound for a change to be in force is 2 s."""
 HINT_MARGIN = 1.3
 """Half of the answers are longer than the caller's estimate."""
+HELD_ANSWER_SHARE = 0.5
+"""Part of its answer that a request holds on average while it runs."""
 UNKNOWN_ANSWER_SHARE = 0.4
 """Part of the largest answer that is reserved without an estimate."""
 MAX_PRIORITY = 9
@@ -48,6 +50,11 @@
     prompt_tokens: int
     answer_tokens: float
 
+    @property
+    def held_tokens(self) -> float:
+        """Tokens that the request holds on average while it runs."""
+        return self.prompt_tokens + HELD_ANSWER_SHARE * self.answer_tokens
+
     @property
     def priority(self) -> int:
         """Rank at the engines; 0 is served first."""
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/layer_planner.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/layer_planner.py
@@ -17,6 +17,9 @@
 
 MIN_ROOM_SHARE = 0.25
 """Part of the nominal room for requests that a stretched runner keeps."""
+ROOMY_FACTOR = 1.3
+"""Room that a runner keeps of choice, in nominal rooms: the copies of other
+failure domains take the requests of one that has lost layers."""
 DEMAND_SHARE = 0.5
 """Part of the nominal room that the requests of one copy take when busy."""
 GAP_FLOOR = 0.02
@@ -30,12 +33,13 @@
 """Cost of a second of loading where nothing waits for it."""
 WAITING_LOAD_COST = 20.0
 """Cost of a second of loading while requests wait for the layers."""
+GIVE_UP_COST = 40.0
+"""Cost of giving up layers through which requests pass, while others wait:
+the runner loads new ones only when these have ended, in about two seconds."""
 ORDER_COST = 0.3
 """Cost of an order: short waits are not worth one."""
 MIN_GAIN = 2.0
-"""A runner that serves is given more layers only for so much."""
-SPARE_LAYERS = 2
-"""A runner with fewer layers than fit by more than this may take more."""
+"""A runner that serves is given other layers only for so much."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -47,12 +51,14 @@
         layers: what it holds, or will hold when it has loaded.
         usable: whether it serves new requests, or will.
         busy: whether an order is under way.
+        requests: requests that pass through it.
     """
 
     server: directory.Server
     layers: directory.LayerRange
     usable: bool
     busy: bool
+    requests: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -171,7 +177,8 @@
 
 def roomy_layers(engine: catalog.Engine, kind: catalog.RunnerKind) -> int:
     """Returns the layers of a kind that leave nominal room for requests."""
-    return max(1, engine.roomy_layers(kind, engine.nominal_tokens))
+    tokens = engine.nominal_tokens * ROOMY_FACTOR
+    return max(1, engine.roomy_layers(kind, tokens))
 
 
 def most_layers(engine: catalog.Engine, kind: catalog.RunnerKind) -> int:
@@ -203,7 +210,7 @@
             if cell.gaps():
                 reason_by_id |= self._spread_anew(cell)
             if not reason_by_id and not starting:
-                reason_by_id = self._grow_one(cell)
+                reason_by_id = self._improve_one(cell)
             for server_id, reason in reason_by_id.items():
                 member = cell.member_by_id[server_id]
                 target = cell.held_by_id[server_id]
@@ -211,6 +218,21 @@
                     moves.append(Move(member.server, target, reason))
         return moves
 
+    def uncovered(self, holdings: Iterable[Holding]) -> list[str]:
+        """Describes each group of runners that lacks layers, for the log."""
+        found = []
+        for members in self._group(holdings):
+            cell = _Cell(self._engine, members)
+            gaps = ",".join(f"{g.start}-{g.end}" for g in cell.gaps())
+            if gaps:
+                held = " ".join(
+                    f"{m.server.kind}:{m.layers.start}-{m.layers.end}"
+                    f"{'*' if m.busy else ''}"
+                    for m in members
+                )
+                found.append(f"{members[0].server.domain} {gaps}: {held}")
+        return found
+
     def _group(self, holdings: Iterable[Holding]) -> list[list[Holding]]:
         """Groups failure domains so that each group can hold a copy."""
         by_domain: dict[str, list[Holding]] = {}
@@ -318,6 +340,10 @@
                     # It opens another gap as large as the one it fills.
                     continue
                 loss += LOAD_COST * cell.load_seconds(server_id, target)
+                if cell.member_by_id[server_id].requests and (
+                    target.start > held.start or target.end < held.end
+                ):
+                    loss += GIVE_UP_COST
                 cost = (loss + ORDER_COST) / covered
                 if cost < best_cost:
                     best, best_cost = (server_id, target), cost
@@ -385,21 +411,14 @@
             counts[widest] += 1
         return {i: count for i, count in counts.items() if count}
 
-    def _grow_one(self, cell: _Cell) -> dict[str, str]:
-        """Gives one runner more layers where that is worth the load."""
+    def _improve_one(self, cell: _Cell) -> dict[str, str]:
+        """Gives one runner other layers where that is worth the load."""
         if any(member.busy for member in cell.member_by_id.values()):
             return {}
         best: tuple[str, directory.LayerRange] | None = None
         best_gain = MIN_GAIN
-        for server_id, held in cell.held_by_id.items():
-            size = cell.roomy(server_id)
-            if not held.count or held.count + SPARE_LAYERS >= size:
-                continue
-            more = size - held.count
-            for before in {0, more // 2, more}:
-                start = max(0, held.start - before)
-                end = min(self._engine.layers, start + size)
-                target = directory.LayerRange(start, end)
+        for server_id in cell.held_by_id:
+            for target in self._aligned_windows(cell, server_id):
                 gain = cell.gain(server_id, target) - ORDER_COST
                 gain -= LOAD_COST * cell.load_seconds(server_id, target)
                 if gain > best_gain:
@@ -407,4 +426,14 @@
         if best is None:
             return {}
         cell.move(*best)
-        return {best[0]: "grow"}
+        return {best[0]: "improvement"}
+
+    def _aligned_windows(
+        self, cell: _Cell, server_id: str
+    ) -> Iterator[directory.LayerRange]:
+        size = min(cell.roomy(server_id), self._engine.layers)
+        starts = cell.boundaries()
+        starts |= {boundary - size for boundary in starts}
+        for start in starts:
+            if 0 <= start <= self._engine.layers - size:
+                yield directory.LayerRange(start, start + size)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/paths.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/paths.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
+import itertools
 
 from nutmeglift import ids
 from nutmeglift_gateway import catalog
@@ -18,9 +19,10 @@
 
 MAX_PARTS = 32
 """A runner refuses a longer path (the engines' protocol)."""
-MEMORY_FILL = 0.92
-"""Reservations stay under it: the rest covers answers longer than expected,
-which preempt the newest request."""
+MEMORY_FILL = 0.97
+"""Reservations stay under it. They count what a request holds on average,
+and requests that begin hold less than those that end; a runner that is full
+all the same says so, and the request goes elsewhere."""
 SLOT_FILL = 0.95
 """Share of a first runner's slots; the rest covers what other routers sent
 since their last report."""
@@ -53,6 +55,12 @@
     parts: tuple[Part, ...]
     step_seconds: float
 
+    @property
+    def crossings(self) -> int:
+        """How often it passes from one failure domain to another."""
+        domains = [part.server.domain for part in self.parts]
+        return sum(one != other for one, other in itertools.pairwise(domains))
+
     @property
     def first(self) -> directory.Server:
         """The runner that the request is sent to."""
@@ -81,10 +89,12 @@
     Attributes:
         home: the router's failure domain.
         tokens: tokens that the request will hold.
+        may_cross: whether the path may pass between failure domains.
     """
 
     home: ids.FailureDomain
     tokens: float
+    may_cross: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -177,10 +187,57 @@
             cost = path.step_seconds * away
             if cost < best_cost:
                 best, best_cost = path, cost
-        if best is not None:
+        if best is not None or not wanted.may_cross:
             return best
         return self._search(usable, whole)
 
+    def explain(
+        self, servers: Iterable[directory.Server], wanted: Wanted
+    ) -> str:
+        """Tells why there is no path, for the log."""
+        listed = list(servers)
+        for start, end in self._uncovered(listed):
+            return f"nobody holds layers {start}-{end} ({len(listed)} runners)"
+        roomy = [s for s in listed if self._has_room(s, wanted)]
+        for start, end in self._uncovered(roomy):
+            holders = ", ".join(
+                self._describe_load(server)
+                for server in listed
+                if server.layers.start <= start < server.layers.end
+            )
+            return (
+                f"no room on layers {start}-{end} for {wanted.tokens:.0f}"
+                f" tokens: {holders}"
+            )
+        return "no path has room on all its layers"
+
+    def _describe_load(self, server: directory.Server) -> str:
+        load = self._book.at(server.address)
+        kind = self._engine.kind(server.kind)
+        count = server.layers.count
+        room = self._engine.room(kind, count) / max(1, count)
+        held = load.token_layers / max(1, count)
+        return (
+            f"{server.address} holds {held:.0f} of {room:.0f}"
+            f" in {load.requests}"
+        )
+
+    def _uncovered(
+        self, servers: list[directory.Server]
+    ) -> list[tuple[int, int]]:
+        found = []
+        at = 0
+        for held in sorted(
+            (s.layers for s in servers if s.layers.count),
+            key=lambda held: held.start,
+        ):
+            if held.start > at:
+                found.append((at, held.start))
+            at = max(at, held.end)
+        if at < self._engine.layers:
+            found.append((at, self._engine.layers))
+        return found
+
     def repair(
         self,
         path: Path,
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
@@ -32,6 +32,22 @@
     age: float
 
 
+class MoveRow(msgspec.Struct, array_like=True, frozen=True):
+    """A runner that the sender, as planner, ordered to hold other layers.
+
+    Attributes:
+        server: its id.
+        born: which life of it.
+        start: first layer that it goes on serving meanwhile.
+        end: the layer after the last of these.
+    """
+
+    server: str
+    born: int
+    start: int
+    end: int
+
+
 class PeerReport(msgspec.Struct, array_like=True, frozen=True, tag="report"):
     """One router's state, sent several times a second.
 
@@ -48,6 +64,8 @@
         loads: work in flight that the sender itself dispatched.
         suspects: backend servers that the sender leaves out.
         paces: runners that the sender found slow.
+        planner: whether the sender holds the planner's role.
+        moves: the moves under way, where it does.
     """
 
     vm: str
@@ -60,6 +78,8 @@
     loads: list[LoadRow]
     suspects: list[SuspectRow]
     paces: list[PaceRow]
+    planner: bool
+    moves: list[MoveRow]
 
 
 class EntryRow(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
@@ -4,6 +4,7 @@
 from nutmeglift import ids
 from nutmeglift import kv
 from nutmeglift_gateway import board as boards
+from nutmeglift_gateway import directory
 from nutmeglift_gateway import loads
 from nutmeglift_gateway import peer_messages
 from nutmeglift_gateway import store_reader
@@ -88,6 +89,14 @@
                 for address, pace in board.pace_by_address.items()
                 if pace.value > 1.0 and now - pace.read_at < boards.PACE_SECONDS
             ],
+            planner=board.plans,
+            moves=[
+                peer_messages.MoveRow(
+                    *moving.lifetime, moving.kept.start, moving.kept.end
+                )
+                for moving in board.moves.values()
+                if board.plans
+            ],
         )
 
     def take(
@@ -127,6 +136,17 @@
             board.coverage_eta = max(
                 board.coverage_eta, now + report.coverage_in
             )
+        if report.planner and not board.plans:
+            board.set_moves(
+                now,
+                {
+                    row.server: boards.Moving(
+                        (row.server, row.born),
+                        directory.LayerRange(row.start, row.end),
+                    )
+                    for row in report.moves
+                },
+            )
         for row in report.suspects:
             server = board.server_at(row.address)
             if (
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/planner_controller.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/planner_controller.py
@@ -28,6 +28,8 @@
 OVERDUE_SECONDS = 0.8
 """A runner's entry is written this late at most after its load, by a
 heartbeat."""
+BUSY_SECONDS = 0.3
+"""A runner that carries out another planner's order is asked again after it."""
 BEFORE_TRAFFIC_FACTOR = 0.1
 """Loads take a tenth of the time before the first request."""
 
@@ -35,6 +37,7 @@
 @dataclasses.dataclass
 class _Pending:
     target: directory.LayerRange
+    kept: directory.LayerRange
     lifetime: tuple[str, int]
     eta: float
     due: float
@@ -68,7 +71,9 @@
         self._fence = ids.FencingNumber(0)
         self._pending_by_id: dict[str, _Pending] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._busy_until_by_id: dict[str, float] = {}
         self._counted = (-1, 0.0)
+        self._gaps: list[str] = []
 
     async def run(self) -> None:
         """Stands for the role, and plans while holding it."""
@@ -76,7 +81,8 @@
         while True:
             await asyncio.sleep(TICK_SECONDS)
             await self._stand()
-            if self._leads():
+            self._board.plans = self._leads()
+            if self._board.plans:
                 self._plan(loop.time())
 
     def _leads(self) -> bool:
@@ -113,10 +119,45 @@
         self._fence = ids.FencingNumber(result.revision)
         self._pending_by_id.clear()
         self._log.write("planner elected", fence=self._fence)
+        await self._survey()
         self._reader.planner = kv.KeyValue(
             key, self._vm.encode(), result.revision, self._registered.lease
         )
 
+    async def _survey(self) -> None:
+        """Reads how many orders the runners accepted from others."""
+        found = self._board.catalog
+        if found is None:
+            return
+        holders = [
+            server
+            for service in found.service_by_id.values()
+            if service.engine is not None
+            for server in self._board.usable(service.id)
+            if server.layers.count
+        ]
+        await asyncio.gather(*(self._read(server) for server in holders))
+
+    async def _read(self, server: directory.Server) -> ports.Report | None:
+        now = asyncio.get_running_loop().time
+        try:
+            report = await self._runners.report(server.address)
+        except ports.RunnerUnavailableError as error:
+            self._board.suspect(now(), server, "no report")
+            self._log.write(
+                "server suspect",
+                address=server.address,
+                reason="no report",
+                detail=str(error),
+            )
+            return None
+        self._board.directory.update_layers(
+            now(), server, report.layers, report.orders
+        )
+        if report.busy:
+            self._busy_until_by_id[server.id] = now() + BUSY_SECONDS
+        return report
+
     def _plan(self, now: float) -> None:
         found = self._board.catalog
         if found is None:
@@ -126,6 +167,13 @@
             if service.engine is not None:
                 eta = max(eta, self._plan_service(service, now))
         self._board.coverage_eta = eta
+        self._board.set_moves(
+            now,
+            {
+                server_id: boards.Moving(pending.lifetime, pending.kept)
+                for server_id, pending in self._pending_by_id.items()
+            },
+        )
 
     def _plan_service(self, service: catalog.Service, now: float) -> float:
         engine = service.engine
@@ -137,8 +185,10 @@
         usable = {s.id for s in servers if self._is_usable(s)}
         holdings = [self._holding(s, usable, now) for s in servers]
         planner = layer_planner.LayerPlanner(engine)
-        for move in planner.plan(holdings, starting=starting):
+        moves = planner.plan(holdings, starting=starting)
+        for move in moves:
             self._order(engine, move, now, starting=starting)
+        self._note_gaps([] if moves else planner.uncovered(holdings))
         return max(
             (pending.eta for pending in self._pending_by_id.values()),
             default=0.0,
@@ -150,6 +200,11 @@
             and not self._board.trust.is_lost(server.address, server.lifetime)
         )
 
+    def _note_gaps(self, gaps: list[str]) -> None:
+        if gaps and gaps != self._gaps:
+            self._log.write("layers missing", groups=gaps)
+        self._gaps = gaps
+
     def _settled(self, count: int, now: float) -> bool:
         if count != self._counted[0]:
             self._counted = (count, now)
@@ -165,15 +220,20 @@
         ):
             del self._pending_by_id[server.id]
             pending = None
+        requests = self._board.book.at(server.address).requests
         if pending is None:
             return layer_planner.Holding(
-                server, server.layers, server.id in usable, busy=False
+                server,
+                server.layers,
+                server.id in usable,
+                now < self._busy_until_by_id.get(server.id, 0.0),
+                requests,
             )
         if now > pending.due and not pending.asking:
             pending.asking = True
             self._start(self._ask(server, pending))
         return layer_planner.Holding(
-            server, pending.target, server.id in usable, busy=True
+            server, pending.target, server.id in usable, True, requests
         )
 
     def _order(
@@ -197,7 +257,15 @@
         crowd = max(1.0, busy / max(1, engine.loads_at_once))
         eta = now + seconds * crowd
         due = now + seconds * crowd * OVERDUE_FACTOR + OVERDUE_SECONDS
-        pending = _Pending(move.layers, move.server.lifetime, eta, due)
+        start = max(held.start, move.layers.start)
+        end = max(start, min(held.end, move.layers.end))
+        pending = _Pending(
+            move.layers,
+            directory.LayerRange(start, end),
+            move.server.lifetime,
+            eta,
+            due,
+        )
         self._pending_by_id[move.server.id] = pending
         self._log.write(
             "layers placed",
@@ -227,28 +295,18 @@
         if outcome is ports.OrderOutcome.STALE_FENCE:
             self._fence = ids.FencingNumber(0)
             return
+        if outcome is not ports.OrderOutcome.UNKNOWN:
+            self._drop(move.server, pending)
+            await self._read(move.server)
+            return
         await self._ask(move.server, pending)
 
     async def _ask(self, server: directory.Server, pending: _Pending) -> None:
         """Reads a runner's state before ordering anything again."""
-        loop = asyncio.get_running_loop()
-        try:
-            report = await self._runners.report(server.address)
-        except ports.RunnerUnavailableError as error:
-            self._board.suspect(loop.time(), server, "no report")
-            self._log.write(
-                "server suspect",
-                address=server.address,
-                reason="no report",
-                detail=str(error),
-            )
-            self._drop(server, pending)
-            return
-        self._board.directory.update_layers(
-            server, report.layers, report.orders
-        )
-        if report.busy:
-            pending.due = loop.time() + OVERDUE_SECONDS
+        report = await self._read(server)
+        if report is not None and report.busy:
+            now = asyncio.get_running_loop().time()
+            pending.due = now + OVERDUE_SECONDS
             pending.asking = False
             return
         self._drop(server, pending)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/prober.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/prober.py
@@ -35,6 +35,7 @@
             for server_id in board.directory.expire(now):
                 self._log.write("server lapsed", server=server_id)
             board.book.expire(now)
+            board.expire_moves(now)
             board.trust.keep_only(
                 {s.address for s in board.directory.server_by_id.values()}
             )
@@ -51,7 +52,10 @@
             if server.kind:
                 report = await self._runners.report(address)
                 self._board.directory.update_layers(
-                    server, report.layers, report.orders
+                    asyncio.get_running_loop().time(),
+                    server,
+                    report.layers,
+                    report.orders,
                 )
             else:
                 connection = await http_call.connect(address)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stalls.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stalls.py
@@ -32,6 +32,7 @@
 
     Attributes:
         silent: seconds since the last event, or since it was sent.
+        settled: the same, or since it was moved, if that was later.
         begun: whether an event arrived.
         objective: seconds to the first event.
         gap_objective: longest pause on time, in seconds.
@@ -40,6 +41,7 @@
     """
 
     silent: float
+    settled: float
     begun: bool
     objective: float
     gap_objective: float
@@ -56,4 +58,4 @@
         limit = max(state.gap_objective * GAP_SHARE, expected)
     else:
         limit = max(state.objective * FIRST_SHARE, expected)
-    return Action.ASK if state.silent >= limit else Action.WAIT
+    return Action.ASK if state.settled >= limit else Action.WAIT
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_guard.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_guard.py
@@ -6,6 +6,7 @@
 from nutmeglift_gateway import attempt
 from nutmeglift_gateway import board as boards
 from nutmeglift_gateway import decision_log
+from nutmeglift_gateway import directory
 from nutmeglift_gateway import dispatch
 from nutmeglift_gateway import intake
 from nutmeglift_gateway import loads
@@ -30,6 +31,7 @@
         answer: takes its events.
         sent_at: loop time at which the attempt began.
         tokens: what it is expected to hold.
+        progress: what has been done for the request.
         moving: whether an order to move it is under way.
         moves: how often it was moved.
     """
@@ -39,7 +41,9 @@
     answer: attempt.Answer
     sent_at: float
     tokens: float
+    progress: dispatch.Progress
     moving: bool = False
+    moved_at: float = 0.0
     moves: int = 0
     _reserved: tuple[loads.Reservation, ...] = ()
 
@@ -65,6 +69,7 @@
         """Returns what decides whether it stalls."""
         return stalls.StreamState(
             silent=now - self.answer.last_byte_at,
+            settled=now - max(self.answer.last_byte_at, self.moved_at),
             begun=self.answer.events_seen,
             objective=self.admitted.route.objective,
             gap_objective=self.admitted.route.gap_objective,
@@ -182,12 +187,37 @@
         finder = self._board.finder(engine, now)
         wanted = paths.Wanted(self._board.home, stream.tokens)
         path = finder.repair(stream.path, usable, wanted)
+        crossing = path is None or path.crossings > stream.path.crossings
+        if crossing and self._can_resume(stream, finder, usable):
+            self._give_up(stream, "its layers are elsewhere")
+            return True
         if path is None:
             return False
+        if crossing:
+            self._board.pipes.spend(now, engine, path, stream.tokens)
         stream.moving = True
         self._start(self._move(stream, path))
         return True
 
+    def _can_resume(
+        self,
+        stream: Stream,
+        finder: paths.PathFinder,
+        usable: list[directory.Server],
+    ) -> bool:
+        """Tells whether a whole pipeline can take the stream over.
+
+        It reads the tokens so far at its own speed, while a move between
+        failure domains sends the activations of all of them over a pipe.
+        """
+        route = stream.admitted.route
+        if not route.repeatable:
+            return False
+        if stream.progress.runs >= route.max_attempts:
+            return False
+        wanted = paths.Wanted(self._board.home, stream.tokens, may_cross=False)
+        return finder.find(usable, wanted) is not None
+
     async def _move(self, stream: Stream, path: paths.Path) -> None:
         try:
             outcome = await self._runners.redirect(stream.request_id, path)
@@ -205,8 +235,8 @@
         if outcome in accepted and stream in self._streams:
             stream.path = path
             stream.moves += 1
+            stream.moved_at = asyncio.get_running_loop().time()
             stream.reserve(self._board)
-            stream.answer.last_byte_at = asyncio.get_running_loop().time()
 
     def _give_up(self, stream: Stream, detail: str) -> None:
         self._metrics.repairs.labels("given up", "lost").inc()
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/trust.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/trust.py
@@ -11,6 +11,8 @@
 LOST_HOLD_SECONDS = 1.0
 """After the third relapse in a row a server that rejects counts as lost."""
 REJECTED = "rejected"
+MOVED = "moved"
+"""It holds other layers than its entry says: a report tells which."""
 PROBE_INTERVAL_SECONDS = 0.5
 """A third of the time within which a restarted runner loads a part."""
 
@@ -50,16 +52,20 @@
             if record.suspect:
                 return False
             recent = now - record.since < MEMORY_SECONDS
-            hold = record.hold * 2 if recent else FIRST_HOLD_SECONDS
+            hold = max(record.hold * 2, FIRST_HOLD_SECONDS)
+            if not recent:
+                hold = FIRST_HOLD_SECONDS
         else:
             hold = FIRST_HOLD_SECONDS
+        if reason == MOVED:
+            hold = 0.0
         self._record_by_address[address] = _Record(
             lifetime,
             reason,
             True,
             now,
             min(hold, LONGEST_HOLD_SECONDS),
-            now,
+            float("-inf") if reason == MOVED else now,
         )
         self.version += 1
         return True
@@ -82,6 +88,8 @@
         if not self.is_suspect(address, lifetime):
             return False
         record = self._record_by_address[address]
+        if record.reason == MOVED:
+            return False
         return record.reason != REJECTED or record.hold >= LOST_HOLD_SECONDS
 
     def reason(self, address: str) -> str:
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -111,7 +111,22 @@
         ]
         for silent, begun, step, expected in cases:
             with self.subTest(silent=silent, begun=begun, step=step):
-                state = stalls.StreamState(silent, begun, 0.5, 0.25, step, 800)
+                state = stalls.StreamState(
+                    silent, silent, begun, 0.5, 0.25, step, 800
+                )
+                self.assertEqual(stalls.judge(state), expected)
+
+    def test_a_moved_stream_is_given_time_but_not_beyond_the_callers(self):
+        cases = [
+            (0.5, 0.05, stalls.Action.WAIT),
+            (0.5, 0.2, stalls.Action.ASK),
+            (1.7, 0.05, stalls.Action.GIVE_UP),
+        ]
+        for silent, settled, expected in cases:
+            with self.subTest(silent=silent, settled=settled):
+                state = stalls.StreamState(
+                    silent, settled, True, 0.5, 0.25, 0.008, 800
+                )
                 self.assertEqual(stalls.judge(state), expected)
 
     def test_given_up_before_callers_leave(self):
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -72,15 +72,32 @@
         self.directory.put(0.0, server)
         layers = directory.LayerRange(3, 8)
         other = rig.make_server("s", revision=5, born=9)
-        self.directory.update_layers(other, layers, 1)
+        self.directory.update_layers(5.0, other, layers, 1)
         self.assertEqual(
             self.directory.server_by_id["s"].layers, directory.NO_LAYERS
         )
-        self.directory.update_layers(server, layers, 1)
-        self.assertEqual(self.directory.server_by_id["s"].layers, layers)
-        self.directory.update_layers(server, directory.NO_LAYERS, 0)
+        self.directory.update_layers(5.0, server, layers, 1)
         self.assertEqual(self.directory.server_by_id["s"].layers, layers)
 
+    def test_reports_older_than_the_entry_say_nothing_of_layers(self):
+        layers = directory.LayerRange(3, 8)
+        server = rig.make_server("s", revision=5, layers=layers)
+        self.directory.put(5.0, server)
+        none = directory.NO_LAYERS
+        for now, expected in [(5.3, layers), (5.6, none)]:
+            with self.subTest(now):
+                self.directory.update_layers(now, server, none, 0)
+                self.assertEqual(
+                    self.directory.server_by_id["s"].layers, expected
+                )
+
+    def test_reports_correct_the_number_of_orders_either_way(self):
+        server = rig.make_server("s", revision=5)
+        self.directory.put(0.0, server)
+        self.directory.note_order(server)
+        self.directory.update_layers(5.0, server, directory.NO_LAYERS, 0)
+        self.assertEqual(self.directory.server_by_id["s"].orders, 0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/gateway/test_paths.py
+++ b/tests/gateway/test_paths.py
@@ -41,7 +41,8 @@
         z = runner("z", "a", 60, 80)
         far = [runner("p", "b", 0, 40), runner("q", "b", 40, 80)]
         cases = [
-            ("a chain", [z, y, x], [("x", 0, 30), ("y", 30, 60), ("z", 60, 80)]),
+            ("a chain", [z, y, x],
+             [("x", 0, 30), ("y", 30, 60), ("z", 60, 80)]),
             (
                 "ranges that overlap",
                 [x, runner("w", "a", 20, 60), z],
