--- a/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
@@ -19,6 +19,9 @@
 """Spreads the routers: whoever confirms first tells the others."""
 TICK_SECONDS = 0.1
 """How often the age of the confirmation is looked at."""
+COALESCE_SECONDS = 0.15
+"""Changes that follow each other come by one call; a tenth of the operators'
+bound for any of them to be in force."""
 OUTAGE_MEMORY_SECONDS = 3.0
 """A backend server's entry that goes so soon after an outage may have lapsed
 for it."""
@@ -149,6 +152,8 @@
             self._note_recovery()
             for event in batch:
                 self._take_event(event)
+            if batch:
+                await asyncio.sleep(COALESCE_SECONDS)
 
     async def _confirm_once(self) -> None:
         sent_at = freshness.boot_clock()
