--- a/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
@@ -13,6 +13,7 @@
 from nutmeglift_gateway import freshness
 from nutmeglift_gateway import loads
 from nutmeglift_gateway import paths
+from nutmeglift_gateway import picks
 from nutmeglift_gateway import pipes
 from nutmeglift_gateway import retry_shares
 from nutmeglift_gateway import settings
@@ -62,6 +63,7 @@
             planner.
         router_by_name: addresses of the live routers, by VM; written by the
             store reader.
+        penalties: plain servers that lost answers; written by the requests.
         pipes: what we sent over the pipes; written by the requests and the
             stream guard.
         draining: whether this process is leaving; written by the drain.
@@ -89,6 +91,7 @@
         self.book = loads.LoadBook()
         self.pace_by_address: dict[str, Pace] = {}
         self.router_by_name: dict[str, str] = {}
+        self.penalties = picks.Penalties()
         self.pipes = pipes.PipeBudget()
         self.draining = False
         self.coverage_eta = 0.0
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
@@ -53,6 +53,7 @@
     rng: random.Random
 
 
+_LOSSES = frozenset({dispatch.Failure.LOST, dispatch.Failure.SPOILED})
 FULL_SHARE = 0.5
 """Part of a runner's room that is reserved when it is believed to be full;
 what it holds may be twice what requests hold on average."""
@@ -209,13 +210,18 @@
             # Without a path, a runner serves alone with all layers.
             layers = admitted.service.engine.layers
             fresh = [s for s in fresh if s.layers.count == layers]
-        server = picks.pick_server(fresh, board.book, board.home, {})
+        server = picks.pick_server(
+            self._now(), fresh, board.book, board.home, board.penalties
+        )
         if server is None:
             return None
         self._first = server.id
         reserved = (loads.Reservation(server.address, True, 0.0),)
         answer = self._new_answer(admitted, None)
-        return await self._send(admitted, server, reserved, answer, None)
+        outcome = await self._send(admitted, server, reserved, answer, None)
+        if outcome.failure in _LOSSES:
+            board.penalties.note_loss(self._now(), server.address)
+        return outcome
 
     async def _attempt_stream(
         self, admitted: intake.Admitted
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/picks.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/picks.py
@@ -1,6 +1,7 @@
 """Picks a backend server of a plain service."""
 
 from collections.abc import Iterable
+import math
 
 from nutmeglift import ids
 from nutmeglift_gateway import directory
@@ -11,27 +12,61 @@
 answers from there are paid for by the byte."""
 
 
+LOSS_REQUESTS = 6.0
+"""A lost answer makes a server count as having so many requests more: one
+that may not be repeated goes to a server that answers, while there is one
+with free slots."""
+HALF_LIFE_SECONDS = 3.0
+"""A penalty halves in it: servers that lose answers recover in seconds."""
+LARGEST_PENALTY = 60.0
+"""Bounds the time until a server that recovered is used again."""
+
+
+class Penalties:
+    """Remembers which servers lost answers lately."""
+
+    def __init__(self) -> None:
+        self._penalty_by_address: dict[str, tuple[float, float]] = {}
+
+    def note_loss(self, now: float, address: str) -> None:
+        """Notes that a server's answer was lost or spoiled."""
+        penalty = self.value(now, address) + LOSS_REQUESTS
+        self._penalty_by_address[address] = (
+            now,
+            min(penalty, LARGEST_PENALTY),
+        )
+
+    def value(self, now: float, address: str) -> float:
+        """Returns the requests that a server counts as having more."""
+        found = self._penalty_by_address.get(address)
+        if found is None:
+            return 0.0
+        noted_at, penalty = found
+        return penalty * math.exp2((noted_at - now) / HALF_LIFE_SECONDS)
+
+
 def pick_server(
+    now: float,
     servers: Iterable[directory.Server],
     book: loads.LoadBook,
     home: ids.FailureDomain,
-    penalty_of: dict[str, float],
+    penalties: Penalties,
 ) -> directory.Server | None:
     """Returns the least loaded server, or None where there is none.
 
     Args:
+        now: seconds.
         servers: those that may be used.
         book: what is in flight on them.
         home: the router's failure domain.
-        penalty_of: further requests that a server counts as having, by its
-            address, as it was slow or failed some.
+        penalties: servers that lost answers lately.
     """
     return min(
         servers,
         key=lambda server: (
             (
                 book.at(server.address).requests
-                + penalty_of.get(server.address, 0.0)
+                + penalties.value(now, server.address)
                 + (AWAY_REQUESTS if server.domain != home else 0.0)
             )
             / max(1, server.slots),
--- /dev/null
+++ b/tests/gateway/test_picks.py
@@ -0,0 +1,79 @@
+import unittest
+
+from nutmeglift import ids
+from nutmeglift_gateway import loads
+from nutmeglift_gateway import picks
+from tests.gateway import rig
+
+HOME = ids.FailureDomain("a")
+
+
+def make(name, domain="a"):
+    return rig.make_server(
+        name, domain=ids.FailureDomain(domain), address=name, slots=6
+    )
+
+
+class PickTest(unittest.TestCase):
+    def test_which_server(self):
+        near, other, far = make("near"), make("other"), make("far", "b")
+        cases = [
+            # requests in flight, losses, picked
+            ({}, [], "near"),
+            ({"near": 1}, [], "other"),
+            ({"near": 1, "other": 1}, [], "near"),
+            ({"near": 3, "other": 3}, [], "far"),
+            ({}, ["near"], "other"),
+            ({}, ["near", "other"], "far"),
+            ({"far": 6}, ["near", "near", "other"], "other"),
+        ]
+        for requests, losses, expected in cases:
+            with self.subTest(requests=requests, losses=losses):
+                book = loads.LoadBook()
+                book.take_report(
+                    0.0, "p", {a: loads.Load(n) for a, n in requests.items()}
+                )
+                penalties = picks.Penalties()
+                for address in losses:
+                    penalties.note_loss(0.0, address)
+                picked = picks.pick_server(
+                    0.0, [far, near, other], book, HOME, penalties
+                )
+                self.assertEqual(picked.id, expected)
+
+    def test_no_server(self):
+        self.assertIsNone(
+            picks.pick_server(
+                0.0, [], loads.LoadBook(), HOME, picks.Penalties()
+            )
+        )
+
+    def test_penalties_fade_and_are_bounded(self):
+        penalties = picks.Penalties()
+        for _ in range(1000):
+            penalties.note_loss(0.0, "x")
+        self.assertEqual(penalties.value(0.0, "x"), picks.LARGEST_PENALTY)
+        self.assertLess(penalties.value(30.0, "x"), 0.1)
+        self.assertEqual(penalties.value(0.0, "y"), 0.0)
+
+
+class LossyDayTest(unittest.TestCase):
+    """Releases while one of three servers loses two in five answers."""
+
+    def test_few_releases_stay_unknown(self):
+        rng = rig.make_rng()
+        servers = [make("x"), make("y"), make("z")]
+        penalties = picks.Penalties()
+        book = loads.LoadBook()
+        lost = 0
+        for number in range(100):
+            now = number * 0.2
+            picked = picks.pick_server(now, servers, book, HOME, penalties)
+            if picked.id == "x" and rng.random() < 0.4:
+                lost += 1
+                penalties.note_loss(now, picked.address)
+        self.assertLess(lost, 10)
+
+
+if __name__ == "__main__":
+    unittest.main()
