--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
@@ -111,7 +111,9 @@
             case peer_messages.ServersCopy(age, entries):
                 if age + VIEW_LEAD_SECONDS < self._reader.age(now):
                     self._reader.take_servers(
-                        [_key_value(entry) for entry in entries], now - age
+                        now,
+                        [_key_value(entry) for entry in entries],
+                        now - age,
                     )
         return []
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
@@ -93,10 +93,13 @@
         """Returns how old our view of the directory is, in seconds."""
         return now - self.live_at
 
-    def take_servers(self, entries: list[kv.KeyValue], read_at: float) -> None:
+    def take_servers(
+        self, now: float, entries: list[kv.KeyValue], read_at: float
+    ) -> None:
         """Takes a listing of backend servers that a peer passed on.
 
         Args:
+            now: seconds of the loop.
             entries: the raw entries.
             read_at: loop time at which the peer's view was live.
         """
@@ -104,7 +107,7 @@
         servers = [s for e in entries if (s := self._decode_server(e))]
         for entry in entries:
             self.entry_by_key[entry.key] = entry
-        self._board.directory.replace_all(self._now(), servers, lapsed=False)
+        self._board.directory.replace_all(now, servers, lapsed=False)
 
     def take_catalog(self, entry: kv.KeyValue) -> None:
         """Takes a configuration, from the store or from a peer."""
--- /dev/null
+++ b/tests/gateway/test_peer_state.py
@@ -0,0 +1,140 @@
+"""What two routers tell each other, without a socket."""
+
+import random
+import unittest
+
+from nutmeglift import errors
+from nutmeglift import kv
+from nutmeglift_gateway import board as boards
+from nutmeglift_gateway import directory
+from nutmeglift_gateway import loads
+from nutmeglift_gateway import peer_messages
+from nutmeglift_gateway import peer_state
+from nutmeglift_gateway import store_reader
+from tests.gateway import rig
+
+
+class Side:
+    """One router."""
+
+    def __init__(self, vm):
+        self.schema = rig.MemorySchema()
+        self.board = rig.make_board()
+        self.board.freshness.confirmed_at = float("-inf")
+        self.reader = store_reader.StoreReader(
+            kv.MemoryKv(),
+            self.schema,
+            self.board,
+            rig.MemoryLog(),
+            random.Random(1),
+        )
+        self.state = peer_state.PeerState(self.board, self.reader, vm)
+
+
+class PeerStateTest(unittest.TestCase):
+    def setUp(self):
+        self.one, self.two = Side("one"), Side("two")
+
+    def send(self, source, target, now, boot):
+        raw = peer_messages.encode(source.state.make_report(now, boot))
+        answers = target.state.take(peer_messages.decode(raw), now, boot)
+        for answer in answers:
+            raw = peer_messages.encode(answer)
+            source.state.take(peer_messages.decode(raw), now, boot)
+
+    def test_a_confirmation_is_dated_by_our_own_question(self):
+        # The peer confirmed at 99.0; our clock and its clock need not agree,
+        # and its report may be under way for any time.
+        self.two.board.freshness.confirm(99.0)
+        self.send(self.one, self.two, 1.0, 100.0)
+        answer = self.two.state.make_report(1.0, 100.5)
+        self.one.state.take(answer, 60.0, 160.0)
+        # 1.5 s old when it was sent, after our question at 100.0.
+        self.assertAlmostEqual(self.one.board.freshness.confirmed_at, 98.5)
+
+    def test_a_confirmation_without_our_question_says_nothing(self):
+        self.two.board.freshness.confirm(99.0)
+        self.send(self.two, self.one, 1.0, 100.0)
+        self.assertEqual(self.one.board.freshness.confirmed_at, float("-inf"))
+
+    def test_a_confirmation_of_a_newer_configuration_is_not_ours(self):
+        self.two.board.freshness.confirm(99.0)
+        newer = rig.make_catalog(generation=9)
+        self.two.board.set_catalog(5, newer)
+        self.send(self.one, self.two, 1.0, 100.0)
+        self.send(self.two, self.one, 1.1, 100.1)
+        self.assertEqual(self.one.board.freshness.confirmed_at, float("-inf"))
+
+    def test_a_newer_configuration_is_copied(self):
+        newer = rig.make_catalog(generation=9)
+        for side in (self.one, self.two):
+            side.schema.by_value[b"nine"] = newer
+        entry = rig.make_entry("operators/configuration", b"nine", 50)
+        self.two.reader.take_catalog(entry)
+        for step in range(4):
+            self.send(self.one, self.two, 1.0 + step * 0.25, 100.0)
+        self.assertEqual(self.one.board.catalog.generation, 9)
+
+    def test_a_router_with_an_older_view_gets_the_servers(self):
+        for side in (self.one, self.two):
+            side.schema.by_value[b"s"] = {}
+        entry = rig.make_entry("backends/s", b"s", 7)
+        self.two.reader.take_servers(99.0, [entry], 99.0)
+        self.send(self.one, self.two, 100.0, 100.0)
+        self.assertEqual(list(self.one.board.directory.server_by_id), ["s"])
+        # Neither is asked for it again.
+        self.assertEqual(self.one.reader.age(100.0), self.two.reader.age(100.0))
+
+    def test_loads_add_up_and_lapse(self):
+        self.two.board.book.reserve((loads.Reservation("x", True, 50.0),))
+        self.send(self.two, self.one, 1.0, 100.0)
+        self.assertEqual(self.one.board.book.at("x"), loads.Load(1, 1, 50.0))
+        self.one.board.book.expire(3.0)
+        self.assertEqual(self.one.board.book.at("x"), loads.Load())
+
+    def test_which_suspicions_are_shared(self):
+        for reason, shared in [("stalled", True), ("connect", False)]:
+            with self.subTest(reason):
+                server = rig.make_server(f"s-{reason}", address=reason)
+                self.one.board.directory.put(0.0, server)
+                self.two.board.suspect(1.0, server, reason)
+                self.send(self.two, self.one, 1.0, 100.0)
+                self.assertEqual(
+                    self.one.board.trust.is_suspect(
+                        server.address, server.lifetime
+                    ),
+                    shared,
+                )
+
+    def test_a_planners_moves_are_believed_until_it_is_silent(self):
+        server = rig.make_server(
+            "s", layers=directory.LayerRange(0, 9), revision=5
+        )
+        self.one.board.directory.put(0.0, server)
+        self.two.board.plans = True
+        kept = boards.Moving(server.lifetime, directory.LayerRange(4, 9))
+        self.two.board.set_moves(1.0, {"s": kept})
+        self.send(self.two, self.one, 1.0, 100.0)
+        (seen,) = self.one.board.usable(rig.MODEL)
+        self.assertEqual(seen.layers, directory.LayerRange(4, 9))
+        self.one.board.expire_moves(9.0)
+        (seen,) = self.one.board.usable(rig.MODEL)
+        self.assertEqual(seen.layers, directory.LayerRange(0, 9))
+
+    def test_malformed_messages(self):
+        cases = [b"", b"\xff", peer_messages.cbor2.dumps([1, 2]), b"\x80"]
+        for raw in cases:
+            with (
+                self.subTest(raw),
+                self.assertRaises(errors.MalformedMessageError),
+            ):
+                peer_messages.decode(raw)
+
+    def test_a_report_of_our_own_is_refused(self):
+        report = self.one.state.make_report(1.0, 100.0)
+        with self.assertRaises(errors.MalformedMessageError):
+            self.one.state.take(report, 1.0, 100.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/gateway/test_settings.py
@@ -0,0 +1,62 @@
+import pathlib
+import tempfile
+import unittest
+
+from nutmeglift import errors
+from nutmeglift_gateway import settings
+
+GOOD = """
+vm: "front-1"
+failure_domain: "a"
+listen:
+  callers: "10.0.0.1:80"
+  readiness: "10.0.0.1:81"
+  peers: "10.0.0.1:82"
+  metrics: "10.0.0.1:83"
+store:
+  address: "10.0.0.9:90"
+bounds:
+  revocation_seconds: 5000e-3
+  shutdown_seconds: 8
+"""
+
+
+def load(text):
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "settings.yaml"
+        path.write_text(text, encoding="utf-8")
+        return settings.load(path)
+
+
+class SettingsTest(unittest.TestCase):
+    def test_good_settings(self):
+        found = load(GOOD)
+        self.assertEqual(found.listen.callers, "10.0.0.1:80")
+        self.assertEqual(found.bounds.revocation_seconds, 5.0)
+        self.assertEqual(found.bounds.retry_ratio, 0.2)
+
+    def test_wrong_settings(self):
+        cases = [
+            "",
+            "[",
+            "- a list",
+            GOOD.replace('vm: "front-1"', ""),
+            GOOD.replace("10.0.0.1:80", "front.example:80"),
+            GOOD.replace("shutdown_seconds: 8", "shutdown_seconds: 0"),
+            GOOD.replace("shutdown_seconds: 8", "shutdown_secs: 8"),
+            GOOD.replace("shutdown_seconds: 8", "shutdown_seconds: soon"),
+        ]
+        for text in cases:
+            with (
+                self.subTest(text[:40]),
+                self.assertRaises(errors.SettingsError),
+            ):
+                load(text)
+
+    def test_no_file(self):
+        with self.assertRaises(errors.SettingsError):
+            settings.load(pathlib.Path("none.yaml"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/gateway/test_whole_gateway.py
@@ -0,0 +1,232 @@
+"""A whole router on stand-ins of the platform's store and runners."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import unittest
+from unittest import mock
+
+from nutmeglift import kv
+from nutmeglift_gateway import drain
+from nutmeglift_gateway import gateway
+from nutmeglift_gateway import http_call
+from nutmeglift_gateway import settings
+from nutmeglift_platform import names
+from nutmeglift_platform import runners
+from nutmeglift_platform import schema
+from nutmeglift_platform import store
+from tests.gateway import rig
+from tests.gateway import stand_ins
+from tests.gateway import store_stand_in
+from tests.gateway import test_platform_schema
+
+WAIT = stand_ins.WAIT_SECONDS
+LAST = b"0\r\n\r\n"
+
+
+class Runner:
+    """A stand-in of a runner: takes orders and streams events."""
+
+    def __init__(self, memory, name, kind):
+        self.memory = memory
+        self.name = name
+        self.kind = kind
+        self.layers = None
+        self.orders = 0
+        self.hold = asyncio.Event()
+        self.hold.set()
+        self.server = stand_ins.ScriptedServer(self._answer)
+
+    async def start(self):
+        await self.server.start()
+        await self.write()
+        return self
+
+    async def write(self):
+        beat = test_platform_schema.BEAT | {
+            "address": self.server.address,
+            "kind": self.kind,
+            "layers": self.layers,
+        }
+        raw = json.dumps(beat).encode()
+        await self.memory.txn([], [kv.Put(f"servers/{self.name}", raw)])
+
+    async def _answer(self, request, writer, number):
+        if request.head.startswith("GET /v1/report"):
+            await self._send(
+                writer, 200, {"sequence": self.orders, "layers": self.layers}
+            )
+        elif request.head.startswith("POST /v1/order"):
+            order = json.loads(request.body)
+            if order["expected"] != self.orders:
+                await self._send(writer, 409, {})
+                return
+            self.orders += 1
+            self.layers = {"from": order["from"], "target": order["target"]}
+            await self._send(writer, 202, {})
+            await self.write()
+        else:
+            writer.write(stand_ins.stream_head(request))
+            writer.write(stand_ins.events(1, 3))
+            await self.hold.wait()
+            writer.write(stand_ins.events(4, 6) + LAST)
+
+    @staticmethod
+    async def _send(writer, status, body):
+        raw = json.dumps(body).encode()
+        writer.write(
+            b"HTTP/1.1 %d X\r\ncontent-length: %d\r\n\r\n%b"
+            % (status, len(raw), raw)
+        )
+
+
+def free_port():
+    with socket.socket() as found:
+        found.bind(("127.0.0.1", 0))
+        return found.getsockname()[1]
+
+
+class WholeGatewayTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.store = await store_stand_in.StoreStandIn().start()
+        self.addCleanup(self.store.server.close)
+        memory = self.store.memory
+        config = json.loads(json.dumps(test_platform_schema.CONFIG))
+        config["routes"][0] |= {"backends": [], "service": "s"}
+        config["services"][0]["engine"]["kinds"][0]["mb"] = 300000.0
+        raw = json.dumps(config).encode()
+        await memory.txn([], [kv.Put("op/config", raw)])
+        self.runner = await Runner(memory, "i-1", "big").start()
+        self.addCleanup(self.runner.server.close)
+        addresses = [f"127.0.0.1:{free_port()}" for _ in range(4)]
+        self.settings = settings.Settings(
+            vm="one",
+            failure_domain="a",
+            listen=settings.Listen(*addresses),
+            store=settings.Store(self.store.server.address),
+        )
+        self.log = rig.MemoryLog()
+        self.reloaded = []
+        self.gateway = gateway.Gateway(
+            self.settings,
+            store=store.PlatformKv(self.store.server.address, 1.0),
+            schema=schema.PlatformSchema(),
+            runners=runners.PlatformRunners(),
+            names=names.HEADERS,
+            readiness_path=names.READINESS_PATH,
+            log=self.log,
+            rng=rig.make_rng(),
+            load_settings=self.load,
+        )
+        self.task = asyncio.ensure_future(self.gateway.run())
+        self.addCleanup(self.task.cancel)
+
+    def load(self):
+        self.reloaded.append(True)
+        return self.settings
+
+    async def get(self, address, target):
+        connection = await http_call.connect(address)
+        raw = http_call.format_request("GET", target, [(b"host", b"x")], b"")
+        try:
+            return await http_call.exchange(connection, "GET", raw, WAIT)
+        finally:
+            connection.close()
+
+    async def until(self, check):
+        async with asyncio.timeout(WAIT):
+            while not await check():  # noqa: ASYNC110 - over the network.
+                await asyncio.sleep(0.02)
+
+    async def is_ready(self):
+        try:
+            answer = await self.get(
+                self.settings.listen.readiness, names.READINESS_PATH
+            )
+        except http_call.CallError:
+            return False
+        return answer.status == 200
+
+    async def has_layers(self):
+        return self.runner.layers == {"from": 0, "target": 80}
+
+    async def stream(self):
+        connection = await http_call.connect(self.settings.listen.callers)
+        headers = [
+            (b"host", b"h"),
+            (names.HEADERS.request_id, b"attempt-1"),
+            (names.HEADERS.key, b"k1"),
+            (names.HEADERS.tokens, b"100,40"),
+        ]
+        raw = http_call.format_request("POST", "/p/1", headers, b"{}")
+        try:
+            return await http_call.exchange(connection, "POST", raw, WAIT)
+        finally:
+            connection.close()
+
+    async def test_layers_are_placed_and_streams_served(self):
+        await self.until(self.is_ready)
+        await self.until(self.has_layers)
+
+        async def served():
+            return (await self.stream()).status == 200
+
+        await self.until(served)
+        answer = await self.stream()
+        self.assertEqual(stand_ins.event_ids(answer.body), [1, 2, 3, 4, 5, 6])
+        seen = self.runner.server.seen[-1]
+        self.assertEqual(
+            seen.headers["x-hop-count"], f"{self.runner.server.address}=0-80"
+        )
+        metrics = await self.get(self.settings.listen.metrics, "/metrics")
+        self.assertIn(b"nutmeglift_gateway_first_event_seconds", metrics.body)
+        with self.assertRaises(TimeoutError):
+            await asyncio.wait_for(asyncio.shield(self.task), 0.01)
+
+    async def test_a_drain_ends_what_is_in_flight(self):
+        await self.until(self.is_ready)
+        await self.until(self.has_layers)
+
+        async def served():
+            return (await self.stream()).status == 200
+
+        await self.until(served)
+        self.runner.hold.clear()
+        count = len(self.runner.server.seen)
+        running = asyncio.ensure_future(self.stream())
+
+        async def begun():
+            return len(self.runner.server.seen) > count
+
+        await self.until(begun)
+        with mock.patch.object(drain, "ACCEPT_SECONDS", 0.2):
+            os.kill(os.getpid(), signal.SIGTERM)
+
+            async def not_ready():
+                return not await self.is_ready()
+
+            await self.until(not_ready)
+            self.assertFalse(self.task.done())
+            self.runner.hold.set()
+            answer = await running
+            await asyncio.wait_for(self.task, WAIT)
+        self.assertEqual(stand_ins.event_ids(answer.body), [1, 2, 3, 4, 5, 6])
+        self.assertEqual(answer.head.get(b"connection"), None)
+        self.assertIn("stopped", self.log.events())
+
+    async def test_a_hangup_reloads_the_settings(self):
+        await self.until(self.is_ready)
+        os.kill(os.getpid(), signal.SIGHUP)
+
+        async def reloaded():
+            return "settings reloaded" in self.log.events()
+
+        await self.until(reloaded)
+        self.assertEqual(self.reloaded, [True])
+        self.assertTrue(await self.is_ready())
+
+
+if __name__ == "__main__":
+    unittest.main()
