Name keys that stand twice in a declaration; end an import circle

Cause: check ended in a traceback when a section stood twice, as the parsed value kept one and the nodes two; plain and plain_once imported each other. Change: repeated keys are problems with file and line; the call's type has a module of its own. Both new cases of test_cli failed before.

--- a/packages/nutmeglift/nutmeglift/declaration.py
+++ b/packages/nutmeglift/nutmeglift/declaration.py
@@ -243,6 +243,13 @@
         if not isinstance(node, yaml.MappingNode):
             self.problems.append(f"{path}:1: must be a mapping of sections")
             return
+        twice = [
+            f"{path}:{key.start_mark.line + 1}: {key.value!r} stands twice"
+            for key in _find_repeated_keys(node)
+        ]
+        if twice:
+            self.problems += twice
+            return
         for key_node, value_node in node.value:
             self._read_section(path, key_node, value_node, value)
 
@@ -287,6 +294,23 @@
         return self.place_by_entry.get((section, index), section)
 
 
+def _find_repeated_keys(node: yaml.Node) -> list[yaml.Node]:
+    """Returns the keys that stand again in the same mapping."""
+    found: list[yaml.Node] = []
+    if isinstance(node, yaml.SequenceNode):
+        for child in node.value:
+            found += _find_repeated_keys(child)
+    if isinstance(node, yaml.MappingNode):
+        seen: set[str] = set()
+        for key, child in node.value:
+            if isinstance(key.value, str):
+                if key.value in seen:
+                    found.append(key)
+                seen.add(key.value)
+            found += _find_repeated_keys(child)
+    return found
+
+
 Problem = tuple[str, int, str]
 """Section, index of the entry, and what is wrong."""
 
--- a/packages/nutmeglift_router/nutmeglift_router/plain.py
+++ b/packages/nutmeglift_router/nutmeglift_router/plain.py
@@ -18,6 +18,7 @@
 from nutmeglift import settling
 from nutmeglift_router import attempt_watches
 from nutmeglift_router import ledger_controller
+from nutmeglift_router import plain_calls
 from nutmeglift_router import plain_once
 from nutmeglift_wire import clock as clocks
 from nutmeglift_wire import metrics as metric
@@ -30,31 +31,6 @@
 ChooseServer = Callable[[ids.ServiceId], routing.Candidate | None]
 
 
-@dataclasses.dataclass(frozen=True)
-class PlainCallRequest:
-    """A checked call.
-
-    Attributes:
-        account: the caller's account.
-        service: the service.
-        call: the declared call that it is.
-        method: HTTP method.
-        path: path with query.
-        headers: headers to pass on.
-        body: body.
-        key: idempotency key, or None.
-    """
-
-    account: declaration.ClientAccount
-    service: declaration.Service
-    call: declaration.Call
-    method: str
-    path: str
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-    key: ids.IdempotencyKey | None
-
-
 @dataclasses.dataclass(frozen=True)
 class PlainAnswer:
     """What a caller is answered.
@@ -120,12 +96,12 @@
         return len(self._tasks) + self._idempotent + self.ledger.unrecorded
 
     async def call(
-        self, request: PlainCallRequest
+        self, request: plain_calls.PlainCallRequest
     ) -> plain_messages.PlainOutcome:
         """Runs a call; as run, without telling whether it is a replay."""
         return (await self.run(request)).outcome
 
-    async def run(self, request: PlainCallRequest) -> PlainAnswer:
+    async def run(self, request: plain_calls.PlainCallRequest) -> PlainAnswer:
         """Runs a call.
 
         Raises:
@@ -163,7 +139,7 @@
         return attempts.make_request_id(self._epoch, next(self._numbers))
 
     def choose_server(
-        self, request: PlainCallRequest, failed: set[ids.VmId]
+        self, request: plain_calls.PlainCallRequest, failed: set[ids.VmId]
     ) -> routing.Candidate | None:
         """Returns a backend server, preferably one that has not failed."""
         found = None
@@ -173,7 +149,9 @@
                 return found
         return found
 
-    async def _run_once(self, request: PlainCallRequest) -> PlainAnswer:
+    async def _run_once(
+        self, request: plain_calls.PlainCallRequest
+    ) -> PlainAnswer:
         if request.key is None:
             raise errors.RefusedError(
                 "a non-idempotent call needs an Idempotency-Key",
@@ -219,14 +197,18 @@
 
         task.add_done_callback(end)
 
-    async def _run_idempotent(self, request: PlainCallRequest) -> PlainAnswer:
+    async def _run_idempotent(
+        self, request: plain_calls.PlainCallRequest
+    ) -> PlainAnswer:
         self._idempotent += 1
         try:
             return await self._try_servers(request)
         finally:
             self._idempotent -= 1
 
-    async def _try_servers(self, request: PlainCallRequest) -> PlainAnswer:
+    async def _try_servers(
+        self, request: plain_calls.PlainCallRequest
+    ) -> PlainAnswer:
         failed: set[ids.VmId] = set()
         error = _no_backend(request)
         self._retries.note_request(self._clock.now())
@@ -256,7 +238,7 @@
         raise error
 
     async def _dispatch_idempotent(
-        self, request: PlainCallRequest, server: routing.Candidate
+        self, request: plain_calls.PlainCallRequest, server: routing.Candidate
     ) -> settling.Verdict:
         call = plain_once.make_call(
             request, self._new_request(), FIRST_ATTEMPT, server.incarnation
@@ -264,7 +246,7 @@
         return await self._watches.dispatch_idempotent(server.vm, call)
 
 
-def _no_backend(request: PlainCallRequest) -> errors.NutmegError:
+def _no_backend(request: plain_calls.PlainCallRequest) -> errors.NutmegError:
     return plain_once.no_backend(request.service.id)
 
 
--- /dev/null
+++ b/packages/nutmeglift_router/nutmeglift_router/plain_calls.py
@@ -0,0 +1,31 @@
+"""A checked call to a plain service."""
+
+import dataclasses
+
+from nutmeglift import declaration
+from nutmeglift import ids
+
+
+@dataclasses.dataclass(frozen=True)
+class PlainCallRequest:
+    """A checked call.
+
+    Attributes:
+        account: the caller's account.
+        service: the service.
+        call: the declared call that it is.
+        method: HTTP method.
+        path: path with query.
+        headers: headers to pass on.
+        body: body.
+        key: idempotency key, or None.
+    """
+
+    account: declaration.ClientAccount
+    service: declaration.Service
+    call: declaration.Call
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    key: ids.IdempotencyKey | None
--- a/packages/nutmeglift_router/nutmeglift_router/plain_endpoint.py
+++ b/packages/nutmeglift_router/nutmeglift_router/plain_endpoint.py
@@ -11,6 +11,7 @@
 from nutmeglift_router import bodies
 from nutmeglift_router import entries
 from nutmeglift_router import plain
+from nutmeglift_router import plain_calls
 from nutmeglift_router import router as routers
 
 METHODS = ["GET", "HEAD", "PUT", "POST", "PATCH", "DELETE"]
@@ -52,7 +53,7 @@
         request: requests.Request,
         account: declaration.ClientAccount,
         body: bytes,
-    ) -> plain.PlainCallRequest:
+    ) -> plain_calls.PlainCallRequest:
         declared = self._router.board.read(entries.CONFIGURATION).declared
         name = request.path_params["service"]
         path = "/" + request.path_params["path"]
@@ -77,7 +78,7 @@
             for name, value in request.headers.items()
             if name in PASSED_HEADERS
         )
-        return plain.PlainCallRequest(
+        return plain_calls.PlainCallRequest(
             account,
             service,
             call,
--- a/packages/nutmeglift_router/nutmeglift_router/plain_once.py
+++ b/packages/nutmeglift_router/nutmeglift_router/plain_once.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 import logging
-from typing import TYPE_CHECKING
 
 from nutmeglift import errors
 from nutmeglift import group_commit
@@ -16,19 +15,17 @@
 from nutmeglift import states
 from nutmeglift_router import attempt_watches
 from nutmeglift_router import ledger_controller
+from nutmeglift_router import plain_calls
 from nutmeglift_wire import clock as clocks
 from nutmeglift_wire import metrics as metric
 
-if TYPE_CHECKING:
-    from nutmeglift_router import plain
-
 MAX_ATTEMPTS = 3
 MAX_CLAIM_ROUNDS = 4
 
 _logger = logging.getLogger(__name__)
 
 Choose = Callable[
-    ["plain.PlainCallRequest", set[ids.VmId]], routing.Candidate | None
+    [plain_calls.PlainCallRequest, set[ids.VmId]], routing.Candidate | None
 ]
 
 
@@ -46,7 +43,7 @@
 
     def __init__(
         self,
-        request: "plain.PlainCallRequest",
+        request: plain_calls.PlainCallRequest,
         name: ids.RequestId,
         digest: ids.Digest,
         body_digest: ids.Digest,
@@ -300,7 +297,7 @@
 
 
 def make_call(
-    request: "plain.PlainCallRequest",
+    request: plain_calls.PlainCallRequest,
     name: ids.RequestId,
     attempt: ids.Attempt,
     incarnation: ids.Incarnation,
--- a/tests/plain_rig.py
+++ b/tests/plain_rig.py
@@ -15,6 +15,7 @@
 from nutmeglift_agent import plain_work
 from nutmeglift_router import attempt_watches
 from nutmeglift_router import plain
+from nutmeglift_router import plain_calls
 from nutmeglift_wire import clock as clocks
 from nutmeglift_wire import metrics
 from tests import utils
@@ -315,7 +316,7 @@
 
     async def _call(self, router: Router, made: Call) -> None:
         service = utils.make_declaration().services[0]
-        request = plain.PlainCallRequest(
+        request = plain_calls.PlainCallRequest(
             utils.make_account("bank-a"),
             service,
             service.calls[0],
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -88,6 +88,16 @@
         "  - {id: bank-a}\n  - {id: bank-a}",
         (":7:", "bank-a"),
     ),
+    "a section twice": (
+        "client_accounts:",
+        "routes: []\nclient_accounts:",
+        ("stands twice",),
+    ),
+    "a key twice": (
+        "{id: bank-a}",
+        "{id: bank-a, id: bank-b}",
+        (":6:", "'id' stands twice"),
+    ),
     "priority": (
         "{id: bank-a}",
         "{id: bank-a, priority: 12}",
