--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_guard.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_guard.py
@@ -34,6 +34,7 @@
         progress: what has been done for the request.
         moving: whether an order to move it is under way.
         moves: how often it was moved.
+        refused_by: ids of runners that had no room to take it over.
     """
 
     admitted: intake.Admitted
@@ -45,6 +46,7 @@
     moving: bool = False
     moved_at: float = 0.0
     moves: int = 0
+    refused_by: set[str] = dataclasses.field(default_factory=set)
     _reserved: tuple[loads.Reservation, ...] = ()
 
     @property
@@ -186,7 +188,11 @@
         now = asyncio.get_running_loop().time()
         finder = self._board.finder(engine, now)
         wanted = paths.Wanted(self._board.home, stream.tokens)
-        path = finder.repair(stream.path, usable, wanted)
+        path = finder.repair(
+            stream.path,
+            [s for s in usable if s.id not in stream.refused_by],
+            wanted,
+        )
         crossing = path is None or path.crossings > stream.path.crossings
         if crossing and self._can_resume(stream, finder, usable):
             self._give_up(stream, "its layers are elsewhere")
@@ -231,6 +237,13 @@
             parts=len(path.parts),
             step_ms=round(path.step_seconds * 1000, 2),
         )
+        if outcome is ports.OrderOutcome.CONFLICT:
+            kept = {part.server.id for part in stream.path.parts}
+            stream.refused_by |= {
+                part.server.id
+                for part in path.parts
+                if part.server.id not in kept
+            }
         accepted = (ports.OrderOutcome.BEGUN, ports.OrderOutcome.DONE)
         if outcome in accepted and stream in self._streams:
             stream.path = path
--- a/tests/gateway/test_exchange_stream.py
+++ b/tests/gateway/test_exchange_stream.py
@@ -168,6 +168,29 @@
         )
         self.assertEqual(len(first.seen), 1)
 
+    async def test_a_runner_without_room_is_not_asked_again(self):
+        first = await self.rig.add_runner(stuck, "x", 0, 50)
+        lost = await self.rig.add_runner(stand_ins.silent, "y", 50, 80)
+        for name in ("full", "roomy"):
+            await self.rig.add_runner(
+                stand_ins.silent, name, 50, 80, kind="whole-slow"
+            )
+        self.rig.runners.outcomes = [ports.OrderOutcome.CONFLICT]
+        self.rig.runners.report_by_address[first.address] = ports.Report(
+            directory.LayerRange(0, 50), 0, False, 1.0,
+            (ports.Stalled("attempt-1", lost.address),),
+        )  # fmt: skip
+        call = asyncio.ensure_future(self.ids())
+        async with asyncio.timeout(stand_ins.WAIT_SECONDS):
+            while len(self.rig.runners.redirected) < 2:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+        call.cancel()
+        tried = [
+            path.parts[-1].server.id
+            for _, path in self.rig.runners.redirected[:2]
+        ]
+        self.assertEqual(sorted(tried), ["full", "roomy"])
+
     async def test_a_silent_first_runner_is_left(self):
         # It gives no report either.
         await self.rig.add_runner(stuck, "x", 0, 80)
