Add a fault soak of router processes on stand-ins

Real processes, a loopback proxy before the store, signals, crashed and failing servers, configuration changes and revoked keys, from a seed. It checks at most once, 'not run', whole answers, layers in order, revocation and logs.

--- a/tests/gateway/stand_ins.py
+++ b/tests/gateway/stand_ins.py
@@ -59,6 +59,7 @@
         self.seen = []
         self.lost = asyncio.Event()
         self._asked = asyncio.Event()
+        self._writers = set()
         self.address = ""
         self._server = None
 
@@ -71,11 +72,18 @@
     def close(self):
         self._server.close()
 
+    def abort(self):
+        """Stops and resets all connections, as a crash does."""
+        self._server.close()
+        for writer in list(self._writers):
+            drop(writer)
+
     async def wait_for_request(self):
         """Waits until a request has come."""
         await asyncio.wait_for(self._asked.wait(), WAIT_SECONDS)
 
     async def _run(self, reader, writer):
+        self._writers.add(writer)
         try:
             while (request := await read_request(reader)) is not None:
                 self.seen.append(request)
@@ -99,6 +107,7 @@
             # The test is over; nobody waits for this connection.
             return
         finally:
+            self._writers.discard(writer)
             if not writer.is_closing():
                 writer.close()
 
@@ -171,6 +180,8 @@
 
 def drop(writer):
     """Resets a connection."""
+    if writer.is_closing():
+        return
     found = writer.get_extra_info("socket")
     linger = struct.pack("ii", 1, 0)
     found.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A fault soak: real router processes, small stand-ins, faults by seed."""
--- /dev/null
+++ b/tests/soak/backend.py
@@ -0,0 +1,183 @@
+"""Stand-ins of runners and plain servers that record what they run."""
+
+import asyncio
+import dataclasses
+import enum
+import json
+
+from nutmeglift import kv
+from tests.gateway import stand_ins
+
+LAYERS = 80
+EVENTS = 12
+EVENT_SECONDS = 0.03
+LAST_CHUNK = b"0\r\n\r\n"
+LIFETIME_CHANGE = 1
+
+
+class Fault(enum.Enum):
+    """How a server fails."""
+
+    NONE = "none"
+    LOSE = "lose"
+    """It runs the request and resets the connection."""
+    REJECT = "reject"
+    """It says that it did not run the request."""
+    SPOIL = "spoil"
+    """It runs the request and answers for another one."""
+    SILENT = "silent"
+    """It runs the request and never answers."""
+
+
+@dataclasses.dataclass
+class Record:
+    """What all stand-ins saw.
+
+    Attributes:
+        runs_by_id: servers that ran a request, by the caller's id.
+        key_runs: id and time of every run.
+        problems: promises that were broken.
+    """
+
+    runs_by_id: dict[str, list[str]] = dataclasses.field(default_factory=dict)
+    problems: list[str] = dataclasses.field(default_factory=list)
+
+    def run(self, request_id, server):
+        self.runs_by_id.setdefault(request_id, []).append(server)
+
+
+class Server:
+    """One backend server: a runner, or a plain one."""
+
+    def __init__(self, record, memory, name, service, kind=""):
+        self.record = record
+        self.memory = memory
+        self.name = name
+        self.service = service
+        self.kind = kind
+        self.fault = Fault.NONE
+        self.layers = None
+        self.orders = 0
+        self.born = 1000
+        self._server = stand_ins.ScriptedServer(self._answer)
+
+    @property
+    def address(self):
+        return self._server.address
+
+    async def start(self):
+        await self._server.start()
+        await self.write("ready")
+
+    async def crash(self):
+        """Stops at once; the entry goes as after missed heartbeats."""
+        self._server.abort()
+        await self.memory.txn([], [kv.Delete(f"servers/{self.name}")])
+
+    async def restart(self):
+        """Starts again, empty, at another address."""
+        self.layers, self.orders = None, 0
+        self.born += LIFETIME_CHANGE
+        self.fault = Fault.NONE
+        self._server = stand_ins.ScriptedServer(self._answer)
+        await self.start()
+
+    async def write(self, state):
+        beat = {
+            "service": self.service,
+            "address": self.address,
+            "zone": "a",
+            "slots": 96,
+            "state": state,
+            "sequence": 1,
+            "born": self.born,
+            "kind": self.kind,
+            "layers": self.layers,
+        }
+        raw = json.dumps(beat).encode()
+        await self.memory.txn([], [kv.Put(f"servers/{self.name}", raw)])
+
+    async def _answer(self, request, writer, number):
+        if request.head.startswith("GET /v1/report"):
+            self._send(
+                writer, 200, {"sequence": self.orders, "layers": self.layers}
+            )
+        elif request.head.startswith("POST /v1/order"):
+            await self._take_order(json.loads(request.body), writer)
+        else:
+            await self._serve(request, writer)
+
+    async def _take_order(self, order, writer):
+        if order["operation"] != "place":
+            self._send(writer, 404, {})
+            return
+        if order["expected"] != self.orders:
+            self._send(writer, 409, {})
+            return
+        self.orders += 1
+        self.layers = {"from": order["from"], "target": order["target"]}
+        self._send(writer, 202, {})
+        await self.write("ready")
+
+    async def _serve(self, request, writer):
+        request_id = request.headers["x-attempt-id"]
+        expected = request.headers.get("x-expect-instance")
+        if expected != self.name:
+            self._send(writer, 421, {})
+            return
+        if "x-api-key" in request.headers:
+            self.record.problems.append(f"{request_id}: key passed on")
+        fault = self.fault
+        if fault is Fault.REJECT:
+            writer.write(
+                b"HTTP/1.1 503 X\r\nx-not-executed: 1\r\n"
+                b"content-length: 0\r\n\r\n"
+            )
+            return
+        if self.kind and not self._check_path(request, writer):
+            return
+        self.record.run(request_id, self.name)
+        if fault is Fault.LOSE:
+            stand_ins.drop(writer)
+        elif fault is Fault.SILENT:
+            await asyncio.sleep(60)
+        elif self.kind:
+            await self._stream(request, writer, fault)
+        else:
+            if fault is Fault.SPOIL:
+                request.headers["x-attempt-id"] = "another"
+            body = f"answer to {request_id}".encode()
+            writer.write(stand_ins.whole(request, body))
+
+    def _check_path(self, request, writer):
+        at = 0
+        for part in request.headers["x-hop-count"].split(","):
+            start, end = map(int, part.partition("=")[2].split("-"))
+            if start != at:
+                self.record.problems.append(f"a path skips: {part}")
+            at = end
+        if at != LAYERS:
+            self.record.problems.append("a path ends early")
+        return True
+
+    async def _stream(self, request, writer, fault):
+        request_id = request.headers["x-attempt-id"]
+        writer.write(stand_ins.stream_head(request))
+        begin = int(request.headers.get("last-event-id", 0)) + 1
+        for number in range(begin, EVENTS + 1):
+            await asyncio.sleep(EVENT_SECONDS)
+            if fault is Fault.SPOIL and number == EVENTS // 2:
+                stand_ins.drop(writer)
+                return
+            data = f"id: {number}\ndata: {request_id}:{number}\n\n".encode()
+            writer.write(b"%x\r\n%b\r\n" % (len(data), data))
+            await writer.drain()
+        writer.write(LAST_CHUNK)
+
+    @staticmethod
+    def _send(writer, status, body):
+        raw = json.dumps(body).encode()
+        writer.write(
+            b"HTTP/1.1 %d X\r\ncontent-length: %d\r\n\r\n%b"
+            % (status, len(raw), raw)
+        )
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,97 @@
+"""Callers that keep connections open and check every answer."""
+
+import asyncio
+import dataclasses
+import itertools
+
+from nutmeglift_gateway import http_call
+from tests.soak import backend
+
+DEADLINE_MS = 3000
+ANSWER_SECONDS = 6.0
+OK = 200
+NOT_RUN = (408, 421, 429, 503)
+
+
+@dataclasses.dataclass
+class Sent:
+    """A request and what became of it.
+
+    Attributes:
+        id: the caller's id.
+        kind: stream, safe or unsafe.
+        key: the API key it carried.
+        sent_at: when it was sent, in seconds of the loop.
+        status: HTTP status; 0 for none.
+    """
+
+    id: str
+    kind: str
+    key: str
+    sent_at: float
+    status: int = 0
+
+
+class Callers:
+    """Sends requests of all kinds to all routers."""
+
+    def __init__(self, routers, rng, problems):
+        self.sent_by_id = {}
+        self.keys = ["key-1", "key-2"]
+        self.revoked_keys = []
+        self._routers = routers
+        self._rng = rng
+        self._problems = problems
+        self._numbers = itertools.count(1)
+
+    async def run(self):
+        """One caller: keeps its connection while it can."""
+        connection = None
+        while True:
+            router = self._rng.choice(self._routers)
+            try:
+                if connection is None or not connection.reusable:
+                    connection = await http_call.connect(router.address)
+                await self._call(connection)
+            except http_call.CallError:
+                connection = None
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(self._rng.uniform(0, 0.05))
+
+    async def _call(self, connection):
+        loop = asyncio.get_running_loop()
+        kind = self._rng.choice(["stream", "safe", "unsafe", "unsafe"])
+        sent = Sent(
+            f"{kind}-{next(self._numbers)}",
+            kind,
+            self._rng.choice(self.keys + self.revoked_keys[-1:]),
+            loop.time(),
+        )
+        self.sent_by_id[sent.id] = sent
+        method = "GET" if kind == "safe" else "POST"
+        headers = [
+            (b"host", b"desk.example"),
+            (b"x-attempt-id", sent.id.encode()),
+            (b"x-api-key", sent.key.encode()),
+            (b"x-deadline-ms", b"%d" % DEADLINE_MS),
+            (b"x-token-usage", b"100,48"),
+        ]
+        raw = http_call.format_request(method, f"/{kind}/1", headers, b"")
+        answer = await http_call.exchange(
+            connection, method, raw, ANSWER_SECONDS
+        )
+        sent.status = answer.status
+        if answer.status == OK:
+            self._check(sent, answer)
+
+    def _check(self, sent, answer):
+        if answer.head.get(b"x-response-seal") is None:
+            self._problems.append(f"{sent.id}: success without a receipt")
+        expected = f"answer to {sent.id}"
+        if sent.kind == "stream":
+            expected = "".join(
+                f"id: {n}\ndata: {sent.id}:{n}\n\n"
+                for n in range(1, backend.EVENTS + 1)
+            )
+        if answer.body.decode() != expected:
+            self._problems.append(f"{sent.id}: a wrong body {answer.body!r}")
--- /dev/null
+++ b/tests/soak/network.py
@@ -0,0 +1,84 @@
+"""A loopback proxy that fails on demand."""
+
+import asyncio
+import enum
+
+CHUNK_BYTES = 65536
+
+
+class Mode(enum.Enum):
+    """What becomes of connections."""
+
+    PASS = "pass"
+    DELAY = "delay"
+    """Every chunk is late."""
+    SILENT = "silent"
+    """Nothing passes, and nobody is told."""
+    ONE_WAY = "one_way"
+    """Requests pass, answers do not."""
+    RESET = "reset"
+    """New and open connections are dropped."""
+
+
+class Proxy:
+    """Stands between a router and a server."""
+
+    def __init__(self, target):
+        self._target = target
+        self._mode = Mode.PASS
+        self._writers = set()
+        self._server = None
+        self.address = ""
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._run, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    def set_mode(self, mode):
+        self._mode = mode
+        if mode is Mode.RESET:
+            for writer in list(self._writers):
+                writer.transport.abort()
+
+    def close(self):
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _run(self, reader, writer):
+        if self._mode is Mode.RESET:
+            writer.transport.abort()
+            return
+        self._writers.add(writer)
+        try:
+            host, _, port = self._target.rpartition(":")
+            far_reader, far_writer = await asyncio.open_connection(host, port)
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers.add(far_writer)
+        try:
+            await asyncio.gather(
+                self._pump(reader, far_writer, answers=False),
+                self._pump(far_reader, writer, answers=True),
+            )
+        except (ConnectionError, asyncio.CancelledError):
+            # Either end is gone; both are closed below.
+            pass
+        finally:
+            for each in (writer, far_writer):
+                self._writers.discard(each)
+                each.transport.abort()
+
+    async def _pump(self, reader, writer, *, answers):
+        while data := await reader.read(CHUNK_BYTES):
+            while self._mode is Mode.SILENT or (  # noqa: ASYNC110
+                answers and self._mode is Mode.ONE_WAY
+            ):
+                await asyncio.sleep(0.05)
+            if self._mode is Mode.DELAY:
+                await asyncio.sleep(0.2)
+            writer.write(data)
+            await writer.drain()
+        writer.close()
--- /dev/null
+++ b/tests/soak/routers.py
@@ -0,0 +1,87 @@
+"""Router processes: started, signalled and restarted by their own ids."""
+
+import asyncio
+import pathlib
+import signal
+import socket
+import sys
+
+import yaml
+
+STOP_SECONDS = 9.0
+"""A process that drains is killed after it, as the platform does."""
+
+
+def free_ports(count):
+    """Returns ports that nobody listens at now."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for each in sockets:
+            each.bind(("127.0.0.1", 0))
+        return [each.getsockname()[1] for each in sockets]
+    finally:
+        for each in sockets:
+            each.close()
+
+
+class RouterProcess:
+    """One router, the same VM over its restarts."""
+
+    def __init__(self, folder, vm, store_address):
+        self.vm = vm
+        callers, readiness, peers, metrics = (
+            f"127.0.0.1:{port}" for port in free_ports(4)
+        )
+        self.address = callers
+        self.readiness = readiness
+        self._path = pathlib.Path(folder) / f"{vm}.yaml"
+        self._log_path = pathlib.Path(folder) / f"{vm}.log"
+        self._process = None
+        settings = {
+            "vm": vm,
+            "failure_domain": "a",
+            "listen": {
+                "callers": callers,
+                "readiness": readiness,
+                "peers": peers,
+                "metrics": metrics,
+            },
+            "store": {"address": store_address},
+            "bounds": {"revocation_seconds": 2.0},
+        }
+        self._path.write_text(yaml.safe_dump(settings), encoding="utf-8")
+
+    async def start(self):
+        with self._log_path.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "nutmeglift_platform",
+                "serve",
+                str(self._path),
+                stdout=log,
+                stderr=log,
+            )
+
+    def send(self, number):
+        if self._process.returncode is None:
+            self._process.send_signal(number)
+
+    async def kill(self):
+        self.send(signal.SIGKILL)
+        await self._process.wait()
+
+    async def drain(self):
+        """SIGTERM; returns whether it ended by itself."""
+        self.send(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(self._process.wait(), STOP_SECONDS)
+        except TimeoutError:
+            await self.kill()
+            return False
+        return True
+
+    def log(self):
+        if not self._log_path.exists():
+            return ""
+        return self._log_path.read_text(encoding="utf-8")
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,20 @@
+"""A short play of the fault soak; longer ones are started by hand."""
+
+import asyncio
+import unittest
+
+from tests.soak import play
+
+SEED = 1
+SECONDS = 5.0
+
+
+class SoakTest(unittest.TestCase):
+    def test_promises_hold_under_faults(self):
+        result = asyncio.run(play.play(SEED, SECONDS))
+        self.assertEqual(result.problems, [])
+        self.assertGreater(result.served, result.sent * play.MIN_SERVED_SHARE)
+
+
+if __name__ == "__main__":
+    unittest.main()
