Leave out the runner that a failed move names, and bound moves of a stream

Change: the answer's address decides: a kept part becomes suspect, a new one is left out for that stream; five orders a stream at most.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/ports.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/ports.py
@@ -98,6 +98,20 @@
     """No answer: it may be carried out, also later."""
 
 
+@dataclasses.dataclass(frozen=True)
+class RedirectResult:
+    """What became of an order to move a request.
+
+    Attributes:
+        outcome: the outcome.
+        fault: after a conflict, address of the part that is not there or has
+            no room; empty where the runner doesn't say.
+    """
+
+    outcome: OrderOutcome
+    fault: str = ""
+
+
 class RunnerUnavailableError(Exception):
     """A runner gave no report."""
 
@@ -123,7 +137,9 @@
         """Orders a runner to hold just these layers."""
 
     @abc.abstractmethod
-    async def redirect(self, request_id: str, path: paths.Path) -> OrderOutcome:
+    async def redirect(
+        self, request_id: str, path: paths.Path
+    ) -> RedirectResult:
         """Moves a running request to a path with the same first part."""
 
     @abc.abstractmethod
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_guard.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_guard.py
@@ -14,9 +14,13 @@
 from nutmeglift_gateway import paths
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import stalls
+from nutmeglift_gateway import trust
 
 TICK_SECONDS = 0.04
 """A sixth of the shortest pause that still counts as on time."""
+MAX_MOVES = 5
+"""Orders to move one stream: each is paid for, and the runners that answer
+conflict differ by then."""
 REPORT_INTERVAL_SECONDS = 0.12
 """Reports lag by 0.2 s: asking one runner more often shows nothing new."""
 
@@ -177,7 +181,7 @@
     def _try_move(self, stream: Stream) -> bool:
         """Starts to move a stream whose path has a lost runner."""
         engine = stream.admitted.service.engine
-        if engine is None or stream.moving:
+        if engine is None or stream.moving or stream.moves >= MAX_MOVES:
             return False
         usable = self._board.usable(stream.admitted.service.id)
         listed = {server.id for server in usable}
@@ -226,31 +230,44 @@
 
     async def _move(self, stream: Stream, path: paths.Path) -> None:
         try:
-            outcome = await self._runners.redirect(stream.request_id, path)
+            result = await self._runners.redirect(stream.request_id, path)
         finally:
             stream.moving = False
+        outcome = result.outcome
+        stream.moves += 1
         self._metrics.repairs.labels("redirect", outcome.value).inc()
         self._log.write(
             "stream redirected",
             request=stream.request_id,
             outcome=outcome.value,
+            fault=result.fault,
             parts=len(path.parts),
             step_ms=round(path.step_seconds * 1000, 2),
         )
         if outcome is ports.OrderOutcome.CONFLICT:
-            kept = {part.server.id for part in stream.path.parts}
-            stream.refused_by |= {
-                part.server.id
-                for part in path.parts
-                if part.server.id not in kept
-            }
+            self._note_conflict(stream, path, result.fault)
         accepted = (ports.OrderOutcome.BEGUN, ports.OrderOutcome.DONE)
         if outcome in accepted and stream in self._streams:
             stream.path = path
-            stream.moves += 1
             stream.moved_at = asyncio.get_running_loop().time()
             stream.reserve(self._board)
 
+    def _note_conflict(
+        self, stream: Stream, path: paths.Path, fault: str
+    ) -> None:
+        """Leaves out the runner for which a move failed."""
+        kept = {part.server.address for part in stream.path.parts}
+        if fault in kept:
+            # A part that the stream was to keep is gone as well.
+            self._suspect(fault, trust.MOVED, stream.request_id)
+            return
+        stream.refused_by |= {
+            part.server.id
+            for part in path.parts
+            if part.server.address == fault
+            or (not fault and part.server.address not in kept)
+        }
+
     def _give_up(self, stream: Stream, detail: str) -> None:
         self._metrics.repairs.labels("given up", "lost").inc()
         self._log.write(
--- a/tests/gateway/rig.py
+++ b/tests/gateway/rig.py
@@ -200,7 +200,11 @@
     async def redirect(self, request_id, path):
         self.redirected.append((request_id, path))
         self.moved.set()
-        return self._outcome()
+        outcome = self._outcome()
+        fault = ""
+        if outcome is ports.OrderOutcome.CONFLICT:
+            fault = path.parts[-1].server.address
+        return ports.RedirectResult(outcome, fault)
 
     def path_value(self, path):
         return b",".join(
