Notice a runner's end by an idle connection; move streams off leaving runners

Cause: a stalled runner shows in reports 0.2 s late, so every stream through a crashed runner paused for longer than counts as on time; streams through a leaving runner were cut when it exited. Change: one idle connection to each runner with layers; a closed port is told to the other routers; streams through it are moved at the next tick, and through a leaving runner after 0.6 of its time.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -25,6 +25,7 @@
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import prober
 from nutmeglift_gateway import registration
+from nutmeglift_gateway import sentinels
 from nutmeglift_gateway import settings
 from nutmeglift_gateway import store_reader
 from nutmeglift_gateway import stream_guard
@@ -80,6 +81,7 @@
             self.board, runners, log, self.metrics
         )
         self._prober = prober.Prober(self.board, runners, log)
+        self._sentinels = sentinels.Sentinels(self.board, log)
         self._planner = planner_controller.PlannerController(
             store,
             self._reader,
@@ -122,6 +124,7 @@
             self._registration.run(),
             self._guard.run(),
             self._prober.run(),
+            self._sentinels.run(),
             self._planner.run(),
             self._peers.serve(listen.peers),
             self._peers.dial(),
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/http_call.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/http_call.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
 import enum
@@ -27,6 +28,8 @@
     """Why a call ended without a whole answer."""
 
     NOT_CONNECTED = "not_connected"
+    REFUSED = "refused"
+    """Nobody listens at the address."""
     RESET = "reset"
     CLOSED = "closed"
     MALFORMED = "malformed"
@@ -87,10 +90,12 @@
 
     Attributes:
         reusable: whether another request may be sent.
+        on_lost: called when the connection is gone; for idle ones.
     """
 
     def __init__(self) -> None:
         self.reusable = False
+        self.on_lost: Callable[[], None] | None = None
         self._transport: asyncio.Transport | None = None
         self._receiver: BaseReceiver | None = None
         self._parser: httptools.HttpResponseParser | None = None
@@ -190,6 +195,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """The connection is gone."""
         self.reusable = False
+        if self.on_lost is not None:
+            self.on_lost()
         if self._receiver is not None:
             self._fail(CallFailure.RESET, repr(exc))
 
@@ -264,6 +271,8 @@
             _, connection = await loop.create_connection(
                 Connection, host, int(port)
             )
+    except ConnectionRefusedError as error:
+        raise CallError(CallFailure.REFUSED, False, address) from error
     except (OSError, TimeoutError, ValueError) as error:
         raise CallError(
             CallFailure.NOT_CONNECTED, False, f"{address}: {error!r}"
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
@@ -8,15 +8,16 @@
 from nutmeglift_gateway import loads
 from nutmeglift_gateway import peer_messages
 from nutmeglift_gateway import store_reader
+from nutmeglift_gateway import trust
 
 COPY_INTERVAL_SECONDS = 0.5
 """A peer that the store turns away learns of leaving servers within a quarter
 of the operators' bound."""
 WATCH_HEAD_START_SECONDS = 0.4
 """A peer's own watch usually brings a configuration sooner than a copy."""
-SHARED_REASONS = frozenset({"stalled"})
-"""A runner that other runners miss is lost for all routers; one that a router
-can't reach may be cut off from that router alone."""
+SHARED_REASONS = frozenset({trust.STALLED, trust.CRASHED})
+"""A runner that other runners miss, or whose port is closed, is lost for all
+routers; one that a router can't reach may be cut off from that router alone."""
 
 
 VIEW_LEAD_SECONDS = 2.6
@@ -156,7 +157,7 @@
                 and row.reason in SHARED_REASONS
                 and server.lifetime == (row.server, row.born)
             ):
-                board.suspect(now, server, "peer")
+                board.suspect(now, server, trust.TOLD)
         for pace in report.paces:
             known = board.pace_by_address.get(pace.address)
             read_at = now - pace.age
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/sentinels.py
@@ -0,0 +1,88 @@
+"""Notices at once when a runner's process ends.
+
+A runner that crashes closes its connections, and refuses new ones. One idle
+connection to each runner that holds layers shows that within a round trip,
+while a report of stalled requests lags: its streams go on elsewhere before a
+pause counts as late. A runner that closes an idle connection takes the next.
+"""
+
+import asyncio
+
+from nutmeglift_gateway import board as boards
+from nutmeglift_gateway import decision_log
+from nutmeglift_gateway import directory
+from nutmeglift_gateway import http_call
+from nutmeglift_gateway import trust
+
+TICK_SECONDS = 0.25
+"""How often new runners are looked for."""
+MIN_INTERVAL_SECONDS = 1.0
+"""A runner that closes idle connections sooner gets one so often."""
+
+
+class Sentinels:
+    """Keeps an idle connection to each runner that holds layers."""
+
+    def __init__(
+        self, board: boards.Board, log: decision_log.DecisionLog
+    ) -> None:
+        self._board = board
+        self._log = log
+        self._task_by_lifetime: dict[tuple[str, int], asyncio.Task[None]] = {}
+
+    async def run(self) -> None:
+        """Watches until cancelled."""
+        loop = asyncio.get_running_loop()
+        try:
+            while True:
+                wanted = {
+                    server.lifetime: server
+                    for server in self._board.directory.server_by_id.values()
+                    if server.layers.count
+                }
+                for lifetime in list(self._task_by_lifetime):
+                    if lifetime not in wanted:
+                        self._task_by_lifetime.pop(lifetime).cancel()
+                for lifetime, server in wanted.items():
+                    if lifetime not in self._task_by_lifetime:
+                        self._task_by_lifetime[lifetime] = loop.create_task(
+                            self._watch(server)
+                        )
+                await asyncio.sleep(TICK_SECONDS)
+        finally:
+            for task in self._task_by_lifetime.values():
+                task.cancel()
+
+    async def _watch(self, server: directory.Server) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            opened_at = loop.time()
+            try:
+                connection = await http_call.connect(server.address)
+            except http_call.CallError as error:
+                self._note_failure(server, error)
+            else:
+                lost = asyncio.Event()
+                connection.on_lost = lost.set
+                try:
+                    await lost.wait()
+                finally:
+                    connection.on_lost = None
+                    connection.abort()
+                if loop.time() - opened_at >= MIN_INTERVAL_SECONDS:
+                    continue
+            await asyncio.sleep(MIN_INTERVAL_SECONDS)
+
+    def _note_failure(
+        self, server: directory.Server, error: http_call.CallError
+    ) -> None:
+        refused = error.failure is http_call.CallFailure.REFUSED
+        reason = trust.CRASHED if refused else "connect"
+        now = asyncio.get_running_loop().time()
+        if self._board.suspect(now, server, reason):
+            self._log.write(
+                "server suspect",
+                address=server.address,
+                reason=reason,
+                detail=str(error),
+            )
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_guard.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_guard.py
@@ -18,6 +18,9 @@
 
 TICK_SECONDS = 0.04
 """A sixth of the shortest pause that still counts as on time."""
+DRAIN_SHARE = 0.6
+"""Part of the time that a leaving runner goes on serving after which the
+streams that still pass through it are moved; most have ended by then."""
 MAX_MOVES = 5
 """Orders to move one stream: each is paid for, and the runners that answer
 conflict differ by then."""
@@ -118,9 +121,14 @@
 
     def _tick(self, now: float) -> None:
         to_ask: set[str] = set()
+        leaving = self._leaving(now)
         for stream in list(self._streams):
             if stream.moving or stream.answer.done.done():
                 continue
+            if leaving and self._passes(stream, leaving):
+                self._try_move(stream)
+                if stream.moving or stream.answer.done.done():
+                    continue
             match stalls.judge(stream.state(now)):
                 case stalls.Action.WAIT:
                     pass
@@ -132,6 +140,23 @@
         for address in to_ask:
             self._ask(address, now)
 
+    def _leaving(self, now: float) -> set[str]:
+        """Returns addresses that running streams have to get away from."""
+        directory_ = self._board.directory
+        found = self._board.trust.gone()
+        limit = self._board.bounds.drain_seconds * DRAIN_SHARE
+        for server_id, since in directory_.draining_since_by_id.items():
+            if now - since >= limit:
+                found.add(directory_.server_by_id[server_id].address)
+        return found
+
+    @staticmethod
+    def _passes(stream: Stream, addresses: set[str]) -> bool:
+        """Tells whether a later part of the path is at an address."""
+        return any(
+            part.server.address in addresses for part in stream.path.parts[1:]
+        )
+
     def _ask(self, address: str, now: float) -> None:
         asked = self._asked_at_by_address.get(address, float("-inf"))
         if now - asked < REPORT_INTERVAL_SECONDS:
@@ -151,7 +176,7 @@
         now = loop.time()
         self._board.pace_by_address[address] = boards.Pace(report.pace, now)
         for stalled in report.stalled:
-            self._suspect(stalled.address, "stalled", stalled.request_id)
+            self._suspect(stalled.address, trust.STALLED, stalled.request_id)
         if report.stalled:
             for stream in self._at(address):
                 self._try_move(stream)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/trust.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/trust.py
@@ -11,6 +11,14 @@
 LOST_HOLD_SECONDS = 1.0
 """After the third relapse in a row a server that rejects counts as lost."""
 REJECTED = "rejected"
+CRASHED = "crashed"
+"""Its process ended: it refuses connections."""
+STALLED = "stalled"
+"""Another runner waits for it."""
+TOLD = "peer"
+"""Another router found that its process ended, or that it stalls others."""
+GONE_REASONS = frozenset({CRASHED, STALLED, TOLD})
+"""What passes through such a server does not go on."""
 MOVED = "moved"
 """It holds other layers than its entry says: a report tells which."""
 PROBE_INTERVAL_SECONDS = 0.5
@@ -123,6 +131,14 @@
             if address not in addresses:
                 del self._record_by_address[address]
 
+    def gone(self) -> set[str]:
+        """Returns the addresses of suspects through which nothing passes."""
+        return {
+            address
+            for address, record in self._record_by_address.items()
+            if record.suspect and record.reason in GONE_REASONS
+        }
+
     def suspects(self) -> dict[str, tuple[str, int]]:
         """Returns the lifetime of each suspect by address."""
         return {
--- a/tests/gateway/stand_ins.py
+++ b/tests/gateway/stand_ins.py
@@ -50,6 +50,7 @@
     Attributes:
         seen: the requests, in order.
         lost: set when a caller closed its connection.
+        opened: connections that were opened.
         address: IP number and port.
     """
 
@@ -61,6 +62,7 @@
         self._asked = asyncio.Event()
         self._writers = set()
         self.address = ""
+        self.opened = 0
         self._server = None
 
     async def start(self):
@@ -72,9 +74,18 @@
     def close(self):
         self._server.close()
 
+    @property
+    def connections(self):
+        """Number of open connections."""
+        return len(self._writers)
+
     def abort(self):
         """Stops and resets all connections, as a crash does."""
         self._server.close()
+        self.drop_connections()
+
+    def drop_connections(self):
+        """Resets all connections, and takes new ones."""
         for writer in list(self._writers):
             drop(writer)
 
@@ -84,6 +95,7 @@
 
     async def _run(self, reader, writer):
         self._writers.add(writer)
+        self.opened += 1
         try:
             while (request := await read_request(reader)) is not None:
                 self.seen.append(request)
--- /dev/null
+++ b/tests/gateway/test_sentinels.py
@@ -0,0 +1,51 @@
+import asyncio
+import unittest
+
+from nutmeglift_gateway import directory
+from nutmeglift_gateway import sentinels
+from nutmeglift_gateway import trust
+from tests.gateway import rig
+from tests.gateway import stand_ins
+
+
+class SentinelsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.board = rig.make_board()
+        self.log = rig.MemoryLog()
+        self.runner = await stand_ins.ScriptedServer(stand_ins.sound).start()
+        self.addCleanup(self.runner.close)
+        self.server = rig.make_server(
+            "s",
+            address=self.runner.address,
+            layers=directory.LayerRange(0, 80),
+        )
+        self.board.directory.put(0.0, self.server)
+        watched = sentinels.Sentinels(self.board, self.log)
+        self.task = asyncio.ensure_future(watched.run())
+        self.addCleanup(self.task.cancel)
+        await self.until(lambda: self.runner.connections == 1)
+
+    async def until(self, check):
+        async with asyncio.timeout(stand_ins.WAIT_SECONDS):
+            while not check():  # noqa: ASYNC110 - over the network.
+                await asyncio.sleep(0.01)
+
+    async def test_a_crash_is_noticed(self):
+        self.runner.abort()
+        address = self.server.address
+        await self.until(lambda: address in self.board.trust.gone())
+        self.assertEqual(self.board.trust.reason(address), trust.CRASHED)
+
+    async def test_an_idle_close_is_no_crash(self):
+        self.runner.drop_connections()
+        await self.until(lambda: self.runner.opened == 2)
+        self.assertEqual(self.board.trust.suspects(), {})
+
+    async def test_a_runner_that_left_is_not_watched(self):
+        self.board.directory.remove(1.0, "s", lapsed=False)
+        await self.until(lambda: self.runner.connections == 0)
+        self.assertEqual(self.board.trust.suspects(), {})
+
+
+if __name__ == "__main__":
+    unittest.main()
