--- a/packages/nutmeglift_gateway/nutmeglift_gateway/cli.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/cli.py
@@ -9,6 +9,7 @@
 from nutmeglift_gateway import gateway
 from nutmeglift_gateway import settings
 
+EXIT_FAILED = 1
 EXIT_SETTINGS = 2
 
 
@@ -30,7 +31,13 @@
         def load() -> settings.Settings:
             return settings.load(pathlib.Path(path or self._default_path))
 
-        uvloop.run(self._run(self._load(path), load))
+        config = self._load(path)
+        try:
+            uvloop.run(self._run(config, load))
+        except OSError as error:
+            # An address that is taken, or none of this VM.
+            print(f"{config.vm}: {error}", file=sys.stderr)
+            sys.exit(EXIT_FAILED)
 
     def check(self, path: str = "") -> None:
         """Checks a settings file.
--- /dev/null
+++ b/tests/gateway/test_cli.py
@@ -0,0 +1,69 @@
+import contextlib
+import io
+import pathlib
+import socket
+import tempfile
+import unittest
+from unittest import mock
+
+from nutmeglift_gateway import cli
+from nutmeglift_platform import __main__ as platform_main
+from tests.gateway import test_settings
+
+
+def run(*arguments, path=""):
+    """Runs a command; returns its exit code, output and errors."""
+    out, err = io.StringIO(), io.StringIO()
+    with (
+        contextlib.redirect_stdout(out),
+        contextlib.redirect_stderr(err),
+        mock.patch("sys.argv", ["router", *arguments]),
+    ):
+        try:
+            cli.main(platform_main.run, path)
+        except SystemExit as error:
+            return error.code or 0, out.getvalue(), err.getvalue()
+    return 0, out.getvalue(), err.getvalue()
+
+
+class CliTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name) / "router.yaml"
+        self.path.write_text(test_settings.GOOD, encoding="utf-8")
+
+    def test_sound_settings(self):
+        code, out, _ = run("check", str(self.path))
+        self.assertEqual((code, out), (0, "front-1: the settings are sound\n"))
+
+    def test_the_platforms_path_is_the_default(self):
+        code, out, _ = run("check", path=str(self.path))
+        self.assertEqual(code, 0)
+        self.assertIn("front-1", out)
+
+    def test_wrong_settings_give_one_line_and_exit_code_2(self):
+        self.path.write_text("vm: x", encoding="utf-8")
+        for command in ("check", "serve"):
+            with self.subTest(command):
+                code, _, err = run(command, str(self.path))
+                self.assertEqual(code, 2)
+                self.assertEqual(len(err.strip().splitlines()), 1)
+                self.assertIn(str(self.path), err)
+
+    def test_an_address_that_is_taken_gives_one_line_and_exit_code_1(self):
+        with socket.socket() as taken:
+            taken.bind(("127.0.0.1", 0))
+            taken.listen()
+            address = f"127.0.0.1:{taken.getsockname()[1]}"
+            text = test_settings.GOOD.replace("10.0.0.1:80", address)
+            self.path.write_text(text, encoding="utf-8")
+            with mock.patch("nutmeglift_gateway.decision_log.set_up"):
+                code, _, err = run("serve", str(self.path))
+        self.assertEqual(code, 1)
+        self.assertEqual(len(err.strip().splitlines()), 1, err)
+        self.assertNotIn("Traceback", err)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -182,15 +182,12 @@
 
     async def _kill_router(self):
         router = self._rng.choice(self._routers)
-        await router.kill()
-        await asyncio.sleep(self._rng.uniform(0.1, 1.0))
-        await router.start()
+        await router.kill_and_restart(self._rng.uniform(0.1, 1.0))
 
     async def _drain_router(self):
         router = self._rng.choice(self._routers)
-        if not await router.drain():
+        if not await router.drain_and_restart():
             self._record.problems.append(f"{router.vm} did not end by itself")
-        await router.start()
 
     async def _pause_router(self):
         router = self._rng.choice(self._routers)
--- a/tests/soak/routers.py
+++ b/tests/soak/routers.py
@@ -37,6 +37,7 @@
         self._path = pathlib.Path(folder) / f"{vm}.yaml"
         self._log_path = pathlib.Path(folder) / f"{vm}.log"
         self._process = None
+        self._busy = asyncio.Lock()
         settings = {
             "vm": vm,
             "failure_domain": "a",
@@ -67,7 +68,21 @@
         if self._process.returncode is None:
             self._process.send_signal(number)
 
-    async def kill(self):
+    async def kill_and_restart(self, pause):
+        """SIGKILL, and a start so many seconds later."""
+        async with self._busy:
+            await self._kill()
+            await asyncio.sleep(pause)
+            await self.start()
+
+    async def drain_and_restart(self):
+        """SIGTERM and a start; returns whether it ended by itself."""
+        async with self._busy:
+            by_itself = await self.drain()
+            await self.start()
+            return by_itself
+
+    async def _kill(self):
         self.send(signal.SIGKILL)
         await self._process.wait()
 
@@ -77,7 +92,7 @@
         try:
             await asyncio.wait_for(self._process.wait(), STOP_SECONDS)
         except TimeoutError:
-            await self.kill()
+            await self._kill()
             return False
         return True
 
