Keep as much room as a group's memory allows

Change: the room is chosen by the group so that 1.3 copies are held. Ruled out: lost layers (no group lacked any for longer than a load).

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/layer_planner.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/layer_planner.py
@@ -17,9 +17,13 @@
 
 MIN_ROOM_SHARE = 0.25
 """Part of the nominal room for requests that a stretched runner keeps."""
-ROOMY_FACTOR = 1.3
-"""Room that a runner keeps of choice, in nominal rooms: the copies of other
-failure domains take the requests of one that has lost layers."""
+SPARE_SHARE = 1.3
+"""Layers that a group holds of choice, in copies: the runners that hold more
+than one copy can stand in for lost ones."""
+ROOM_STEPS = (4.0, 3.0, 2.5, 2.0, 1.6, 1.3, 1.0, 0.75, 0.5)
+"""Rooms for requests that the runners of a group may keep, in nominal rooms;
+the first with which they still hold SPARE_SHARE copies is kept. The more room,
+the more requests of a failure domain that has lost layers can be taken."""
 DEMAND_SHARE = 0.5
 """Part of the nominal room that the requests of one copy take when busy."""
 GAP_FLOOR = 0.02
@@ -80,6 +84,7 @@
         self._kind_by_id = {
             m.server.id: engine.kind(m.server.kind) for m in members
         }
+        self._tokens = choose_room(engine, self._kind_by_id.values())
         self._room_by_id: dict[str, float] = {}
         self._holders: list[set[str]] = [set() for _ in range(engine.layers)]
         for server_id, held in self.held_by_id.items():
@@ -134,8 +139,11 @@
         return self.engine.load_seconds * new / self.engine.layers
 
     def roomy(self, server_id: str) -> int:
-        """Returns the layers that leave nominal room for requests."""
-        return roomy_layers(self.engine, self._kind_by_id[server_id])
+        """Returns the layers that leave the group's room for requests."""
+        return max(
+            1,
+            self.engine.roomy_layers(self._kind_by_id[server_id], self._tokens),
+        )
 
     def most(self, server_id: str) -> int:
         """Returns the layers that leave the least room for requests."""
@@ -175,10 +183,17 @@
         return worth
 
 
-def roomy_layers(engine: catalog.Engine, kind: catalog.RunnerKind) -> int:
-    """Returns the layers of a kind that leave nominal room for requests."""
-    tokens = engine.nominal_tokens * ROOMY_FACTOR
-    return max(1, engine.roomy_layers(kind, tokens))
+def choose_room(
+    engine: catalog.Engine, kinds: Iterable[catalog.RunnerKind]
+) -> float:
+    """Returns the tokens for which the runners of a group keep room."""
+    members = list(kinds)
+    for step in ROOM_STEPS:
+        tokens = engine.nominal_tokens * step
+        held = sum(engine.roomy_layers(kind, tokens) for kind in members)
+        if held >= SPARE_SHARE * engine.layers:
+            return tokens
+    return engine.nominal_tokens * ROOM_STEPS[-1]
 
 
 def most_layers(engine: catalog.Engine, kind: catalog.RunnerKind) -> int:
--- a/tests/gateway/test_layer_planner.py
+++ b/tests/gateway/test_layer_planner.py
@@ -88,6 +88,43 @@
         self.assertEqual(PLANNER.plan([], starting=True), [])
 
 
+class RoomTest(unittest.TestCase):
+    def test_groups_with_more_memory_keep_more_room(self):
+        small = [rig.KINDS["big"]] + [rig.KINDS["mid"]] * 10
+        small += [rig.KINDS["slow"]] * 4
+        large = small + [rig.KINDS["mid"]] * 6
+        rooms = [
+            layer_planner.choose_room(rig.ENGINE, kinds)
+            for kinds in (small[:8], small, large, large * 2)
+        ]
+        self.assertEqual(rooms, sorted(rooms))
+        self.assertGreater(rooms[-1], rooms[0])
+
+    def test_a_copy_and_spare_layers_are_still_held(self):
+        for extra in range(0, 20, 2):
+            with self.subTest(extra):
+                kinds = [rig.KINDS["big"]] + [rig.KINDS["mid"]] * (12 + extra)
+                tokens = layer_planner.choose_room(rig.ENGINE, kinds)
+                held = sum(
+                    rig.ENGINE.roomy_layers(kind, tokens) for kind in kinds
+                )
+                self.assertGreaterEqual(held, rig.ENGINE.layers)
+
+    def test_a_larger_group_takes_more_requests_on_every_layer(self):
+        """The load of two failure domains on one of them, at the grown size."""
+        counts = {"a": {"big": 1, "mid": 14, "slow": 5}}
+        holdings = make_holdings(counts)
+        holdings = carry_out(holdings, PLANNER.plan(holdings, starting=True))
+        self.assertEqual(missing(holdings), set())
+        room_by_layer = dict.fromkeys(range(rig.ENGINE.layers), 0.0)
+        for holding in holdings:
+            kind = rig.KINDS[holding.server.kind]
+            count = holding.layers.count
+            for layer in range(holding.layers.start, holding.layers.end):
+                room_by_layer[layer] += rig.ENGINE.room(kind, count) / count
+        self.assertGreater(min(room_by_layer.values()), 100_000)
+
+
 class LossTest(unittest.TestCase):
     def test_lost_layers_are_covered_in_their_domain(self):
         cases = [
