--- a/packages/nutmeglift_gateway/nutmeglift_gateway/prober.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/prober.py
@@ -4,8 +4,10 @@
 
 from nutmeglift_gateway import board as boards
 from nutmeglift_gateway import decision_log
+from nutmeglift_gateway import directory
 from nutmeglift_gateway import http_call
 from nutmeglift_gateway import ports
+from nutmeglift_gateway import trust
 
 TICK_SECONDS = 0.1
 """How often due probes are looked for."""
@@ -44,10 +46,21 @@
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
 
+    def _still_differs(
+        self, server: directory.Server, report: ports.Report | None
+    ) -> bool:
+        known = self._board.directory.server_by_id.get(server.id)
+        return (
+            known is not None
+            and report is not None
+            and known.layers != report.layers
+        )
+
     async def _probe(self, address: str) -> None:
         server = self._board.server_at(address)
         if server is None:
             return
+        report = None
         try:
             if server.kind:
                 report = await self._runners.report(address)
@@ -63,6 +76,9 @@
         except (ports.RunnerUnavailableError, http_call.CallError):
             return
         reason = self._board.trust.reason(address)
+        if reason == trust.MOVED and self._still_differs(server, report):
+            # The entry was written just now; the next report tells.
+            return
         if self._board.trust.clear(address):
             self._log.write(
                 "server trusted again", address=address, reason=reason
--- a/tests/gateway/test_controllers.py
+++ b/tests/gateway/test_controllers.py
@@ -13,6 +13,7 @@
 from nutmeglift_gateway import prober
 from nutmeglift_gateway import registration
 from nutmeglift_gateway import store_reader
+from nutmeglift_gateway import trust
 from tests import virtual_time
 from tests.gateway import rig
 
@@ -284,6 +285,28 @@
 
         play(scene)
 
+    def test_a_runner_that_moved_is_left_out_until_its_layers_are_known(self):
+        async def scene(world):
+            await world.put(CATALOG_KEY, b"config")
+            held = directory.LayerRange(0, 9)
+            await world.put_server("s", address="s:1", layers=held)
+            router = Router(world, "one")
+            await asyncio.sleep(0.2)
+            (server,) = router.board.usable(rig.MODEL)
+            # The entry is so new that a report may be older than it.
+            world.runners.report_by_address["s:1"] = ports.Report(
+                directory.LayerRange(4, 9), 1, False, 1.0, ()
+            )
+            now = asyncio.get_running_loop().time()
+            router.board.suspect(now, server, trust.MOVED)
+            await asyncio.sleep(0.2)
+            self.assertEqual(router.board.usable(rig.MODEL), [])
+            await asyncio.sleep(1.5)
+            (server,) = router.board.usable(rig.MODEL)
+            self.assertEqual(server.layers, directory.LayerRange(4, 9))
+
+        play(scene)
+
 
 class RegistrationTest(unittest.TestCase):
     def test_a_lapsed_lease_is_taken_again(self):
