--- a/tests/gateway/test_controllers.py
+++ b/tests/gateway/test_controllers.py
@@ -82,6 +82,7 @@
                 self.prober.run(),
             )
         ]
+        self.planner_task = self.tasks[3]
         world.tasks += self.tasks
 
     def kill(self):
@@ -291,6 +292,7 @@
             held = directory.LayerRange(0, 9)
             await world.put_server("s", address="s:1", layers=held)
             router = Router(world, "one")
+            router.planner_task.cancel()
             await asyncio.sleep(0.2)
             (server,) = router.board.usable(rig.MODEL)
             # The entry is so new that a report may be older than it.
