Refuse what comes late in a drain

Ruled out: the callers' close, the runner (it was at work). Change: from 2.9 s after SIGTERM requests are refused as not run.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
@@ -68,6 +68,8 @@
             stream guard.
         draining: whether this process is leaving; written by the drain.
         plans: whether this router is the planner; written by the planner.
+        refusing: whether it leaves too soon for new requests; written by the
+            drain.
         coverage_eta: loop time at which missing layers will be loaded;
             written by the planner and the peers' links.
     """
@@ -94,6 +96,7 @@
         self.penalties = picks.Penalties()
         self.pipes = pipes.PipeBudget()
         self.draining = False
+        self.refusing = False
         self.coverage_eta = 0.0
         self.plans = False
         self._budget_by_service: dict[
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/drain.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/drain.py
@@ -5,6 +5,9 @@
 ACCEPT_SECONDS = 3.2
 """The platform takes a VM out after two missed checks, one a second; until
 then new connections arrive, and a second more while they are on their way."""
+REFUSE_SECONDS = 2.9
+"""What comes later than three seconds after SIGTERM may not be cut off, and a
+stream may last longer than the process: it is refused as not run."""
 EXIT_MARGIN_SECONDS = 0.8
 """Before the process is killed; what is then still at work was sent late."""
 TICK_SECONDS = 0.05
@@ -16,6 +19,8 @@
 
     ACCEPT = "accept"
     """Not ready any more, but all that arrives is served."""
+    REFUSE = "refuse"
+    """New connections are accepted, but new requests are refused."""
     FINISH = "finish"
     """Nothing new is accepted; what is in flight is ended."""
     EXIT = "exit"
@@ -31,6 +36,8 @@
     """
     if elapsed >= shutdown_seconds - EXIT_MARGIN_SECONDS:
         return Step.EXIT
-    if elapsed < ACCEPT_SECONDS:
+    if elapsed < REFUSE_SECONDS:
         return Step.ACCEPT
+    if elapsed < ACCEPT_SECONDS:
+        return Step.REFUSE
     return Step.FINISH if in_flight else Step.EXIT
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -170,6 +170,7 @@
             )
             if step is drain.Step.EXIT:
                 break
+            self.board.refusing = step is not drain.Step.ACCEPT
             if step is drain.Step.FINISH and listening:
                 listening = False
                 callers.close()
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/intake.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/intake.py
@@ -23,6 +23,8 @@
 CONFIGURATION_RETRY_SECONDS = 0.6
 """Half of the interval in which the configuration is confirmed, and a store
 round trip."""
+DRAIN_RETRY_SECONDS = 0.02
+"""Another router takes it at once."""
 MAX_DEADLINE_DIGITS = 10
 
 
@@ -95,6 +97,10 @@
             request was received.
         rng: spreads the requests of a route over its services.
     """
+    if board.refusing:
+        return Refused(
+            errors.ErrorKind.DRAINING, DRAIN_RETRY_SECONDS, "leaving"
+        )
     found = board.catalog
     if found is None:
         return _stale("no configuration yet")
--- a/tests/gateway/test_intake.py
+++ b/tests/gateway/test_intake.py
@@ -45,6 +45,13 @@
         verdict = admit(board, rig.make_request())
         self.assertEqual(verdict.kind, K.CONFIGURATION_STALE)
 
+    def test_a_router_that_leaves_too_soon_refuses_as_not_run(self):
+        board = rig.make_board()
+        board.refusing = True
+        verdict = admit(board, rig.make_request())
+        self.assertEqual(verdict.kind, K.DRAINING)
+        self.assertEqual(errors.ANSWER_BY_KIND[K.DRAINING].status, 503)
+
     def test_open_routes_are_served_without_confirmation(self):
         request = rig.make_request("/open/1", x_api_key=None)
         verdict = admit(rig.make_board(), request, 160.0)
