--- a/packages/nutmeglift/nutmeglift/kv.py
+++ b/packages/nutmeglift/nutmeglift/kv.py
@@ -18,8 +18,7 @@
     """One key as stored.
 
     Attributes:
-        key: the key.
-        value: the value, at most a megabyte.
+        value: at most a megabyte.
         mod_revision: revision of the last write.
         lease: the lease that it hangs on, or 0.
     """
@@ -35,7 +34,6 @@
     """A transaction's condition: the key was last written at a revision.
 
     Attributes:
-        key: the key.
         mod_revision: expected revision; NEVER_WRITTEN for an absent key.
     """
 
@@ -99,12 +97,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Snapshot:
-    """All keys with a prefix.
-
-    Attributes:
-        entries: the keys.
-        revision: a watch from the one after it misses no later change.
-    """
+    """All keys with a prefix; a watch goes on after the revision."""
 
     entries: list[KeyValue]
     revision: ids.Revision
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/context.py
@@ -0,0 +1,33 @@
+"""What every exchange uses."""
+
+import dataclasses
+import random
+
+from nutmeglift_gateway import board as boards
+from nutmeglift_gateway import decision_log
+from nutmeglift_gateway import metrics as metric_sets
+from nutmeglift_gateway import ports
+from nutmeglift_gateway import stream_guard
+
+
+@dataclasses.dataclass(frozen=True)
+class Context:
+    """The parts of a router that an exchange works with.
+
+    Attributes:
+        board: what the router knows.
+        names: names of the headers.
+        runners: calls to the runners beside requests.
+        guard: watches running streams.
+        log: decisions.
+        metrics: counters and histograms.
+        rng: random numbers.
+    """
+
+    board: boards.Board
+    names: ports.HeaderNames
+    runners: ports.BaseRunners
+    guard: stream_guard.StreamGuard
+    log: decision_log.DecisionLog
+    metrics: metric_sets.Metrics
+    rng: random.Random
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/control_client.py
@@ -0,0 +1,105 @@
+"""Calls that are not callers' requests: whole answers, kept connections."""
+
+import asyncio
+
+from nutmeglift_gateway import http_call
+
+
+class _Collector(http_call.BaseReceiver):
+    """Collects a whole answer."""
+
+    def __init__(self) -> None:
+        self.done: asyncio.Future[http_call.Response] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._head: http_call.Head | None = None
+        self._parts: list[bytes] = []
+
+    def on_head(self, head: http_call.Head) -> None:
+        self._head = head
+
+    def on_body(self, data: bytes) -> None:
+        self._parts.append(data)
+
+    def on_complete(self) -> None:
+        assert self._head is not None
+        if not self.done.done():
+            self.done.set_result(
+                http_call.Response(self._head, b"".join(self._parts))
+            )
+
+    def on_failure(self, error: http_call.CallError) -> None:
+        if not self.done.done():
+            self.done.set_exception(error)
+
+
+async def exchange(
+    connection: http_call.Connection,
+    method: str,
+    request: bytes,
+    timeout: float,
+) -> http_call.Response:
+    """Sends a request and returns the whole answer.
+
+    Raises:
+        http_call.CallError: there was no whole answer; the connection is
+            closed.
+    """
+    collector = _Collector()
+    connection.send(request, collector, head_only=method == "HEAD")
+    try:
+        async with asyncio.timeout(timeout):
+            return await collector.done
+    except TimeoutError as error:
+        connection.abort()
+        raise http_call.CallError(
+            http_call.CallFailure.TIMEOUT, True, f"no answer in {timeout:.2f} s"
+        ) from error
+    except asyncio.CancelledError:
+        connection.abort()
+        raise
+
+
+class ControlClient:
+    """Calls one server for control; keeps connections that may be reused."""
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._idle: list[http_call.Connection] = []
+
+    async def call(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        *,
+        timeout: float,
+    ) -> http_call.Response:
+        """Makes one call.
+
+        Raises:
+            http_call.CallError: there was no whole answer.
+        """
+        connection = await self._take(timeout)
+        headers = [(b"host", self._address.encode())]
+        if body:
+            headers.append((b"content-type", b"application/json"))
+        request = http_call.format_request(method, target, headers, body)
+        response = await exchange(connection, method, request, timeout)
+        if connection.reusable:
+            self._idle.append(connection)
+        else:
+            connection.close()
+        return response
+
+    def close(self) -> None:
+        """Closes idle connections."""
+        while self._idle:
+            self._idle.pop().close()
+
+    async def _take(self, timeout: float) -> http_call.Connection:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.reusable:
+                return connection
+        return await http_call.connect(self._address, min(timeout, 1.0))
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
@@ -1,14 +1,10 @@
 """Carries one caller's request to its end."""
 
 import asyncio
-import dataclasses
-import random
 
-from nutmeglift import errors
 from nutmeglift_gateway import answers
 from nutmeglift_gateway import attempt
-from nutmeglift_gateway import board as boards
-from nutmeglift_gateway import decision_log
+from nutmeglift_gateway import context as contexts
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import dispatch
 from nutmeglift_gateway import freshness
@@ -16,11 +12,9 @@
 from nutmeglift_gateway import http_listener
 from nutmeglift_gateway import intake
 from nutmeglift_gateway import loads
-from nutmeglift_gateway import metrics as metric_sets
 from nutmeglift_gateway import paths
 from nutmeglift_gateway import picks
-from nutmeglift_gateway import ports
-from nutmeglift_gateway import refusals
+from nutmeglift_gateway import reply
 from nutmeglift_gateway import sse
 from nutmeglift_gateway import stream_guard
 from nutmeglift_gateway import trust
@@ -30,29 +24,6 @@
 of a crashed group have had time to lapse."""
 
 
-@dataclasses.dataclass(frozen=True)
-class Context:
-    """What every exchange uses.
-
-    Attributes:
-        board: what the router knows.
-        names: names of the headers.
-        runners: calls to the runners beside requests.
-        guard: watches running streams.
-        log: decisions.
-        metrics: counters and histograms.
-        rng: random numbers.
-    """
-
-    board: boards.Board
-    names: ports.HeaderNames
-    runners: ports.BaseRunners
-    guard: stream_guard.StreamGuard
-    log: decision_log.DecisionLog
-    metrics: metric_sets.Metrics
-    rng: random.Random
-
-
 _LOSSES = frozenset({dispatch.Failure.LOST, dispatch.Failure.SPOILED})
 FULL_SHARE = 0.5
 """Part of a runner's room that is reserved when it is believed to be full;
@@ -67,7 +38,7 @@
 
     def __init__(
         self,
-        context: Context,
+        context: contexts.Context,
         connection: http_listener.CallerConnection,
         request: http_listener.Request,
     ) -> None:
@@ -75,17 +46,14 @@
         self._connection = connection
         self._request = request
         self._loop = asyncio.get_running_loop()
-        self._progress = dispatch.Progress()
+        self._reply = reply.Reply(context, connection, request)
+        self._progress = self._reply.progress
         self._tried: set[str] = set()
         self._upstream: http_call.Connection | None = None
         self._events: sse.EventSplitter | None = None
-        self._keep = request.keep_alive and not context.board.draining
-        self._paths: list[str] = []
         self._first = ""
         self._last: attempt.Outcome | None = None
         self._why = ""
-        self._answer: attempt.Answer | None = None
-        self._first_event_after = 0.0
 
     async def run(self) -> None:
         """Serves the request; the caller's close cancels it."""
@@ -98,21 +66,15 @@
             context.rng,
         )
         if isinstance(verdict, intake.Refused):
-            self._refuse(verdict.kind, verdict.retry_after, verdict.detail)
+            self._reply.refuse(
+                verdict.kind, verdict.retry_after, verdict.detail
+            )
             return
         context.board.budget(verdict.service.id).note_request(self._now())
         try:
             await self._serve(verdict)
         except asyncio.CancelledError:
-            context.log.write(
-                "caller left",
-                request=verdict.request_id.decode("latin-1"),
-                sent=self._progress.sent,
-                seconds=round(self._elapsed(), 3),
-            )
-            context.metrics.requests.labels(
-                verdict.route.id, "caller_left"
-            ).inc()
+            self._reply.note_left(verdict)
             raise
         finally:
             if self._upstream is not None:
@@ -138,7 +100,7 @@
                 self._end_without_server(admitted)
                 return
             if outcome.failure is None:
-                self._deliver(admitted, outcome)
+                self._reply.deliver(admitted, outcome)
                 return
             self._note_failure(admitted, outcome)
             self._last = outcome
@@ -167,17 +129,17 @@
                 )
                 continue
             if isinstance(decision, dispatch.Deliver):
-                self._deliver(admitted, outcome)
+                self._reply.deliver(admitted, outcome)
                 return
-            self._end(admitted, decision, outcome.detail)
+            self._reply.end(admitted, decision, outcome.detail)
             return
 
     def _end_without_server(self, admitted: intake.Admitted) -> None:
         last = self._last
         if last and last.failure is dispatch.Failure.SERVER_ERROR:
-            self._deliver(admitted, last)
+            self._reply.deliver(admitted, last)
             return
-        self._end(
+        self._reply.end(
             admitted,
             dispatch.give_up_without_server(self._progress),
             "; ".join(filter(None, [last.detail if last else "", self._why])),
@@ -243,9 +205,9 @@
         if not board.pipes.has_room(now, path, board.routers):
             self._why = f"the pipes are full for {describe(path)}"
             return None
-        self._paths.append(describe(path))
+        self._reply.paths.append(describe(path))
         self._first = path.first.id
-        answer = self._answer = self._new_answer(admitted, self._events)
+        answer = self._reply.answer = self._new_answer(admitted, self._events)
         board.pipes.spend(now, engine, path, admitted.prompt_tokens)
         stream = stream_guard.Stream(
             admitted, path, answer, now, admitted.held_tokens, self._progress
@@ -271,7 +233,7 @@
             self._context.names,
             admitted.request_id,
             events=events,
-            on_events=self._on_events,
+            on_events=self._reply.on_events,
         )
 
     async def _send(
@@ -345,26 +307,6 @@
             self._request.body,
         )
 
-    # Answers.
-
-    def _on_events(self, head: http_call.Head, data: bytes) -> None:
-        """Passes whole events on."""
-        chunked = self._request.chunked_answer
-        if not self._progress.started:
-            self._progress.started = True
-            if not chunked:
-                self._keep = False
-            self._connection.write(
-                answers.pass_on_head(
-                    head, length=None, chunked=chunked, keep=self._keep
-                )
-                + (answers.chunk(data) if chunked else data)
-            )
-            self._first_event_after = self._elapsed()
-            self._context.metrics.first_event.observe(self._elapsed())
-            return
-        self._connection.write(answers.chunk(data) if chunked else data)
-
     def _on_writable(self, writable: bool) -> None:
         if self._upstream is None:
             return
@@ -373,139 +315,6 @@
         else:
             self._upstream.pause()
 
-    def _deliver(
-        self, admitted: intake.Admitted, outcome: attempt.Outcome
-    ) -> None:
-        keep = self._keep and not self._context.board.draining
-        if self._progress.started:
-            if self._request.chunked_answer:
-                self._connection.write(answers.LAST_CHUNK)
-        else:
-            response = outcome.response
-            if response is None:
-                # A stream that ended well without any event.
-                self._end(
-                    admitted,
-                    dispatch.Fail(errors.ErrorKind.OUTCOME_UNKNOWN),
-                    "a stream without events",
-                )
-                return
-            if response.status in answers.NOT_RUN_STATUSES:
-                # It may have run, so its promise can't be passed on.
-                self._end(
-                    admitted,
-                    dispatch.Fail(errors.ErrorKind.OUTCOME_UNKNOWN),
-                    outcome.detail,
-                )
-                return
-            self._connection.write(
-                answers.pass_on_head(
-                    response.head,
-                    length=len(response.body),
-                    chunked=False,
-                    keep=keep,
-                    without_body=self._request.method == "HEAD",
-                )
-                + response.body
-            )
-            self._context.metrics.answer.observe(self._elapsed())
-        self._count(admitted, self._judge_time(admitted, outcome))
-        self._connection.finish(keep=keep)
-
-    def _judge_time(
-        self, admitted: intake.Admitted, outcome: attempt.Outcome
-    ) -> str:
-        """Returns how a delivered answer counts; logs a late one."""
-        if outcome.failure is not None:
-            return "failed"
-        gap = self._answer.longest_gap if self._answer else 0.0
-        route = admitted.route
-        first = self._first_event_after or self._elapsed()
-        if first <= route.objective and gap <= route.gap_objective:
-            return "served"
-        self._context.log.write(
-            "answer late",
-            request=admitted.request_id.decode("latin-1"),
-            route=route.id,
-            first=round(first, 3),
-            objective=route.objective,
-            longest_gap=round(gap, 3),
-            gap_objective=route.gap_objective,
-            seconds=round(self._elapsed(), 3),
-            sent=self._progress.sent,
-            paths=self._paths,
-        )
-        return "late"
-
-    def _end(
-        self,
-        admitted: intake.Admitted,
-        decision: dispatch.Refuse | dispatch.Fail,
-        detail: str = "",
-    ) -> None:
-        if self._progress.started:
-            self._context.log.write(
-                "stream cut",
-                request=admitted.request_id.decode("latin-1"),
-                kind=decision.kind.value,
-                detail=detail,
-                paths=self._paths,
-                sent=self._progress.sent,
-                seconds=round(self._elapsed(), 3),
-            )
-            self._count(admitted, "cut")
-            self._connection.abort()
-            return
-        retry_after = None
-        if isinstance(decision, dispatch.Refuse):
-            retry_after = refusals.retry_after(
-                self._context.board, decision.kind, self._now()
-            )
-        self._count(admitted, decision.kind.value)
-        self._refuse(decision.kind, retry_after, detail or "no server for it")
-
-    def _refuse(
-        self,
-        kind: errors.ErrorKind,
-        retry_after: float | None,
-        detail: str,
-    ) -> None:
-        context = self._context
-        names = context.names
-        request_id = (self._request.get(names.request_id) or b"").decode(
-            "latin-1"
-        )
-        context.metrics.refusals.labels(kind.value).inc()
-        catalog = context.board.catalog
-        context.log.write(
-            "refused",
-            request=request_id,
-            kind=kind.value,
-            detail=detail,
-            retry_after=retry_after,
-            generation=catalog.generation if catalog else None,
-            confirmation_age=round(
-                min(context.board.freshness.age(freshness.boot_clock()), 1e6),
-                3,
-            ),
-            directory_version=context.board.directory.version,
-            sent=self._progress.sent,
-            paths=self._paths,
-            seconds=round(self._elapsed(), 3),
-        )
-        keep = self._keep and not context.board.draining
-        self._connection.write(
-            answers.own_answer(
-                kind,
-                request_id=request_id,
-                retry_after=retry_after,
-                retry_name=names.retry_after,
-                id_name=names.request_id,
-                keep=keep,
-            )
-        )
-        self._connection.finish(keep=keep)
-
     # Failures.
 
     def _note_failure(
@@ -522,9 +331,9 @@
             failure=outcome.failure.value,
             detail=outcome.detail,
             fault=outcome.fault,
-            path=self._paths[-1:] or None,
+            path=self._reply.paths[-1:] or None,
             started=self._progress.started,
-            seconds=round(self._elapsed(), 3),
+            seconds=round(self._reply.elapsed(), 3),
         )
 
     def _leave_out(
@@ -570,12 +379,6 @@
         raw = self._request.get(self._context.names.last_event_id)
         return int(raw) if raw is not None and raw.isdigit() else None
 
-    def _count(self, admitted: intake.Admitted, outcome: str) -> None:
-        self._context.metrics.requests.labels(admitted.route.id, outcome).inc()
-
-    def _elapsed(self) -> float:
-        return self._now() - self._request.received_at
-
     def _now(self) -> float:
         return self._loop.time()
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -14,6 +14,7 @@
 from nutmeglift import kv
 from nutmeglift_gateway import answers
 from nutmeglift_gateway import board as boards
+from nutmeglift_gateway import context as contexts
 from nutmeglift_gateway import decision_log
 from nutmeglift_gateway import drain
 from nutmeglift_gateway import exchange
@@ -96,7 +97,7 @@
         self._peers = peer_links.PeerLinks(
             self.board, self._reader, config.vm, log, rng
         )
-        self._context = exchange.Context(
+        self._context = contexts.Context(
             self.board, names, runners, self._guard, log, self.metrics, rng
         )
         self._callers: set[http_listener.CallerConnection] = set()
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/http_call.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/http_call.py
@@ -293,32 +293,6 @@
         return self.head.status
 
 
-class _Collector(BaseReceiver):
-    """Collects a whole answer."""
-
-    def __init__(self) -> None:
-        self.done: asyncio.Future[Response] = (
-            asyncio.get_running_loop().create_future()
-        )
-        self._head: Head | None = None
-        self._parts: list[bytes] = []
-
-    def on_head(self, head: Head) -> None:
-        self._head = head
-
-    def on_body(self, data: bytes) -> None:
-        self._parts.append(data)
-
-    def on_complete(self) -> None:
-        assert self._head is not None
-        if not self.done.done():
-            self.done.set_result(Response(self._head, b"".join(self._parts)))
-
-    def on_failure(self, error: CallError) -> None:
-        if not self.done.done():
-            self.done.set_exception(error)
-
-
 def format_request(
     method: str,
     target: str,
@@ -331,74 +305,3 @@
     if body or method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
         lines.append(b"content-length: %d" % len(body))
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
-
-
-async def exchange(
-    connection: Connection,
-    method: str,
-    request: bytes,
-    timeout: float,
-) -> Response:
-    """Sends a request and returns the whole answer.
-
-    Raises:
-        CallError: there was no whole answer; the connection is closed.
-    """
-    collector = _Collector()
-    connection.send(request, collector, head_only=method == "HEAD")
-    try:
-        async with asyncio.timeout(timeout):
-            return await collector.done
-    except TimeoutError as error:
-        connection.abort()
-        raise CallError(
-            CallFailure.TIMEOUT, True, f"no answer in {timeout:.2f} s"
-        ) from error
-    except asyncio.CancelledError:
-        connection.abort()
-        raise
-
-
-class ControlClient:
-    """Calls one server for control; keeps connections that may be reused."""
-
-    def __init__(self, address: str) -> None:
-        self._address = address
-        self._idle: list[Connection] = []
-
-    async def call(
-        self,
-        method: str,
-        target: str,
-        body: bytes = b"",
-        *,
-        timeout: float,
-    ) -> Response:
-        """Makes one call.
-
-        Raises:
-            CallError: there was no whole answer.
-        """
-        connection = await self._take(timeout)
-        headers = [(b"host", self._address.encode())]
-        if body:
-            headers.append((b"content-type", b"application/json"))
-        request = format_request(method, target, headers, body)
-        response = await exchange(connection, method, request, timeout)
-        if connection.reusable:
-            self._idle.append(connection)
-        else:
-            connection.close()
-        return response
-
-    def close(self) -> None:
-        """Closes idle connections."""
-        while self._idle:
-            self._idle.pop().close()
-
-    async def _take(self, timeout: float) -> Connection:
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.reusable:
-                return connection
-        return await connect(self._address, min(timeout, 1.0))
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/layer_planner.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/layer_planner.py
@@ -14,25 +14,8 @@
 
 from nutmeglift_gateway import catalog
 from nutmeglift_gateway import directory
+from nutmeglift_gateway import layer_cell
 
-MIN_ROOM_SHARE = 0.25
-"""Part of the nominal room for requests that a stretched runner keeps."""
-SPARE_SHARE = 1.3
-"""Layers that a group holds of choice, in copies: the runners that hold more
-than one copy can stand in for lost ones."""
-ROOM_STEPS = (4.0, 3.0, 2.5, 2.0, 1.6, 1.3, 1.0, 0.75, 0.5)
-"""Rooms for requests that the runners of a group may keep, in nominal rooms;
-the first with which they still hold SPARE_SHARE copies is kept. The more room,
-the more requests of a failure domain that has lost layers can be taken."""
-DEMAND_SHARE = 0.5
-"""Part of the nominal room that the requests of one copy take when busy."""
-GAP_FLOOR = 0.02
-"""Bounds the worth of a layer without any room."""
-PACE_COST = 0.02
-"""Cost of a layer's step time, for each unit of its fastest holder's pace."""
-SINGLE_COST = 0.01
-"""Cost of a layer with one holder, for each layer that this one would take
-with it: they have to be loaded again together."""
 LOAD_COST = 1.0
 """Cost of a second of loading where nothing waits for it."""
 WAITING_LOAD_COST = 20.0
@@ -46,25 +29,6 @@
 """A runner that serves is given other layers only for so much."""
 
 
-@dataclasses.dataclass(frozen=True)
-class Holding:
-    """A runner as the planner sees it.
-
-    Attributes:
-        server: its entry.
-        layers: what it holds, or will hold when it has loaded.
-        usable: whether it serves new requests, or will.
-        busy: whether an order is under way.
-        requests: requests that pass through it.
-    """
-
-    server: directory.Server
-    layers: directory.LayerRange
-    usable: bool
-    busy: bool
-    requests: int = 0
-
-
 @dataclasses.dataclass(frozen=True)
 class Move:
     """An order to be given: the runner is to hold just these layers."""
@@ -74,134 +38,6 @@
     reason: str
 
 
-class _Cell:
-    """Runners that hold one copy together, and what it is worth."""
-
-    def __init__(self, engine: catalog.Engine, members: list[Holding]) -> None:
-        self.engine = engine
-        self.member_by_id = {m.server.id: m for m in members}
-        self.held_by_id = {m.server.id: m.layers for m in members}
-        self._kind_by_id = {
-            m.server.id: engine.kind(m.server.kind) for m in members
-        }
-        self._tokens = choose_room(engine, self._kind_by_id.values())
-        self._room_by_id: dict[str, float] = {}
-        self._holders: list[set[str]] = [set() for _ in range(engine.layers)]
-        for server_id, held in self.held_by_id.items():
-            self._enter(server_id, held)
-
-    def move(self, server_id: str, target: directory.LayerRange) -> None:
-        """Changes what a runner holds."""
-        held = self.held_by_id[server_id]
-        for layer in range(held.start, held.end):
-            self._holders[layer].discard(server_id)
-        self.held_by_id[server_id] = target
-        self._enter(server_id, target)
-
-    def gain(self, server_id: str, target: directory.LayerRange) -> float:
-        """Returns what a change would be worth."""
-        held = self.held_by_id[server_id]
-        layers = set(range(held.start, held.end))
-        layers |= set(range(target.start, target.end))
-        before = sum(self._worth(layer) for layer in layers)
-        self.move(server_id, target)
-        after = sum(self._worth(layer) for layer in layers)
-        self.move(server_id, held)
-        return after - before
-
-    def gaps(self) -> list[directory.LayerRange]:
-        """Returns the runs of layers that nobody holds."""
-        found = []
-        start: int | None = None
-        for layer, holders in enumerate([*self._holders, {"end"}]):
-            if not holders and start is None:
-                start = layer
-            elif holders and start is not None:
-                found.append(directory.LayerRange(start, layer))
-                start = None
-        return found
-
-    def missing(self, layers: directory.LayerRange) -> int:
-        """Returns how many of the layers nobody holds."""
-        return sum(
-            1
-            for layer in range(layers.start, layers.end)
-            if not self._holders[layer]
-        )
-
-    def load_seconds(
-        self, server_id: str, target: directory.LayerRange
-    ) -> float:
-        """Returns the time that a runner loads new layers."""
-        held = self.held_by_id[server_id]
-        kept = min(held.end, target.end) - max(held.start, target.start)
-        new = target.count - max(0, kept)
-        return self.engine.load_seconds * new / self.engine.layers
-
-    def roomy(self, server_id: str) -> int:
-        """Returns the layers that leave the group's room for requests."""
-        return max(
-            1,
-            self.engine.roomy_layers(self._kind_by_id[server_id], self._tokens),
-        )
-
-    def most(self, server_id: str) -> int:
-        """Returns the layers that leave the least room for requests."""
-        return most_layers(self.engine, self._kind_by_id[server_id])
-
-    def pace(self, server_id: str) -> float:
-        """Returns a runner's pace."""
-        return self._kind_by_id[server_id].pace
-
-    def boundaries(self) -> set[int]:
-        """Returns the layers at which a part begins or ends."""
-        found = {0, self.engine.layers}
-        for held in self.held_by_id.values():
-            if held.count:
-                found |= {held.start, held.end}
-        return found
-
-    def _enter(self, server_id: str, held: directory.LayerRange) -> None:
-        kind = self._kind_by_id[server_id]
-        if held.count:
-            room = self.engine.room(kind, held.count) / held.count
-            self._room_by_id[server_id] = room
-        for layer in range(held.start, min(held.end, self.engine.layers)):
-            self._holders[layer].add(server_id)
-
-    def _worth(self, layer: int) -> float:
-        holders = self._holders[layer]
-        if not holders:
-            return -1.0 / GAP_FLOOR
-        room = sum(self._room_by_id[h] for h in holders)
-        demand = self.engine.nominal_tokens * DEMAND_SHARE
-        worth = -1.0 / (room / demand + GAP_FLOOR)
-        worth -= PACE_COST * min(self._kind_by_id[h].pace for h in holders)
-        if len(holders) == 1:
-            (only,) = holders
-            worth -= SINGLE_COST * self.held_by_id[only].count
-        return worth
-
-
-def choose_room(
-    engine: catalog.Engine, kinds: Iterable[catalog.RunnerKind]
-) -> float:
-    """Returns the tokens for which the runners of a group keep room."""
-    members = list(kinds)
-    for step in ROOM_STEPS:
-        tokens = engine.nominal_tokens * step
-        held = sum(engine.roomy_layers(kind, tokens) for kind in members)
-        if held >= SPARE_SHARE * engine.layers:
-            return tokens
-    return engine.nominal_tokens * ROOM_STEPS[-1]
-
-
-def most_layers(engine: catalog.Engine, kind: catalog.RunnerKind) -> int:
-    """Returns the layers of a kind that leave the least room."""
-    tokens = engine.nominal_tokens * MIN_ROOM_SHARE
-    return engine.roomy_layers(kind, tokens)
-
-
 class LayerPlanner:
     """Plans the layers of one service's runners."""
 
@@ -209,7 +45,7 @@
         self._engine = engine
 
     def plan(
-        self, holdings: Iterable[Holding], *, starting: bool
+        self, holdings: Iterable[layer_cell.Holding], *, starting: bool
     ) -> list[Move]:
         """Returns the moves to make now.
 
@@ -219,7 +55,7 @@
         """
         moves: list[Move] = []
         for members in self._group(holdings):
-            cell = _Cell(self._engine, members)
+            cell = layer_cell.Cell(self._engine, members)
             reason_by_id = self._place_empty(cell, starting=starting)
             reason_by_id |= self._fill_gaps(cell)
             if cell.gaps():
@@ -233,11 +69,11 @@
                     moves.append(Move(member.server, target, reason))
         return moves
 
-    def uncovered(self, holdings: Iterable[Holding]) -> list[str]:
+    def uncovered(self, holdings: Iterable[layer_cell.Holding]) -> list[str]:
         """Describes each group of runners that lacks layers, for the log."""
         found = []
         for members in self._group(holdings):
-            cell = _Cell(self._engine, members)
+            cell = layer_cell.Cell(self._engine, members)
             gaps = ",".join(f"{g.start}-{g.end}" for g in cell.gaps())
             if gaps:
                 held = " ".join(
@@ -248,14 +84,16 @@
                 found.append(f"{members[0].server.domain} {gaps}: {held}")
         return found
 
-    def _group(self, holdings: Iterable[Holding]) -> list[list[Holding]]:
+    def _group(
+        self, holdings: Iterable[layer_cell.Holding]
+    ) -> list[list[layer_cell.Holding]]:
         """Groups failure domains so that each group can hold a copy."""
-        by_domain: dict[str, list[Holding]] = {}
+        by_domain: dict[str, list[layer_cell.Holding]] = {}
         for holding in holdings:
             if holding.usable:
                 by_domain.setdefault(holding.server.domain, []).append(holding)
-        whole: list[list[Holding]] = []
-        rest: list[Holding] = []
+        whole: list[list[layer_cell.Holding]] = []
+        rest: list[layer_cell.Holding] = []
         for domain in sorted(by_domain):
             members = by_domain[domain]
             if self._capacity(members) >= self._engine.layers:
@@ -270,13 +108,17 @@
                 min(whole, key=self._capacity).extend(rest)
         return whole
 
-    def _capacity(self, members: list[Holding]) -> int:
+    def _capacity(self, members: list[layer_cell.Holding]) -> int:
         return sum(
-            most_layers(self._engine, self._engine.kind(m.server.kind))
+            layer_cell.most_layers(
+                self._engine, self._engine.kind(m.server.kind)
+            )
             for m in members
         )
 
-    def _place_empty(self, cell: _Cell, *, starting: bool) -> dict[str, str]:
+    def _place_empty(
+        self, cell: layer_cell.Cell, *, starting: bool
+    ) -> dict[str, str]:
         empty = [
             server_id
             for server_id, member in cell.member_by_id.items()
@@ -289,7 +131,7 @@
         return dict.fromkeys(empty, "empty runner")
 
     def _best_window(
-        self, cell: _Cell, server_id: str, *, starting: bool
+        self, cell: layer_cell.Cell, server_id: str, *, starting: bool
     ) -> directory.LayerRange:
         boundaries = cell.boundaries()
 
@@ -306,7 +148,7 @@
         return max(self._windows(cell, server_id, starting), key=rank)
 
     def _windows(
-        self, cell: _Cell, server_id: str, starting: bool
+        self, cell: layer_cell.Cell, server_id: str, starting: bool
     ) -> Iterator[directory.LayerRange]:
         layers = self._engine.layers
         size = min(cell.roomy(server_id), layers)
@@ -317,7 +159,7 @@
             yield directory.LayerRange(gap.start, gap.start + count)
             yield directory.LayerRange(gap.end - count, gap.end)
 
-    def _fill_gaps(self, cell: _Cell) -> dict[str, str]:
+    def _fill_gaps(self, cell: layer_cell.Cell) -> dict[str, str]:
         """Changes the cell until no change fills more than it opens.
 
         Each change gains, so this ends; the runners' targets are given out
@@ -337,12 +179,12 @@
             reason_by_id[server_id] = "gap"
 
     def _cover(
-        self, cell: _Cell, gap: directory.LayerRange
+        self, cell: layer_cell.Cell, gap: directory.LayerRange
     ) -> tuple[str, directory.LayerRange] | None:
         """Finds the runner that gives least up for each layer of a gap."""
         best: tuple[str, directory.LayerRange] | None = None
         best_cost = float("inf")
-        gap_worth = 1.0 / GAP_FLOOR
+        gap_worth = 1.0 / layer_cell.GAP_FLOOR
         for server_id, held in cell.held_by_id.items():
             if cell.member_by_id[server_id].busy or not held.count:
                 continue
@@ -366,7 +208,7 @@
 
     @staticmethod
     def _gap_targets(
-        cell: _Cell, server_id: str, gap: directory.LayerRange
+        cell: layer_cell.Cell, server_id: str, gap: directory.LayerRange
     ) -> Iterator[directory.LayerRange]:
         held = cell.held_by_id[server_id]
         room = cell.most(server_id) - held.count
@@ -380,7 +222,7 @@
         if count < gap.count:
             yield directory.LayerRange(gap.end - count, gap.end)
 
-    def _spread_anew(self, cell: _Cell) -> dict[str, str]:
+    def _spread_anew(self, cell: layer_cell.Cell) -> dict[str, str]:
         """Shifts all ranges where no single change fills a gap.
 
         Each runner gets layers by its memory, near those that it holds.
@@ -404,7 +246,7 @@
             at = end
         return dict.fromkeys(order, "spread anew")
 
-    def _counts_by_memory(self, cell: _Cell) -> dict[str, int]:
+    def _counts_by_memory(self, cell: layer_cell.Cell) -> dict[str, int]:
         layers = self._engine.layers
         memory_by_id = {
             i: self._engine.kind(member.server.kind).memory_mb
@@ -426,7 +268,7 @@
             counts[widest] += 1
         return {i: count for i, count in counts.items() if count}
 
-    def _improve_one(self, cell: _Cell) -> dict[str, str]:
+    def _improve_one(self, cell: layer_cell.Cell) -> dict[str, str]:
         """Gives one runner other layers where that is worth the load."""
         if any(member.busy for member in cell.member_by_id.values()):
             return {}
@@ -444,7 +286,7 @@
         return {best[0]: "improvement"}
 
     def _aligned_windows(
-        self, cell: _Cell, server_id: str
+        self, cell: layer_cell.Cell, server_id: str
     ) -> Iterator[directory.LayerRange]:
         size = min(cell.roomy(server_id), self._engine.layers)
         starts = cell.boundaries()
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/planner_controller.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/planner_controller.py
@@ -11,6 +11,7 @@
 from nutmeglift_gateway import catalog
 from nutmeglift_gateway import decision_log
 from nutmeglift_gateway import directory
+from nutmeglift_gateway import layer_cell
 from nutmeglift_gateway import layer_planner
 from nutmeglift_gateway import metrics as metric_sets
 from nutmeglift_gateway import ports
@@ -212,7 +213,7 @@
 
     def _holding(
         self, server: directory.Server, usable: set[str], now: float
-    ) -> layer_planner.Holding:
+    ) -> layer_cell.Holding:
         pending = self._pending_by_id.get(server.id)
         if pending is not None and (
             pending.lifetime != server.lifetime
@@ -222,7 +223,7 @@
             pending = None
         requests = self._board.book.at(server.address).requests
         if pending is None:
-            return layer_planner.Holding(
+            return layer_cell.Holding(
                 server,
                 server.layers,
                 server.id in usable,
@@ -232,7 +233,7 @@
         if now > pending.due and not pending.asking:
             pending.asking = True
             self._start(self._ask(server, pending))
-        return layer_planner.Holding(
+        return layer_cell.Holding(
             server, pending.target, server.id in usable, True, requests
         )
 
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/reply.py
@@ -0,0 +1,211 @@
+"""The caller's side of an exchange: what is written, counted and logged."""
+
+import asyncio
+
+from nutmeglift import errors
+from nutmeglift_gateway import answers
+from nutmeglift_gateway import attempt
+from nutmeglift_gateway import context as contexts
+from nutmeglift_gateway import dispatch
+from nutmeglift_gateway import freshness
+from nutmeglift_gateway import http_call
+from nutmeglift_gateway import http_listener
+from nutmeglift_gateway import intake
+from nutmeglift_gateway import refusals
+
+
+class Reply:
+    """What one caller gets.
+
+    Attributes:
+        progress: what has been done for the request.
+        paths: the paths that it took, for the log.
+        answer: takes the present attempt's events, if it is a stream.
+    """
+
+    def __init__(
+        self,
+        context: contexts.Context,
+        connection: http_listener.CallerConnection,
+        request: http_listener.Request,
+    ) -> None:
+        self.progress = dispatch.Progress()
+        self.paths: list[str] = []
+        self.answer: attempt.Answer | None = None
+        self._context = context
+        self._connection = connection
+        self._request = request
+        self._loop = asyncio.get_running_loop()
+        self._keep = request.keep_alive and not context.board.draining
+        self._first_event_after = 0.0
+
+    def note_left(self, admitted: intake.Admitted) -> None:
+        """Notes that the caller left before its answer."""
+        self._context.log.write(
+            "caller left",
+            request=admitted.request_id.decode("latin-1"),
+            sent=self.progress.sent,
+            seconds=round(self.elapsed(), 3),
+        )
+        self._count(admitted, "caller_left")
+
+    def on_events(self, head: http_call.Head, data: bytes) -> None:
+        """Passes whole events on."""
+        chunked = self._request.chunked_answer
+        if not self.progress.started:
+            self.progress.started = True
+            if not chunked:
+                self._keep = False
+            self._connection.write(
+                answers.pass_on_head(
+                    head, length=None, chunked=chunked, keep=self._keep
+                )
+                + (answers.chunk(data) if chunked else data)
+            )
+            self._first_event_after = self.elapsed()
+            self._context.metrics.first_event.observe(self.elapsed())
+            return
+        self._connection.write(answers.chunk(data) if chunked else data)
+
+    def deliver(
+        self, admitted: intake.Admitted, outcome: attempt.Outcome
+    ) -> None:
+        """Ends the request with a server's answer."""
+        keep = self._keep and not self._context.board.draining
+        if self.progress.started:
+            if self._request.chunked_answer:
+                self._connection.write(answers.LAST_CHUNK)
+        else:
+            response = outcome.response
+            if response is None:
+                # A stream that ended well without any event.
+                self.end(
+                    admitted,
+                    dispatch.Fail(errors.ErrorKind.OUTCOME_UNKNOWN),
+                    "a stream without events",
+                )
+                return
+            if response.status in answers.NOT_RUN_STATUSES:
+                # It may have run, so its promise can't be passed on.
+                self.end(
+                    admitted,
+                    dispatch.Fail(errors.ErrorKind.OUTCOME_UNKNOWN),
+                    outcome.detail,
+                )
+                return
+            self._connection.write(
+                answers.pass_on_head(
+                    response.head,
+                    length=len(response.body),
+                    chunked=False,
+                    keep=keep,
+                    without_body=self._request.method == "HEAD",
+                )
+                + response.body
+            )
+            self._context.metrics.answer.observe(self.elapsed())
+        self._count(admitted, self._judge_time(admitted, outcome))
+        self._connection.finish(keep=keep)
+
+    def _judge_time(
+        self, admitted: intake.Admitted, outcome: attempt.Outcome
+    ) -> str:
+        """Returns how a delivered answer counts; logs a late one."""
+        if outcome.failure is not None:
+            return "failed"
+        gap = self.answer.longest_gap if self.answer else 0.0
+        route = admitted.route
+        first = self._first_event_after or self.elapsed()
+        if first <= route.objective and gap <= route.gap_objective:
+            return "served"
+        self._context.log.write(
+            "answer late",
+            request=admitted.request_id.decode("latin-1"),
+            route=route.id,
+            first=round(first, 3),
+            objective=route.objective,
+            longest_gap=round(gap, 3),
+            gap_objective=route.gap_objective,
+            seconds=round(self.elapsed(), 3),
+            sent=self.progress.sent,
+            paths=self.paths,
+        )
+        return "late"
+
+    def end(
+        self,
+        admitted: intake.Admitted,
+        decision: dispatch.Refuse | dispatch.Fail,
+        detail: str = "",
+    ) -> None:
+        """Ends the request with our own answer, or cuts its stream."""
+        if self.progress.started:
+            self._context.log.write(
+                "stream cut",
+                request=admitted.request_id.decode("latin-1"),
+                kind=decision.kind.value,
+                detail=detail,
+                paths=self.paths,
+                sent=self.progress.sent,
+                seconds=round(self.elapsed(), 3),
+            )
+            self._count(admitted, "cut")
+            self._connection.abort()
+            return
+        retry_after = None
+        if isinstance(decision, dispatch.Refuse):
+            retry_after = refusals.retry_after(
+                self._context.board, decision.kind, self._loop.time()
+            )
+        self._count(admitted, decision.kind.value)
+        self.refuse(decision.kind, retry_after, detail or "no server for it")
+
+    def refuse(
+        self,
+        kind: errors.ErrorKind,
+        retry_after: float | None,
+        detail: str,
+    ) -> None:
+        """Answers that nothing ran, or that nobody can know."""
+        context = self._context
+        names = context.names
+        request_id = (self._request.get(names.request_id) or b"").decode(
+            "latin-1"
+        )
+        context.metrics.refusals.labels(kind.value).inc()
+        catalog = context.board.catalog
+        context.log.write(
+            "refused",
+            request=request_id,
+            kind=kind.value,
+            detail=detail,
+            retry_after=retry_after,
+            generation=catalog.generation if catalog else None,
+            confirmation_age=round(
+                min(context.board.freshness.age(freshness.boot_clock()), 1e6),
+                3,
+            ),
+            directory_version=context.board.directory.version,
+            sent=self.progress.sent,
+            paths=self.paths,
+            seconds=round(self.elapsed(), 3),
+        )
+        keep = self._keep and not context.board.draining
+        self._connection.write(
+            answers.own_answer(
+                kind,
+                request_id=request_id,
+                retry_after=retry_after,
+                retry_name=names.retry_after,
+                id_name=names.request_id,
+                keep=keep,
+            )
+        )
+        self._connection.finish(keep=keep)
+
+    def _count(self, admitted: intake.Admitted, outcome: str) -> None:
+        self._context.metrics.requests.labels(admitted.route.id, outcome).inc()
+
+    def elapsed(self) -> float:
+        """Returns the seconds since the request was received."""
+        return self._loop.time() - self._request.received_at
--- a/tests/gateway/stand_ins.py
+++ b/tests/gateway/stand_ins.py
@@ -6,6 +6,8 @@
 import struct
 
 from nutmeglift_gateway import answers
+from nutmeglift_gateway import context as contexts
+from nutmeglift_gateway import control_client
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import exchange
 from nutmeglift_gateway import freshness
@@ -212,7 +214,7 @@
         self.guard = stream_guard.StreamGuard(
             self.board, self.runners, self.log, self.metrics
         )
-        self.context = exchange.Context(
+        self.context = contexts.Context(
             self.board,
             names.HEADERS,
             self.runners,
@@ -287,7 +289,9 @@
         connection = await http_call.connect(self.address)
         raw = self.format(path, method, **headers)
         try:
-            return await http_call.exchange(connection, method, raw, timeout)
+            return await control_client.exchange(
+                connection, method, raw, timeout
+            )
         finally:
             connection.close()
 
--- a/tests/gateway/test_exchange_plain.py
+++ b/tests/gateway/test_exchange_plain.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from nutmeglift_gateway import control_client
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import http_call
 from tests.gateway import rig
@@ -218,7 +219,7 @@
         server = await self.rig.add(stand_ins.silent, "only")
         connection = await http_call.connect(self.rig.address)
         collector = asyncio.ensure_future(
-            http_call.exchange(
+            control_client.exchange(
                 connection, "POST", self.rig.format("/release/1"), 9.0
             )
         )
--- a/tests/gateway/test_exchange_stream.py
+++ b/tests/gateway/test_exchange_stream.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from nutmeglift_gateway import control_client
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import http_call
 from nutmeglift_gateway import ports
@@ -113,7 +114,7 @@
         server = await self.rig.add_runner(stuck, "x", 0, 80)
         connection = await http_call.connect(self.rig.address)
         call = asyncio.ensure_future(
-            http_call.exchange(
+            control_client.exchange(
                 connection, "POST", self.rig.format("/draft/1"), 9.0
             )
         )
--- a/tests/gateway/test_layer_planner.py
+++ b/tests/gateway/test_layer_planner.py
@@ -2,6 +2,7 @@
 import unittest
 
 from nutmeglift_gateway import directory
+from nutmeglift_gateway import layer_cell
 from nutmeglift_gateway import layer_planner
 from tests.gateway import rig
 
@@ -15,7 +16,7 @@
 
 def make_holdings(counts=None):
     return [
-        layer_planner.Holding(server, directory.NO_LAYERS, True, False)
+        layer_cell.Holding(server, directory.NO_LAYERS, True, False)
         for server in rig.make_runners(COUNTS if counts is None else counts)
     ]
 
@@ -94,7 +95,7 @@
         small += [rig.KINDS["slow"]] * 4
         large = small + [rig.KINDS["mid"]] * 6
         rooms = [
-            layer_planner.choose_room(rig.ENGINE, kinds)
+            layer_cell.choose_room(rig.ENGINE, kinds)
             for kinds in (small[:8], small, large, large * 2)
         ]
         self.assertEqual(rooms, sorted(rooms))
@@ -104,7 +105,7 @@
         for extra in range(0, 20, 2):
             with self.subTest(extra):
                 kinds = [rig.KINDS["big"]] + [rig.KINDS["mid"]] * (12 + extra)
-                tokens = layer_planner.choose_room(rig.ENGINE, kinds)
+                tokens = layer_cell.choose_room(rig.ENGINE, kinds)
                 held = sum(
                     rig.ENGINE.roomy_layers(kind, tokens) for kind in kinds
                 )
@@ -151,7 +152,7 @@
                 moves = PLANNER.plan(holdings, starting=False)
                 for move in moves:
                     kind = rig.KINDS[move.server.kind]
-                    most = layer_planner.most_layers(rig.ENGINE, kind)
+                    most = layer_cell.most_layers(rig.ENGINE, kind)
                     self.assertLessEqual(move.layers.count, most)
 
     def test_a_holder_of_many_layers_is_not_moved_for_a_few(self):
@@ -164,7 +165,7 @@
         holdings = lose(start(), ["a-mid-3"])
         new = rig.make_runners({"a": {"mid": 11}})[-1]
         holdings.append(
-            layer_planner.Holding(new, directory.NO_LAYERS, True, False)
+            layer_cell.Holding(new, directory.NO_LAYERS, True, False)
         )
         lost = next(h for h in holdings if h.server.id == "a-mid-3").layers
         moves = PLANNER.plan(holdings, starting=False)
--- a/tests/gateway/test_whole_gateway.py
+++ b/tests/gateway/test_whole_gateway.py
@@ -9,6 +9,7 @@
 from unittest import mock
 
 from nutmeglift import kv
+from nutmeglift_gateway import control_client
 from nutmeglift_gateway import drain
 from nutmeglift_gateway import gateway
 from nutmeglift_gateway import http_call
@@ -131,7 +132,7 @@
         connection = await http_call.connect(address)
         raw = http_call.format_request("GET", target, [(b"host", b"x")], b"")
         try:
-            return await http_call.exchange(connection, "GET", raw, WAIT)
+            return await control_client.exchange(connection, "GET", raw, WAIT)
         finally:
             connection.close()
 
@@ -162,7 +163,7 @@
         ]
         raw = http_call.format_request("POST", "/p/1", headers, b"{}")
         try:
-            return await http_call.exchange(connection, "POST", raw, WAIT)
+            return await control_client.exchange(connection, "POST", raw, WAIT)
         finally:
             connection.close()
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -4,6 +4,7 @@
 import dataclasses
 import itertools
 
+from nutmeglift_gateway import control_client
 from nutmeglift_gateway import http_call
 from tests.soak import backend
 
@@ -77,7 +78,7 @@
             (b"x-token-usage", b"100,48"),
         ]
         raw = http_call.format_request(method, f"/{kind}/1", headers, b"")
-        answer = await http_call.exchange(
+        answer = await control_client.exchange(
             connection, method, raw, ANSWER_SECONDS
         )
         sent.status = answer.status
