Plan only after a change; measure the gateway's decisions

Cause: the figure gateway_plan_time_42 showed 38 ms a plan, made every 0.15 s by the planner: a quarter of a core while nothing changes. Change: the same runners are planned again after a second, or at once when an order failed. Ruled out: the first plan (once).

--- /dev/null
+++ b/benchmarks/bench_gateway.py
@@ -0,0 +1,173 @@
+"""The gateway: processor time of paths and plans, and bytes of reports."""
+
+import logging
+import random
+import statistics
+import time
+
+from benchmarks import figures
+from nutmeglift import ids
+from nutmeglift import kv
+from nutmeglift_gateway import board as boards
+from nutmeglift_gateway import catalog
+from nutmeglift_gateway import decision_log
+from nutmeglift_gateway import directory
+from nutmeglift_gateway import layer_cell
+from nutmeglift_gateway import layer_planner
+from nutmeglift_gateway import loads
+from nutmeglift_gateway import paths
+from nutmeglift_gateway import peer_messages
+from nutmeglift_gateway import peer_state
+from nutmeglift_gateway import settings
+from nutmeglift_gateway import store_reader
+from nutmeglift_platform import schema
+
+BATCHES = 9
+DECISIONS = 50
+RUNNERS_PER_DOMAIN = 14
+KINDS = ("big", "mid", "mid", "mid", "slow")
+SERVICE = ids.ServiceId("model")
+ENGINE = catalog.Engine(
+    layers=80,
+    layer_mb=1750.0,
+    slots=96,
+    token_bytes=1.18e6,
+    activation_bytes=59000.0,
+    pipe_mbps=13000.0,
+    step_seconds=0.00102,
+    sequence_seconds=9.2e-6,
+    context_seconds=1.2e-5,
+    read_per_second=164000.0,
+    load_seconds=14.0,
+    loads_at_once=6,
+    report_lag=0.2,
+    nominal_tokens=50000,
+    kind_by_name={
+        "big": catalog.RunnerKind("big", 72000.0, 2.4, 3.2),
+        "mid": catalog.RunnerKind("mid", 14400.0, 5.3, 7.9),
+        "slow": catalog.RunnerKind("slow", 21600.0, 16.0, 8.2),
+    },
+    domain_delay=0.0005,
+)
+
+
+def make_holdings(count: int) -> list[layer_cell.Holding]:
+    """Returns empty runners; failure domains grow in number, not in size."""
+    domains = max(1, round(count / RUNNERS_PER_DOMAIN))
+    return [
+        layer_cell.Holding(
+            directory.Server(
+                id=f"i-{number:06}",
+                born=1771442496052,
+                service=SERVICE,
+                address=f"10.{number % domains}.{number // 250}.9:8080",
+                domain=ids.FailureDomain(f"domain-{number % domains}"),
+                state=directory.ServerState.READY,
+                slots=96,
+                kind=KINDS[number // domains % len(KINDS)],
+                layers=directory.NO_LAYERS,
+                orders=0,
+                revision=ids.Revision(1),
+            ),
+            directory.NO_LAYERS,
+            True,
+            False,
+        )
+        for number in range(count)
+    ]
+
+
+def place(count: int) -> list[directory.Server]:
+    """Returns runners with their layers placed."""
+    holdings = make_holdings(count)
+    planner = layer_planner.LayerPlanner(ENGINE)
+    moves = planner.plan(holdings, starting=True)
+    layers_by_id = {move.server.id: move.layers for move in moves}
+    servers = []
+    for holding in holdings:
+        values = {
+            name: getattr(holding.server, name)
+            for name in holding.server.__dataclass_fields__
+        }
+        values["layers"] = layers_by_id.get(
+            holding.server.id, directory.NO_LAYERS
+        )
+        servers.append(directory.Server(**values))
+    return servers
+
+
+def measure_path(count: int) -> figures.Measured:
+    """Median over batches of the microseconds to find one path."""
+    servers = place(count)
+    book = loads.LoadBook()
+    finder = paths.PathFinder(ENGINE, book, lambda address: 1.0)
+    wanted = paths.Wanted(servers[0].domain, 900.0)
+    times = []
+    for _ in range(BATCHES):
+        begun = time.process_time()
+        for _ in range(DECISIONS):
+            finder.find(servers, wanted)
+        times.append((time.process_time() - begun) / DECISIONS * 1e6)
+    return figures.Measured(statistics.median(times))
+
+
+def measure_plan(count: int) -> figures.Measured:
+    """Milliseconds to plan after the loss of one runner."""
+    servers = place(count)
+    holdings = [
+        layer_cell.Holding(server, server.layers, index != 1, False)
+        for index, server in enumerate(servers)
+    ]
+    planner = layer_planner.LayerPlanner(ENGINE)
+    times = []
+    for _ in range(BATCHES):
+        begun = time.process_time()
+        planner.plan(holdings, starting=False)
+        times.append((time.process_time() - begun) * 1e3)
+    return figures.Measured(statistics.median(times))
+
+
+def measure_report(count: int) -> figures.Measured:
+    """Bytes a second that one router sends to one peer, all runners in use."""
+    board = boards.Board(settings.Bounds(), ids.FailureDomain("domain-0"))
+    reader = store_reader.StoreReader(
+        kv.MemoryKv(),
+        schema.PlatformSchema(),
+        board,
+        decision_log.DecisionLog(logging.getLogger("bench")),
+        random.Random(1),
+    )
+    board.book.reserve(
+        tuple(
+            loads.Reservation(server.address, True, 4321.5)
+            for server in place(count)
+        )
+    )
+    state = peer_state.PeerState(board, reader, "front-domain-0-1")
+    raw = peer_messages.encode(state.make_report(100.0, 100.0))
+    return figures.Measured(len(raw) / REPORT_SECONDS)
+
+
+REPORT_SECONDS = 0.25
+"""peer_links.REPORT_SECONDS; its module opens sockets."""
+
+
+def make_figures(count: int) -> list[figures.Figure]:
+    """Returns the figures for a number of runners."""
+    return [
+        figures.Figure(
+            f"gateway_path_time_{count}", "µs", "", lambda: measure_path(count)
+        ),
+        figures.Figure(
+            f"gateway_plan_time_{count}", "ms", "", lambda: measure_plan(count)
+        ),
+        figures.Figure(
+            f"gateway_report_bytes_{count}",
+            "B/s",
+            "",
+            lambda: measure_report(count),
+        ),
+    ]
+
+
+FIGURES = [*make_figures(42), *make_figures(112), *make_figures(448)]
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/planner_controller.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/planner_controller.py
@@ -20,6 +20,9 @@
 
 TICK_SECONDS = 0.15
 """A lost layer is noticed within it; a tenth of the time to load a part."""
+REPLAN_SECONDS = 1.0
+"""Without any change a plan takes processor time for nothing; load alone
+changes what it would do, and that within seconds."""
 SETTLE_SECONDS = 0.6
 """The first plan waits until no new runner has come for half a heartbeat."""
 ELECTION_SPREAD_SECONDS = 0.15
@@ -45,6 +48,10 @@
     asking: bool = False
 
 
+_State = list[tuple[tuple[str, int], directory.LayerRange, bool, bool]]
+"""Each runner's lifetime, layers, and whether it is usable and busy."""
+
+
 class PlannerController:
     """Gives orders to the runners while it holds the planner's role."""
 
@@ -73,6 +80,7 @@
         self._pending_by_id: dict[str, _Pending] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._busy_until_by_id: dict[str, float] = {}
+        self._planned_by_service: dict[ids.ServiceId, tuple[float, _State]] = {}
         self._counted = (-1, 0.0)
         self._gaps: list[str] = []
 
@@ -119,6 +127,7 @@
             return
         self._fence = ids.FencingNumber(result.revision)
         self._pending_by_id.clear()
+        self._planned_by_service.clear()
         self._log.write("planner elected", fence=self._fence)
         await self._survey()
         self._reader.planner = kv.KeyValue(
@@ -185,16 +194,41 @@
             return 0.0
         usable = {s.id for s in servers if self._is_usable(s)}
         holdings = [self._holding(s, usable, now) for s in servers]
+        if self._planned_before(service.id, holdings, now):
+            return self._latest_eta()
         planner = layer_planner.LayerPlanner(engine)
         moves = planner.plan(holdings, starting=starting)
         for move in moves:
             self._order(engine, move, now, starting=starting)
         self._note_gaps([] if moves else planner.uncovered(holdings))
+        return self._latest_eta()
+
+    def _latest_eta(self) -> float:
         return max(
             (pending.eta for pending in self._pending_by_id.values()),
             default=0.0,
         )
 
+    def _planned_before(
+        self,
+        service: ids.ServiceId,
+        holdings: list[layer_cell.Holding],
+        now: float,
+    ) -> bool:
+        """Tells whether the same runners were planned a moment ago."""
+        state = [
+            (h.server.lifetime, h.layers, h.usable, h.busy) for h in holdings
+        ]
+        known = self._planned_by_service.get(service)
+        if (
+            known is not None
+            and known[1] == state
+            and now - known[0] < REPLAN_SECONDS
+        ):
+            return True
+        self._planned_by_service[service] = (now, state)
+        return False
+
     def _is_usable(self, server: directory.Server) -> bool:
         return (
             server.state is directory.ServerState.READY
@@ -315,6 +349,8 @@
     def _drop(self, server: directory.Server, pending: _Pending) -> None:
         if self._pending_by_id.get(server.id) is pending:
             del self._pending_by_id[server.id]
+            # The same runners are to be planned again, and at once.
+            self._planned_by_service.clear()
 
     def _start(self, work: "asyncio._CoroutineLike[None]") -> None:
         task = asyncio.get_running_loop().create_task(work)
--- a/tests/gateway/test_controllers.py
+++ b/tests/gateway/test_controllers.py
@@ -252,6 +252,25 @@
 
         play(scene)
 
+    def test_a_failed_order_is_planned_again_at_once(self):
+        async def scene(world):
+            await self.start(world)
+            world.runners.outcomes = [ports.OrderOutcome.CONFLICT]
+            Router(world, "one")
+            begun = None
+            for _ in range(40):
+                await asyncio.sleep(0.05)
+                if world.runners.placed and begun is None:
+                    begun = asyncio.get_running_loop().time()
+                by_id = [server.id for server, _, _ in world.runners.placed]
+                if len(by_id) > len(set(by_id)):
+                    break
+            self.assertGreater(len(by_id), len(set(by_id)))
+            again = asyncio.get_running_loop().time() - begun
+            self.assertLess(again, planner_controller.REPLAN_SECONDS)
+
+        play(scene)
+
     def test_a_stale_number_ends_the_planning(self):
         async def scene(world):
             await self.start(world)
