--- a/packages/nutmeglift_gateway/nutmeglift_gateway/drain.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/drain.py
@@ -20,9 +20,7 @@
     ACCEPT = "accept"
     """Not ready any more, but all that arrives is served."""
     REFUSE = "refuse"
-    """New connections are accepted, but new requests are refused."""
-    FINISH = "finish"
-    """Nothing new is accepted; what is in flight is ended."""
+    """New requests are refused; what is in flight is ended."""
     EXIT = "exit"
 
 
@@ -38,6 +36,6 @@
         return Step.EXIT
     if elapsed < REFUSE_SECONDS:
         return Step.ACCEPT
-    if elapsed < ACCEPT_SECONDS:
+    if elapsed < ACCEPT_SECONDS or in_flight:
         return Step.REFUSE
-    return Step.FINISH if in_flight else Step.EXIT
+    return Step.EXIT
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -162,7 +162,6 @@
         self.board.draining = True
         self._log.write("draining", in_flight=len(self._exchanges))
         self._start(self._registration.end())
-        listening = True
         while True:
             step = drain.judge(
                 elapsed=loop.time() - began,
@@ -172,13 +171,12 @@
             if step is drain.Step.EXIT:
                 break
             self.board.refusing = step is not drain.Step.ACCEPT
-            if step is drain.Step.FINISH and listening:
-                listening = False
-                callers.close()
-            if not listening:
-                for connection in list(self._callers):
-                    connection.close_if_idle()
             await asyncio.sleep(drain.TICK_SECONDS)
+        # Until now refusals sent callers to other routers: a closed port does
+        # not, where a failure domain has no other router.
+        callers.close()
+        for connection in list(self._callers):
+            connection.close_if_idle()
         self._log.write("stopped", in_flight=len(self._exchanges))
         for task in [*self._exchanges, *self._tasks]:
             task.cancel()
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/http_call.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/http_call.py
@@ -214,6 +214,8 @@
             self._headers = []
             return
         head = Head(status, self._headers)
+        # What follows the answer on the connection belongs to no request.
+        self._headers = []
         self._head = head
         framed = any(
             key in (b"content-length", b"transfer-encoding")
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -136,19 +136,19 @@
 
 class DrainTest(unittest.TestCase):
     def test_steps(self):
-        accept, finish, leave = (
+        accept, refuse, leave = (
             drain.Step.ACCEPT,
-            drain.Step.FINISH,
+            drain.Step.REFUSE,
             drain.Step.EXIT,
         )
         cases = [
             (0.0, 0, accept),
             (2.8, 5, accept),
-            (2.95, 5, drain.Step.REFUSE),
-            (3.1, 0, drain.Step.REFUSE),
-            (3.3, 5, finish),
+            (2.95, 5, refuse),
+            (3.1, 0, refuse),
+            (3.3, 5, refuse),
             (3.3, 0, leave),
-            (7.1, 5, finish),
+            (7.1, 5, refuse),
             (7.3, 5, leave),
         ]
         for elapsed, in_flight, expected in cases:
--- a/tests/gateway/test_exchange_plain.py
+++ b/tests/gateway/test_exchange_plain.py
@@ -104,6 +104,12 @@
                         answer.head.get(b"x-response-seal"), b"seal"
                     )
 
+    async def test_headers_of_an_extra_answer_are_not_passed_on(self):
+        await self.rig.add(twice, "only")
+        answer = await self.rig.call("/release/1")
+        names = [name for name, _ in answer.head.headers]
+        self.assertEqual(len(names), len(set(names)), names)
+
     async def test_silence_ends_at_the_deadline_as_unknown(self):
         server = await self.rig.add(stand_ins.silent, "only")
         answer = await self.rig.call("/release/1", x_deadline_ms=b"200")
