--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_guard.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_guard.py
@@ -294,6 +294,14 @@
         }
 
     def _give_up(self, stream: Stream, detail: str) -> None:
+        """Breaks an attempt off, if another one is left for the request.
+
+        Else silence is no reason to end the answer: the runner may go on, and
+        the caller decides how long it waits.
+        """
+        route = stream.admitted.route
+        if not route.repeatable or stream.progress.runs >= route.max_attempts:
+            return
         self._metrics.repairs.labels("given up", "lost").inc()
         self._log.write(
             "stream given up", request=stream.request_id, detail=detail
--- a/tests/gateway/test_exchange_stream.py
+++ b/tests/gateway/test_exchange_stream.py
@@ -7,6 +7,7 @@
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import http_call
 from nutmeglift_gateway import ports
+from nutmeglift_gateway import stalls
 from tests.gateway import stand_ins
 
 LAST = b"0\r\n\r\n"
@@ -192,6 +193,19 @@
         ]
         self.assertEqual(sorted(tried), ["full", "roomy"])
 
+    async def test_the_last_attempt_is_not_cut_for_silence(self):
+        async def late(request, writer, number):
+            writer.write(
+                stand_ins.stream_head(request) + stand_ins.events(1, 3)
+            )
+            await asyncio.sleep(stalls.GIVE_UP_SECONDS + 0.4)
+            writer.write(stand_ins.events(4, 9) + LAST)
+
+        await self.rig.add_runner(stand_ins.reset, "x", 0, 80)
+        await self.rig.add_runner(late, "y", 0, 80, domain="b")
+        self.assertEqual(await self.ids(), list(range(1, 10)))
+        self.assertNotIn("stream cut", self.rig.log.events())
+
     async def test_a_silent_first_runner_is_left(self):
         # It gives no report either.
         await self.rig.add_runner(stuck, "x", 0, 80)
