Find unreachable runners by the streams that fall silent

Ruled out: want of room (a few refusals), slow reading (p50 of the first event 65 ms).

Change: runners that only silent streams pass are asked for a connection; which don't take one are left, and peers are told at once. Streams also leave runners that give their layers up, so that those load sooner. A move between failure domains waits for its share of the pipe. Pauses between two attempts count in 'answer late'. One place notes suspects (Suspicions), one runs work that nobody waits for (Background); reasons are an enum.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
@@ -96,7 +96,6 @@
         done: set to the outcome once.
         last_byte_at: loop time of the last byte of the answer's body.
         events_seen: whether an event arrived.
-        longest_gap: longest pause between events, in seconds.
     """
 
     def __init__(
@@ -119,7 +118,6 @@
         self.done: asyncio.Future[Outcome] = loop.create_future()
         self.last_byte_at = loop.time()
         self.events_seen = False
-        self.longest_gap = 0.0
         self._loop = loop
         self._names = names
         self._request_id = request_id
@@ -158,9 +156,6 @@
             return
         if whole:
             now = self._loop.time()
-            if self.events_seen:
-                gap = now - self.last_byte_at
-                self.longest_gap = max(self.longest_gap, gap)
             self.last_byte_at = now
             self.events_seen = True
             self._on_events(self._head, whole)
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/background.py
@@ -0,0 +1,29 @@
+"""Work that nobody waits for."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from nutmeglift_gateway import decision_log
+
+
+class Background:
+    """Runs work to its end; what it raises is logged."""
+
+    def __init__(self, log: decision_log.DecisionLog) -> None:
+        self._log = log
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def start(self, work: Coroutine[Any, Any, None]) -> None:
+        """Starts work on the running loop."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._on_done)
+
+    def _on_done(self, task: "asyncio.Task[None]") -> None:
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            self._log.write("internal error", detail=repr(error))
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
@@ -72,6 +72,8 @@
             drain.
         coverage_eta: loop time at which missing layers will be loaded;
             written by the planner and the peers' links.
+        listeners: called when peers should hear of a change at once; the
+            peers' links enter themselves.
     """
 
     def __init__(
@@ -99,6 +101,7 @@
         self.refusing = False
         self.coverage_eta = 0.0
         self.plans = False
+        self.listeners: set[Callable[[], None]] = set()
         self._budget_by_service: dict[
             ids.ServiceId, retry_shares.RetryShares
         ] = {}
@@ -184,6 +187,17 @@
         if moves != self._moves:
             self._moves = moves
             self._moves_version += 1
+            if self.plans:
+                self._announce()
+
+    def giving_up(self) -> set[str]:
+        """Returns addresses of runners that are giving layers up."""
+        found = set()
+        for server_id, moving in self._moves.items():
+            server = self.directory.server_by_id.get(server_id)
+            if server is not None and server.lifetime == moving.lifetime:
+                found.add(server.address)
+        return found
 
     def expire_moves(self, now: float) -> None:
         """Forgets the moves of a planner that fell silent."""
@@ -230,10 +244,19 @@
         return found
 
     def suspect(
-        self, now: float, server: directory.Server, reason: str
+        self, now: float, server: directory.Server, reason: trust.Reason
     ) -> bool:
         """Leaves a server out until it has recovered."""
-        return self.trust.suspect(now, server.address, server.lifetime, reason)
+        changed = self.trust.suspect(
+            now, server.address, server.lifetime, reason
+        )
+        if changed and reason in trust.SHARED_REASONS:
+            self._announce()
+        return changed
+
+    def _announce(self) -> None:
+        for listener in list(self.listeners):
+            listener()
 
     def server_at(self, address: str) -> directory.Server | None:
         """Returns the server at an address, the youngest of several."""
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/context.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/context.py
@@ -8,6 +8,7 @@
 from nutmeglift_gateway import metrics as metric_sets
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import stream_guard
+from nutmeglift_gateway import suspicions as suspicion
 
 
 @dataclasses.dataclass(frozen=True)
@@ -19,6 +20,7 @@
         names: names of the headers.
         runners: calls to the runners beside requests.
         guard: watches running streams.
+        suspicions: notes servers that failed.
         log: decisions.
         metrics: counters and histograms.
         rng: random numbers.
@@ -28,6 +30,7 @@
     names: ports.HeaderNames
     runners: ports.BaseRunners
     guard: stream_guard.StreamGuard
+    suspicions: suspicion.Suspicions
     log: decision_log.DecisionLog
     metrics: metric_sets.Metrics
     rng: random.Random
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
@@ -15,8 +15,8 @@
 from nutmeglift_gateway import paths
 from nutmeglift_gateway import picks
 from nutmeglift_gateway import reply
+from nutmeglift_gateway import running_stream
 from nutmeglift_gateway import sse
-from nutmeglift_gateway import stream_guard
 from nutmeglift_gateway import trust
 
 MAX_CONNECT_FAILURES = 6
@@ -207,9 +207,9 @@
             return None
         self._reply.paths.append(describe(path))
         self._first = path.first.id
-        answer = self._reply.answer = self._new_answer(admitted, self._events)
+        answer = self._new_answer(admitted, self._events)
         board.pipes.spend(now, engine, path, admitted.prompt_tokens)
-        stream = stream_guard.Stream(
+        stream = running_stream.Stream(
             admitted, path, answer, now, admitted.held_tokens, self._progress
         )
         context.guard.add(stream)
@@ -252,7 +252,9 @@
             try:
                 upstream = await http_call.connect(server.address)
             except http_call.CallError as error:
-                board.suspect(self._now(), server, "connect")
+                self._context.suspicions.note(
+                    server, trust.Reason.NOT_CONNECTED, str(error)
+                )
                 return attempt.Outcome(
                     dispatch.Failure.NOT_SENT, detail=str(error)
                 )
@@ -345,6 +347,7 @@
         has some again in a moment; any other that rejects is on its way out.
         """
         board = self._context.board
+        suspicions = self._context.suspicions
         server = board.server_at(outcome.fault) if outcome.fault else None
         if server is None:
             self._tried.add(self._first)
@@ -355,11 +358,11 @@
             and outcome.response.status == answers.MISDIRECTED
         )
         if misdirected:
-            board.suspect(self._now(), server, trust.MOVED)
+            suspicions.note(server, trust.Reason.MOVED, outcome.detail)
         elif engine is not None and board.fill(engine, server) > FULL_SHARE:
             self._tried.add(server.id)
         else:
-            board.suspect(self._now(), server, trust.REJECTED)
+            suspicions.note(server, trust.Reason.REJECTED, outcome.detail)
 
     def _spend(
         self,
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -30,6 +30,7 @@
 from nutmeglift_gateway import settings
 from nutmeglift_gateway import store_reader
 from nutmeglift_gateway import stream_guard
+from nutmeglift_gateway import suspicions as suspicion
 
 BACKLOG = 1024
 """New connections that wait for the loop; a full queue costs seconds."""
@@ -78,11 +79,12 @@
         self._registration = registration.Registration(
             store, config.vm, config.listen.peers, log, rng
         )
+        suspicions = suspicion.Suspicions(self.board, log, self.metrics)
         self._guard = stream_guard.StreamGuard(
-            self.board, runners, log, self.metrics
+            self.board, runners, log, self.metrics, suspicions
         )
         self._prober = prober.Prober(self.board, runners, log)
-        self._sentinels = sentinels.Sentinels(self.board, log)
+        self._sentinels = sentinels.Sentinels(self.board, suspicions)
         self._planner = planner_controller.PlannerController(
             store,
             self._reader,
@@ -92,13 +94,21 @@
             config.vm,
             log,
             self.metrics,
+            suspicions,
             rng,
         )
         self._peers = peer_links.PeerLinks(
             self.board, self._reader, config.vm, log, rng
         )
         self._context = contexts.Context(
-            self.board, names, runners, self._guard, log, self.metrics, rng
+            self.board,
+            names,
+            runners,
+            self._guard,
+            suspicions,
+            log,
+            self.metrics,
+            rng,
         )
         self._callers: set[http_listener.CallerConnection] = set()
         self._checkers: set[http_listener.CallerConnection] = set()
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/paths.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/paths.py
@@ -121,6 +121,26 @@
     previous: "_Step | None"
 
 
+class Places:
+    """What the usable runners hold.
+
+    Attributes:
+        by_id: the runners.
+    """
+
+    def __init__(self, servers: Iterable[directory.Server]) -> None:
+        self.by_id = {server.id: server for server in servers}
+
+    def holds(self, part: Part) -> bool:
+        """Tells whether a part's runner is usable and still holds it."""
+        server = self.by_id.get(part.server.id)
+        if server is None or server.lifetime != part.server.lifetime:
+            return False
+        return (
+            server.layers.start <= part.start and part.end <= server.layers.end
+        )
+
+
 class PathFinder:
     """Finds paths over the runners of one service."""
 
@@ -247,21 +267,21 @@
         """Returns a path with the same first part, around lost runners.
 
         The other parts stay as they are and so keep their KV caches; each
-        lost one is replaced by a chain over runners that are not yet on the
-        path.
+        whose runner is lost, or gave its layers up, is replaced by a chain
+        over runners that are not yet on the path.
 
         Args:
             path: the path of a running request.
             servers: the runners that may be used.
             wanted: what the request holds.
         """
-        usable = {server.id: server for server in servers}
-        if path.first.id not in usable:
+        places = Places(servers)
+        if path.first.id not in places.by_id:
             return None
         on_path = {part.server.id for part in path.parts}
         fresh = [
             server
-            for server in usable.values()
+            for server in places.by_id.values()
             if server.id not in on_path
             and server.layers.count
             and self._has_room(server, wanted)
@@ -269,7 +289,7 @@
         parts: list[Part] = []
         seconds = 0.0
         for part in path.parts:
-            if part.server.id in usable:
+            if not parts or places.holds(part):
                 parts.append(part)
                 seconds += (part.end - part.start) * self.layer_seconds(
                     part.server
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_links.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_links.py
@@ -19,6 +19,9 @@
 
 REPORT_SECONDS = 0.25
 """Interval of reports; requests last several of them."""
+NEWS_SECONDS = 0.02
+"""Shortest interval, when something is to be told at once: what is found
+together goes into one report."""
 SILENCE_SECONDS = 1.2
 """A link without a report for five intervals is opened anew."""
 OPEN_SECONDS = 0.5
@@ -150,11 +153,26 @@
         self, link: connection.Connection, state: peer_state.PeerState
     ) -> None:
         loop = asyncio.get_running_loop()
+        news = asyncio.Event()
+        self._board.listeners.add(news.set)
         try:
             while True:
+                news.clear()
                 report = state.make_report(loop.time(), freshness.boot_clock())
                 await link.send(peer_messages.encode(report))
-                await asyncio.sleep(REPORT_SECONDS)
+                await asyncio.sleep(NEWS_SECONDS)
+                await _wait(news, REPORT_SECONDS - NEWS_SECONDS)
         except (exceptions.ConnectionClosed, OSError):
             # The receiving side logs why the link ended.
             return
+        finally:
+            self._board.listeners.discard(news.set)
+
+
+async def _wait(event: asyncio.Event, seconds: float) -> None:
+    """Waits for an event, but not longer."""
+    try:
+        async with asyncio.timeout(seconds):
+            await event.wait()
+    except TimeoutError:
+        return
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
@@ -15,11 +15,6 @@
 of the operators' bound."""
 WATCH_HEAD_START_SECONDS = 0.4
 """A peer's own watch usually brings a configuration sooner than a copy."""
-SHARED_REASONS = frozenset({trust.STALLED, trust.CRASHED})
-"""A runner that other runners miss, or whose port is closed, is lost for all
-routers; one that a router can't reach may be cut off from that router alone."""
-
-
 VIEW_LEAD_SECONDS = 2.6
 """A view of the store is live by one watch call after the other; a view that
 is older by more than one call belongs to a router that the store does not
@@ -154,10 +149,10 @@
             server = board.server_at(row.address)
             if (
                 server is not None
-                and row.reason in SHARED_REASONS
+                and row.reason in trust.SHARED_REASONS
                 and server.lifetime == (row.server, row.born)
             ):
-                board.suspect(now, server, trust.TOLD)
+                board.suspect(now, server, trust.Reason.TOLD)
         for pace in report.paces:
             known = board.pace_by_address.get(pace.address)
             read_at = now - pace.age
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/planner_controller.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/planner_controller.py
@@ -7,6 +7,7 @@
 from nutmeglift import errors
 from nutmeglift import ids
 from nutmeglift import kv
+from nutmeglift_gateway import background
 from nutmeglift_gateway import board as boards
 from nutmeglift_gateway import catalog
 from nutmeglift_gateway import decision_log
@@ -17,6 +18,8 @@
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import registration
 from nutmeglift_gateway import store_reader
+from nutmeglift_gateway import suspicions as suspicion
+from nutmeglift_gateway import trust
 
 TICK_SECONDS = 0.15
 """A lost layer is noticed within it; a tenth of the time to load a part."""
@@ -65,6 +68,7 @@
         vm: str,
         log: decision_log.DecisionLog,
         metrics: metric_sets.Metrics,
+        suspicions: suspicion.Suspicions,
         rng: random.Random,
     ) -> None:
         self._store = store
@@ -75,10 +79,11 @@
         self._vm = vm
         self._log = log
         self._metrics = metrics
+        self._suspicions = suspicions
         self._rng = rng
         self._fence = ids.FencingNumber(0)
         self._pending_by_id: dict[str, _Pending] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._background = background.Background(log)
         self._busy_until_by_id: dict[str, float] = {}
         self._planned_by_service: dict[ids.ServiceId, tuple[float, _State]] = {}
         self._counted = (-1, 0.0)
@@ -153,13 +158,7 @@
         try:
             report = await self._runners.report(server.address)
         except ports.RunnerUnavailableError as error:
-            self._board.suspect(now(), server, "no report")
-            self._log.write(
-                "server suspect",
-                address=server.address,
-                reason="no report",
-                detail=str(error),
-            )
+            self._suspicions.note(server, trust.Reason.NO_REPORT, str(error))
             return None
         self._board.directory.update_layers(
             now(), server, report.layers, report.orders
@@ -266,7 +265,7 @@
             )
         if now > pending.due and not pending.asking:
             pending.asking = True
-            self._start(self._ask(server, pending))
+            self._background.start(self._ask(server, pending))
         return layer_cell.Holding(
             server, pending.target, server.id in usable, True, requests
         )
@@ -312,7 +311,7 @@
             fence=self._fence,
             eta_in=round(eta - now, 2),
         )
-        self._start(self._place(move, pending))
+        self._background.start(self._place(move, pending))
 
     async def _place(self, move: layer_planner.Move, pending: _Pending) -> None:
         outcome = await self._runners.place(
@@ -351,8 +350,3 @@
             del self._pending_by_id[server.id]
             # The same runners are to be planned again, and at once.
             self._planned_by_service.clear()
-
-    def _start(self, work: "asyncio._CoroutineLike[None]") -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/prober.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/prober.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from nutmeglift_gateway import background
 from nutmeglift_gateway import board as boards
 from nutmeglift_gateway import decision_log
 from nutmeglift_gateway import directory
@@ -25,7 +26,7 @@
         self._board = board
         self._runners = runners
         self._log = log
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._background = background.Background(log)
 
     async def run(self) -> None:
         """Probes until cancelled."""
@@ -42,9 +43,7 @@
                 {s.address for s in board.directory.server_by_id.values()}
             )
             for address in board.trust.due_probes(now):
-                task = loop.create_task(self._probe(address))
-                self._tasks.add(task)
-                task.add_done_callback(self._tasks.discard)
+                self._background.start(self._probe(address))
 
     def _still_differs(
         self, server: directory.Server, report: ports.Report | None
@@ -76,7 +75,7 @@
         except (ports.RunnerUnavailableError, http_call.CallError):
             return
         reason = self._board.trust.reason(address)
-        if reason == trust.MOVED and self._still_differs(server, report):
+        if reason == trust.Reason.MOVED and self._still_differs(server, report):
             # The entry was written just now; the next report tells.
             return
         if self._board.trust.clear(address):
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/reach.py
@@ -0,0 +1,91 @@
+"""Finds out which runners of silent streams take no connection."""
+
+import asyncio
+
+from nutmeglift_gateway import background
+from nutmeglift_gateway import decision_log
+from nutmeglift_gateway import http_call
+from nutmeglift_gateway import silence
+from nutmeglift_gateway import suspicions as suspicion
+from nutmeglift_gateway import trust
+
+CONNECT_SECONDS = 0.04
+"""Many round trips between failure domains; pauses between events are late
+after several times as long."""
+LATENESS_SECONDS = 0.015
+"""A loop that ran so late may not have seen answers that had come."""
+TRIES = 2
+"""Connections tried at once: a link that loses a packet in forty loses both
+opening packets once in 1,600 times."""
+AGAIN_SECONDS = 0.3
+"""A runner that answered is not asked again sooner: connections cost."""
+
+
+class ReachChecks:
+    """Tries connections to doubtful runners."""
+
+    def __init__(
+        self,
+        suspicions: suspicion.Suspicions,
+        log: decision_log.DecisionLog,
+    ) -> None:
+        self._suspicions = suspicions
+        self._log = log
+        self._background = background.Background(log)
+        self._checked_at_by_address: dict[str, float] = {}
+
+    def check(self, now: float, addresses: set[str]) -> None:
+        """Starts to check addresses that were not checked a moment ago.
+
+        Args:
+            now: seconds of the loop.
+            addresses: the runners that may be lost.
+        """
+        due = {
+            address
+            for address in addresses
+            if now - self._checked_at_by_address.get(address, float("-inf"))
+            >= AGAIN_SECONDS
+        }
+        if not due:
+            return
+        self._checked_at_by_address = {
+            address: at
+            for address, at in self._checked_at_by_address.items()
+            if now - at < AGAIN_SECONDS
+        } | dict.fromkeys(due, now)
+        self._background.start(self._check(sorted(due)))
+
+    async def _check(self, addresses: list[str]) -> None:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        answered = await asyncio.gather(
+            *(self._answers(address) for address in addresses)
+        )
+        if loop.time() - began > CONNECT_SECONDS + LATENESS_SECONDS:
+            self._log.write("reach check late", addresses=addresses)
+            for address in addresses:
+                self._checked_at_by_address.pop(address, None)
+            return
+        lost = silence.lost(dict(zip(addresses, answered, strict=True)))
+        for address in sorted(lost):
+            self._suspicions.note_at(
+                address,
+                trust.Reason.UNREACHABLE,
+                f"no connection; {sum(answered)} of {len(answered)} answered",
+            )
+
+    @staticmethod
+    async def _answers(address: str) -> bool:
+        tries = [_connects(address) for _ in range(TRIES)]
+        return any(await asyncio.gather(*tries))
+
+
+async def _connects(address: str) -> bool:
+    try:
+        connection = await http_call.connect(address, CONNECT_SECONDS)
+    except http_call.CallError as error:
+        # A closed port answers, too: that its process ended shows elsewhere.
+        return error.failure is http_call.CallFailure.REFUSED
+    connection.close()
+    return True
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/reply.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/reply.py
@@ -20,7 +20,6 @@
     Attributes:
         progress: what has been done for the request.
         paths: the paths that it took, for the log.
-        answer: takes the present attempt's events, if it is a stream.
     """
 
     def __init__(
@@ -31,13 +30,14 @@
     ) -> None:
         self.progress = dispatch.Progress()
         self.paths: list[str] = []
-        self.answer: attempt.Answer | None = None
         self._context = context
         self._connection = connection
         self._request = request
         self._loop = asyncio.get_running_loop()
         self._keep = request.keep_alive and not context.board.draining
         self._first_event_after = 0.0
+        self._last_event_at = 0.0
+        self._longest_gap = 0.0
 
     def note_left(self, admitted: intake.Admitted) -> None:
         """Notes that the caller left before its answer."""
@@ -52,6 +52,12 @@
     def on_events(self, head: http_call.Head, data: bytes) -> None:
         """Passes whole events on."""
         chunked = self._request.chunked_answer
+        now = self._loop.time()
+        if self.progress.started:
+            self._longest_gap = max(
+                self._longest_gap, now - self._last_event_at
+            )
+        self._last_event_at = now
         if not self.progress.started:
             self.progress.started = True
             if not chunked:
@@ -113,7 +119,7 @@
         """Returns how a delivered answer counts; logs a late one."""
         if outcome.failure is not None:
             return "failed"
-        gap = self.answer.longest_gap if self.answer else 0.0
+        gap = self._longest_gap
         route = admitted.route
         first = self._first_event_after or self.elapsed()
         if first <= route.objective and gap <= route.gap_objective:
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/running_stream.py
@@ -0,0 +1,100 @@
+"""One attempt at a stream that is running."""
+
+import dataclasses
+
+from nutmeglift_gateway import attempt
+from nutmeglift_gateway import board as boards
+from nutmeglift_gateway import dispatch
+from nutmeglift_gateway import intake
+from nutmeglift_gateway import loads
+from nutmeglift_gateway import paths
+from nutmeglift_gateway import silence
+from nutmeglift_gateway import stalls
+
+
+@dataclasses.dataclass(eq=False)
+class Stream:
+    """One attempt at a stream that is running.
+
+    Attributes:
+        admitted: the request.
+        path: where it runs.
+        answer: takes its events.
+        sent_at: loop time at which the attempt began.
+        tokens: what it is expected to hold.
+        progress: what has been done for the request.
+        moving: whether an order to move it is under way.
+        moved_at: loop time at which it was moved last.
+        moves: how often it was moved.
+        next_move_at: loop time before which no move is tried again.
+        refused_by: ids of runners that had no room to take it over.
+    """
+
+    admitted: intake.Admitted
+    path: paths.Path
+    answer: attempt.Answer
+    sent_at: float
+    tokens: float
+    progress: dispatch.Progress
+    moving: bool = False
+    moved_at: float = 0.0
+    moves: int = 0
+    next_move_at: float = 0.0
+    refused_by: set[str] = dataclasses.field(default_factory=set)
+    _reserved: tuple[loads.Reservation, ...] = ()
+
+    @property
+    def request_id(self) -> str:
+        """The caller's id."""
+        return self.admitted.request_id.decode("latin-1")
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether it has ended, or is being moved."""
+        return self.moving or self.answer.done.done()
+
+    def reserve(self, board: boards.Board) -> tuple[loads.Reservation, ...]:
+        """Notes what it holds on its path's runners."""
+        self.release(board)
+        self._reserved = self.path.reservations(self.tokens)
+        board.book.reserve(self._reserved)
+        return self._reserved
+
+    def release(self, board: boards.Board) -> None:
+        """Frees what it held."""
+        if self._reserved:
+            board.book.release(self._reserved)
+            self._reserved = ()
+
+    def settled(self, now: float) -> float:
+        """Returns the seconds since its last event or its last move."""
+        return now - max(self.answer.last_byte_at, self.moved_at)
+
+    def state(self, now: float) -> stalls.StreamState:
+        """Returns what decides whether it stalls."""
+        return stalls.StreamState(
+            silent=now - self.answer.last_byte_at,
+            settled=self.settled(now),
+            begun=self.answer.events_seen,
+            objective=self.admitted.route.objective,
+            gap_objective=self.admitted.route.gap_objective,
+            step_seconds=self.path.step_seconds,
+            prompt_tokens=self.admitted.prompt_tokens,
+        )
+
+    def passing(self, now: float) -> silence.Passing:
+        """Returns what tells which runners it proves to be alive."""
+        begun = (
+            self.answer.events_seen
+            and self.answer.last_byte_at >= self.moved_at
+        )
+        return silence.Passing(
+            tuple(part.server.address for part in self.path.parts),
+            silent=self.settled(now),
+            limit=silence.limit(
+                step_seconds=self.path.step_seconds,
+                begun=begun,
+                objective=self.admitted.route.objective,
+            ),
+            begun=begun,
+        )
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/sentinels.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/sentinels.py
@@ -9,9 +9,9 @@
 import asyncio
 
 from nutmeglift_gateway import board as boards
-from nutmeglift_gateway import decision_log
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import http_call
+from nutmeglift_gateway import suspicions as suspicion
 from nutmeglift_gateway import trust
 
 TICK_SECONDS = 0.25
@@ -24,10 +24,10 @@
     """Keeps an idle connection to each runner that holds layers."""
 
     def __init__(
-        self, board: boards.Board, log: decision_log.DecisionLog
+        self, board: boards.Board, suspicions: suspicion.Suspicions
     ) -> None:
         self._board = board
-        self._log = log
+        self._suspicions = suspicions
         self._task_by_lifetime: dict[tuple[str, int], asyncio.Task[None]] = {}
 
     async def run(self) -> None:
@@ -77,12 +77,5 @@
         self, server: directory.Server, error: http_call.CallError
     ) -> None:
         refused = error.failure is http_call.CallFailure.REFUSED
-        reason = trust.CRASHED if refused else "connect"
-        now = asyncio.get_running_loop().time()
-        if self._board.suspect(now, server, reason):
-            self._log.write(
-                "server suspect",
-                address=server.address,
-                reason=reason,
-                detail=str(error),
-            )
+        reason = trust.Reason.CRASHED if refused else trust.Reason.NOT_CONNECTED
+        self._suspicions.note(server, reason, str(error))
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_guard.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_guard.py
@@ -1,19 +1,20 @@
 """Watches running streams and moves them off lost runners."""
 
 import asyncio
-import dataclasses
 
-from nutmeglift_gateway import attempt
+from nutmeglift_gateway import background
 from nutmeglift_gateway import board as boards
 from nutmeglift_gateway import decision_log
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import dispatch
-from nutmeglift_gateway import intake
-from nutmeglift_gateway import loads
 from nutmeglift_gateway import metrics as metric_sets
 from nutmeglift_gateway import paths
 from nutmeglift_gateway import ports
+from nutmeglift_gateway import reach
+from nutmeglift_gateway import running_stream
+from nutmeglift_gateway import silence
 from nutmeglift_gateway import stalls
+from nutmeglift_gateway import suspicions as suspicion
 from nutmeglift_gateway import trust
 
 TICK_SECONDS = 0.04
@@ -24,69 +25,13 @@
 MAX_MOVES = 5
 """Orders to move one stream: each is paid for, and the runners that answer
 conflict differ by then."""
+MOVE_AGAIN_SECONDS = 0.12
+"""A stream that could not be moved is tried again after it: a search takes
+processor time, and what it depends on changes a few times a second."""
 REPORT_INTERVAL_SECONDS = 0.12
 """Reports lag by 0.2 s: asking one runner more often shows nothing new."""
 
 
-@dataclasses.dataclass(eq=False)
-class Stream:
-    """One attempt at a stream that is running.
-
-    Attributes:
-        admitted: the request.
-        path: where it runs.
-        answer: takes its events.
-        sent_at: loop time at which the attempt began.
-        tokens: what it is expected to hold.
-        progress: what has been done for the request.
-        moving: whether an order to move it is under way.
-        moves: how often it was moved.
-        refused_by: ids of runners that had no room to take it over.
-    """
-
-    admitted: intake.Admitted
-    path: paths.Path
-    answer: attempt.Answer
-    sent_at: float
-    tokens: float
-    progress: dispatch.Progress
-    moving: bool = False
-    moved_at: float = 0.0
-    moves: int = 0
-    refused_by: set[str] = dataclasses.field(default_factory=set)
-    _reserved: tuple[loads.Reservation, ...] = ()
-
-    @property
-    def request_id(self) -> str:
-        """The caller's id."""
-        return self.admitted.request_id.decode("latin-1")
-
-    def reserve(self, board: boards.Board) -> tuple[loads.Reservation, ...]:
-        """Notes what it holds on its path's runners."""
-        self.release(board)
-        self._reserved = self.path.reservations(self.tokens)
-        board.book.reserve(self._reserved)
-        return self._reserved
-
-    def release(self, board: boards.Board) -> None:
-        """Frees what it held."""
-        if self._reserved:
-            board.book.release(self._reserved)
-            self._reserved = ()
-
-    def state(self, now: float) -> stalls.StreamState:
-        """Returns what decides whether it stalls."""
-        return stalls.StreamState(
-            silent=now - self.answer.last_byte_at,
-            settled=now - max(self.answer.last_byte_at, self.moved_at),
-            begun=self.answer.events_seen,
-            objective=self.admitted.route.objective,
-            gap_objective=self.admitted.route.gap_objective,
-            step_seconds=self.path.step_seconds,
-            prompt_tokens=self.admitted.prompt_tokens,
-        )
-
-
 class StreamGuard:
     """Looks after all running streams of a router."""
 
@@ -96,20 +41,23 @@
         runners: ports.BaseRunners,
         log: decision_log.DecisionLog,
         metrics: metric_sets.Metrics,
+        suspicions: suspicion.Suspicions,
     ) -> None:
         self._board = board
         self._runners = runners
         self._log = log
         self._metrics = metrics
-        self._streams: set[Stream] = set()
+        self._suspicions = suspicions
+        self._reach = reach.ReachChecks(suspicions, log)
+        self._background = background.Background(log)
+        self._streams: set[running_stream.Stream] = set()
         self._asked_at_by_address: dict[str, float] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
 
-    def add(self, stream: Stream) -> None:
+    def add(self, stream: running_stream.Stream) -> None:
         """Watches a stream."""
         self._streams.add(stream)
 
-    def remove(self, stream: Stream) -> None:
+    def remove(self, stream: running_stream.Stream) -> None:
         """Ends the watch."""
         self._streams.discard(stream)
 
@@ -120,15 +68,17 @@
             self._tick(asyncio.get_running_loop().time())
 
     def _tick(self, now: float) -> None:
+        self._reach.check(
+            now, silence.doubtful(s.passing(now) for s in self._streams)
+        )
+        gone = self._board.trust.gone()
+        leaving = gone | self._leaving(now)
         to_ask: set[str] = set()
-        leaving = self._leaving(now)
         for stream in list(self._streams):
-            if stream.moving or stream.answer.done.done():
+            if stream.is_busy:
+                continue
+            if leaving and self._get_away(stream, gone, leaving, now):
                 continue
-            if leaving and self._passes(stream, leaving):
-                self._try_move(stream)
-                if stream.moving or stream.answer.done.done():
-                    continue
             match stalls.judge(stream.state(now)):
                 case stalls.Action.WAIT:
                     pass
@@ -143,45 +93,63 @@
     def _leaving(self, now: float) -> set[str]:
         """Returns addresses that running streams have to get away from."""
         directory_ = self._board.directory
-        found = self._board.trust.gone()
+        found = self._board.giving_up()
         limit = self._board.bounds.drain_seconds * DRAIN_SHARE
         for server_id, since in directory_.draining_since_by_id.items():
             if now - since >= limit:
                 found.add(directory_.server_by_id[server_id].address)
         return found
 
-    @staticmethod
-    def _passes(stream: Stream, addresses: set[str]) -> bool:
-        """Tells whether a later part of the path is at an address."""
-        return any(
-            part.server.address in addresses for part in stream.path.parts[1:]
-        )
+    def _get_away(
+        self,
+        stream: running_stream.Stream,
+        gone: set[str],
+        leaving: set[str],
+        now: float,
+    ) -> bool:
+        """Takes a stream off lost or leaving runners; tells if it is busy."""
+        if stream.path.first.address in gone:
+            passing = stream.passing(now)
+            if passing.silent >= passing.limit:
+                self._give_up(stream, "its first runner is lost")
+            return stream.is_busy
+        if now < stream.next_move_at or not any(
+            part.server.address in leaving for part in stream.path.parts[1:]
+        ):
+            return False
+        stream.next_move_at = now + MOVE_AGAIN_SECONDS
+        self._try_move(stream)
+        return stream.is_busy
 
     def _ask(self, address: str, now: float) -> None:
         asked = self._asked_at_by_address.get(address, float("-inf"))
         if now - asked < REPORT_INTERVAL_SECONDS:
             return
         self._asked_at_by_address[address] = now
-        self._start(self._read_report(address))
+        self._background.start(self._read_report(address))
 
     async def _read_report(self, address: str) -> None:
         loop = asyncio.get_running_loop()
         try:
             report = await self._runners.report(address)
         except ports.RunnerUnavailableError as error:
-            self._suspect(address, "no report", str(error))
+            self._suspicions.note_at(
+                address, trust.Reason.NO_REPORT, str(error)
+            )
             for stream in self._at(address):
                 self._give_up(stream, "its first runner is lost")
             return
         now = loop.time()
         self._board.pace_by_address[address] = boards.Pace(report.pace, now)
         for stalled in report.stalled:
-            self._suspect(stalled.address, trust.STALLED, stalled.request_id)
+            self._suspicions.note_at(
+                stalled.address, trust.Reason.STALLED, stalled.request_id
+            )
         if report.stalled:
             for stream in self._at(address):
                 self._try_move(stream)
 
-    def _at(self, address: str) -> list[Stream]:
+    def _at(self, address: str) -> list[running_stream.Stream]:
         now = asyncio.get_running_loop().time()
         return [
             stream
@@ -192,27 +160,22 @@
             and stalls.judge(stream.state(now)) is not stalls.Action.WAIT
         ]
 
-    def _suspect(self, address: str, reason: str, detail: str) -> None:
-        server = self._board.server_at(address)
-        if server is None:
-            return
-        now = asyncio.get_running_loop().time()
-        if self._board.suspect(now, server, reason):
-            self._metrics.suspects.labels(reason).inc()
-            self._log.write(
-                "server suspect", address=address, reason=reason, detail=detail
-            )
+    def _try_move(self, stream: running_stream.Stream) -> bool:
+        """Starts to move a stream off runners that it can't stay on.
 
-    def _try_move(self, stream: Stream) -> bool:
-        """Starts to move a stream whose path has a lost runner."""
+        Returns:
+            Whether something is done about it, or will be.
+        """
         engine = stream.admitted.service.engine
         if engine is None or stream.moving or stream.moves >= MAX_MOVES:
             return False
         usable = self._board.usable(stream.admitted.service.id)
-        listed = {server.id for server in usable}
-        if all(part.server.id in listed for part in stream.path.parts):
+        places = paths.Places(usable)
+        if stream.path.first.id not in places.by_id:
             return False
-        if stream.path.first.id not in listed:
+        lost = [p for p in stream.path.parts if p.server.id not in places.by_id]
+        given_up = [p for p in stream.path.parts[1:] if not places.holds(p)]
+        if not given_up:
             return False
         now = asyncio.get_running_loop().time()
         finder = self._board.finder(engine, now)
@@ -223,20 +186,26 @@
             wanted,
         )
         crossing = path is None or path.crossings > stream.path.crossings
+        if crossing and not lost:
+            # What passes through given-up layers ends in its own time.
+            return False
         if crossing and self._can_resume(stream, finder, usable):
             self._give_up(stream, "its layers are elsewhere")
             return True
         if path is None:
             return False
         if crossing:
-            self._board.pipes.spend(now, engine, path, stream.tokens)
+            board = self._board
+            if not board.pipes.has_room(now, path, board.routers):
+                return True
+            board.pipes.spend(now, engine, path, stream.tokens)
         stream.moving = True
-        self._start(self._move(stream, path))
+        self._background.start(self._move(stream, path))
         return True
 
     def _can_resume(
         self,
-        stream: Stream,
+        stream: running_stream.Stream,
         finder: paths.PathFinder,
         usable: list[directory.Server],
     ) -> bool:
@@ -253,7 +222,9 @@
         wanted = paths.Wanted(self._board.home, stream.tokens, may_cross=False)
         return finder.find(usable, wanted) is not None
 
-    async def _move(self, stream: Stream, path: paths.Path) -> None:
+    async def _move(
+        self, stream: running_stream.Stream, path: paths.Path
+    ) -> None:
         try:
             result = await self._runners.redirect(stream.request_id, path)
         finally:
@@ -278,13 +249,15 @@
             stream.reserve(self._board)
 
     def _note_conflict(
-        self, stream: Stream, path: paths.Path, fault: str
+        self, stream: running_stream.Stream, path: paths.Path, fault: str
     ) -> None:
         """Leaves out the runner for which a move failed."""
         kept = {part.server.address for part in stream.path.parts}
         if fault in kept:
             # A part that the stream was to keep is gone as well.
-            self._suspect(fault, trust.MOVED, stream.request_id)
+            self._suspicions.note_at(
+                fault, trust.Reason.MOVED, stream.request_id
+            )
             return
         stream.refused_by |= {
             part.server.id
@@ -293,7 +266,7 @@
             or (not fault and part.server.address not in kept)
         }
 
-    def _give_up(self, stream: Stream, detail: str) -> None:
+    def _give_up(self, stream: running_stream.Stream, detail: str) -> None:
         """Breaks an attempt off, if another one is left for the request.
 
         Else silence is no reason to end the answer: the runner may go on, and
@@ -307,8 +280,3 @@
             "stream given up", request=stream.request_id, detail=detail
         )
         stream.answer.give_up(dispatch.Failure.LOST, detail)
-
-    def _start(self, work: "asyncio._CoroutineLike[None]") -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/suspicions.py
@@ -0,0 +1,51 @@
+"""Notes that a backend server failed: on the board, in the log, in metrics."""
+
+import asyncio
+
+from nutmeglift_gateway import board as boards
+from nutmeglift_gateway import decision_log
+from nutmeglift_gateway import directory
+from nutmeglift_gateway import metrics as metric_sets
+from nutmeglift_gateway import trust
+
+
+class Suspicions:
+    """The one place where a server becomes suspect."""
+
+    def __init__(
+        self,
+        board: boards.Board,
+        log: decision_log.DecisionLog,
+        metrics: metric_sets.Metrics,
+    ) -> None:
+        self._board = board
+        self._log = log
+        self._metrics = metrics
+
+    def note(
+        self, server: directory.Server, reason: trust.Reason, detail: str
+    ) -> None:
+        """Leaves a server out until it has recovered.
+
+        Args:
+            server: the server.
+            reason: why.
+            detail: what showed it, for the log.
+        """
+        now = asyncio.get_running_loop().time()
+        if not self._board.suspect(now, server, reason):
+            return
+        self._metrics.suspects.labels(reason.value).inc()
+        self._log.write(
+            "server suspect",
+            server=server.id,
+            address=server.address,
+            reason=reason.value,
+            detail=detail,
+        )
+
+    def note_at(self, address: str, reason: trust.Reason, detail: str) -> None:
+        """The same for the server at an address, if one is listed."""
+        server = self._board.server_at(address)
+        if server is not None:
+            self.note(server, reason, detail)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/trust.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/trust.py
@@ -1,6 +1,7 @@
 """Backend servers that failed requests and are left out until they recover."""
 
 import dataclasses
+import enum
 
 FIRST_HOLD_SECONDS = 0.3
 """A suspect is left out at least as long as a crash takes to show."""
@@ -10,25 +11,41 @@
 """Failures further apart count as unrelated."""
 LOST_HOLD_SECONDS = 1.0
 """After the third relapse in a row a server that rejects counts as lost."""
-REJECTED = "rejected"
-CRASHED = "crashed"
-"""Its process ended: it refuses connections."""
-STALLED = "stalled"
-"""Another runner waits for it."""
-TOLD = "peer"
-"""Another router found that its process ended, or that it stalls others."""
-GONE_REASONS = frozenset({CRASHED, STALLED, TOLD})
-"""What passes through such a server does not go on."""
-MOVED = "moved"
-"""It holds other layers than its entry says: a report tells which."""
 PROBE_INTERVAL_SECONDS = 0.5
 """A third of the time within which a restarted runner loads a part."""
 
 
+class Reason(enum.StrEnum):
+    """Why a server is left out."""
+
+    REJECTED = "rejected"
+    CRASHED = "crashed"
+    """Its process ended: it refuses connections."""
+    STALLED = "stalled"
+    """Another runner waits for it."""
+    UNREACHABLE = "unreachable"
+    """All streams through it are silent, and it takes no connection."""
+    TOLD = "peer"
+    """Another router found that its process ended, or that it stalls others."""
+    MOVED = "moved"
+    """It holds other layers than its entry says: a report tells which."""
+    NOT_CONNECTED = "connect"
+    NO_REPORT = "no report"
+
+
+GONE_REASONS = frozenset(
+    {Reason.CRASHED, Reason.STALLED, Reason.UNREACHABLE, Reason.TOLD}
+)
+"""What passes through such a server does not go on."""
+SHARED_REASONS = GONE_REASONS - {Reason.TOLD}
+"""Such a server is lost for all routers; one that a router can't connect to
+may be cut off from that router alone."""
+
+
 @dataclasses.dataclass
 class _Record:
     lifetime: tuple[str, int]
-    reason: str
+    reason: Reason
     suspect: bool
     since: float
     hold: float
@@ -52,20 +69,20 @@
         now: float,
         address: str,
         lifetime: tuple[str, int],
-        reason: str,
+        reason: Reason,
     ) -> bool:
         """Notes a failure; returns whether the address was trusted before."""
         record = self._record_by_address.get(address)
         if record is not None and record.lifetime == lifetime:
             if record.suspect:
-                return False
+                return self._worsen(record, reason)
             recent = now - record.since < MEMORY_SECONDS
             hold = max(record.hold * 2, FIRST_HOLD_SECONDS)
             if not recent:
                 hold = FIRST_HOLD_SECONDS
         else:
             hold = FIRST_HOLD_SECONDS
-        if reason == MOVED:
+        if reason == Reason.MOVED:
             hold = 0.0
         self._record_by_address[address] = _Record(
             lifetime,
@@ -73,11 +90,19 @@
             True,
             now,
             min(hold, LONGEST_HOLD_SECONDS),
-            float("-inf") if reason == MOVED else now,
+            float("-inf") if reason == Reason.MOVED else now,
         )
         self.version += 1
         return True
 
+    def _worsen(self, record: _Record, reason: Reason) -> bool:
+        """Notes that a suspect turned out to be gone."""
+        if reason not in GONE_REASONS or record.reason in GONE_REASONS:
+            return False
+        record.reason = reason
+        self.version += 1
+        return True
+
     def is_suspect(self, address: str, lifetime: tuple[str, int]) -> bool:
         """Tells whether this lifetime at the address is suspect."""
         record = self._record_by_address.get(address)
@@ -96,9 +121,11 @@
         if not self.is_suspect(address, lifetime):
             return False
         record = self._record_by_address[address]
-        if record.reason == MOVED:
+        if record.reason == Reason.MOVED:
             return False
-        return record.reason != REJECTED or record.hold >= LOST_HOLD_SECONDS
+        return (
+            record.reason != Reason.REJECTED or record.hold >= LOST_HOLD_SECONDS
+        )
 
     def reason(self, address: str) -> str:
         """Returns why the address is suspect, or an empty text."""
--- a/tests/gateway/stand_ins.py
+++ b/tests/gateway/stand_ins.py
@@ -15,6 +15,7 @@
 from nutmeglift_gateway import http_listener
 from nutmeglift_gateway import metrics
 from nutmeglift_gateway import stream_guard
+from nutmeglift_gateway import suspicions
 from nutmeglift_platform import names
 from tests.gateway import rig
 
@@ -211,14 +212,18 @@
         self.log = rig.MemoryLog()
         self.runners = rig.MemoryRunners()
         self.metrics = metrics.Metrics()
+        self.suspicions = suspicions.Suspicions(
+            self.board, self.log, self.metrics
+        )
         self.guard = stream_guard.StreamGuard(
-            self.board, self.runners, self.log, self.metrics
+            self.board, self.runners, self.log, self.metrics, self.suspicions
         )
         self.context = contexts.Context(
             self.board,
             names.HEADERS,
             self.runners,
             self.guard,
+            self.suspicions,
             self.log,
             self.metrics,
             rig.make_rng(),
--- a/tests/gateway/test_controllers.py
+++ b/tests/gateway/test_controllers.py
@@ -13,6 +13,7 @@
 from nutmeglift_gateway import prober
 from nutmeglift_gateway import registration
 from nutmeglift_gateway import store_reader
+from nutmeglift_gateway import suspicions
 from nutmeglift_gateway import trust
 from tests import virtual_time
 from tests.gateway import rig
@@ -59,6 +60,7 @@
         self.registration = registration.Registration(
             world.store, vm, f"{vm}:1", self.log, rng
         )
+        counters = metrics.Metrics()
         self.planner = planner_controller.PlannerController(
             world.store,
             self.reader,
@@ -67,7 +69,8 @@
             world.runners,
             vm,
             self.log,
-            metrics.Metrics(),
+            counters,
+            suspicions.Suspicions(self.board, self.log, counters),
             rng,
         )
         self.prober = prober.Prober(self.board, world.runners, self.log)
@@ -319,7 +322,7 @@
                 directory.LayerRange(4, 9), 1, False, 1.0, ()
             )
             now = asyncio.get_running_loop().time()
-            router.board.suspect(now, server, trust.MOVED)
+            router.board.suspect(now, server, trust.Reason.MOVED)
             await asyncio.sleep(0.2)
             self.assertEqual(router.board.usable(rig.MODEL), [])
             await asyncio.sleep(1.5)
--- a/tests/gateway/test_exchange_stream.py
+++ b/tests/gateway/test_exchange_stream.py
@@ -3,11 +3,13 @@
 import asyncio
 import unittest
 
+from nutmeglift_gateway import board as boards
 from nutmeglift_gateway import control_client
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import http_call
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import stalls
+from nutmeglift_gateway import trust
 from tests.gateway import stand_ins
 
 LAST = b"0\r\n\r\n"
@@ -81,6 +83,17 @@
                 self.assertEqual(await self.ids(), list(range(1, 10)))
                 self.assertEqual(other.seen[0].headers["last-event-id"], "3")
 
+    async def test_a_pause_between_attempts_is_told(self):
+        async def slow(request, writer, number):
+            await asyncio.sleep(0.3)
+            await stream(4, 9)(request, writer, number)
+
+        await self.rig.add_runner(stream(1, 3, None), "x", 0, 80)
+        await self.rig.add_runner(slow, "y", 0, 80, domain="b")
+        self.assertEqual(await self.ids(), list(range(1, 10)))
+        (late,) = [f for e, f in self.rig.log.lines if e == "answer late"]
+        self.assertGreaterEqual(late["longest_gap"], 0.3)
+
     async def test_a_stream_that_cannot_go_on_never_looks_complete(self):
         await self.rig.add_runner(stream(1, 3, None), "x", 0, 80)
         with self.assertRaises(http_call.CallError):
@@ -193,6 +206,56 @@
         ]
         self.assertEqual(sorted(tried), ["full", "roomy"])
 
+    async def test_streams_leave_a_runner_that_gives_their_layers_up(self):
+        first = await self.rig.add_runner(stuck, "x", 0, 50)
+        await self.rig.add_runner(stand_ins.silent, "y", 50, 80)
+        spare = await self.rig.add_runner(
+            stand_ins.silent, "z", 50, 80, kind="whole-slow"
+        )
+        call = asyncio.ensure_future(self.ids())
+        await first.wait_for_request()
+        leaving = self.rig.board.directory.server_by_id["y"]
+        self.rig.board.set_moves(
+            0.0,
+            {"y": boards.Moving(leaving.lifetime, directory.NO_LAYERS)},
+        )
+        await asyncio.wait_for(
+            self.rig.runners.moved.wait(), stand_ins.WAIT_SECONDS
+        )
+        call.cancel()
+        _, path = self.rig.runners.redirected[0]
+        self.assertEqual(
+            [part.server.address for part in path.parts],
+            [first.address, spare.address],
+        )
+
+    async def test_given_up_layers_without_another_holder_are_kept(self):
+        first = await self.rig.add_runner(stream(1, 9), "x", 0, 50)
+        await self.rig.add_runner(stand_ins.silent, "y", 50, 80)
+        leaving = self.rig.board.directory.server_by_id["y"]
+        call = asyncio.ensure_future(self.ids())
+        await first.wait_for_request()
+        self.rig.board.set_moves(
+            0.0,
+            {"y": boards.Moving(leaving.lifetime, directory.NO_LAYERS)},
+        )
+        self.assertEqual(await call, list(range(1, 10)))
+        self.assertEqual(self.rig.runners.redirected, [])
+
+    async def test_an_unreachable_first_runner_is_left(self):
+        first = await self.rig.add_runner(stuck, "x", 0, 80)
+        await self.rig.add_runner(resumable, "y", 0, 80, domain="b")
+        call = asyncio.ensure_future(self.ids())
+        await first.wait_for_request()
+        self.rig.suspicions.note_at(
+            first.address, trust.Reason.UNREACHABLE, "test"
+        )
+        self.assertEqual(await call, list(range(1, 10)))
+        self.assertIn(
+            ("stream given up", "its first runner is lost"),
+            [(e, f.get("detail")) for e, f in self.rig.log.lines],
+        )
+
     async def test_the_last_attempt_is_not_cut_for_silence(self):
         async def late(request, writer, number):
             writer.write(
--- a/tests/gateway/test_peer_state.py
+++ b/tests/gateway/test_peer_state.py
@@ -11,6 +11,7 @@
 from nutmeglift_gateway import peer_messages
 from nutmeglift_gateway import peer_state
 from nutmeglift_gateway import store_reader
+from nutmeglift_gateway import trust
 from tests.gateway import rig
 
 
@@ -93,11 +94,21 @@
         self.assertEqual(self.one.board.book.at("x"), loads.Load())
 
     def test_which_suspicions_are_shared(self):
-        for reason, shared in [("stalled", True), ("connect", False)]:
+        cases = [
+            ("stalled", True),
+            ("unreachable", True),
+            ("connect", False),
+            ("peer", False),
+        ]
+        told = []
+        self.two.board.listeners.add(lambda: told.append(True))
+        for reason, shared in cases:
             with self.subTest(reason):
+                told.clear()
                 server = rig.make_server(f"s-{reason}", address=reason)
                 self.one.board.directory.put(0.0, server)
-                self.two.board.suspect(1.0, server, reason)
+                self.two.board.suspect(1.0, server, trust.Reason(reason))
+                self.assertEqual(bool(told), shared)
                 self.send(self.two, self.one, 1.0, 100.0)
                 self.assertEqual(
                     self.one.board.trust.is_suspect(
--- a/tests/gateway/test_sentinels.py
+++ b/tests/gateway/test_sentinels.py
@@ -2,7 +2,9 @@
 import unittest
 
 from nutmeglift_gateway import directory
+from nutmeglift_gateway import metrics
 from nutmeglift_gateway import sentinels
+from nutmeglift_gateway import suspicions
 from nutmeglift_gateway import trust
 from tests.gateway import rig
 from tests.gateway import stand_ins
@@ -20,7 +22,10 @@
             layers=directory.LayerRange(0, 80),
         )
         self.board.directory.put(0.0, self.server)
-        watched = sentinels.Sentinels(self.board, self.log)
+        watched = sentinels.Sentinels(
+            self.board,
+            suspicions.Suspicions(self.board, self.log, metrics.Metrics()),
+        )
         self.task = asyncio.ensure_future(watched.run())
         self.addCleanup(self.task.cancel)
         await self.until(lambda: self.runner.connections == 1)
@@ -34,7 +39,7 @@
         self.runner.abort()
         address = self.server.address
         await self.until(lambda: address in self.board.trust.gone())
-        self.assertEqual(self.board.trust.reason(address), trust.CRASHED)
+        self.assertEqual(self.board.trust.reason(address), trust.Reason.CRASHED)
 
     async def test_an_idle_close_is_no_crash(self):
         self.runner.drop_connections()
--- a/tests/gateway/test_trust.py
+++ b/tests/gateway/test_trust.py
@@ -35,15 +35,34 @@
         self.assertLess(probes[-1], trust.LONGEST_HOLD_SECONDS + 0.1)
 
     def test_unrelated_failures_start_anew(self):
-        self.trust.suspect(0.0, "a", LIFE, trust.REJECTED)
+        self.trust.suspect(0.0, "a", LIFE, trust.Reason.REJECTED)
         self.trust.clear("a")
-        self.trust.suspect(60.0, "a", LIFE, trust.REJECTED)
+        self.trust.suspect(60.0, "a", LIFE, trust.Reason.REJECTED)
         self.assertEqual(self.trust.due_probes(60.51), ["a"])
 
+    def test_a_suspect_may_turn_out_to_be_gone(self):
+        reasons = [
+            # first, then, whether it was news, reason kept
+            ("connect", "unreachable", True, "unreachable"),
+            ("unreachable", "connect", False, "unreachable"),
+            ("crashed", "stalled", False, "crashed"),
+            ("rejected", "moved", False, "rejected"),
+        ]
+        for first, then, news, kept in reasons:
+            with self.subTest(first=first, then=then):
+                found = trust.Trust()
+                found.suspect(0.0, "a", LIFE, trust.Reason(first))
+                self.assertEqual(
+                    found.suspect(0.1, "a", LIFE, trust.Reason(then)), news
+                )
+                self.assertEqual(found.reason("a"), kept)
+                gone = {"a"} if kept in trust.GONE_REASONS else set()
+                self.assertEqual(found.gone(), gone)
+
     def test_rejections_count_as_lost_after_relapses(self):
         lost = []
         for number in range(4):
-            self.trust.suspect(float(number), "a", LIFE, trust.REJECTED)
+            self.trust.suspect(float(number), "a", LIFE, trust.Reason.REJECTED)
             lost.append(self.trust.is_lost("a", LIFE))
             self.trust.clear("a")
         self.assertEqual(lost, [False, False, True, True])
