Count retries over all routers, and keep them for streams that began

Ruled out: the platform's bound on retries (a window held about half of it).

Change: routers tell each other what they counted, and what peers spent since is taken to be as much as we did; requests that have not begun may take half of the budget; a stream is given up only if it can be repeated; runs at runners that have ended leave the route's attempts; an address has one server, and a report tells of which life it is; a runner that says it is full is left alone for 0.25 s.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
@@ -219,7 +219,12 @@
 
     def finder(self, engine: catalog.Engine, now: float) -> paths.PathFinder:
         """Returns a path finder for a service's runners at present."""
-        return paths.PathFinder(engine, self.book, self.pace_reader(now))
+        return paths.PathFinder(
+            engine,
+            self.book,
+            self.pace_reader(now),
+            frozenset(self.book.full(now)),
+        )
 
     def pace_reader(self, now: float) -> Callable[[str], float]:
         """Returns a function from an address to the runner's pace."""
@@ -243,6 +248,15 @@
             )
         return found
 
+    def budget_counts(
+        self, now: float
+    ) -> dict[ids.ServiceId, retry_shares.Counts]:
+        """Returns what this router counted for each service's budget."""
+        return {
+            service: budget.counts(now)
+            for service, budget in self._budget_by_service.items()
+        }
+
     def suspect(
         self, now: float, server: directory.Server, reason: trust.Reason
     ) -> bool:
@@ -258,6 +272,16 @@
         for listener in list(self.listeners):
             listener()
 
+    def is_gone(self, server: directory.Server) -> bool:
+        """Tells whether a lifetime of a server is known to have ended."""
+        known = self.directory.server_by_id.get(server.id)
+        if known is None or known.lifetime != server.lifetime:
+            return True
+        return (
+            self.trust.is_suspect(server.address, server.lifetime)
+            and server.address in self.trust.gone()
+        )
+
     def server_at(self, address: str) -> directory.Server | None:
         """Returns the server at an address, the youngest of several."""
         return max(
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/directory.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/directory.py
@@ -93,6 +93,11 @@
         known = self.server_by_id.get(server.id)
         if known is not None and known.revision >= server.revision:
             return False
+        for other in self._others_at(server):
+            if other.born > server.born:
+                return False
+            # An address has one server: the older one has ended.
+            self._forget(other.id)
         if known is not None and known.lifetime != server.lifetime:
             self.draining_since_by_id.pop(server.id, None)
         elif known is not None:
@@ -108,6 +113,26 @@
             self.draining_since_by_id.pop(server.id, None)
         return True
 
+    def _others_at(self, server: Server) -> list[Server]:
+        """Returns servers under other ids at the address, if age is known."""
+        return [
+            other
+            for other in self.server_by_id.values()
+            if other.address == server.address
+            and other.id != server.id
+            and other.born
+            and server.born
+            and other.born != server.born
+        ]
+
+    def note_ended(self, server: Server) -> bool:
+        """Drops a lifetime that is known to have ended, if it is listed."""
+        known = self.server_by_id.get(server.id)
+        if known is None or known.lifetime != server.lifetime:
+            return False
+        self._forget(server.id)
+        return True
+
     def update_layers(
         self, now: float, server: Server, layers: LayerRange, orders: int
     ) -> None:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/dispatch.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/dispatch.py
@@ -42,13 +42,21 @@
     Attributes:
         sent: times that it was written to a backend server.
         runs: times that it may have run; the route bounds these.
+        ended_runs: those of them at backend servers that have ended since,
+            which the route's bound leaves out.
         started: whether a part of the answer was delivered.
     """
 
     sent: int = 0
     runs: int = 0
+    ended_runs: int = 0
     started: bool = False
 
+    @property
+    def counted_runs(self) -> int:
+        """What the route's bound counts."""
+        return self.runs - self.ended_runs
+
     @property
     def may_have_run(self) -> bool:
         """Whether any of what was sent may have run."""
@@ -106,7 +114,7 @@
         return _give_up(progress, errors.ErrorKind.DEADLINE)
     if failure is Failure.NOT_SENT:
         return Retry(repeat=False)
-    if progress.runs >= route.max_attempts or progress.sent >= MAX_SENT:
+    if progress.counted_runs >= route.max_attempts or progress.sent >= MAX_SENT:
         if failure is Failure.SERVER_ERROR:
             return Deliver()
         return _give_up(progress, errors.ErrorKind.OVERLOADED)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
@@ -2,11 +2,11 @@
 
 import asyncio
 
-from nutmeglift_gateway import answers
 from nutmeglift_gateway import attempt
 from nutmeglift_gateway import context as contexts
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import dispatch
+from nutmeglift_gateway import failures
 from nutmeglift_gateway import freshness
 from nutmeglift_gateway import http_call
 from nutmeglift_gateway import http_listener
@@ -19,15 +19,7 @@
 from nutmeglift_gateway import sse
 from nutmeglift_gateway import trust
 
-MAX_CONNECT_FAILURES = 6
-"""Servers that are tried until one takes the connection: by then the entries
-of a crashed group have had time to lapse."""
-
-
 _LOSSES = frozenset({dispatch.Failure.LOST, dispatch.Failure.SPOILED})
-FULL_SHARE = 0.5
-"""Part of a runner's room that is reserved when it is believed to be full;
-what it holds may be twice what requests hold on average."""
 _ELSEWHERE_ONLY = frozenset(
     {dispatch.Failure.REJECTED, dispatch.Failure.NOT_SENT}
 )
@@ -48,10 +40,10 @@
         self._loop = asyncio.get_running_loop()
         self._reply = reply.Reply(context, connection, request)
         self._progress = self._reply.progress
-        self._tried: set[str] = set()
+        self._failures = failures.Failures(context, self._progress)
         self._upstream: http_call.Connection | None = None
         self._events: sse.EventSplitter | None = None
-        self._first = ""
+        self._first: directory.Server | None = None
         self._last: attempt.Outcome | None = None
         self._why = ""
 
@@ -84,7 +76,6 @@
         streaming = admitted.route.streaming
         if streaming:
             self._events = sse.EventSplitter(self._first_event_id())
-        connect_failures = 0
         while True:
             try:
                 async with asyncio.timeout_at(admitted.deadline):
@@ -102,36 +93,18 @@
             if outcome.failure is None:
                 self._reply.deliver(admitted, outcome)
                 return
-            self._note_failure(admitted, outcome)
             self._last = outcome
-            decision = dispatch.decide(
-                admitted.route,
-                self._progress,
-                outcome.failure,
-                admitted.deadline - self._now(),
+            assert self._first is not None
+            decision = await self._failures.decide(
+                admitted, outcome, self._first, self._reply
             )
-            if outcome.failure is dispatch.Failure.NOT_SENT:
-                connect_failures += 1
-                if connect_failures >= MAX_CONNECT_FAILURES:
-                    decision = dispatch.give_up_without_server(self._progress)
-            if isinstance(decision, dispatch.Retry) and decision.repeat:
-                decision = self._spend(admitted, outcome, decision)
-            if isinstance(decision, dispatch.Retry):
-                context = self._context
-                context.metrics.attempts.labels("retried").inc()
-                context.log.write(
-                    "retried",
-                    request=admitted.request_id.decode("latin-1"),
-                    failure=outcome.failure.value,
-                    detail=outcome.detail,
-                    sent=self._progress.sent,
-                    started=self._progress.started,
-                )
-                continue
-            if isinstance(decision, dispatch.Deliver):
-                self._reply.deliver(admitted, outcome)
-                return
-            self._reply.end(admitted, decision, outcome.detail)
+            match decision:
+                case dispatch.Retry():
+                    continue
+                case dispatch.Deliver():
+                    self._reply.deliver(admitted, outcome)
+                case _:
+                    self._reply.end(admitted, decision, outcome.detail)
             return
 
     def _end_without_server(self, admitted: intake.Admitted) -> None:
@@ -153,7 +126,7 @@
         A server that rejected the request, or took no connection, is not
         asked again; one whose answer was lost may be, where no other is left.
         """
-        untried = [s for s in usable if s.id not in self._tried]
+        untried = [s for s in usable if s.id not in self._failures.tried]
         if untried or self._last is None:
             return untried
         if self._last.failure in _ELSEWHERE_ONLY:
@@ -167,7 +140,9 @@
     ) -> attempt.Outcome | None:
         board = self._context.board
         usable = board.usable(admitted.service.id)
+        full = board.book.full(self._now())
         fresh = self._untried(usable)
+        fresh = [s for s in fresh if s.address not in full] or fresh
         if admitted.service.engine is not None:
             # Without a path, a runner serves alone with all layers.
             layers = admitted.service.engine.layers
@@ -177,7 +152,7 @@
         )
         if server is None:
             return None
-        self._first = server.id
+        self._first = server
         reserved = (loads.Reservation(server.address, True, 0.0),)
         answer = self._new_answer(admitted, None)
         outcome = await self._send(admitted, server, reserved, answer, None)
@@ -206,7 +181,7 @@
             self._why = f"the pipes are full for {describe(path)}"
             return None
         self._reply.paths.append(describe(path))
-        self._first = path.first.id
+        self._first = path.first
         answer = self._new_answer(admitted, self._events)
         board.pipes.spend(now, engine, path, admitted.prompt_tokens)
         stream = running_stream.Stream(
@@ -317,67 +292,6 @@
         else:
             self._upstream.pause()
 
-    # Failures.
-
-    def _note_failure(
-        self, admitted: intake.Admitted, outcome: attempt.Outcome
-    ) -> None:
-        assert outcome.failure is not None
-        context = self._context
-        context.metrics.attempts.labels(outcome.failure.value).inc()
-        self._leave_out(admitted, outcome)
-        context.log.write(
-            "attempt failed",
-            request=admitted.request_id.decode("latin-1"),
-            service=admitted.service.id,
-            failure=outcome.failure.value,
-            detail=outcome.detail,
-            fault=outcome.fault,
-            path=self._reply.paths[-1:] or None,
-            started=self._progress.started,
-            seconds=round(self._reply.elapsed(), 3),
-        )
-
-    def _leave_out(
-        self, admitted: intake.Admitted, outcome: attempt.Outcome
-    ) -> None:
-        """Leaves out the server at fault: for all requests, or this one.
-
-        A runner that is full by our own count rejects for want of room, and
-        has some again in a moment; any other that rejects is on its way out.
-        """
-        board = self._context.board
-        suspicions = self._context.suspicions
-        server = board.server_at(outcome.fault) if outcome.fault else None
-        if server is None:
-            self._tried.add(self._first)
-            return
-        engine = admitted.service.engine
-        misdirected = (
-            outcome.response is not None
-            and outcome.response.status == answers.MISDIRECTED
-        )
-        if misdirected:
-            suspicions.note(server, trust.Reason.MOVED, outcome.detail)
-        elif engine is not None and board.fill(engine, server) > FULL_SHARE:
-            self._tried.add(server.id)
-        else:
-            suspicions.note(server, trust.Reason.REJECTED, outcome.detail)
-
-    def _spend(
-        self,
-        admitted: intake.Admitted,
-        outcome: attempt.Outcome,
-        decision: dispatch.Retry,
-    ) -> dispatch.Decision:
-        board = self._context.board
-        budget = board.budget(admitted.service.id)
-        if budget.try_spend(self._now(), board.routers):
-            return decision
-        if outcome.failure is dispatch.Failure.SERVER_ERROR:
-            return dispatch.Deliver()
-        return dispatch.give_up_without_server(self._progress)
-
     def _first_event_id(self) -> int | None:
         raw = self._request.get(self._context.names.last_event_id)
         return int(raw) if raw is not None and raw.isdigit() else None
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/failures.py
@@ -0,0 +1,193 @@
+"""What follows from failed attempts at one request."""
+
+import asyncio
+
+from nutmeglift_gateway import answers
+from nutmeglift_gateway import attempt
+from nutmeglift_gateway import context as contexts
+from nutmeglift_gateway import directory
+from nutmeglift_gateway import dispatch
+from nutmeglift_gateway import http_call
+from nutmeglift_gateway import intake
+from nutmeglift_gateway import reply as replies
+from nutmeglift_gateway import retry_shares
+from nutmeglift_gateway import trust
+
+MAX_CONNECT_FAILURES = 6
+"""Servers that are tried until one takes the connection: by then the entries
+of a crashed group have had time to lapse."""
+FULL_SHARE = 0.5
+"""Part of a runner's room that is reserved when it is believed to be full;
+what it holds may be twice what requests hold on average."""
+
+
+class Failures:
+    """Notes the failed attempts at a request and decides what to do.
+
+    Attributes:
+        tried: ids of servers that are not to be tried again.
+    """
+
+    def __init__(
+        self, context: contexts.Context, progress: dispatch.Progress
+    ) -> None:
+        """Makes it.
+
+        Args:
+            context: the router's parts.
+            progress: what has been done for the request.
+        """
+        self.tried: set[str] = set()
+        self._context = context
+        self._progress = progress
+        self._connect_failures = 0
+
+    async def decide(
+        self,
+        admitted: intake.Admitted,
+        outcome: attempt.Outcome,
+        first: directory.Server,
+        reply: replies.Reply,
+    ) -> dispatch.Decision:
+        """Decides what follows from a failed attempt.
+
+        Args:
+            admitted: the request.
+            outcome: how the attempt ended.
+            first: the server that it was sent to.
+            reply: what the caller got so far.
+        """
+        failure = outcome.failure
+        assert failure is not None
+        self._note(admitted, outcome, first, reply)
+        if await self._has_ended(admitted, outcome, first):
+            self._progress.ended_runs += 1
+        decision = dispatch.decide(
+            admitted.route,
+            self._progress,
+            failure,
+            admitted.deadline - _now(),
+        )
+        if failure is dispatch.Failure.NOT_SENT:
+            self._connect_failures += 1
+            if self._connect_failures >= MAX_CONNECT_FAILURES:
+                decision = dispatch.give_up_without_server(self._progress)
+        if isinstance(decision, dispatch.Retry) and decision.repeat:
+            decision = self._spend(admitted, failure, decision)
+        if isinstance(decision, dispatch.Retry):
+            self._context.metrics.attempts.labels("retried").inc()
+            self._context.log.write(
+                "retried",
+                request=admitted.request_id.decode("latin-1"),
+                failure=failure.value,
+                detail=outcome.detail,
+                sent=self._progress.sent,
+                started=self._progress.started,
+            )
+        return decision
+
+    def _note(
+        self,
+        admitted: intake.Admitted,
+        outcome: attempt.Outcome,
+        first: directory.Server,
+        reply: replies.Reply,
+    ) -> None:
+        assert outcome.failure is not None
+        context = self._context
+        context.metrics.attempts.labels(outcome.failure.value).inc()
+        self._leave_out(admitted, outcome, first)
+        context.log.write(
+            "attempt failed",
+            request=admitted.request_id.decode("latin-1"),
+            service=admitted.service.id,
+            failure=outcome.failure.value,
+            detail=outcome.detail,
+            server=first.id,
+            fault=outcome.fault,
+            path=reply.paths[-1:] or None,
+            started=self._progress.started,
+            seconds=round(reply.elapsed(), 3),
+        )
+
+    def _leave_out(
+        self,
+        admitted: intake.Admitted,
+        outcome: attempt.Outcome,
+        first: directory.Server,
+    ) -> None:
+        """Leaves out the server at fault: for all requests, or this one.
+
+        A runner that is full by our own count rejects for want of room, and
+        has some again in a moment; any other that rejects is on its way out.
+        """
+        board = self._context.board
+        suspicions = self._context.suspicions
+        server = board.server_at(outcome.fault) if outcome.fault else None
+        if server is None:
+            self.tried.add(first.id)
+            if outcome.failure is dispatch.Failure.REJECTED:
+                board.book.note_full(_now(), first.address)
+            return
+        engine = admitted.service.engine
+        misdirected = (
+            outcome.response is not None
+            and outcome.response.status == answers.MISDIRECTED
+        )
+        if misdirected:
+            suspicions.note(server, trust.Reason.MOVED, outcome.detail)
+        elif engine is not None and board.fill(engine, server) > FULL_SHARE:
+            self.tried.add(server.id)
+            board.book.note_full(_now(), server.address)
+        else:
+            suspicions.note(server, trust.Reason.REJECTED, outcome.detail)
+
+    async def _has_ended(
+        self,
+        admitted: intake.Admitted,
+        outcome: attempt.Outcome,
+        first: directory.Server,
+    ) -> bool:
+        """Tells whether the server that ran a lost attempt has ended.
+
+        It is asked only where another attempt depends on it.
+        """
+        exhausted = self._progress.counted_runs >= admitted.route.max_attempts
+        if (
+            outcome.failure is not dispatch.Failure.LOST
+            or not exhausted
+            or not admitted.route.repeatable
+        ):
+            return False
+        if self._context.board.is_gone(first):
+            return True
+        try:
+            connection = await http_call.connect(first.address)
+        except http_call.CallError as error:
+            refused = error.failure is http_call.CallFailure.REFUSED
+            if refused:
+                self._context.suspicions.note(
+                    first, trust.Reason.CRASHED, str(error)
+                )
+            return refused
+        connection.close()
+        return False
+
+    def _spend(
+        self,
+        admitted: intake.Admitted,
+        failure: dispatch.Failure,
+        decision: dispatch.Retry,
+    ) -> dispatch.Decision:
+        board = self._context.board
+        purpose = retry_shares.purpose(started=self._progress.started)
+        budget = board.budget(admitted.service.id)
+        if budget.try_spend(_now(), board.routers, purpose):
+            return decision
+        if failure is dispatch.Failure.SERVER_ERROR:
+            return dispatch.Deliver()
+        return dispatch.give_up_without_server(self._progress)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/loads.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/loads.py
@@ -6,6 +6,10 @@
 PEER_SILENCE_SECONDS = 1.5
 """What a lost router had reserved lapses: five of its reports are missing."""
 
+FULL_SECONDS = 0.25
+"""A server that rejected a request as full is left to others so long: about
+as often a place on it becomes free, and peers report what they hold."""
+
 
 @dataclasses.dataclass(slots=True)
 class Load:
@@ -41,6 +45,21 @@
         self._own_by_address: dict[str, Load] = {}
         self._peer_loads: dict[str, tuple[float, Mapping[str, Load]]] = {}
         self._total_by_address: dict[str, Load] = {}
+        self._full_until_by_address: dict[str, float] = {}
+
+    def note_full(self, now: float, address: str) -> None:
+        """Notes that a server rejected a request for want of room."""
+        self._full_until_by_address[address] = now + FULL_SECONDS
+
+    def full(self, now: float) -> set[str]:
+        """Returns the servers that rejected requests a moment ago."""
+        if self._full_until_by_address:
+            self._full_until_by_address = {
+                address: until
+                for address, until in self._full_until_by_address.items()
+                if until > now
+            }
+        return set(self._full_until_by_address)
 
     def reserve(self, reservations: tuple[Reservation, ...]) -> None:
         """Notes the start of a request."""
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/paths.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/paths.py
@@ -149,6 +149,7 @@
         engine: catalog.Engine,
         book: loads.LoadBook,
         pace_of: Callable[[str], float],
+        full: frozenset[str] = frozenset(),
     ) -> None:
         """Makes it.
 
@@ -157,10 +158,13 @@
             book: what is in flight on them.
             pace_of: returns by how much a runner, by its address, is slower
                 than its kind.
+            full: addresses of runners that rejected requests a moment ago;
+                they get nothing new.
         """
         self._engine = engine
         self._book = book
         self._pace_of = pace_of
+        self._full = full
 
     def layer_seconds(self, server: directory.Server) -> float:
         """Returns a runner's time for one layer of a token step."""
@@ -308,6 +312,8 @@
         return Path(tuple(parts), seconds)
 
     def _has_room(self, server: directory.Server, wanted: Wanted) -> bool:
+        if server.address in self._full:
+            return False
         load = self._book.at(server.address)
         kind = self._engine.kind(server.kind)
         room = self._engine.room(kind, server.layers.count)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
@@ -48,6 +48,14 @@
     end: int
 
 
+class BudgetRow(msgspec.Struct, array_like=True, frozen=True):
+    """What the sender counted for a service's retry budget in its window."""
+
+    service: str
+    requests: int
+    repeats: int
+
+
 class PeerReport(msgspec.Struct, array_like=True, frozen=True, tag="report"):
     """One router's state, sent several times a second.
 
@@ -66,6 +74,7 @@
         paces: runners that the sender found slow.
         planner: whether the sender holds the planner's role.
         moves: the moves under way, where it does.
+        budgets: what it counted for the services' retry budgets.
     """
 
     vm: str
@@ -80,6 +89,7 @@
     paces: list[PaceRow]
     planner: bool
     moves: list[MoveRow]
+    budgets: list[BudgetRow]
 
 
 class EntryRow(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
@@ -7,6 +7,7 @@
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import loads
 from nutmeglift_gateway import peer_messages
+from nutmeglift_gateway import retry_shares
 from nutmeglift_gateway import store_reader
 from nutmeglift_gateway import trust
 
@@ -93,6 +94,12 @@
                 for moving in board.moves.values()
                 if board.plans
             ],
+            budgets=[
+                peer_messages.BudgetRow(
+                    service, counts.requests, counts.repeats
+                )
+                for service, counts in board.budget_counts(now).items()
+            ],
         )
 
     def take(
@@ -145,6 +152,12 @@
                     for row in report.moves
                 },
             )
+        for spent in report.budgets:
+            board.budget(ids.ServiceId(spent.service)).take_peer(
+                now,
+                report.vm,
+                retry_shares.Counts(spent.requests, spent.repeats),
+            )
         for row in report.suspects:
             server = board.server_at(row.address)
             if (
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/ports.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/ports.py
@@ -70,6 +70,7 @@
     """What a runner says of itself.
 
     Attributes:
+        born: Unix milliseconds of its start; 0 where it doesn't say.
         layers: what it holds.
         orders: number of orders that it accepted.
         busy: whether an order is under way.
@@ -82,6 +83,7 @@
     busy: bool
     pace: float
     stalled: tuple[Stalled, ...]
+    born: int = 0
 
 
 class OrderOutcome(enum.Enum):
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/prober.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/prober.py
@@ -63,6 +63,12 @@
         try:
             if server.kind:
                 report = await self._runners.report(address)
+                if report.born and server.born and report.born != server.born:
+                    if self._board.directory.note_ended(server):
+                        self._log.write(
+                            "server ended", server=server.id, address=address
+                        )
+                    return
                 self._board.directory.update_layers(
                     asyncio.get_running_loop().time(),
                     server,
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/retry_shares.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/retry_shares.py
@@ -1,19 +1,60 @@
 """The retry budget that all routers hold together.
 
 In any window a service may get as many repeats as a ratio of its requests, and
-a constant more. Each router spends its own ratio, and its part of the constant
-by the number of live routers.
+a constant more. Routers tell each other what they counted, so that one whose
+streams all lost their runner may spend what the others don't need. What peers
+have spent since their last report is taken to be as much as we have.
 """
 
 import collections
+import dataclasses
+import enum
 
-SAFETY = 0.6
-"""Part of the budget that is spent: callers' requests that other routers
-count are seen late, and the number of live routers changes."""
+SAFETY = 0.75
+"""Part of the budget that is spent: what routers that were lost or cut off
+had counted is not known."""
+ANEW_SHARE = 0.5
+"""Part of it that requests which have not begun may take: their callers come
+back at no cost to the budget, while a stream that is not resumed is lost."""
+REPORT_SECONDS = 0.3
+"""A peer's count is at most so old: an interval of reports, and its way."""
+PEER_SILENCE_SECONDS = 1.5
+"""A router whose count is older is left its own share of the budget."""
+
+
+class Purpose(enum.Enum):
+    """What a repeat is for."""
+
+    ANEW = "anew"
+    """Nothing of the answer was delivered."""
+    RESUME = "resume"
+    """The rest of a stream that has begun."""
+
+
+def purpose(*, started: bool) -> Purpose:
+    """Returns what a repeat is for.
+
+    Args:
+        started: whether a part of the answer was delivered.
+    """
+    return Purpose.RESUME if started else Purpose.ANEW
+
+
+@dataclasses.dataclass(frozen=True)
+class Counts:
+    """One router's count within the window.
+
+    Attributes:
+        requests: callers' requests for the service.
+        repeats: repeats that it sent.
+    """
+
+    requests: int
+    repeats: int
 
 
 class RetryShares:
-    """One router's share of a service's retry budget."""
+    """What one router knows of a service's retry budget."""
 
     def __init__(self, *, ratio: float, slack: float, window: float) -> None:
         """Makes it.
@@ -29,6 +70,7 @@
         self._window = window
         self._requests: collections.deque[float] = collections.deque()
         self._repeats: collections.deque[float] = collections.deque()
+        self._peer_counts: dict[str, tuple[float, Counts]] = {}
 
     def set_bounds(self, *, ratio: float, slack: float, window: float) -> None:
         """Replaces what the constructor took."""
@@ -40,18 +82,46 @@
         """Notes a caller's request for the service."""
         self._requests.append(now)
 
-    def try_spend(self, now: float, routers: int) -> bool:
-        """Takes one repeat out of the budget, if there is one.
+    def counts(self, now: float) -> Counts:
+        """Returns our own count, for the other routers."""
+        self._expire(now)
+        return Counts(len(self._requests), len(self._repeats))
+
+    def take_peer(self, now: float, peer: str, counts: Counts) -> None:
+        """Takes another router's count."""
+        self._peer_counts[peer] = (now, counts)
+
+    def can_spend(self, now: float, routers: int, purpose: Purpose) -> bool:
+        """Tells whether a repeat is left.
 
         Args:
             now: seconds.
             routers: number of live routers, this one included.
+            purpose: what it is for.
         """
         self._expire(now)
-        allowed = SAFETY * (
-            self._ratio * len(self._requests) + self._slack / max(1, routers)
-        )
-        if len(self._repeats) + 1 > allowed:
+        peers = [counts for _, counts in self._peer_counts.values()]
+        routers = max(1, routers, len(peers) + 1)
+        known = (len(peers) + 1) / routers
+        requests = len(self._requests) + sum(c.requests for c in peers)
+        allowed = SAFETY * (self._ratio * requests + self._slack * known)
+        if purpose is Purpose.ANEW:
+            allowed *= ANEW_SHARE
+        recent = sum(1 for at in self._repeats if at > now - REPORT_SECONDS)
+        spent = len(self._repeats) + sum(c.repeats for c in peers)
+        return spent + recent * len(peers) + 1 <= allowed
+
+    def try_spend(
+        self, now: float, routers: int, purpose: Purpose = Purpose.RESUME
+    ) -> bool:
+        """Takes one repeat out of the budget, if there is one.
+
+        Args:
+            now: seconds.
+            routers: number of live routers, this one included.
+            purpose: what it is for.
+        """
+        if not self.can_spend(now, routers, purpose):
             return False
         self._repeats.append(now)
         return True
@@ -60,3 +130,6 @@
         for times in (self._requests, self._repeats):
             while times and times[0] <= now - self._window:
                 times.popleft()
+        for peer, (taken_at, _) in list(self._peer_counts.items()):
+            if now - taken_at > PEER_SILENCE_SECONDS:
+                del self._peer_counts[peer]
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_guard.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_guard.py
@@ -11,6 +11,7 @@
 from nutmeglift_gateway import paths
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import reach
+from nutmeglift_gateway import retry_shares
 from nutmeglift_gateway import running_stream
 from nutmeglift_gateway import silence
 from nutmeglift_gateway import stalls
@@ -214,14 +215,27 @@
         It reads the tokens so far at its own speed, while a move between
         failure domains sends the activations of all of them over a pipe.
         """
-        route = stream.admitted.route
-        if not route.repeatable:
-            return False
-        if stream.progress.runs >= route.max_attempts:
+        if not self._may_repeat(stream):
             return False
         wanted = paths.Wanted(self._board.home, stream.tokens, may_cross=False)
         return finder.find(usable, wanted) is not None
 
+    def _may_repeat(self, stream: running_stream.Stream) -> bool:
+        """Tells whether another attempt is left for a stream's request."""
+        route = stream.admitted.route
+        progress = stream.progress
+        board = self._board
+        runs = progress.counted_runs - board.is_gone(stream.path.first)
+        if not route.repeatable or runs >= route.max_attempts:
+            return False
+        if progress.sent >= dispatch.MAX_SENT:
+            return False
+        return board.budget(stream.admitted.service.id).can_spend(
+            asyncio.get_running_loop().time(),
+            board.routers,
+            retry_shares.purpose(started=progress.started),
+        )
+
     async def _move(
         self, stream: running_stream.Stream, path: paths.Path
     ) -> None:
@@ -272,8 +286,7 @@
         Else silence is no reason to end the answer: the runner may go on, and
         the caller decides how long it waits.
         """
-        route = stream.admitted.route
-        if not route.repeatable or stream.progress.runs >= route.max_attempts:
+        if not self._may_repeat(stream):
             return
         self._metrics.repairs.labels("given up", "lost").inc()
         self._log.write(
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -74,6 +74,18 @@
                     dispatch.decide(route, progress, failure, 1.0), expected
                 )
 
+    def test_runs_at_servers_that_ended_leave_attempts(self):
+        cases = [(2, 0, UNKNOWN), (2, 1, RETRY), (3, 2, RETRY), (3, 1, UNKNOWN)]
+        for runs, ended, expected in cases:
+            with self.subTest(runs=runs, ended=ended):
+                progress = dispatch.Progress(runs, runs, ended)
+                self.assertEqual(
+                    dispatch.decide(rig.STREAM, progress, F.LOST, 1.0),
+                    expected,
+                )
+                # That it ran is not forgotten.
+                self.assertTrue(progress.may_have_run)
+
     def test_not_run_is_promised_only_when_nothing_ran(self):
         for route in (rig.SAFE, rig.UNSAFE, rig.STREAM):
             for failure in F:
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -33,6 +33,37 @@
         self.assertEqual(self.directory.server_by_id["s"].orders, 0)
         self.assertFalse(self.directory.is_current(first))
 
+    def test_an_address_has_one_server(self):
+        cases = [
+            # name, births of the first and the second, still listed
+            ("a new one", 5, 9, ["second"]),
+            ("an entry that came late", 9, 5, ["first"]),
+            ("unknown births", 0, 9, ["first", "second"]),
+        ]
+        for name, first, second, listed in cases:
+            with self.subTest(name):
+                found = directory.Directory()
+                for number, (server_id, born) in enumerate(
+                    [("first", first), ("second", second)]
+                ):
+                    found.put(
+                        1.0,
+                        rig.make_server(
+                            server_id, address="x:1", born=born,
+                            revision=number + 1,
+                        ),
+                    )  # fmt: skip
+                self.assertEqual(sorted(found.server_by_id), listed)
+
+    def test_a_lifetime_that_has_ended_is_dropped(self):
+        server = rig.make_server("s", revision=5, born=1)
+        self.directory.put(1.0, server)
+        self.assertFalse(
+            self.directory.note_ended(rig.make_server("s", born=2))
+        )
+        self.assertTrue(self.directory.note_ended(server))
+        self.assertEqual(self.directory.server_by_id, {})
+
     def test_orders_outlast_new_entries_of_a_lifetime(self):
         first = rig.make_server("s", revision=5)
         self.directory.put(1.0, first)
--- a/tests/gateway/test_exchange_stream.py
+++ b/tests/gateway/test_exchange_stream.py
@@ -8,6 +8,7 @@
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import http_call
 from nutmeglift_gateway import ports
+from nutmeglift_gateway import settings
 from nutmeglift_gateway import stalls
 from nutmeglift_gateway import trust
 from tests.gateway import stand_ins
@@ -94,6 +95,37 @@
         (late,) = [f for e, f in self.rig.log.lines if e == "answer late"]
         self.assertGreaterEqual(late["longest_gap"], 0.3)
 
+    async def test_runners_that_ended_do_not_use_up_attempts(self):
+        names = ["x", "y", "z"]
+
+        def dying(first, last):
+            async def script(request, writer, number):
+                at = len(lost)
+                lost.append(runner_by_name[names[at]])
+                await stream(first + 2 * at, last + 2 * at, None)(
+                    request, writer, number
+                )
+                lost[-1].abort()
+
+            return script
+
+        lost, runner_by_name = [], {}
+        for name, kind in zip(names, ("whole", "whole", "whole-slow"),
+                              strict=True):  # fmt: skip
+            script = resumable if name == "z" else dying(1, 2)
+            runner_by_name[name] = await self.rig.add_runner(
+                script, name, 0, 80, kind=kind
+            )
+        self.assertEqual(await self.ids(), list(range(1, 10)))
+        self.assertEqual(len(runner_by_name["z"].seen), 1)
+
+    async def test_a_full_runner_is_left_alone_for_a_moment(self):
+        full = await self.rig.add_runner(stand_ins.not_run(), "x", 0, 80)
+        other = await self.rig.add_runner(resumable, "y", 0, 80, domain="b")
+        for _ in range(2):
+            self.assertEqual(await self.ids(), list(range(1, 10)))
+        self.assertEqual((len(full.seen), len(other.seen)), (1, 2))
+
     async def test_a_stream_that_cannot_go_on_never_looks_complete(self):
         await self.rig.add_runner(stream(1, 3, None), "x", 0, 80)
         with self.assertRaises(http_call.CallError):
@@ -269,6 +301,22 @@
         self.assertEqual(await self.ids(), list(range(1, 10)))
         self.assertNotIn("stream cut", self.rig.log.events())
 
+    async def test_a_stream_that_could_not_be_resumed_is_not_given_up(self):
+        async def late(request, writer, number):
+            writer.write(
+                stand_ins.stream_head(request) + stand_ins.events(1, 3)
+            )
+            await asyncio.sleep(stalls.GIVE_UP_SECONDS + 0.4)
+            writer.write(stand_ins.events(4, 9) + LAST)
+
+        self.rig.board.set_bounds(
+            settings.Bounds(retry_ratio=0.0, retry_slack=0)
+        )
+        await self.rig.add_runner(late, "x", 0, 80)
+        await self.rig.add_runner(resumable, "y", 0, 80, domain="b")
+        self.assertEqual(await self.ids(), list(range(1, 10)))
+        self.assertNotIn("stream given up", self.rig.log.events())
+
     async def test_a_silent_first_runner_is_left(self):
         # It gives no report either.
         await self.rig.add_runner(stuck, "x", 0, 80)
--- a/tests/gateway/test_paths.py
+++ b/tests/gateway/test_paths.py
@@ -35,6 +35,29 @@
 
 
 class FindTest(unittest.TestCase):
+    def test_a_runner_that_said_it_is_full_gets_nothing_for_a_moment(self):
+        book = loads.LoadBook()
+        book.note_full(10.0, "x:1")
+        servers = [runner("x", "a", 0, 80), runner("y", "b", 0, 80)]
+        for now, expected in [(10.1, "y"), (10.4, "x")]:
+            with self.subTest(now):
+                finder = paths.PathFinder(
+                    rig.ENGINE, book, lambda _: 1.0, frozenset(book.full(now))
+                )
+                path = finder.find(servers, paths.Wanted(HOME, 1000.0))
+                self.assertEqual(path.first.id, expected)
+
+    def test_given_up_layers_are_taken_over(self):
+        x, y = runner("x", "a", 0, 50), runner("y", "a", 50, 80)
+        path = find([x, y])
+        kept = runner("y", "a", 70, 80)
+        other = runner("z", "a", 50, 80)
+        finder = paths.PathFinder(rig.ENGINE, loads.LoadBook(), lambda _: 1.0)
+        moved = finder.repair(
+            path, [x, kept, other], paths.Wanted(HOME, 1000.0)
+        )
+        self.assertEqual(parts(moved), [("x", 0, 50), ("z", 50, 80)])
+
     def test_paths(self):
         x = runner("x", "a", 0, 30)
         y = runner("y", "a", 30, 60)
