Let crowded runners cost more, so that load spreads before one is full

Ruled out: reading speed (a quarter of the runner's time), a slow runner.

Change: beyond half of its memory or slots a runner's layers count for more, up to four times when full. The expected step time is kept apart from what paths are compared by.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
@@ -12,6 +12,7 @@
 from nutmeglift_gateway import http_listener
 from nutmeglift_gateway import intake
 from nutmeglift_gateway import loads
+from nutmeglift_gateway import path_explanation
 from nutmeglift_gateway import paths
 from nutmeglift_gateway import picks
 from nutmeglift_gateway import reply
@@ -175,7 +176,9 @@
         if path is None and self._progress.started:
             path = finder.find(usable, wanted)
         if path is None:
-            self._why = finder.explain(usable, wanted)
+            self._why = path_explanation.explain(
+                engine, board.book, finder, usable, wanted
+            )
             return None
         if not board.pipes.has_room(now, path, board.routers):
             self._why = f"the pipes are full for {describe(path)}"
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/path_explanation.py
@@ -0,0 +1,70 @@
+"""Tells why there is no path, for the log."""
+
+from collections.abc import Iterable
+
+from nutmeglift_gateway import catalog
+from nutmeglift_gateway import directory
+from nutmeglift_gateway import loads
+from nutmeglift_gateway import paths
+
+
+def explain(
+    engine: catalog.Engine,
+    book: loads.LoadBook,
+    finder: paths.PathFinder,
+    servers: Iterable[directory.Server],
+    wanted: paths.Wanted,
+) -> str:
+    """Returns what is missing for a path.
+
+    Args:
+        engine: how the runners work.
+        book: what is in flight on them.
+        finder: found no path.
+        servers: the runners that may be used.
+        wanted: what the path is for.
+    """
+    listed = list(servers)
+    for start, end in _uncovered(engine, listed):
+        return f"nobody holds layers {start}-{end} ({len(listed)} runners)"
+    roomy = [s for s in listed if finder.has_room(s, wanted)]
+    for start, end in _uncovered(engine, roomy):
+        holders = ", ".join(
+            _describe_load(engine, book, server)
+            for server in listed
+            if server.layers.start <= start < server.layers.end
+        )
+        return (
+            f"no room on layers {start}-{end} for {wanted.tokens:.0f}"
+            f" tokens: {holders}"
+        )
+    return "no path has room on all its layers"
+
+
+def _describe_load(
+    engine: catalog.Engine, book: loads.LoadBook, server: directory.Server
+) -> str:
+    load = book.at(server.address)
+    count = max(1, server.layers.count)
+    room = engine.room(engine.kind(server.kind), server.layers.count) / count
+    return (
+        f"{server.address} holds {load.token_layers / count:.0f}"
+        f" of {room:.0f} in {load.requests}"
+    )
+
+
+def _uncovered(
+    engine: catalog.Engine, servers: list[directory.Server]
+) -> list[tuple[int, int]]:
+    found = []
+    at = 0
+    for held in sorted(
+        (s.layers for s in servers if s.layers.count),
+        key=lambda held: held.start,
+    ):
+        if held.start > at:
+            found.append((at, held.start))
+        at = max(at, held.end)
+    if at < engine.layers:
+        found.append((at, engine.layers))
+    return found
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/paths.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/paths.py
@@ -29,6 +29,12 @@
 CROSSING_WEIGHT = 4.0
 """A crossing delays each token, and shares its pipe with all others: it
 counts as several delays."""
+FREE_SHARE = 0.5
+"""Up to it a runner's memory or slots take no part in the choice: what a
+request will hold is known by half."""
+CROWDED_WEIGHT = 6.0
+"""Cost of a crowded runner, for each share beyond that: a full one counts as
+four times as slow, as a request that it preempts waits for its place."""
 AWAY_FACTOR = 1.3
 """An answer from another failure domain is paid for by the byte: a pipeline
 there has to be this much faster."""
@@ -50,10 +56,13 @@
     Attributes:
         parts: at least one.
         step_seconds: expected time of one token step.
+        cost: by what paths are compared: the step, with what crossings and
+            crowded runners count for.
     """
 
     parts: tuple[Part, ...]
     step_seconds: float
+    cost: float = dataclasses.field(default=0.0, compare=False)
 
     @property
     def crossings(self) -> int:
@@ -196,7 +205,7 @@
         usable = [
             server
             for server in servers
-            if server.layers.count and self._has_room(server, wanted)
+            if server.layers.count and self.has_room(server, wanted)
         ]
         whole = Segment(0, self._engine.layers)
         best: Path | None = None
@@ -208,60 +217,13 @@
             if path is None:
                 continue
             away = 1.0 if domain == wanted.home else AWAY_FACTOR
-            cost = path.step_seconds * away
+            cost = path.cost * away
             if cost < best_cost:
                 best, best_cost = path, cost
         if best is not None or not wanted.may_cross:
             return best
         return self._search(usable, whole)
 
-    def explain(
-        self, servers: Iterable[directory.Server], wanted: Wanted
-    ) -> str:
-        """Tells why there is no path, for the log."""
-        listed = list(servers)
-        for start, end in self._uncovered(listed):
-            return f"nobody holds layers {start}-{end} ({len(listed)} runners)"
-        roomy = [s for s in listed if self._has_room(s, wanted)]
-        for start, end in self._uncovered(roomy):
-            holders = ", ".join(
-                self._describe_load(server)
-                for server in listed
-                if server.layers.start <= start < server.layers.end
-            )
-            return (
-                f"no room on layers {start}-{end} for {wanted.tokens:.0f}"
-                f" tokens: {holders}"
-            )
-        return "no path has room on all its layers"
-
-    def _describe_load(self, server: directory.Server) -> str:
-        load = self._book.at(server.address)
-        kind = self._engine.kind(server.kind)
-        count = server.layers.count
-        room = self._engine.room(kind, count) / max(1, count)
-        held = load.token_layers / max(1, count)
-        return (
-            f"{server.address} holds {held:.0f} of {room:.0f}"
-            f" in {load.requests}"
-        )
-
-    def _uncovered(
-        self, servers: list[directory.Server]
-    ) -> list[tuple[int, int]]:
-        found = []
-        at = 0
-        for held in sorted(
-            (s.layers for s in servers if s.layers.count),
-            key=lambda held: held.start,
-        ):
-            if held.start > at:
-                found.append((at, held.start))
-            at = max(at, held.end)
-        if at < self._engine.layers:
-            found.append((at, self._engine.layers))
-        return found
-
     def repair(
         self,
         path: Path,
@@ -288,7 +250,7 @@
             for server in places.by_id.values()
             if server.id not in on_path
             and server.layers.count
-            and self._has_room(server, wanted)
+            and self.has_room(server, wanted)
         ]
         parts: list[Part] = []
         seconds = 0.0
@@ -311,7 +273,8 @@
             return None
         return Path(tuple(parts), seconds)
 
-    def _has_room(self, server: directory.Server, wanted: Wanted) -> bool:
+    def has_room(self, server: directory.Server, wanted: Wanted) -> bool:
+        """Tells whether a runner has room for a request."""
         if server.address in self._full:
             return False
         load = self._book.at(server.address)
@@ -320,6 +283,17 @@
         needed = wanted.tokens * min(server.layers.count, self._engine.layers)
         return load.token_layers + needed <= room * MEMORY_FILL
 
+    def _layer_cost(self, server: directory.Server) -> float:
+        """Returns what a layer on a runner counts for in the search."""
+        load = self._book.at(server.address)
+        kind = self._engine.kind(server.kind)
+        room = self._engine.room(kind, server.layers.count)
+        share = load.token_layers / room if room else 1.0
+        slots = server.slots or self._engine.slots
+        share = max(share, load.firsts / slots)
+        crowding = 1.0 + CROWDED_WEIGHT * max(0.0, share - FREE_SHARE)
+        return self.layer_seconds(server) * crowding
+
     def _can_begin(self, server: directory.Server) -> bool:
         slots = server.slots or self._engine.slots
         return self._book.at(server.address).firsts < slots * SLOT_FILL
@@ -333,7 +307,7 @@
         self, servers: list[directory.Server], segment: Segment
     ) -> Path | None:
         crossing = self._crossing_seconds()
-        seconds = {s.address: self.layer_seconds(s) for s in servers}
+        costs = {s.address: self._layer_cost(s) for s in servers}
         begin = _Step(0.0, 0, segment.domain, None, None)
         frontier: dict[int, dict[str, _Step]] = {
             segment.start: {segment.domain: begin}
@@ -342,7 +316,7 @@
             at = min(frontier)
             steps = frontier.pop(at)
             if at >= segment.end:
-                return _trace(min(steps.values(), key=lambda s: s.cost))
+                return self._trace(min(steps.values(), key=lambda s: s.cost))
             for server in servers:
                 held = server.layers
                 if not held.start <= at < held.end:
@@ -351,13 +325,28 @@
                     continue
                 end = min(held.end, segment.end)
                 part = Part(server, at, end)
-                own = (end - at) * seconds[server.address]
+                own = (end - at) * costs[server.address]
                 _extend(
                     frontier.setdefault(end, {}), steps, part, own, crossing
                 )
             frontier = {at: steps for at, steps in frontier.items() if steps}
         return None
 
+    def _trace(self, step: _Step) -> Path:
+        parts = []
+        current: _Step | None = step
+        while current is not None and current.part is not None:
+            parts.append(current.part)
+            current = current.previous
+        parts.reverse()
+        seconds = sum(
+            (part.end - part.start) * self.layer_seconds(part.server)
+            for part in parts
+        )
+        path = Path(tuple(parts), seconds, step.cost)
+        delay = path.crossings * self._crossing_seconds() / CROSSING_WEIGHT
+        return dataclasses.replace(path, step_seconds=seconds + delay)
+
 
 def _extend(
     ahead: dict[str, _Step],
@@ -377,12 +366,3 @@
         known = ahead.get(domain)
         if known is None or cost < known.cost:
             ahead[domain] = _Step(cost, step.count + 1, domain, part, step)
-
-
-def _trace(step: _Step) -> Path:
-    parts = []
-    current: _Step | None = step
-    while current is not None and current.part is not None:
-        parts.append(current.part)
-        current = current.previous
-    return Path(tuple(reversed(parts)), step.cost)
--- a/tests/gateway/test_paths.py
+++ b/tests/gateway/test_paths.py
@@ -105,6 +105,40 @@
         book.expire(10.0)
         self.assertEqual(parts(find([one, two, rest], book=book))[0][0], "1")
 
+    def test_a_burst_spreads_before_a_failure_domain_is_full(self):
+        # A request that waits for memory on a full runner is late; the
+        # slower failure domain has room all the while.
+        servers = [
+            runner("a1", "a", 0, 28, "big"), runner("a2", "a", 28, 56, "big"),
+            runner("a3", "a", 56, 80, "big"),
+            runner("b1", "b", 0, 24, "big"), runner("b2", "b", 24, 48, "big"),
+            runner("b3", "b", 48, 64, "big"), runner("b4", "b", 64, 80, "whole-slow"),
+        ]  # fmt: skip
+        book = loads.LoadBook()
+        share_by_domain = {"a": 0.0, "b": 0.0}
+        while max(share_by_domain.values()) < 0.9:
+            path = find(servers, book=book)
+            book.reserve(path.reservations(1000.0))
+            first = path.first
+            room = rig.ENGINE.room(rig.KINDS["big"], first.layers.count)
+            share_by_domain[first.domain] = (
+                book.at(first.address).token_layers / room
+            )
+        self.assertGreater(min(share_by_domain.values()), paths.FREE_SHARE)
+
+    def test_the_expected_step_leaves_out_what_crowding_counts_for(self):
+        one = runner("1", "a", 0, 80)
+        room = rig.ENGINE.room(rig.KINDS["whole"], 80)
+        book = loads.LoadBook()
+        idle = find([one], book=book)
+        book.take_report(0.0, "peer", {"1:1": loads.Load(0, 0, room * 0.9)})
+        crowded = find([one], book=book)
+        context = room * 0.9 / 80 * rig.ENGINE.context_seconds * 2.4
+        self.assertAlmostEqual(
+            crowded.step_seconds - idle.step_seconds, context
+        )
+        self.assertGreater(crowded.cost, 2 * idle.cost)
+
     def test_no_runner_beyond_its_memory_or_slots(self):
         one, two = runner("1", "a", 0, 28, "big"), runner("2", "a", 28, 56)
         three = runner("3", "a", 56, 80)
