Read the paces of slow streams' runners; back off while the store is down

Causes: (1) Slow runners answer, so they were left on paths until a stream stalled. A stream three times slower than its path makes its runners' paces be read, and bad ones are read again until they are well; peers hear both. Only an answer counts as recovery now.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
@@ -13,6 +13,8 @@
 from nutmeglift_gateway import sse
 
 EVENT_STREAM = b"text/event-stream"
+NEWEST_SHARE = 0.3
+"""Weight of the newest interval in the mean: that of the last few events."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -96,6 +98,7 @@
         done: set to the outcome once.
         last_byte_at: loop time of the last byte of the answer's body.
         events_seen: whether an event arrived.
+        event_interval: seconds between events lately; None before several.
     """
 
     def __init__(
@@ -118,6 +121,7 @@
         self.done: asyncio.Future[Outcome] = loop.create_future()
         self.last_byte_at = loop.time()
         self.events_seen = False
+        self.event_interval: float | None = None
         self._loop = loop
         self._names = names
         self._request_id = request_id
@@ -149,17 +153,26 @@
         assert self._events is not None
         assert self._on_events is not None
         assert self._head is not None
+        before = self._events.last_id
         try:
             whole = self._events.feed(data)
         except sse.BrokenStreamError as error:
             self._finish(Outcome(dispatch.Failure.SPOILED, detail=str(error)))
             return
         if whole:
+            count = max(1, (self._events.last_id or 0) - (before or 0))
             now = self._loop.time()
+            if self.events_seen:
+                self._note_interval((now - self.last_byte_at) / count)
             self.last_byte_at = now
             self.events_seen = True
             self._on_events(self._head, whole)
 
+    def _note_interval(self, seconds: float) -> None:
+        if self.event_interval is None:
+            self.event_interval = seconds
+        self.event_interval += NEWEST_SHARE * (seconds - self.event_interval)
+
     def on_complete(self) -> None:
         """The answer is whole."""
         assert self._head is not None
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
@@ -239,6 +239,10 @@
             frozenset(self.book.full(now)),
         )
 
+    def note_pace(self, now: float, address: str, value: float) -> None:
+        """Takes a pace that a runner reported just now."""
+        self.pace_by_address[address] = Pace(value, now)
+
     def pace_reader(self, now: float) -> Callable[[str], float]:
         """Returns a function from an address to the runner's pace."""
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/drain.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/drain.py
@@ -8,6 +8,10 @@
 REFUSE_SECONDS = 2.9
 """What comes later than three seconds after SIGTERM may not be cut off, and a
 stream may last longer than the process: it is refused as not run."""
+CLOSE_IDLE_SECONDS = 2.1
+"""From then on the platform sends new connections elsewhere: kept ones are
+closed when idle, so that their callers' next requests go there, too, in place
+of being refused."""
 EXIT_MARGIN_SECONDS = 0.8
 """Before the process is killed; what is then still at work was sent late."""
 TICK_SECONDS = 0.05
@@ -24,6 +28,15 @@
     EXIT = "exit"
 
 
+def closes_kept(elapsed: float) -> bool:
+    """Tells whether kept connections without a request are closed.
+
+    Args:
+        elapsed: seconds since SIGTERM.
+    """
+    return elapsed >= CLOSE_IDLE_SECONDS
+
+
 def judge(*, elapsed: float, in_flight: int, shutdown_seconds: float) -> Step:
     """Decides on the step.
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -174,8 +174,12 @@
         self._log.write("draining", in_flight=len(self._exchanges))
         self._start(self._registration.end())
         while True:
+            elapsed = loop.time() - began
+            if drain.closes_kept(elapsed):
+                for connection in list(self._callers):
+                    connection.close_if_kept()
             step = drain.judge(
-                elapsed=loop.time() - began,
+                elapsed=elapsed,
                 in_flight=len(self._exchanges),
                 shutdown_seconds=self._config.bounds.shutdown_seconds,
             )
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
@@ -91,6 +91,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._waiting: list[Request] = []
         self._busy = False
+        self._kept = False
         self._last = False
         self._broken = False
         self._paused = False
@@ -118,6 +119,7 @@
                 what was written has been sent.
         """
         self._busy = False
+        self._kept = True
         self.on_close = None
         self.on_writable = None
         if self.closed:
@@ -146,6 +148,11 @@
         if self.is_idle:
             self._close()
 
+    def close_if_kept(self) -> None:
+        """Closes it if it waits for a second request, or a later one."""
+        if self._kept:
+            self.close_if_idle()
+
     # Protocol.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/layer_cell.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/layer_cell.py
@@ -8,14 +8,14 @@
 
 MIN_ROOM_SHARE = 0.25
 """Part of the nominal room for requests that a stretched runner keeps."""
-SPARE_SHARE = 1.3
-"""Layers that a group holds of choice, in copies: the runners that hold more
-than one copy can stand in for lost ones."""
-ROOM_STEPS = (0.9, 0.75, 0.6, 0.5, 0.35)
+SPARE_SHARE = 1.5
+"""Layers that a group holds of choice, in copies: half of them can be lost
+before any is loaded anew."""
+ROOM_STEPS = (4.0, 3.0, 2.5, 2.0, 1.6, 1.3, 1.0, 0.75, 0.5)
 """Rooms for requests that the runners of a group may keep, in nominal rooms;
-the first with which they still hold SPARE_SHARE copies is kept. With more room
-slow runners hold more of the layers, and with less the requests at once are
-fewer: both lower the rate that a group sustains."""
+the first with which they still hold SPARE_SHARE copies is kept. More copies
+put more layers on fast runners; more room lets a failure domain serve for
+another that is lost."""
 DEMAND_SHARE = 0.5
 """Part of the nominal room that the requests of one copy take when busy."""
 GAP_FLOOR = 0.02
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/paces.py
@@ -0,0 +1,108 @@
+"""Reads how slow the runners of slow streams are.
+
+A runner that works slowly answers, and so is not left out; its pace, which
+only it can tell, makes paths through it cost more. It is read where a stream
+goes much slower than its path should, and as long as it is bad.
+"""
+
+import asyncio
+from collections.abc import Iterable
+
+from nutmeglift_gateway import background
+from nutmeglift_gateway import board as boards
+from nutmeglift_gateway import decision_log
+from nutmeglift_gateway import ports
+from nutmeglift_gateway import running_stream
+from nutmeglift_gateway import stalls
+from nutmeglift_gateway import suspicions as suspicion
+from nutmeglift_gateway import trust
+
+SLOW_FACTOR = 3.0
+"""A stream is slow when its events take so many times as long as expected:
+prompts that are read between the steps make some of it."""
+LEAST_SECONDS = 0.06
+"""Shorter intervals between events are no matter of concern."""
+FIRST_SHARE = 0.5
+"""Part of the objective for the first event after which a stream that has not
+begun counts as slow."""
+SLOW_PACE = 1.5
+"""A runner whose pace is worse is read again until it is well."""
+AGAIN_SECONDS = 1.0
+"""Interval of such reads; routers tell each other what they read."""
+
+
+def is_slow(stream: running_stream.Stream, now: float) -> bool:
+    """Tells whether a stream goes much slower than its path should.
+
+    Args:
+        stream: the stream.
+        now: seconds of the loop.
+    """
+    interval = stream.answer.event_interval
+    if interval is None:
+        limit = stream.admitted.route.objective * FIRST_SHARE
+        return not stream.answer.events_seen and stream.settled(now) > limit
+    expected = stream.path.step_seconds * stalls.STEPS_PER_EVENT
+    return interval > max(LEAST_SECONDS, SLOW_FACTOR * expected)
+
+
+class PaceReader:
+    """Keeps the paces on the board up to date."""
+
+    def __init__(
+        self,
+        board: boards.Board,
+        runners: ports.BaseRunners,
+        suspicions: suspicion.Suspicions,
+        log: decision_log.DecisionLog,
+    ) -> None:
+        self._board = board
+        self._runners = runners
+        self._suspicions = suspicions
+        self._log = log
+        self._background = background.Background(log)
+        self._asked_at_by_address: dict[str, float] = {}
+
+    def read(
+        self, now: float, streams: Iterable[running_stream.Stream]
+    ) -> None:
+        """Starts to read the paces that are wanted and not known.
+
+        Args:
+            now: seconds of the loop.
+            streams: those that are running.
+        """
+        wanted = {
+            part.server.address
+            for stream in streams
+            if is_slow(stream, now)
+            for part in stream.path.parts
+        }
+        known = self._board.pace_by_address
+        wanted |= {a for a, pace in known.items() if pace.value > SLOW_PACE}
+        for address in wanted:
+            if self._is_due(now, address):
+                self._asked_at_by_address[address] = now
+                self._background.start(self._read(address))
+
+    def _is_due(self, now: float, address: str) -> bool:
+        read = self._board.pace_by_address.get(address)
+        read_at = read.read_at if read else float("-inf")
+        asked_at = self._asked_at_by_address.get(address, float("-inf"))
+        return now - max(read_at, asked_at) >= AGAIN_SECONDS
+
+    async def _read(self, address: str) -> None:
+        before = self._board.pace_by_address.get(address)
+        try:
+            report = await self._runners.report(address)
+        except ports.RunnerUnavailableError as error:
+            self._board.pace_by_address.pop(address, None)
+            self._suspicions.note_at(
+                address, trust.Reason.NO_REPORT, str(error)
+            )
+            return
+        now = asyncio.get_running_loop().time()
+        self._board.note_pace(now, address, report.pace)
+        was_slow = before is not None and before.value > SLOW_PACE
+        if was_slow != (report.pace > SLOW_PACE):
+            self._log.write("pace", address=address, pace=report.pace)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
@@ -20,6 +20,9 @@
 """A view of the store is live by one watch call after the other; a view that
 is older by more than one call belongs to a router that the store does not
 serve."""
+PACE_NEWS_SECONDS = 1.0
+"""Paces that were read since are told, good ones too: a peer that holds a
+runner for slow learns that it is well."""
 NEVER = 1e9
 """Seconds; greater than any age."""
 
@@ -89,7 +92,7 @@
             paces=[
                 peer_messages.PaceRow(address, pace.value, now - pace.read_at)
                 for address, pace in board.pace_by_address.items()
-                if pace.value > 1.0 and now - pace.read_at < boards.PACE_SECONDS
+                if now - pace.read_at < PACE_NEWS_SECONDS
             ],
             fence=board.fence,
             moves=[
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
@@ -107,6 +107,7 @@
             self._wanted_at = self._now()
             try:
                 await self._confirm_once()
+                self._note_answer()
                 backoff.reset()
             except errors.PlatformError as error:
                 self._note_trouble(str(error))
@@ -175,8 +176,8 @@
     async def _follow(self, backoff: retry.Backoff) -> None:
         if self.revision == UNLISTED:
             await self._list()
-        self._note_recovery()
-        backoff.reset()
+            self._note_recovery()
+            backoff.reset()
         while True:
             await self._until_needed()
             changes = self._store.watch(
@@ -187,6 +188,7 @@
             async with contextlib.aclosing(changes):  # type: ignore[type-var]
                 async for batch in changes:
                     self._note_recovery()
+                    backoff.reset()
                     self._take_batch(batch)
                     if self.relay.covers(self._now()):
                         break
@@ -375,6 +377,9 @@
 
     def _note_recovery(self) -> None:
         self.live_at = self._now()
+        self._note_answer()
+
+    def _note_answer(self) -> None:
         if self.is_down:
             self.is_down = False
             self._log.write("store regained")
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_guard.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_guard.py
@@ -8,6 +8,7 @@
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import dispatch
 from nutmeglift_gateway import metrics as metric_sets
+from nutmeglift_gateway import paces
 from nutmeglift_gateway import paths
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import reach
@@ -50,6 +51,7 @@
         self._metrics = metrics
         self._suspicions = suspicions
         self._reach = reach.ReachChecks(suspicions, log)
+        self._paces = paces.PaceReader(board, runners, suspicions, log)
         self._background = background.Background(log)
         self._streams: set[running_stream.Stream] = set()
         self._asked_at_by_address: dict[str, float] = {}
@@ -72,6 +74,7 @@
         self._reach.check(
             now, silence.doubtful(s.passing(now) for s in self._streams)
         )
+        self._paces.read(now, self._streams)
         gone = self._board.trust.gone()
         leaving = gone | self._leaving(now)
         to_ask: set[str] = set()
@@ -130,7 +133,6 @@
         self._background.start(self._read_report(address))
 
     async def _read_report(self, address: str) -> None:
-        loop = asyncio.get_running_loop()
         try:
             report = await self._runners.report(address)
         except ports.RunnerUnavailableError as error:
@@ -140,8 +142,8 @@
             for stream in self._at(address):
                 self._give_up(stream, "its first runner is lost")
             return
-        now = loop.time()
-        self._board.pace_by_address[address] = boards.Pace(report.pace, now)
+        now = asyncio.get_running_loop().time()
+        self._board.note_pace(now, address, report.pace)
         for stalled in report.stalled:
             self._suspicions.note_at(
                 stalled.address, trust.Reason.STALLED, stalled.request_id
--- a/tests/gateway/test_controllers.py
+++ b/tests/gateway/test_controllers.py
@@ -160,6 +160,24 @@
 
         play(scene)
 
+    def test_calls_back_off_while_the_store_is_down(self):
+        async def scene(world):
+            await world.put(CATALOG_KEY, b"config")
+            router = Router(world, "one")
+            await asyncio.sleep(1.0)
+            world.store.set_down(True)
+            before = world.store.calls
+            await asyncio.sleep(6.0)
+            # Watch, confirmation and lease each back off up to a second.
+            self.assertLess(world.store.calls - before, 60)
+            self.assertEqual(router.log.events().count("store lost"), 1)
+            self.assertNotIn("store regained", router.log.events())
+            world.store.set_down(False)
+            await asyncio.sleep(2.0)
+            self.assertIn("store regained", router.log.events())
+
+        play(scene)
+
     def test_confirmations_go_on_while_nothing_changes(self):
         async def scene(world):
             await world.put(CATALOG_KEY, b"config")
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -170,6 +170,13 @@
                 )
                 self.assertEqual(step, expected)
 
+    def test_kept_connections_are_closed_when_no_new_ones_come(self):
+        # The platform takes a VM out after two missed checks, one a second.
+        for elapsed, closes in [(0.0, False), (2.0, False), (2.2, True)]:
+            with self.subTest(elapsed):
+                self.assertEqual(drain.closes_kept(elapsed), closes)
+        self.assertLess(drain.CLOSE_IDLE_SECONDS, drain.REFUSE_SECONDS)
+
 
 class RefusalsTest(unittest.TestCase):
     def test_callers_come_back_when_the_layers_are_loaded(self):
--- a/tests/gateway/test_whole_gateway.py
+++ b/tests/gateway/test_whole_gateway.py
@@ -225,6 +225,26 @@
         self.assertEqual(answer.head.get(b"connection"), None)
         self.assertIn("stopped", self.log.events())
 
+    async def test_a_drain_closes_kept_connections_but_no_new_ones(self):
+        await self.until(self.is_ready)
+        kept = await http_call.connect(self.settings.listen.callers)
+        raw = http_call.format_request("GET", "/x", [(b"host", b"x")], b"")
+        await control_client.exchange(kept, "GET", raw, WAIT)
+        lost = asyncio.Event()
+        kept.on_lost = lost.set
+        with (
+            mock.patch.object(drain, "CLOSE_IDLE_SECONDS", 0.0),
+            mock.patch.object(drain, "ACCEPT_SECONDS", 60.0),
+            mock.patch.object(drain, "REFUSE_SECONDS", 60.0),
+        ):
+            os.kill(os.getpid(), signal.SIGTERM)
+            await asyncio.wait_for(lost.wait(), WAIT)
+            fresh = await http_call.connect(self.settings.listen.callers)
+            await asyncio.sleep(3 * drain.TICK_SECONDS)
+            answer = await control_client.exchange(fresh, "GET", raw, WAIT)
+        self.assertEqual(answer.status, 400)
+        fresh.close()
+
     async def test_a_hangup_reloads_the_settings(self):
         await self.until(self.is_ready)
         os.kill(os.getpid(), signal.SIGHUP)
