--- a/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
@@ -181,7 +181,10 @@
             )
             return None
         if not board.pipes.has_room(now, path, board.routers):
-            self._why = f"the pipes are full for {describe(path)}"
+            within = path_explanation.explain_by_domain(
+                engine, board.book, finder, usable, wanted
+            )
+            self._why = f"the pipes are full; {within}"
             return None
         self._reply.paths.append(describe(path))
         self._first = path.first
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/path_explanation.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/path_explanation.py
@@ -41,6 +41,23 @@
     return "no path has room on all its layers"
 
 
+def explain_by_domain(
+    engine: catalog.Engine,
+    book: loads.LoadBook,
+    finder: paths.PathFinder,
+    servers: Iterable[directory.Server],
+    wanted: paths.Wanted,
+) -> str:
+    """Returns what each failure domain lacks for a path of its own."""
+    by_domain: dict[str, list[directory.Server]] = {}
+    for server in servers:
+        by_domain.setdefault(server.domain, []).append(server)
+    return "; ".join(
+        f"{domain}: {explain(engine, book, finder, members, wanted)}"
+        for domain, members in sorted(by_domain.items())
+    )
+
+
 def _describe_load(
     engine: catalog.Engine, book: loads.LoadBook, server: directory.Server
 ) -> str:
--- a/tests/gateway/test_paths.py
+++ b/tests/gateway/test_paths.py
@@ -3,6 +3,7 @@
 from nutmeglift import ids
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import loads
+from nutmeglift_gateway import path_explanation
 from nutmeglift_gateway import paths
 from tests.gateway import rig
 
@@ -188,6 +189,29 @@
         self.assertGreater(found, 50)
 
 
+class ExplainTest(unittest.TestCase):
+    def test_what_each_failure_domain_lacks(self):
+        servers = [
+            runner("a1", "a", 0, 30),
+            runner("a2", "a", 40, 80),
+            runner("b1", "b", 0, 40, "whole"),
+            runner("b2", "b", 40, 80, "whole"),
+        ]
+        room = rig.ENGINE.room(rig.KINDS["whole"], 40)
+        book = loads.LoadBook()
+        book.take_report(0.0, "peer", {"b2:1": loads.Load(70, 0, room)})
+        finder = paths.PathFinder(rig.ENGINE, book, lambda _: 1.0)
+        found = path_explanation.explain_by_domain(
+            rig.ENGINE, book, finder, servers, paths.Wanted(HOME, 900.0)
+        )
+        self.assertEqual(
+            found,
+            "a: nobody holds layers 30-40 (2 runners); b: no room on layers"
+            f" 40-80 for 900 tokens: b2:1 holds {room / 40:.0f} of"
+            f" {room / 40:.0f} in 70",
+        )
+
+
 class RepairTest(unittest.TestCase):
     def setUp(self):
         self.x = runner("x", "a", 0, 30)
