--- a/tests/gateway/test_exchange_stream.py
+++ b/tests/gateway/test_exchange_stream.py
@@ -11,6 +11,7 @@
 from nutmeglift_gateway import settings
 from nutmeglift_gateway import stalls
 from nutmeglift_gateway import trust
+from tests.gateway import rig
 from tests.gateway import stand_ins
 
 LAST = b"0\r\n\r\n"
@@ -261,6 +262,42 @@
             [first.address, spare.address],
         )
 
+    async def test_no_more_streams_are_given_up_than_find_room(self):
+        # Both pass a lost runner; the other pipeline has room for one.
+        first = await self.rig.add_runner(stuck, "x", 0, 50)
+        await self.rig.add_runner(stand_ins.silent, "y", 50, 80)
+        room = rig.ENGINE.room(rig.KINDS["big"], 28) / 28
+        tokens = int(room * 0.6)
+        calls = [
+            asyncio.ensure_future(
+                self.rig.call(
+                    "/draft/1",
+                    x_token_usage=b"%d,4" % tokens,
+                    x_attempt_id=b"attempt-%d" % number,
+                )
+            )
+            for number in range(2)
+        ]
+        async with asyncio.timeout(stand_ins.WAIT_SECONDS):
+            while len(first.seen) < 2:  # noqa: ASYNC110 - over the network.
+                await asyncio.sleep(0.01)
+        for number, start in enumerate((0, 28, 56)):
+            await self.rig.add_runner(
+                stuck, f"b{number}", start, min(80, start + 28),
+                kind="big", domain="b",
+            )  # fmt: skip
+        lost = self.rig.board.directory.server_by_id["y"]
+        self.rig.suspicions.note(lost, trust.Reason.CRASHED, "test")
+        async with asyncio.timeout(stand_ins.WAIT_SECONDS):
+            while "stream given up" not in self.rig.log.events():  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.rig.log.events().count("stream given up"), 1)
+        self.assertNotIn("stream cut", self.rig.log.events())
+        for call in calls:
+            call.cancel()
+        await asyncio.gather(*calls, return_exceptions=True)
+
     async def test_given_up_layers_without_another_holder_are_kept(self):
         first = await self.rig.add_runner(stream(1, 9), "x", 0, 50)
         await self.rig.add_runner(stand_ins.silent, "y", 50, 80)
