Free a stream's promised room when it is sent again

The promise is the stream's own now and ends as its attempt does. The stand-in that takes the stream over sent events anew, which spoils a resumed stream; it is silent.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/running_stream.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/running_stream.py
@@ -42,6 +42,7 @@
     next_move_at: float = 0.0
     refused_by: set[str] = dataclasses.field(default_factory=set)
     _reserved: tuple[loads.Reservation, ...] = ()
+    _promised: tuple[loads.Reservation, ...] = ()
 
     @property
     def request_id(self) -> str:
@@ -66,6 +67,17 @@
             board.book.release(self._reserved)
             self._reserved = ()
 
+    def promise(self, board: boards.Board, path: paths.Path) -> None:
+        """Keeps room on a path until the stream is sent again."""
+        self.end_promise(board)
+        self._promised = path.reservations(self.tokens)
+        board.book.reserve(self._promised)
+
+    def end_promise(self, board: boards.Board) -> None:
+        """Frees what was promised."""
+        board.book.release(self._promised)
+        self._promised = ()
+
     def settled(self, now: float) -> float:
         """Returns the seconds since its last event or its last move."""
         return now - max(self.answer.last_byte_at, self.moved_at)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_guard.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_guard.py
@@ -7,7 +7,6 @@
 from nutmeglift_gateway import decision_log
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import dispatch
-from nutmeglift_gateway import loads
 from nutmeglift_gateway import metrics as metric_sets
 from nutmeglift_gateway import paces
 from nutmeglift_gateway import paths
@@ -55,7 +54,6 @@
         self._paces = paces.PaceReader(board, runners, suspicions, log)
         self._background = background.Background(log)
         self._streams: set[running_stream.Stream] = set()
-        self._promised: list[tuple[loads.Reservation, ...]] = []
         self._asked_at_by_address: dict[str, float] = {}
 
     def add(self, stream: running_stream.Stream) -> None:
@@ -63,8 +61,9 @@
         self._streams.add(stream)
 
     def remove(self, stream: running_stream.Stream) -> None:
-        """Ends the watch."""
+        """Ends the watch; what was promised to the stream is free for it."""
         self._streams.discard(stream)
+        stream.end_promise(self._board)
 
     async def run(self) -> None:
         """Watches until cancelled."""
@@ -73,8 +72,6 @@
             self._tick(asyncio.get_running_loop().time())
 
     def _tick(self, now: float) -> None:
-        # What was given up in the last tick has been sent again since.
-        self._end_promises()
         self._reach.check(
             now, silence.doubtful(s.passing(now) for s in self._streams)
         )
@@ -227,22 +224,10 @@
         path = finder.find(usable, wanted)
         if path is None:
             return False
-        self._promise(path.reservations(stream.tokens))
+        # Streams that lose a runner together would else find the same room.
+        stream.promise(self._board, path)
         return True
 
-    def _promise(self, reservations: tuple[loads.Reservation, ...]) -> None:
-        """Keeps room for a stream that is given up until it is sent again.
-
-        Streams that lose a runner together would else all find the same room.
-        """
-        self._board.book.reserve(reservations)
-        self._promised.append(reservations)
-
-    def _end_promises(self) -> None:
-        promised, self._promised = self._promised, []
-        for reservations in promised:
-            self._board.book.release(reservations)
-
     def _may_repeat(self, stream: running_stream.Stream) -> bool:
         """Tells whether another attempt is left for a stream's request."""
         route = stream.admitted.route
--- a/tests/gateway/test_exchange_stream.py
+++ b/tests/gateway/test_exchange_stream.py
@@ -283,7 +283,7 @@
                 await asyncio.sleep(0.01)
         for number, start in enumerate((0, 28, 56)):
             await self.rig.add_runner(
-                stuck, f"b{number}", start, min(80, start + 28),
+                stand_ins.silent, f"b{number}", start, min(80, start + 28),
                 kind="big", domain="b",
             )  # fmt: skip
         lost = self.rig.board.directory.server_by_id["y"]
