Give streams up for lost runners only, not for leaving ones

Ruled out: the configuration change beside it, the retry budget, a crash. Change: only streams with a runner that has ended or is lost are given up. The new test failed before (one stream given up).

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_guard.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_guard.py
@@ -177,7 +177,7 @@
         places = paths.Places(usable)
         if stream.path.first.id not in places.by_id:
             return False
-        lost = [p for p in stream.path.parts if p.server.id not in places.by_id]
+        lost = any(self._board.is_gone(p.server) for p in stream.path.parts)
         given_up = [p for p in stream.path.parts[1:] if not places.holds(p)]
         if not given_up:
             return False
@@ -191,7 +191,8 @@
         )
         crossing = path is None or path.crossings > stream.path.crossings
         if crossing and not lost:
-            # What passes through given-up layers ends in its own time.
+            # What passes through a leaving runner, or through layers that are
+            # given up, goes on; its caller would lose what runs.
             return False
         if crossing and self._can_resume(stream, finder, usable):
             self._give_up(stream, "its layers are elsewhere")
--- a/tests/gateway/test_exchange_stream.py
+++ b/tests/gateway/test_exchange_stream.py
@@ -10,6 +10,7 @@
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import settings
 from nutmeglift_gateway import stalls
+from nutmeglift_gateway import stream_guard
 from nutmeglift_gateway import trust
 from tests.gateway import rig
 from tests.gateway import stand_ins
@@ -262,6 +263,39 @@
             [first.address, spare.address],
         )
 
+    async def test_a_stream_through_a_leaving_runner_is_not_given_up(self):
+        go_on = asyncio.Event()
+
+        async def script(request, writer, number):
+            writer.write(
+                stand_ins.stream_head(request) + stand_ins.events(1, 3)
+            )
+            await go_on.wait()
+            writer.write(stand_ins.events(4, 9) + LAST)
+
+        first = await self.rig.add_runner(script, "x", 0, 50)
+        leaving = await self.rig.add_runner(stand_ins.silent, "y", 50, 80)
+        self.rig.runners.report_by_address[first.address] = ports.Report(
+            directory.LayerRange(0, 50), 0, False, 1.0, ()
+        )
+        call = asyncio.ensure_future(self.ids())
+        await first.wait_for_request()
+        other = await self.rig.add_runner(resumable, "z", 0, 80, domain="b")
+        # It said long ago that it leaves, and still serves what runs.
+        self.rig.list(
+            "y",
+            leaving.address,
+            rig.MODEL,
+            kind="whole",
+            layers=directory.LayerRange(50, 80),
+            state=directory.ServerState.DRAINING,
+        )
+        await asyncio.sleep(5 * stream_guard.TICK_SECONDS)
+        go_on.set()
+        self.assertEqual(await call, list(range(1, 10)))
+        self.assertNotIn("stream given up", self.rig.log.events())
+        self.assertEqual(other.seen, [])
+
     async def test_no_more_streams_are_given_up_than_find_room(self):
         # Both pass a lost runner; the other pipeline has room for one.
         first = await self.rig.add_runner(stuck, "x", 0, 50)
