--- a/tests/gateway/test_exchange_stream.py
+++ b/tests/gateway/test_exchange_stream.py
@@ -33,6 +33,17 @@
     return script
 
 
+def paused(wait):
+    """Returns a script that streams three events, waits, and ends well."""
+
+    async def script(request, writer, number):
+        writer.write(stand_ins.stream_head(request) + stand_ins.events(1, 3))
+        await wait()
+        writer.write(stand_ins.events(4, 9) + LAST)
+
+    return script
+
+
 async def resumable(request, writer, number):
     begin = int(request.headers.get("last-event-id", 0)) + 1
     await stream(begin, 9)(request, writer, number)
@@ -186,14 +197,7 @@
 class StallTest(StreamCase):
     async def test_a_stalled_stream_is_moved_around_the_lost_runner(self):
         go_on = asyncio.Event()
-
-        async def script(request, writer, number):
-            writer.write(
-                stand_ins.stream_head(request) + stand_ins.events(1, 3)
-            )
-            await go_on.wait()
-            writer.write(stand_ins.events(4, 9) + LAST)
-
+        script = paused(go_on.wait)
         first = await self.rig.add_runner(script, "x", 0, 50)
         lost = await self.rig.add_runner(stand_ins.silent, "y", 50, 80)
         spare = await self.rig.add_runner(
@@ -265,14 +269,7 @@
 
     async def test_a_stream_through_a_leaving_runner_is_not_given_up(self):
         go_on = asyncio.Event()
-
-        async def script(request, writer, number):
-            writer.write(
-                stand_ins.stream_head(request) + stand_ins.events(1, 3)
-            )
-            await go_on.wait()
-            writer.write(stand_ins.events(4, 9) + LAST)
-
+        script = paused(go_on.wait)
         first = await self.rig.add_runner(script, "x", 0, 50)
         leaving = await self.rig.add_runner(stand_ins.silent, "y", 50, 80)
         self.rig.runners.report_by_address[first.address] = ports.Report(
@@ -360,26 +357,14 @@
         )
 
     async def test_the_last_attempt_is_not_cut_for_silence(self):
-        async def late(request, writer, number):
-            writer.write(
-                stand_ins.stream_head(request) + stand_ins.events(1, 3)
-            )
-            await asyncio.sleep(stalls.GIVE_UP_SECONDS + 0.4)
-            writer.write(stand_ins.events(4, 9) + LAST)
-
+        late = paused(lambda: asyncio.sleep(stalls.GIVE_UP_SECONDS + 0.4))
         await self.rig.add_runner(stand_ins.reset, "x", 0, 80)
         await self.rig.add_runner(late, "y", 0, 80, domain="b")
         self.assertEqual(await self.ids(), list(range(1, 10)))
         self.assertNotIn("stream cut", self.rig.log.events())
 
     async def test_a_stream_that_could_not_be_resumed_is_not_given_up(self):
-        async def late(request, writer, number):
-            writer.write(
-                stand_ins.stream_head(request) + stand_ins.events(1, 3)
-            )
-            await asyncio.sleep(stalls.GIVE_UP_SECONDS + 0.4)
-            writer.write(stand_ins.events(4, 9) + LAST)
-
+        late = paused(lambda: asyncio.sleep(stalls.GIVE_UP_SECONDS + 0.4))
         self.rig.board.set_bounds(
             settings.Bounds(retry_ratio=0.0, retry_slack=0)
         )
