Log what tells the causes of a cut stream apart

Callers saw requests that ended with neither answer nor refusal, and no log line told the hypotheses apart: a line about a cut stream did not say for how long the stream had been silent, whether a configuration came into force while it ran, or whether the process was shutting down.

The lines 'stream cut' and 'refused' now have the generations at the start and the end, and 'stream cut' the silence and the drain.

Checked: tests.gateway.test_exchange_stream and test_exchange_plain pass.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/reply.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/reply.py
@@ -35,6 +35,7 @@
         self._request = request
         self._loop = asyncio.get_running_loop()
         self._keep_alive = request.keep_alive and not context.board.draining
+        self._generation_at_start = _generation(context)
         self._first_event_after = 0.0
         self._last_event_at = 0.0
         self._longest_gap = 0.0
@@ -155,6 +156,10 @@
                 request=admitted.request_id.decode("latin-1"),
                 kind=decision.kind.value,
                 detail=detail,
+                silent=round(self._loop.time() - self._last_event_at, 3),
+                generation=_generation(self._context),
+                generation_at_start=self._generation_at_start,
+                draining=self._context.board.draining,
                 paths=self.paths,
                 sent=self.progress.sent,
                 seconds=round(self.elapsed(), 3),
@@ -183,14 +188,14 @@
             "latin-1"
         )
         context.metrics.refusals.labels(kind.value).inc()
-        catalog = context.board.catalog
         context.log.write(
             "refused",
             request=request_id,
             kind=kind.value,
             detail=detail,
             retry_after=retry_after,
-            generation=catalog.generation if catalog else None,
+            generation=_generation(context),
+            generation_at_start=self._generation_at_start,
             confirmation_age=round(
                 min(context.board.freshness.age(freshness.boot_clock()), 1e6),
                 3,
@@ -219,3 +224,9 @@
     def elapsed(self) -> float:
         """Returns the seconds since the request was received."""
         return self._loop.time() - self._request.received_at
+
+
+def _generation(context: contexts.Context) -> int | None:
+    """Returns the generation of the configuration in force, if there is one."""
+    catalog = context.board.catalog
+    return catalog.generation if catalog else None
