Keep a silent attempt running until its successor delivers

What callers saw: a stream through a runner that was silent for a moment was cut, or answered 502 before its first event, although the runner was sound and went on.

Cause: the stream monitor ended an attempt on silence alone (no event for 1.6 s, no report within 0.35 s, no connection within 0.04 s) as soon as the retry budget had room, before its successor had a path, capacity or a charged retry. If the next pipeline was full, rejected the request, was silent itself or was missing, nothing was left to go on, and the response was aborted. The class: an attempt that may still succeed is ended before its successor is secured.

Why this works: an attempt is no longer ended for silence. A successor starts beside it only on a reserved path with a charged retry, and the first of the two that delivers an event ends the other one. A successor that fails leaves the first attempt as it was. Only a runner that was replaced at its address ends an attempt. Every event is checked for its place by each attempt's own splitter, so the events of the two can't mix.

The sending of a request and the attempts at a stream are modules of their own.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
@@ -212,9 +212,9 @@
             failure = retry_policy.Failure.INVALID
         self._finish(Outcome(failure, detail=str(error)))
 
-    def abandon(self, failure: retry_policy.Failure, detail: str) -> None:
-        """Ends the attempt with a failure that the router detected."""
-        self._finish(Outcome(failure, detail=detail))
+    def abandon(self, detail: str) -> None:
+        """Ends the attempt because its server has ended."""
+        self._finish(Outcome(retry_policy.Failure.LOST, detail=detail))
 
     def _finish(self, outcome: Outcome) -> None:
         if not self.done.done():
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/attempt_failures.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/attempt_failures.py
@@ -20,6 +20,10 @@
 """Part of a runner's memory that has to be reserved for a rejection to count
 as lack of memory: requests may hold twice their average."""
 
+_RETRY_ELSEWHERE_ONLY = frozenset(
+    {retry_policy.Failure.REJECTED, retry_policy.Failure.NOT_SENT}
+)
+
 
 class FailureHandler:
     """Records the failed attempts at a request and decides how to proceed.
@@ -27,6 +31,7 @@
     Attributes:
         tried: ids of servers to which the request is not sent again, unless no
             other is left.
+        last_failed: the attempt that failed last; None before the first.
     """
 
     def __init__(
@@ -39,10 +44,45 @@
             progress: attempts made so far for the request.
         """
         self.tried: set[str] = set()
+        self.last_failed: attempt.Outcome | None = None
         self._context = context
         self._progress = progress
         self._connect_failures = 0
 
+    def untried(self, usable: list[directory.Server]) -> list[directory.Server]:
+        """Returns the servers to choose from, without those already tried.
+
+        If all servers were tried, they are returned again, except after a
+        rejection or a failed connection: only servers whose response was lost
+        are worth another attempt.
+        """
+        untried = [s for s in usable if s.id not in self.tried]
+        if untried or self.last_failed is None:
+            return untried
+        if self.last_failed.failure in _RETRY_ELSEWHERE_ONLY:
+            return []
+        return usable
+
+    def record(
+        self,
+        admitted: admission.Admitted,
+        outcome: attempt.Outcome,
+        server: directory.Server,
+        reply: replies.Reply,
+    ) -> None:
+        """Records an attempt that failed while another one goes on.
+
+        Args:
+            admitted: the request.
+            outcome: how the attempt ended.
+            server: the server that the request was sent to.
+            reply: the response to the caller so far.
+        """
+        self._record(admitted, outcome, server, reply)
+        lost = outcome.failure is retry_policy.Failure.LOST
+        if lost and self._context.board.has_ended(server):
+            self._progress.terminated_runs += 1
+
     async def decide(
         self,
         admitted: admission.Admitted,
@@ -95,6 +135,7 @@
         reply: replies.Reply,
     ) -> None:
         assert outcome.failure is not None
+        self.last_failed = outcome
         context = self._context
         context.metrics.attempts.labels(outcome.failure.value).inc()
         self._exclude_server(admitted, outcome, first_server)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
@@ -334,6 +334,11 @@
             and server.address in self.suspect_servers.down_addresses()
         )
 
+    def is_replaced(self, server: directory.Server) -> bool:
+        """Returns whether another lifetime is listed at a server's address."""
+        known = self.server_at(server.address)
+        return known is not None and known.lifetime != server.lifetime
+
     def server_at(self, address: str) -> directory.Server | None:
         """Returns the server at an address, the newest if there are several."""
         return max(
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/path_explanation.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/path_explanation.py
@@ -8,6 +8,13 @@
 from nutmeglift_gateway import paths
 
 
+def format_path(path: paths.Path) -> str:
+    """Formats a path for the log."""
+    return " ".join(
+        f"{part.server.address}={part.start}-{part.end}" for part in path.parts
+    )
+
+
 def explain(
     engine: catalog.Engine,
     load_tracker: loads.LoadTracker,
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/running_stream.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/running_stream.py
@@ -1,5 +1,6 @@
 """State of one running attempt at a streaming request."""
 
+from collections.abc import Callable
 import dataclasses
 
 from nutmeglift_gateway import admission
@@ -28,6 +29,13 @@
         moves: number of orders to move it.
         move_not_before: loop time of the earliest next attempt to move it.
         refused_runner_ids: ids of runners that had no room to take it over.
+        excluded_ids: ids of servers that failed the request; shared with its
+            failure handler.
+        on_successor: starts a successor on a path whose capacity is reserved
+            and whose retry is charged.
+        paired: whether a successor is about to run, or runs, beside it.
+        resume_not_before: loop time of the earliest next attempt to resume it
+            elsewhere.
     """
 
     admitted: admission.Admitted
@@ -41,6 +49,10 @@
     moves: int = 0
     move_not_before: float = 0.0
     refused_runner_ids: set[str] = dataclasses.field(default_factory=set)
+    excluded_ids: set[str] = dataclasses.field(default_factory=set)
+    on_successor: Callable[[paths.Path], None] = lambda path: None
+    paired: bool = False
+    resume_not_before: float = 0.0
     _reserved: tuple[loads.Reservation, ...] = ()
     _resume_reserved: tuple[loads.Reservation, ...] = ()
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stalls.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stalls.py
@@ -1,4 +1,4 @@
-"""Decides when a silent stream counts as stalled and when to abandon it."""
+"""Decides when a silent stream is stalled, and when to resume it elsewhere."""
 
 import dataclasses
 import enum
@@ -25,8 +25,8 @@
     REQUEST_REPORT = "ask"
     """Request the report of its first runner, which names the runner that the
     stream waits for."""
-    ABANDON = "give_up"
-    """Abort the attempt and resume on another pipeline."""
+    RESUME = "resume"
+    """Start another attempt that resumes the stream on another pipeline."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -57,7 +57,7 @@
 def judge(state: StreamState) -> Action:
     """Returns what to do with a stream."""
     if state.silent >= SILENCE_TIMEOUT_SECONDS:
-        return Action.ABANDON
+        return Action.RESUME
     expected = state.step_seconds * STEPS_PER_EVENT * MIN_STALL_SLOWDOWN_RATIO
     if state.begun:
         limit = max(state.gap_objective * STALL_GAP_RATIO, expected)
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
@@ -0,0 +1,306 @@
+"""Runs the attempts at one stream.
+
+While the runner of an attempt is silent, a successor may run beside it. The
+first of the two that delivers an event goes on, and the other one is ended. A
+runner that goes on after a pause therefore loses no stream, even if no other
+runner could take it over.
+"""
+
+import asyncio
+import dataclasses
+
+from nutmeglift_gateway import admission
+from nutmeglift_gateway import attempt
+from nutmeglift_gateway import attempt_failures
+from nutmeglift_gateway import context as contexts
+from nutmeglift_gateway import directory
+from nutmeglift_gateway import http_call
+from nutmeglift_gateway import path_explanation
+from nutmeglift_gateway import paths
+from nutmeglift_gateway import reply as replies
+from nutmeglift_gateway import retry_policy
+from nutmeglift_gateway import running_stream
+from nutmeglift_gateway import sender as senders
+from nutmeglift_gateway import sse
+
+
+@dataclasses.dataclass(eq=False)
+class _Running:
+    """An attempt that was sent and has not ended."""
+
+    stream: running_stream.Stream
+    events: sse.EventSplitter
+    upstream: http_call.Connection | None = None
+
+    @property
+    def receiver(self) -> attempt.ResponseReceiver:
+        return self.stream.receiver
+
+    @property
+    def server(self) -> directory.Server:
+        return self.stream.path.first
+
+
+class StreamAttempts:
+    """The attempts at one stream, of which at most two run at a time.
+
+    Attributes:
+        no_path_detail: why no path was available.
+        last_server: first runner of the attempt that ended last.
+    """
+
+    def __init__(
+        self,
+        context: contexts.Context,
+        sender: senders.Sender,
+        admitted: admission.Admitted,
+        reply: replies.Reply,
+        failures: attempt_failures.FailureHandler,
+        last_event_id: int | None,
+    ) -> None:
+        """Initializes without any attempt.
+
+        Args:
+            context: the router's shared components.
+            sender: sends the request.
+            admitted: the request.
+            reply: the response to the caller.
+            failures: handles failed attempts.
+            last_event_id: last event that the caller has; None if it has none.
+        """
+        self.no_path_detail = ""
+        self.last_server: directory.Server | None = None
+        self._context = context
+        self._sender = sender
+        self._admitted = admitted
+        self._reply = reply
+        self._failures = failures
+        self._last_event_id = last_event_id
+        self._running: list[_Running] = []
+        self._changed = asyncio.Event()
+        self._successor_path: paths.Path | None = None
+        self._paused = False
+        self._loop = asyncio.get_running_loop()
+
+    async def next_outcome(self) -> attempt.Outcome | None:
+        """Starts an attempt and returns how the last one running has ended.
+
+        Returns:
+            None if no path is available.
+        """
+        self._successor_path = None
+        path = self._find_path()
+        if path is None:
+            return None
+        outcome = await self._start(path)
+        while outcome is None:
+            await self._changed.wait()
+            self._changed.clear()
+            outcome = self._collect_outcome()
+            if outcome is None:
+                await self._start_successor()
+        return outcome
+
+    def close(self) -> None:
+        """Ends all attempts."""
+        for running in list(self._running):
+            self._end(running)
+
+    def set_writable(self, writable: bool) -> None:
+        """Pauses reading from the runners while the caller reads too slowly."""
+        self._paused = not writable
+        for running in self._running:
+            self._apply_backpressure(running)
+
+    def _collect_outcome(self) -> attempt.Outcome | None:
+        """Ends the attempts that are done; returns the outcome of the last."""
+        for running in list(self._running):
+            if not running.receiver.done.done():
+                continue
+            outcome = self._checked(running.receiver.done.result())
+            self._end(running)
+            self.last_server = running.server
+            if outcome.failure is None or not self._running:
+                return outcome
+            self._failures.record(
+                self._admitted, outcome, running.server, self._reply
+            )
+        return None
+
+    def _checked(self, outcome: attempt.Outcome) -> attempt.Outcome:
+        """Returns the outcome, as a failure if it can't follow the events."""
+        response = outcome.response
+        if response is None or not self._reply.progress.started:
+            return outcome
+        if outcome.failure is not None:
+            return outcome
+        return attempt.Outcome(
+            retry_policy.Failure.INVALID,
+            detail=f"status {response.status} without the rest of the stream",
+        )
+
+    def _find_path(self) -> paths.Path | None:
+        board = self._context.board
+        engine = self._admitted.service.engine
+        assert engine is not None
+        now = self._loop.time()
+        requirements = paths.PathRequirements(
+            board.home, self._admitted.held_tokens
+        )
+        usable = board.usable(self._admitted.service.id)
+        finder = board.path_finder(engine, now)
+        path = finder.find(self._failures.untried(usable), requirements)
+        if path is None and self._reply.progress.started:
+            path = finder.find(usable, requirements)
+        if path is None:
+            self.no_path_detail = path_explanation.explain(
+                engine, board.load_tracker, finder, usable, requirements
+            )
+            return None
+        if not board.link_budget.has_room(now, path, board.routers):
+            detail = path_explanation.explain_by_domain(
+                engine, board.load_tracker, finder, usable, requirements
+            )
+            self.no_path_detail = f"the pipes are full; {detail}"
+            return None
+        return path
+
+    async def _start_successor(self) -> None:
+        """Starts a successor of a silent attempt if one was requested."""
+        path, self._successor_path = self._successor_path, None
+        if path is None or len(self._running) != 1:
+            return
+        (first,) = self._running
+        first.stream.release_resume_path(self._context.board)
+        last_byte_at = first.receiver.last_byte_at
+        outcome = await self._start(path, beside=first)
+        if outcome is not None and first.receiver.last_byte_at == last_byte_at:
+            self._failures.record(
+                self._admitted, outcome, path.first, self._reply
+            )
+        self._update_pairing()
+
+    async def _start(
+        self, path: paths.Path, beside: _Running | None = None
+    ) -> attempt.Outcome | None:
+        """Starts an attempt.
+
+        Args:
+            path: the path that it uses.
+            beside: a silent attempt that it succeeds, unless that one has gone
+                on in the meantime.
+
+        Returns:
+            The outcome if the request was not sent.
+        """
+        context = self._context
+        admitted = self._admitted
+        engine = admitted.service.engine
+        assert engine is not None
+        now = self._loop.time()
+        self._reply.paths.append(path_explanation.format_path(path))
+        self.last_server = path.first
+        context.board.link_budget.record_transfer(
+            now, engine, path, admitted.prompt_tokens
+        )
+        running = self._new_attempt(path, now)
+        running.stream.reserve(context.board)
+        upstream: http_call.Connection | attempt.Outcome | None = None
+        silent_since = beside.receiver.last_byte_at if beside else 0.0
+        try:
+            upstream = await self._sender.connect(path.first)
+        finally:
+            if not isinstance(upstream, http_call.Connection):
+                self._end(running)
+        if isinstance(upstream, attempt.Outcome):
+            return upstream
+        if beside and beside.receiver.last_byte_at != silent_since:
+            upstream.abort()
+            self._end(running)
+            return attempt.Outcome(
+                retry_policy.Failure.NOT_SENT, detail="the stream has gone on"
+            )
+        running.upstream = upstream
+        self._running.append(running)
+        self._update_pairing()
+        context.monitor.add(running.stream)
+        running.receiver.done.add_done_callback(self._on_change)
+        self._sender.send(
+            upstream,
+            admitted,
+            path.first,
+            running.receiver,
+            remaining=admitted.deadline - self._loop.time(),
+            path=path,
+            last_event_id=self._last_event_id,
+        )
+        self._apply_backpressure(running)
+        return None
+
+    def _new_attempt(self, path: paths.Path, now: float) -> _Running:
+        events = sse.EventSplitter(self._last_event_id)
+        receiver = attempt.ResponseReceiver(
+            self._context.names,
+            self._admitted.request_id,
+            events=events,
+            on_events=lambda head, data: self._on_events(running, head, data),
+        )
+        stream = running_stream.Stream(
+            self._admitted,
+            path,
+            receiver,
+            now,
+            self._admitted.held_tokens,
+            self._reply.progress,
+            excluded_ids=self._failures.tried,
+            on_successor=self._on_successor,
+        )
+        running = _Running(stream, events)
+        return running
+
+    def _end(self, running: _Running) -> None:
+        """Ends an attempt and releases what it holds."""
+        if running in self._running:
+            self._running.remove(running)
+            self._update_pairing()
+        if running.upstream is not None:
+            running.upstream.abort()
+        if running.receiver.done.done():
+            outcome = running.receiver.done.result()
+            if outcome.failure is retry_policy.Failure.REJECTED:
+                self._reply.progress.runs -= 1
+        self._context.monitor.remove(running.stream)
+        running.stream.release(self._context.board)
+
+    def _update_pairing(self) -> None:
+        for running in self._running:
+            running.stream.paired = len(self._running) > 1
+
+    def _on_events(
+        self, running: _Running, head: http_call.Head, data: bytes
+    ) -> None:
+        for other in [each for each in self._running if each is not running]:
+            self._context.log.write(
+                "attempt superseded",
+                request=running.stream.request_id,
+                server=other.server.id,
+                by=running.server.id,
+            )
+            self._end(other)
+        self._last_event_id = running.events.last_id
+        self._reply.on_events(head, data)
+
+    def _on_successor(self, path: paths.Path) -> None:
+        self._successor_path = path
+        self._changed.set()
+
+    def _on_change(self, done: "asyncio.Future[attempt.Outcome]") -> None:
+        self._changed.set()
+
+    def _apply_backpressure(self, running: _Running) -> None:
+        if running.upstream is None:
+            return
+        if self._paused:
+            running.upstream.pause()
+        else:
+            running.upstream.resume()
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_monitor.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_monitor.py
@@ -1,4 +1,4 @@
-"""Monitors running streams and moves them away from failed runners."""
+"""Monitors running streams; moves or resumes those on failed runners."""
 
 import asyncio
 
@@ -9,6 +9,7 @@
 from nutmeglift_gateway import failure_recorder as recorders
 from nutmeglift_gateway import metrics as metric_sets
 from nutmeglift_gateway import pace_reader
+from nutmeglift_gateway import path_explanation
 from nutmeglift_gateway import paths
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import reachability
@@ -93,14 +94,26 @@
                 stream, down_addresses, leaving_addresses, now
             ):
                 continue
-            match stalls.judge(stream.state(now)):
+            action = stalls.judge(stream.state(now))
+            if action is not stalls.Action.WAIT and self._board.is_replaced(
+                stream.path.first
+            ):
+                stream.receiver.abandon("its first runner was replaced")
+                continue
+            match action:
                 case stalls.Action.WAIT:
                     pass
                 case stalls.Action.REQUEST_REPORT:
-                    if not self._try_move(stream):
+                    if self._gives_no_report(stream.path.first):
+                        self._resume_elsewhere(
+                            stream, now, "its first runner gives no report"
+                        )
+                    elif not self._try_move(stream):
                         report_addresses.add(stream.path.first.address)
-                case stalls.Action.ABANDON:
-                    self._abandon(stream, "no event within the silence timeout")
+                case stalls.Action.RESUME:
+                    self._resume_elsewhere(
+                        stream, now, "no event within the silence timeout"
+                    )
         for address in report_addresses:
             self._request_report(address, now)
 
@@ -121,7 +134,7 @@
         leaving_addresses: set[str],
         now: float,
     ) -> bool:
-        """Moves or abandons a stream whose path has a failed or leaving runner.
+        """Moves or resumes a stream whose path has a failed or leaving runner.
 
         Returns:
             Whether the stream has ended or is being moved.
@@ -129,7 +142,7 @@
         if stream.path.first.address in down_addresses:
             silence = stream.silence(now)
             if silence.silent >= silence.limit:
-                self._abandon(stream, "its first runner is lost")
+                self._resume_elsewhere(stream, now, "its first runner is lost")
             return stream.is_busy
         if now < stream.move_not_before or not any(
             part.server.address in leaving_addresses
@@ -140,6 +153,18 @@
         self._try_move(stream)
         return stream.is_busy
 
+    def _gives_no_report(self, server: directory.Server) -> bool:
+        """Returns whether a report was requested in vain, and will be again.
+
+        Suspects are probed, so no further report is requested here.
+        """
+        suspects = self._board.suspect_servers
+        return (
+            suspects.is_suspect(server.address, server.lifetime)
+            and suspects.reason(server.address)
+            == suspect_servers.Reason.NO_REPORT
+        )
+
     def _request_report(self, address: str, now: float) -> None:
         requested_at = self._requested_at_by_address.get(address, float("-inf"))
         if now - requested_at < MIN_REPORT_INTERVAL_SECONDS:
@@ -154,8 +179,9 @@
             self._failure_recorder.record_by_address(
                 address, suspect_servers.Reason.NO_REPORT, str(error)
             )
+            now = asyncio.get_running_loop().time()
             for stream in self._stalled_streams_at(address):
-                self._abandon(stream, "its first runner is lost")
+                self._resume_elsewhere(stream, now, "its first runner is lost")
             return
         now = asyncio.get_running_loop().time()
         self._board.record_pace(now, address, report.pace)
@@ -183,8 +209,8 @@
         """Starts to move a stream off runners that can no longer serve it.
 
         Returns:
-            Whether the stream is being moved, was abandoned so that it can
-            resume elsewhere, or waits for bandwidth between failure domains.
+            Whether the stream is being moved, is resumed elsewhere, or waits
+            for bandwidth between failure domains.
         """
         engine = stream.admitted.service.engine
         if engine is None or stream.moving or stream.moves >= MAX_MOVE_COUNT:
@@ -214,8 +240,9 @@
             # Streams keep running on a draining runner, and on layers that a
             # runner is about to unload; a restart would discard their progress.
             return False
-        if crossing and self._can_resume(stream, finder, usable):
-            self._abandon(stream, "resuming on another pipeline")
+        if crossing and self._resume_elsewhere(
+            stream, now, "resuming on another pipeline", may_cross=False
+        ):
             return True
         if path is None:
             return False
@@ -228,48 +255,96 @@
         self._background_tasks.start(self._move(stream, path))
         return True
 
-    def _can_resume(
+    def _resume_elsewhere(
         self,
         stream: running_stream.Stream,
-        finder: paths.PathFinder,
-        usable: list[directory.Server],
+        now: float,
+        detail: str,
+        *,
+        may_cross: bool = True,
     ) -> bool:
-        """Reserves a pipeline within one failure domain to resume a stream.
+        """Starts a successor of an attempt whose first runner may be lost.
+
+        A silent runner may be sound. Therefore the attempt goes on until its
+        successor delivers an event, and a successor is started only once its
+        path is reserved and its retry is charged.
 
-        Such a pipeline processes the tokens so far at its own speed, while a
-        move across failure domains sends the activations of all of them over
-        the link between the domains.
+        Args:
+            stream: the attempt.
+            now: event loop time in seconds.
+            detail: why a successor is started, for the log.
+            may_cross: whether the successor's path may cross between failure
+                domains. To process the tokens so far on a crossing path, their
+                activations are sent over the link between the domains.
 
         Returns:
-            Whether a path was found and reserved, and a retry is allowed.
+            Whether a successor is started.
         """
-        if not self._may_retry(stream):
+        if stream.paired or now < stream.resume_not_before:
             return False
-        requirements = paths.PathRequirements(
-            self._board.home, stream.tokens, may_cross=False
-        )
-        path = finder.find(usable, requirements)
-        if path is None:
+        stream.resume_not_before = now + MOVE_RETRY_SECONDS
+        path = self._find_resume_path(stream, now, may_cross=may_cross)
+        if path is None or not self._try_spend_retry(stream, now):
             return False
         # Without the reservation, streams that lose the same runner would all
         # choose the same free capacity.
         stream.reserve_resume_path(self._board, path)
+        stream.paired = True
+        self._metrics.repairs.labels("resume", "started").inc()
+        self._log.write(
+            "successor started",
+            request=stream.request_id,
+            detail=detail,
+            silent=round(now - stream.receiver.last_byte_at, 3),
+            first=stream.path.first.id,
+            path=path_explanation.format_path(path),
+        )
+        stream.on_successor(path)
         return True
 
+    def _find_resume_path(
+        self, stream: running_stream.Stream, now: float, *, may_cross: bool
+    ) -> paths.Path | None:
+        """Returns a path without the stream's first runner, or None."""
+        board = self._board
+        engine = stream.admitted.service.engine
+        if engine is None or not self._may_retry(stream):
+            return None
+        excluded = stream.excluded_ids | {stream.path.first.id}
+        path = board.path_finder(engine, now).find(
+            [
+                server
+                for server in board.usable(stream.admitted.service.id)
+                if server.id not in excluded
+            ],
+            paths.PathRequirements(
+                board.home, stream.tokens, may_cross=may_cross
+            ),
+        )
+        if path is None or not board.link_budget.has_room(
+            now, path, board.routers
+        ):
+            return None
+        return path
+
     def _may_retry(self, stream: running_stream.Stream) -> bool:
         """Returns whether a stream's request may be sent once more."""
         route = stream.admitted.route
         progress = stream.progress
         board = self._board
         server_lost = board.has_ended(stream.path.first)
-        if not route.repeatable or not retry_policy.has_attempts_left(
+        return route.repeatable and retry_policy.has_attempts_left(
             route, progress, server_lost=server_lost
-        ):
-            return False
-        return board.budget(stream.admitted.service.id).can_spend(
-            asyncio.get_running_loop().time(),
+        )
+
+    def _try_spend_retry(
+        self, stream: running_stream.Stream, now: float
+    ) -> bool:
+        board = self._board
+        return board.budget(stream.admitted.service.id).try_spend(
+            now,
             board.routers,
-            retry_budget.purpose(started=progress.started),
+            retry_budget.purpose(started=stream.progress.started),
         )
 
     async def _move(
@@ -315,17 +390,3 @@
             if part.server.address == fault
             or (not fault and part.server.address not in kept)
         }
-
-    def _abandon(self, stream: running_stream.Stream, detail: str) -> None:
-        """Aborts an attempt if the request may be sent once more.
-
-        Otherwise the attempt continues despite its silence: the runner may
-        recover, and the caller decides how long to wait.
-        """
-        if not self._may_retry(stream):
-            return
-        self._metrics.repairs.labels("given up", "lost").inc()
-        self._log.write(
-            "stream given up", request=stream.request_id, detail=detail
-        )
-        stream.receiver.abandon(retry_policy.Failure.LOST, detail)
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -122,8 +122,8 @@
             (0.13, False, 0.008, wait),
             (0.26, False, 0.008, request_report),
             (0.3, True, 0.03, wait),
-            (1.7, True, 0.03, stalls.Action.ABANDON),
-            (1.7, False, 0.008, stalls.Action.ABANDON),
+            (1.7, True, 0.03, stalls.Action.RESUME),
+            (1.7, False, 0.008, stalls.Action.RESUME),
         ]
         for silent, begun, step, expected in cases:
             with self.subTest(silent=silent, begun=begun, step=step):
@@ -136,7 +136,7 @@
         cases = [
             (0.5, 0.05, stalls.Action.WAIT),
             (0.5, 0.2, stalls.Action.REQUEST_REPORT),
-            (1.7, 0.05, stalls.Action.ABANDON),
+            (1.7, 0.05, stalls.Action.RESUME),
         ]
         for silent, idle_seconds, expected in cases:
             with self.subTest(silent=silent, idle_seconds=idle_seconds):
@@ -145,7 +145,7 @@
                 )
                 self.assertEqual(stalls.judge(state), expected)
 
-    def test_streams_are_abandoned_before_callers_time_out(self):
+    def test_streams_are_resumed_before_callers_time_out(self):
         # Callers disconnect from a stream that is silent for 2 s.
         self.assertLess(stalls.SILENCE_TIMEOUT_SECONDS, 2.0)
 
--- a/tests/gateway/test_exchange_stream.py
+++ b/tests/gateway/test_exchange_stream.py
@@ -298,7 +298,7 @@
         await asyncio.sleep(5 * stream_monitor.CHECK_INTERVAL_SECONDS)
         may_continue.set()
         self.assertEqual(await call, list(range(1, 10)))
-        self.assertNotIn("stream given up", self.rig.log.events())
+        self.assertNotIn("successor started", self.rig.log.events())
         self.assertEqual(other.requests, [])
 
     async def test_no_more_streams_are_given_up_than_find_room(self):
@@ -330,10 +330,10 @@
             lost, suspect_servers.Reason.CRASHED, "test"
         )
         async with asyncio.timeout(stand_ins.WAIT_SECONDS):
-            while "stream given up" not in self.rig.log.events():  # noqa: ASYNC110
+            while "successor started" not in self.rig.log.events():  # noqa: ASYNC110
                 await asyncio.sleep(0.01)
         await asyncio.sleep(0.1)
-        self.assertEqual(self.rig.log.events().count("stream given up"), 1)
+        self.assertEqual(self.rig.log.events().count("successor started"), 1)
         self.assertNotIn("stream cut", self.rig.log.events())
         for call in calls:
             call.cancel()
@@ -362,7 +362,7 @@
         )
         self.assertEqual(await call, list(range(1, 10)))
         self.assertIn(
-            ("stream given up", "its first runner is lost"),
+            ("successor started", "its first runner is lost"),
             [(e, f.get("detail")) for e, f in self.rig.log.lines],
         )
 
@@ -385,7 +385,7 @@
         await self.rig.add_runner(delayed, "x", 0, 80)
         await self.rig.add_runner(resumable, "y", 0, 80, domain="b")
         self.assertEqual(await self.event_ids(), list(range(1, 10)))
-        self.assertNotIn("stream given up", self.rig.log.events())
+        self.assertNotIn("successor started", self.rig.log.events())
 
     async def test_a_stream_leaves_a_silent_first_runner(self):
         # It provides no report either.
