Tell a slow caller from a silent runner

What callers saw: a caller that read slower than its stream was produced used up its attempts: the router stopped reading from the runner, saw no events, took the runner for silent, suspected it for all other streams, and ran the request a second time.

Cause: the stream monitor measured silence by the last event read, also while the router itself did not read.

Change: a stream that is paused for its caller is left out of the detection of stalls, silence and slow runners, and its silence is counted from the moment at which reading resumes.

Evidence: SlowCallerTest fails before (the second runner got the request) and passes after.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/running_stream.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/running_stream.py
@@ -34,6 +34,8 @@
         on_successor: starts a successor on a path whose capacity is reserved
             and whose retry is charged.
         paired: whether a successor is about to run, or runs, beside it.
+        paused: whether its caller reads too slowly, so that events wait at the
+            runner.
         resume_not_before: loop time of the earliest next attempt to resume it
             elsewhere.
     """
@@ -52,6 +54,7 @@
     excluded_ids: set[str] = dataclasses.field(default_factory=set)
     on_successor: Callable[[paths.Path], None] = lambda path: None
     paired: bool = False
+    paused: bool = False
     resume_not_before: float = 0.0
     _reserved: tuple[loads.Reservation, ...] = ()
     _resume_reserved: tuple[loads.Reservation, ...] = ()
@@ -66,6 +69,15 @@
         """Whether the attempt has ended or is being moved."""
         return self.moving or self.receiver.done.done()
 
+    def set_paused(self, paused: bool, now: float) -> None:
+        """Records whether its caller reads too slowly.
+
+        The time in which nothing was read counts as no silence of the runner.
+        """
+        if self.paused and not paused:
+            self.receiver.last_byte_at = now
+        self.paused = paused
+
     def reserve(self, board: boards.Board) -> tuple[loads.Reservation, ...]:
         """Reserves capacity on its path; returns the reservations."""
         self.release(board)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
@@ -300,6 +300,7 @@
     def _apply_backpressure(self, running: _Running) -> None:
         if running.upstream is None:
             return
+        running.stream.set_paused(self._paused, self._loop.time())
         if self._paused:
             running.upstream.pause()
         else:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_monitor.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_monitor.py
@@ -77,17 +77,18 @@
             self._check_streams(asyncio.get_running_loop().time())
 
     def _check_streams(self, now: float) -> None:
+        streams = [each for each in self._streams if not each.paused]
         self._reachability.check(
             now,
             silence_detection.suspected_addresses(
-                s.silence(now) for s in self._streams
+                each.silence(now) for each in streams
             ),
         )
-        self._pace_reader.read(now, self._streams)
+        self._pace_reader.read(now, streams)
         down_addresses = self._board.suspect_servers.down_addresses()
         leaving_addresses = down_addresses | self._leaving_addresses(now)
         report_addresses: set[str] = set()
-        for stream in list(self._streams):
+        for stream in streams:
             if stream.is_busy:
                 continue
             if leaving_addresses and self._leave_failed_runners(
@@ -202,6 +203,7 @@
             for stream in self._streams
             if stream.path.first.address == address
             and not stream.is_busy
+            and not stream.paused
             and stalls.judge(stream.state(now)) is not stalls.Action.WAIT
         ]
 
--- a/tests/gateway/test_silent_servers.py
+++ b/tests/gateway/test_silent_servers.py
@@ -2,10 +2,13 @@
 
 import asyncio
 
+from nutmeglift_gateway import control_client
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import http_call
 from nutmeglift_gateway import ports
+from nutmeglift_gateway import responses
 from nutmeglift_gateway import settings
+from nutmeglift_gateway import stalls
 from nutmeglift_gateway import suspect_servers
 from tests.gateway import rig
 from tests.gateway import stand_ins
@@ -210,3 +213,45 @@
         self.wakes.set()
         self.assertEqual(await call, ALL_EVENTS)
         self.assertEqual(len(reports), 1)
+
+
+class SlowCallerTest(streams.StreamTestCase):
+    async def test_a_slow_caller_does_not_make_its_runner_look_silent(self):
+        # More than the socket buffers and the router's write buffer hold.
+        padding = b"x" * 1024
+        count = 16 * 1024
+
+        async def script(request, writer, number):
+            writer.write(stand_ins.stream_head(request))
+            for event_id in range(1, count + 1):
+                writer.write(
+                    responses.chunk(
+                        b"id: %d\ndata: %b\n\n" % (event_id, padding)
+                    )
+                )
+                await writer.drain()
+            writer.write(streams.LAST_CHUNK)
+
+        await self.rig.add_runner(script, "x", 0, 80)
+        other = await self.rig.add_runner(
+            streams.resumable, "y", 0, 80, domain="b"
+        )
+        connection = await http_call.connect(self.rig.address)
+        connection.pause()
+        call = asyncio.ensure_future(
+            control_client.exchange(
+                connection,
+                "POST",
+                self.rig.format_request("/draft/1"),
+                4 * stand_ins.WAIT_SECONDS,
+            )
+        )
+        await asyncio.sleep(2 * stalls.SILENCE_TIMEOUT_SECONDS)
+        connection.resume()
+        response = await call
+        connection.close()
+        self.assertEqual(
+            stand_ins.event_ids(response.body), list(range(1, count + 1))
+        )
+        self.assertEqual(other.requests, [])
+        self.assertNotIn("server suspect", self.rig.log.events())
