End a stream only with the rest of it

What callers saw: (1) a stream that had broken off looked complete when the second runner answered with a complete response other than a stream (a refusal of its own, or a body without events): the router wrote the last chunk. (2) A caller that came back with the id of the last event, because its connection broke before the end of the response, was answered 502 although the runner had ended the stream properly.

Cause: the end of an attempt was judged without the events delivered so far. Change: an attempt's outcome is checked against them. After events, a complete response other than a stream is an invalid one; before any event, an empty stream is delivered as the runner sent it.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
@@ -97,6 +97,7 @@
 
     Attributes:
         done: set to the outcome once.
+        head: status and headers of the response; None before they arrive.
         last_byte_at: loop time at which the last events arrived.
         events_seen: whether an event arrived.
         event_interval: moving average of the seconds between events; None
@@ -122,6 +123,7 @@
         """
         loop = asyncio.get_running_loop()
         self.done: asyncio.Future[Outcome] = loop.create_future()
+        self.head: http_call.Head | None = None
         self.last_byte_at = loop.time()
         self.events_seen = False
         self.event_interval: float | None = None
@@ -131,13 +133,12 @@
         self._events = events
         self._on_events = on_events
         self._streaming = False
-        self._head: http_call.Head | None = None
         self._verdict = responses.Verdict.INVALID
         self._parts: list[bytes] = []
 
     def on_head(self, head: http_call.Head) -> None:
         """Handles status and headers."""
-        self._head = head
+        self.head = head
         self._verdict = responses.judge(self._names, head, self._request_id)
         kind = head.get(b"content-type") or b""
         self._streaming = (
@@ -155,7 +156,7 @@
             return
         assert self._events is not None
         assert self._on_events is not None
-        assert self._head is not None
+        assert self.head is not None
         before = self._events.last_id
         try:
             complete = self._events.feed(data)
@@ -171,7 +172,7 @@
                 self._update_interval((now - self.last_byte_at) / count)
             self.last_byte_at = now
             self.events_seen = True
-            self._on_events(self._head, complete)
+            self._on_events(self.head, complete)
 
     def _update_interval(self, seconds: float) -> None:
         if self.event_interval is None:
@@ -182,7 +183,7 @@
 
     def on_complete(self) -> None:
         """Handles the end of the response."""
-        assert self._head is not None
+        assert self.head is not None
         if self._streaming:
             assert self._events is not None
             if self._events.is_clean:
@@ -195,13 +196,13 @@
                     )
                 )
             return
-        fault = self._head.get(self._names.fault) or b""
+        fault = self.head.get(self._names.fault) or b""
         self._finish(
             Outcome(
                 _FAILURE_BY_VERDICT[self._verdict],
-                http_call.Response(self._head, b"".join(self._parts)),
+                http_call.Response(self.head, b"".join(self._parts)),
                 fault.decode("latin-1"),
-                f"status {self._head.status}",
+                f"status {self.head.status}",
             )
         )
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/reply.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/reply.py
@@ -87,14 +87,7 @@
                 self._connection.write(responses.LAST_CHUNK)
         else:
             response = outcome.response
-            if response is None:
-                # The stream ended normally but without any event.
-                self.end(
-                    admitted,
-                    retry_policy.Fail(errors.ErrorKind.OUTCOME_UNKNOWN),
-                    "the stream ended without events",
-                )
-                return
+            assert response is not None
             if response.status in responses.NOT_RUN_STATUSES:
                 # The request may have run, so a response that states that it
                 # did not run is not forwarded.
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
@@ -117,7 +117,7 @@
         for running in list(self._running):
             if not running.receiver.done.done():
                 continue
-            outcome = self._checked(running.receiver.done.result())
+            outcome = self._checked(running.receiver)
             self._end(running)
             self.last_server = running.server
             if outcome.failure is None or not self._running:
@@ -127,13 +127,22 @@
             )
         return None
 
-    def _checked(self, outcome: attempt.Outcome) -> attempt.Outcome:
-        """Returns the outcome, as a failure if it can't follow the events."""
+    def _checked(self, receiver: attempt.ResponseReceiver) -> attempt.Outcome:
+        """Returns an attempt's outcome, in the light of the events so far.
+
+        A complete response other than a stream can't follow events. A stream
+        without events ends the response, which is empty if it is the first.
+        """
+        outcome = receiver.done.result()
         response = outcome.response
-        if response is None or not self._reply.progress.started:
-            return outcome
         if outcome.failure is not None:
             return outcome
+        if not self._reply.progress.started:
+            if response is None and receiver.head is not None:
+                response = http_call.Response(receiver.head, b"")
+            return attempt.Outcome(None, response)
+        if response is None:
+            return outcome
         return attempt.Outcome(
             retry_policy.Failure.INVALID,
             detail=f"status {response.status} without the rest of the stream",
