Leave a stream alone that goes on without a runner's entry

Cause: Board.has_ended counts a runner whose entry was removed as ended. Some runners leave without notice: their entry goes, and they serve on for the time of a drain and longer. A stream through one of these counted as having lost a runner as soon as another part of its path was leaving, too; the monitor ended it in mid-flow, together with all others, and the next pipeline had no room.

Change: a successor, or a move over a link between failure domains, is started only for a stream that has stopped: silent beyond its limit, or no event since a runner on its path was recorded as down. The decision has a module of its own.

Evidence: RemovedRunnerTest fails before in both cases (the other runner got the request). Checked: test_silent_servers, test_exchange_stream; formatter, linter, types.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_monitor.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_monitor.py
@@ -9,15 +9,13 @@
 from nutmeglift_gateway import failure_recorder as recorders
 from nutmeglift_gateway import metrics as metric_sets
 from nutmeglift_gateway import pace_reader
-from nutmeglift_gateway import path_explanation
 from nutmeglift_gateway import paths
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import reachability
-from nutmeglift_gateway import retry_budget
-from nutmeglift_gateway import retry_policy
 from nutmeglift_gateway import running_stream
 from nutmeglift_gateway import silence_detection
 from nutmeglift_gateway import stalls
+from nutmeglift_gateway import stream_resumer
 from nutmeglift_gateway import suspect_servers
 
 CHECK_INTERVAL_SECONDS = 0.04
@@ -57,6 +55,7 @@
         self._pace_reader = pace_reader.PaceReader(
             board, runners, failure_recorder, log
         )
+        self._resumer = stream_resumer.StreamResumer(board, log, metrics)
         self._background_tasks = background_tasks.BackgroundTasks(log)
         self._streams: set[running_stream.Stream] = set()
         self._requested_at_by_address: dict[str, float] = {}
@@ -106,13 +105,13 @@
                     pass
                 case stalls.Action.REQUEST_REPORT:
                     if self._gives_no_report(stream.path.first):
-                        self._resume_elsewhere(
+                        self._resumer.start_successor(
                             stream, now, "its first runner gives no report"
                         )
                     elif not self._try_move(stream):
                         report_addresses.add(stream.path.first.address)
                 case stalls.Action.RESUME:
-                    self._resume_elsewhere(
+                    self._resumer.start_successor(
                         stream, now, "no event within the silence timeout"
                     )
         for address in report_addresses:
@@ -143,7 +142,9 @@
         if stream.path.first.address in down_addresses:
             silence = stream.silence(now)
             if silence.silent >= silence.limit:
-                self._resume_elsewhere(stream, now, "its first runner is lost")
+                self._resumer.start_successor(
+                    stream, now, "its first runner is lost"
+                )
             return stream.is_busy
         if now < stream.move_not_before or not any(
             part.server.address in leaving_addresses
@@ -182,7 +183,9 @@
             )
             now = asyncio.get_running_loop().time()
             for stream in self._stalled_streams_at(address):
-                self._resume_elsewhere(stream, now, "its first runner is lost")
+                self._resumer.start_successor(
+                    stream, now, "its first runner is lost"
+                )
             return
         now = asyncio.get_running_loop().time()
         self._board.record_pace(now, address, report.pace)
@@ -221,15 +224,15 @@
         runners = paths.UsableRunners(usable)
         if stream.path.first.id not in runners.by_id:
             return False
-        has_lost_runner = any(
-            self._board.has_ended(p.server) for p in stream.path.parts
-        )
         unusable_parts = [
             p for p in stream.path.parts[1:] if not runners.holds(p)
         ]
         if not unusable_parts:
             return False
         now = asyncio.get_running_loop().time()
+        has_lost_runner = self._resumer.has_stopped(stream, now) and any(
+            self._board.has_ended(part.server) for part in stream.path.parts
+        )
         finder = self._board.path_finder(engine, now)
         requirements = paths.PathRequirements(self._board.home, stream.tokens)
         path = finder.repair(
@@ -242,7 +245,7 @@
             # Streams keep running on a draining runner, and on layers that a
             # runner is about to unload; a restart would discard their progress.
             return False
-        if crossing and self._resume_elsewhere(
+        if crossing and self._resumer.start_successor(
             stream, now, "resuming on another pipeline", may_cross=False
         ):
             return True
@@ -257,98 +260,6 @@
         self._background_tasks.start(self._move(stream, path))
         return True
 
-    def _resume_elsewhere(
-        self,
-        stream: running_stream.Stream,
-        now: float,
-        detail: str,
-        *,
-        may_cross: bool = True,
-    ) -> bool:
-        """Starts a successor of an attempt whose first runner may be lost.
-
-        A silent runner may be sound. Therefore the attempt goes on until its
-        successor delivers an event, and a successor is started only once its
-        path is reserved and its retry is charged.
-
-        Args:
-            stream: the attempt.
-            now: event loop time in seconds.
-            detail: why a successor is started, for the log.
-            may_cross: whether the successor's path may cross between failure
-                domains. To process the tokens so far on a crossing path, their
-                activations are sent over the link between the domains.
-
-        Returns:
-            Whether a successor is started.
-        """
-        if stream.paired or now < stream.resume_not_before:
-            return False
-        stream.resume_not_before = now + MOVE_RETRY_SECONDS
-        path = self._find_resume_path(stream, now, may_cross=may_cross)
-        if path is None or not self._try_spend_retry(stream, now):
-            return False
-        # Without the reservation, streams that lose the same runner would all
-        # choose the same free capacity.
-        stream.reserve_resume_path(self._board, path)
-        stream.paired = True
-        self._metrics.repairs.labels("resume", "started").inc()
-        self._log.write(
-            "successor started",
-            request=stream.request_id,
-            detail=detail,
-            silent=round(now - stream.receiver.last_byte_at, 3),
-            first=stream.path.first.id,
-            path=path_explanation.format_path(path),
-        )
-        stream.on_successor(path)
-        return True
-
-    def _find_resume_path(
-        self, stream: running_stream.Stream, now: float, *, may_cross: bool
-    ) -> paths.Path | None:
-        """Returns a path without the stream's first runner, or None."""
-        board = self._board
-        engine = stream.admitted.service.engine
-        if engine is None or not self._may_retry(stream):
-            return None
-        excluded = stream.excluded_ids | {stream.path.first.id}
-        path = board.path_finder(engine, now).find(
-            [
-                server
-                for server in board.usable(stream.admitted.service.id)
-                if server.id not in excluded
-            ],
-            paths.PathRequirements(
-                board.home, stream.tokens, may_cross=may_cross
-            ),
-        )
-        if path is None or not board.link_budget.has_room(
-            now, path, board.routers
-        ):
-            return None
-        return path
-
-    def _may_retry(self, stream: running_stream.Stream) -> bool:
-        """Returns whether a stream's request may be sent once more."""
-        route = stream.admitted.route
-        progress = stream.progress
-        board = self._board
-        server_lost = board.has_ended(stream.path.first)
-        return route.repeatable and retry_policy.has_attempts_left(
-            route, progress, server_lost=server_lost
-        )
-
-    def _try_spend_retry(
-        self, stream: running_stream.Stream, now: float
-    ) -> bool:
-        board = self._board
-        return board.budget(stream.admitted.service.id).try_spend(
-            now,
-            board.routers,
-            retry_budget.purpose(started=stream.progress.started),
-        )
-
     async def _move(
         self, stream: running_stream.Stream, path: paths.Path
     ) -> None:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/suspect_servers.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/suspect_servers.py
@@ -186,6 +186,13 @@
             if record.suspect and record.reason in DOWN_REASONS
         }
 
+    def down_since(self, address: str) -> float | None:
+        """Returns when the suspect at an address failed; None if not down."""
+        record = self._record_by_address.get(address)
+        if record is None or not record.suspect:
+            return None
+        return record.failed_at if record.reason in DOWN_REASONS else None
+
     def suspects(self) -> dict[str, tuple[str, int]]:
         """Returns the lifetime of each suspect by address."""
         return {
--- a/tests/gateway/test_silent_servers.py
+++ b/tests/gateway/test_silent_servers.py
@@ -9,6 +9,7 @@
 from nutmeglift_gateway import responses
 from nutmeglift_gateway import settings
 from nutmeglift_gateway import stalls
+from nutmeglift_gateway import stream_monitor
 from nutmeglift_gateway import suspect_servers
 from tests.gateway import rig
 from tests.gateway import stand_ins
@@ -215,6 +216,58 @@
         self.assertEqual(len(reports), 1)
 
 
+class RemovedRunnerTest(streams.StreamTestCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        # A runner that leaves without notice serves on without an entry.
+        self.first = await self.rig.add_runner(self.stream_on, "x", 0, 30)
+        await self.rig.add_runner(stand_ins.silent, "y", 30, 60)
+        self.leaving = await self.rig.add_runner(stand_ins.silent, "z", 60, 80)
+        self.ends = asyncio.Event()
+
+    async def stream_on(self, request, writer, number):
+        """Sends an event every 10 ms until the test ends the stream."""
+        writer.write(stand_ins.stream_head(request))
+        event_id = 0
+        while not self.ends.is_set():
+            event_id += 1
+            writer.write(stand_ins.sse_chunk(event_id, event_id))
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        writer.write(streams.LAST_CHUNK)
+
+    async def test_a_flowing_stream_is_not_resumed_elsewhere(self):
+        cases = [
+            # the other trouble on the path
+            lambda: self.rig.register(
+                "z", self.leaving.address, rig.MODEL, kind="whole",
+                layers=directory.LayerRange(60, 80),
+                state=directory.ServerState.DRAINING,
+            ),
+            lambda: self.rig.failure_recorder.record_by_address(
+                self.leaving.address, suspect_servers.Reason.STALLED, "test"
+            ),
+        ]  # fmt: skip
+        for cause in cases:
+            with self.subTest(cause=cause):
+                await self.asyncSetUp()
+                call = asyncio.ensure_future(self.event_ids())
+                await self.first.wait_for_request()
+                other = await self.rig.add_runner(
+                    streams.resumable, "other", 0, 80, domain="b"
+                )
+                removed = self.rig.board.directory.server_by_id["y"]
+                self.rig.board.directory.remove_lifetime(removed)
+                cause()
+                await asyncio.sleep(10 * stream_monitor.CHECK_INTERVAL_SECONDS)
+                self.ends.set()
+                found = await call
+                self.assertEqual(found, list(range(1, len(found) + 1)))
+                self.assertEqual(other.requests, [])
+                self.assertNotIn("successor started", self.rig.log.events())
+                await self.rig.stop()
+
+
 class SlowCallerTest(streams.StreamTestCase):
     async def test_a_slow_caller_does_not_make_its_runner_look_silent(self):
         # More than the socket buffers and the router's write buffer hold.
