Refuse numbers that no integer or float can hold

Seen by callers: a connection closed without any response. A token count, a length hint or a Last-Event-Id with over 4,300 digits raises ValueError in Python 3.11, and one with over 308 digits OverflowError; an unexpected error in an exchange aborts the connection. Not shown: that a caller of the consortium sent such a header.

The number of digits is bounded at 19, so that each number fits into 64 bits. A longer token count, deadline or event id is refused as malformed (400); a longer length hint, which is optional, is ignored. Deadlines of 11 to 19 digits are accepted now.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/admission.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/admission.py
@@ -25,7 +25,9 @@
 round trip to the store."""
 DRAIN_RETRY_SECONDS = 0.02
 """Another router accepts the request immediately."""
-MAX_DEADLINE_DIGIT_COUNT = 10
+MAX_DIGIT_COUNT = 19
+"""Numbers in headers fit into 64 bits. Python converts no more than 4,300
+digits, and floats overflow at 309."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -188,11 +190,17 @@
     raw = request.get(names.deadline)
     timeout = route.timeout
     if raw is not None:
-        if not raw.isdigit() or len(raw) > MAX_DEADLINE_DIGIT_COUNT:
+        milliseconds = _parse_number(raw)
+        if milliseconds is None:
             return Refused(
                 errors.ErrorKind.BAD_REQUEST, None, "malformed deadline"
             )
-        timeout = min(timeout, int(raw) / 1000)
+        timeout = min(timeout, milliseconds / 1000)
+    last_event_id = request.get(names.last_event_id) or b""
+    if last_event_id.isdigit() and _parse_number(last_event_id) is None:
+        return Refused(
+            errors.ErrorKind.BAD_REQUEST, None, "malformed last event id"
+        )
     prompt_tokens, response_tokens = 0, 0.0
     if service.engine is not None:
         counts = _parse_token_counts(names, request)
@@ -221,13 +229,20 @@
     if raw is None:
         return None
     first, _, second = raw.partition(b",")
-    first, second = first.strip(), second.strip()
-    if not (first.isdigit() and second.isdigit()):
+    prompt_tokens = _parse_number(first.strip())
+    max_response_tokens = _parse_number(second.strip())
+    if prompt_tokens is None or max_response_tokens is None:
         return None
-    max_response_tokens = int(second)
-    hint = request.get(names.length_hint)
-    if hint is not None and hint.strip().isdigit():
-        return int(first), min(
-            float(max_response_tokens), int(hint) * LENGTH_HINT_RATIO
+    hint = _parse_number((request.get(names.length_hint) or b"").strip())
+    if hint is not None:
+        return prompt_tokens, min(
+            float(max_response_tokens), hint * LENGTH_HINT_RATIO
         )
-    return int(first), max_response_tokens * UNHINTED_RESPONSE_RATIO
+    return prompt_tokens, max_response_tokens * UNHINTED_RESPONSE_RATIO
+
+
+def _parse_number(raw: bytes) -> int | None:
+    """Returns a decimal number, or None if malformed or too large."""
+    if not raw.isdigit() or len(raw) > MAX_DIGIT_COUNT:
+        return None
+    return int(raw)
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -31,6 +31,14 @@
             ("no tokens", {"x_token_usage": None}, 100.5, K.BAD_REQUEST),
             ("bad tokens", {"x_token_usage": b"1;2"}, 100.5, K.BAD_REQUEST),
             ("bad deadline", {"x_deadline_ms": b"-5"}, 100.5, K.BAD_REQUEST),
+            ("long deadline", {"x_deadline_ms": b"9" * 20}, 100.5,
+             K.BAD_REQUEST),
+            ("long prompt", {"x_token_usage": b"9" * 20 + b",1"}, 100.5,
+             K.BAD_REQUEST),
+            ("long response", {"x_token_usage": b"1," + b"9" * 20}, 100.5,
+             K.BAD_REQUEST),
+            ("long event id", {"last_event_id": b"9" * 20}, 100.5,
+             K.BAD_REQUEST),
             ("no path", {"path": "*"}, 100.5, K.BAD_REQUEST),
         ]  # fmt: skip
         for name, changes, boot_now, kind in cases:
@@ -75,7 +83,9 @@
             ({"x_deadline_ms": b"700"}, 0.7, 100, 16.0),
             ({"x_deadline_ms": None}, 20.0, 100, 16.0),
             ({"x_deadline_ms": b"90000"}, 20.0, 100, 16.0),
+            ({"x_deadline_ms": b"9" * 19}, 20.0, 100, 16.0),
             ({"x_length_hint": b"20"}, 20.0, 100, 26.0),
+            ({"x_length_hint": b"9" * 5000}, 20.0, 100, 16.0),
             ({"x_length_hint": b"60"}, 20.0, 100, 40.0),
         ]
         for headers, deadline, prompt, remaining_tokens in cases:
