Find routes of hosts that are IPv6 literals without a port

Callers could see 404 for a configured route: the text after the last colon was taken for a port, so '[::1]' was looked up as '[:'. The new row of test_catalog failed with 'None != six'. A host that ends with a bracket has no port.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/catalog.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/catalog.py
@@ -245,7 +245,8 @@
             host: value of the Host header; a port is ignored.
             target: path and query of the request.
         """
-        name = host.rsplit(":", 1)[0] if ":" in host else host
+        has_port = ":" in host and not host.endswith("]")
+        name = host.rsplit(":", 1)[0] if has_port else host
         routes = self._route_by_prefix_by_host.get(name.lower())
         if not routes:
             return None
--- a/tests/gateway/test_catalog.py
+++ b/tests/gateway/test_catalog.py
@@ -16,7 +16,10 @@
 
 class FindRouteTest(unittest.TestCase):
     def test_longest_prefix_wins(self):
-        configuration = rig.make_catalog(routes=ROUTES)
+        six = rig.make_route(
+            "six", catalog.Idempotency.SAFE, rig.CORE, host="[::1]"
+        )
+        configuration = rig.make_catalog(routes=(*ROUTES, six))
         cases = [
             ("desk.example", "/desk/names/1", "deep"),
             ("desk.example", "/desk/names/", "deep"),
@@ -27,6 +30,9 @@
             ("DESK.example:8080", "/desk/x", "desk"),
             ("other.example", "/desk/x", None),
             ("", "/desk/x", None),
+            ("[::1]", "/six/x", "six"),
+            ("[::1]:8080", "/six/x", "six"),
+            ("[::2]", "/six/x", None),
         ]
         for host, target, expected in cases:
             with self.subTest(host=host, target=target):
