--- a/tests/gateway/test_platform_schema.py
+++ b/tests/gateway/test_platform_schema.py
@@ -117,7 +117,16 @@
             [],
             HEARTBEAT | {"state": "resting"},
             HEARTBEAT | {"address": 5},
+            HEARTBEAT | {"address": "10.0.0.9"},
+            HEARTBEAT | {"address": ":80"},
+            HEARTBEAT | {"address": "10.0.0.9:0"},
+            HEARTBEAT | {"address": "10.0.0.9:65536"},
+            HEARTBEAT | {"address": "10.0.0.9:-1"},
+            HEARTBEAT | {"address": "10.0.0.9:+80"},
+            HEARTBEAT | {"address": "10.0.0.9 :80"},
+            HEARTBEAT | {"address": "10.0.0.9\r\nx: y:80"},
             HEARTBEAT | {"born": "yesterday"},
+            HEARTBEAT | {"layers": {"from": -5, "target": 9}},
             HEARTBEAT | {"layers": [1, 2]},
             {k: v for k, v in HEARTBEAT.items() if k != "service"},
         ]
@@ -128,6 +137,14 @@
             ):
                 SCHEMA.decode_server(entry(value))
 
+    def test_an_id_that_cannot_be_sent_in_a_header(self):
+        for server_id in ("", "i-1\r\nx: y", "i-\u00e9"):
+            with (
+                self.subTest(server_id),
+                self.assertRaises(ports.UndecodableEntryError),
+            ):
+                SCHEMA.decode_server(entry(HEARTBEAT, f"servers/{server_id}"))
+
 
 if __name__ == "__main__":
     unittest.main()
