Plan on after a configuration that lowers the number of layers

Operators and callers could see: 'controller failed' at each router in turn once a service's model has fewer layers than its runners hold, and from then on no order and no election by that router until it restarts; a gap in the layers is then never closed, and requests to the service are refused.

RunnerGroup indexed its layers by what the runners report. Layers beyond the model's are left out before planning; a runner that holds only such layers counts as empty. The new test failed for 79, 41, 40, 7 and 1 layers with 'IndexError: list index out of range'; more layers than before planned on before, too.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/layer_planner.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/layer_planner.py
@@ -119,7 +119,9 @@
         by_domain: dict[str, list[runner_group.Holding]] = {}
         for holding in holdings:
             if holding.usable:
-                by_domain.setdefault(holding.server.domain, []).append(holding)
+                by_domain.setdefault(holding.server.domain, []).append(
+                    self._without_unknown_layers(holding)
+                )
         groups: list[list[runner_group.Holding]] = []
         small_domains: list[runner_group.Holding] = []
         for domain in sorted(by_domain):
@@ -140,6 +142,18 @@
                 min(groups, key=self._max_layer_count).extend(small_domains)
         return groups
 
+    def _without_unknown_layers(
+        self, holding: runner_group.Holding
+    ) -> runner_group.Holding:
+        """Drops layers that the model has no longer in this configuration."""
+        held = holding.layers
+        if held.end <= self._engine.layers:
+            return holding
+        known = directory.NO_LAYERS
+        if held.start < self._engine.layers:
+            known = directory.LayerRange(held.start, self._engine.layers)
+        return dataclasses.replace(holding, layers=known)
+
     def _max_layer_count(self, members: list[runner_group.Holding]) -> int:
         return sum(
             runner_group.max_layer_count(
--- a/tests/gateway/test_layer_planner.py
+++ b/tests/gateway/test_layer_planner.py
@@ -250,5 +250,28 @@
             self.assertEqual(missing_layers(holdings), set(), lost)
 
 
+class ChangedEngineTest(unittest.TestCase):
+    def test_a_plan_after_the_number_of_layers_changed(self):
+        holdings = make_holdings({"a": {"big": 2, "mid": 8}})
+        holdings = apply_moves(holdings, PLANNER.plan(holdings, starting=True))
+        self.assertEqual(missing_layers(holdings), set())
+        for layers in (120, 79, 41, 40, 7, 1):
+            with self.subTest(layers):
+                engine = dataclasses.replace(rig.ENGINE, layers=layers)
+                planner = layer_planner.LayerPlanner(engine)
+                planner.describe_gaps(holdings)
+                moves = planner.plan(holdings, starting=False)
+                planned = apply_moves(holdings, moves)
+                if layers <= rig.ENGINE.layers:
+                    held = set()
+                    for holding in planned:
+                        held |= set(
+                            range(holding.layers.start, holding.layers.end)
+                        )
+                    self.assertLessEqual(set(range(layers)), held)
+                for move in moves:
+                    self.assertLessEqual(move.layers.end, layers)
+
+
 if __name__ == "__main__":
     unittest.main()
