Don't send a request to a server that has moved meanwhile

A request could reach a server of another service: is_current compared only the lifetime, and while the connection is opened the entry of the same lifetime (or of any lifetime, where the start time is not reported) may change its service or address. X-Expect-Instance names the same id, so the server would run it.

The service and the address are compared as well; the request then goes to another server or is refused as not run. test_server_changes failed for both cases: '200 != 503'. A removed or restarted server was noticed before.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/directory.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/directory.py
@@ -223,11 +223,13 @@
         ]
 
     def is_current(self, server: Server) -> bool:
-        """Returns whether this lifetime is listed and not draining."""
+        """Returns whether this entry still holds and is not draining."""
         known = self.server_by_id.get(server.id)
         return (
             known is not None
             and known.lifetime == server.lifetime
+            and known.service == server.service
+            and known.address == server.address
             and known.state is ServerState.READY
         )
 
