Monitor a runner again after an unexpected error

Could be seen: the crash of a runner is no longer detected within a round trip, so that its streams wait for the slower detection. A monitoring task that had ended by an unexpected error (an odd port made connect raise OverflowError), or that was cancelled with a detector that is restarted, stayed in the table and was taken for running. Ended tasks are replaced.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/crash_detector.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/crash_detector.py
@@ -45,7 +45,8 @@
                     if lifetime not in server_by_lifetime:
                         self._task_by_lifetime.pop(lifetime).cancel()
                 for lifetime, server in server_by_lifetime.items():
-                    if lifetime not in self._task_by_lifetime:
+                    task = self._task_by_lifetime.get(lifetime)
+                    if task is None or task.done():
                         self._task_by_lifetime[lifetime] = loop.create_task(
                             self._monitor(server)
                         )
@@ -53,6 +54,7 @@
         finally:
             for task in self._task_by_lifetime.values():
                 task.cancel()
+            self._task_by_lifetime.clear()
 
     async def _monitor(self, server: directory.Server) -> None:
         loop = asyncio.get_running_loop()
--- a/tests/gateway/test_crash_detector.py
+++ b/tests/gateway/test_crash_detector.py
@@ -1,9 +1,11 @@
 import asyncio
 import unittest
+from unittest import mock
 
 from nutmeglift_gateway import crash_detector
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import failure_recorder
+from nutmeglift_gateway import http_call
 from nutmeglift_gateway import metrics
 from nutmeglift_gateway import suspect_servers
 from tests.gateway import rig
@@ -22,13 +24,13 @@
             layers=directory.LayerRange(0, 80),
         )
         self.board.directory.put(0.0, self.server)
-        detector = crash_detector.CrashDetector(
+        self.detector = crash_detector.CrashDetector(
             self.board,
             failure_recorder.FailureRecorder(
                 self.board, self.log, metrics.Metrics()
             ),
         )
-        self.task = asyncio.ensure_future(detector.run())
+        self.task = asyncio.ensure_future(self.detector.run())
         self.addCleanup(self.task.cancel)
         await self.wait_until(lambda: self.runner.open_connection_count == 1)
 
@@ -58,6 +60,29 @@
         await self.wait_until(lambda: self.runner.open_connection_count == 0)
         self.assertEqual(self.board.suspect_servers.suspects(), {})
 
+    async def test_a_restarted_detector_monitors_again(self):
+        self.task.cancel()
+        await self.wait_until(lambda: self.runner.open_connection_count == 0)
+        task = asyncio.ensure_future(self.detector.run())
+        self.addCleanup(task.cancel)
+        await self.wait_until(lambda: self.runner.open_connection_count == 1)
+
+    async def test_a_runner_is_monitored_again_after_an_unexpected_error(self):
+        connect = http_call.connect
+        errors = [OverflowError("connect(): port must be 0-65535.")]
+
+        async def fail_once(address):
+            if errors:
+                raise errors.pop()
+            return await connect(address)
+
+        with mock.patch.object(http_call, "connect", fail_once):
+            self.runner.reset_connections()
+            await self.wait_until(lambda: not errors)
+            await self.wait_until(
+                lambda: self.runner.open_connection_count == 1
+            )
+
 
 if __name__ == "__main__":
     unittest.main()
