Open a peer's link again after an unexpected error

Could be seen: a router that never hears from a peer again, so that it counts that peer's requests, suspects and retries no more, until either restarts. A message whose handling raises an unexpected error ended the dialing task, which stayed in the table and was taken for running. The new tests run two routers' links over real connections, which nothing did before.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_links.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_links.py
@@ -1,6 +1,7 @@
 """Maintains a websocket connection to every other router."""
 
 import asyncio
+import functools
 import random
 
 from websockets import exceptions
@@ -87,12 +88,19 @@
                     self._task_by_peer.pop(name).cancel()
             for name, address in wanted.items():
                 task = self._task_by_peer.get(name)
-                if task is None:
+                if task is None or task.done():
                     self._task_by_peer[name] = loop.create_task(
                         self._maintain_link(name, address)
                     )
+                    self._task_by_peer[name].add_done_callback(
+                        functools.partial(self._log_failure, name)
+                    )
             await asyncio.sleep(DIAL_INTERVAL_SECONDS)
 
+    def _log_failure(self, name: str, task: "asyncio.Task[None]") -> None:
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self._log.write("peer link failed", peer=name, detail=repr(error))
+
     def _forward_changes(
         self, after: ids.Revision, events: list[kv.WatchEvent]
     ) -> None:
--- /dev/null
+++ b/tests/gateway/test_peer_links.py
@@ -0,0 +1,97 @@
+"""Links between two routers over real connections."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from nutmeglift import kv
+from nutmeglift_gateway import peer_links
+from nutmeglift_gateway import peer_messages
+from nutmeglift_gateway import store_reader
+from tests.gateway import rig
+from tests.gateway import stand_ins
+from tests.gateway import test_whole_gateway
+
+
+class Router:
+    """A router's links, without its other parts."""
+
+    def __init__(self, vm):
+        self.vm = vm
+        self.address = f"127.0.0.1:{test_whole_gateway.free_port()}"
+        self.log = rig.MemoryLog()
+        self.board = rig.make_board()
+        reader = store_reader.StoreReader(
+            kv.MemoryKv(), rig.MemorySchema(), self.board, self.log, None
+        )
+        self.links = peer_links.PeerLinks(
+            self.board, reader, vm, self.log, rig.make_rng()
+        )
+        self.tasks = []
+
+    def start(self, routers):
+        self.board.router_by_name = {r.vm: r.address for r in routers}
+        for work in (self.links.serve(self.address), self.links.dial()):
+            self.tasks.append(asyncio.ensure_future(work))
+
+    def stop(self):
+        for task in self.tasks:
+            task.cancel()
+
+
+class PeerLinksTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.one, self.two = Router("one"), Router("two")
+        for router in (self.one, self.two):
+            router.start([self.one, self.two])
+            self.addCleanup(router.stop)
+
+    async def wait_until_linked(self):
+        """Waits until both routers have received a new report."""
+        received = {"one": asyncio.Event(), "two": asyncio.Event()}
+        decode = peer_messages.decode
+
+        def decode_and_record(raw):
+            message = decode(raw)
+            if isinstance(message, peer_messages.PeerReport):
+                received[message.vm].set()
+            return message
+
+        with mock.patch.object(peer_messages, "decode", decode_and_record):
+            async with asyncio.timeout(stand_ins.WAIT_SECONDS):
+                for event in received.values():
+                    await event.wait()
+
+    async def test_reports_are_exchanged(self):
+        await self.wait_until_linked()
+
+    async def test_a_link_is_opened_again_after_an_unexpected_error(self):
+        await self.wait_until_linked()
+        failures = [KeyError("kind"), KeyError("kind")]
+
+        decode = peer_messages.decode
+
+        def fail(raw):
+            if failures:
+                raise failures.pop()
+            return decode(raw)
+
+        with mock.patch.object(peer_messages, "decode", fail):
+            async with asyncio.timeout(stand_ins.WAIT_SECONDS):
+                while failures:  # noqa: ASYNC110 - over the network.
+                    await asyncio.sleep(0.01)
+        await self.wait_until_linked()
+        self.assertIn("peer link failed", self.one.log.events())
+
+    async def test_cancelled_links_end_at_once(self):
+        await self.wait_until_linked()
+        for router in (self.one, self.two):
+            router.stop()
+        _, pending = await asyncio.wait(
+            [*self.one.tasks, *self.two.tasks], timeout=stand_ins.WAIT_SECONDS
+        )
+        self.assertEqual(pending, set())
+
+
+if __name__ == "__main__":
+    unittest.main()
