End a link to a peer that reads nothing when it is cancelled

Could be seen: a router that doesn't exit after SIGTERM until it is killed, if a peer is frozen or cut off at that moment and more bytes wait for it than the buffers hold. All tasks are cancelled before the process exits, and it waits for them; the cancelled link then sends the closing handshake of websockets, whose wait for buffer space has no time limit.

The connection is aborted before the handshake. The test cancels a link with 20 MB unsent to a peer that doesn't read; it had not ended after 5 s before ('False is not true'), and ends at once now.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_links.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_links.py
@@ -148,7 +148,6 @@
             await self._receive(link, state)
         except TimeoutError:
             self._log.write("peer silent", peer=str(link.remote_address))
-            link.transport.abort()
         except (exceptions.ConnectionClosed, OSError) as error:
             self._log.write(
                 "peer link closed",
@@ -163,6 +162,9 @@
             )
         finally:
             sender.cancel()
+            # The closing handshake waits without limit for a peer that reads
+            # nothing, even if this task is cancelled.
+            link.transport.abort()
 
     async def _receive(
         self, link: connection.Connection, state: peer_state.PeerState
--- a/tests/gateway/test_peer_links.py
+++ b/tests/gateway/test_peer_links.py
@@ -4,6 +4,9 @@
 import unittest
 from unittest import mock
 
+from websockets.asyncio import server
+
+from nutmeglift import ids
 from nutmeglift import kv
 from nutmeglift_gateway import peer_links
 from nutmeglift_gateway import peer_messages
@@ -21,11 +24,11 @@
         self.address = f"127.0.0.1:{test_whole_gateway.free_port()}"
         self.log = rig.MemoryLog()
         self.board = rig.make_board()
-        reader = store_reader.StoreReader(
+        self.reader = store_reader.StoreReader(
             kv.MemoryKv(), rig.MemorySchema(), self.board, self.log, None
         )
         self.links = peer_links.PeerLinks(
-            self.board, reader, vm, self.log, rig.make_rng()
+            self.board, self.reader, vm, self.log, rig.make_rng()
         )
         self.tasks = []
 
@@ -93,5 +96,49 @@
         self.assertEqual(pending, set())
 
 
+class FrozenPeerTest(unittest.IsolatedAsyncioTestCase):
+    """A link to a peer whose process is stopped, so that it reads nothing."""
+
+    async def freeze(self, connection):
+        connection.transport.pause_reading()
+        self.frozen.set()
+        await asyncio.sleep(60.0)
+
+    async def asyncSetUp(self):
+        self.frozen = asyncio.Event()
+        peer = await server.serve(
+            self.freeze, "127.0.0.1", 0, ping_interval=None, close_timeout=0.0
+        )
+        self.addCleanup(peer.close)
+        self.router = Router("one")
+        self.frozen_peer = Router("two")
+        port = peer.sockets[0].getsockname()[1]
+        self.frozen_peer.address = f"127.0.0.1:{port}"
+        self.router.start([self.router, self.frozen_peer])
+        self.addCleanup(self.router.stop)
+        await asyncio.wait_for(self.frozen.wait(), stand_ins.WAIT_SECONDS)
+
+    def link_tasks(self):
+        return [
+            task
+            for task in asyncio.all_tasks()
+            if "_maintain_link" in repr(task.get_coro())
+        ]
+
+    async def test_a_cancelled_link_with_unsent_bytes_ends(self):
+        self.router.board.fence = ids.FencingNumber(4)
+        event = kv.WatchEvent(
+            kv.WatchKind.PUT, rig.make_entry("k", b"x" * 2**20, 9)
+        )
+        for _ in range(20):
+            self.router.reader.on_changes(ids.Revision(8), [event])
+        await asyncio.sleep(0.2)
+        (task,) = self.link_tasks()
+        # As the event loop cancels all tasks before the process exits.
+        task.cancel()
+        await asyncio.wait([task], timeout=stand_ins.WAIT_SECONDS)
+        self.assertTrue(task.done())
+
+
 if __name__ == "__main__":
     unittest.main()
