Test a change of the configuration beside a waiting request

A request that waits on its connection behind another one, read whole, is admitted by the configuration in force when it starts.

--- a/tests/gateway/test_configuration_changes.py
+++ b/tests/gateway/test_configuration_changes.py
@@ -249,6 +249,34 @@
                 self.assertEqual(int(status_line.split()[1]), expected)
                 writer.close()
 
+    async def test_a_request_that_waits_behind_another_during_a_change(self):
+        raw = stand_ins.GatewayRig.format_request("/status/1")
+        for name, changes, statuses in CASES:
+            with self.subTest(name):
+                await self.rig.stop()
+                await self.restart()
+                reader, writer = await asyncio.open_connection(
+                    *self.rig.address.split(":")
+                )
+                writer.write(raw + raw)
+                await self.wait_until_sent(1)
+                self.activate(changes)
+                self.released.set()
+                # Both were read whole before the change of the limits.
+                second = 200 if statuses[1] in (413, 431) else statuses[1]
+                for expected in (200, second):
+                    async with asyncio.timeout(stand_ins.WAIT_SECONDS):
+                        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                    status, *headers = head.lower().split("\r\n")
+                    self.assertEqual(int(status.split()[1]), expected)
+                    (length,) = [
+                        int(each.partition(":")[2])
+                        for each in headers
+                        if each.startswith("content-length:")
+                    ]
+                    await reader.readexactly(length)
+                writer.close()
+
 
 if __name__ == "__main__":
     unittest.main()
