Limit response heads and the framing of bodies

Callers saw: nothing of this yet; they would have lost every request on a router. One response with endless headers took 1,283 MiB and 4.5 s of processor time before the limit of 64 MiB ended it, and the event loop stood for 0.65 s at a time; a front has 300 to 560 MB. An endless header line or name took 6.9 s, with the loop standing for 1.5 s.

Cause: the only limit was 64 MiB on the whole response. httptools joins the pieces of a header by copying, and each short header costs about 20 times its length as Python objects. Interim responses, trailers, chunk extensions and chunk sizes were not limited by anything else. Trailers were kept.

Fix: 64 KiB and 256 headers for a head, interim responses included; eight bytes of framing per byte of body. The limits are checked after each 16 KiB, so that one read of 256 KiB does not pass them by much. Trailers are not kept.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/http_call.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/http_call.py
@@ -19,6 +19,13 @@
 engines do for work that depends on a lost runner."""
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 """Limits the memory that one response can use."""
+MAX_HEAD_BYTES = 64 * 1024
+"""Longest response head, with the interim responses before it."""
+MAX_HEADER_COUNT = 256
+MAX_FRAMING_BYTES_PER_BODY_BYTE = 8
+"""A chunk of one byte has five bytes of framing."""
+_PARSED_BYTES = 16 * 1024
+"""Bytes that are parsed before the limits are checked again."""
 
 Headers = list[tuple[bytes, bytes]]
 """Names in lower case with their values, in the order received."""
@@ -104,6 +111,7 @@
         self._until_close = False
         self._without_body = False
         self._received = 0
+        self._body_received = 0
 
     def send(
         self, request: bytes, receiver: BaseReceiver, *, head_only: bool
@@ -124,6 +132,7 @@
         self._until_close = False
         self._without_body = head_only
         self._received = 0
+        self._body_received = 0
         self._transport.write(request)
 
     def abort(self) -> None:
@@ -171,6 +180,14 @@
             # Bytes after the end of a response belong to no request.
             self.close()
             return
+        view = memoryview(data)
+        for start in range(0, len(data), _PARSED_BYTES):
+            self._parse(view[start : start + _PARSED_BYTES])
+            if self._receiver is None:
+                return
+
+    def _parse(self, data: memoryview) -> None:
+        assert self._parser is not None
         self._received += len(data)
         if self._received > MAX_RESPONSE_BYTES:
             self._fail(CallFailure.MALFORMED, "the response is too large")
@@ -181,6 +198,30 @@
             self._fail(CallFailure.MALFORMED, "unexpected upgrade")
         except httptools.HttpParserError as error:
             self._fail(CallFailure.MALFORMED, str(error))
+        else:
+            self._check_framing()
+
+    def _check_framing(self) -> None:
+        """Fails a response that consists of little else than framing."""
+        if self._receiver is None:
+            return
+        framing = self._received - self._body_received
+        if self._head is None and framing > MAX_HEAD_BYTES:
+            self._fail(
+                CallFailure.MALFORMED,
+                f"the head exceeds {MAX_HEAD_BYTES} bytes;"
+                f" received {self._received}",
+            )
+        elif (
+            framing
+            > 2 * MAX_HEAD_BYTES
+            + MAX_FRAMING_BYTES_PER_BODY_BYTE * self._body_received
+        ):
+            self._fail(
+                CallFailure.MALFORMED,
+                f"{framing} bytes of framing for"
+                f" {self._body_received} bytes of body",
+            )
 
     def eof_received(self) -> bool:
         """Handles a graceful close by the server."""
@@ -205,8 +246,15 @@
     # Callbacks of the parser.
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Handles a header."""
+        """Handles a header or a trailer."""
+        if self._head is not None or self._receiver is None:
+            return
         self._headers.append((name.lower(), value))
+        if len(self._headers) > MAX_HEADER_COUNT:
+            self._fail(
+                CallFailure.MALFORMED,
+                f"the head has more than {MAX_HEADER_COUNT} headers",
+            )
 
     def on_headers_complete(self) -> None:
         """Handles the end of the headers."""
@@ -233,6 +281,7 @@
     def on_body(self, data: bytes) -> None:
         """Handles a part of the body."""
         if self._receiver is not None and self._head is not None:
+            self._body_received += len(data)
             self._receiver.on_body(data)
 
     def on_message_complete(self) -> None:
--- /dev/null
+++ b/tests/gateway/test_endless_responses.py
@@ -0,0 +1,44 @@
+"""A router whose servers send bytes without end."""
+
+import asyncio
+import unittest
+
+from tests.gateway import endless
+from tests.gateway import rig
+from tests.gateway import stand_ins
+
+PARALLEL_REQUEST_COUNT = 20
+
+
+class EndlessResponseTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.rig = stand_ins.GatewayRig()
+        self.rig.board.budget(rig.CORE).set_bounds(
+            ratio=10.0, slack=0.0, window=10.0
+        )
+        await self.rig.start()
+        self.addAsyncCleanup(self.rig.stop)
+
+    async def _add_endless_server(self, name, case, **changes):
+        server = await endless.EndlessServer(*case).start()
+        self.addCleanup(server.close)
+        self.rig.register(name, server.address, **changes)
+        return server
+
+    async def test_requests_are_retried_while_servers_send_without_end(self):
+        cases = endless.HEAD_CASES | endless.FRAMING_CASES
+        for name, case in cases.items():
+            with self.subTest(name):
+                await self._add_endless_server("a", case)
+                await self.rig.add_server(stand_ins.healthy, "b", domain="far")
+                responses = await asyncio.gather(
+                    *(
+                        self.rig.call("/status/1", "GET")
+                        for _ in range(PARALLEL_REQUEST_COUNT)
+                    )
+                )
+                self.assertEqual({r.status for r in responses}, {200})
+
+
+if __name__ == "__main__":
+    unittest.main()
