Report a request on a closed connection at once

Callers saw: a runner at its limit of connections accepts one and resets it. If the reset was read between connect() and send(), nothing reported it any more: the request waited for its deadline and got 504, though nothing had been sent.

Cause: connection_lost had already been called, without a receiver. Writing to a closed transport raises nothing.

Fix: send() fails the call at once, as not sent, if the transport is closing.

Evidence: ClosedConnectionTest; both cases got no failure before.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/http_call.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/http_call.py
@@ -116,7 +116,7 @@
     def send(
         self, request: bytes, receiver: BaseReceiver, *, head_only: bool
     ) -> None:
-        """Writes a request.
+        """Writes a request, or fails at once if the connection is closed.
 
         Args:
             request: the complete request.
@@ -133,6 +133,11 @@
         self._without_body = head_only
         self._received = 0
         self._body_received = 0
+        if self._transport.is_closing():
+            self._fail(
+                CallFailure.CLOSED, "closed before the request", sent=False
+            )
+            return
         self._transport.write(request)
 
     def abort(self) -> None:
@@ -298,13 +303,15 @@
         if receiver is not None:
             receiver.on_complete()
 
-    def _fail(self, failure: CallFailure, detail: str) -> None:
+    def _fail(
+        self, failure: CallFailure, detail: str, *, sent: bool = True
+    ) -> None:
         receiver, self._receiver = self._receiver, None
         self.reusable = False
         if self._transport is not None:
             self._transport.abort()
         if receiver is not None:
-            receiver.on_failure(CallError(failure, True, detail))
+            receiver.on_failure(CallError(failure, sent, detail))
 
 
 async def connect(
--- a/tests/gateway/test_http_call.py
+++ b/tests/gateway/test_http_call.py
@@ -147,5 +147,27 @@
                     self.assertEqual(recorder.body_bytes, 50000)
 
 
+class ClosedConnectionTest(unittest.TestCase):
+    def test_a_request_on_a_closed_connection_is_reported_as_not_sent(self):
+        cases = {
+            "closed": lambda connection, transport: transport.close(),
+            "graceful close": _close_gracefully,
+        }
+        for name, close in cases.items():
+            with self.subTest(name):
+                connection, transport = open_connection()
+                close(connection, transport)
+                recorder = Recorder()
+                connection.send(b"GET", recorder, head_only=False)
+                self.assertIsNotNone(recorder.error)
+                self.assertFalse(recorder.error.sent)
+                self.assertEqual(transport.written, [])
+
+
+def _close_gracefully(connection, transport):
+    if not connection.eof_received():
+        transport.close()
+
+
 if __name__ == "__main__":
     unittest.main()
