Count a reset before the request as not sent

Callers saw: 504 at the deadline for an unsafe request that no server had received; other servers were free.

Cause: ResponseReceiver took each failure of a connection for a lost response, and the exchange had counted the attempt as a run.

Fix: a failure with sent=False is NOT_SENT. The exchange takes back the count of sends and runs, as after a failed connect(). A repeated reset ends after MAX_CONNECT_FAILURE_COUNT attempts in 503 with Retry-After.

Evidence: two tests in test_exchange_plain with a server whose connections are lost before the request; before: 504 != 200 and 504 != 503.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
@@ -208,7 +208,9 @@
     def on_failure(self, error: http_call.CallError) -> None:
         """Handles a connection that failed during the response."""
         failure = retry_policy.Failure.LOST
-        if error.failure is http_call.CallFailure.MALFORMED:
+        if not error.sent:
+            failure = retry_policy.Failure.NOT_SENT
+        elif error.failure is http_call.CallFailure.MALFORMED:
             failure = retry_policy.Failure.INVALID
         self._finish(Outcome(failure, detail=str(error)))
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
@@ -23,7 +23,7 @@
 _LOST_OR_INVALID = frozenset(
     {retry_policy.Failure.LOST, retry_policy.Failure.INVALID}
 )
-_RETRY_ELSEWHERE_ONLY = frozenset(
+_NOT_RUN = frozenset(
     {retry_policy.Failure.REJECTED, retry_policy.Failure.NOT_SENT}
 )
 
@@ -137,7 +137,7 @@
         untried = [s for s in usable if s.id not in self._failure_handler.tried]
         if untried or self._last_failed is None:
             return untried
-        if self._last_failed.failure in _RETRY_ELSEWHERE_ONLY:
+        if self._last_failed.failure in _NOT_RUN:
             return []
         return usable
 
@@ -270,8 +270,10 @@
                 head_only=self._request.method == "HEAD",
             )
             outcome = await receiver.done
-            if outcome.failure is retry_policy.Failure.REJECTED:
+            if outcome.failure in _NOT_RUN:
                 self._progress.runs -= 1
+            if outcome.failure is retry_policy.Failure.NOT_SENT:
+                self._progress.sent -= 1
             return outcome
         finally:
             if path is None:
--- a/tests/gateway/test_exchange_plain.py
+++ b/tests/gateway/test_exchange_plain.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from nutmeglift_gateway import control_client
 from nutmeglift_gateway import directory
@@ -67,6 +68,23 @@
     writer.write(stand_ins.complete_response(request, b"no", 403))
 
 
+def _connect_to_full_server(server):
+    """Returns a connect() whose connections to a server are reset at once."""
+    connect = http_call.connect
+
+    async def connect_and_lose(address, *args):
+        connection = await connect(address, *args)
+        if address == server.address:
+            lost = asyncio.Event()
+            connection.on_lost = lost.set
+            while not lost.is_set():
+                server.reset_connections()
+                await asyncio.sleep(0)
+        return connection
+
+    return connect_and_lose
+
+
 class PlainTestCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.rig = stand_ins.GatewayRig()
@@ -146,6 +164,36 @@
         self.assertEqual(response.status, 200)
         self.assertEqual(len(other.requests), 1)
 
+    async def test_a_connection_reset_before_the_request_is_not_an_attempt(
+        self,
+    ):
+        full = await self.rig.add_server(stand_ins.healthy, "a")
+        other = await self.rig.add_server(stand_ins.healthy, "b", domain="far")
+        with mock.patch.object(
+            http_call, "connect", _connect_to_full_server(full)
+        ):
+            response = await self.rig.call("/release/1")
+        self.assertEqual(response.status, 200)
+        self.assertEqual(full.requests, [])
+        self.assertEqual(len(other.requests), 1)
+        self.assertEqual(
+            [
+                (fields["failure"], fields["detail"])
+                for event, fields in self.rig.log.lines
+                if event == "attempt failed"
+            ],
+            [("not_sent", "closed: closed before the request")],
+        )
+
+    async def test_resets_before_the_request_end_in_a_refusal(self):
+        full = await self.rig.add_server(stand_ins.healthy, "a")
+        with mock.patch.object(
+            http_call, "connect", _connect_to_full_server(full)
+        ):
+            response = await self.rig.call("/release/1")
+        self.assertEqual(response.status, 503)
+        self.assertIsNotNone(response.head.get(b"retry-after"))
+
     async def test_no_server(self):
         response = await self.rig.call("/release/1")
         self.assertEqual(response.status, 503)
