Forward the valid events read with an invalid one

Callers saw: a resumed stream without its first events, or with a gap: 4 to 9 in place of 1 to 9, complete to all appearances.

Cause: EventSplitter raised after it had advanced last_id over the valid events of the same chunk, which it did not return. The stream was then resumed after an event that the caller never got. With a stream that has no chunks, each read of the socket counts as one piece.

Fix: the error carries the valid events; they are forwarded before the attempt ends. An id is at most 19 digits: int() refuses 4,300.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
@@ -157,13 +157,11 @@
         assert self._on_events is not None
         assert self._head is not None
         before = self._events.last_id
+        broken = ""
         try:
             complete = self._events.feed(data)
         except sse.BrokenStreamError as error:
-            self._finish(
-                Outcome(retry_policy.Failure.INVALID, detail=str(error))
-            )
-            return
+            complete, broken = error.valid_events, str(error)
         if complete:
             count = max(1, (self._events.last_id or 0) - (before or 0))
             now = self._loop.time()
@@ -172,6 +170,8 @@
             self.last_byte_at = now
             self.events_seen = True
             self._on_events(self._head, complete)
+        if broken:
+            self._finish(Outcome(retry_policy.Failure.INVALID, detail=broken))
 
     def _update_interval(self, seconds: float) -> None:
         if self.event_interval is None:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/sse.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/sse.py
@@ -2,21 +2,29 @@
 
 import re
 
-_ID = re.compile(rb"(?:^|\n)id: ?(\d+)")
+_ID = re.compile(rb"(?:^|\n)id: ?(\d{1,19})")
 _DELIMITER = b"\n\n"
 MAX_EVENT_BYTES = 1024 * 1024
 """Limits the buffer of a stream; a longer event is an error."""
 
 
 class BrokenStreamError(Exception):
-    """An event is out of order or too long."""
+    """An event is out of order or too long.
+
+    Attributes:
+        valid_events: the events before it that have not been returned.
+    """
+
+    def __init__(self, detail: str, valid_events: bytes = b"") -> None:
+        super().__init__(detail)
+        self.valid_events = valid_events
 
 
 class EventSplitter:
     """Returns complete events only, and checks that their ids are consecutive.
 
     Attributes:
-        last_id: id of the last complete event; None before the first.
+        last_id: id of the last valid event; None before the first.
     """
 
     def __init__(self, last_id: int | None = None) -> None:
@@ -46,8 +54,12 @@
         for id_match in _ID.finditer(complete):
             event_id = int(id_match.group(1))
             if self.last_id is not None and event_id != self.last_id + 1:
+                # The stream is resumed after last_id, so the caller needs the
+                # events up to it.
+                start = complete.rfind(_DELIMITER, 0, id_match.start() + 1)
                 raise BrokenStreamError(
-                    f"event {event_id} follows {self.last_id}"
+                    f"event {event_id} follows {self.last_id}",
+                    complete[: start + len(_DELIMITER)] if start >= 0 else b"",
                 )
             self.last_id = event_id
         return complete
--- a/tests/gateway/test_sse.py
+++ b/tests/gateway/test_sse.py
@@ -48,6 +48,18 @@
             splitter.feed(b"id: 2\ndata: b\n\n"), b"id: 2\ndata: b\n\n"
         )
 
+    def test_valid_events_read_with_an_invalid_one_are_not_lost(self):
+        valid = b"id: 2\ndata: a\n\n:comment\n\nid: 3\n\n"
+        for invalid in (b"id: 2\n\n", b"id: 3\n\n", b"data: a\nid: 5\n\n"):
+            for after in (b"", b"id: 6\n\n", b"id: 6\nda"):
+                with self.subTest(invalid, after=after):
+                    splitter = sse.EventSplitter(0)
+                    splitter.feed(b"id: 1\n\n")
+                    with self.assertRaises(sse.BrokenStreamError) as raised:
+                        splitter.feed(valid + invalid + after)
+                    self.assertEqual(raised.exception.valid_events, valid)
+                    self.assertEqual(splitter.last_id, 3)
+
     def test_an_oversized_event_is_rejected(self):
         splitter = sse.EventSplitter()
         with self.assertRaises(sse.BrokenStreamError):
