Buffer response bodies within a budget of the process

Callers could see: every request of a router lost at once. Each endless body took 64 MiB: 20 at a time took 1,266 MiB where a front has 300 to 560. A body in chunks of two bytes took 513 MiB and 2.9 s by itself, as its parts were kept as objects.

Cause: the limit was for each response, and nothing counted all. Streams, which are not buffered, fell under the same limit of 64 MiB.

Fix: the connection buffers the bodies that its receiver does not stream. All buffers share 64 MiB, so that one sound response may be as large as before. A body without a declared length may never end: it is limited to 16 MiB, and when the budget is used up, the largest such body is dropped first, which spares small and declared ones. A declared length over the limit fails at the head.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
@@ -133,10 +133,9 @@
         self._streaming = False
         self._head: http_call.Head | None = None
         self._verdict = responses.Verdict.INVALID
-        self._parts: list[bytes] = []
 
-    def on_head(self, head: http_call.Head) -> None:
-        """Handles status and headers."""
+    def on_head(self, head: http_call.Head) -> bool:
+        """Handles status and headers; a stream is not buffered."""
         self._head = head
         self._verdict = responses.judge(self._names, head, self._request_id)
         kind = head.get(b"content-type") or b""
@@ -145,12 +144,10 @@
             and self._verdict is responses.Verdict.VALID
             and kind.startswith(EVENT_STREAM_TYPE)
         )
+        return not self._streaming
 
     def on_body(self, data: bytes) -> None:
-        """Handles a part of the body."""
-        if not self._streaming:
-            self._parts.append(data)
-            return
+        """Handles a part of a stream."""
         if self.done.done():
             return
         assert self._events is not None
@@ -180,7 +177,7 @@
             seconds - self.event_interval
         )
 
-    def on_complete(self) -> None:
+    def on_complete(self, body: bytes) -> None:
         """Handles the end of the response."""
         assert self._head is not None
         if self._streaming:
@@ -199,7 +196,7 @@
         self._finish(
             Outcome(
                 _FAILURE_BY_VERDICT[self._verdict],
-                http_call.Response(self._head, b"".join(self._parts)),
+                http_call.Response(self._head, body),
                 fault.decode("latin-1"),
                 f"status {self._head.status}",
             )
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/body_buffer.py
@@ -0,0 +1,137 @@
+"""Buffers response bodies within a budget that all responses share."""
+
+from collections.abc import Callable
+
+MAX_TOTAL_BYTES = 64 * 1024 * 1024
+"""Limits the bodies that one process buffers at the same time."""
+MAX_UNDECLARED_BYTES = 16 * 1024 * 1024
+"""Limits one body that was sent without its length, as it may never end."""
+
+
+class BodyBuffer:
+    """A body that is being received."""
+
+    def __init__(
+        self,
+        budget: "Budget",
+        limit: int,
+        declared: int | None,
+        on_too_large: Callable[[str], None],
+    ) -> None:
+        """Creates an empty buffer; use Budget.open.
+
+        Args:
+            budget: the budget that the buffer draws on.
+            limit: the most bytes that the body may have.
+            declared: the length in the head of the response, if any.
+            on_too_large: called once, with the limit that was exceeded.
+        """
+        self._budget = budget
+        self._limit = limit
+        self._declared = declared
+        self._on_too_large = on_too_large
+        self._data = bytearray()
+
+    @property
+    def eviction_rank(self) -> tuple[bool, int]:
+        """Greatest for the body to drop first: one that may never end."""
+        return self._declared is None, len(self._data)
+
+    def __len__(self) -> int:
+        """Returns the number of bytes buffered."""
+        return len(self._data)
+
+    def check_declared(self) -> None:
+        """Rejects a body whose declared length exceeds the limit."""
+        if self._declared is not None and self._declared > self._limit:
+            self.reject(f"declared {self._declared}, limit {self._limit} bytes")
+
+    def add(self, data: bytes) -> None:
+        """Adds a part; rejects this body or another if a limit is exceeded."""
+        if not self._budget.is_open(self):
+            return
+        if len(self._data) + len(data) > self._limit:
+            self.reject(
+                f"limit {self._limit} bytes,"
+                f" received {len(self._data) + len(data)}"
+            )
+            return
+        self._data += data
+        self._budget.charge(len(data))
+
+    def reject(self, detail: str) -> None:
+        """Releases the buffer and reports that the body is too large."""
+        self.release()
+        self._on_too_large(f"the body is too large: {detail}")
+
+    def take(self) -> bytes:
+        """Returns the body and releases the buffer."""
+        body = bytes(self._data)
+        self.release()
+        return body
+
+    def release(self) -> None:
+        """Drops the buffered bytes and returns them to the budget."""
+        self._budget.close(self)
+        self._data = bytearray()
+
+
+class Budget:
+    """Memory for the bodies that are being received.
+
+    Attributes:
+        used: number of bytes buffered.
+    """
+
+    def __init__(self, limit: int) -> None:
+        """Creates a budget of this many bytes."""
+        self.used = 0
+        self._limit = limit
+        self._open: set[BodyBuffer] = set()
+
+    def open(
+        self,
+        *,
+        declared: int | None,
+        limit: int,
+        on_too_large: Callable[[str], None],
+    ) -> BodyBuffer:
+        """Returns a buffer for one body.
+
+        Args:
+            declared: the length in the head of the response, if any.
+            limit: the most bytes that the caller accepts.
+            on_too_large: called once, with the limit that was exceeded, when
+                this or another body makes it necessary to drop this one.
+        """
+        if declared is None:
+            limit = min(limit, MAX_UNDECLARED_BYTES)
+        buffer = BodyBuffer(
+            self, min(limit, self._limit), declared, on_too_large
+        )
+        self._open.add(buffer)
+        return buffer
+
+    def is_open(self, buffer: BodyBuffer) -> bool:
+        """Returns whether the buffer has not been released."""
+        return buffer in self._open
+
+    def charge(self, size: int) -> None:
+        """Counts buffered bytes; drops bodies until the rest fits."""
+        self.used += size
+        while self.used > self._limit:
+            victim = max(self._open, key=lambda each: each.eviction_rank)
+            victim.reject(
+                f"{self._limit} bytes for all bodies are in use,"
+                f" {len(victim)} by this one"
+            )
+
+    def close(self, buffer: BodyBuffer) -> None:
+        """Returns the bytes of a buffer."""
+        if buffer in self._open:
+            self._open.remove(buffer)
+            self.used -= len(buffer)
+
+
+SHARED_BUDGET = Budget(MAX_TOTAL_BYTES)
+"""The budget of the process, as memory is limited for a process."""
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/control_client.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/control_client.py
@@ -13,20 +13,18 @@
             asyncio.get_running_loop().create_future()
         )
         self._head: http_call.Head | None = None
-        self._parts: list[bytes] = []
 
-    def on_head(self, head: http_call.Head) -> None:
+    def on_head(self, head: http_call.Head) -> bool:
         self._head = head
+        return True
 
     def on_body(self, data: bytes) -> None:
-        self._parts.append(data)
+        raise NotImplementedError
 
-    def on_complete(self) -> None:
+    def on_complete(self, body: bytes) -> None:
         assert self._head is not None
         if not self.done.done():
-            self.done.set_result(
-                http_call.Response(self._head, b"".join(self._parts))
-            )
+            self.done.set_result(http_call.Response(self._head, body))
 
     def on_failure(self, error: http_call.CallError) -> None:
         if not self.done.done():
