Give other connections their turn after a large read

Callers could see: gaps in all streams and late responses while one server sends at full speed; 20 endless bodies held the loop for 0.3 s, past the objective for gaps of 0.25 s.

Cause: uvloop reads a connection up to 32 times, 256 KiB each, before it serves the next one.

Fix: after a read of 64 KiB or more the connection stops reading until the loop has turned. A pause by the caller's connection outlasts that.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/http_call.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/http_call.py
@@ -18,6 +18,10 @@
 TCP_USER_TIMEOUT_MILLISECONDS = 2000
 """Closes a connection whose data is unacknowledged for this long, as the
 engines do for work that depends on a lost runner."""
+MAX_READ_BYTES = 64 * 1024
+"""Bytes read from one connection after which the others have their turn:
+uvloop reads up to 32 times in a row, 256 KiB each."""
+
 Headers = response_parser.Headers
 """Names in lower case with their values, in the order received."""
 
@@ -99,6 +103,8 @@
         self._parser: response_parser.ResponseParser | None = None
         self._max_body_bytes = body_buffer.MAX_TOTAL_BYTES
         self._body: body_buffer.BodyBuffer | None = None
+        self._paused = False
+        self._yielding = False
 
     def send(
         self,
@@ -144,12 +150,32 @@
 
     def pause(self) -> None:
         """Stops reading until resume is called."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.pause_reading()
+        self._paused = True
+        self._update_reading()
 
     def resume(self) -> None:
         """Resumes reading."""
-        if self._transport is not None and not self._transport.is_closing():
+        self._paused = False
+        self._update_reading()
+
+    def _yield(self) -> None:
+        """Stops reading until the event loop has served other connections."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._yielding = True
+        self._update_reading()
+        asyncio.get_running_loop().call_soon(self._end_yield)
+
+    def _end_yield(self) -> None:
+        self._yielding = False
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._paused or self._yielding:
+            self._transport.pause_reading()
+        else:
             self._transport.resume_reading()
 
     # asyncio.Protocol methods.
@@ -180,6 +206,8 @@
             self._fail(CallFailure.MALFORMED, str(error))
         if parser.has_extra_bytes:
             self.close()
+        elif len(data) >= MAX_READ_BYTES:
+            self._yield()
 
     def eof_received(self) -> bool:
         """Handles a graceful close by the server."""
