Limit the reports of runners

Callers could see: streams that are checked late while a runner sends a report without end; up to 64 MiB were read for each report.

The store keeps the limit of the process: a page has about 2 MB, but the answer to a transaction or a watch may hold 32 values of 1.4 MB.

Evidence: tests.gateway.test_control_client; on a report in chunks of two bytes ended at its time-out in place of a limit. The test of extra bytes after a response passed before too: such a connection failed the next call or was closed. It is there as a guard; since the parser is a class, bytes in the same read close the connection.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/control_client.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/control_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from nutmeglift_gateway import body_buffer
 from nutmeglift_gateway import http_call
 
 
@@ -36,6 +37,7 @@
     method: str,
     request: bytes,
     timeout: float,
+    max_body_bytes: int = body_buffer.MAX_TOTAL_BYTES,
 ) -> http_call.Response:
     """Sends a request and returns the complete response.
 
@@ -44,13 +46,19 @@
         method: HTTP method.
         request: encoded request.
         timeout: longest wait for the complete response, in seconds.
+        max_body_bytes: limit on the body.
 
     Raises:
         http_call.CallError: no complete response was received; the connection
             is closed.
     """
     collector = _Collector()
-    connection.send(request, collector, head_only=method == "HEAD")
+    connection.send(
+        request,
+        collector,
+        head_only=method == "HEAD",
+        max_body_bytes=max_body_bytes,
+    )
     try:
         async with asyncio.timeout(timeout):
             return await collector.done
