End an attempt at the head of an invalid response or a rejection

Cause: the outcome was set at the end of the body, which is not used.

Fix: the outcome of these two verdicts is set at the head.

A head sent byte by byte ended at the deadline before too; a test now shows it.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
@@ -41,6 +41,9 @@
     responses.Verdict.SERVER_ERROR: retry_policy.Failure.SERVER_ERROR,
     responses.Verdict.INVALID: retry_policy.Failure.INVALID,
 }
+_VERDICTS_WITHOUT_BODY = frozenset(
+    {responses.Verdict.INVALID, responses.Verdict.NOT_RUN}
+)
 
 
 def forwarded_headers(
@@ -135,9 +138,16 @@
         self._verdict = responses.Verdict.INVALID
 
     def on_head(self, head: http_call.Head) -> bool:
-        """Handles status and headers; a stream is not buffered."""
+        """Handles status and headers.
+
+        The body is buffered unless it is a stream or will not be used: that of
+        an invalid response or a rejection may never end.
+        """
         self._head = head
         self._verdict = responses.judge(self._names, head, self._request_id)
+        if self._verdict in _VERDICTS_WITHOUT_BODY:
+            self._finish_response(b"")
+            return False
         kind = head.get(b"content-type") or b""
         self._streaming = (
             self._events is not None
@@ -192,6 +202,10 @@
                     )
                 )
             return
+        self._finish_response(body)
+
+    def _finish_response(self, body: bytes) -> None:
+        assert self._head is not None
         fault = self._head.get(self._names.fault) or b""
         self._finish(
             Outcome(
--- a/tests/gateway/test_exchange_plain.py
+++ b/tests/gateway/test_exchange_plain.py
@@ -1,6 +1,7 @@
 """Exchanges with plain services whose servers fail in different ways."""
 
 import asyncio
+import re
 import unittest
 from unittest import mock
 
@@ -56,6 +57,27 @@
     stand_ins.reset_connection(writer)
 
 
+def head_of(script):
+    """Returns a script that sends only the head of a response, and waits."""
+
+    async def head_only(request, writer, number):
+        await script(request, _HeadWriter(writer), number)
+        await asyncio.sleep(60)
+
+    return head_only
+
+
+class _HeadWriter:
+    """Writer that announces a body without end in place of the body."""
+
+    def __init__(self, writer):
+        self._writer = writer
+
+    def write(self, data):
+        head = re.sub(rb"content-length: .*\r\n", b"", data)
+        self._writer.write(head.partition(b"\r\n\r\n")[0] + b"\r\n\r\n")
+
+
 async def server_error(request, writer, number):
     writer.write(stand_ins.complete_response(request, b"broken", 500))
 
@@ -230,6 +252,38 @@
                 self.assertEqual(len(one.requests), 1)
                 self.assertEqual(len(other.requests), retries)
 
+    async def test_a_head_that_decides_is_not_held_up_by_its_body(self):
+        cases = [
+            # path, script, status for the caller, requests to the other server
+            ("/status/1", wrong_request_id, 200, 1),
+            ("/status/1", missing_request_id, 200, 1),
+            ("/status/1", stand_ins.rejecting(), 200, 1),
+            ("/release/1", wrong_request_id, 502, 0),
+            ("/release/1", stand_ins.rejecting(), 200, 1),
+        ]
+        for path, script, status, retries in cases:
+            with self.subTest(path=path, script=script.__name__):
+                one = await self.rig.add_server(head_of(script), "a")
+                other = await self.rig.add_server(
+                    stand_ins.healthy, "b", domain="far"
+                )
+                response = await self.rig.call(path)
+                self.assertEqual(response.status, status)
+                self.assertEqual(len(one.requests), 1)
+                self.assertEqual(len(other.requests), retries)
+
+    async def test_a_head_sent_byte_by_byte_ends_at_the_deadline(self):
+        async def trickle(request, writer, number):
+            writer.write(b"HTTP/1.1 200 OK\r\na: ")
+            while True:
+                writer.write(b"b")
+                await asyncio.sleep(0.001)
+
+        server = await self.rig.add_server(trickle, "a")
+        response = await self.rig.call("/status/1", x_deadline_ms=b"200")
+        self.assertEqual(response.status, 504)
+        await asyncio.wait_for(server.client_eof.wait(), stand_ins.WAIT_SECONDS)
+
     async def test_attempts_are_limited_by_the_route(self):
         servers = [
             await self.rig.add_server(server_error, name) for name in "abc"
