Limit a body without a declared length to 4 MiB

Callers could see: 504 in place of a retry. 20 endless bodies share the link of the router; at 1,000 Mbit/s the budget of 64 MiB takes half of a deadline of 1 s, and the retries come after it.

Fix: 4 MiB, the default limit on a caller's own body. One endless body then ends after 34 ms at that rate, 20 after 0.7 s, by arithmetic. A body with a declared length keeps the budget of the process.

Evidence: on a machine with a load of 17 test_endless_responses got 504 within the deadline of 1 s.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/body_buffer.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/body_buffer.py
@@ -4,8 +4,9 @@
 
 MAX_TOTAL_BYTES = 64 * 1024 * 1024
 """Limits the bodies that one process buffers at the same time."""
-MAX_UNDECLARED_BYTES = 16 * 1024 * 1024
-"""Limits one body that was sent without its length, as it may never end."""
+MAX_UNDECLARED_BYTES = 4 * 1024 * 1024
+"""Limits one body that is sent without its length, as it may never end; the
+default limit on a caller's body."""
 
 
 class BodyBuffer:
