--- a/tests/gateway/endless.py
+++ b/tests/gateway/endless.py
@@ -43,7 +43,7 @@
     """Sends bytes on each connection until the client closes it.
 
     Attributes:
-        sent_bytes: bytes that were handed to the kernel.
+        connection_count: number of connections accepted.
         ended: set when a client has closed its connection.
         address: IP address and port.
     """
@@ -52,7 +52,7 @@
         self._first = first
         self._piece = repeated * max(1, PIECE_BYTES // len(repeated))
         self._await_request = await_request
-        self.sent_bytes = 0
+        self.connection_count = 0
         self.ended = asyncio.Event()
         self.address = ""
         self._server = None
@@ -67,23 +67,20 @@
         self._server.close()
 
     async def _run(self, reader, writer):
+        self.connection_count += 1
         with contextlib.suppress(ConnectionError):
             if self._await_request:
                 await reader.readuntil(b"\r\n\r\n")
-            await send_endless(writer, self._first, self._piece, self._count)
+            await send_endless(writer, self._first, self._piece)
         self.ended.set()
         writer.transport.abort()
 
-    def _count(self, size):
-        self.sent_bytes += size
 
-
-async def send_endless(writer, first, piece, count=lambda size: None):
+async def send_endless(writer, first, piece):
     """Writes `first`, then `piece` until the connection is closed."""
     data = first
     while not writer.is_closing():
         writer.write(data)
         await writer.drain()
-        count(len(data))
         data = piece
         await asyncio.sleep(0)
--- a/tests/gateway/test_crash_detector.py
+++ b/tests/gateway/test_crash_detector.py
@@ -6,6 +6,7 @@
 from nutmeglift_gateway import failure_recorder
 from nutmeglift_gateway import metrics
 from nutmeglift_gateway import suspect_servers
+from tests.gateway import endless
 from tests.gateway import rig
 from tests.gateway import stand_ins
 
@@ -53,6 +54,24 @@
         await self.wait_until(lambda: self.runner.accepted_count == 2)
         self.assertEqual(self.board.suspect_servers.suspects(), {})
 
+    async def test_bytes_on_an_idle_connection_close_it(self):
+        first, repeated = endless.NO_REQUEST_CASES["garbage"]
+        noisy = await endless.EndlessServer(
+            first, repeated, await_request=False
+        ).start()
+        self.addCleanup(noisy.close)
+        self.board.directory.put(
+            0.0,
+            rig.make_server(
+                "noisy",
+                address=noisy.address,
+                layers=directory.LayerRange(0, 80),
+            ),
+        )
+        await asyncio.wait_for(noisy.ended.wait(), stand_ins.WAIT_SECONDS)
+        self.assertEqual(noisy.connection_count, 1)
+        self.assertEqual(self.board.suspect_servers.suspects(), {})
+
     async def test_a_removed_runner_is_not_monitored(self):
         self.board.directory.remove(1.0, "s", lapsed=False)
         await self.wait_until(lambda: self.runner.open_connection_count == 0)
--- a/tests/gateway/test_http_call.py
+++ b/tests/gateway/test_http_call.py
@@ -158,6 +158,31 @@
                     self.assertEqual(recorder.body_bytes, 10000)
 
 
+class NoRequestTest(unittest.IsolatedAsyncioTestCase):
+    async def test_bytes_that_belong_to_no_request_close_the_connection(self):
+        response = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nx"
+        cases = [
+            # bytes after the response; None if no request was sent
+            None,
+            b"x",
+            b"HTTP",
+            response,
+            b"x" * READ_BYTES,
+        ]
+        for extra in cases:
+            with self.subTest(extra and extra[:10]):
+                connection, transport = open_connection()
+                recorder = Recorder()
+                if extra is None:
+                    connection.data_received(b"x")
+                else:
+                    connection.send(b"", recorder, head_only=False)
+                    connection.data_received(response + extra)
+                    self.assertTrue(recorder.completed)
+                self.assertTrue(transport.closing)
+                self.assertFalse(connection.reusable)
+
+
 class ClosedConnectionTest(unittest.TestCase):
     def test_a_request_on_a_closed_connection_is_reported_as_not_sent(self):
         cases = {
