--- a/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
@@ -41,6 +41,9 @@
     responses.Verdict.SERVER_ERROR: retry_policy.Failure.SERVER_ERROR,
     responses.Verdict.INVALID: retry_policy.Failure.INVALID,
 }
+_VERDICTS_WITHOUT_BODY = frozenset(
+    {responses.Verdict.INVALID, responses.Verdict.NOT_RUN}
+)
 
 
 def forwarded_headers(
@@ -134,37 +137,39 @@
         self._on_events = on_events
         self._streaming = False
         self._verdict = responses.Verdict.INVALID
-        self._parts: list[bytes] = []
 
-    def on_head(self, head: http_call.Head) -> None:
-        """Handles status and headers."""
+    def on_head(self, head: http_call.Head) -> bool:
+        """Handles status and headers.
+
+        The body is buffered unless it is a stream or will not be used: that of
+        an invalid response or a rejection may never end.
+        """
         self.head = head
         self._verdict = responses.judge(self._names, head, self._request_id)
+        if self._verdict in _VERDICTS_WITHOUT_BODY:
+            self._finish_response(b"")
+            return False
         kind = head.get(b"content-type") or b""
         self._streaming = (
             self._events is not None
             and self._verdict is responses.Verdict.VALID
             and kind.startswith(EVENT_STREAM_TYPE)
         )
+        return not self._streaming
 
     def on_body(self, data: bytes) -> None:
-        """Handles a part of the body."""
-        if not self._streaming:
-            self._parts.append(data)
-            return
+        """Handles a part of a stream."""
         if self.done.done():
             return
         assert self._events is not None
         assert self._on_events is not None
         assert self.head is not None
         before = self._events.last_id
+        broken = ""
         try:
             complete = self._events.feed(data)
         except sse.BrokenStreamError as error:
-            self._finish(
-                Outcome(retry_policy.Failure.INVALID, detail=str(error))
-            )
-            return
+            complete, broken = error.valid_events, str(error)
         if complete:
             count = max(1, (self._events.last_id or 0) - (before or 0))
             now = self._loop.time()
@@ -173,6 +178,8 @@
             self.last_byte_at = now
             self.events_seen = True
             self._on_events(self.head, complete)
+        if broken:
+            self._finish(Outcome(retry_policy.Failure.INVALID, detail=broken))
 
     def _update_interval(self, seconds: float) -> None:
         if self.event_interval is None:
@@ -181,7 +188,7 @@
             seconds - self.event_interval
         )
 
-    def on_complete(self) -> None:
+    def on_complete(self, body: bytes) -> None:
         """Handles the end of the response."""
         assert self.head is not None
         if self._streaming:
@@ -196,11 +203,15 @@
                     )
                 )
             return
+        self._finish_response(body)
+
+    def _finish_response(self, body: bytes) -> None:
+        assert self.head is not None
         fault = self.head.get(self._names.fault) or b""
         self._finish(
             Outcome(
                 _FAILURE_BY_VERDICT[self._verdict],
-                http_call.Response(self.head, b"".join(self._parts)),
+                http_call.Response(self.head, body),
                 fault.decode("latin-1"),
                 f"status {self.head.status}",
             )
@@ -209,7 +220,9 @@
     def on_failure(self, error: http_call.CallError) -> None:
         """Handles a connection that failed during the response."""
         failure = retry_policy.Failure.LOST
-        if error.failure is http_call.CallFailure.MALFORMED:
+        if not error.sent:
+            failure = retry_policy.Failure.NOT_SENT
+        elif error.failure is http_call.CallFailure.MALFORMED:
             failure = retry_policy.Failure.INVALID
         self._finish(Outcome(failure, detail=str(error)))
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/control_client.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/control_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from nutmeglift_gateway import body_buffer
 from nutmeglift_gateway import http_call
 
 
@@ -13,20 +14,18 @@
             asyncio.get_running_loop().create_future()
         )
         self._head: http_call.Head | None = None
-        self._parts: list[bytes] = []
 
-    def on_head(self, head: http_call.Head) -> None:
+    def on_head(self, head: http_call.Head) -> bool:
         self._head = head
+        return True
 
     def on_body(self, data: bytes) -> None:
-        self._parts.append(data)
+        raise NotImplementedError
 
-    def on_complete(self) -> None:
+    def on_complete(self, body: bytes) -> None:
         assert self._head is not None
         if not self.done.done():
-            self.done.set_result(
-                http_call.Response(self._head, b"".join(self._parts))
-            )
+            self.done.set_result(http_call.Response(self._head, body))
 
     def on_failure(self, error: http_call.CallError) -> None:
         if not self.done.done():
@@ -38,6 +37,7 @@
     method: str,
     request: bytes,
     timeout: float,
+    max_body_bytes: int = body_buffer.MAX_TOTAL_BYTES,
 ) -> http_call.Response:
     """Sends a request and returns the complete response.
 
@@ -46,13 +46,19 @@
         method: HTTP method.
         request: encoded request.
         timeout: longest wait for the complete response, in seconds.
+        max_body_bytes: limit on the body.
 
     Raises:
         http_call.CallError: no complete response was received; the connection
             is closed.
     """
     collector = _Collector()
-    connection.send(request, collector, head_only=method == "HEAD")
+    connection.send(
+        request,
+        collector,
+        head_only=method == "HEAD",
+        max_body_bytes=max_body_bytes,
+    )
     try:
         async with asyncio.timeout(timeout):
             return await collector.done
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
@@ -186,8 +186,7 @@
             outcome = await receiver.done
         finally:
             upstream.abort()
-        if outcome.failure is retry_policy.Failure.REJECTED:
-            self._reply.progress.runs -= 1
+        self._reply.progress.discount(outcome.failure)
         return outcome
 
     def _first_event_id(self) -> int | None:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/http_call.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/http_call.py
@@ -9,7 +9,8 @@
 import socket
 from typing import cast
 
-import httptools
+from nutmeglift_gateway import body_buffer
+from nutmeglift_gateway import response_parser
 
 CONNECT_TIMEOUT_SECONDS = 0.25
 """Much longer than a round trip between failure domains. A lost SYN is sent
@@ -17,10 +18,11 @@
 TCP_USER_TIMEOUT_MILLISECONDS = 2000
 """Closes a connection whose data is unacknowledged for this long, as the
 engines do for work that depends on a lost runner."""
-MAX_RESPONSE_BYTES = 64 * 1024 * 1024
-"""Limits the memory that one response can use."""
+MAX_READ_BYTES = 64 * 1024
+"""Bytes read from one connection after which the others have their turn:
+uvloop reads up to 32 times in a row, 256 KiB each."""
 
-Headers = list[tuple[bytes, bytes]]
+Headers = response_parser.Headers
 """Names in lower case with their values, in the order received."""
 
 
@@ -69,23 +71,23 @@
     """Receives a response; its last call is on_complete or on_failure."""
 
     @abc.abstractmethod
-    def on_head(self, head: Head) -> None:
-        """Handles status and headers."""
+    def on_head(self, head: Head) -> bool:
+        """Handles status and headers; returns whether to buffer the body."""
 
     @abc.abstractmethod
     def on_body(self, data: bytes) -> None:
-        """Handles a part of the body."""
+        """Handles a part of a body that is not buffered."""
 
     @abc.abstractmethod
-    def on_complete(self) -> None:
-        """Handles the end of the response."""
+    def on_complete(self, body: bytes) -> None:
+        """Handles the end of the response, with a body that was buffered."""
 
     @abc.abstractmethod
     def on_failure(self, error: CallError) -> None:
         """Handles a failure before the end of the response."""
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.Protocol, response_parser.BaseHandler):
     """A connection to a server; carries one request at a time.
 
     Attributes:
@@ -98,56 +100,82 @@
         self.on_lost: Callable[[], None] | None = None
         self._transport: asyncio.Transport | None = None
         self._receiver: BaseReceiver | None = None
-        self._parser: httptools.HttpResponseParser | None = None
-        self._headers: Headers = []
-        self._head: Head | None = None
-        self._until_close = False
-        self._without_body = False
-        self._received = 0
+        self._parser: response_parser.ResponseParser | None = None
+        self._max_body_bytes = body_buffer.MAX_TOTAL_BYTES
+        self._body: body_buffer.BodyBuffer | None = None
+        self._paused = False
+        self._yielding = False
 
     def send(
-        self, request: bytes, receiver: BaseReceiver, *, head_only: bool
+        self,
+        request: bytes,
+        receiver: BaseReceiver,
+        *,
+        head_only: bool,
+        max_body_bytes: int = body_buffer.MAX_TOTAL_BYTES,
     ) -> None:
-        """Writes a request.
+        """Writes a request, or fails at once if the connection is closed.
 
         Args:
             request: the complete request.
             receiver: receives the response.
             head_only: whether responses to the method have no body.
+            max_body_bytes: limit on a body that is buffered.
         """
         assert self._transport is not None
         self.reusable = False
         self._receiver = receiver
-        self._parser = httptools.HttpResponseParser(self)
-        self._headers = []
-        self._head = None
-        self._until_close = False
-        self._without_body = head_only
-        self._received = 0
+        self._parser = response_parser.ResponseParser(self, head_only=head_only)
+        self._max_body_bytes = max_body_bytes
+        if self._transport.is_closing():
+            self._fail(
+                CallFailure.CLOSED, "closed before the request", sent=False
+            )
+            return
         self._transport.write(request)
 
     def abort(self) -> None:
         """Aborts the connection; the receiver is not called any more."""
-        self._receiver = None
+        self._take_receiver()
         self.reusable = False
         if self._transport is not None:
             self._transport.abort()
 
     def close(self) -> None:
         """Closes the connection gracefully."""
-        self._receiver = None
+        self._take_receiver()
         self.reusable = False
         if self._transport is not None:
             self._transport.close()
 
     def pause(self) -> None:
         """Stops reading until resume is called."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.pause_reading()
+        self._paused = True
+        self._update_reading()
 
     def resume(self) -> None:
         """Resumes reading."""
-        if self._transport is not None and not self._transport.is_closing():
+        self._paused = False
+        self._update_reading()
+
+    def _yield(self) -> None:
+        """Stops reading until the event loop has served other connections."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._yielding = True
+        self._update_reading()
+        asyncio.get_running_loop().call_soon(self._end_yield)
+
+    def _end_yield(self) -> None:
+        self._yielding = False
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._paused or self._yielding:
+            self._transport.pause_reading()
+        else:
             self._transport.resume_reading()
 
     # asyncio.Protocol methods.
@@ -171,24 +199,24 @@
             # Bytes after the end of a response belong to no request.
             self.close()
             return
-        self._received += len(data)
-        if self._received > MAX_RESPONSE_BYTES:
-            self._fail(CallFailure.MALFORMED, "the response is too large")
-            return
+        parser = self._parser
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._fail(CallFailure.MALFORMED, "unexpected upgrade")
-        except httptools.HttpParserError as error:
+            parser.feed(data)
+        except response_parser.MalformedResponseError as error:
             self._fail(CallFailure.MALFORMED, str(error))
+        if parser.has_extra_bytes:
+            self.close()
+        elif len(data) >= MAX_READ_BYTES:
+            self._yield()
 
     def eof_received(self) -> bool:
         """Handles a graceful close by the server."""
         self.reusable = False
         if self._receiver is not None:
-            if self._head is not None and self._until_close:
-                self._complete()
-            else:
+            assert self._parser is not None
+            try:
+                self._parser.feed_eof()
+            except response_parser.MalformedResponseError:
                 self._fail(
                     CallFailure.CLOSED, "closed before the end of the response"
                 )
@@ -204,58 +232,59 @@
 
     # Callbacks of the parser.
 
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Handles a header."""
-        self._headers.append((name.lower(), value))
-
-    def on_headers_complete(self) -> None:
-        """Handles the end of the headers."""
-        assert self._parser is not None
-        status = self._parser.get_status_code()
-        if status < 200:  # noqa: PLR2004 - interim responses are skipped.
-            self._headers = []
+    def on_response_head(
+        self, status: int, headers: Headers, *, has_body: bool
+    ) -> None:
+        """Handles status and headers."""
+        if self._receiver is None:
             return
-        head = Head(status, self._headers)
-        # Trailers and later headers belong to no request.
-        self._headers = []
-        self._head = head
-        has_length = any(
-            key in (b"content-length", b"transfer-encoding")
-            for key, _ in head.headers
+        head = Head(status, headers)
+        if not self._receiver.on_head(head) or not has_body:
+            return
+        length = head.get(b"content-length")
+        self._body = body_buffer.SHARED_BUDGET.open(
+            declared=None if length is None else int(length),
+            limit=self._max_body_bytes,
+            on_too_large=self._on_too_large,
         )
-        has_no_body = status in (204, 304) or self._without_body
-        self._until_close = not has_length and not has_no_body
-        if self._receiver is not None:
-            self._receiver.on_head(head)
-        if has_no_body and self._receiver is not None:
-            self._complete()
+        self._body.check_declared()
 
-    def on_body(self, data: bytes) -> None:
+    def on_response_body(self, data: bytes) -> None:
         """Handles a part of the body."""
-        if self._receiver is not None and self._head is not None:
+        if self._body is not None:
+            self._body.add(data)
+        elif self._receiver is not None:
             self._receiver.on_body(data)
 
-    def on_message_complete(self) -> None:
+    def on_response_end(self, *, reusable: bool) -> None:
         """Handles the end of a response."""
-        if self._head is None or self._receiver is None:
-            return
-        keep = self._parser is not None and self._parser.should_keep_alive()
-        self._complete()
-        self.reusable = keep and not self._until_close
-
-    def _complete(self) -> None:
-        receiver, self._receiver = self._receiver, None
         self._parser = None
+        self.reusable = reusable and self._receiver is not None
+        body = self._body.take() if self._body is not None else b""
+        receiver = self._take_receiver()
         if receiver is not None:
-            receiver.on_complete()
+            receiver.on_complete(body)
 
-    def _fail(self, failure: CallFailure, detail: str) -> None:
-        receiver, self._receiver = self._receiver, None
+    def _on_too_large(self, detail: str) -> None:
+        self._fail(CallFailure.MALFORMED, detail)
+
+    def _fail(
+        self, failure: CallFailure, detail: str, *, sent: bool = True
+    ) -> None:
+        receiver = self._take_receiver()
         self.reusable = False
         if self._transport is not None:
             self._transport.abort()
         if receiver is not None:
-            receiver.on_failure(CallError(failure, True, detail))
+            receiver.on_failure(CallError(failure, sent, detail))
+
+    def _take_receiver(self) -> BaseReceiver | None:
+        """Ends the call; returns its receiver, which is called at most once."""
+        receiver, self._receiver = self._receiver, None
+        if self._body is not None:
+            self._body.release()
+            self._body = None
+        return receiver
 
 
 async def connect(
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/retry_policy.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/retry_policy.py
@@ -57,6 +57,13 @@
         """Runs that count toward the route's limit on attempts."""
         return self.runs - self.terminated_runs
 
+    def discount(self, failure: Failure | None) -> None:
+        """Takes back the counts of an attempt that was not run, or not sent."""
+        if failure in (Failure.REJECTED, Failure.NOT_SENT):
+            self.runs -= 1
+        if failure is Failure.NOT_SENT:
+            self.sent -= 1
+
     @property
     def may_have_run(self) -> bool:
         """Whether any attempt may have run."""
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
@@ -275,9 +275,9 @@
         if running.upstream is not None:
             running.upstream.abort()
         if running.receiver.done.done():
-            outcome = running.receiver.done.result()
-            if outcome.failure is retry_policy.Failure.REJECTED:
-                self._reply.progress.runs -= 1
+            self._reply.progress.discount(
+                running.receiver.done.result().failure
+            )
         self._context.monitor.remove(running.stream)
         running.stream.release(self._context.board)
 
--- a/tests/gateway/test_exchange_plain.py
+++ b/tests/gateway/test_exchange_plain.py
@@ -1,7 +1,9 @@
 """Exchanges with plain services whose servers fail in different ways."""
 
 import asyncio
+import re
 import unittest
+from unittest import mock
 
 from nutmeglift_gateway import control_client
 from nutmeglift_gateway import directory
@@ -55,6 +57,27 @@
     stand_ins.reset_connection(writer)
 
 
+def head_of(script):
+    """Returns a script that sends only the head of a response, and waits."""
+
+    async def head_only(request, writer, number):
+        await script(request, _HeadWriter(writer), number)
+        await asyncio.sleep(60)
+
+    return head_only
+
+
+class _HeadWriter:
+    """Writer that announces a body without end in place of the body."""
+
+    def __init__(self, writer):
+        self._writer = writer
+
+    def write(self, data):
+        head = re.sub(rb"content-length: .*\r\n", b"", data)
+        self._writer.write(head.partition(b"\r\n\r\n")[0] + b"\r\n\r\n")
+
+
 async def server_error(request, writer, number):
     writer.write(stand_ins.complete_response(request, b"broken", 500))
 
@@ -67,6 +90,23 @@
     writer.write(stand_ins.complete_response(request, b"no", 403))
 
 
+def _connect_to_full_server(server):
+    """Returns a connect() whose connections to a server are reset at once."""
+    connect = http_call.connect
+
+    async def connect_and_lose(address, *args):
+        connection = await connect(address, *args)
+        if address == server.address:
+            lost = asyncio.Event()
+            connection.on_lost = lost.set
+            while not lost.is_set():
+                server.reset_connections()
+                await asyncio.sleep(0)
+        return connection
+
+    return connect_and_lose
+
+
 class PlainTestCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.rig = stand_ins.GatewayRig()
@@ -146,6 +186,36 @@
         self.assertEqual(response.status, 200)
         self.assertEqual(len(other.requests), 1)
 
+    async def test_a_connection_reset_before_the_request_is_not_an_attempt(
+        self,
+    ):
+        full = await self.rig.add_server(stand_ins.healthy, "a")
+        other = await self.rig.add_server(stand_ins.healthy, "b", domain="far")
+        with mock.patch.object(
+            http_call, "connect", _connect_to_full_server(full)
+        ):
+            response = await self.rig.call("/release/1")
+        self.assertEqual(response.status, 200)
+        self.assertEqual(full.requests, [])
+        self.assertEqual(len(other.requests), 1)
+        self.assertEqual(
+            [
+                (fields["failure"], fields["detail"])
+                for event, fields in self.rig.log.lines
+                if event == "attempt failed"
+            ],
+            [("not_sent", "closed: closed before the request")],
+        )
+
+    async def test_resets_before_the_request_end_in_a_refusal(self):
+        full = await self.rig.add_server(stand_ins.healthy, "a")
+        with mock.patch.object(
+            http_call, "connect", _connect_to_full_server(full)
+        ):
+            response = await self.rig.call("/release/1")
+        self.assertEqual(response.status, 503)
+        self.assertIsNotNone(response.head.get(b"retry-after"))
+
     async def test_no_server(self):
         response = await self.rig.call("/release/1")
         self.assertEqual(response.status, 503)
@@ -182,6 +252,38 @@
                 self.assertEqual(len(one.requests), 1)
                 self.assertEqual(len(other.requests), retries)
 
+    async def test_a_head_that_decides_is_not_held_up_by_its_body(self):
+        cases = [
+            # path, script, status for the caller, requests to the other server
+            ("/status/1", wrong_request_id, 200, 1),
+            ("/status/1", missing_request_id, 200, 1),
+            ("/status/1", stand_ins.rejecting(), 200, 1),
+            ("/release/1", wrong_request_id, 502, 0),
+            ("/release/1", stand_ins.rejecting(), 200, 1),
+        ]
+        for path, script, status, retries in cases:
+            with self.subTest(path=path, script=script.__name__):
+                one = await self.rig.add_server(head_of(script), "a")
+                other = await self.rig.add_server(
+                    stand_ins.healthy, "b", domain="far"
+                )
+                response = await self.rig.call(path)
+                self.assertEqual(response.status, status)
+                self.assertEqual(len(one.requests), 1)
+                self.assertEqual(len(other.requests), retries)
+
+    async def test_a_head_sent_byte_by_byte_ends_at_the_deadline(self):
+        async def trickle(request, writer, number):
+            writer.write(b"HTTP/1.1 200 OK\r\na: ")
+            while True:
+                writer.write(b"b")
+                await asyncio.sleep(0.001)
+
+        server = await self.rig.add_server(trickle, "a")
+        response = await self.rig.call("/status/1", x_deadline_ms=b"200")
+        self.assertEqual(response.status, 504)
+        await asyncio.wait_for(server.client_eof.wait(), stand_ins.WAIT_SECONDS)
+
     async def test_attempts_are_limited_by_the_route(self):
         servers = [
             await self.rig.add_server(server_error, name) for name in "abc"
--- a/tests/gateway/test_silent_servers.py
+++ b/tests/gateway/test_silent_servers.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-from nutmeglift_gateway import control_client
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import http_call
 from nutmeglift_gateway import ports
@@ -289,22 +288,18 @@
         other = await self.rig.add_runner(
             streams.resumable, "y", 0, 80, domain="b"
         )
-        connection = await http_call.connect(self.rig.address)
-        connection.pause()
-        call = asyncio.ensure_future(
-            control_client.exchange(
-                connection,
-                "POST",
-                self.rig.format_request("/draft/1"),
-                4 * stand_ins.WAIT_SECONDS,
-            )
+        reader, writer = await asyncio.open_connection(
+            *self.rig.address.split(":")
         )
+        writer.write(self.rig.format_request("/draft/1", connection=b"close"))
         await asyncio.sleep(2 * stalls.SILENCE_TIMEOUT_SECONDS)
-        connection.resume()
-        response = await call
-        connection.close()
+        response = await asyncio.wait_for(
+            reader.read(), 4 * stand_ins.WAIT_SECONDS
+        )
+        writer.close()
         self.assertEqual(
-            stand_ins.event_ids(response.body), list(range(1, count + 1))
+            stand_ins.event_ids(response), list(range(1, count + 1))
         )
+        self.assertTrue(response.endswith(streams.LAST_CHUNK))
         self.assertEqual(other.requests, [])
         self.assertNotIn("server suspect", self.rig.log.events())
--- a/tests/gateway/test_sse.py
+++ b/tests/gateway/test_sse.py
@@ -1,3 +1,4 @@
+import tracemalloc
 import unittest
 
 from nutmeglift_gateway import sse
@@ -48,11 +49,45 @@
             splitter.feed(b"id: 2\ndata: b\n\n"), b"id: 2\ndata: b\n\n"
         )
 
+    def test_valid_events_read_with_an_invalid_one_are_not_lost(self):
+        valid = b"id: 2\ndata: a\n\n:comment\n\nid: 3\n\n"
+        for invalid in (b"id: 2\n\n", b"id: 3\n\n", b"data: a\nid: 5\n\n"):
+            for after in (b"", b"id: 6\n\n", b"id: 6\nda"):
+                with self.subTest(invalid, after=after):
+                    splitter = sse.EventSplitter(0)
+                    splitter.feed(b"id: 1\n\n")
+                    with self.assertRaises(sse.BrokenStreamError) as raised:
+                        splitter.feed(valid + invalid + after)
+                    self.assertEqual(raised.exception.valid_events, valid)
+                    self.assertEqual(splitter.last_id, 3)
+
     def test_an_oversized_event_is_rejected(self):
         splitter = sse.EventSplitter()
         with self.assertRaises(sse.BrokenStreamError):
             splitter.feed(b"x" * (sse.MAX_EVENT_BYTES + 1))
 
+    def test_an_endless_event_is_not_copied_with_each_piece(self):
+        cases = [
+            # size of a piece, pieces
+            (64, 2 * sse.MAX_EVENT_BYTES // 64),
+            (16384, 2 * sse.MAX_EVENT_BYTES // 16384),
+        ]
+        for size, count in cases:
+            with self.subTest(size):
+                splitter = sse.EventSplitter()
+                fed_bytes = 0
+                tracemalloc.start()
+                self.addCleanup(tracemalloc.stop)
+                with self.assertRaises(sse.BrokenStreamError) as raised:
+                    for _ in range(count):
+                        fed_bytes += size
+                        splitter.feed(b"x" * size)
+                _, peak = tracemalloc.get_traced_memory()
+                tracemalloc.stop()
+                self.assertLessEqual(fed_bytes, sse.MAX_EVENT_BYTES + size)
+                self.assertLess(peak, 1.5 * sse.MAX_EVENT_BYTES)
+                self.assertIn(f"received {fed_bytes}", str(raised.exception))
+
 
 if __name__ == "__main__":
     unittest.main()
