Move the parsing of callers' requests to a module of its own

The parser reports complete requests and rejections; the connection decides on responses, timers and closing. No change of behaviour; Request is now caller_request.Request.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/admission.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/admission.py
@@ -6,8 +6,8 @@
 from nutmeglift import errors
 from nutmeglift import ids
 from nutmeglift_gateway import board as boards
+from nutmeglift_gateway import caller_request
 from nutmeglift_gateway import catalog
-from nutmeglift_gateway import http_listener
 from nutmeglift_gateway import ports
 
 MAX_AUTHORITATIVE_AGE_SECONDS = 1.8
@@ -85,7 +85,7 @@
 def admit(
     board: boards.Board,
     names: ports.HeaderNames,
-    request: http_listener.Request,
+    request: caller_request.Request,
     boot_now: float,
     rng: random.Random,
 ) -> Admitted | Refused:
@@ -153,7 +153,7 @@
 
 
 def _find_head_problem(
-    names: ports.HeaderNames, request: http_listener.Request
+    names: ports.HeaderNames, request: caller_request.Request
 ) -> str:
     """Returns what is wrong with a request's head, or an empty string."""
     if request.count(b"host") != 1:
@@ -180,7 +180,7 @@
 
 def _build_admitted(
     names: ports.HeaderNames,
-    request: http_listener.Request,
+    request: caller_request.Request,
     route: catalog.Route,
     service: catalog.Service,
     account: catalog.Account | None,
@@ -214,7 +214,7 @@
 
 
 def _parse_token_counts(
-    names: ports.HeaderNames, request: http_listener.Request
+    names: ports.HeaderNames, request: caller_request.Request
 ) -> tuple[int, float] | None:
     """Returns prompt and expected response tokens, or None if malformed."""
     raw = request.get(names.tokens)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
@@ -5,8 +5,8 @@
 import dataclasses
 
 from nutmeglift_gateway import admission
+from nutmeglift_gateway import caller_request
 from nutmeglift_gateway import http_call
-from nutmeglift_gateway import http_listener
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import responses
 from nutmeglift_gateway import retry_policy
@@ -44,7 +44,7 @@
 
 
 def forwarded_headers(
-    names: ports.HeaderNames, request: http_listener.Request
+    names: ports.HeaderNames, request: caller_request.Request
 ) -> http_call.Headers:
     """Returns the caller's headers that are forwarded to a server."""
     dropped = set(responses.HOP_BY_HOP_HEADERS)
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/caller_request.py
@@ -0,0 +1,169 @@
+"""Parses callers' HTTP requests."""
+
+import abc
+import asyncio
+from collections.abc import Callable
+import dataclasses
+
+import httptools
+
+from nutmeglift import errors
+from nutmeglift_gateway import catalog
+from nutmeglift_gateway import http_call
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """A caller's complete request.
+
+    Attributes:
+        method: the method.
+        target: path and query as sent.
+        headers: headers with names in lower case.
+        body: the complete body.
+        keep_alive: whether the caller keeps the connection open.
+        accepts_chunked: whether the response may be chunked (HTTP/1.1).
+        received_at: event loop time in seconds at which its last byte was read.
+    """
+
+    method: str
+    target: str
+    headers: http_call.Headers
+    body: bytes
+    keep_alive: bool
+    accepts_chunked: bool
+    received_at: float
+
+    def get(self, name: bytes) -> bytes | None:
+        """Returns a header's first value, by its name in lower case."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+    def count(self, name: bytes) -> int:
+        """Returns the number of times that a header was sent."""
+        return sum(1 for key, _ in self.headers if key == name)
+
+
+class BaseReceiver(abc.ABC):
+    """Receives the requests of one connection."""
+
+    @abc.abstractmethod
+    def on_head_complete(self) -> None:
+        """Handles the end of a request's head."""
+
+    @abc.abstractmethod
+    def on_continue_expected(self) -> None:
+        """Handles a request whose body is sent after an interim response."""
+
+    @abc.abstractmethod
+    def on_request(self, request: Request) -> None:
+        """Handles a complete request."""
+
+    @abc.abstractmethod
+    def on_rejected(self, kind: errors.ErrorKind) -> None:
+        """Handles a request that cannot be read; it is the last event."""
+
+
+class RequestParser:
+    """Parses the requests of one connection within the callers' limits.
+
+    Attributes:
+        started: whether a part of a request has been received.
+        head_complete: whether its head is complete.
+    """
+
+    def __init__(
+        self, receiver: BaseReceiver, limits: Callable[[], catalog.ClientLimits]
+    ) -> None:
+        """Initializes a parser.
+
+        Args:
+            receiver: receives the requests.
+            limits: returns the current limits for requests of callers.
+        """
+        self._receiver = receiver
+        self._limits = limits
+        self._loop = asyncio.get_running_loop()
+        self._parser = httptools.HttpRequestParser(self)
+        self._rejected = False
+        self._reset()
+
+    def feed(self, data: bytes) -> None:
+        """Parses received bytes; ignores them after a rejection."""
+        if self._rejected:
+            return
+        self.started = True
+        if not self.head_complete:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self.reject(errors.ErrorKind.BAD_REQUEST)
+        except httptools.HttpParserError:
+            self.reject(errors.ErrorKind.BAD_REQUEST)
+        limits = self._limits()
+        if not self.head_complete and self._head_bytes > limits.header_bytes:
+            self.reject(errors.ErrorKind.HEADER_TOO_LARGE)
+
+    def reject(self, kind: errors.ErrorKind) -> None:
+        """Rejects the current request; no further request is parsed."""
+        if self._rejected:
+            return
+        self._rejected = True
+        self._receiver.on_rejected(kind)
+
+    # Callbacks of the parser.
+
+    def on_url(self, url: bytes) -> None:
+        """Handles a part of the target."""
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Handles a header."""
+        self._headers.append((name.lower(), value))
+        self._header_field_bytes += len(name) + len(value) + 4
+        if self._header_field_bytes > self._limits().header_bytes:
+            self.reject(errors.ErrorKind.HEADER_TOO_LARGE)
+
+    def on_headers_complete(self) -> None:
+        """Handles the end of the headers."""
+        self.head_complete = True
+        self._receiver.on_head_complete()
+        for name, value in self._headers:
+            if name == b"expect" and value.lower() == b"100-continue":
+                self._receiver.on_continue_expected()
+
+    def on_body(self, data: bytes) -> None:
+        """Handles a part of the body."""
+        self._body.append(data)
+        self._body_bytes += len(data)
+        if self._body_bytes > self._limits().body_bytes:
+            self.reject(errors.ErrorKind.BODY_TOO_LARGE)
+
+    def on_message_complete(self) -> None:
+        """Handles the end of a request."""
+        if self._rejected:
+            return
+        request = Request(
+            self._parser.get_method().decode("latin-1"),
+            self._url.decode("latin-1"),
+            self._headers,
+            b"".join(self._body),
+            self._parser.should_keep_alive(),
+            self._parser.get_http_version() == "1.1",
+            self._loop.time(),
+        )
+        self._reset()
+        self._receiver.on_request(request)
+
+    def _reset(self) -> None:
+        self.started = False
+        self.head_complete = False
+        self._head_bytes = 0
+        self._header_field_bytes = 0
+        self._url = b""
+        self._headers: http_call.Headers = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
@@ -5,6 +5,7 @@
 from nutmeglift_gateway import admission
 from nutmeglift_gateway import attempt
 from nutmeglift_gateway import attempt_failures
+from nutmeglift_gateway import caller_request
 from nutmeglift_gateway import context as contexts
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import freshness
@@ -35,7 +36,7 @@
         self,
         context: contexts.Context,
         connection: http_listener.CallerConnection,
-        request: http_listener.Request,
+        request: caller_request.Request,
     ) -> None:
         self._context = context
         self._connection = connection
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -13,6 +13,7 @@
 from nutmeglift import ids
 from nutmeglift import kv
 from nutmeglift_gateway import board as boards
+from nutmeglift_gateway import caller_request
 from nutmeglift_gateway import context as contexts
 from nutmeglift_gateway import crash_detector
 from nutmeglift_gateway import decision_log
@@ -225,7 +226,7 @@
     def _on_request(
         self,
         connection: http_listener.CallerConnection,
-        request: http_listener.Request,
+        request: caller_request.Request,
     ) -> None:
         work = exchange.Exchange(self._context, connection, request)
         task = asyncio.get_running_loop().create_task(
@@ -257,7 +258,7 @@
     def _on_check(
         self,
         connection: http_listener.CallerConnection,
-        request: http_listener.Request,
+        request: caller_request.Request,
     ) -> None:
         path = request.target.partition("?")[0]
         if path == self._readiness_path:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
@@ -2,13 +2,11 @@
 
 import asyncio
 from collections.abc import Callable
-import dataclasses
 import socket
 from typing import cast
 
-import httptools
-
 from nutmeglift import errors
+from nutmeglift_gateway import caller_request
 from nutmeglift_gateway import catalog
 from nutmeglift_gateway import http_call
 
@@ -18,46 +16,12 @@
 """Unsent bytes for a caller above which reading from its server is paused."""
 
 
-@dataclasses.dataclass(slots=True)
-class Request:
-    """A caller's complete request.
-
-    Attributes:
-        method: the method.
-        target: path and query as sent.
-        headers: headers with names in lower case.
-        body: the complete body.
-        keep_alive: whether the caller keeps the connection open.
-        accepts_chunked: whether the response may be chunked (HTTP/1.1).
-        received_at: event loop time in seconds at which its last byte was read.
-    """
-
-    method: str
-    target: str
-    headers: http_call.Headers
-    body: bytes
-    keep_alive: bool
-    accepts_chunked: bool
-    received_at: float
-
-    def get(self, name: bytes) -> bytes | None:
-        """Returns a header's first value, by its name in lower case."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
-
-    def count(self, name: bytes) -> int:
-        """Returns the number of times that a header was sent."""
-        return sum(1 for key, _ in self.headers if key == name)
-
-
-Handler = Callable[["CallerConnection", Request], None]
+Handler = Callable[["CallerConnection", caller_request.Request], None]
 """Starts to process a request; processing ends with
 CallerConnection.finish."""
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(asyncio.Protocol, caller_request.BaseReceiver):
     """One caller's connection; its requests are processed one after another.
 
     Attributes:
@@ -92,25 +56,19 @@
         self._connections = connections
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
-        self._waiting: list[Request] = []
+        self._parser = caller_request.RequestParser(self, limits)
+        self._waiting: list[caller_request.Request] = []
         self._busy = False
         self._has_responded = False
         self._close_after_response = False
         self._rejected = False
         self._paused = False
         self._timer: asyncio.TimerHandle | None = None
-        self._request_started = False
-        self._head_complete = False
-        self._head_bytes = 0
-        self._reset_request()
 
     @property
     def is_idle(self) -> bool:
         """Whether no request is being read or processed."""
-        return (
-            not self._busy and not self._waiting and not self._request_started
-        )
+        return not self._busy and not self._waiting and not self._parser.started
 
     def write(self, data: bytes) -> None:
         """Writes a part of a response."""
@@ -180,23 +138,11 @@
         """Passes received bytes to the parser and enforces the header limit."""
         if self._rejected or self.closed:
             return
-        if not self._request_started:
-            self._request_started = True
-            if not self._busy:
-                self._set_timer(
-                    self._limits().header_timeout, self._on_header_timeout
-                )
-        if not self._head_complete:
-            self._head_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(errors.ErrorKind.BAD_REQUEST)
-        except httptools.HttpParserError:
-            self._reject(errors.ErrorKind.BAD_REQUEST)
-        limits = self._limits()
-        if not self._head_complete and self._head_bytes > limits.header_bytes:
-            self._reject(errors.ErrorKind.HEADER_TOO_LARGE)
+        if not self._parser.started and not self._busy:
+            self._set_timer(
+                self._limits().header_timeout, self._on_header_timeout
+            )
+        self._parser.feed(data)
 
     def eof_received(self) -> bool:
         """Handles a half-close: the caller expects no further response."""
@@ -222,52 +168,22 @@
         if self.on_writable is not None:
             self.on_writable(True)
 
-    # Callbacks of the parser.
-
-    def on_url(self, url: bytes) -> None:
-        """Handles a part of the target."""
-        self._url += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Handles a header."""
-        self._headers.append((name.lower(), value))
-        self._header_field_bytes += len(name) + len(value) + 4
-        if self._header_field_bytes > self._limits().header_bytes:
-            self._reject(errors.ErrorKind.HEADER_TOO_LARGE)
+    # Events of the parser.
 
-    def on_headers_complete(self) -> None:
-        """Handles the end of the headers."""
-        self._head_complete = True
+    def on_head_complete(self) -> None:
+        """Gives the caller more time to send the body."""
         if not self._busy:
             self._set_timer(
                 max(self._limits().header_timeout, self._limits().idle_timeout),
                 self._on_header_timeout,
             )
-        for name, value in self._headers:
-            if name == b"expect" and value.lower() == b"100-continue":
-                self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-
-    def on_body(self, data: bytes) -> None:
-        """Handles a part of the body."""
-        self._body.append(data)
-        self._body_bytes += len(data)
-        if self._body_bytes > self._limits().body_bytes:
-            self._reject(errors.ErrorKind.BODY_TOO_LARGE)
-
-    def on_message_complete(self) -> None:
-        """Handles the end of a request."""
-        if self._rejected:
-            return
-        request = Request(
-            self._parser.get_method().decode("latin-1"),
-            self._url.decode("latin-1"),
-            self._headers,
-            b"".join(self._body),
-            self._parser.should_keep_alive(),
-            self._parser.get_http_version() == "1.1",
-            self._loop.time(),
-        )
-        self._reset_request()
+
+    def on_continue_expected(self) -> None:
+        """Asks the caller to send the body."""
+        self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_request(self, request: caller_request.Request) -> None:
+        """Queues a complete request."""
         self._cancel_timer()
         self._waiting.append(request)
         if (
@@ -279,27 +195,8 @@
             self._transport.pause_reading()
         self._start_next()
 
-    def _reset_request(self) -> None:
-        self._request_started = False
-        self._head_complete = False
-        self._head_bytes = 0
-        self._header_field_bytes = 0
-        self._url = b""
-        self._headers: http_call.Headers = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
-
-    def _start_next(self) -> None:
-        if self._busy or self.closed or not self._waiting:
-            return
-        request = self._waiting.pop(0)
-        self._busy = True
-        self._close_after_response = not request.keep_alive
-        self._handler(self, request)
-
-    def _reject(self, kind: errors.ErrorKind) -> None:
-        if self._rejected:
-            return
+    def on_rejected(self, kind: errors.ErrorKind) -> None:
+        """Responds to a request that cannot be read."""
         self._rejected = True
         # The error response may be written only if no earlier request on the
         # connection still waits for its own.
@@ -309,8 +206,16 @@
         else:
             self._close_after_response = True
 
+    def _start_next(self) -> None:
+        if self._busy or self.closed or not self._waiting:
+            return
+        request = self._waiting.pop(0)
+        self._busy = True
+        self._close_after_response = not request.keep_alive
+        self._handler(self, request)
+
     def _on_header_timeout(self) -> None:
-        self._reject(errors.ErrorKind.HEADER_TIMEOUT)
+        self._parser.reject(errors.ErrorKind.HEADER_TIMEOUT)
 
     def _on_idle(self) -> None:
         self.close_if_idle()
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/reply.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/reply.py
@@ -5,6 +5,7 @@
 from nutmeglift import errors
 from nutmeglift_gateway import admission
 from nutmeglift_gateway import attempt
+from nutmeglift_gateway import caller_request
 from nutmeglift_gateway import context as contexts
 from nutmeglift_gateway import freshness
 from nutmeglift_gateway import http_call
@@ -26,7 +27,7 @@
         self,
         context: contexts.Context,
         connection: http_listener.CallerConnection,
-        request: http_listener.Request,
+        request: caller_request.Request,
     ) -> None:
         self.progress = retry_policy.Progress()
         self.paths: list[str] = []
--- a/tests/gateway/rig.py
+++ b/tests/gateway/rig.py
@@ -7,10 +7,10 @@
 from nutmeglift import ids
 from nutmeglift import kv
 from nutmeglift_gateway import board as boards
+from nutmeglift_gateway import caller_request
 from nutmeglift_gateway import catalog
 from nutmeglift_gateway import decision_log
 from nutmeglift_gateway import directory
-from nutmeglift_gateway import http_listener
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import settings
 from nutmeglift_platform import names
@@ -153,7 +153,7 @@
     }
     for name, value in headers.items():
         values[name.replace("_", "-").encode()] = value
-    return http_listener.Request(
+    return caller_request.Request(
         method,
         path,
         [(name, value) for name, value in values.items() if value is not None],
