Record requests that the router leaves unanswered

A request that ended without a complete response because of the router left `internal error` without the request's id, `caller left` (also when the drain's end cancelled it), or nothing (queued behind a response that closed or aborted the connection). There is now one line `unanswered` with the request and the cause, and a counter by cause; `caller left` is written only if the caller's connection is closed. `stream cut` stays that cause's line and is counted.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
@@ -70,7 +70,9 @@
         try:
             await self._serve(result)
         except asyncio.CancelledError:
-            self._reply.record_caller_left(result)
+            # The router also cancels exchanges, at the end of its drain.
+            if self._connection.closed:
+                self._reply.record_caller_left(result)
             raise
         finally:
             if self._upstream is not None:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -214,6 +214,7 @@
                 self.board.limits,
                 responses.error_response,
                 connections,
+                self._record_unanswered,
             )
 
         listener = self._listeners.get(address)
@@ -230,7 +231,7 @@
     ) -> None:
         work = exchange.Exchange(self._context, connection, request)
         task = asyncio.get_running_loop().create_task(
-            self._run_exchange(connection, work)
+            self._run_exchange(connection, request, work)
         )
         self._exchanges.add(task)
         connection.on_close = functools.partial(_cancel, task)
@@ -239,22 +240,54 @@
     async def _run_exchange(
         self,
         connection: http_listener.CallerConnection,
+        request: caller_request.Request,
         work: exchange.Exchange,
     ) -> None:
         self.metrics.in_flight.inc()
         try:
             await work.run()
         except asyncio.CancelledError:
-            connection.abort()
+            self._abandon(
+                connection, request, metric_sets.UnansweredCause.DRAIN_ENDED
+            )
         except Exception as error:
             # The connection is aborted, so that the caller can't take a partial
             # response for a complete one.
             self._log.write("internal error", detail=repr(error))
             self.metrics.refusals.labels("internal").inc()
-            connection.abort()
+            self._abandon(
+                connection, request, metric_sets.UnansweredCause.INTERNAL_ERROR
+            )
         finally:
             self.metrics.in_flight.dec()
 
+    def _abandon(
+        self,
+        connection: http_listener.CallerConnection,
+        request: caller_request.Request,
+        cause: metric_sets.UnansweredCause,
+    ) -> None:
+        """Ends a request without a response, unless its caller has left."""
+        if connection.closed:
+            return
+        self._record_unanswered(request, cause)
+        connection.abort()
+
+    def _record_unanswered(
+        self,
+        request: caller_request.Request,
+        cause: metric_sets.UnansweredCause,
+    ) -> None:
+        request_id = request.get(self._context.names.request_id) or b""
+        elapsed = asyncio.get_running_loop().time() - request.received_at
+        self.metrics.unanswered.labels(cause.value).inc()
+        self._log.write(
+            "unanswered",
+            request=request_id.decode("latin-1"),
+            cause=cause.value,
+            seconds=round(elapsed, 3),
+        )
+
     def _on_check(
         self,
         connection: http_listener.CallerConnection,
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
@@ -9,6 +9,7 @@
 from nutmeglift_gateway import caller_request
 from nutmeglift_gateway import catalog
 from nutmeglift_gateway import http_call
+from nutmeglift_gateway import metrics
 
 MAX_PIPELINED_REQUEST_COUNT = 16
 """Reading stops once this many requests are queued on one connection."""
@@ -19,6 +20,10 @@
 Handler = Callable[["CallerConnection", caller_request.Request], None]
 """Starts to process a request; processing ends with
 CallerConnection.finish."""
+UnansweredRecorder = Callable[
+    [caller_request.Request, metrics.UnansweredCause], None
+]
+"""Records a complete request that the router leaves without a response."""
 
 
 class CallerConnection(asyncio.Protocol, caller_request.BaseReceiver):
@@ -37,6 +42,7 @@
         limits: Callable[[], catalog.ClientLimits],
         refuse: Callable[[errors.ErrorKind], bytes],
         connections: "set[CallerConnection]",
+        record_unanswered: UnansweredRecorder | None = None,
     ) -> None:
         """Initializes a connection.
 
@@ -46,6 +52,7 @@
             refuse: formats the error response to a request that cannot be
                 read.
             connections: all open connections, to which it adds itself.
+            record_unanswered: records requests that are left unanswered.
         """
         self.closed = False
         self.on_close: Callable[[], None] | None = None
@@ -54,6 +61,7 @@
         self._limits = limits
         self._refuse = refuse
         self._connections = connections
+        self._record_unanswered = record_unanswered
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._parser = caller_request.RequestParser(self, limits)
@@ -89,6 +97,7 @@
         if self.closed:
             return
         if not keep_alive or self._close_after_response:
+            self._drop_waiting(metrics.UnansweredCause.CONNECTION_CLOSED)
             self._close()
             return
         if self._paused and len(self._waiting) < MAX_PIPELINED_REQUEST_COUNT:
@@ -105,6 +114,7 @@
         self.on_close = None
         if self._transport is not None and not self.closed:
             self.closed = True
+            self._drop_waiting(metrics.UnansweredCause.CONNECTION_ABORTED)
             self._transport.abort()
 
     def close_if_idle(self) -> None:
@@ -214,6 +224,13 @@
         self._close_after_response = not request.keep_alive
         self._handler(self, request)
 
+    def _drop_waiting(self, cause: metrics.UnansweredCause) -> None:
+        waiting, self._waiting = self._waiting, []
+        if self._record_unanswered is None:
+            return
+        for request in waiting:
+            self._record_unanswered(request, cause)
+
     def _on_header_timeout(self) -> None:
         self._parser.reject(errors.ErrorKind.HEADER_TIMEOUT)
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/metrics.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/metrics.py
@@ -1,5 +1,7 @@
 """Metrics of a router in the Prometheus text format."""
 
+import enum
+
 import prometheus_client
 from prometheus_client import exposition
 
@@ -10,6 +12,21 @@
 PREFIX = "nutmeglift_gateway_"
 
 
+class UnansweredCause(enum.Enum):
+    """Why the router left a request without a complete response."""
+
+    STREAM_CUT = "stream_cut"
+    """Its stream had begun and could not be continued."""
+    INTERNAL_ERROR = "internal_error"
+    """An unexpected error occurred while its response was being written."""
+    DRAIN_ENDED = "drain_ended"
+    """Its response was being written when the drain ended."""
+    CONNECTION_CLOSED = "connection_closed"
+    """It was queued behind a response that closed the connection."""
+    CONNECTION_ABORTED = "connection_aborted"
+    """It was queued behind a response that was aborted."""
+
+
 class Metrics:
     """All metrics of one router."""
 
@@ -21,6 +38,9 @@
         self.refusals = self._counter(
             "refusals", "Requests refused by error kind.", ["kind"]
         )
+        self.unanswered = self._counter(
+            "unanswered", "Requests that the router left unanswered.", ["cause"]
+        )
         self.attempts = self._counter(
             "attempts", "Attempts at backend servers.", ["outcome"]
         )
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/reply.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/reply.py
@@ -10,6 +10,7 @@
 from nutmeglift_gateway import freshness
 from nutmeglift_gateway import http_call
 from nutmeglift_gateway import http_listener
+from nutmeglift_gateway import metrics
 from nutmeglift_gateway import responses
 from nutmeglift_gateway import retry_delay
 from nutmeglift_gateway import retry_policy
@@ -161,6 +162,9 @@
                 seconds=round(self.elapsed(), 3),
             )
             self._count(admitted, "cut")
+            self._context.metrics.unanswered.labels(
+                metrics.UnansweredCause.STREAM_CUT.value
+            ).inc()
             self._connection.abort()
             return
         retry_after = None
