Answer the requests read before one that is rejected

Callers that sent a request behind others that could not be read (malformed, head or body too large) saw the connection close after the response in progress: complete requests between the two got no response, and neither did the rejected one. `_close_after_response` was set for the request in progress, whatever was queued behind it. The rejection is now queued like a request, so every response is sent in order and the rejection closes the connection.

The new test failed before in three cases on both event loops: no second 200 response ("a request and garbage"), no 400 and no 431.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
@@ -66,17 +66,16 @@
         self._transport: asyncio.Transport | None = None
         self._parser = caller_request.RequestParser(self, limits)
         self._waiting: list[caller_request.Request] = []
-        self._busy = False
+        self._rejection: errors.ErrorKind | None = None
+        self._current: caller_request.Request | None = None
         self._has_responded = False
-        self._close_after_response = False
-        self._rejected = False
         self._paused = False
         self._timer: asyncio.TimerHandle | None = None
 
     @property
     def is_idle(self) -> bool:
         """Whether no request is being read or processed."""
-        return not self._busy and not self._waiting and not self._parser.started
+        return self._current is None and not self._has_queued()
 
     def write(self, data: bytes) -> None:
         """Writes a part of a response."""
@@ -90,13 +89,13 @@
             keep_alive: whether the connection stays open; otherwise it is
                 closed after all written data has been sent.
         """
-        self._busy = False
+        current, self._current = self._current, None
         self._has_responded = True
         self.on_close = None
         self.on_writable = None
         if self.closed:
             return
-        if not keep_alive or self._close_after_response:
+        if not keep_alive or (current is not None and not current.keep_alive):
             self._drop_waiting(metrics.UnansweredCause.CONNECTION_CLOSED)
             self._close()
             return
@@ -105,12 +104,12 @@
             assert self._transport is not None
             self._transport.resume_reading()
         self._start_next()
-        if self.is_idle:
+        if not self.closed and self.is_idle:
             self._set_timer(self._limits().idle_timeout, self._on_idle)
 
     def abort(self) -> None:
         """Aborts the connection, so that the response is visibly incomplete."""
-        self._busy = False
+        self._current = None
         self.on_close = None
         if self._transport is not None and not self.closed:
             self.closed = True
@@ -146,9 +145,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Passes received bytes to the parser and enforces the header limit."""
-        if self._rejected or self.closed:
+        if self._rejection is not None or self.closed:
             return
-        if not self._parser.started and not self._busy:
+        if not self._parser.started and self._current is None:
             self._set_timer(
                 self._limits().header_timeout, self._on_header_timeout
             )
@@ -182,7 +181,7 @@
 
     def on_head_complete(self) -> None:
         """Gives the caller more time to send the body."""
-        if not self._busy:
+        if self._current is None:
             self._set_timer(
                 max(self._limits().header_timeout, self._limits().idle_timeout),
                 self._on_header_timeout,
@@ -196,6 +195,10 @@
         """Queues a complete request."""
         self._cancel_timer()
         self._waiting.append(request)
+        if self.closed:
+            # The response to a request in the same data closed the connection.
+            self._drop_waiting(metrics.UnansweredCause.CONNECTION_CLOSED)
+            return
         if (
             len(self._waiting) >= MAX_PIPELINED_REQUEST_COUNT
             and not self._paused
@@ -206,23 +209,28 @@
         self._start_next()
 
     def on_rejected(self, kind: errors.ErrorKind) -> None:
-        """Responds to a request that cannot be read."""
-        self._rejected = True
-        # The error response may be written only if no earlier request on the
-        # connection still waits for its own.
-        if not self._busy and not self._waiting:
-            self.write(self._refuse(kind))
-            self._close()
-        else:
-            self._close_after_response = True
+        """Responds to a request that cannot be read, after those before it."""
+        self._rejection = kind
+        self._start_next()
+
+    def _has_queued(self) -> bool:
+        """Returns whether anything follows the current request."""
+        return (
+            bool(self._waiting)
+            or self._rejection is not None
+            or self._parser.started
+        )
 
     def _start_next(self) -> None:
-        if self._busy or self.closed or not self._waiting:
+        if self._current is not None or self.closed:
             return
-        request = self._waiting.pop(0)
-        self._busy = True
-        self._close_after_response = not request.keep_alive
-        self._handler(self, request)
+        if self._waiting:
+            self._current = self._waiting.pop(0)
+            self._handler(self, self._current)
+            return
+        if self._rejection is not None:
+            self.write(self._refuse(self._rejection))
+            self._close()
 
     def _drop_waiting(self, cause: metrics.UnansweredCause) -> None:
         waiting, self._waiting = self._waiting, []
--- /dev/null
+++ b/tests/gateway/test_listener_closing.py
@@ -0,0 +1,137 @@
+"""How the listener for callers ends responses, requests and connections."""
+
+import asyncio
+import socket
+import unittest
+
+import uvloop
+
+from nutmeglift_gateway import catalog
+from nutmeglift_gateway import http_listener
+from nutmeglift_gateway import responses
+
+WAIT_SECONDS = 5.0
+LIMITS = catalog.ClientLimits(
+    header_bytes=400, body_bytes=50, header_timeout=0.2, idle_timeout=0.3
+)
+ONE = b"POST /1 HTTP/1.1\r\nhost: h\r\ncontent-length: 1\r\n\r\na"
+TWO = b"POST /2 HTTP/1.1\r\nhost: h\r\ncontent-length: 1\r\n\r\nb"
+
+
+def respond(connection, request):
+    """Writes a complete response and ends the request."""
+    connection.write(
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n"
+        + request.target.encode()
+    )
+    connection.finish(keep_alive=request.keep_alive)
+
+
+class ClosingTest(unittest.IsolatedAsyncioTestCase):
+    """Runs on asyncio's event loop; UvloopClosingTest runs it on uvloop."""
+
+    async def asyncSetUp(self):
+        self.limits = LIMITS
+        self.held = []
+        self.hold = False
+        self.connections = set()
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(
+            lambda: http_listener.CallerConnection(
+                self.handle,
+                lambda: self.limits,
+                responses.error_response,
+                self.connections,
+            ),
+            "127.0.0.1",
+            0,
+        )
+        self.addCleanup(server.close)
+        self.port = server.sockets[0].getsockname()[1]
+
+    async def asyncTearDown(self):
+        for connection in list(self.connections):
+            connection.abort()
+
+    def handle(self, connection, request):
+        if self.hold:
+            self.held.append((connection, request))
+            return
+        respond(connection, request)
+
+    async def connect(self):
+        sock = socket.socket()
+        sock.setblocking(False)
+        self.addCleanup(sock.close)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(sock, ("127.0.0.1", self.port))
+        return sock
+
+    async def send(self, sock, data):
+        loop = asyncio.get_running_loop()
+        await asyncio.wait_for(loop.sock_sendall(sock, data), WAIT_SECONDS)
+
+    async def read_to_end(self, sock):
+        loop = asyncio.get_running_loop()
+        received = b""
+        async with asyncio.timeout(WAIT_SECONDS):
+            while data := await loop.sock_recv(sock, 65536):
+                received += data
+        return received
+
+    async def read_until(self, sock, end):
+        loop = asyncio.get_running_loop()
+        received = b""
+        async with asyncio.timeout(WAIT_SECONDS):
+            while not received.endswith(end):
+                data = await loop.sock_recv(sock, 65536)
+                self.assertTrue(data, received)
+                received += data
+        return received
+
+    async def wait_until(self, check):
+        async with asyncio.timeout(WAIT_SECONDS):
+            while not check():  # noqa: ASYNC110 - state of the listener.
+                await asyncio.sleep(0.01)
+
+    async def test_what_follows_a_response_in_progress(self):
+        cases = [
+            ("another request", TWO, [b"/1", b"/2"], b""),
+            ("garbage", b"\x00\x01\r\n\r\n", [b"/1"], b" 400 "),
+            ("a request and garbage", TWO + b"\x00\r\n\r\n", [b"/1", b"/2"],
+             b" 400 "),
+            ("a large head", b"POST /3 HTTP/1.1\r\nx: " + b"y" * 500, [b"/1"],
+             b" 431 "),
+        ]  # fmt: skip
+        for name, following, targets, error in cases:
+            with self.subTest(name):
+                self.hold = True
+                self.held.clear()
+                sock = await self.connect()
+                await self.send(sock, ONE)
+                await self.wait_until(lambda: self.held)
+                await self.send(sock, following)
+                await asyncio.sleep(0.05)
+                self.hold = False
+                respond(*self.held[0])
+                received = await self.read_to_end(sock)
+                bodies = received.split(b"HTTP/1.1 ")[1:]
+                self.assertEqual(
+                    [body[-2:] for body in bodies[: len(targets)]], targets
+                )
+                if error:
+                    self.assertIn(error.strip(), bodies[-1])
+                    self.assertEqual(len(bodies), len(targets) + 1)
+
+
+class UvloopClosingTest(ClosingTest):
+    """The same on the event loop that routers use."""
+
+    @classmethod
+    def setUpClass(cls):
+        asyncio.set_event_loop_policy(uvloop.EventLoopPolicy())
+        cls.addClassCleanup(asyncio.set_event_loop_policy, None)
+
+
+if __name__ == "__main__":
+    unittest.main()
