Answer all requests on a connection before a drain closes it

A caller that had sent several requests together, or its next request while a stream ended, lost those behind the response in progress as soon as SIGTERM had come: that response said `Connection: close`, or closed without saying so, and the requests read behind it were dropped. Every response decided alone whether it was the last one.

drain.keeps_open decides with what is queued on the connection: only the response to the last request announces the close. A stream that began before the drain has announced that the connection stays open, so it does; the drain closes it as idle, or the next response does.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/drain.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/drain.py
@@ -54,3 +54,18 @@
     if elapsed < ACCEPT_SECONDS or in_flight:
         return Step.REFUSE
     return Step.EXIT
+
+
+def keeps_open(*, requested: bool, draining: bool, has_queued: bool) -> bool:
+    """Returns whether a response leaves its connection open.
+
+    While draining, only the response to the last request on a connection closes
+    it: callers expect no response after one with `Connection: close`.
+
+    Args:
+        requested: whether the caller asked to keep the connection open.
+        draining: whether the process is shutting down.
+        has_queued: whether another request has been received on the
+            connection, if only in part.
+    """
+    return requested and (has_queued or not draining)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -299,7 +299,11 @@
             body = b""
         else:
             status, body = b"200 OK", self._metrics_text()
-        keep_alive = request.keep_alive and not self.board.draining
+        keep_alive = drain.keeps_open(
+            requested=request.keep_alive,
+            draining=self.board.draining,
+            has_queued=connection.has_queued,
+        )
         connection.write(
             b"HTTP/1.1 %b\r\ncontent-type: text/plain\r\n"
             b"content-length: %d\r\n%b\r\n%b"
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
@@ -75,7 +75,16 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request is being read or processed."""
-        return self._current is None and not self._has_queued()
+        return self._current is None and not self.has_queued
+
+    @property
+    def has_queued(self) -> bool:
+        """Whether anything follows the current request, if only in part."""
+        return (
+            bool(self._waiting)
+            or self._rejection is not None
+            or self._parser.started
+        )
 
     def write(self, data: bytes) -> None:
         """Writes a part of a response."""
@@ -86,8 +95,8 @@
         """Ends the current request.
 
         Args:
-            keep_alive: whether the connection stays open; otherwise it is
-                closed after all written data has been sent.
+            keep_alive: whether the response leaves the connection open;
+                otherwise it is closed after all written data has been sent.
         """
         current, self._current = self._current, None
         self._has_responded = True
@@ -213,14 +222,6 @@
         self._rejection = kind
         self._start_next()
 
-    def _has_queued(self) -> bool:
-        """Returns whether anything follows the current request."""
-        return (
-            bool(self._waiting)
-            or self._rejection is not None
-            or self._parser.started
-        )
-
     def _start_next(self) -> None:
         if self._current is not None or self.closed:
             return
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/reply.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/reply.py
@@ -7,6 +7,7 @@
 from nutmeglift_gateway import attempt
 from nutmeglift_gateway import caller_request
 from nutmeglift_gateway import context as contexts
+from nutmeglift_gateway import drain
 from nutmeglift_gateway import freshness
 from nutmeglift_gateway import http_call
 from nutmeglift_gateway import http_listener
@@ -36,7 +37,7 @@
         self._connection = connection
         self._request = request
         self._loop = asyncio.get_running_loop()
-        self._keep_alive = request.keep_alive and not context.board.draining
+        self._keep_alive = request.keep_alive
         self._first_event_after = 0.0
         self._last_event_at = 0.0
         self._longest_gap = 0.0
@@ -62,8 +63,8 @@
         self._last_event_at = now
         if not self.progress.started:
             self.progress.started = True
-            if not chunked:
-                self._keep_alive = False
+            # A stream that is not chunked ends with its connection.
+            self._keep_alive = chunked and self._keeps_open()
             self._connection.write(
                 responses.forwarded_head(
                     head,
@@ -82,8 +83,8 @@
         self, admitted: admission.Admitted, outcome: attempt.Outcome
     ) -> None:
         """Ends the request with a server's response."""
-        keep_alive = self._keep_alive and not self._context.board.draining
         if self.progress.started:
+            keep_alive = self._keep_alive
             if self._request.accepts_chunked:
                 self._connection.write(responses.LAST_CHUNK)
         else:
@@ -105,6 +106,7 @@
                     outcome.detail,
                 )
                 return
+            keep_alive = self._keeps_open()
             self._connection.write(
                 responses.forwarded_head(
                     response.head,
@@ -205,7 +207,7 @@
             paths=self.paths,
             seconds=round(self.elapsed(), 3),
         )
-        keep_alive = self._keep_alive and not context.board.draining
+        keep_alive = self._keeps_open()
         self._connection.write(
             responses.error_response(
                 kind,
@@ -218,6 +220,13 @@
         )
         self._connection.finish(keep_alive=keep_alive)
 
+    def _keeps_open(self) -> bool:
+        return drain.keeps_open(
+            requested=self._request.keep_alive,
+            draining=self._context.board.draining,
+            has_queued=self._connection.has_queued,
+        )
+
     def _count(self, admitted: admission.Admitted, outcome: str) -> None:
         self._context.metrics.requests.labels(admitted.route.id, outcome).inc()
 
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -182,6 +182,25 @@
                 self.assertEqual(drain.closes_idle_connections(elapsed), closes)
         self.assertLess(drain.CLOSE_IDLE_SECONDS, drain.REFUSE_SECONDS)
 
+    def test_which_responses_leave_their_connection_open(self):
+        cases = [
+            # requested, draining, has_queued, keeps open
+            (True, False, False, True),
+            (True, False, True, True),
+            (True, True, False, False),
+            (True, True, True, True),
+            (False, False, True, False),
+            (False, True, True, False),
+        ]
+        for requested, draining, has_queued, expected in cases:
+            with self.subTest(requested, draining=draining, queued=has_queued):
+                keeps_open = drain.keeps_open(
+                    requested=requested,
+                    draining=draining,
+                    has_queued=has_queued,
+                )
+                self.assertEqual(keeps_open, expected)
+
 
 class RetryDelayTest(unittest.TestCase):
     def test_retry_after_follows_the_time_until_layers_are_loaded(self):
