Send 100 Continue after the responses before it

A caller whose next request has `Expect: 100-continue` got the interim response at once, in the midst of the response in progress: in a chunked stream, bytes that are no chunk, and so an invalid response. It is now sent once the responses before it are complete. HTTP/1.0 callers, which must not get it (RFC 9110, section 10.1.1), don't.

The new tests failed before on both event loops: the interim response came between two chunks (the read for it at the end timed out), and HTTP/1.0 got it.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/caller_request.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/caller_request.py
@@ -131,6 +131,9 @@
         """Handles the end of the headers."""
         self.head_complete = True
         self._receiver.on_head_complete()
+        # Not in HTTP/1.0 (RFC 9110, section 10.1.1).
+        if self._rejected or self._parser.get_http_version() != "1.1":
+            return
         for name, value in self._headers:
             if name == b"expect" and value.lower() == b"100-continue":
                 self._receiver.on_continue_expected()
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
@@ -15,7 +15,8 @@
 """Reading stops once this many requests are queued on one connection."""
 WRITE_BUFFER_LIMIT_BYTES = 256 * 1024
 """Unsent bytes for a caller above which reading from its server is paused."""
-
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+"""Interim response to `Expect: 100-continue` (RFC 9110, section 15.2.1)."""
 
 Handler = Callable[["CallerConnection", caller_request.Request], None]
 """Starts to process a request; processing ends with
@@ -67,6 +68,7 @@
         self._parser = caller_request.RequestParser(self, limits)
         self._waiting: list[caller_request.Request] = []
         self._rejection: errors.ErrorKind | None = None
+        self._continue_expected = False
         self._current: caller_request.Request | None = None
         self._has_responded = False
         self._paused = False
@@ -197,12 +199,14 @@
             )
 
     def on_continue_expected(self) -> None:
-        """Asks the caller to send the body."""
-        self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        """Asks the caller to send the body, after the responses before it."""
+        self._continue_expected = True
+        self._start_next()
 
     def on_request(self, request: caller_request.Request) -> None:
         """Queues a complete request."""
         self._cancel_timer()
+        self._continue_expected = False
         self._waiting.append(request)
         if self.closed:
             # The response to a request in the same data closed the connection.
@@ -232,6 +236,10 @@
         if self._rejection is not None:
             self.write(self._refuse(self._rejection))
             self._close()
+            return
+        if self._continue_expected:
+            self._continue_expected = False
+            self.write(CONTINUE)
 
     def _drop_waiting(self, cause: metrics.UnansweredCause) -> None:
         waiting, self._waiting = self._waiting, []
--- a/tests/gateway/test_listener_closing.py
+++ b/tests/gateway/test_listener_closing.py
@@ -16,6 +16,11 @@
 )
 ONE = b"POST /1 HTTP/1.1\r\nhost: h\r\ncontent-length: 1\r\n\r\na"
 TWO = b"POST /2 HTTP/1.1\r\nhost: h\r\ncontent-length: 1\r\n\r\nb"
+EXPECTING = (
+    b"POST /2 HTTP/1.1\r\nhost: h\r\nexpect: 100-continue\r\n"
+    b"content-length: 1\r\n\r\n"
+)
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
 def respond(connection, request):
@@ -123,6 +128,41 @@
                     self.assertIn(error.strip(), bodies[-1])
                     self.assertEqual(len(bodies), len(targets) + 1)
 
+    async def test_an_interim_response_never_interrupts_a_response(self):
+        self.hold = True
+        sock = await self.connect()
+        await self.send(sock, ONE)
+        await self.wait_until(lambda: self.held)
+        connection, request = self.held[0]
+        connection.write(
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1\r\na\r\n"
+        )
+        await self.send(sock, EXPECTING)
+        await asyncio.sleep(0.05)
+        connection.write(b"0\r\n\r\n")
+        connection.finish(keep_alive=request.keep_alive)
+        received = await self.read_until(sock, CONTINUE)
+        self.assertEqual(
+            received.partition(b"\r\n\r\n")[2],
+            b"1\r\na\r\n0\r\n\r\n" + CONTINUE,
+        )
+
+    async def test_when_an_interim_response_is_sent(self):
+        cases = [
+            ("alone", EXPECTING, True),
+            ("HTTP/1.0", EXPECTING.replace(b"1.1", b"1.0"), False),
+            ("a large head", EXPECTING[:-2] + b"x: " + b"y" * 500 + b"\r\n\r\n",
+             False),
+        ]  # fmt: skip
+        for name, data, expected in cases:
+            with self.subTest(name):
+                sock = await self.connect()
+                await self.send(sock, data)
+                await asyncio.sleep(0.05)
+                await self.send(sock, b"b")
+                received = await self.read_to_end(sock)
+                self.assertEqual(received.startswith(CONTINUE), expected)
+
 
 class UvloopClosingTest(ClosingTest):
     """The same on the event loop that routers use."""
