Set the timer of a caller's connection in one place

Three faults of timers that were set in four places, each shown by a new test that failed before on both event loops:

- An empty line after a request (RFC 9112, section 2.2, asks servers to ignore it) counted as a request: the caller got an unsolicited 408 on an idle connection, which its next request could take for its response (two responses instead of one).
- A request that began while another was processed got no timer when the first response ended: the connection stayed open for as long as the caller liked (the test's wait of 5 s ended), or counted as idle and was closed without a 408 with half a request read (408 not found).
- A longer idle time-out applied to no open connection, which was closed under the shorter one while callers may reuse it (closed after 0.3 s instead of 60).

A request now begins at its first byte, as the parser reports it, and one function sets the timer for what the caller is awaited to do next.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/caller_request.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/caller_request.py
@@ -49,6 +49,10 @@
 class BaseReceiver(abc.ABC):
     """Receives the requests of one connection."""
 
+    @abc.abstractmethod
+    def on_begin(self) -> None:
+        """Handles the first byte of a request."""
+
     @abc.abstractmethod
     def on_head_complete(self) -> None:
         """Handles the end of a request's head."""
@@ -94,7 +98,6 @@
         """Parses received bytes; ignores them after a rejection."""
         if self._rejected:
             return
-        self.started = True
         if not self.head_complete:
             self._head_bytes += len(data)
         try:
@@ -116,6 +119,11 @@
 
     # Callbacks of the parser.
 
+    def on_message_begin(self) -> None:
+        """Handles the first byte of a request; empty lines don't begin one."""
+        self.started = True
+        self._receiver.on_begin()
+
     def on_url(self, url: bytes) -> None:
         """Handles a part of the target."""
         self._url += url
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
@@ -73,6 +73,7 @@
         self._has_responded = False
         self._paused = False
         self._timer: asyncio.TimerHandle | None = None
+        self._idle_since = 0.0
 
     @property
     def is_idle(self) -> bool:
@@ -115,8 +116,7 @@
             assert self._transport is not None
             self._transport.resume_reading()
         self._start_next()
-        if not self.closed and self.is_idle:
-            self._set_timer(self._limits().idle_timeout, self._on_idle)
+        self._restart_timer()
 
     def abort(self) -> None:
         """Aborts the connection, so that the response is visibly incomplete."""
@@ -152,16 +152,12 @@
                 socket.TCP_USER_TIMEOUT,
                 10 * http_call.TCP_USER_TIMEOUT_MILLISECONDS,
             )
-        self._set_timer(self._limits().idle_timeout, self._on_idle)
+        self._restart_timer()
 
     def data_received(self, data: bytes) -> None:
         """Passes received bytes to the parser and enforces the header limit."""
         if self._rejection is not None or self.closed:
             return
-        if not self._parser.started and self._current is None:
-            self._set_timer(
-                self._limits().header_timeout, self._on_header_timeout
-            )
         self._parser.feed(data)
 
     def eof_received(self) -> bool:
@@ -190,13 +186,13 @@
 
     # Events of the parser.
 
+    def on_begin(self) -> None:
+        """Limits the time for the request's head."""
+        self._restart_timer()
+
     def on_head_complete(self) -> None:
         """Gives the caller more time to send the body."""
-        if self._current is None:
-            self._set_timer(
-                max(self._limits().header_timeout, self._limits().idle_timeout),
-                self._on_header_timeout,
-            )
+        self._restart_timer()
 
     def on_continue_expected(self) -> None:
         """Asks the caller to send the body, after the responses before it."""
@@ -252,8 +248,31 @@
         self._parser.reject(errors.ErrorKind.HEADER_TIMEOUT)
 
     def _on_idle(self) -> None:
+        # A new configuration may have changed the limit.
+        idle_until = self._idle_since + self._limits().idle_timeout
+        remaining = idle_until - self._loop.time()
+        if remaining > 0:
+            self._set_timer(remaining, self._on_idle)
+            return
         self.close_if_idle()
 
+    def _restart_timer(self) -> None:
+        """Limits the time for the caller's next step, if one is awaited."""
+        self._cancel_timer()
+        if self.closed or self._current is not None:
+            return
+        limits = self._limits()
+        if not self._parser.started:
+            self._idle_since = self._loop.time()
+            self._set_timer(limits.idle_timeout, self._on_idle)
+        elif not self._parser.head_complete:
+            self._set_timer(limits.header_timeout, self._on_header_timeout)
+        else:
+            self._set_timer(
+                max(limits.header_timeout, limits.idle_timeout),
+                self._on_header_timeout,
+            )
+
     def _set_timer(self, seconds: float, call: Callable[[], None]) -> None:
         self._cancel_timer()
         self._timer = self._loop.call_later(seconds, call)
--- a/tests/gateway/test_listener_closing.py
+++ b/tests/gateway/test_listener_closing.py
@@ -1,6 +1,7 @@
 """How the listener for callers ends responses, requests and connections."""
 
 import asyncio
+import dataclasses
 import socket
 import unittest
 
@@ -16,6 +17,7 @@
 )
 ONE = b"POST /1 HTTP/1.1\r\nhost: h\r\ncontent-length: 1\r\n\r\na"
 TWO = b"POST /2 HTTP/1.1\r\nhost: h\r\ncontent-length: 1\r\n\r\nb"
+PARTIAL = b"POST /3 HTTP/1.1\r\nhos"
 EXPECTING = (
     b"POST /2 HTTP/1.1\r\nhost: h\r\nexpect: 100-continue\r\n"
     b"content-length: 1\r\n\r\n"
@@ -105,6 +107,9 @@
             ("garbage", b"\x00\x01\r\n\r\n", [b"/1"], b" 400 "),
             ("a request and garbage", TWO + b"\x00\r\n\r\n", [b"/1", b"/2"],
              b" 400 "),
+            ("an incomplete request", PARTIAL, [b"/1"], b" 408 "),
+            ("a request and an incomplete one", TWO + PARTIAL, [b"/1", b"/2"],
+             b" 408 "),
             ("a large head", b"POST /3 HTTP/1.1\r\nx: " + b"y" * 500, [b"/1"],
              b" 431 "),
         ]  # fmt: skip
@@ -163,6 +168,24 @@
                 received = await self.read_to_end(sock)
                 self.assertEqual(received.startswith(CONTINUE), expected)
 
+    async def test_empty_lines_between_requests_start_no_request(self):
+        sock = await self.connect()
+        await self.send(sock, ONE)
+        await asyncio.sleep(0.02)
+        await self.send(sock, b"\r\n")
+        received = await self.read_to_end(sock)
+        self.assertEqual(received.count(b"HTTP/1.1"), 1)
+        self.assertEqual(received[-2:], b"/1")
+
+    async def test_a_longer_idle_timeout_applies_to_open_connections(self):
+        sock = await self.connect()
+        await self.send(sock, ONE)
+        await self.read_until(sock, b"/1")
+        self.limits = dataclasses.replace(LIMITS, idle_timeout=60.0)
+        await asyncio.sleep(2 * LIMITS.idle_timeout)
+        await self.send(sock, TWO)
+        await self.read_until(sock, b"/2")
+
 
 class UvloopClosingTest(ClosingTest):
     """The same on the event loop that routers use."""
