Let the caller receive the last response before closing

After a response that ends its connection, bytes that the caller still sent (the rest of a body that was rejected, or a request that crossed the response) met a closed socket, and the reset came back. A caller that is still sending sees a broken connection instead of the 413, 431 or 400; on a network that delivers the reset first, the response is lost. The listener now half-closes, discards what comes, and closes when the caller has, or after 2 s from when the response was sent, or 8 MiB.

The new tests failed before on both event loops: BrokenPipeError while sending. A caller that goes on to read in spite of that does get the response on Linux's loopback, so the loss itself was not shown there.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
@@ -15,6 +15,13 @@
 """Reading stops once this many requests are queued on one connection."""
 WRITE_BUFFER_LIMIT_BYTES = 256 * 1024
 """Unsent bytes for a caller above which reading from its server is paused."""
+LINGER_SECONDS = 2.0
+"""Time for a caller to receive the last response and close. Within it, bytes
+that it still sends are discarded: a close with unread bytes resets the
+connection, and the reset may overtake the response (RFC 9112, section 9.6)."""
+LINGER_BYTES = 8 * 1024 * 1024
+"""Bytes that are discarded at most; about the largest body that a caller may
+still be sending when it is rejected."""
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 """Interim response to `Expect: 100-continue` (RFC 9110, section 15.2.1)."""
 
@@ -74,6 +81,7 @@
         self._paused = False
         self._timer: asyncio.TimerHandle | None = None
         self._idle_since = 0.0
+        self._discarded_bytes = 0
 
     @property
     def is_idle(self) -> bool:
@@ -99,7 +107,7 @@
 
         Args:
             keep_alive: whether the response leaves the connection open;
-                otherwise it is closed after all written data has been sent.
+                otherwise it is closed once the caller has received it.
         """
         current, self._current = self._current, None
         self._has_responded = True
@@ -109,7 +117,7 @@
             return
         if not keep_alive or (current is not None and not current.keep_alive):
             self._drop_waiting(metrics.UnansweredCause.CONNECTION_CLOSED)
-            self._close()
+            self._close_after_response()
             return
         if self._paused and len(self._waiting) < MAX_PIPELINED_REQUEST_COUNT:
             self._paused = False
@@ -155,8 +163,11 @@
         self._restart_timer()
 
     def data_received(self, data: bytes) -> None:
-        """Passes received bytes to the parser and enforces the header limit."""
-        if self._rejection is not None or self.closed:
+        """Passes received bytes to the parser, or discards them."""
+        if self.closed:
+            self._discard(data)
+            return
+        if self._rejection is not None:
             return
         self._parser.feed(data)
 
@@ -231,7 +242,7 @@
             return
         if self._rejection is not None:
             self.write(self._refuse(self._rejection))
-            self._close()
+            self._close_after_response()
             return
         if self._continue_expected:
             self._continue_expected = False
@@ -286,3 +297,34 @@
         if self._transport is not None and not self.closed:
             self.closed = True
             self._transport.close()
+
+    def _close_after_response(self) -> None:
+        """Closes the connection once the caller has received the response.
+
+        The caller is told that no more follows, and closes in turn.
+        """
+        assert self._transport is not None
+        self.closed = True
+        try:
+            self._transport.write_eof()
+        except OSError:
+            # The caller has reset the connection.
+            self._transport.abort()
+            return
+        if self._paused:
+            self._transport.resume_reading()
+        self._set_timer(LINGER_SECONDS, self._on_linger_end)
+
+    def _on_linger_end(self) -> None:
+        assert self._transport is not None
+        if self._transport.get_write_buffer_size():
+            # The response has not left the router yet.
+            self._set_timer(LINGER_SECONDS, self._on_linger_end)
+            return
+        self._transport.close()
+
+    def _discard(self, data: bytes) -> None:
+        self._discarded_bytes += len(data)
+        if self._discarded_bytes > LINGER_BYTES:
+            assert self._transport is not None
+            self._transport.close()
--- a/tests/gateway/test_listener_closing.py
+++ b/tests/gateway/test_listener_closing.py
@@ -4,6 +4,7 @@
 import dataclasses
 import socket
 import unittest
+from unittest import mock
 
 import uvloop
 
@@ -186,6 +187,62 @@
         await self.send(sock, TWO)
         await self.read_until(sock, b"/2")
 
+    async def test_an_error_response_is_read_while_the_body_is_sent(self):
+        head = b"POST /1 HTTP/1.1\r\nhost: h\r\n"
+        length = 1024 * 1024
+        cases = [
+            ("a large body", head + b"content-length: %d\r\n\r\n" % length,
+             b" 413 "),
+            ("a large head", head + b"x: " + b"y" * 500, b" 431 "),
+            ("garbage", b"\x00\x01\r\n\r\n", b" 400 "),
+        ]  # fmt: skip
+        for name, start, status in cases:
+            with self.subTest(name):
+                sock = await self.connect()
+                await self.send(sock, start)
+                for _ in range(16):
+                    await self.send(sock, b"z" * (length // 16))
+                    await asyncio.sleep(0.002)
+                received = await self.read_to_end(sock)
+                self.assertIn(status, received.split(b"\r\n")[0])
+
+    async def test_bytes_that_cross_the_last_response_do_not_reset_it(self):
+        sock = await self.connect()
+        last = ONE.replace(b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n")
+        await self.send(sock, last)
+        await asyncio.sleep(0.05)
+        for _ in range(3):
+            await self.send(sock, TWO)
+            await asyncio.sleep(0.02)
+        received = await self.read_to_end(sock)
+        self.assertEqual(received[-2:], b"/1")
+        self.assertEqual(received.count(b"HTTP/1.1"), 1)
+
+    async def test_how_long_a_closing_connection_lingers(self):
+        last = ONE.replace(b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n")
+        cases = [
+            # seconds, bytes, what ends it
+            (0.05, 1024, "time"),
+            (60.0, 1024, "bytes"),
+            (60.0, 1024, "caller"),
+        ]
+        for seconds, limit, reason in cases:
+            with (
+                self.subTest(reason),
+                mock.patch.object(http_listener, "LINGER_SECONDS", seconds),
+                mock.patch.object(http_listener, "LINGER_BYTES", limit),
+            ):
+                sock = await self.connect()
+                await self.send(sock, last)
+                self.assertEqual((await self.read_to_end(sock))[-2:], b"/1")
+                if reason != "time":
+                    self.assertEqual(len(self.connections), 1)
+                if reason == "bytes":
+                    await self.send(sock, b"z" * (limit + 1))
+                if reason == "caller":
+                    sock.close()
+                await self.wait_until(lambda: not self.connections)
+
 
 class UvloopClosingTest(ClosingTest):
     """The same on the event loop that routers use."""
