Respond to a request whose processing the router interrupts

After an unexpected error, and when the drain's end cancelled it, a caller saw its connection end without a response, even if nothing had been written and the request had not run. A request that ended without a response and without an error kept its connection busy for good.

Exchange.interrupt sends what is true by then: 503 if no server may have run the request (with a short Retry-After during a drain), 502 otherwise. Only a response that has begun is aborted, and recorded as unanswered, as is a request whose processing ends with no response at all.

The new tests failed before: IncompleteReadError instead of 503, 503 and 502 after errors, no response at the end of the drain, and a connection that stayed open (time-out of the test) after an exchange without a response.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/admission.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/admission.py
@@ -9,6 +9,7 @@
 from nutmeglift_gateway import caller_request
 from nutmeglift_gateway import catalog
 from nutmeglift_gateway import ports
+from nutmeglift_gateway import retry_delay
 
 MAX_AUTHORITATIVE_AGE_SECONDS = 1.8
 """A route or key that is missing from a configuration confirmed within this
@@ -23,8 +24,6 @@
 CONFIGURATION_RETRY_SECONDS = 0.6
 """Half of the interval between confirmations of the configuration, plus a
 round trip to the store."""
-DRAIN_RETRY_SECONDS = 0.02
-"""Another router accepts the request immediately."""
 MAX_DEADLINE_DIGIT_COUNT = 10
 
 
@@ -101,7 +100,9 @@
     """
     if board.refusing:
         return Refused(
-            errors.ErrorKind.DRAINING, DRAIN_RETRY_SECONDS, "leaving"
+            errors.ErrorKind.DRAINING,
+            retry_delay.DRAIN_RETRY_SECONDS,
+            "leaving",
         )
     configuration = board.catalog
     if configuration is None:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from nutmeglift import errors
 from nutmeglift_gateway import admission
 from nutmeglift_gateway import attempt
 from nutmeglift_gateway import attempt_failures
@@ -12,6 +13,7 @@
 from nutmeglift_gateway import http_listener
 from nutmeglift_gateway import loads
 from nutmeglift_gateway import reply
+from nutmeglift_gateway import retry_delay
 from nutmeglift_gateway import retry_policy
 from nutmeglift_gateway import sender as senders
 from nutmeglift_gateway import server_selection
@@ -43,6 +45,7 @@
         self._streams: stream_attempts.StreamAttempts | None = None
         self._first_server: directory.Server | None = None
         self._no_server_detail = ""
+        self._admitted: admission.Admitted | None = None
 
     async def run(self) -> None:
         """Serves the request; cancelled when the caller disconnects."""
@@ -57,6 +60,7 @@
         if isinstance(result, admission.Refused):
             self._reply.refuse(result.kind, result.retry_after, result.detail)
             return
+        self._admitted = result
         context.board.budget(result.service.id).record_request(self._now())
         try:
             await self._serve(result)
@@ -66,6 +70,22 @@
                 self._reply.record_caller_left(result)
             raise
 
+    def interrupt(self, kind: errors.ErrorKind, detail: str) -> None:
+        """Responds after run() was cancelled or failed.
+
+        Args:
+            kind: error kind if the request has not run.
+            detail: why it was interrupted, for the log.
+        """
+        decision = retry_policy.decide_interrupted(self._reply.progress, kind)
+        if self._admitted is not None:
+            self._reply.end(self._admitted, decision, detail)
+            return
+        delay = retry_delay.retry_after(
+            self._context.board, decision.kind, self._now()
+        )
+        self._reply.refuse(decision.kind, delay, detail)
+
     async def _serve(self, admitted: admission.Admitted) -> None:
         if admitted.route.streaming and admitted.service.engine is not None:
             self._streams = stream_attempts.StreamAttempts(
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -244,35 +244,26 @@
         work: exchange.Exchange,
     ) -> None:
         self.metrics.in_flight.inc()
+        cause = metric_sets.UnansweredCause.INTERNAL_ERROR
         try:
             await work.run()
         except asyncio.CancelledError:
-            self._abandon(
-                connection, request, metric_sets.UnansweredCause.DRAIN_ENDED
-            )
+            cause = metric_sets.UnansweredCause.DRAIN_ENDED
+            if _may_respond(connection, request):
+                work.interrupt(errors.ErrorKind.DRAINING, "the drain ended")
         except Exception as error:
-            # The connection is aborted, so that the caller can't take a partial
-            # response for a complete one.
             self._log.write("internal error", detail=repr(error))
             self.metrics.refusals.labels("internal").inc()
-            self._abandon(
-                connection, request, metric_sets.UnansweredCause.INTERNAL_ERROR
-            )
+            if _may_respond(connection, request):
+                work.interrupt(errors.ErrorKind.OUTCOME_UNKNOWN, repr(error))
         finally:
+            if not connection.closed and connection.current is request:
+                # The connection is aborted, so that the caller can't take a
+                # partial response for a complete one.
+                self._record_unanswered(request, cause)
+                connection.abort()
             self.metrics.in_flight.dec()
 
-    def _abandon(
-        self,
-        connection: http_listener.CallerConnection,
-        request: caller_request.Request,
-        cause: metric_sets.UnansweredCause,
-    ) -> None:
-        """Ends a request without a response, unless its caller has left."""
-        if connection.closed:
-            return
-        self._record_unanswered(request, cause)
-        connection.abort()
-
     def _record_unanswered(
         self,
         request: caller_request.Request,
@@ -351,6 +342,17 @@
     task.cancel()
 
 
+def _may_respond(
+    connection: http_listener.CallerConnection, request: caller_request.Request
+) -> bool:
+    """Returns whether no part of a response to a request has been written."""
+    return (
+        not connection.closed
+        and connection.current is request
+        and not connection.response_begun
+    )
+
+
 RunGateway = Callable[
     [settings.Settings, Callable[[], settings.Settings]],
     Coroutine[Any, Any, None],
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
@@ -39,6 +39,8 @@
 
     Attributes:
         closed: whether the caller or the router closed it.
+        current: the request that is being processed, if any.
+        response_begun: whether a part of its response has been written.
         on_close: called once if it closes while a request is being processed.
         on_writable: called with False when the caller reads too slowly, and
             with True when it has caught up.
@@ -63,6 +65,8 @@
             record_unanswered: records requests that are left unanswered.
         """
         self.closed = False
+        self.current: caller_request.Request | None = None
+        self.response_begun = False
         self.on_close: Callable[[], None] | None = None
         self.on_writable: Callable[[bool], None] | None = None
         self._handler = handler
@@ -76,7 +80,6 @@
         self._waiting: list[caller_request.Request] = []
         self._rejection: errors.ErrorKind | None = None
         self._continue_expected = False
-        self._current: caller_request.Request | None = None
         self._has_responded = False
         self._paused = False
         self._timer: asyncio.TimerHandle | None = None
@@ -86,7 +89,7 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request is being read or processed."""
-        return self._current is None and not self.has_queued
+        return self.current is None and not self.has_queued
 
     @property
     def has_queued(self) -> bool:
@@ -100,6 +103,7 @@
     def write(self, data: bytes) -> None:
         """Writes a part of a response."""
         if self._transport is not None and not self.closed:
+            self.response_begun = True
             self._transport.write(data)
 
     def finish(self, *, keep_alive: bool) -> None:
@@ -109,7 +113,7 @@
             keep_alive: whether the response leaves the connection open;
                 otherwise it is closed once the caller has received it.
         """
-        current, self._current = self._current, None
+        current, self.current = self.current, None
         self._has_responded = True
         self.on_close = None
         self.on_writable = None
@@ -128,7 +132,7 @@
 
     def abort(self) -> None:
         """Aborts the connection, so that the response is visibly incomplete."""
-        self._current = None
+        self.current = None
         self.on_close = None
         if self._transport is not None and not self.closed:
             self.closed = True
@@ -234,11 +238,12 @@
         self._start_next()
 
     def _start_next(self) -> None:
-        if self._current is not None or self.closed:
+        if self.current is not None or self.closed:
             return
         if self._waiting:
-            self._current = self._waiting.pop(0)
-            self._handler(self, self._current)
+            self.current = self._waiting.pop(0)
+            self.response_begun = False
+            self._handler(self, self.current)
             return
         if self._rejection is not None:
             self.write(self._refuse(self._rejection))
@@ -270,7 +275,7 @@
     def _restart_timer(self) -> None:
         """Limits the time for the caller's next step, if one is awaited."""
         self._cancel_timer()
-        if self.closed or self._current is not None:
+        if self.closed or self.current is not None:
             return
         limits = self._limits()
         if not self._parser.started:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/retry_delay.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/retry_delay.py
@@ -8,6 +8,8 @@
 runner."""
 NO_BACKEND_RETRY_SECONDS = 1.0
 """Time to load the layers of a lost runner elsewhere."""
+DRAIN_RETRY_SECONDS = 0.02
+"""Another router accepts the request immediately."""
 ANNOUNCEMENT_MARGIN_SECONDS = 0.15
 """Time until the directory entry of a runner with new layers reaches all
 routers."""
@@ -27,6 +29,8 @@
     """
     if kind is errors.ErrorKind.OVERLOADED:
         return OVERLOADED_RETRY_SECONDS
+    if kind is errors.ErrorKind.DRAINING:
+        return DRAIN_RETRY_SECONDS
     wait = board.coverage_eta - now
     if wait > 0:
         return min(wait + ANNOUNCEMENT_MARGIN_SECONDS, MAX_RETRY_SECONDS)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/retry_policy.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/retry_policy.py
@@ -147,6 +147,18 @@
     return _refuse_or_fail(progress, errors.ErrorKind.NO_BACKEND)
 
 
+def decide_interrupted(
+    progress: Progress, kind: errors.ErrorKind
+) -> Refuse | Fail:
+    """Returns how to end a request that the router stops processing.
+
+    Args:
+        progress: attempts made so far.
+        kind: error kind if the request has not run.
+    """
+    return _refuse_or_fail(progress, kind)
+
+
 def _refuse_or_fail(
     progress: Progress, kind: errors.ErrorKind
 ) -> Refuse | Fail:
--- a/tests/gateway/test_gateway_endings.py
+++ b/tests/gateway/test_gateway_endings.py
@@ -7,11 +7,14 @@
 from unittest import mock
 
 from nutmeglift import ids
+from nutmeglift_gateway import admission
+from nutmeglift_gateway import attempt_failures
 from nutmeglift_gateway import drain
 from nutmeglift_gateway import early_listeners
 from nutmeglift_gateway import exchange
 from nutmeglift_gateway import freshness
 from nutmeglift_gateway import gateway
+from nutmeglift_gateway import sender as senders
 from nutmeglift_gateway import settings
 from nutmeglift_platform import names
 from nutmeglift_platform import schema
@@ -43,6 +46,7 @@
         addresses = list(listeners)
         # The port for other routers is opened by the router itself.
         listeners.pop(addresses[2]).close()
+        self.servers = []
         self.log = rig.MemoryLog()
         self.loaded = settings.Settings(
             vm="one",
@@ -81,6 +85,7 @@
     async def add_server(self, script, path_name="core"):
         server = await stand_ins.ScriptedServer(script).start()
         self.addCleanup(server.close)
+        self.servers.append(server)
         self.gateway.board.directory.put(
             0.0,
             rig.make_server(
@@ -173,6 +178,66 @@
         self.assertEqual(received, FIRST_CHUNK)
         self.check_unanswered(("one", "drain_ended"))
 
+    async def test_an_exchange_that_ends_without_a_response_is_recorded(self):
+        async def do_nothing(connection, request):
+            await asyncio.sleep(0)
+
+        self.patch_exchanges(do_nothing)
+        reader, _ = await self.send(format_request("one"))
+        self.assertEqual(await self.read_to_end(reader), b"")
+        self.check_unanswered(("one", "internal_error"))
+
+    async def test_response_after_an_unexpected_error(self):
+        await self.add_server(stand_ins.reset)
+        cases = [
+            # what fails, status for the caller, whether it may have run
+            (admission, "admit", b"503", False),
+            (senders.Sender, "connect", b"503", False),
+            (attempt_failures.FailureHandler, "decide", b"502", True),
+        ]
+        for owner, name, status, may_have_run in cases:
+            with (
+                self.subTest(name),
+                mock.patch.object(owner, name, side_effect=ValueError("x")),
+            ):
+                reader, writer = await self.send(format_request("one"))
+                head = await asyncio.wait_for(
+                    reader.readuntil(b"\r\n\r\n"), WAIT_SECONDS
+                )
+                writer.close()
+                self.assertEqual(head.split(b" ")[1], status)
+                self.assertEqual(b"retry-after" in head, not may_have_run)
+                self.assertNotIn(b"connection: close", head)
+        self.assertEqual(self.log.events().count("internal error"), len(cases))
+        self.check_unanswered()
+
+    async def test_responses_at_the_end_of_the_drain(self):
+        async def hang(*args):
+            await asyncio.sleep(60)
+
+        await self.add_server(stand_ins.silent)
+        sent = await self.send(format_request("sent"), format_request("next"))
+        server = self.servers[0]
+        await server.wait_for_request()
+        with mock.patch.object(senders.Sender, "connect", hang):
+            unsent = await self.send(format_request("unsent"))
+            await self.wait_until(
+                lambda: self.gateway.metrics.in_flight._value.get() == 2
+            )
+            with mock.patch.object(drain, "EXIT_MARGIN_SECONDS", 60.0):
+                os.kill(os.getpid(), signal.SIGTERM)
+                received = await self.read_to_end(sent[0])
+                statuses = [
+                    part[:3] for part in received.split(b"HTTP/1.1 ")[1:]
+                ]
+                self.assertEqual(statuses, [b"502", b"503"])
+                self.assertEqual(received.count(b"connection: close"), 1)
+                received = await self.read_to_end(unsent[0])
+                self.assertEqual(received.split(b" ")[1], b"503")
+                await asyncio.wait_for(self.task, WAIT_SECONDS)
+        self.check_unanswered()
+        self.assertNotIn("caller left", self.log.events())
+
     async def test_a_caller_that_leaves_is_not_recorded_as_unanswered(self):
         server = await self.add_server(stand_ins.silent)
         _, writer = await self.send(format_request("one"))
