Exit only after all responses have been sent

A drain counted requests in flight, and the process exited once there were none. Bytes of finished responses that a slow caller had not yet taken were still in the process and were lost with it; a request that was being read lost its connection; responses of the drain's end had no time to be sent. A SIGHUP during the drain moved its end, although the platform's time to the kill runs from SIGTERM.

The drain now also waits for connections on which a request is being read or a response is unsent or not yet confirmed by the caller's close, up to the same exit margin; then it interrupts what is left, refuses the rest and waits up to 0.4 s for these responses. The procedure has a module of its own.

The new tests failed before: the process had ended while 32 MiB were unsent, and during further signals (True is not false); and the half-read request got its response from a router that had already ended (200 instead of 503).

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/drain.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/drain.py
@@ -16,6 +16,9 @@
 EXIT_MARGIN_SECONDS = 0.8
 """Time between the exit and the moment at which the process would be killed.
 Requests that are still running then were sent late."""
+FLUSH_SECONDS = 0.4
+"""Time after the exit was decided to send the last responses; the rest of the
+exit margin is for the end of the process."""
 TICK_SECONDS = 0.05
 """Interval at which the step is determined."""
 
@@ -39,19 +42,23 @@
     return elapsed >= CLOSE_IDLE_SECONDS
 
 
-def judge(*, elapsed: float, in_flight: int, shutdown_seconds: float) -> Step:
+def judge(
+    *, elapsed: float, in_flight: int, unsettled: int, shutdown_seconds: float
+) -> Step:
     """Returns the current step.
 
     Args:
         elapsed: seconds since SIGTERM.
         in_flight: number of requests without a complete response.
+        unsettled: number of connections on which a request is being read, or
+            whose caller has not been sent all of a response.
         shutdown_seconds: time from SIGTERM until the process is killed.
     """
     if elapsed >= shutdown_seconds - EXIT_MARGIN_SECONDS:
         return Step.EXIT
     if elapsed < REFUSE_SECONDS:
         return Step.ACCEPT
-    if elapsed < ACCEPT_SECONDS or in_flight:
+    if elapsed < ACCEPT_SECONDS or in_flight or unsettled:
         return Step.REFUSE
     return Step.EXIT
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -22,6 +22,7 @@
 from nutmeglift_gateway import exchange
 from nutmeglift_gateway import failure_recorder as recorders
 from nutmeglift_gateway import freshness
+from nutmeglift_gateway import graceful_shutdown
 from nutmeglift_gateway import http_listener
 from nutmeglift_gateway import metrics as metric_sets
 from nutmeglift_gateway import peer_links
@@ -156,9 +157,18 @@
             first_start=self._config.first_start,
         )
         await leaving.wait()
-        await self._drain(callers)
+        self._start(self._registration.end())
+        await graceful_shutdown.GracefulShutdown(
+            self.board,
+            self._callers,
+            self._exchanges,
+            self._log,
+            self._config.bounds.shutdown_seconds,
+        ).run(callers.close)
         for each in checkers:
             each.close()
+        for task in self._tasks:
+            task.cancel()
 
     def _reload(self) -> None:
         """Applies changed bounds; changed addresses need a restart."""
@@ -172,36 +182,6 @@
         self.board.set_bounds(found.bounds)
         self._log.write("settings reloaded", bounds_changed=changed)
 
-    async def _drain(self, callers: asyncio.Server) -> None:
-        loop = asyncio.get_running_loop()
-        began = loop.time()
-        self.board.draining = True
-        self._log.write("draining", in_flight=len(self._exchanges))
-        self._start(self._registration.end())
-        while True:
-            elapsed = loop.time() - began
-            if drain.closes_idle_connections(elapsed):
-                for connection in list(self._callers):
-                    connection.close_if_reused()
-            step = drain.judge(
-                elapsed=elapsed,
-                in_flight=len(self._exchanges),
-                shutdown_seconds=self._config.bounds.shutdown_seconds,
-            )
-            if step is drain.Step.EXIT:
-                break
-            self.board.refusing = step is not drain.Step.ACCEPT
-            await asyncio.sleep(drain.TICK_SECONDS)
-        # The port is closed last. A refused request is retried at another
-        # router, while a closed port leads to none if the failure domain has no
-        # other router.
-        callers.close()
-        for connection in list(self._callers):
-            connection.close_if_idle()
-        self._log.write("stopped", in_flight=len(self._exchanges))
-        for task in [*self._exchanges, *self._tasks]:
-            task.cancel()
-
     async def _listen(
         self,
         address: str,
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
@@ -91,6 +91,16 @@
         """Whether no request is being read or processed."""
         return self.current is None and not self.has_queued
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether it is idle and its caller has been sent everything."""
+        return (
+            self.is_idle
+            and not self.closed
+            and self._transport is not None
+            and self._transport.get_write_buffer_size() == 0
+        )
+
     @property
     def has_queued(self) -> bool:
         """Whether anything follows the current request, if only in part."""
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -158,19 +158,28 @@
             drain.Step.EXIT,
         )
         cases = [
-            (0.0, 0, accept),
-            (2.8, 5, accept),
-            (2.95, 5, refuse),
-            (3.1, 0, refuse),
-            (3.3, 5, refuse),
-            (3.3, 0, exit_step),
-            (7.1, 5, refuse),
-            (7.3, 5, exit_step),
+            # elapsed s, requests in flight, unsettled connections, step
+            (0.0, 0, 0, accept),
+            (2.8, 5, 5, accept),
+            (2.95, 5, 5, refuse),
+            (3.1, 0, 0, refuse),
+            (3.3, 5, 5, refuse),
+            (3.3, 0, 1, refuse),
+            (3.3, 5, 0, refuse),
+            (3.3, 0, 0, exit_step),
+            (7.1, 5, 5, refuse),
+            (7.3, 5, 5, exit_step),
+            (7.3, 0, 1, exit_step),
         ]
-        for elapsed, in_flight, expected in cases:
-            with self.subTest(elapsed=elapsed, in_flight=in_flight):
+        for elapsed, in_flight, unsettled, expected in cases:
+            with self.subTest(
+                elapsed=elapsed, in_flight=in_flight, unsettled=unsettled
+            ):
                 step = drain.judge(
-                    elapsed=elapsed, in_flight=in_flight, shutdown_seconds=8.0
+                    elapsed=elapsed,
+                    in_flight=in_flight,
+                    unsettled=unsettled,
+                    shutdown_seconds=8.0,
                 )
                 self.assertEqual(step, expected)
 
--- a/tests/gateway/test_gateway_endings.py
+++ b/tests/gateway/test_gateway_endings.py
@@ -6,6 +6,8 @@
 import unittest
 from unittest import mock
 
+import msgspec
+
 from nutmeglift import ids
 from nutmeglift_gateway import admission
 from nutmeglift_gateway import attempt_failures
@@ -25,6 +27,7 @@
 WAIT_SECONDS = stand_ins.WAIT_SECONDS
 LAST_CHUNK = b"0\r\n\r\n"
 NO_STORE = "127.0.0.1:1"
+LARGE = b"x" * 32 * 1024 * 1024
 FIRST_CHUNK = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1\r\na\r\n"
 
 
@@ -238,6 +241,67 @@
         self.check_unanswered()
         self.assertNotIn("caller left", self.log.events())
 
+    async def test_the_process_stays_until_responses_have_been_sent(self):
+        async def respond(connection, request):
+            connection.write(
+                b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(LARGE)
+                + LARGE
+            )
+            connection.finish(keep_alive=True)
+
+        self.patch_exchanges(respond)
+        reader, _ = await self.send(format_request("one"))
+        head = await asyncio.wait_for(
+            reader.readuntil(b"\r\n\r\n"), WAIT_SECONDS
+        )
+        os.kill(os.getpid(), signal.SIGTERM)
+        await self.wait_for_event("draining")
+        await asyncio.sleep(4 * drain.TICK_SECONDS)
+        self.assertFalse(self.task.done())
+        self.assertIn(b"200 OK", head)
+        body = await asyncio.wait_for(
+            reader.readexactly(len(LARGE)), WAIT_SECONDS
+        )
+        self.assertEqual(len(body), len(LARGE))
+        await asyncio.wait_for(self.task, WAIT_SECONDS)
+        self.assertEqual(self.lines("stopped"), [{"in_flight": 0, "unsent": 0}])
+
+    async def test_the_process_stays_until_a_request_has_been_read(self):
+        await self.add_server(stand_ins.healthy)
+        raw = format_request("one")
+        reader, writer = await self.send(raw[:-20])
+        await self.wait_until(
+            lambda: any(not c.is_idle for c in self.gateway._callers)
+        )
+        os.kill(os.getpid(), signal.SIGTERM)
+        await self.wait_for_event("draining")
+        await asyncio.sleep(4 * drain.TICK_SECONDS)
+        writer.write(raw[-20:])
+        received = await self.read_to_end(reader)
+        self.assertEqual(received.split(b" ")[1], b"503")
+        await asyncio.wait_for(self.task, WAIT_SECONDS)
+
+    async def test_further_signals_during_a_drain(self):
+        server = await self.add_server(stand_ins.silent)
+        reader, _ = await self.send(format_request("one"))
+        await server.wait_for_request()
+        os.kill(os.getpid(), signal.SIGTERM)
+        await self.wait_for_event("draining")
+        for number, time_left in enumerate((0.0, 60.0), 1):
+            bounds = settings.Bounds(shutdown_seconds=time_left)
+            self.loaded = msgspec.structs.replace(self.loaded, bounds=bounds)
+            os.kill(os.getpid(), signal.SIGTERM)
+            os.kill(os.getpid(), signal.SIGHUP)
+            await self.wait_until(
+                lambda n=number: len(self.lines("settings reloaded")) == n
+            )
+            await asyncio.sleep(2 * drain.TICK_SECONDS)
+            self.assertFalse(self.task.done())
+        received = await self.read_to_end(reader)
+        self.assertEqual(received.split(b" ")[1], b"504")
+        await asyncio.wait_for(self.task, WAIT_SECONDS)
+        self.assertEqual(self.log.events().count("draining"), 1)
+
     async def test_a_caller_that_leaves_is_not_recorded_as_unanswered(self):
         server = await self.add_server(stand_ins.silent)
         _, writer = await self.send(format_request("one"))
