Take settings over only once two reads agree

A file that is being written when SIGHUP comes can be valid already, with the defaults in place of the bounds that aren't there yet, or with the beginning of a number: the router drained for 8 s instead of 60, or believed a confirmation for too long. A second SIGHUP, or none, left it so. A file cut within a character raised UnicodeDecodeError, and an impossible date ValueError: a traceback at the start, no line in the log on SIGHUP.

The file is now read until two reads 0.1 s apart agree, for up to 2 s; a further SIGHUP starts over. All errors of reading are SettingsError.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -32,6 +32,7 @@
 from nutmeglift_gateway import registration
 from nutmeglift_gateway import responses
 from nutmeglift_gateway import settings
+from nutmeglift_gateway import settings_reload
 from nutmeglift_gateway import store_reader
 from nutmeglift_gateway import stream_monitor
 
@@ -121,13 +122,14 @@
         self._checkers: set[http_listener.CallerConnection] = set()
         self._exchanges: set[asyncio.Task[None]] = set()
         self._tasks: list[asyncio.Task[None]] = []
+        self._reloading: asyncio.Task[None] | None = None
 
     async def run(self) -> None:
         """Serves until SIGTERM, then drains."""
         loop = asyncio.get_running_loop()
         leaving = asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, leaving.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        loop.add_signal_handler(signal.SIGHUP, self._start_reload)
         listen = self._config.listen
         callers = await self._listen(
             listen.callers, self._on_request, self._callers
@@ -170,10 +172,17 @@
         for task in self._tasks:
             task.cancel()
 
-    def _reload(self) -> None:
+    def _start_reload(self) -> None:
+        """Handles SIGHUP; a reload that still runs is replaced."""
+        if self._reloading is not None:
+            self._reloading.cancel()
+        self._reloading = asyncio.get_running_loop().create_task(self._reload())
+        self._reloading.add_done_callback(self._on_done)
+
+    async def _reload(self) -> None:
         """Applies changed bounds; changed addresses need a restart."""
         try:
-            found = self._load_settings()
+            found = await settings_reload.load_settled(self._load_settings)
         except errors.SettingsError as error:
             self._log.write("settings not reloaded", detail=str(error))
             return
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/settings.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/settings.py
@@ -100,5 +100,10 @@
             getattr(yaml, "CSafeLoader", yaml.SafeLoader),
         )
         return msgspec.convert(found, Settings, strict=False)
-    except (OSError, yaml.YAMLError, msgspec.ValidationError) as error:
+    except (
+        OSError,
+        ValueError,
+        yaml.YAMLError,
+        msgspec.ValidationError,
+    ) as error:
         raise errors.SettingsError(f"{path}: {error}") from error
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -53,6 +53,18 @@
             ):
                 load(text)
 
+    def test_a_file_that_is_no_text(self):
+        cases = [b"\xff\xfe", b"vm: caf\xc3", b"vm: 2026-13-45"]
+        for data in cases:
+            with (
+                self.subTest(data),
+                tempfile.TemporaryDirectory() as folder,
+                self.assertRaises(errors.SettingsError),
+            ):
+                path = pathlib.Path(folder) / "settings.yaml"
+                path.write_bytes(data)
+                settings.load(path)
+
     def test_missing_file(self):
         with self.assertRaises(errors.SettingsError):
             settings.load(pathlib.Path("none.yaml"))
