Reset an aborted response that ends with its connection

A stream to an HTTP/1.0 caller has neither length nor chunks. If it broke off, the connection ended with a FIN (abort() closes gracefully unless bytes are unread), and the caller took a part of the stream for all of it. Such a connection is now closed with a reset. HTTP/1.1 callers see the missing last chunk or length; their connections are closed as before, so that they get the events that were already sent.

The new test failed before on both event loops: ConnectionResetError not raised.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import socket
+import struct
 from typing import cast
 
 from nutmeglift import errors
@@ -22,6 +23,8 @@
 LINGER_BYTES = 8 * 1024 * 1024
 """Bytes that are discarded at most; about the largest body that a caller may
 still be sending when it is rejected."""
+RESET_LINGER = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which a close discards unsent bytes and resets."""
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 """Interim response to `Expect: 100-continue` (RFC 9110, section 15.2.1)."""
 
@@ -142,10 +145,12 @@
 
     def abort(self) -> None:
         """Aborts the connection, so that the response is visibly incomplete."""
-        self.current = None
+        current, self.current = self.current, None
         self.on_close = None
         if self._transport is not None and not self.closed:
             self.closed = True
+            if current is not None and not current.accepts_chunked:
+                self._reset_on_close()
             self._drop_waiting(metrics.UnansweredCause.CONNECTION_ABORTED)
             self._transport.abort()
 
@@ -308,6 +313,13 @@
             self._timer.cancel()
             self._timer = None
 
+    def _reset_on_close(self) -> None:
+        """Makes the close a reset: a graceful one may end a response."""
+        assert self._transport is not None
+        sock = self._transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+
     def _close(self) -> None:
         if self._transport is not None and not self.closed:
             self.closed = True
--- a/tests/gateway/test_listener_closing.py
+++ b/tests/gateway/test_listener_closing.py
@@ -243,6 +243,33 @@
                     sock.close()
                 await self.wait_until(lambda: not self.connections)
 
+    async def test_an_aborted_response_does_not_look_complete(self):
+        cases = [
+            # version, how the response ends, whether the caller sees a reset
+            (b"1.0", "aborted", True),
+            (b"1.0", "finished", False),
+            (b"1.1", "aborted", False),
+        ]
+        self.hold = True
+        for version, how, is_reset in cases:
+            with self.subTest(version=version, how=how):
+                self.held.clear()
+                sock = await self.connect()
+                await self.send(sock, ONE.replace(b"1.1", version))
+                await self.wait_until(lambda: self.held)
+                connection, _ = self.held[0]
+                connection.write(b"HTTP/1.1 200 OK\r\n\r\nabc")
+                await self.read_until(sock, b"abc")
+                if how == "aborted":
+                    connection.abort()
+                else:
+                    connection.finish(keep_alive=False)
+                if not is_reset:
+                    self.assertEqual(await self.read_to_end(sock), b"")
+                    continue
+                with self.assertRaises(ConnectionResetError):
+                    await self.read_to_end(sock)
+
 
 class UvloopClosingTest(ClosingTest):
     """The same on the event loop that routers use."""
