--- /dev/null
+++ b/tests/gateway/test_platform_process.py
@@ -0,0 +1,80 @@
+"""Starts a router's process and sends it signals."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import sys
+import tempfile
+import unittest
+
+from nutmeglift_platform import environment
+from tests.gateway import test_settings
+from tests.gateway import test_whole_gateway
+
+WAIT_SECONDS = 20.0
+"""Includes the time to load the program on a busy machine."""
+
+
+class ProcessTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = pathlib.Path(folder.name) / "router.yaml"
+        text = test_settings.GOOD.replace("shutdown_seconds: 8", "")
+        self.ports = [test_whole_gateway.free_port() for _ in range(5)]
+        addresses = [f"10.0.0.1:8{number}" for number in range(4)]
+        for address, port in zip(
+            [*addresses, "10.0.0.9:90"], self.ports, strict=True
+        ):
+            text = text.replace(address, f"127.0.0.1:{port}")
+        path.write_text(text, encoding="utf-8")
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "nutmeglift_platform",
+            "serve",
+            env=os.environ | {environment.SETTINGS_VARIABLE: str(path)},
+            stdout=asyncio.subprocess.PIPE,
+        )
+        self.addAsyncCleanup(self.stop)
+
+    async def stop(self):
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+
+    async def wait_for_port(self):
+        async with asyncio.timeout(WAIT_SECONDS):
+            while True:
+                try:
+                    _, writer = await asyncio.open_connection(
+                        "127.0.0.1", self.ports[0]
+                    )
+                except ConnectionRefusedError:
+                    await asyncio.sleep(0.005)
+                else:
+                    writer.close()
+                    return
+
+    async def wait_for_event(self, event):
+        async with asyncio.timeout(WAIT_SECONDS):
+            while line := await self.process.stdout.readline():
+                if f'"{event}"'.encode() in line:
+                    return
+        self.fail(f"ended with {await self.process.wait()} before {event}")
+
+    async def test_a_sighup_while_it_is_loaded_does_not_end_it(self):
+        await self.wait_for_port()
+        self.process.send_signal(signal.SIGHUP)
+        await self.wait_for_event("started")
+        self.process.send_signal(signal.SIGHUP)
+        await self.wait_for_event("settings reloaded")
+        self.process.send_signal(signal.SIGTERM)
+        await self.wait_for_event("stopped")
+        code = await asyncio.wait_for(self.process.wait(), WAIT_SECONDS)
+        self.assertEqual(code, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
