Read requests that come as the port closes before closing

Connections that were accepted last were closed as idle in the same step in which the port was closed, with the callers' first requests unread in their sockets: the callers saw a reset in place of a refusal.

The new test failed before: ConnectionResetError.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/graceful_shutdown.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/graceful_shutdown.py
@@ -78,6 +78,8 @@
             task.cancel()
         flush_until = self._loop.time() + drain.FLUSH_SECONDS
         while self._callers and self._loop.time() < flush_until:
+            # Requests of the connections that were accepted last can arrive
+            # first; they are refused.
+            await asyncio.sleep(drain.TICK_SECONDS)
             for connection in list(self._callers):
                 connection.close_if_idle()
-            await asyncio.sleep(drain.TICK_SECONDS)
--- a/tests/gateway/test_pipelined_drain.py
+++ b/tests/gateway/test_pipelined_drain.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
+from nutmeglift_gateway import drain
+from nutmeglift_gateway import graceful_shutdown
 from tests.gateway import stand_ins
 
 WAIT_SECONDS = stand_ins.WAIT_SECONDS
@@ -82,6 +85,29 @@
         self.assertIn(b"connection: close", received)
         self.assertTrue(received.endswith(LAST_CHUNK))
 
+    async def test_a_request_that_comes_as_the_port_closes_gets_a_response(
+        self,
+    ):
+        server = await self.rig.add_server(self.plain, "plain")
+        self.may_finish.set()
+        host, _, port = self.rig.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        shutdown = graceful_shutdown.GracefulShutdown(
+            self.rig.board, self.rig.connections, set(), self.rig.log, 8.0
+        )
+        raw = format_request("one", "/release/1")
+        with (
+            mock.patch.object(drain, "ACCEPT_SECONDS", 0.0),
+            mock.patch.object(drain, "REFUSE_SECONDS", 0.0),
+        ):
+            await shutdown.run(lambda: writer.write(raw))
+        async with asyncio.timeout(WAIT_SECONDS):
+            received = await reader.read()
+        self.assertEqual(received.split(b" ")[1], b"503")
+        self.assertIn(b"connection: close", received)
+        self.assertEqual(server.requests, [])
+
 
 if __name__ == "__main__":
     unittest.main()
