Ignore requests to upgrade the protocol

A POST with `Connection: Upgrade` (some clients offer h2c with every first request) was forwarded and run with an empty body: the parser takes what follows such a head for another protocol. The caller got a response to a request that it had not sent, its connection closed without notice, and requests behind it were lost. RFC 9110, section 7.8, lets a server ignore the upgrade: the request is now parsed again without the header. CONNECT is refused as it is read.

The new tests failed before: an empty body instead of "ab", no request behind it, and CONNECT handled as a request.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/caller_request.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/caller_request.py
@@ -96,19 +96,24 @@
 
     def feed(self, data: bytes) -> None:
         """Parses received bytes; ignores them after a rejection."""
-        if self._rejected:
-            return
+        while data and not self._rejected:
+            data = self._feed(data)
+
+    def _feed(self, data: bytes) -> bytes:
+        """Parses bytes and returns those that are to be parsed next."""
         if not self.head_complete:
             self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self.reject(errors.ErrorKind.BAD_REQUEST)
+        except httptools.HttpParserUpgrade as upgrade:
+            (head_end,) = upgrade.args
+            return self._drop_upgrade() + data[head_end:]
         except httptools.HttpParserError:
             self.reject(errors.ErrorKind.BAD_REQUEST)
         limits = self._limits()
         if not self.head_complete and self._head_bytes > limits.header_bytes:
             self.reject(errors.ErrorKind.HEADER_TOO_LARGE)
+        return b""
 
     def reject(self, kind: errors.ErrorKind) -> None:
         """Rejects the current request; no further request is parsed."""
@@ -137,6 +142,9 @@
 
     def on_headers_complete(self) -> None:
         """Handles the end of the headers."""
+        if self._parser.should_upgrade():
+            # feed() handles it.
+            return
         self.head_complete = True
         self._receiver.on_head_complete()
         # Not in HTTP/1.0 (RFC 9110, section 10.1.1).
@@ -155,7 +163,7 @@
 
     def on_message_complete(self) -> None:
         """Handles the end of a request."""
-        if self._rejected:
+        if self._rejected or self._parser.should_upgrade():
             return
         request = Request(
             self._parser.get_method().decode("latin-1"),
@@ -169,6 +177,27 @@
         self._reset()
         self._receiver.on_request(request)
 
+    def _drop_upgrade(self) -> bytes:
+        """Returns the head of a request to upgrade without the upgrade.
+
+        The parser takes all that follows such a head for another protocol, so
+        the request is parsed again.
+        """
+        method = self._parser.get_method()
+        if method == b"CONNECT":
+            self.reject(errors.ErrorKind.BAD_REQUEST)
+            return b""
+        version = self._parser.get_http_version().encode()
+        lines = [method + b" " + self._url + b" HTTP/" + version]
+        lines += [
+            name + b": " + value
+            for name, value in self._headers
+            if name != b"upgrade"
+        ]
+        self._reset()
+        self._parser = httptools.HttpRequestParser(self)
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
     def _reset(self) -> None:
         self.started = False
         self.head_complete = False
--- a/tests/gateway/test_listener.py
+++ b/tests/gateway/test_listener.py
@@ -119,6 +119,46 @@
         await self.send(raw)
         self.assertEqual(self.requests, [])
 
+    async def test_a_request_to_upgrade_is_served_without_the_upgrade(self):
+        upgrade = b"connection: Upgrade, HTTP2-Settings\r\nupgrade: h2c\r\n"
+        chunked = b"transfer-encoding: chunked\r\n\r\n1\r\na\r\n1\r\nb\r\n"
+        cases = [
+            ("no body", b"content-length: 0\r\n\r\n", b""),
+            ("a length", b"content-length: 2\r\n\r\nab", b"ab"),
+            ("chunks", chunked + b"0\r\n\r\n", b"ab"),
+        ]
+        last = HEAD + b"connection: close\r\ncontent-length: 1\r\n\r\nz"
+        for name, rest, body in cases:
+            raw = HEAD + upgrade + rest + last
+            for size in (len(raw), 7, 1):
+                with self.subTest(name, size=size):
+                    self.requests.clear()
+                    pieces = [
+                        raw[i : i + size] for i in range(0, len(raw), size)
+                    ]
+                    response = await self.send(*pieces)
+                    self.assertEqual(
+                        [each.body for each in self.requests], [body, b"z"]
+                    )
+                    self.assertEqual(response.count(b"HTTP/1.1 200"), 2)
+                    self.assertEqual(response.count(b"HTTP/1.1"), 2)
+
+    async def test_many_requests_to_upgrade(self):
+        raw = HEAD + b"connection: upgrade\r\nupgrade: h2c\r\n"
+        raw += b"content-length: 1\r\n\r\na"
+        last = HEAD + b"connection: close\r\ncontent-length: 1\r\n\r\nz"
+        response = await self.send(2000 * raw + last)
+        self.assertEqual(response.count(b"HTTP/1.1 200"), 2001)
+
+    async def test_a_tunnel_is_refused(self):
+        raw = b"CONNECT h:1 HTTP/1.1\r\nhost: h\r\n\r\n"
+        for rest in (b"", HEAD + b"content-length: 0\r\n\r\n"):
+            with self.subTest(rest):
+                response = await self.send(raw + rest)
+                self.assertTrue(response.startswith(b"HTTP/1.1 400 "))
+                self.assertEqual(response.count(b"HTTP/1.1"), 1)
+        self.assertEqual(self.requests, [])
+
 
 if __name__ == "__main__":
     unittest.main()
