--- a/packages/nutmeglift_gateway/nutmeglift_gateway/admission.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/admission.py
@@ -6,9 +6,10 @@
 from nutmeglift import errors
 from nutmeglift import ids
 from nutmeglift_gateway import board as boards
+from nutmeglift_gateway import caller_request
 from nutmeglift_gateway import catalog
-from nutmeglift_gateway import http_listener
 from nutmeglift_gateway import ports
+from nutmeglift_gateway import retry_delay
 
 MAX_AUTHORITATIVE_AGE_SECONDS = 1.8
 """A route or key that is missing from a configuration confirmed within this
@@ -23,8 +24,6 @@
 CONFIGURATION_RETRY_SECONDS = 0.6
 """Half of the interval between confirmations of the configuration, plus a
 round trip to the store."""
-DRAIN_RETRY_SECONDS = 0.02
-"""Another router accepts the request immediately."""
 MAX_DIGIT_COUNT = 19
 """Numbers in headers fit into 64 bits. Python converts no more than 4,300
 digits, and floats overflow at 309."""
@@ -87,7 +86,7 @@
 def admit(
     board: boards.Board,
     names: ports.HeaderNames,
-    request: http_listener.Request,
+    request: caller_request.Request,
     boot_now: float,
     rng: random.Random,
 ) -> Admitted | Refused:
@@ -103,7 +102,9 @@
     """
     if board.refusing:
         return Refused(
-            errors.ErrorKind.DRAINING, DRAIN_RETRY_SECONDS, "leaving"
+            errors.ErrorKind.DRAINING,
+            retry_delay.DRAIN_RETRY_SECONDS,
+            "leaving",
         )
     configuration = board.catalog
     if configuration is None:
@@ -155,7 +156,7 @@
 
 
 def _find_head_problem(
-    names: ports.HeaderNames, request: http_listener.Request
+    names: ports.HeaderNames, request: caller_request.Request
 ) -> str:
     """Returns what is wrong with a request's head, or an empty string."""
     if request.count(b"host") != 1:
@@ -182,7 +183,7 @@
 
 def _build_admitted(
     names: ports.HeaderNames,
-    request: http_listener.Request,
+    request: caller_request.Request,
     route: catalog.Route,
     service: catalog.Service,
     account: catalog.Account | None,
@@ -222,7 +223,7 @@
 
 
 def _parse_token_counts(
-    names: ports.HeaderNames, request: http_listener.Request
+    names: ports.HeaderNames, request: caller_request.Request
 ) -> tuple[int, float] | None:
     """Returns prompt and expected response tokens, or None if malformed."""
     raw = request.get(names.tokens)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -13,6 +13,7 @@
 from nutmeglift import ids
 from nutmeglift import kv
 from nutmeglift_gateway import board as boards
+from nutmeglift_gateway import caller_request
 from nutmeglift_gateway import context as contexts
 from nutmeglift_gateway import crash_detector
 from nutmeglift_gateway import decision_log
@@ -21,6 +22,7 @@
 from nutmeglift_gateway import exchange
 from nutmeglift_gateway import failure_recorder as recorders
 from nutmeglift_gateway import freshness
+from nutmeglift_gateway import graceful_shutdown
 from nutmeglift_gateway import http_listener
 from nutmeglift_gateway import metrics as metric_sets
 from nutmeglift_gateway import peer_links
@@ -30,6 +32,7 @@
 from nutmeglift_gateway import registration
 from nutmeglift_gateway import responses
 from nutmeglift_gateway import settings
+from nutmeglift_gateway import settings_reload
 from nutmeglift_gateway import store_reader
 from nutmeglift_gateway import stream_monitor
 
@@ -119,13 +122,14 @@
         self._checkers: set[http_listener.CallerConnection] = set()
         self._exchanges: set[asyncio.Task[None]] = set()
         self._tasks: list[asyncio.Task[None]] = []
+        self._reloading: asyncio.Task[None] | None = None
 
     async def run(self) -> None:
         """Serves until SIGTERM, then drains."""
         loop = asyncio.get_running_loop()
         leaving = asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, leaving.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        loop.add_signal_handler(signal.SIGHUP, self._start_reload)
         listen = self._config.listen
         callers = await self._listen(
             listen.callers, self._on_request, self._callers
@@ -155,14 +159,30 @@
             first_start=self._config.first_start,
         )
         await leaving.wait()
-        await self._drain(callers)
+        self._start(self._registration.end())
+        await graceful_shutdown.GracefulShutdown(
+            self.board,
+            self._callers,
+            self._exchanges,
+            self._log,
+            self._config.bounds.shutdown_seconds,
+        ).run(callers.close)
         for each in checkers:
             each.close()
+        for task in self._tasks:
+            task.cancel()
 
-    def _reload(self) -> None:
+    def _start_reload(self) -> None:
+        """Handles SIGHUP; a reload that still runs is replaced."""
+        if self._reloading is not None:
+            self._reloading.cancel()
+        self._reloading = asyncio.get_running_loop().create_task(self._reload())
+        self._reloading.add_done_callback(self._on_done)
+
+    async def _reload(self) -> None:
         """Applies changed bounds; changed addresses need a restart."""
         try:
-            found = self._load_settings()
+            found = await settings_reload.load_settled(self._load_settings)
         except errors.SettingsError as error:
             self._log.write("settings not reloaded", detail=str(error))
             return
@@ -171,36 +191,6 @@
         self.board.set_bounds(found.bounds)
         self._log.write("settings reloaded", bounds_changed=changed)
 
-    async def _drain(self, callers: asyncio.Server) -> None:
-        loop = asyncio.get_running_loop()
-        began = loop.time()
-        self.board.draining = True
-        self._log.write("draining", in_flight=len(self._exchanges))
-        self._start(self._registration.end())
-        while True:
-            elapsed = loop.time() - began
-            if drain.closes_idle_connections(elapsed):
-                for connection in list(self._callers):
-                    connection.close_if_reused()
-            step = drain.judge(
-                elapsed=elapsed,
-                in_flight=len(self._exchanges),
-                shutdown_seconds=self._config.bounds.shutdown_seconds,
-            )
-            if step is drain.Step.EXIT:
-                break
-            self.board.refusing = step is not drain.Step.ACCEPT
-            await asyncio.sleep(drain.TICK_SECONDS)
-        # The port is closed last. A refused request is retried at another
-        # router, while a closed port leads to none if the failure domain has no
-        # other router.
-        callers.close()
-        for connection in list(self._callers):
-            connection.close_if_idle()
-        self._log.write("stopped", in_flight=len(self._exchanges))
-        for task in [*self._exchanges, *self._tasks]:
-            task.cancel()
-
     async def _listen(
         self,
         address: str,
@@ -213,6 +203,7 @@
                 self.board.limits,
                 responses.error_response,
                 connections,
+                self._record_unanswered,
             )
 
         listener = self._listeners.get(address)
@@ -225,11 +216,11 @@
     def _on_request(
         self,
         connection: http_listener.CallerConnection,
-        request: http_listener.Request,
+        request: caller_request.Request,
     ) -> None:
         work = exchange.Exchange(self._context, connection, request)
         task = asyncio.get_running_loop().create_task(
-            self._run_exchange(connection, work)
+            self._run_exchange(connection, request, work)
         )
         self._exchanges.add(task)
         connection.on_close = functools.partial(_cancel, task)
@@ -238,26 +229,49 @@
     async def _run_exchange(
         self,
         connection: http_listener.CallerConnection,
+        request: caller_request.Request,
         work: exchange.Exchange,
     ) -> None:
         self.metrics.in_flight.inc()
+        cause = metric_sets.UnansweredCause.INTERNAL_ERROR
         try:
             await work.run()
         except asyncio.CancelledError:
-            connection.abort()
+            cause = metric_sets.UnansweredCause.DRAIN_ENDED
+            if _may_respond(connection, request):
+                work.interrupt(errors.ErrorKind.DRAINING, "the drain ended")
         except Exception as error:
-            # The connection is aborted, so that the caller can't take a partial
-            # response for a complete one.
             self._log.write("internal error", detail=repr(error))
             self.metrics.refusals.labels("internal").inc()
-            connection.abort()
+            if _may_respond(connection, request):
+                work.interrupt(errors.ErrorKind.OUTCOME_UNKNOWN, repr(error))
         finally:
+            if not connection.closed and connection.current is request:
+                # The connection is aborted, so that the caller can't take a
+                # partial response for a complete one.
+                self._record_unanswered(request, cause)
+                connection.abort()
             self.metrics.in_flight.dec()
 
+    def _record_unanswered(
+        self,
+        request: caller_request.Request,
+        cause: metric_sets.UnansweredCause,
+    ) -> None:
+        request_id = request.get(self._context.names.request_id) or b""
+        elapsed = asyncio.get_running_loop().time() - request.received_at
+        self.metrics.unanswered.labels(cause.value).inc()
+        self._log.write(
+            "unanswered",
+            request=request_id.decode("latin-1"),
+            cause=cause.value,
+            seconds=round(elapsed, 3),
+        )
+
     def _on_check(
         self,
         connection: http_listener.CallerConnection,
-        request: http_listener.Request,
+        request: caller_request.Request,
     ) -> None:
         path = request.target.partition("?")[0]
         if path == self._readiness_path:
@@ -265,7 +279,11 @@
             body = b""
         else:
             status, body = b"200 OK", self._metrics_text()
-        keep_alive = request.keep_alive and not self.board.draining
+        keep_alive = drain.keeps_open(
+            requested=request.keep_alive,
+            draining=self.board.draining,
+            has_queued=connection.has_queued,
+        )
         connection.write(
             b"HTTP/1.1 %b\r\ncontent-type: text/plain\r\n"
             b"content-length: %d\r\n%b\r\n%b"
@@ -313,6 +331,17 @@
     task.cancel()
 
 
+def _may_respond(
+    connection: http_listener.CallerConnection, request: caller_request.Request
+) -> bool:
+    """Returns whether no part of a response to a request has been written."""
+    return (
+        not connection.closed
+        and connection.current is request
+        and not connection.response_begun
+    )
+
+
 RunGateway = Callable[
     [settings.Settings, Callable[[], settings.Settings]],
     Coroutine[Any, Any, None],
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
@@ -2,66 +2,48 @@
 
 import asyncio
 from collections.abc import Callable
-import dataclasses
 import socket
+import struct
 from typing import cast
 
-import httptools
-
 from nutmeglift import errors
+from nutmeglift_gateway import caller_request
 from nutmeglift_gateway import catalog
 from nutmeglift_gateway import http_call
+from nutmeglift_gateway import metrics
 
 MAX_PIPELINED_REQUEST_COUNT = 16
 """Reading stops once this many requests are queued on one connection."""
 WRITE_BUFFER_LIMIT_BYTES = 256 * 1024
 """Unsent bytes for a caller above which reading from its server is paused."""
-
-
-@dataclasses.dataclass(slots=True)
-class Request:
-    """A caller's complete request.
-
-    Attributes:
-        method: the method.
-        target: path and query as sent.
-        headers: headers with names in lower case.
-        body: the complete body.
-        keep_alive: whether the caller keeps the connection open.
-        accepts_chunked: whether the response may be chunked (HTTP/1.1).
-        received_at: event loop time in seconds at which its last byte was read.
-    """
-
-    method: str
-    target: str
-    headers: http_call.Headers
-    body: bytes
-    keep_alive: bool
-    accepts_chunked: bool
-    received_at: float
-
-    def get(self, name: bytes) -> bytes | None:
-        """Returns a header's first value, by its name in lower case."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
-
-    def count(self, name: bytes) -> int:
-        """Returns the number of times that a header was sent."""
-        return sum(1 for key, _ in self.headers if key == name)
-
-
-Handler = Callable[["CallerConnection", Request], None]
+LINGER_SECONDS = 2.0
+"""Time for a caller to receive the last response and close. Within it, bytes
+that it still sends are discarded: a close with unread bytes resets the
+connection, and the reset may overtake the response (RFC 9112, section 9.6)."""
+LINGER_BYTES = 8 * 1024 * 1024
+"""Bytes that are discarded at most; about the largest body that a caller may
+still be sending when it is rejected."""
+RESET_LINGER = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which a close discards unsent bytes and resets."""
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+"""Interim response to `Expect: 100-continue` (RFC 9110, section 15.2.1)."""
+
+Handler = Callable[["CallerConnection", caller_request.Request], None]
 """Starts to process a request; processing ends with
 CallerConnection.finish."""
+UnansweredRecorder = Callable[
+    [caller_request.Request, metrics.UnansweredCause], None
+]
+"""Records a complete request that the router leaves without a response."""
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(asyncio.Protocol, caller_request.BaseReceiver):
     """One caller's connection; its requests are processed one after another.
 
     Attributes:
         closed: whether the caller or the router closed it.
+        current: the request that is being processed, if any.
+        response_begun: whether a part of its response has been written.
         on_close: called once if it closes while a request is being processed.
         on_writable: called with False when the caller reads too slowly, and
             with True when it has caught up.
@@ -73,6 +55,7 @@
         limits: Callable[[], catalog.ClientLimits],
         refuse: Callable[[errors.ErrorKind], bytes],
         connections: "set[CallerConnection]",
+        record_unanswered: UnansweredRecorder | None = None,
     ) -> None:
         """Initializes a connection.
 
@@ -82,71 +65,93 @@
             refuse: formats the error response to a request that cannot be
                 read.
             connections: all open connections, to which it adds itself.
+            record_unanswered: records requests that are left unanswered.
         """
         self.closed = False
+        self.current: caller_request.Request | None = None
+        self.response_begun = False
         self.on_close: Callable[[], None] | None = None
         self.on_writable: Callable[[bool], None] | None = None
         self._handler = handler
         self._limits = limits
         self._refuse = refuse
         self._connections = connections
+        self._record_unanswered = record_unanswered
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
-        self._waiting: list[Request] = []
-        self._busy = False
+        self._parser = caller_request.RequestParser(self, limits)
+        self._waiting: list[caller_request.Request] = []
+        self._rejection: errors.ErrorKind | None = None
+        self._continue_expected = False
         self._has_responded = False
-        self._close_after_response = False
-        self._rejected = False
         self._paused = False
         self._timer: asyncio.TimerHandle | None = None
-        self._request_started = False
-        self._head_complete = False
-        self._head_bytes = 0
-        self._reset_request()
+        self._idle_since = 0.0
+        self._discarded_bytes = 0
 
     @property
     def is_idle(self) -> bool:
         """Whether no request is being read or processed."""
+        return self.current is None and not self.has_queued
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether it is idle and its caller has been sent everything."""
         return (
-            not self._busy and not self._waiting and not self._request_started
+            self.is_idle
+            and not self.closed
+            and self._transport is not None
+            and self._transport.get_write_buffer_size() == 0
+        )
+
+    @property
+    def has_queued(self) -> bool:
+        """Whether anything follows the current request, if only in part."""
+        return (
+            bool(self._waiting)
+            or self._rejection is not None
+            or self._parser.started
         )
 
     def write(self, data: bytes) -> None:
         """Writes a part of a response."""
         if self._transport is not None and not self.closed:
+            self.response_begun = True
             self._transport.write(data)
 
     def finish(self, *, keep_alive: bool) -> None:
         """Ends the current request.
 
         Args:
-            keep_alive: whether the connection stays open; otherwise it is
-                closed after all written data has been sent.
+            keep_alive: whether the response leaves the connection open;
+                otherwise it is closed once the caller has received it.
         """
-        self._busy = False
+        current, self.current = self.current, None
         self._has_responded = True
         self.on_close = None
         self.on_writable = None
         if self.closed:
             return
-        if not keep_alive or self._close_after_response:
-            self._close()
+        if not keep_alive or (current is not None and not current.keep_alive):
+            self._drop_waiting(metrics.UnansweredCause.CONNECTION_CLOSED)
+            self._close_after_response()
             return
         if self._paused and len(self._waiting) < MAX_PIPELINED_REQUEST_COUNT:
             self._paused = False
             assert self._transport is not None
             self._transport.resume_reading()
         self._start_next()
-        if self.is_idle:
-            self._set_timer(self._limits().idle_timeout, self._on_idle)
+        self._restart_timer()
 
     def abort(self) -> None:
         """Aborts the connection, so that the response is visibly incomplete."""
-        self._busy = False
+        current, self.current = self.current, None
         self.on_close = None
         if self._transport is not None and not self.closed:
             self.closed = True
+            if current is not None and not current.accepts_chunked:
+                self._reset_on_close()
+            self._drop_waiting(metrics.UnansweredCause.CONNECTION_ABORTED)
             self._transport.abort()
 
     def close_if_idle(self) -> None:
@@ -174,29 +179,16 @@
                 socket.TCP_USER_TIMEOUT,
                 10 * http_call.TCP_USER_TIMEOUT_MILLISECONDS,
             )
-        self._set_timer(self._limits().idle_timeout, self._on_idle)
+        self._restart_timer()
 
     def data_received(self, data: bytes) -> None:
-        """Passes received bytes to the parser and enforces the header limit."""
-        if self._rejected or self.closed:
+        """Passes received bytes to the parser, or discards them."""
+        if self.closed:
+            self._discard(data)
             return
-        if not self._request_started:
-            self._request_started = True
-            if not self._busy:
-                self._set_timer(
-                    self._limits().header_timeout, self._on_header_timeout
-                )
-        if not self._head_complete:
-            self._head_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(errors.ErrorKind.BAD_REQUEST)
-        except httptools.HttpParserError:
-            self._reject(errors.ErrorKind.BAD_REQUEST)
-        limits = self._limits()
-        if not self._head_complete and self._head_bytes > limits.header_bytes:
-            self._reject(errors.ErrorKind.HEADER_TOO_LARGE)
+        if self._rejection is not None:
+            return
+        self._parser.feed(data)
 
     def eof_received(self) -> bool:
         """Handles a half-close: the caller expects no further response."""
@@ -222,54 +214,30 @@
         if self.on_writable is not None:
             self.on_writable(True)
 
-    # Callbacks of the parser.
+    # Events of the parser.
 
-    def on_url(self, url: bytes) -> None:
-        """Handles a part of the target."""
-        self._url += url
+    def on_begin(self) -> None:
+        """Limits the time for the request's head."""
+        self._restart_timer()
 
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Handles a header."""
-        self._headers.append((name.lower(), value))
-        self._header_field_bytes += len(name) + len(value) + 4
-        if self._header_field_bytes > self._limits().header_bytes:
-            self._reject(errors.ErrorKind.HEADER_TOO_LARGE)
+    def on_head_complete(self) -> None:
+        """Gives the caller more time to send the body."""
+        self._restart_timer()
 
-    def on_headers_complete(self) -> None:
-        """Handles the end of the headers."""
-        self._head_complete = True
-        if not self._busy:
-            self._set_timer(
-                max(self._limits().header_timeout, self._limits().idle_timeout),
-                self._on_header_timeout,
-            )
-        for name, value in self._headers:
-            if name == b"expect" and value.lower() == b"100-continue":
-                self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-
-    def on_body(self, data: bytes) -> None:
-        """Handles a part of the body."""
-        self._body.append(data)
-        self._body_bytes += len(data)
-        if self._body_bytes > self._limits().body_bytes:
-            self._reject(errors.ErrorKind.BODY_TOO_LARGE)
-
-    def on_message_complete(self) -> None:
-        """Handles the end of a request."""
-        if self._rejected:
-            return
-        request = Request(
-            self._parser.get_method().decode("latin-1"),
-            self._url.decode("latin-1"),
-            self._headers,
-            b"".join(self._body),
-            self._parser.should_keep_alive(),
-            self._parser.get_http_version() == "1.1",
-            self._loop.time(),
-        )
-        self._reset_request()
+    def on_continue_expected(self) -> None:
+        """Asks the caller to send the body, after the responses before it."""
+        self._continue_expected = True
+        self._start_next()
+
+    def on_request(self, request: caller_request.Request) -> None:
+        """Queues a complete request."""
         self._cancel_timer()
+        self._continue_expected = False
         self._waiting.append(request)
+        if self.closed:
+            # The response to a request in the same data closed the connection.
+            self._drop_waiting(metrics.UnansweredCause.CONNECTION_CLOSED)
+            return
         if (
             len(self._waiting) >= MAX_PIPELINED_REQUEST_COUNT
             and not self._paused
@@ -279,42 +247,63 @@
             self._transport.pause_reading()
         self._start_next()
 
-    def _reset_request(self) -> None:
-        self._request_started = False
-        self._head_complete = False
-        self._head_bytes = 0
-        self._header_field_bytes = 0
-        self._url = b""
-        self._headers: http_call.Headers = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+    def on_rejected(self, kind: errors.ErrorKind) -> None:
+        """Responds to a request that cannot be read, after those before it."""
+        self._rejection = kind
+        self._start_next()
 
     def _start_next(self) -> None:
-        if self._busy or self.closed or not self._waiting:
+        if self.current is not None or self.closed:
+            return
+        if self._waiting:
+            self.current = self._waiting.pop(0)
+            self.response_begun = False
+            self._handler(self, self.current)
+            return
+        if self._rejection is not None:
+            self.write(self._refuse(self._rejection))
+            self._close_after_response()
             return
-        request = self._waiting.pop(0)
-        self._busy = True
-        self._close_after_response = not request.keep_alive
-        self._handler(self, request)
+        if self._continue_expected:
+            self._continue_expected = False
+            self.write(CONTINUE)
 
-    def _reject(self, kind: errors.ErrorKind) -> None:
-        if self._rejected:
+    def _drop_waiting(self, cause: metrics.UnansweredCause) -> None:
+        waiting, self._waiting = self._waiting, []
+        if self._record_unanswered is None:
             return
-        self._rejected = True
-        # The error response may be written only if no earlier request on the
-        # connection still waits for its own.
-        if not self._busy and not self._waiting:
-            self.write(self._refuse(kind))
-            self._close()
-        else:
-            self._close_after_response = True
+        for request in waiting:
+            self._record_unanswered(request, cause)
 
     def _on_header_timeout(self) -> None:
-        self._reject(errors.ErrorKind.HEADER_TIMEOUT)
+        self._parser.reject(errors.ErrorKind.HEADER_TIMEOUT)
 
     def _on_idle(self) -> None:
+        # A new configuration may have changed the limit.
+        idle_until = self._idle_since + self._limits().idle_timeout
+        remaining = idle_until - self._loop.time()
+        if remaining > 0:
+            self._set_timer(remaining, self._on_idle)
+            return
         self.close_if_idle()
 
+    def _restart_timer(self) -> None:
+        """Limits the time for the caller's next step, if one is awaited."""
+        self._cancel_timer()
+        if self.closed or self.current is not None:
+            return
+        limits = self._limits()
+        if not self._parser.started:
+            self._idle_since = self._loop.time()
+            self._set_timer(limits.idle_timeout, self._on_idle)
+        elif not self._parser.head_complete:
+            self._set_timer(limits.header_timeout, self._on_header_timeout)
+        else:
+            self._set_timer(
+                max(limits.header_timeout, limits.idle_timeout),
+                self._on_header_timeout,
+            )
+
     def _set_timer(self, seconds: float, call: Callable[[], None]) -> None:
         self._cancel_timer()
         self._timer = self._loop.call_later(seconds, call)
@@ -324,7 +313,45 @@
             self._timer.cancel()
             self._timer = None
 
+    def _reset_on_close(self) -> None:
+        """Makes the close a reset: a graceful one may end a response."""
+        assert self._transport is not None
+        sock = self._transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+
     def _close(self) -> None:
         if self._transport is not None and not self.closed:
             self.closed = True
             self._transport.close()
+
+    def _close_after_response(self) -> None:
+        """Closes the connection once the caller has received the response.
+
+        The caller is told that no more follows, and closes in turn.
+        """
+        assert self._transport is not None
+        self.closed = True
+        try:
+            self._transport.write_eof()
+        except OSError:
+            # The caller has reset the connection.
+            self._transport.abort()
+            return
+        if self._paused:
+            self._transport.resume_reading()
+        self._set_timer(LINGER_SECONDS, self._on_linger_end)
+
+    def _on_linger_end(self) -> None:
+        assert self._transport is not None
+        if self._transport.get_write_buffer_size():
+            # The response has not left the router yet.
+            self._set_timer(LINGER_SECONDS, self._on_linger_end)
+            return
+        self._transport.close()
+
+    def _discard(self, data: bytes) -> None:
+        self._discarded_bytes += len(data)
+        if self._discarded_bytes > LINGER_BYTES:
+            assert self._transport is not None
+            self._transport.close()
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/sender.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/sender.py
@@ -2,10 +2,10 @@
 
 from nutmeglift_gateway import admission
 from nutmeglift_gateway import attempt
+from nutmeglift_gateway import caller_request
 from nutmeglift_gateway import context as contexts
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import http_call
-from nutmeglift_gateway import http_listener
 from nutmeglift_gateway import paths
 from nutmeglift_gateway import retry_policy
 from nutmeglift_gateway import suspect_servers
@@ -17,7 +17,7 @@
     def __init__(
         self,
         context: contexts.Context,
-        request: http_listener.Request,
+        request: caller_request.Request,
         progress: retry_policy.Progress,
     ) -> None:
         """Initializes a sender for one request.
