Never end an interrupted stream with a runner's error as if complete

What callers could see: a stream that had broken off looked complete if the second runner answered with an error of its own (500): the router wrote the last chunk, both when no attempt was left and when no runner was.

Cause: Reply.deliver took any outcome for the end of a stream that had begun. Change: a failed outcome after events cuts the stream.

Evidence: the new case 'server_error' of test_an_interrupted_stream_never_ends_with_another_response fails before (no error at the caller).

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/reply.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/reply.py
@@ -84,6 +84,14 @@
         self, admitted: admission.Admitted, outcome: attempt.Outcome
     ) -> None:
         """Ends the request with a server's response."""
+        if self.progress.started and outcome.failure is not None:
+            # An error response can't follow events.
+            self.end(
+                admitted,
+                retry_policy.Fail(errors.ErrorKind.OUTCOME_UNKNOWN),
+                outcome.detail,
+            )
+            return
         if self.progress.started:
             keep_alive = self._keep_alive
             if self._request.accepts_chunked:
--- a/tests/gateway/test_exchange_stream.py
+++ b/tests/gateway/test_exchange_stream.py
@@ -163,7 +163,10 @@
         async def forbidden(request, writer, number):
             writer.write(stand_ins.complete_response(request, b"no", 403))
 
-        for script in (without_events, forbidden):
+        async def server_error(request, writer, number):
+            writer.write(stand_ins.complete_response(request, b"no", 500))
+
+        for script in (without_events, forbidden, server_error):
             with self.subTest(script=script):
                 await self.asyncSetUp()
                 await self.rig.add_runner(stream(1, 3, None), "x", 0, 80)
