Check in the soak that every request ends with a response

Cause: the callers swallowed closed connections, and nothing looked at requests without a status, so that requests which ended with neither an answer nor a refusal were missed.

The soak now records when and how each request ended, on which router and connection, and reports those without a response unless a reason from the platform's rules applies. Callers pipeline, half-close and read slowly. New faults: silence of sound servers, responses without end (served requests, control calls, the store), series of signals, and configuration changes beside them. Router processes are restarted when they end; one that ends by itself or uses over 300 MB is reported.

--- a/tests/gateway/store_stand_in.py
+++ b/tests/gateway/store_stand_in.py
@@ -29,12 +29,15 @@
         fault: None, or a function from a request to the bytes that are sent
             in place of the response; b"" sends no response, None sends the
             usual one.
+        writer_fault: None, or a coroutine function that is called with the
+            connection's writer in place of a response.
         page_size: largest number of items in one page of a listing.
     """
 
     def __init__(self):
         self.memory = kv.MemoryKv()
         self.fault = None
+        self.writer_fault = None
         self.page_size = 500
         self.server = stand_ins.ScriptedServer(self._respond, keep_alive=True)
 
@@ -46,6 +49,9 @@
         method, target, _ = request.head.split(" ")
         url = parse.urlsplit(target)
         query = dict(parse.parse_qsl(url.query, keep_blank_values=True))
+        if self.writer_fault is not None:
+            await self.writer_fault(writer)
+            return
         if self.fault is not None:
             raw = self.fault(request)
             if raw is not None:
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -7,25 +7,41 @@
 from tests.soak import soak_run
 
 
-def main(seeds=1, first=1, seconds=20.0):
+def main(
+    seeds=1,
+    first=1,
+    seconds=20.0,
+    routers=soak_run.Size.routers,
+    servers=soak_run.Size.servers,
+    callers=soak_run.Size.callers,
+    keep="",
+):
     """Runs the soak for each seed in turn and prints the results.
 
     Args:
         seeds: number of seeds.
         first: the first seed.
         seconds: duration of the faults for each seed.
+        routers: number of router processes.
+        servers: number of servers; half of them are runners.
+        callers: number of callers.
+        keep: folder for logs and times of events, which are kept.
     """
+    size = soak_run.Size(routers, servers, callers)
     failed = 0
     for seed in range(first, first + seeds):
-        result = asyncio.run(soak_run.run_seed(seed, seconds))
+        result = asyncio.run(soak_run.run_seed(seed, seconds, size, keep))
         state = "failed" if result.problems else "passed"
         failed += bool(result.problems)
         print(
             f"seed {seed} {state}: {result.served} of {result.sent} served,"
-            f" {len(result.faults)} faults"
+            f" {len(result.faults)} faults, unanswered {result.unanswered}",
+            flush=True,
         )
         for problem in result.problems[:10]:
             print(f"  {problem}")
+        if len(result.problems) > 10:
+            print(f"  and {len(result.problems) - 10} more")
     print(f"{seeds - failed} passed, {failed} failed")
 
 
--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -7,12 +7,30 @@
 
 from nutmeglift import kv
 from tests.gateway import stand_ins
+from tests.soak import endless
 
 LAYER_COUNT = 80
 EVENT_COUNT = 12
 EVENT_INTERVAL_SECONDS = 0.03
 LAST_CHUNK = b"0\r\n\r\n"
 START_TIME_INCREMENT = 1
+LARGE = "large"
+"""Ends the path of a request for events that fill the socket buffers."""
+LARGE_EVENT_BYTES = 512 * 1024
+
+
+def plain_body(request_id):
+    return f"answer to {request_id}".encode()
+
+
+def event_size(target):
+    """Returns the number of filler bytes in the events of a stream."""
+    return LARGE_EVENT_BYTES if target.endswith(f"/{LARGE}") else 0
+
+
+def event(request_id, number, size):
+    data = f"id: {number}\ndata: {request_id}:{number}"
+    return (data + "x" * size + "\n\n").encode()
 
 
 class Fault(enum.Enum):
@@ -33,6 +51,27 @@
     """
     SILENT = "silent"
     """Runs the request and never responds."""
+    ENDLESS = "endless"
+    """Runs the request and responds without end."""
+
+
+@dataclasses.dataclass
+class Run:
+    """One run of a request.
+
+    Attributes:
+        server: name of the server.
+        fault: the server's fault at the start of the run.
+        started_at: time of its start, in seconds of the event loop's clock.
+        ended_at: time of its end; infinite while it goes on.
+        has_broken_off: whether the server broke off.
+    """
+
+    server: str
+    fault: Fault
+    started_at: float
+    ended_at: float = float("inf")
+    has_broken_off: bool = False
 
 
 @dataclasses.dataclass
@@ -40,17 +79,13 @@
     """What all stand-ins have observed.
 
     Attributes:
-        runs_by_id: names of the servers that ran a request, by the caller's
-            request id.
+        runs_by_id: the runs of a request, by the caller's request id.
         problems: violated guarantees.
     """
 
-    runs_by_id: dict[str, list[str]] = dataclasses.field(default_factory=dict)
+    runs_by_id: dict[str, list[Run]] = dataclasses.field(default_factory=dict)
     problems: list[str] = dataclasses.field(default_factory=list)
 
-    def add_run(self, request_id, server):
-        self.runs_by_id.setdefault(request_id, []).append(server)
-
 
 class Server:
     """One backend server: a runner if it has a kind, else a plain server."""
@@ -62,9 +97,15 @@
         self.service = service
         self.kind = kind
         self.fault = Fault.NONE
+        self.endless = endless.Endless.HEADERS
+        self.control_endless = None
         self.layers = None
         self.orders = 0
         self.born = 1000
+        self.lifetime_lock = asyncio.Lock()
+        self._awake = asyncio.Event()
+        self._awake.set()
+        self._active = []
         self._server = stand_ins.ScriptedServer(self._respond)
 
     @property
@@ -77,6 +118,8 @@
 
     async def crash(self):
         """Resets all connections; the entry ends as after missed heartbeats."""
+        for run in self._active:
+            run.has_broken_off = True
         self._server.abort()
         await self.memory.txn([], [kv.Delete(f"servers/{self.name}")])
 
@@ -88,6 +131,12 @@
         self._server = stand_ins.ScriptedServer(self._respond)
         await self.start()
 
+    async def pause(self, seconds):
+        """Sends nothing for that long, then goes on with nothing lost."""
+        self._awake.clear()
+        await asyncio.sleep(seconds)
+        self._awake.set()
+
     async def write(self, state):
         entry = {
             "service": self.service,
@@ -104,14 +153,18 @@
         await self.memory.txn([], [kv.Put(f"servers/{self.name}", raw)])
 
     async def _respond(self, request, writer, number):
-        if request.head.startswith("GET /v1/report"):
+        await self._awake.wait()
+        is_report = request.head.startswith("GET /v1/report")
+        if not is_report and not request.head.startswith("POST /v1/order"):
+            await self._serve(request, writer)
+        elif self.control_endless is not None:
+            await endless.write(self.control_endless, writer)
+        elif is_report:
             self._send(
                 writer, 200, {"sequence": self.orders, "layers": self.layers}
             )
-        elif request.head.startswith("POST /v1/order"):
-            await self._take_order(json.loads(request.body), writer)
         else:
-            await self._serve(request, writer)
+            await self._take_order(json.loads(request.body), writer)
 
     async def _take_order(self, order, writer):
         if order["operation"] != "place":
@@ -140,22 +193,41 @@
                 b"content-length: 0\r\n\r\n"
             )
             return
-        if self.kind and not self._check_path(request, writer):
+        if self.kind:
+            self._check_path(request)
+        loop = asyncio.get_running_loop()
+        run = Run(self.name, fault, loop.time())
+        self.record.runs_by_id.setdefault(request_id, []).append(run)
+        self._active.append(run)
+        try:
+            await self._run(request, writer, run)
+        except ConnectionError:
+            # The router has closed the connection.
             return
-        self.record.add_run(request_id, self.name)
-        if fault is Fault.RESET:
+        finally:
+            run.ended_at = loop.time()
+            self._active.remove(run)
+
+    async def _run(self, request, writer, run):
+        request_id = request.headers["x-attempt-id"]
+        if run.fault is Fault.RESET:
+            run.has_broken_off = True
             stand_ins.reset_connection(writer)
-        elif fault is Fault.SILENT:
+        elif run.fault is Fault.SILENT:
             await asyncio.sleep(60)
+        elif run.fault is Fault.ENDLESS:
+            extra = f"x-attempt-id: {request_id}\r\nx-response-seal: seal\r\n"
+            await endless.write(self.endless, writer, extra.encode())
         elif self.kind:
-            await self._stream(request, writer, fault)
+            await self._stream(request, writer, run)
         else:
-            if fault is Fault.CORRUPT:
+            if run.fault is Fault.CORRUPT:
+                run.has_broken_off = True
                 request.headers["x-attempt-id"] = "another"
-            body = f"answer to {request_id}".encode()
+            body = plain_body(request_id)
             writer.write(stand_ins.complete_response(request, body))
 
-    def _check_path(self, request, writer):
+    def _check_path(self, request):
         next_layer = 0
         for part in request.headers["x-hop-count"].split(","):
             start, end = map(int, part.partition("=")[2].split("-"))
@@ -166,18 +238,20 @@
             next_layer = end
         if next_layer != LAYER_COUNT:
             self.record.problems.append("path does not cover all layers")
-        return True
 
-    async def _stream(self, request, writer, fault):
+    async def _stream(self, request, writer, run):
         request_id = request.headers["x-attempt-id"]
+        size = event_size(request.head.split(" ")[1])
         writer.write(stand_ins.stream_head(request))
         first = int(request.headers.get("last-event-id", 0)) + 1
         for number in range(first, EVENT_COUNT + 1):
             await asyncio.sleep(EVENT_INTERVAL_SECONDS)
-            if fault is Fault.CORRUPT and number == EVENT_COUNT // 2:
+            await self._awake.wait()
+            if run.fault is Fault.CORRUPT and number == EVENT_COUNT // 2:
+                run.has_broken_off = True
                 stand_ins.reset_connection(writer)
                 return
-            data = f"id: {number}\ndata: {request_id}:{number}\n\n".encode()
+            data = event(request_id, number, size)
             writer.write(b"%x\r\n%b\r\n" % (len(data), data))
             await writer.drain()
         writer.write(LAST_CHUNK)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -2,18 +2,48 @@
 
 import asyncio
 import dataclasses
+import enum
 import itertools
 
-from nutmeglift_gateway import control_client
 from nutmeglift_gateway import http_call
 from tests.soak import backend
+from tests.soak import connection as connections
 
-DEADLINE_MS = 3000
-RESPONSE_TIMEOUT_SECONDS = 6.0
+DEADLINE_SECONDS = 3.0
+MAX_OVERRUN_SECONDS = 0.5
+"""A request without an outcome this long after its deadline is a violation."""
 OK = 200
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
+class Style(enum.Enum):
+    """How a caller uses its connections."""
+
+    PLAIN = "plain"
+    PATIENT = "patient"
+    """Leaves connections idle for up to 1.2 s."""
+    PIPELINED = "pipelined"
+    """Sends two requests in one write."""
+    HALF_CLOSING = "half_closing"
+    """Closes its sending side after a request and goes on reading."""
+    SLOW = "slow"
+    """Requests streams with large events and reads them slowly."""
+
+
+_STYLES = (Style.PLAIN, Style.PLAIN, *list(Style)[1:])
+_MAX_PAUSE_BY_STYLE = {Style.PATIENT: 1.2, Style.HALF_CLOSING: 0.5}
+
+
+class Ending(enum.Enum):
+    """How a request ended for its caller."""
+
+    RESPONSE = "response"
+    CLOSED = "closed"
+    NO_RESPONSE = "no_response"
+    """The caller stopped waiting."""
+    MALFORMED = "malformed"
+
+
 @dataclasses.dataclass
 class Sent:
     """A request and its outcome.
@@ -22,14 +52,32 @@
         id: the caller's request id.
         kind: stream, safe or unsafe.
         key: the API key that was sent.
+        vm: the router's VM.
+        connection: number of the connection.
+        style: the caller's style.
+        behind: the request before it in the same write, if any.
+        on_idle: whether the connection was idle after another response.
         sent_at: time of sending, in seconds of the event loop's clock.
+        ended_at: time of the outcome; 0 without one.
+        ending: how it ended; None without an outcome.
+        started: whether a byte of the response was received.
+        detail: the error that ended it.
         status: HTTP status of the response; 0 without one.
     """
 
     id: str
     kind: str
     key: str
+    vm: str
+    connection: int
+    style: Style
+    behind: "Sent | None"
+    on_idle: bool
     sent_at: float
+    ended_at: float = 0.0
+    ending: Ending | None = None
+    started: bool = False
+    detail: str = ""
     status: int = 0
 
 
@@ -40,67 +88,135 @@
         sent_by_id: all requests sent, by request id.
         keys: valid API keys.
         revoked_keys: revoked API keys; the latest one is still sent.
+        revoked_at_by_key: when each key was revoked, in seconds of the event
+            loop's clock.
     """
 
     def __init__(self, routers, rng, problems):
         self.sent_by_id = {}
         self.keys = ["key-1", "key-2"]
         self.revoked_keys = []
+        self.revoked_at_by_key = {}
         self._routers = routers
         self._rng = rng
         self._problems = problems
         self._numbers = itertools.count(1)
+        self._connection_numbers = itertools.count(1)
+        self._stopping = False
+
+    def stop(self):
+        """Lets all callers end after their current requests."""
+        self._stopping = True
 
-    async def run(self):
+    async def run(self, number):
         """Runs one caller, which reuses its connection while it is reusable."""
+        style = _STYLES[number % len(_STYLES)]
+        pause = _MAX_PAUSE_BY_STYLE.get(style, 0.05)
         connection = None
-        while True:
-            router = self._rng.choice(self._routers)
-            try:
-                if connection is None or not connection.reusable:
-                    connection = await http_call.connect(router.address)
-                await self._call(connection)
-            except http_call.CallError:
-                connection = None
-                await asyncio.sleep(0.05)
-            await asyncio.sleep(self._rng.uniform(0, 0.05))
-
-    async def _call(self, connection):
+        while not self._stopping:
+            if connection is None or not connection.is_reusable:
+                connection = await self._connect(style)
+            if connection is not None:
+                await self._call(connection, style)
+            await asyncio.sleep(self._rng.uniform(0, pause))
+        if connection is not None:
+            connection.close()
+
+    async def _connect(self, style):
+        in_rotation = [r for r in self._routers if r.is_in_rotation()]
+        router = self._rng.choice(in_rotation or self._routers)
+        connection = connections.Connection(
+            next(self._connection_numbers), router.vm, slow=style is Style.SLOW
+        )
+        try:
+            await connection.open(router.address)
+        except (OSError, TimeoutError):
+            return None
+        return connection
+
+    async def _call(self, connection, style):
+        """Sends one request or more and awaits all responses."""
         loop = asyncio.get_running_loop()
-        kind = self._rng.choice(["stream", "safe", "unsafe", "unsafe"])
+        batch = [self._new_request(connection, style, None)]
+        if style is Style.PIPELINED:
+            batch.append(self._new_request(connection, style, batch[0]))
+        raw = b"".join(_format(sent) for sent in batch)
+        connection.write(raw, half_close=style is Style.HALF_CLOSING)
+        end = loop.time() + DEADLINE_SECONDS + MAX_OVERRUN_SECONDS
+        for number, sent in enumerate(batch):
+            try:
+                async with asyncio.timeout_at(end):
+                    response = await connection.read_response()
+                sent.status = response.status
+                sent.ending = Ending.RESPONSE
+            except connections.IncompleteResponseError as error:
+                sent.ending = Ending.CLOSED
+                sent.started = error.started
+                sent.detail = str(error)
+            except TimeoutError:
+                sent.ending = Ending.NO_RESPONSE
+            except (KeyError, ValueError) as error:
+                sent.ending = Ending.MALFORMED
+                self._problems.append(f"{sent.id}: malformed: {error!r}")
+            sent.ended_at = loop.time()
+            if sent.ending is not Ending.RESPONSE:
+                connection.close()
+                for waiting in batch[number + 1 :]:
+                    waiting.ending = sent.ending
+                    waiting.ended_at = sent.ended_at
+                    waiting.detail = f"after {sent.id}"
+                return
+            if sent.status == OK:
+                self._check(sent, response)
+
+    def _new_request(self, connection, style, behind):
+        kind = "stream"
+        if style is not Style.SLOW:
+            kind = self._rng.choice(["stream", "safe", "unsafe", "unsafe"])
         sent = Sent(
             f"{kind}-{next(self._numbers)}",
             kind,
             self._rng.choice(self.keys + self.revoked_keys[-1:]),
-            loop.time(),
+            connection.vm,
+            connection.number,
+            style,
+            behind,
+            connection.answered_count > 0 and behind is None,
+            asyncio.get_running_loop().time(),
         )
         self.sent_by_id[sent.id] = sent
-        method = "GET" if kind == "safe" else "POST"
-        headers = [
-            (b"host", b"desk.example"),
-            (b"x-attempt-id", sent.id.encode()),
-            (b"x-api-key", sent.key.encode()),
-            (b"x-deadline-ms", b"%d" % DEADLINE_MS),
-            (b"x-token-usage", b"100,48"),
-        ]
-        raw = http_call.format_request(method, f"/{kind}/1", headers, b"")
-        response = await control_client.exchange(
-            connection, method, raw, RESPONSE_TIMEOUT_SECONDS
-        )
-        sent.status = response.status
-        if response.status == OK:
-            self._check(sent, response)
+        return sent
 
     def _check(self, sent, response):
-        if response.head.get(b"x-response-seal") is None:
+        if "x-response-seal" not in response.headers:
             self._problems.append(
                 f"{sent.id}: 200 response without x-response-seal"
             )
-        expected = f"answer to {sent.id}"
+        expected = backend.plain_body(sent.id)
         if sent.kind == "stream":
-            expected = "".join(
-                f"id: {n}\ndata: {sent.id}:{n}\n\n"
+            size = backend.event_size(_target(sent))
+            expected = b"".join(
+                backend.event(sent.id, n, size)
                 for n in range(1, backend.EVENT_COUNT + 1)
             )
-        if response.body.decode() != expected:
-            self._problems.append(f"{sent.id}: wrong body {response.body!r}")
+        if response.body != expected:
+            self._problems.append(
+                f"{sent.id}: wrong body {response.body[:300]!r}"
+            )
+
+
+def _target(sent):
+    size = backend.LARGE if sent.style is Style.SLOW else "small"
+    return f"/{sent.kind}/{size}"
+
+
+def _format(sent):
+    headers = [
+        (b"host", b"desk.example"),
+        (b"x-attempt-id", sent.id.encode()),
+        (b"x-api-key", sent.key.encode()),
+        (b"x-deadline-ms", b"%d" % (DEADLINE_SECONDS * 1000)),
+        (b"x-token-usage", b"100,48"),
+    ]
+    method = "GET" if sent.kind == "safe" else "POST"
+    return http_call.format_request(method, _target(sent), headers, b"")
--- a/tests/soak/routers.py
+++ b/tests/soak/routers.py
@@ -1,43 +1,77 @@
-"""Router processes, each started, signalled and restarted by its own id."""
+"""Router processes, each signalled by its own id and restarted when it ends."""
 
 import asyncio
+import dataclasses
 import pathlib
+import random
 import signal
 import socket
 import sys
 
 import yaml
 
-STOP_TIMEOUT_SECONDS = 9.0
-"""A draining process is killed after this time, as on the platform."""
+GRACE_SECONDS = 8.0
+"""Time from SIGTERM until the platform kills a process."""
+ROTATION_SECONDS = 2.2
+"""Two readiness checks, one per second, take a draining router out of
+rotation."""
+MAX_RESIDENT_BYTES = 300e6
+SAMPLE_INTERVAL_SECONDS = 0.1
 
 
 def free_ports(count):
-    """Returns loopback ports that are not in use at present."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for listener in sockets:
-            listener.bind(("127.0.0.1", 0))
-        return [listener.getsockname()[1] for listener in sockets]
-    finally:
-        for listener in sockets:
-            listener.close()
+    """Returns loopback ports that are not in use at present.
+
+    The kernel assigns ports from 32768 on to outgoing connections; one of these
+    might be taken while its router restarts.
+    """
+    ports = []
+    while len(ports) < count:
+        port = random.randint(10000, 32000)
+        with socket.socket() as listener:
+            try:
+                listener.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        ports.append(port)
+    return ports
+
+
+@dataclasses.dataclass
+class Trouble:
+    """A kill or a pause of a router; its end is open until it is known."""
+
+    start: float
+    end: float = float("inf")
 
 
 class RouterProcess:
-    """One router process; it keeps its VM name and ports over restarts."""
+    """One router process; it keeps its VM name and ports over restarts.
 
-    def __init__(self, folder, vm, store_address):
+    Attributes:
+        vm: the router's VM.
+        address: address for callers.
+        troubles: kills and pauses so far.
+        terminated_at: times of SIGTERM, in seconds of the event loop's clock.
+    """
+
+    def __init__(self, folder, vm, store_address, rng, problems):
         self.vm = vm
         callers, readiness, peers, metrics = (
             f"127.0.0.1:{port}" for port in free_ports(4)
         )
         self.address = callers
-        self.readiness = readiness
+        self.troubles = []
+        self.terminated_at = []
+        self._rng = rng
+        self._problems = problems
         self._path = pathlib.Path(folder) / f"{vm}.yaml"
         self._log_path = pathlib.Path(folder) / f"{vm}.log"
         self._process = None
-        self._restart_lock = asyncio.Lock()
+        self._signals = set()
+        self._kill_timer = None
+        self._stopping = False
+        self._task = None
         settings = {
             "vm": vm,
             "failure_domain": "a",
@@ -48,11 +82,94 @@
                 "metrics": metrics,
             },
             "store": {"address": store_address},
-            "bounds": {"revocation_seconds": 2.0},
+            "bounds": {
+                "revocation_seconds": 2.0,
+                "shutdown_seconds": GRACE_SECONDS,
+            },
         }
         self._path.write_text(yaml.safe_dump(settings), encoding="utf-8")
 
     async def start(self):
+        await self._start_process()
+        self._task = asyncio.ensure_future(self._supervise())
+
+    def is_in_rotation(self):
+        """Returns whether the platform sends new connections to it."""
+        now = asyncio.get_running_loop().time()
+        return (
+            signal.SIGTERM not in self._signals
+            or now < self.terminated_at[-1] + ROTATION_SECONDS
+        )
+
+    def send(self, number):
+        """Sends a signal; SIGTERM starts the grace period."""
+        if self._process.returncode is not None:
+            return
+        loop = asyncio.get_running_loop()
+        if number is signal.SIGTERM and number not in self._signals:
+            self.terminated_at.append(loop.time())
+            self._kill_timer = loop.call_later(GRACE_SECONDS, self._kill_late)
+        if number in (signal.SIGKILL, signal.SIGSTOP):
+            self.troubles.append(Trouble(loop.time()))
+        if number is signal.SIGCONT:
+            self._end_troubles()
+        self._signals.add(number)
+        self._process.send_signal(number)
+
+    async def stop(self):
+        """Sends SIGTERM and waits until the process has ended."""
+        self._stopping = True
+        self.send(signal.SIGTERM)
+        await self._task
+
+    def log(self):
+        if not self._log_path.exists():
+            return ""
+        return self._log_path.read_text(encoding="utf-8", errors="replace")
+
+    async def _supervise(self):
+        while True:
+            await self._wait()
+            if self._kill_timer is not None:
+                self._kill_timer.cancel()
+                self._kill_timer = None
+            if not self._signals & {signal.SIGKILL, signal.SIGTERM}:
+                self._problems.append(
+                    f"{self.vm} exited by itself: {self._process.returncode}"
+                )
+            if self._stopping:
+                return
+            await asyncio.sleep(self._rng.uniform(0.1, 1.0))
+            await self._start_process()
+            self._end_troubles()
+
+    async def _wait(self):
+        """Waits for the end of the process and samples its memory."""
+        ended = asyncio.ensure_future(self._process.wait())
+        has_exceeded = False
+        while not ended.done():
+            await asyncio.wait([ended], timeout=SAMPLE_INTERVAL_SECONDS)
+            resident = self._resident_bytes()
+            if resident > MAX_RESIDENT_BYTES and not has_exceeded:
+                has_exceeded = True
+                self._problems.append(
+                    f"{self.vm} uses {resident / 1e6:.0f} MB of memory"
+                )
+
+    def _resident_bytes(self):
+        try:
+            text = pathlib.Path(f"/proc/{self._process.pid}/status").read_text(
+                encoding="ascii"
+            )
+        except OSError:
+            return 0
+        for line in text.splitlines():
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1]) * 1024
+        return 0
+
+    async def _start_process(self):
+        self._signals = set()
         with self._log_path.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -64,39 +181,15 @@
                 stderr=log,
             )
 
-    def send(self, number):
-        if self._process.returncode is None:
-            self._process.send_signal(number)
-
-    async def kill_and_restart(self, pause):
-        """Sends SIGKILL and starts the router again after `pause` seconds."""
-        async with self._restart_lock:
-            await self._kill()
-            await asyncio.sleep(pause)
-            await self.start()
-
-    async def drain_and_restart(self):
-        """Drains and restarts; returns whether the process exited by itself."""
-        async with self._restart_lock:
-            exited = await self.drain()
-            await self.start()
-            return exited
-
-    async def _kill(self):
-        self.send(signal.SIGKILL)
-        await self._process.wait()
-
-    async def drain(self):
-        """Sends SIGTERM; returns whether the process exited in time."""
-        self.send(signal.SIGTERM)
-        try:
-            await asyncio.wait_for(self._process.wait(), STOP_TIMEOUT_SECONDS)
-        except TimeoutError:
-            await self._kill()
-            return False
-        return True
+    def _kill_late(self):
+        trouble = self.troubles[-1] if self.troubles else None
+        now = asyncio.get_running_loop().time()
+        if trouble is None or trouble.end < self.terminated_at[-1]:
+            self._problems.append(f"{self.vm} did not exit after SIGTERM")
+        self.troubles.append(Trouble(now))
+        self._process.send_signal(signal.SIGKILL)
 
-    def log(self):
-        if not self._log_path.exists():
-            return ""
-        return self._log_path.read_text(encoding="utf-8")
+    def _end_troubles(self):
+        now = asyncio.get_running_loop().time()
+        for trouble in self.troubles:
+            trouble.end = min(trouble.end, now)
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -1,29 +1,42 @@
 """Injects a seeded series of faults and checks the router's guarantees."""
 
 import asyncio
+import contextlib
 import dataclasses
 import json
+import pathlib
 import random
-import signal
 import tempfile
 
-from nutmeglift import kv
 from tests.gateway import store_stand_in
-from tests.gateway import test_platform_schema
 from tests.soak import backend
 from tests.soak import callers
+from tests.soak import configs
+from tests.soak import faults
 from tests.soak import network
 from tests.soak import routers
+from tests.soak import unanswered
 
-ROUTER_COUNT = 3
-RUNNER_COUNT = 4
-PLAIN_SERVER_COUNT = 3
-CALLER_COUNT = 12
 REVOCATION_SECONDS = 2.0
-SETTLE_SECONDS = 3.0
+RECOVERY_SECONDS = 30.0
 MIN_SERVED_RATIO = 0.25
 
 
+@dataclasses.dataclass(frozen=True)
+class Size:
+    """Numbers of processes, stand-ins and callers.
+
+    Attributes:
+        routers: number of router processes.
+        servers: number of servers; half of them are runners.
+        callers: number of callers.
+    """
+
+    routers: int = 3
+    servers: int = 12
+    callers: int = 14
+
+
 @dataclasses.dataclass
 class Result:
     """The result of a run.
@@ -32,247 +45,214 @@
         problems: violated guarantees.
         sent: number of requests sent.
         served: number of requests with a 200 response.
+        unanswered: number of requests that ended for an allowed reason
+            without a response, by reason.
         faults: names of the injected faults, in order.
     """
 
     problems: list[str]
     sent: int
     served: int
+    unanswered: dict[str, int]
     faults: list[str]
 
 
+class System:
+    """The processes and stand-ins of a run.
+
+    Attributes:
+        record: what the servers observe.
+        store: the store.
+        servers: the servers.
+        proxies: one for each router, between it and the store.
+        routers: the router processes.
+        callers: the callers.
+        config_writer: writes the configuration.
+    """
+
+    def __init__(self, rng, size):
+        self.record = backend.Record()
+        self.store = store_stand_in.StoreStandIn()
+        self.servers = []
+        self.proxies = []
+        self.routers = []
+        self.callers = callers.Callers(self.routers, rng, self.record.problems)
+        self.config_writer = configs.ConfigWriter(
+            self.store.memory, rng, self.callers
+        )
+        self._rng = rng
+        self._size = size
+
+    async def start(self, folder):
+        await self.store.start()
+        for number in range(self._size.servers):
+            services = configs.PLAIN_SERVICES
+            kind = ""
+            if number % 2:
+                services, kind = configs.MODELS, "big"
+            service = services[number // 2 % 2]
+            name = f"{service}-{number}"
+            server = backend.Server(
+                self.record, self.store.memory, name, service, kind
+            )
+            self.servers.append(server)
+            await server.start()
+        for number in range(self._size.routers):
+            proxy = network.Proxy(self.store.server.address)
+            await proxy.start()
+            self.proxies.append(proxy)
+            self.routers.append(
+                routers.RouterProcess(
+                    folder,
+                    f"router-{number}",
+                    proxy.address,
+                    self._rng,
+                    self.record.problems,
+                )
+            )
+        await self.config_writer.write(asyncio.get_running_loop().time())
+        await asyncio.gather(*(router.start() for router in self.routers))
+
+    async def stop(self):
+        await asyncio.gather(*(router.stop() for router in self.routers))
+        for proxy in self.proxies:
+            proxy.close()
+
+
 class SoakRun:
-    """One soak run with its store, servers, routers and callers."""
+    """One soak run; its files are in a folder."""
 
-    def __init__(self, seed, folder):
+    def __init__(self, seed, size, folder):
+        self._seed = seed
         self._rng = random.Random(seed)
-        self._folder = folder
-        self._record = backend.Record()
-        self._version = 1
-        self._revoked_at = {}
-        self._faults = []
-        self._store = store_stand_in.StoreStandIn()
-        self._memory = self._store.memory
+        self._size = size
+        self._folder = pathlib.Path(folder)
+        self._system = System(random.Random(f"{seed}-system"), size)
+        self._events = []
 
     async def run(self, seconds):
         """Injects faults for that many seconds; then checks all guarantees."""
-        await self._start()
+        system = self._system
+        await system.start(self._folder)
         tasks = [
-            asyncio.ensure_future(self._callers.run())
-            for _ in range(CALLER_COUNT)
+            asyncio.ensure_future(system.callers.run(number))
+            for number in range(self._size.callers)
         ]
         await self._wait_until_served()
+        await self._inject(seconds)
+        await self._wait_until_served()
+        system.callers.stop()
+        await asyncio.gather(*tasks)
+        await system.stop()
+        counts = self._check()
+        sent = list(system.callers.sent_by_id.values())
+        self._write_events()
+        return Result(
+            system.record.problems,
+            len(sent),
+            sum(1 for each in sent if each.status == callers.OK),
+            counts,
+            [name for _, name in self._events],
+        )
+
+    async def _inject(self, seconds):
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
         running = set()
         while loop.time() < end:
-            fault = self._rng.choice(self._fault_kinds())
-            self._faults.append(fault.__name__)
-            running.add(asyncio.ensure_future(fault()))
-            if self._rng.random() < 0.6:
+            fault_rng = random.Random(f"{self._seed}-{len(self._events)}")
+            name, fault = faults.Injector(fault_rng, self._system).draw()
+            self._events.append((loop.time(), name))
+            running.add(asyncio.ensure_future(fault))
+            if self._rng.random() < 0.4:
                 await asyncio.wait(running)
             running = {task for task in running if not task.done()}
             await asyncio.sleep(self._rng.uniform(0.1, 0.6))
         if running:
             await asyncio.wait(running)
-        await self._wait_until_served()
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-        await asyncio.gather(*(r.drain() for r in self._routers))
-        for proxy in self._proxies:
-            proxy.close()
-        self._check()
-        sent = self._callers.sent_by_id.values()
-        served = sum(1 for request in sent if request.status == 200)
-        return Result(self._record.problems, len(sent), served, self._faults)
-
-    async def _start(self):
-        await self._store.start()
-        self._servers = [
-            backend.Server(
-                self._record, self._memory, f"runner-{n}", "model", "big"
-            )
-            for n in range(RUNNER_COUNT)
-        ]
-        self._servers += [
-            backend.Server(self._record, self._memory, f"core-{n}", "core")
-            for n in range(PLAIN_SERVER_COUNT)
-        ]
-        for server in self._servers:
-            await server.start()
-        self._proxies = []
-        self._routers = []
-        for number in range(ROUTER_COUNT):
-            proxy = network.Proxy(self._store.server.address)
-            await proxy.start()
-            self._proxies.append(proxy)
-            self._routers.append(
-                routers.RouterProcess(
-                    self._folder, f"router-{number}", proxy.address
-                )
-            )
-        self._callers = callers.Callers(
-            self._routers, self._rng, self._record.problems
-        )
-        await self._write_config()
-        for router in self._routers:
-            await router.start()
-
-    async def _write_config(self):
-        self._version += self._rng.randint(1, 4)
-        engine = json.loads(json.dumps(test_platform_schema.ENGINE))
-        engine["kinds"][0]["mb"] = 300000.0
-        config = {
-            "version": self._version,
-            "routes": [
-                {
-                    "name": kind,
-                    "host": "desk.example",
-                    "prefix": f"/{kind}/",
-                    "kind": "streaming" if kind == "stream" else kind,
-                    "timeout_ms": 5000,
-                    "service": "model" if kind == "stream" else "core",
-                    "max_attempts": 1 if kind == "unsafe" else 2,
-                    "resumable": kind == "stream",
-                }
-                for kind in ("stream", "safe", "unsafe")
-            ],
-            "services": [
-                {"name": "model", "engine": engine},
-                {"name": "core"},
-            ],
-            "tenants": [{"name": "bank", "api_keys": self._callers.keys}],
-        }
-        raw = json.dumps(config).encode()
-        await self._memory.txn([], [kv.Put("op/config", raw)])
 
     async def _wait_until_served(self):
-        """Waits up to 30 s until a new request of each kind has been served."""
+        """Waits until a new request of each kind has been served."""
         loop = asyncio.get_running_loop()
         start = loop.time()
-        while loop.time() < start + 30.0:
-            served = [
-                request
-                for request in self._callers.sent_by_id.values()
-                if request.sent_at > start and request.status == 200
-            ]
-            if {request.kind for request in served} >= {
-                "stream",
-                "safe",
-                "unsafe",
-            }:
+        while loop.time() < start + RECOVERY_SECONDS:
+            served = {
+                sent.kind
+                for sent in self._system.callers.sent_by_id.values()
+                if sent.sent_at > start and sent.status == callers.OK
+            }
+            if served >= set(configs.KINDS):
                 return
             await asyncio.sleep(0.1)
-        self._record.problems.append(
+        self._system.record.problems.append(
             "not every kind of request was served again within 30 s"
         )
 
-    # Faults.
-
-    def _fault_kinds(self):
-        return [
-            self._kill_router,
-            self._drain_router,
-            self._pause_router,
-            self._reload_router,
-            self._disrupt_store_connection,
-            self._fail_store,
-            self._fail_server,
-            self._crash_server,
-            self._change_config,
-            self._revoke_key,
-        ]
-
-    def _random_duration(self):
-        return self._rng.uniform(0.3, 2.5)
-
-    async def _kill_router(self):
-        router = self._rng.choice(self._routers)
-        await router.kill_and_restart(self._rng.uniform(0.1, 1.0))
-
-    async def _drain_router(self):
-        router = self._rng.choice(self._routers)
-        if not await router.drain_and_restart():
-            self._record.problems.append(
-                f"{router.vm} did not exit after SIGTERM"
-            )
-
-    async def _pause_router(self):
-        router = self._rng.choice(self._routers)
-        router.send(signal.SIGSTOP)
-        await asyncio.sleep(self._random_duration())
-        router.send(signal.SIGCONT)
-
-    async def _reload_router(self):
-        self._rng.choice(self._routers).send(signal.SIGHUP)
-
-    async def _disrupt_store_connection(self):
-        proxy = self._rng.choice(self._proxies)
-        modes = [mode for mode in network.Mode if mode is not network.Mode.PASS]
-        proxy.set_mode(self._rng.choice(modes))
-        await asyncio.sleep(self._random_duration())
-        proxy.set_mode(network.Mode.PASS)
-
-    async def _fail_store(self):
-        status = self._rng.choice([429, 503])
-        raw = b"HTTP/1.1 %d X\r\ncontent-length: 0\r\n\r\n" % status
-        self._store.fault = lambda request: raw
-        await asyncio.sleep(self._random_duration())
-        self._store.fault = None
-
-    async def _fail_server(self):
-        server = self._rng.choice(self._servers)
-        kinds = [f for f in backend.Fault if f is not backend.Fault.NONE]
-        server.fault = self._rng.choice(kinds)
-        await asyncio.sleep(self._random_duration())
-        server.fault = backend.Fault.NONE
-
-    async def _crash_server(self):
-        server = self._rng.choice(self._servers)
-        await server.crash()
-        await asyncio.sleep(self._random_duration())
-        await server.restart()
-
-    async def _change_config(self):
-        for _ in range(self._rng.randint(1, 5)):
-            await self._write_config()
-            await asyncio.sleep(0.05)
-
-    async def _revoke_key(self):
-        if len(self._callers.keys) > 1:
-            key = self._callers.keys[0]
-            self._callers.keys = [*self._callers.keys[1:], f"{key}-next"]
-            self._callers.revoked_keys.append(key)
-            await self._write_config()
-            self._revoked_at[key] = asyncio.get_running_loop().time()
-
-    # Checks.
-
     def _check(self):
-        problems = self._record.problems
-        for sent in self._callers.sent_by_id.values():
-            runs = self._record.runs_by_id.get(sent.id, [])
-            if sent.kind == "unsafe" and len(runs) > 1:
-                problems.append(f"{sent.id} ran at {runs}")
-            if sent.status in callers.NOT_RUN_STATUSES and runs:
-                problems.append(f"{sent.id}: {sent.status}, but ran at {runs}")
-            revoked_at = self._revoked_at.get(sent.key)
-            if (
-                runs
-                and revoked_at is not None
-                and sent.sent_at > revoked_at + REVOCATION_SECONDS
-            ):
-                problems.append(f"{sent.id} ran with a revoked key")
-        for router in self._routers:
+        """Appends all problems; returns the unanswered requests by reason."""
+        system = self._system
+        problems = system.record.problems
+        check = unanswered.UnansweredCheck(
+            system.record, system.config_writer, system.routers
+        )
+        for sent in system.callers.sent_by_id.values():
+            check.check(sent)
+            self._check_runs(sent)
+        problems.extend(check.problems)
+        for router in system.routers:
+            log = router.log()
             for mark in ("internal error", "controller failed", "Traceback"):
-                log = router.log()
                 at = log.find(mark)
                 if at >= 0:
                     problems.append(f"{router.vm}: {log[at : at + 1500]}")
+        return {
+            reason.value: count
+            for reason, count in check.count_by_reason.items()
+        }
+
+    def _check_runs(self, sent):
+        problems = self._system.record.problems
+        runs = self._system.record.runs_by_id.get(sent.id, [])
+        names = [run.server for run in runs]
+        if sent.kind == "unsafe" and len(runs) > 1:
+            problems.append(f"{sent.id} ran at {names}")
+        if sent.status in callers.NOT_RUN_STATUSES and runs:
+            problems.append(f"{sent.id}: {sent.status}, but ran at {names}")
+        revoked_at = self._system.callers.revoked_at_by_key.get(sent.key)
+        if (
+            runs
+            and revoked_at is not None
+            and sent.sent_at > revoked_at + REVOCATION_SECONDS
+        ):
+            problems.append(f"{sent.id} ran with a revoked key")
+
+    def _write_events(self):
+        """Writes the times of faults and signals, for reading with the logs."""
+        lines = [(at, name) for at, name in self._events]
+        for router in self._system.routers:
+            lines += [
+                (at, f"SIGTERM {router.vm}") for at in router.terminated_at
+            ]
+            lines += [
+                (trouble.start, f"trouble of {router.vm} to {trouble.end:.2f}")
+                for trouble in router.troubles
+            ]
+        lines += [
+            (each.at, f"config {each.timeout_by_kind}")
+            for each in self._system.config_writer.written
+        ]
+        path = self._folder / "events.jsonl"
+        with path.open("w", encoding="utf-8") as file:
+            for at, name in sorted(lines):
+                print(json.dumps([round(at, 3), name]), file=file)
 
 
-async def run_seed(seed, seconds):
-    """Runs the soak with a seed in a temporary folder."""
-    with tempfile.TemporaryDirectory() as folder:
-        return await SoakRun(seed, folder).run(seconds)
+async def run_seed(seed, seconds, size=Size(), keep=""):
+    """Runs the soak with a seed in a temporary folder, or in one to keep."""
+    with contextlib.ExitStack() as stack:
+        if keep:
+            folder = pathlib.Path(keep) / f"seed-{seed}"
+            folder.mkdir(parents=True, exist_ok=True)
+        else:
+            folder = stack.enter_context(tempfile.TemporaryDirectory())
+        return await SoakRun(seed, size, folder).run(seconds)
--- /dev/null
+++ b/tests/soak/unanswered.py
@@ -0,0 +1,145 @@
+"""Finds requests that ended with neither a response nor an allowed reason.
+
+The reasons are those of the platform's rules on lost requests. Silence of a
+server, faults of the store, changes of the configuration, SIGHUP and SIGTERM
+are none.
+"""
+
+import enum
+
+from tests.soak import backend
+from tests.soak import callers
+from tests.soak import routers
+
+CONTACT_SECONDS = 3.0
+"""A kill or a pause excuses requests that are sent this long after its end."""
+CROSSING_SECONDS = 0.2
+"""Longest time from a request's last byte to the end of its connection if the
+router closed the connection without having read the request."""
+LATE_GRACE_RATIO = 5 / 6
+"""Requests that a server still runs after this part of the grace may be cut."""
+ACCEPT_SECONDS = 3.0
+"""Time after SIGTERM in which requests must be accepted as before."""
+TOLERANCE_SECONDS = 0.05
+
+
+class Reason(enum.Enum):
+    """Why a request may end without a response."""
+
+    ROUTER_TROUBLE = "router killed or paused"
+    SERVER_BROKE_OFF = "server broke off"
+    ENDLESS_AFTER_START = "server sent no end after the response had started"
+    DEADLINE = "deadline or time-out passed"
+    GRACE = "server still at work at the end of the grace"
+    NOT_READ = "not read by the router"
+    HALF_CLOSED = "caller had closed its sending side"
+
+
+class UnansweredCheck:
+    """Checks the requests of one run.
+
+    Attributes:
+        count_by_reason: number of requests that were excused.
+        problems: requests without an outcome or an allowed reason.
+    """
+
+    def __init__(self, record, config_writer, router_processes):
+        self.count_by_reason = {}
+        self.problems = []
+        self._runs_by_id = record.runs_by_id
+        self._config_writer = config_writer
+        self._router_by_vm = {router.vm: router for router in router_processes}
+        self._log_by_vm = {r.vm: r.log() for r in router_processes}
+
+    def check(self, sent):
+        if sent.ending in (None, callers.Ending.RESPONSE):
+            self._check_duration(sent)
+            return
+        reason = self._find_reason(sent)
+        if reason is None and sent.behind is not None:
+            # A response that is cut short ends its connection.
+            is_first_unanswered = sent.behind.ending is callers.Ending.CLOSED
+            reason = is_first_unanswered and self._find_reason(sent.behind)
+        if not reason:
+            self.problems.append(self._describe(sent, "unanswered"))
+            return
+        count = self.count_by_reason.get(reason, 0)
+        self.count_by_reason[reason] = count + 1
+
+    def _check_duration(self, sent):
+        limit = callers.DEADLINE_SECONDS + callers.MAX_OVERRUN_SECONDS
+        if sent.ending is None:
+            self.problems.append(self._describe(sent, "no outcome"))
+        elif (
+            sent.ended_at - sent.sent_at > limit + TOLERANCE_SECONDS
+            and not self._is_in_trouble(sent)
+        ):
+            self.problems.append(self._describe(sent, "held too long"))
+
+    def _find_reason(self, sent):
+        runs = self._runs_by_id.get(sent.id, [])
+        if self._is_in_trouble(sent):
+            return Reason.ROUTER_TROUBLE
+        if runs and runs[-1].has_broken_off:
+            return Reason.SERVER_BROKE_OFF
+        if sent.ending is not callers.Ending.CLOSED:
+            return None
+        if sent.started and runs and runs[-1].fault is backend.Fault.ENDLESS:
+            return Reason.ENDLESS_AFTER_START
+        if self._is_overdue(sent):
+            return Reason.DEADLINE
+        if any(self._is_cut_by_grace(sent, run) for run in runs):
+            return Reason.GRACE
+        if self._is_unread(sent, runs):
+            return Reason.NOT_READ
+        if sent.style is callers.Style.HALF_CLOSING:
+            # A router can't tell this from a closed connection, and has to
+            # stop the work for a caller that has closed its connection.
+            return Reason.HALF_CLOSED
+        return None
+
+    def _is_in_trouble(self, sent):
+        return any(
+            trouble.start <= sent.ended_at
+            and sent.sent_at <= trouble.end + CONTACT_SECONDS
+            for trouble in self._router_by_vm[sent.vm].troubles
+        )
+
+    def _is_overdue(self, sent):
+        timeout = self._config_writer.min_timeout(
+            sent.kind, sent.sent_at, sent.ended_at
+        )
+        limit = min(callers.DEADLINE_SECONDS, timeout)
+        return sent.ended_at >= sent.sent_at + limit - TOLERANCE_SECONDS
+
+    def _is_cut_by_grace(self, sent, run):
+        return any(
+            sent.sent_at <= terminated_at + ACCEPT_SECONDS
+            and run.started_at <= terminated_at + routers.GRACE_SECONDS
+            and run.ended_at
+            >= terminated_at + routers.GRACE_SECONDS * LATE_GRACE_RATIO
+            for terminated_at in self._router_by_vm[sent.vm].terminated_at
+            if terminated_at <= sent.ended_at
+        )
+
+    def _is_unread(self, sent, runs):
+        return (
+            sent.on_idle
+            and not runs
+            and sent.ended_at - sent.sent_at <= CROSSING_SECONDS
+            and f'"{sent.id}"' not in self._log_by_vm[sent.vm]
+        )
+
+    def _describe(self, sent, what):
+        runs = ", ".join(
+            f"{run.server} ({run.fault.value})"
+            f" {run.started_at:.2f}-{run.ended_at:.2f}"
+            for run in self._runs_by_id.get(sent.id, [])
+        )
+        ending = sent.ending.value if sent.ending else "none"
+        return (
+            f"{what}: {sent.id} at {sent.vm}, connection {sent.connection},"
+            f" {sent.style.value}, sent {sent.sent_at:.2f},"
+            f" ended {sent.ended_at:.2f} ({ending}, started={sent.started},"
+            f" {sent.detail}), ran at [{runs}]"
+        )
