Keep the times of signals and stop restarting routers in the soak

Cause: a router that was between its end and its restart when the soak stopped was started again and never ended, so that the run waited for ever.

The soak starts no router after its stop, and events.jsonl has all signals with the time of the log lines.

--- a/tests/soak/routers.py
+++ b/tests/soak/routers.py
@@ -52,7 +52,8 @@
         vm: the router's VM.
         address: address for callers.
         troubles: kills and pauses so far.
-        terminated_at: times of SIGTERM, in seconds of the event loop's clock.
+        signals: times and numbers of all signals sent.
+        terminated_at: times of the first SIGTERM of each process.
     """
 
     def __init__(self, folder, vm, store_address, rng, problems):
@@ -62,6 +63,7 @@
         )
         self.address = callers
         self.troubles = []
+        self.signals = []
         self.terminated_at = []
         self._rng = rng
         self._problems = problems
@@ -95,25 +97,26 @@
 
     def is_in_rotation(self):
         """Returns whether the platform sends new connections to it."""
-        now = asyncio.get_running_loop().time()
         return (
             signal.SIGTERM not in self._signals
-            or now < self.terminated_at[-1] + ROTATION_SECONDS
+            or self._now() < self.terminated_at[-1] + ROTATION_SECONDS
         )
 
     def send(self, number):
         """Sends a signal; SIGTERM starts the grace period."""
         if self._process.returncode is not None:
             return
-        loop = asyncio.get_running_loop()
         if number is signal.SIGTERM and number not in self._signals:
-            self.terminated_at.append(loop.time())
-            self._kill_timer = loop.call_later(GRACE_SECONDS, self._kill_late)
+            self.terminated_at.append(self._now())
+            self._kill_timer = asyncio.get_running_loop().call_later(
+                GRACE_SECONDS, self._kill_late
+            )
         if number in (signal.SIGKILL, signal.SIGSTOP):
-            self.troubles.append(Trouble(loop.time()))
+            self.troubles.append(Trouble(self._now()))
         if number is signal.SIGCONT:
             self._end_troubles()
         self._signals.add(number)
+        self.signals.append((self._now(), number))
         self._process.send_signal(number)
 
     async def stop(self):
@@ -135,13 +138,17 @@
                 self._kill_timer = None
             if not self._signals & {signal.SIGKILL, signal.SIGTERM}:
                 self._problems.append(
-                    f"{self.vm} exited by itself: {self._process.returncode}"
+                    f"{self.vm} exited by itself with"
+                    f" {self._process.returncode} at {self._now():.2f}"
                 )
+            if not self._stopping:
+                await asyncio.sleep(self._rng.uniform(0.1, 1.0))
             if self._stopping:
                 return
-            await asyncio.sleep(self._rng.uniform(0.1, 1.0))
             await self._start_process()
             self._end_troubles()
+            if self._stopping:
+                self.send(signal.SIGTERM)
 
     async def _wait(self):
         """Waits for the end of the process and samples its memory."""
@@ -154,6 +161,7 @@
                 has_exceeded = True
                 self._problems.append(
                     f"{self.vm} uses {resident / 1e6:.0f} MB of memory"
+                    f" at {self._now():.2f}"
                 )
 
     def _resident_bytes(self):
@@ -183,13 +191,17 @@
 
     def _kill_late(self):
         trouble = self.troubles[-1] if self.troubles else None
-        now = asyncio.get_running_loop().time()
         if trouble is None or trouble.end < self.terminated_at[-1]:
-            self._problems.append(f"{self.vm} did not exit after SIGTERM")
-        self.troubles.append(Trouble(now))
+            self._problems.append(
+                f"{self.vm} did not exit after SIGTERM at {self._now():.2f}"
+            )
+        self.troubles.append(Trouble(self._now()))
         self._process.send_signal(signal.SIGKILL)
 
     def _end_troubles(self):
-        now = asyncio.get_running_loop().time()
         for trouble in self.troubles:
-            trouble.end = min(trouble.end, now)
+            trouble.end = min(trouble.end, self._now())
+
+    @staticmethod
+    def _now():
+        return asyncio.get_running_loop().time()
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -7,6 +7,7 @@
 import pathlib
 import random
 import tempfile
+import time
 
 from tests.gateway import store_stand_in
 from tests.soak import backend
@@ -227,24 +228,21 @@
             problems.append(f"{sent.id} ran with a revoked key")
 
     def _write_events(self):
-        """Writes the times of faults and signals, for reading with the logs."""
-        lines = [(at, name) for at, name in self._events]
+        """Writes the times of all events, for reading with the logs."""
+        lines = list(self._events)
         for router in self._system.routers:
-            lines += [
-                (at, f"SIGTERM {router.vm}") for at in router.terminated_at
-            ]
-            lines += [
-                (trouble.start, f"trouble of {router.vm} to {trouble.end:.2f}")
-                for trouble in router.troubles
-            ]
+            lines += [(at, f"{n.name} {router.vm}") for at, n in router.signals]
         lines += [
-            (each.at, f"config {each.timeout_by_kind}")
+            (each.at, f"configuration {each.timeout_by_kind}")
             for each in self._system.config_writer.written
         ]
+        # Log lines have the time of the wall clock.
+        offset = time.time() - asyncio.get_running_loop().time()
         path = self._folder / "events.jsonl"
         with path.open("w", encoding="utf-8") as file:
             for at, name in sorted(lines):
-                print(json.dumps([round(at, 3), name]), file=file)
+                line = [round(at, 3), round(at + offset, 3), name]
+                print(json.dumps(line), file=file)
 
 
 async def run_seed(seed, seconds, size=Size(), keep=""):
--- a/tests/soak/unanswered.py
+++ b/tests/soak/unanswered.py
@@ -137,9 +137,12 @@
             for run in self._runs_by_id.get(sent.id, [])
         )
         ending = sent.ending.value if sent.ending else "none"
+        behind = ""
+        if sent.behind is not None:
+            behind = f" behind {sent.behind.id} ({sent.behind.status}),"
         return (
             f"{what}: {sent.id} at {sent.vm}, connection {sent.connection},"
-            f" {sent.style.value}, sent {sent.sent_at:.2f},"
+            f" {sent.style.value},{behind} sent {sent.sent_at:.2f},"
             f" ended {sent.ended_at:.2f} ({ending}, started={sent.started},"
             f" {sent.detail}), ran at [{runs}]"
         )
