--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,11 +1,15 @@
 """Command line: python -m tests.soak --seeds=10 --first=1 --seconds=20."""
 
 import asyncio
+import collections
 
 import fire
 
 from tests.soak import soak_run
 
+MAX_SHOWN_COUNT = 3
+"""Problems of one kind that are printed."""
+
 
 def main(
     seeds=1,
@@ -38,10 +42,13 @@
             f" {len(result.faults)} faults, unanswered {result.unanswered}",
             flush=True,
         )
-        for problem in result.problems[:10]:
-            print(f"  {problem}")
-        if len(result.problems) > 10:
-            print(f"  and {len(result.problems) - 10} more")
+        problems_by_kind = collections.defaultdict(list)
+        for problem in result.problems:
+            problems_by_kind[problem.partition(":")[0]].append(problem)
+        for kind, problems in problems_by_kind.items():
+            print(f"  {len(problems)} x {kind}")
+            for problem in problems[:MAX_SHOWN_COUNT]:
+                print(f"    {problem}")
     print(f"{seeds - failed} passed, {failed} failed")
 
 
--- a/tests/soak/routers.py
+++ b/tests/soak/routers.py
@@ -138,7 +138,7 @@
                 self._kill_timer = None
             if not self._signals & {signal.SIGKILL, signal.SIGTERM}:
                 self._problems.append(
-                    f"{self.vm} exited by itself with"
+                    f"exited by itself: {self.vm} with"
                     f" {self._process.returncode} at {self._now():.2f}"
                 )
             if not self._stopping:
@@ -160,8 +160,8 @@
             if resident > MAX_RESIDENT_BYTES and not has_exceeded:
                 has_exceeded = True
                 self._problems.append(
-                    f"{self.vm} uses {resident / 1e6:.0f} MB of memory"
-                    f" at {self._now():.2f}"
+                    f"too much memory: {self.vm} uses"
+                    f" {resident / 1e6:.0f} MB at {self._now():.2f}"
                 )
 
     def _resident_bytes(self):
@@ -193,7 +193,7 @@
         trouble = self.troubles[-1] if self.troubles else None
         if trouble is None or trouble.end < self.terminated_at[-1]:
             self._problems.append(
-                f"{self.vm} did not exit after SIGTERM at {self._now():.2f}"
+                f"no exit after SIGTERM: {self.vm} at {self._now():.2f}"
             )
         self.troubles.append(Trouble(self._now()))
         self._process.send_signal(signal.SIGKILL)
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -21,6 +21,8 @@
 REVOCATION_SECONDS = 2.0
 RECOVERY_SECONDS = 30.0
 MIN_SERVED_RATIO = 0.25
+LAG_INTERVAL_SECONDS = 0.05
+MIN_LAG_SECONDS = 0.1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -130,6 +132,7 @@
         self._folder = pathlib.Path(folder)
         self._system = System(random.Random(f"{seed}-system"), size)
         self._events = []
+        self._lags = []
 
     async def run(self, seconds):
         """Injects faults for that many seconds; then checks all guarantees."""
@@ -139,12 +142,14 @@
             asyncio.ensure_future(system.callers.run(number))
             for number in range(self._size.callers)
         ]
+        lag_task = asyncio.ensure_future(self._record_lags())
         await self._wait_until_served()
         await self._inject(seconds)
         await self._wait_until_served()
         system.callers.stop()
         await asyncio.gather(*tasks)
         await system.stop()
+        lag_task.cancel()
         counts = self._check()
         sent = list(system.callers.sent_by_id.values())
         self._write_events()
@@ -172,6 +177,16 @@
         if running:
             await asyncio.wait(running)
 
+    async def _record_lags(self):
+        """Records when this process had no processor, or was too busy."""
+        loop = asyncio.get_running_loop()
+        while True:
+            start = loop.time()
+            await asyncio.sleep(LAG_INTERVAL_SECONDS)
+            lag = loop.time() - start - LAG_INTERVAL_SECONDS
+            if lag > MIN_LAG_SECONDS:
+                self._lags.append((start, f"soak late by {lag:.2f} s"))
+
     async def _wait_until_served(self):
         """Waits until a new request of each kind has been served."""
         loop = asyncio.get_running_loop()
@@ -229,7 +244,7 @@
 
     def _write_events(self):
         """Writes the times of all events, for reading with the logs."""
-        lines = list(self._events)
+        lines = self._events + self._lags
         for router in self._system.routers:
             lines += [(at, f"{n.name} {router.vm}") for at, n in router.signals]
         lines += [
--- a/tests/soak/unanswered.py
+++ b/tests/soak/unanswered.py
@@ -35,6 +35,16 @@
     HALF_CLOSED = "caller had closed its sending side"
 
 
+def _classify(sent):
+    if sent.behind is not None and sent.behind.status:
+        return "unanswered behind an answered request"
+    if sent.ending is callers.Ending.NO_RESPONSE:
+        return "unanswered after its deadline"
+    if sent.started:
+        return "unanswered, response cut off"
+    return "unanswered, no response begun"
+
+
 class UnansweredCheck:
     """Checks the requests of one run.
 
@@ -61,7 +71,7 @@
             is_first_unanswered = sent.behind.ending is callers.Ending.CLOSED
             reason = is_first_unanswered and self._find_reason(sent.behind)
         if not reason:
-            self.problems.append(self._describe(sent, "unanswered"))
+            self.problems.append(self._describe(sent, _classify(sent)))
             return
         count = self.count_by_reason.get(reason, 0)
         self.count_by_reason[reason] = count + 1
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,7 +6,7 @@
 from tests.soak import soak_run
 
 SEED = 1
-SECONDS = 5.0
+SECONDS = 20.0
 
 
 class SoakTest(unittest.TestCase):
