Let a stream of the soak go on without end after its first events

Cause: a response without end began with its first byte, so that no stream had begun when its router noticed.

Chunks without end now follow half of a stream's events.

--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -52,7 +52,7 @@
     SILENT = "silent"
     """Runs the request and never responds."""
     ENDLESS = "endless"
-    """Runs the request and responds without end."""
+    """Runs the request and responds without end, in Server.endless."""
 
 
 @dataclasses.dataclass
@@ -215,7 +215,7 @@
             stand_ins.reset_connection(writer)
         elif run.fault is Fault.SILENT:
             await asyncio.sleep(60)
-        elif run.fault is Fault.ENDLESS:
+        elif run.fault is Fault.ENDLESS and not self._begins_with_events():
             extra = f"x-attempt-id: {request_id}\r\nx-response-seal: seal\r\n"
             await endless.write(self.endless, writer, extra.encode())
         elif self.kind:
@@ -227,6 +227,10 @@
             body = plain_body(request_id)
             writer.write(stand_ins.complete_response(request, body))
 
+    def _begins_with_events(self):
+        """Returns whether a response without end begins with events."""
+        return self.kind and self.endless is endless.Endless.CHUNKS
+
     def _check_path(self, request):
         next_layer = 0
         for part in request.headers["x-hop-count"].split(","):
@@ -247,10 +251,14 @@
         for number in range(first, EVENT_COUNT + 1):
             await asyncio.sleep(EVENT_INTERVAL_SECONDS)
             await self._awake.wait()
-            if run.fault is Fault.CORRUPT and number == EVENT_COUNT // 2:
+            is_half = number == EVENT_COUNT // 2
+            if run.fault is Fault.CORRUPT and is_half:
                 run.has_broken_off = True
                 stand_ins.reset_connection(writer)
                 return
+            if run.fault is Fault.ENDLESS and is_half:
+                await endless.write(self.endless, writer, begun=True)
+                return
             data = event(request_id, number, size)
             writer.write(b"%x\r\n%b\r\n" % (len(data), data))
             await writer.drain()
--- a/tests/soak/endless.py
+++ b/tests/soak/endless.py
@@ -42,11 +42,19 @@
             return chunked + start, chunk
 
 
-async def write(kind, writer, extra_headers=b""):
-    """Writes a response without end until the peer closes the connection."""
+async def write(kind, writer, extra_headers=b"", *, begun=False):
+    """Writes a response without end until the peer closes the connection.
+
+    Args:
+        kind: where the response goes on without end.
+        writer: the connection's writer.
+        extra_headers: formatted headers.
+        begun: whether the head and complete chunks were written before.
+    """
     first, part = _parts(kind, extra_headers)
     try:
-        writer.write(first)
+        if not begun:
+            writer.write(first)
         while not writer.is_closing():
             writer.write(part)
             await writer.drain()
