Tell slow callers from unanswered requests in the soak

Cause: callers that read large events slowly gave up while the rest of a complete response waited in their own socket buffers.

Such a request is excused if its runs had ended, a part of the response was received and the router did not log a cut. Requests whose response was cut are counted as such also behind another request.

--- a/tests/soak/unanswered.py
+++ b/tests/soak/unanswered.py
@@ -32,16 +32,17 @@
     DEADLINE = "deadline or time-out passed"
     GRACE = "server still at work at the end of the grace"
     NOT_READ = "not read by the router"
+    SLOW_CALLER = "caller read a response too slowly for its deadline"
     HALF_CLOSED = "caller had closed its sending side"
 
 
 def _classify(sent):
-    if sent.behind is not None and sent.behind.status:
-        return "unanswered behind an answered request"
     if sent.ending is callers.Ending.NO_RESPONSE:
         return "unanswered after its deadline"
     if sent.started:
         return "unanswered, response cut off"
+    if sent.behind is not None and sent.behind.status:
+        return "unanswered behind an answered request"
     return "unanswered, no response begun"
 
 
@@ -92,6 +93,8 @@
             return Reason.ROUTER_TROUBLE
         if runs and runs[-1].has_broken_off:
             return Reason.SERVER_BROKE_OFF
+        if sent.ending is callers.Ending.NO_RESPONSE:
+            return Reason.SLOW_CALLER if self._is_slow(sent, runs) else None
         if sent.ending is not callers.Ending.CLOSED:
             return None
         if sent.started and runs and runs[-1].fault is backend.Fault.ENDLESS:
@@ -122,6 +125,16 @@
         limit = min(callers.DEADLINE_SECONDS, timeout)
         return sent.ended_at >= sent.sent_at + limit - TOLERANCE_SECONDS
 
+    def _is_slow(self, sent, runs):
+        """Returns whether the rest of the response waits for its caller."""
+        cut = f'"event":"stream cut","vm":"{sent.vm}","request":"{sent.id}"'
+        return (
+            sent.style is callers.Style.SLOW
+            and sent.started
+            and all(run.ended_at < sent.ended_at for run in runs)
+            and cut not in self._log_by_vm[sent.vm]
+        )
+
     def _is_cut_by_grace(self, sent, run):
         return any(
             sent.sent_at <= terminated_at + ACCEPT_SECONDS
