Close callers' ended connections in the soak

Cause: a caller opened its next connection without closing the one that its router had closed, which left sockets open until they were collected.

Checked: formatter, linter, types; the tests that use the store stand-in.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -114,7 +114,10 @@
         pause = _MAX_PAUSE_BY_STYLE.get(style, 0.05)
         connection = None
         while not self._stopping:
-            if connection is None or not connection.is_reusable:
+            if connection is not None and not connection.is_reusable:
+                connection.close()
+                connection = None
+            if connection is None:
                 connection = await self._connect(style)
             if connection is not None:
                 await self._call(connection, style)
