--- a/tests/gateway/test_catalog.py
+++ b/tests/gateway/test_catalog.py
@@ -1,3 +1,4 @@
+import time
 import unittest
 
 from nutmeglift import ids
@@ -16,7 +17,10 @@
 
 class FindRouteTest(unittest.TestCase):
     def test_longest_prefix_wins(self):
-        configuration = rig.make_catalog(routes=ROUTES)
+        six = rig.make_route(
+            "six", catalog.Idempotency.SAFE, rig.CORE, host="[::1]"
+        )
+        configuration = rig.make_catalog(routes=(*ROUTES, six))
         cases = [
             ("desk.example", "/desk/names/1", "deep"),
             ("desk.example", "/desk/names/", "deep"),
@@ -27,12 +31,25 @@
             ("DESK.example:8080", "/desk/x", "desk"),
             ("other.example", "/desk/x", None),
             ("", "/desk/x", None),
+            ("[::1]", "/six/x", "six"),
+            ("[::1]:8080", "/six/x", "six"),
+            ("[::2]", "/six/x", None),
         ]
         for host, target, expected in cases:
             with self.subTest(host=host, target=target):
                 route = configuration.find_route(host, target)
                 self.assertEqual(route.id if route else None, expected)
 
+    def test_a_target_with_many_slashes_takes_little_time(self):
+        configuration = rig.make_catalog(routes=ROUTES)
+        for prefix, expected in [("/desk/names", "deep"), ("/x", "root")]:
+            target = prefix + "/" * 16000
+            began = time.process_time()
+            for _ in range(100):
+                route = configuration.find_route("desk.example", target)
+            self.assertEqual(route.id, expected)
+            self.assertLess(time.process_time() - began, 1.0)
+
 
 class EngineTest(unittest.TestCase):
     def test_layer_limits_with_and_without_token_capacity(self):
