Restart a controller that failed

What callers could see: after an unexpected error in one controller the router went on without it for good: requests with keys were refused once the configuration could not be confirmed any more, layers stayed missing, streams stayed at lost runners.

Cause: the error was raised again in the task's callback, which ends nothing. Change: Gateway.run starts each controller under supervision.supervise.

Evidence: test_a_controller_that_failed_is_restarted raises once in the first plan; before, no layers were placed (time-out), after, they are.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -35,6 +35,7 @@
 from nutmeglift_gateway import settings_reload
 from nutmeglift_gateway import store_reader
 from nutmeglift_gateway import stream_monitor
+from nutmeglift_gateway import supervision
 
 
 class Gateway:
@@ -69,6 +70,7 @@
             listeners: sockets that are already listening, by address.
         """
         self._config = config
+        self._rng = rng
         self._listeners = listeners or {}
         self._load_settings = load_settings or (lambda: config)
         self._log = log
@@ -138,18 +140,8 @@
             await self._listen(address, self._on_check, self._checkers)
             for address in sorted({listen.readiness, listen.metrics})
         ]
-        for work in (
-            self._reader.watch(),
-            self._reader.confirm(),
-            self._registration.run(),
-            self._monitor.run(),
-            self._prober.run(),
-            self._crash_detector.run(),
-            self._planner.run(),
-            self._peers.serve(listen.peers),
-            self._peers.dial(),
-        ):
-            self._start(work)
+        for name, run in self._controllers():
+            self._start(supervision.supervise(name, run, self._log, self._rng))
         gc.collect()
         gc.freeze()
         self._log.write(
@@ -172,6 +164,25 @@
         for task in self._tasks:
             task.cancel()
 
+    def _controllers(
+        self,
+    ) -> list[tuple[str, Callable[[], Coroutine[Any, Any, None]]]]:
+        """Returns the controllers by name; each runs until it is cancelled."""
+        return [
+            ("store watch", self._reader.watch),
+            ("configuration", self._reader.confirm),
+            ("registration", self._registration.run),
+            ("stream monitor", self._monitor.run),
+            ("prober", self._prober.run),
+            ("crash detector", self._crash_detector.run),
+            ("planner", self._planner.run),
+            (
+                "peer server",
+                functools.partial(self._peers.serve, self._config.listen.peers),
+            ),
+            ("peer links", self._peers.dial),
+        ]
+
     def _start_reload(self) -> None:
         """Handles SIGHUP; a reload that still runs is replaced."""
         if self._reloading is not None:
@@ -322,9 +333,7 @@
             return
         error = task.exception()
         if error is not None:
-            # Without this controller, the router is only partly functional.
-            self._log.write("controller failed", detail=repr(error))
-            raise errors.NutmegError(repr(error)) from error
+            self._log.write("internal error", detail=repr(error))
 
 
 def _cancel(task: "asyncio.Task[None]") -> None:
--- a/tests/gateway/test_whole_gateway.py
+++ b/tests/gateway/test_whole_gateway.py
@@ -255,6 +255,25 @@
         self.assertEqual(response.status, 400)
         fresh.close()
 
+    async def test_a_controller_that_failed_is_restarted(self):
+        await self.wait_until(self.is_ready)
+        # An entry that no check expects; the next round reads it again.
+        decode = self.gateway.board.load_tracker.at
+        failures = []
+
+        def fail_once(address):
+            if not failures:
+                failures.append(address)
+                raise IndexError("test")
+            return decode(address)
+
+        with mock.patch.object(
+            self.gateway.board.load_tracker, "at", fail_once
+        ):
+            await self.wait_until(self.has_layers)
+        self.assertTrue(failures)
+        self.assertIn("controller failed", self.log.events())
+
     async def test_sighup_reloads_the_settings(self):
         await self.wait_until(self.is_ready)
         os.kill(os.getpid(), signal.SIGHUP)
