Let each model service settle by itself before its first placement

What callers saw in the soak: with two model services of three and two runners, no layer was ever placed and every stream was refused.

Cause: the planner kept one count of runners for all services, so each of two services with different counts restarted the other one's delay.

Checked: test_controllers.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/planner_controller.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/planner_controller.py
@@ -96,7 +96,7 @@
         self._planner_by_service: dict[
             ids.ServiceId, tuple[catalog.Engine, layer_planner.LayerPlanner]
         ] = {}
-        self._server_count_since = (-1, 0.0)
+        self._count_since_by_id: dict[ids.ServiceId, tuple[int, float]] = {}
         self._gaps: list[str] = []
 
     async def run(self) -> None:
@@ -209,7 +209,7 @@
         assert engine is not None
         servers = self._board.directory.of_service(service.id)
         starting = not any(server.layers.count for server in servers)
-        if starting and not self._has_settled(len(servers), now):
+        if starting and not self._has_settled(service.id, len(servers), now):
             return 0.0
         usable = {s.id for s in servers if self._is_usable(s)}
         holdings = [self._holding(s, usable, now) for s in servers]
@@ -273,13 +273,13 @@
             self._log.write("layers missing", groups=gaps)
         self._gaps = gaps
 
-    def _has_settled(self, count: int, now: float) -> bool:
-        if count != self._server_count_since[0]:
-            self._server_count_since = (count, now)
-        return (
-            count > 0
-            and now - self._server_count_since[1] >= INITIAL_SETTLE_SECONDS
-        )
+    def _has_settled(
+        self, service: ids.ServiceId, count: int, now: float
+    ) -> bool:
+        known = self._count_since_by_id.get(service)
+        if known is None or known[0] != count:
+            known = self._count_since_by_id[service] = (count, now)
+        return count > 0 and now - known[1] >= INITIAL_SETTLE_SECONDS
 
     def _holding(
         self, server: directory.Server, usable: set[str], now: float
