Deliver a response that is read beside the deadline

What callers saw: 504 for a request whose whole response the router had read, if the deadline was due in the same turn of the event loop, as after a delay of the process. For a payment release that means an unknown outcome in place of the answer.

Cause: asyncio.timeout cancels the task although the future that it awaits is done; the result is dropped with the cancellation. The class is that of the lost cancellations: two events in one turn, of which one hides the other.

Change: when the deadline interrupts an attempt, its receiver is asked for an outcome first, for plain services and streams.

Evidence: test_a_response_read_beside_the_deadline_is_delivered fails before in all three cases (504). Checked: test_exchange_plain, test_exchange_stream, test_silent_servers; formatter, linter, types.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
@@ -45,6 +45,7 @@
         self._streams: stream_attempts.StreamAttempts | None = None
         self._first_server: directory.Server | None = None
         self._no_server_detail = ""
+        self._receiver: attempt.ResponseReceiver | None = None
         self._admitted: admission.Admitted | None = None
 
     async def run(self) -> None:
@@ -127,15 +128,37 @@
                     return await self._attempt_plain(admitted)
                 return await self._streams.next_outcome()
         except TimeoutError:
-            return attempt.Outcome(
-                retry_policy.Failure.TIMEOUT, detail="the deadline passed"
-            )
+            return self._outcome_at_deadline()
         finally:
             if self._streams is not None:
                 self._streams.close()
                 self._first_server = self._streams.last_server
                 self._no_server_detail = self._streams.no_path_detail
 
+    def _outcome_at_deadline(self) -> attempt.Outcome:
+        """Returns the outcome of an attempt that the deadline has interrupted.
+
+        The response may have been read in the same turn of the event loop.
+        """
+        if self._streams is not None:
+            found = self._streams.collect_outcome()
+        else:
+            found = self._plain_outcome()
+        return found or attempt.Outcome(
+            retry_policy.Failure.TIMEOUT, detail="the deadline passed"
+        )
+
+    def _plain_outcome(self) -> attempt.Outcome | None:
+        """Returns the outcome of the current plain attempt once it is known."""
+        receiver = self._receiver
+        if receiver is None or not receiver.done.done():
+            return None
+        if receiver.done.cancelled():
+            return None
+        outcome = receiver.done.result()
+        self._reply.progress.discount(outcome.failure)
+        return outcome
+
     def _end_without_server(self, admitted: admission.Admitted) -> None:
         last = self._failure_handler.last_failed
         if last and last.failure is retry_policy.Failure.SERVER_ERROR:
@@ -189,6 +212,7 @@
         self, admitted: admission.Admitted, server: directory.Server
     ) -> attempt.Outcome:
         """Sends the request to a server and awaits the end of the response."""
+        self._receiver = None
         upstream = await self._sender.connect(server)
         if isinstance(upstream, attempt.Outcome):
             return upstream
@@ -198,6 +222,7 @@
             events=None,
             on_events=None,
         )
+        self._receiver = receiver
         try:
             self._sender.send(
                 upstream,
@@ -206,10 +231,11 @@
                 receiver,
                 remaining=admitted.deadline - self._now(),
             )
-            outcome = await receiver.done
+            await receiver.done
         finally:
             upstream.abort()
-        self._reply.progress.discount(outcome.failure)
+        outcome = self._plain_outcome()
+        assert outcome is not None
         return outcome
 
     def _first_event_id(self) -> int | None:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
@@ -96,23 +96,12 @@
         while outcome is None:
             await self._changed.wait()
             self._changed.clear()
-            outcome = self._collect_outcome()
+            outcome = self.collect_outcome()
             if outcome is None:
                 await self._start_successor()
         return outcome
 
-    def close(self) -> None:
-        """Ends all attempts."""
-        for running in list(self._running):
-            self._end(running)
-
-    def set_writable(self, writable: bool) -> None:
-        """Pauses reading from the runners while the caller reads too slowly."""
-        self._paused = not writable
-        for running in self._running:
-            self._apply_backpressure(running)
-
-    def _collect_outcome(self) -> attempt.Outcome | None:
+    def collect_outcome(self) -> attempt.Outcome | None:
         """Ends the attempts that are done; returns the outcome of the last."""
         for running in list(self._running):
             if not running.receiver.done.done():
@@ -127,6 +116,17 @@
             )
         return None
 
+    def close(self) -> None:
+        """Ends all attempts."""
+        for running in list(self._running):
+            self._end(running)
+
+    def set_writable(self, writable: bool) -> None:
+        """Pauses reading from the runners while the caller reads too slowly."""
+        self._paused = not writable
+        for running in self._running:
+            self._apply_backpressure(running)
+
     def _checked(self, receiver: attempt.ResponseReceiver) -> attempt.Outcome:
         """Returns an attempt's outcome, in the light of the events so far.
 
--- a/tests/gateway/test_exchange_plain.py
+++ b/tests/gateway/test_exchange_plain.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+import time
 import unittest
 from unittest import mock
 
@@ -114,6 +115,25 @@
         self.addAsyncCleanup(self.rig.stop)
 
 
+class DeadlineTest(PlainTestCase):
+    async def test_a_response_read_beside_the_deadline_is_delivered(self):
+        async def late_loop(request, writer, number):
+            writer.write(stand_ins.complete_response(request))
+            # The response and the deadline are due in one turn of the loop.
+            time.sleep(0.3)  # noqa: ASYNC251 - delays the event loop.
+
+        for path in ("/release/1", "/status/1", "/draft/1"):
+            with self.subTest(path):
+                await self.asyncSetUp()
+                await self.rig.add_server(late_loop, "s")
+                await self.rig.add_runner(late_loop, "x", 0, 80)
+                response = await self.rig.call(path, x_deadline_ms=b"200")
+                self.assertEqual(
+                    (response.status, response.body), (200, b"done")
+                )
+                await self.rig.stop()
+
+
 class UnsafeTest(PlainTestCase):
     async def test_responses_of_one_server(self):
         cases = [
