Read what has arrived before a time limit closes a connection

What callers saw in the soak: a request on a new or idle connection was reset, with no line in the log, after the event loop had been delayed for longer than the idle time-out; a request whose head was complete in the socket got 408.

Cause: libuv runs due timers before it reads from sockets, so after a delay the time limit counted although the caller had kept it. Change: when a limit has elapsed, the loop reads once more before it is acted on.

Evidence: test_a_request_that_arrived_before_a_time_out_is_answered delays the loop in another request; on uvloop its three cases fail before (two resets, one 408), on asyncio's loop they pass before, too. Checked: test_listener, test_listener_closing, test_listener_model; formatter, linter, types.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
@@ -14,6 +14,8 @@
 
 MAX_PIPELINED_REQUEST_COUNT = 16
 """Reading stops once this many requests are queued on one connection."""
+READ_TURN_SECONDS = 0.001
+"""Shortest delay of a timer; the event loop reads from sockets before it."""
 WRITE_BUFFER_LIMIT_BYTES = 256 * 1024
 """Unsent bytes for a caller above which reading from its server is paused."""
 LINGER_SECONDS = 2.0
@@ -306,7 +308,16 @@
 
     def _set_timer(self, seconds: float, call: Callable[[], None]) -> None:
         self._cancel_timer()
-        self._timer = self._loop.call_later(seconds, call)
+        self._timer = self._loop.call_later(
+            seconds, self._call_after_reading, call
+        )
+
+    def _call_after_reading(self, call: Callable[[], None]) -> None:
+        """Handles an elapsed time limit, unless the caller's bytes have come.
+
+        After a delay, event loops may run timers before they read.
+        """
+        self._timer = self._loop.call_later(READ_TURN_SECONDS, call)
 
     def _cancel_timer(self) -> None:
         if self._timer is not None:
--- a/tests/gateway/test_listener_closing.py
+++ b/tests/gateway/test_listener_closing.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import dataclasses
+import functools
 import socket
+import time
 import unittest
 from unittest import mock
 
@@ -18,6 +20,7 @@
 )
 ONE = b"POST /1 HTTP/1.1\r\nhost: h\r\ncontent-length: 1\r\n\r\na"
 TWO = b"POST /2 HTTP/1.1\r\nhost: h\r\ncontent-length: 1\r\n\r\nb"
+DELAYING = b"POST /d HTTP/1.1\r\nhost: h\r\ncontent-length: 1\r\n\r\nd"
 PARTIAL = b"POST /3 HTTP/1.1\r\nhos"
 EXPECTING = (
     b"POST /2 HTTP/1.1\r\nhost: h\r\nexpect: 100-continue\r\n"
@@ -42,6 +45,7 @@
         self.limits = LIMITS
         self.held = []
         self.hold = False
+        self.during_delay = None
         self.connections = set()
         loop = asyncio.get_running_loop()
         server = await loop.create_server(
@@ -62,6 +66,11 @@
             connection.abort()
 
     def handle(self, connection, request):
+        if self.during_delay is not None:
+            # Another request delays the event loop beyond the time limits.
+            self.during_delay()
+            self.during_delay = None
+            time.sleep(1.5 * LIMITS.idle_timeout)
         if self.hold:
             self.held.append((connection, request))
             return
@@ -102,6 +111,28 @@
             while not check():  # noqa: ASYNC110 - state of the listener.
                 await asyncio.sleep(0.01)
 
+    async def test_a_request_that_arrived_before_a_time_out_is_answered(self):
+        cases = [
+            # sent and answered first, begun, arrived during the delay
+            ("on a new connection", b"", b"", ONE),
+            ("on an idle connection", ONE, b"", TWO),
+            ("with the rest of its head", b"", ONE[:20], ONE[20:]),
+        ]
+        for name, first, begun, arrived in cases:
+            with self.subTest(name):
+                sock = await self.connect()
+                if first:
+                    await self.send(sock, first)
+                    await self.read_until(sock, b"/1")
+                if begun:
+                    await self.send(sock, begun)
+                await asyncio.sleep(0.05)
+                self.during_delay = functools.partial(sock.send, arrived)
+                await self.send(await self.connect(), DELAYING)
+                target = (begun + arrived)[5:7]
+                received = await self.read_until(sock, target)
+                self.assertIn(b" 200 ", received)
+
     async def test_what_follows_a_response_in_progress(self):
         cases = [
             ("another request", TWO, [b"/1", b"/2"], b""),
