--- a/tests/gateway/stand_ins.py
+++ b/tests/gateway/stand_ins.py
@@ -160,6 +160,12 @@
     return responses.chunk(data)
 
 
+async def missing_event(request, writer, number):
+    """Sends a stream without event 4, in one chunk."""
+    events = [b"id: %d\ndata: t\n\n" % i for i in (1, 2, 3, 5)]
+    writer.write(stream_head(request) + responses.chunk(b"".join(events)))
+
+
 def event_ids(body):
     """Returns the ids of the events in a body."""
     return [
--- a/tests/gateway/test_exchange_stream.py
+++ b/tests/gateway/test_exchange_stream.py
@@ -8,7 +8,6 @@
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import http_call
 from nutmeglift_gateway import ports
-from nutmeglift_gateway import responses
 from nutmeglift_gateway import settings
 from nutmeglift_gateway import stalls
 from nutmeglift_gateway import stream_monitor
@@ -45,13 +44,6 @@
     return script
 
 
-async def missing_event_in_chunk(request, writer, number):
-    events = [b"id: %d\ndata: t\n\n" % i for i in (1, 2, 3, 5)]
-    writer.write(
-        stand_ins.stream_head(request) + responses.chunk(b"".join(events))
-    )
-
-
 async def resumable(request, writer, number):
     begin = int(request.headers.get("last-event-id", 0)) + 1
     await stream(begin, 9)(request, writer, number)
@@ -94,7 +86,7 @@
             ("reset", stream(1, 3, None)),
             ("a partial event", stream(1, 3, partial)),
             ("a missing event", stream(1, 3, stand_ins.sse_chunk(5, 6))),
-            ("a missing event in a chunk", missing_event_in_chunk),
+            ("a missing event in a chunk", stand_ins.missing_event),
             ("a repeated event", stream(1, 3, stand_ins.sse_chunk(3, 4))),
         ]
         for name, script in cases:
