Cancel a task again that dropped its cancellation

Cause: asyncio.wait_for of Python 3.11 drops a cancellation that arrives together with the awaited result, and the HTTP client uses it. The task goes on, and its owner waits for its end for ever. The class is that of the response read beside the deadline: two events in one turn of the loop, of which one hides the other.

Change: cancellation.cancel_and_wait cancels what goes on again, once a second; it replaces all ten places of the product where tasks are cancelled and then awaited.

Evidence: test_an_agent_stops_beside_an_engine_that_drops_the_cancellation ends with a TimeoutError after 100 s of virtual time before, and passes after.

--- a/packages/nutmeglift_agent/nutmeglift_agent/agent.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/agent.py
@@ -9,6 +9,7 @@
 
 from nutmeglift import attempts
 from nutmeglift import backend
+from nutmeglift import cancellation
 from nutmeglift import codec
 from nutmeglift import control_messages
 from nutmeglift import drain
@@ -108,9 +109,7 @@
 
     async def stop(self) -> None:
         """Stops immediately, without waiting for work in flight."""
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await cancellation.cancel_and_wait(self._tasks)
         await self._peers.stop()
 
     async def leave(self) -> None:
--- a/packages/nutmeglift_agent/nutmeglift_agent/peers.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/peers.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
+from nutmeglift import cancellation
 from nutmeglift import codec
 from nutmeglift import errors
 from nutmeglift_wire import link as links
@@ -52,8 +53,7 @@
         """Closes the connection."""
         if self._task is None:
             return
-        self._task.cancel()
-        await asyncio.gather(self._task, return_exceptions=True)
+        await cancellation.cancel_and_wait([self._task])
 
     async def _run(self) -> None:
         try:
--- a/packages/nutmeglift_router/nutmeglift_router/agent_links.py
+++ b/packages/nutmeglift_router/nutmeglift_router/agent_links.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from nutmeglift import cancellation
 from nutmeglift import codec
 from nutmeglift import errors
 from nutmeglift import ids
@@ -54,8 +55,7 @@
 
     async def stop(self) -> None:
         """Closes the connection permanently."""
-        self._task.cancel()
-        await asyncio.gather(self._task, return_exceptions=True)
+        await cancellation.cancel_and_wait([self._task])
 
     async def _run(self) -> None:
         backoff = INITIAL_BACKOFF_SECONDS
--- a/packages/nutmeglift_router/nutmeglift_router/configuration_controller.py
+++ b/packages/nutmeglift_router/nutmeglift_router/configuration_controller.py
@@ -8,6 +8,7 @@
 import random
 
 from nutmeglift import blackboard
+from nutmeglift import cancellation
 from nutmeglift import codec
 from nutmeglift import configuration
 from nutmeglift import configuration_sync as sync
@@ -219,8 +220,7 @@
             if watching.done():
                 watching.result()
         finally:
-            watching.cancel()
-            await asyncio.gather(watching, return_exceptions=True)
+            await cancellation.cancel_and_wait([watching])
 
     async def _follow(self, stored: configuration.StoredHead) -> None:
         start = ids.Revision(stored.read_revision + 1)
--- a/packages/nutmeglift_router/nutmeglift_router/lease_controller.py
+++ b/packages/nutmeglift_router/nutmeglift_router/lease_controller.py
@@ -7,6 +7,7 @@
 import random
 
 from nutmeglift import blackboard
+from nutmeglift import cancellation
 from nutmeglift import errors
 from nutmeglift import ids
 from nutmeglift import kv
@@ -171,9 +172,7 @@
             for task in done:
                 task.result()
         finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            await cancellation.cancel_and_wait(tasks)
 
     async def _watch(self, role: lease.RoleState) -> None:
         start = ids.Revision(role.read_revision + 1)
--- a/packages/nutmeglift_router/nutmeglift_router/ledger_controller.py
+++ b/packages/nutmeglift_router/nutmeglift_router/ledger_controller.py
@@ -6,6 +6,7 @@
 import random
 from typing import NoReturn
 
+from nutmeglift import cancellation
 from nutmeglift import codec
 from nutmeglift import errors
 from nutmeglift import group_commit
@@ -185,8 +186,7 @@
     async def stop(self) -> None:
         """Stops writing at once; pending writes are abandoned."""
         if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+            await cancellation.cancel_and_wait([self._task])
 
     def _raise_claim_timeout(self, write: group_commit.KeyWrite) -> NoReturn:
         self._listener_by_write.pop(write, None)
--- a/packages/nutmeglift_router/nutmeglift_router/plain_controller.py
+++ b/packages/nutmeglift_router/nutmeglift_router/plain_controller.py
@@ -8,6 +8,7 @@
 
 from nutmeglift import attempt_resolution
 from nutmeglift import attempts
+from nutmeglift import cancellation
 from nutmeglift import declaration
 from nutmeglift import errors
 from nutmeglift import ids
@@ -149,9 +150,7 @@
 
     async def stop(self) -> None:
         """Cancels all calls at once and stops the ledger."""
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await cancellation.cancel_and_wait(self._tasks)
         await self.ledger.stop()
 
     def _make_request_id(self) -> ids.RequestId:
--- a/packages/nutmeglift_router/nutmeglift_router/router.py
+++ b/packages/nutmeglift_router/nutmeglift_router/router.py
@@ -8,6 +8,7 @@
 
 from nutmeglift import auth
 from nutmeglift import blackboard
+from nutmeglift import cancellation
 from nutmeglift import codec
 from nutmeglift import control_messages
 from nutmeglift import drain
@@ -221,9 +222,7 @@
 
     async def stop(self) -> None:
         """Cancels all work and closes all connections at once."""
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await cancellation.cancel_and_wait(self._tasks)
         await self.plain.stop()
         await self._agent_links.stop()
         await self.routers.stop()
--- a/packages/nutmeglift_router/nutmeglift_router/router_links.py
+++ b/packages/nutmeglift_router/nutmeglift_router/router_links.py
@@ -5,6 +5,7 @@
 import contextlib
 import logging
 
+from nutmeglift import cancellation
 from nutmeglift import codec
 from nutmeglift import errors
 from nutmeglift import ids
@@ -127,9 +128,7 @@
         """Closes all connections."""
         tasks = [*self._dial_task_by_address.values(), *self._accepted_tasks]
         self._dial_task_by_address.clear()
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancellation.cancel_and_wait(tasks)
 
     async def _serve_accepted(self, link: links.BaseLink) -> None:
         try:
--- a/packages/nutmeglift_wire/nutmeglift_wire/session.py
+++ b/packages/nutmeglift_wire/nutmeglift_wire/session.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from nutmeglift import cancellation
 from nutmeglift import codec
 from nutmeglift import errors
 from nutmeglift import messages
@@ -214,9 +215,7 @@
             return _end_reason(done)
         finally:
             self._closed = True
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            await cancellation.cancel_and_wait(tasks)
             with contextlib.suppress(errors.NutmegError, TimeoutError):
                 await self._link.close()
 
