Use the field's terms in the soak

Trouble becomes Disruption, Style.PATIENT becomes Style.IDLING, Server.born becomes start_time and orders order_count; the values of Fault are those of its names. Sent is created with keywords, since most of its 9 values have the same type.

--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -13,7 +13,6 @@
 EVENT_COUNT = 12
 EVENT_INTERVAL_SECONDS = 0.03
 LAST_CHUNK = b"0\r\n\r\n"
-START_TIME_INCREMENT = 1
 LARGE = "large"
 """Ends the path of a request for events that fill the socket buffers."""
 LARGE_EVENT_BYTES = 512 * 1024
@@ -40,11 +39,11 @@
     """
 
     NONE = "none"
-    RESET = "lose"
+    RESET = "reset"
     """Runs the request and resets the connection without a response."""
     REJECT = "reject"
     """Rejects the request as not run."""
-    CORRUPT = "spoil"
+    CORRUPT = "corrupt"
     """Runs the request and responds with another request's id.
 
     A stream is reset halfway instead.
@@ -100,8 +99,8 @@
         self.endless = endless.Endless.HEADERS
         self.control_endless = None
         self.layers = None
-        self.orders = 0
-        self.born = 1000
+        self.order_count = 0
+        self.start_time = 1000
         self.lifetime_lock = asyncio.Lock()
         self._awake = asyncio.Event()
         self._awake.set()
@@ -125,8 +124,8 @@
 
     async def restart(self):
         """Starts a new lifetime at another address, without layers."""
-        self.layers, self.orders = None, 0
-        self.born += START_TIME_INCREMENT
+        self.layers, self.order_count = None, 0
+        self.start_time += 1
         self.fault = Fault.NONE
         self._server = stand_ins.ScriptedServer(self._respond)
         await self.start()
@@ -145,7 +144,7 @@
             "slots": 96,
             "state": state,
             "sequence": 1,
-            "born": self.born,
+            "born": self.start_time,
             "kind": self.kind,
             "layers": self.layers,
         }
@@ -161,7 +160,9 @@
             await endless.write(self.control_endless, writer)
         elif is_report:
             self._send(
-                writer, 200, {"sequence": self.orders, "layers": self.layers}
+                writer,
+                200,
+                {"sequence": self.order_count, "layers": self.layers},
             )
         else:
             await self._take_order(json.loads(request.body), writer)
@@ -170,10 +171,10 @@
         if order["operation"] != "place":
             self._send(writer, 404, {})
             return
-        if order["expected"] != self.orders:
+        if order["expected"] != self.order_count:
             self._send(writer, 409, {})
             return
-        self.orders += 1
+        self.order_count += 1
         self.layers = {"from": order["from"], "target": order["target"]}
         self._send(writer, 202, {})
         await self.write("ready")
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -20,7 +20,7 @@
     """How a caller uses its connections."""
 
     PLAIN = "plain"
-    PATIENT = "patient"
+    IDLING = "idling"
     """Leaves connections idle for up to 1.2 s."""
     PIPELINED = "pipelined"
     """Sends two requests in one write."""
@@ -31,7 +31,7 @@
 
 
 _STYLES = (Style.PLAIN, Style.PLAIN, *list(Style)[1:])
-_MAX_PAUSE_BY_STYLE = {Style.PATIENT: 1.2, Style.HALF_CLOSING: 0.5}
+_MAX_PAUSE_BY_STYLE = {Style.IDLING: 1.2, Style.HALF_CLOSING: 0.5}
 
 
 class Ending(enum.Enum):
@@ -177,15 +177,15 @@
         if style is not Style.SLOW:
             kind = self._rng.choice(["stream", "safe", "unsafe", "unsafe"])
         sent = Sent(
-            f"{kind}-{next(self._numbers)}",
-            kind,
-            self._rng.choice(self.keys + self.revoked_keys[-1:]),
-            connection.vm,
-            connection.number,
-            style,
-            behind,
-            connection.answered_count > 0 and behind is None,
-            asyncio.get_running_loop().time(),
+            id=f"{kind}-{next(self._numbers)}",
+            kind=kind,
+            key=self._rng.choice(self.keys + self.revoked_keys[-1:]),
+            vm=connection.vm,
+            connection=connection.number,
+            style=style,
+            behind=behind,
+            on_idle=connection.answered_count > 0 and behind is None,
+            sent_at=asyncio.get_running_loop().time(),
         )
         self.sent_by_id[sent.id] = sent
         return sent
--- a/tests/soak/routers.py
+++ b/tests/soak/routers.py
@@ -38,8 +38,8 @@
 
 
 @dataclasses.dataclass
-class Trouble:
-    """A kill or a pause of a router; its end is open until it is known."""
+class Disruption:
+    """A kill or a pause of a router; its end is infinite until it is known."""
 
     start: float
     end: float = float("inf")
@@ -51,7 +51,7 @@
     Attributes:
         vm: the router's VM.
         address: address for callers.
-        troubles: kills and pauses so far.
+        disruptions: kills and pauses so far.
         signals: times and numbers of all signals sent.
         terminated_at: times of the first SIGTERM of each process.
     """
@@ -62,7 +62,7 @@
             f"127.0.0.1:{port}" for port in free_ports(4)
         )
         self.address = callers
-        self.troubles = []
+        self.disruptions = []
         self.signals = []
         self.terminated_at = []
         self._rng = rng
@@ -112,9 +112,9 @@
                 GRACE_SECONDS, self._kill_late
             )
         if number in (signal.SIGKILL, signal.SIGSTOP):
-            self.troubles.append(Trouble(self._now()))
+            self.disruptions.append(Disruption(self._now()))
         if number is signal.SIGCONT:
-            self._end_troubles()
+            self._end_disruptions()
         self._signals.add(number)
         self.signals.append((self._now(), number))
         self._process.send_signal(number)
@@ -146,7 +146,7 @@
             if self._stopping:
                 return
             await self._start_process()
-            self._end_troubles()
+            self._end_disruptions()
             if self._stopping:
                 self.send(signal.SIGTERM)
 
@@ -190,17 +190,17 @@
             )
 
     def _kill_late(self):
-        trouble = self.troubles[-1] if self.troubles else None
-        if trouble is None or trouble.end < self.terminated_at[-1]:
+        last = self.disruptions[-1] if self.disruptions else None
+        if last is None or last.end < self.terminated_at[-1]:
             self._problems.append(
                 f"no exit after SIGTERM: {self.vm} at {self._now():.2f}"
             )
-        self.troubles.append(Trouble(self._now()))
+        self.disruptions.append(Disruption(self._now()))
         self._process.send_signal(signal.SIGKILL)
 
-    def _end_troubles(self):
-        for trouble in self.troubles:
-            trouble.end = min(trouble.end, self._now())
+    def _end_disruptions(self):
+        for disruption in self.disruptions:
+            disruption.end = min(disruption.end, self._now())
 
     @staticmethod
     def _now():
--- a/tests/soak/unanswered.py
+++ b/tests/soak/unanswered.py
@@ -26,7 +26,7 @@
 class Reason(enum.Enum):
     """Why a request may end without a response."""
 
-    ROUTER_TROUBLE = "router killed or paused"
+    ROUTER_DISRUPTED = "router killed or paused"
     SERVER_BROKE_OFF = "server broke off"
     ENDLESS_AFTER_START = "server sent no end after the response had started"
     DEADLINE = "deadline or time-out passed"
@@ -83,14 +83,14 @@
             self.problems.append(self._describe(sent, "no outcome"))
         elif (
             sent.ended_at - sent.sent_at > limit + TOLERANCE_SECONDS
-            and not self._is_in_trouble(sent)
+            and not self._is_disrupted(sent)
         ):
             self.problems.append(self._describe(sent, "held too long"))
 
     def _find_reason(self, sent):
         runs = self._runs_by_id.get(sent.id, [])
-        if self._is_in_trouble(sent):
-            return Reason.ROUTER_TROUBLE
+        if self._is_disrupted(sent):
+            return Reason.ROUTER_DISRUPTED
         if runs and runs[-1].has_broken_off:
             return Reason.SERVER_BROKE_OFF
         if sent.ending is callers.Ending.NO_RESPONSE:
@@ -111,11 +111,11 @@
             return Reason.HALF_CLOSED
         return None
 
-    def _is_in_trouble(self, sent):
+    def _is_disrupted(self, sent):
         return any(
-            trouble.start <= sent.ended_at
-            and sent.sent_at <= trouble.end + CONTACT_SECONDS
-            for trouble in self._router_by_vm[sent.vm].troubles
+            disruption.start <= sent.ended_at
+            and sent.sent_at <= disruption.end + CONTACT_SECONDS
+            for disruption in self._router_by_vm[sent.vm].disruptions
         )
 
     def _is_overdue(self, sent):
