Split the longest functions of the soak

System.start has a method each for a server and a router, and Callers._call one for the end of a response.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -147,21 +147,7 @@
         connection.write(raw, half_close=style is Style.HALF_CLOSING)
         end = loop.time() + DEADLINE_SECONDS + MAX_OVERRUN_SECONDS
         for number, sent in enumerate(batch):
-            try:
-                async with asyncio.timeout_at(end):
-                    response = await connection.read_response()
-                sent.status = response.status
-                sent.ending = Ending.RESPONSE
-            except connections.IncompleteResponseError as error:
-                sent.ending = Ending.CLOSED
-                sent.detail = str(error)
-            except TimeoutError:
-                sent.ending = Ending.NO_RESPONSE
-            except (KeyError, ValueError) as error:
-                sent.ending = Ending.MALFORMED
-                self._problems.append(f"{sent.id}: malformed: {error!r}")
-            sent.ended_at = loop.time()
-            sent.started = connection.has_begun
+            await self._read_response(connection, sent, end)
             if sent.ending is not Ending.RESPONSE:
                 connection.close()
                 for waiting in batch[number + 1 :]:
@@ -169,8 +155,27 @@
                     waiting.ended_at = sent.ended_at
                     waiting.detail = f"after {sent.id}"
                 return
-            if sent.status == OK:
-                self._check(sent, response)
+
+    async def _read_response(self, connection, sent, end):
+        """Reads the response to a request and records how it ended."""
+        response = None
+        try:
+            async with asyncio.timeout_at(end):
+                response = await connection.read_response()
+            sent.status = response.status
+            sent.ending = Ending.RESPONSE
+        except connections.IncompleteResponseError as error:
+            sent.ending = Ending.CLOSED
+            sent.detail = str(error)
+        except TimeoutError:
+            sent.ending = Ending.NO_RESPONSE
+        except (KeyError, ValueError) as error:
+            sent.ending = Ending.MALFORMED
+            self._problems.append(f"{sent.id}: malformed: {error!r}")
+        sent.ended_at = asyncio.get_running_loop().time()
+        sent.started = connection.has_begun
+        if sent.status == OK:
+            self._check(sent, response)
 
     def _new_request(self, connection, style, behind):
         kind = "stream"
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -89,30 +89,9 @@
     async def start(self, folder):
         await self.store.start()
         for number in range(self._size.servers):
-            services = configs.PLAIN_SERVICES
-            kind = ""
-            if number % 2:
-                services, kind = configs.MODELS, "big"
-            service = services[number // 2 % 2]
-            name = f"{service}-{number}"
-            server = backend.Server(
-                self.record, self.store.memory, name, service, kind
-            )
-            self.servers.append(server)
-            await server.start()
+            await self._start_server(number)
         for number in range(self._size.routers):
-            proxy = network.Proxy(self.store.server.address)
-            await proxy.start()
-            self.proxies.append(proxy)
-            self.routers.append(
-                routers.RouterProcess(
-                    folder,
-                    f"router-{number}",
-                    proxy.address,
-                    self._rng,
-                    self.record.problems,
-                )
-            )
+            await self._add_router(folder, number)
         await self.config_writer.write(asyncio.get_running_loop().time())
         await asyncio.gather(*(router.start() for router in self.routers))
 
@@ -121,6 +100,36 @@
         for proxy in self.proxies:
             proxy.close()
 
+    async def _start_server(self, number):
+        services = configs.PLAIN_SERVICES
+        kind = ""
+        if number % 2:
+            services, kind = configs.MODELS, "big"
+        service = services[number // 2 % 2]
+        server = backend.Server(
+            self.record,
+            self.store.memory,
+            f"{service}-{number}",
+            service,
+            kind,
+        )
+        self.servers.append(server)
+        await server.start()
+
+    async def _add_router(self, folder, number):
+        proxy = network.Proxy(self.store.server.address)
+        await proxy.start()
+        self.proxies.append(proxy)
+        self.routers.append(
+            routers.RouterProcess(
+                folder,
+                f"router-{number}",
+                proxy.address,
+                self._rng,
+                self.record.problems,
+            )
+        )
+
 
 class SoakRun:
     """One soak run; its files are in a folder."""
@@ -205,7 +214,7 @@
         )
 
     def _check(self):
-        """Appends all problems; returns the unanswered requests by reason."""
+        """Records all problems; returns the unanswered requests by reason."""
         system = self._system
         problems = system.record.problems
         check = unanswered.UnansweredCheck(
