Reserve each port of a soak run once

Change: a socket that is bound and does not listen holds each port until the router has stopped. Routers can still listen on it, as both set SO_REUSEADDR; another reservation can't. The check of the logs is unchanged.

Evidence: test_no_port_is_reserved_twice; a trial with asyncio, uvloop and early_listeners showed that they can listen on a reserved port, that a second reservation of it fails, and that connections to it are refused while no router listens.

--- a/tests/soak/routers.py
+++ b/tests/soak/routers.py
@@ -19,22 +19,25 @@
 SAMPLE_INTERVAL_SECONDS = 0.1
 
 
-def free_ports(count):
-    """Returns loopback ports that are not in use at present.
+def reserve_ports(count):
+    """Returns sockets that reserve loopback ports until they are closed.
 
-    The kernel assigns ports from 32768 on to outgoing connections; one of these
-    might be taken while its router restarts.
+    A socket that does not listen leaves its port to a listener if both set
+    SO_REUSEADDR, and keeps it from other reservations, which don't set it
+    before they bind. The kernel assigns ports from 32768 on to outgoing
+    connections; one of these might be taken while its router restarts.
     """
-    ports = []
-    while len(ports) < count:
-        port = random.randint(10000, 32000)
-        with socket.socket() as listener:
-            try:
-                listener.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        ports.append(port)
-    return ports
+    reserved = []
+    while len(reserved) < count:
+        sock = socket.socket()
+        try:
+            sock.bind(("127.0.0.1", random.randint(10000, 32000)))
+        except OSError:
+            sock.close()
+            continue
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        reserved.append(sock)
+    return reserved
 
 
 @dataclasses.dataclass
@@ -58,8 +61,9 @@
 
     def __init__(self, folder, vm, store_address, rng, problems):
         self.vm = vm
+        self._reserved = reserve_ports(4)
         callers, readiness, peers, metrics = (
-            f"127.0.0.1:{port}" for port in free_ports(4)
+            f"127.0.0.1:{sock.getsockname()[1]}" for sock in self._reserved
         )
         self.address = callers
         self.disruptions = []
@@ -124,6 +128,8 @@
         self._stopping = True
         self.send(signal.SIGTERM)
         await self._task
+        for sock in self._reserved:
+            sock.close()
 
     def log(self):
         if not self._log_path.exists():
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from tests.soak import routers
 from tests.soak import soak_run
 
 SEED = 1
@@ -17,6 +18,15 @@
             result.served, result.sent * soak_run.MIN_SERVED_RATIO
         )
 
+    def test_no_port_is_reserved_twice(self):
+        reserved = routers.reserve_ports(500)
+        try:
+            ports = {sock.getsockname()[1] for sock in reserved}
+            self.assertEqual(len(ports), len(reserved))
+        finally:
+            for sock in reserved:
+                sock.close()
+
 
 if __name__ == "__main__":
     unittest.main()
