Send SIGHUP in the soak only to routers whose program runs

What remains is the start of the interpreter, before which SIGHUP ends any process. The check is the same; the signal is not sent until the process ignores or handles it, as its status in /proc says.

Checked: tests.test_soak; formatter, linter, types.

--- a/tests/soak/routers.py
+++ b/tests/soak/routers.py
@@ -106,10 +106,25 @@
             or self._now() < self.terminated_at[-1] + ROTATION_SECONDS
         )
 
+    def _runs_program(self):
+        """Returns whether the interpreter has begun to run the program.
+
+        Before that, no program can prevent that SIGHUP ends its process.
+        """
+        path = pathlib.Path(f"/proc/{self._process.pid}/status")
+        masks = dict(
+            line.split(":", 1)
+            for line in path.read_text(encoding="ascii").splitlines()
+        )
+        handled = int(masks["SigIgn"], 16) | int(masks["SigCgt"], 16)
+        return bool(handled & 1 << signal.SIGHUP - 1)
+
     def send(self, number):
         """Sends a signal; SIGTERM starts the grace period."""
         if self._process.returncode is not None:
             return
+        if number is signal.SIGHUP and not self._runs_program():
+            return
         if number is signal.SIGTERM and number not in self._signals:
             self.terminated_at.append(self._now())
             self._kill_timer = asyncio.get_running_loop().call_later(
