Keep a stream whose runner's address is listed for an older lifetime

What callers could see: a silent stream was cut although its runner went on, after the store had come back from a copy some seconds old that listed the runner's predecessor at the address.

Cause: Board.is_replaced took any other lifetime at the address for a later one, and the monitor ended the attempt, without a successor.

Change: only a lifetime that did not start before counts as a replacement.

Evidence: the new test fails before ('closed before the end of the response'). Checked: test_silent_servers, test_exchange_stream, test_directory; formatter, linter, types.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
@@ -335,9 +335,16 @@
         )
 
     def is_replaced(self, server: directory.Server) -> bool:
-        """Returns whether another lifetime is listed at a server's address."""
+        """Returns whether a later lifetime is listed at a server's address.
+
+        A store that was restored from an older copy lists the one before.
+        """
         known = self.server_at(server.address)
-        return known is not None and known.lifetime != server.lifetime
+        return (
+            known is not None
+            and known.lifetime != server.lifetime
+            and known.born >= server.born
+        )
 
     def server_at(self, address: str) -> directory.Server | None:
         """Returns the server at an address, the newest if there are several."""
