Count successors against the link between failure domains at once

What callers could see: streams late and requests refused while a link between failure domains is saturated, when a runner with many streams falls silent.

Cause: a successor's path is chosen in one turn of the monitor for all silent streams, but its transfer was recorded only as its attempt started, after the last of these choices. Before successors, choice and record were one step.

Change: the transfer is recorded with the reservation of the path.

Evidence: the new test fails before (4 successors on a link with room for 1).

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
@@ -209,9 +209,11 @@
         now = self._loop.time()
         self._reply.paths.append(path_explanation.format_path(path))
         self.last_server = path.first
-        context.board.link_budget.record_transfer(
-            now, engine, path, admitted.prompt_tokens
-        )
+        if beside is None:
+            # That of a successor was recorded with its path's reservation.
+            context.board.link_budget.record_transfer(
+                now, engine, path, admitted.prompt_tokens
+            )
         running = self._new_attempt(path, now)
         running.stream.reserve(context.board)
         upstream: http_call.Connection | attempt.Outcome | None = None
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_resumer.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_resumer.py
@@ -63,6 +63,11 @@
         # Without the reservation, streams that lose the same runner would all
         # choose the same free capacity.
         stream.reserve_resume_path(self._board, path)
+        engine = stream.admitted.service.engine
+        assert engine is not None
+        self._board.link_budget.record_transfer(
+            now, engine, path, stream.admitted.prompt_tokens
+        )
         stream.paired = True
         self._metrics.repairs.labels("resume", "started").inc()
         self._log.write(
--- a/tests/gateway/test_stream_successors.py
+++ b/tests/gateway/test_stream_successors.py
@@ -25,6 +25,32 @@
             runner.address, reason, "test"
         )
 
+    async def test_successors_share_the_link_between_failure_domains(self):
+        # The prompt of one stream takes more than the router's part of a link.
+        silent = await self.rig.add_runner(
+            silent_servers.silent_until(self.wakes), "x", 0, 80
+        )
+        calls = [
+            asyncio.ensure_future(
+                self.event_ids(
+                    x_attempt_id=b"attempt-%d" % number,
+                    x_token_usage=b"20000,40",
+                )
+            )
+            for number in range(4)
+        ]
+        await wait_until(lambda: len(silent.requests) == len(calls))
+        other = await self.rig.add_runner(
+            silent_servers.resume_silently, "y", 0, 50, domain="b"
+        )
+        await self.rig.add_runner(stand_ins.silent, "z", 50, 80, domain="c")
+        await wait_until(lambda: other.requests)
+        await asyncio.sleep(0.3)
+        count = len(other.requests)
+        self.wakes.set()
+        await asyncio.gather(*calls)
+        self.assertEqual(count, 1)
+
     async def test_an_older_entry_at_its_address_does_not_cut_a_stream(self):
         # The store has come back from a copy that is some seconds old.
         first = await self.rig.add_runner(
