Start no successor of a stream that ended as it connected

What servers could see: a request for the rest of a stream that was complete.

Cause: whether the silent attempt had gone on was judged by its last event only.

Change: a valid end counts as well.

Evidence: the new test fails before (the successor's runner got the request).

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
@@ -40,6 +40,13 @@
     def server(self) -> directory.Server:
         return self.stream.path.first
 
+    def has_gone_on(self, silent_since: float) -> bool:
+        """Returns whether an event or a valid end ended its silence."""
+        done = self.receiver.done
+        return self.receiver.last_byte_at != silent_since or (
+            done.done() and done.result().failure is None
+        )
+
 
 class StreamAttempts:
     """The attempts at one stream, of which at most two run at a time.
@@ -181,9 +188,9 @@
             return
         (first,) = self._running
         first.stream.release_resume_path(self._context.board)
-        last_byte_at = first.receiver.last_byte_at
+        silent_since = first.receiver.last_byte_at
         outcome = await self._start(path, beside=first)
-        if outcome is not None and first.receiver.last_byte_at == last_byte_at:
+        if outcome is not None and not first.has_gone_on(silent_since):
             self._failures.record(
                 self._admitted, outcome, path.first, self._reply
             )
@@ -225,7 +232,7 @@
                 self._end(running)
         if isinstance(upstream, attempt.Outcome):
             return upstream
-        if beside and beside.receiver.last_byte_at != silent_since:
+        if beside and beside.has_gone_on(silent_since):
             upstream.abort()
             self._end(running)
             return attempt.Outcome(
--- a/tests/gateway/test_stream_successors.py
+++ b/tests/gateway/test_stream_successors.py
@@ -1,7 +1,10 @@
 """Successors of silent attempts: what they may cost and take over."""
 
 import asyncio
+from unittest import mock
 
+from nutmeglift_gateway import http_call
+from nutmeglift_gateway import sender as senders
 from tests.gateway import rig
 from tests.gateway import stand_ins
 from tests.gateway import test_exchange_stream as streams
@@ -64,3 +67,34 @@
         await asyncio.sleep(0.6)
         self.wakes.set()
         self.assertEqual(await call, silent_servers.ALL_EVENTS)
+
+    async def test_a_stream_that_ends_while_its_successor_connects(self):
+        ends = asyncio.Event()
+
+        async def script(request, writer, number):
+            writer.write(
+                stand_ins.stream_head(request) + stand_ins.sse_chunk(1, 9)
+            )
+            await ends.wait()
+            writer.write(streams.LAST_CHUNK)
+
+        await self.rig.add_runner(script, "x", 0, 80)
+        other = await self.rig.add_runner(
+            silent_servers.resume_silently, "y", 0, 80, domain="b"
+        )
+        connecting = asyncio.Event()
+        connect = senders.Sender.connect
+
+        async def connect_slowly(sender, server):
+            if server.id == "y":
+                connecting.set()
+                await asyncio.sleep(http_call.CONNECT_TIMEOUT_SECONDS)
+            return await connect(sender, server)
+
+        with mock.patch.object(senders.Sender, "connect", connect_slowly):
+            call = asyncio.ensure_future(self.event_ids())
+            await asyncio.wait_for(connecting.wait(), stand_ins.WAIT_SECONDS)
+            ends.set()
+            self.assertEqual(await call, silent_servers.ALL_EVENTS)
+        await asyncio.sleep(0.1)
+        self.assertEqual(other.requests, [])
