Move no stream between failure domains beside its successor

What callers could see: later events of other streams, as the link between two failure domains carried the same tokens for a successor and for a move.

Cause: StreamResumer.start_successor returns False for a stream that has a successor, and the monitor took that for 'no other pipeline' and went on to the move. Before successors, the stream had ended by then.

Change: such a stream is left to its attempts. Moves within its failure domains go on.

Evidence: the new test fails before (one redirect beside the successor).

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_monitor.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_monitor.py
@@ -245,6 +245,9 @@
             # Streams keep running on a draining runner, and on layers that a
             # runner is about to unload; a restart would discard their progress.
             return False
+        if crossing and stream.paired:
+            # Its successor processes the same tokens already.
+            return True
         if crossing and self._resumer.start_successor(
             stream, now, "resuming on another pipeline", may_cross=False
         ):
--- a/tests/gateway/test_stream_successors.py
+++ b/tests/gateway/test_stream_successors.py
@@ -5,6 +5,7 @@
 
 from nutmeglift_gateway import http_call
 from nutmeglift_gateway import sender as senders
+from nutmeglift_gateway import suspect_servers
 from tests.gateway import rig
 from tests.gateway import stand_ins
 from tests.gateway import test_exchange_stream as streams
@@ -54,6 +55,26 @@
         await asyncio.gather(*calls)
         self.assertEqual(count, 1)
 
+    async def test_a_stream_with_a_successor_is_not_moved_as_well(self):
+        await self.rig.add_runner(
+            silent_servers.silent_until(self.wakes), "x", 0, 50
+        )
+        lost = await self.rig.add_runner(stand_ins.silent, "y", 50, 80)
+        call = asyncio.ensure_future(self.event_ids())
+        await wait_until(lambda: self.rig.monitor._streams)
+        other = await self.rig.add_runner(
+            silent_servers.resume_silently, "w", 0, 80, domain="b"
+        )
+        await self.rig.add_runner(stand_ins.silent, "z", 50, 80, domain="b")
+        await asyncio.sleep(0.05)
+        self.suspect(lost, suspect_servers.Reason.UNREACHABLE)
+        await wait_until(lambda: other.requests)
+        await asyncio.sleep(0.5)
+        redirected = len(self.rig.runners.redirected)
+        self.wakes.set()
+        self.assertEqual(await call, silent_servers.ALL_EVENTS)
+        self.assertEqual(redirected, 0)
+
     async def test_an_older_entry_at_its_address_does_not_cut_a_stream(self):
         # The store has come back from a copy that is some seconds old.
         first = await self.rig.add_runner(
