--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -39,7 +39,8 @@
         failed += bool(result.problems)
         print(
             f"seed {seed} {state}: {result.served} of {result.sent} served,"
-            f" {len(result.faults)} faults, unanswered {result.unanswered}",
+            f" {len(result.faults)} faults, unanswered {result.unanswered},"
+            f" soak late for {result.late_seconds:.1f} s",
             flush=True,
         )
         problems_by_kind = collections.defaultdict(list)
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -51,6 +51,9 @@
         unanswered: number of requests that ended for an allowed reason
             without a response, by reason.
         faults: names of the injected faults, in order.
+        late_seconds: how long the soak's own process ran late in total. If it
+            did for much of the run, the numbers of servers, callers or routers
+            are too large for the machine.
     """
 
     problems: list[str]
@@ -58,6 +61,7 @@
     served: int
     unanswered: dict[str, int]
     faults: list[str]
+    late_seconds: float
 
 
 class System:
@@ -168,6 +172,7 @@
             sum(1 for each in sent if each.status == callers.OK),
             counts,
             [name for _, name in self._events],
+            sum(seconds for _, seconds in self._lags),
         )
 
     async def _inject(self, seconds):
@@ -194,7 +199,7 @@
             await asyncio.sleep(LAG_INTERVAL_SECONDS)
             lag = loop.time() - start - LAG_INTERVAL_SECONDS
             if lag > MIN_LAG_SECONDS:
-                self._lags.append((start, f"soak late by {lag:.2f} s"))
+                self._lags.append((start, lag))
 
     async def _wait_until_served(self):
         """Waits until a new request of each kind has been served."""
@@ -253,7 +258,8 @@
 
     def _write_events(self):
         """Writes the times of all events, for reading with the logs."""
-        lines = self._events + self._lags
+        lines = list(self._events)
+        lines += [(at, f"soak late by {lag:.2f} s") for at, lag in self._lags]
         for router in self._system.routers:
             lines += [(at, f"{n.name} {router.vm}") for at, n in router.signals]
         lines += [
