Count no run of a superseded attempt whose runner is lost

What callers could see: a stream that had lost three runners one after another, all without a closed connection, ended without its last event, though a runner was free.

Cause: an attempt that its successor supersedes is ended without an outcome, so the loss of its runner was never recorded, and its run counted toward the route's limit on attempts.

Change: its run is taken as terminated if its runner is known to have ended.

Evidence: the new test fails before (no further successor). Checked: test_silent_servers, test_exchange_stream, test_stream_attempts_model; in one of four runs of these under load a test failed whose name was not kept, in the other three none; formatter, linter, types.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
@@ -304,7 +304,10 @@
                 server=other.server.id,
                 by=running.server.id,
             )
+            unfinished = not other.receiver.done.done()
             self._end(other)
+            if unfinished and self._context.board.has_ended(other.server):
+                self._reply.progress.terminated_runs += 1
         self._last_event_id = running.events.last_id
         self._reply.on_events(head, data)
 
--- a/tests/gateway/test_stream_successors.py
+++ b/tests/gateway/test_stream_successors.py
@@ -29,6 +29,12 @@
             runner.address, reason, "test"
         )
 
+    def has_events_of(self, name):
+        return any(
+            stream.path.first.id == name and stream.receiver.events_seen
+            for stream in self.rig.monitor._streams
+        )
+
     async def test_successors_share_the_link_between_failure_domains(self):
         # The prompt of one stream takes more than the router's part of a link.
         silent = await self.rig.add_runner(
@@ -119,3 +125,32 @@
             self.assertEqual(await call, silent_servers.ALL_EVENTS)
         await asyncio.sleep(0.1)
         self.assertEqual(other.requests, [])
+
+    async def test_lost_runners_of_superseded_attempts_use_up_no_attempt(self):
+        # Each runner is lost without a closed connection.
+        names = ["x", "y", "z", "w"]
+
+        async def stop_after_two(request, writer, number):
+            begin = int(request.headers.get("last-event-id", 0)) + 1
+            writer.write(
+                stand_ins.stream_head(request)
+                + stand_ins.sse_chunk(begin, begin + 1)
+            )
+            await asyncio.sleep(60)
+
+        runners = []
+        call = None
+        for name in names:
+            script = streams.resumable if name == "w" else stop_after_two
+            runner = await self.rig.add_runner(script, name, 0, 80)
+            if runners:
+                self.suspect(runners[-1], suspect_servers.Reason.UNREACHABLE)
+            else:
+                call = asyncio.ensure_future(self.event_ids())
+            runners.append(runner)
+            if name != "w":
+                await wait_until(lambda name=name: self.has_events_of(name))
+        self.assertEqual(
+            await asyncio.wait_for(call, stand_ins.WAIT_SECONDS),
+            silent_servers.ALL_EVENTS,
+        )
