Count a run as over only if its server has ended or is cut off

What servers could see: with a route's limit of one attempt, a second run of a stream whose sound runner was silent, if a neighbour or another router called it stalled, or its entry was removed. The limit on attempts leaves out only servers that have ended or were cut off; the first run went on.

Cause: Board.has_ended counts every suspicion and a missing entry as an end. Before a successor is started, and when one has superseded an attempt, only what this router itself has found counts now: a refused or impossible connection, or a later lifetime at the address. After a closed connection the wider notion stays.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
@@ -334,6 +334,19 @@
             and server.address in self.suspect_servers.down_addresses()
         )
 
+    def has_terminated(self, server: directory.Server) -> bool:
+        """Returns whether a server is known not to go on with its requests.
+
+        A server without an entry may serve on, and so may one that another
+        server or router finds silent.
+        """
+        suspects = self.suspect_servers
+        return self.is_replaced(server) or (
+            suspects.is_suspect(server.address, server.lifetime)
+            and suspects.reason(server.address)
+            in suspect_servers.TERMINATED_REASONS
+        )
+
     def is_replaced(self, server: directory.Server) -> bool:
         """Returns whether a later lifetime is listed at a server's address.
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/sender.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/sender.py
@@ -12,7 +12,7 @@
 
 
 class Sender:
-    """Sends one request, to one server at a time."""
+    """Sends one request to the servers that its attempts use."""
 
     def __init__(
         self,
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
@@ -306,7 +306,7 @@
             )
             unfinished = not other.receiver.done.done()
             self._end(other)
-            if unfinished and self._context.board.has_ended(other.server):
+            if unfinished and self._context.board.has_terminated(other.server):
                 self._reply.progress.terminated_runs += 1
         self._last_event_id = running.events.last_id
         self._reply.on_events(head, data)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_resumer.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_resumer.py
@@ -129,7 +129,7 @@
         route = stream.admitted.route
         progress = stream.progress
         board = self._board
-        server_lost = board.has_ended(stream.path.first)
+        server_lost = board.has_terminated(stream.path.first)
         return route.repeatable and retry_policy.has_attempts_left(
             route, progress, server_lost=server_lost
         )
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/suspect_servers.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/suspect_servers.py
@@ -44,6 +44,9 @@
     }
 )
 """Streams through a server with one of these reasons cannot continue."""
+TERMINATED_REASONS = frozenset({Reason.CRASHED, Reason.UNREACHABLE})
+"""Reasons by which this router itself has found that a server has ended or is
+cut off."""
 SHARED_REASONS = DOWN_REASONS - {Reason.REPORTED_BY_PEER}
 """Reasons that hold for all routers. NOT_CONNECTED is not among them: such a
 server may be cut off from this router only."""
--- a/tests/gateway/test_stream_successors.py
+++ b/tests/gateway/test_stream_successors.py
@@ -154,3 +154,40 @@
             await asyncio.wait_for(call, stand_ins.WAIT_SECONDS),
             silent_servers.ALL_EVENTS,
         )
+
+    async def test_a_runner_that_may_go_on_uses_up_its_attempt(self):
+        route = rig.make_route(
+            "draft", rig.STREAM.idempotency, rig.MODEL, max_attempts=1
+        )
+        cases = [
+            # what is believed of the silent runner; attempts at another one
+            (suspect_servers.Reason.STALLED, 0),
+            (suspect_servers.Reason.REPORTED_BY_PEER, 0),
+            (suspect_servers.Reason.NO_REPORT, 0),
+            ("its entry is removed", 0),
+            (suspect_servers.Reason.UNREACHABLE, 1),
+        ]
+        for belief, attempts in cases:
+            with self.subTest(belief):
+                await self.asyncSetUp()
+                self.rig.board.catalog = rig.make_catalog(
+                    routes=(route, rig.SAFE, rig.UNSAFE, rig.OPEN)
+                )
+                first = await self.rig.add_runner(
+                    silent_servers.silent_until(self.wakes), "x", 0, 80
+                )
+                call = asyncio.ensure_future(self.event_ids())
+                await first.wait_for_request()
+                other = await self.rig.add_runner(
+                    silent_servers.resume_silently, "y", 0, 80, domain="b"
+                )
+                directory_ = self.rig.board.directory
+                if isinstance(belief, suspect_servers.Reason):
+                    self.suspect(first, belief)
+                else:
+                    directory_.remove_lifetime(directory_.server_by_id["x"])
+                await asyncio.sleep(0.6)
+                self.wakes.set()
+                self.assertEqual(await call, silent_servers.ALL_EVENTS)
+                self.assertEqual(len(other.requests), attempts)
+                await self.rig.stop()
