Report faults of the soak that fail

Change: an ended process has no status, so SIGHUP is not sent to it; and a fault that ends with an error is a problem of the run. No check is relaxed.

--- a/tests/soak/routers.py
+++ b/tests/soak/routers.py
@@ -40,6 +40,16 @@
     return reserved
 
 
+def process_status(pid):
+    """Returns the kernel's fields on a process; none once it has ended."""
+    path = pathlib.Path(f"/proc/{pid}/status")
+    try:
+        text = path.read_text(encoding="ascii")
+    except OSError:
+        return {}
+    return dict(line.split(":", 1) for line in text.splitlines())
+
+
 @dataclasses.dataclass
 class Disruption:
     """A kill or a pause of a router; its end is infinite until it is known."""
@@ -111,12 +121,9 @@
 
         Before that, no program can prevent that SIGHUP ends its process.
         """
-        path = pathlib.Path(f"/proc/{self._process.pid}/status")
-        masks = dict(
-            line.split(":", 1)
-            for line in path.read_text(encoding="ascii").splitlines()
-        )
-        handled = int(masks["SigIgn"], 16) | int(masks["SigCgt"], 16)
+        status = process_status(self._process.pid)
+        handled = int(status.get("SigIgn", "0"), 16)
+        handled |= int(status.get("SigCgt", "0"), 16)
         return bool(handled & 1 << signal.SIGHUP - 1)
 
     def send(self, number):
@@ -186,16 +193,8 @@
                 )
 
     def _resident_bytes(self):
-        try:
-            text = pathlib.Path(f"/proc/{self._process.pid}/status").read_text(
-                encoding="ascii"
-            )
-        except OSError:
-            return 0
-        for line in text.splitlines():
-            if line.startswith("VmRSS:"):
-                return int(line.split()[1]) * 1024
-        return 0
+        resident = process_status(self._process.pid).get("VmRSS", "0 kB")
+        return int(resident.split()[0]) * 1024
 
     async def _start_process(self):
         self._signals = set()
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -186,10 +186,18 @@
             running.add(asyncio.ensure_future(fault))
             if self._rng.random() < 0.4:
                 await asyncio.wait(running)
-            running = {task for task in running if not task.done()}
+            running = {task for task in running if not self._has_ended(task)}
             await asyncio.sleep(self._rng.uniform(0.1, 0.6))
         if running:
             await asyncio.wait(running)
+        for task in running:
+            self._has_ended(task)
+
+    def _has_ended(self, fault):
+        """Returns whether a fault's task has ended; reports its failure."""
+        if fault.done() and (error := fault.exception()) is not None:
+            self._system.record.problems.append(f"fault failed: {error!r}")
+        return fault.done()
 
     async def _record_lags(self):
         """Records when this process had no processor, or was too busy."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,9 @@
 """A short run of the fault soak test; longer ones are run manually."""
 
 import asyncio
+import os
+import subprocess
+import sys
 import unittest
 
 from tests.soak import backend
@@ -31,6 +34,12 @@
             for sock in reserved:
                 sock.close()
 
+    def test_an_ended_process_has_no_status(self):
+        process = subprocess.Popen([sys.executable, "-c", ""])
+        process.wait()
+        self.assertIn("SigIgn", routers.process_status(os.getpid()))
+        self.assertEqual(routers.process_status(process.pid), {})
+
 
 class _IdleRouter:
     """A router without disruptions or signals, and with an empty log."""
