Answer the callers that wait when SIGTERM comes while a router loads

A router opens its ports before its program is loaded; SIGTERM then ended the process at once, with the callers that had connected and sent.

Cause: the process had no handler of SIGTERM before Gateway.run adds one; a restart that is followed by another SIGTERM, or a slow start, is enough.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -131,6 +131,7 @@
         loop = asyncio.get_running_loop()
         leaving = asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, leaving.set)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGTERM})
         loop.add_signal_handler(signal.SIGHUP, self._start_reload)
         listen = self._config.listen
         callers = await self._listen(
--- a/tests/gateway/test_platform_process.py
+++ b/tests/gateway/test_platform_process.py
@@ -75,6 +75,22 @@
         code = await asyncio.wait_for(self.process.wait(), WAIT_SECONDS)
         self.assertEqual(code, 0)
 
+    async def test_a_sigterm_while_it_is_loaded_ends_it_after_a_response(self):
+        await self.wait_for_port()
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", self.ports[0]
+        )
+        self.addCleanup(writer.close)
+        writer.write(b"GET / HTTP/1.1\r\nhost: desk.example\r\n\r\n")
+        await writer.drain()
+        self.process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(WAIT_SECONDS):
+            response = await reader.readuntil(b"\r\n")
+        self.assertTrue(response.startswith(b"HTTP/1.1 503"), response)
+        await self.wait_for_event("stopped")
+        code = await asyncio.wait_for(self.process.wait(), WAIT_SECONDS)
+        self.assertEqual(code, 0)
+
 
 if __name__ == "__main__":
     unittest.main()
