Go on in the soak after a reset before a half-close

The soak died with a traceback, without a result, and its router processes ran on.

Change: the caller goes on to read, which reports the reset as any other; and the routers are stopped whichever way the run ends. No check is changed.

Evidence: test_a_half_close_after_a_reset_is_no_response fails before with the same OSError.

--- a/tests/soak/connection.py
+++ b/tests/soak/connection.py
@@ -87,7 +87,11 @@
         self._writer.write(data)
         if half_close:
             self._keep_alive = False
-            self._writer.write_eof()
+            try:
+                self._writer.write_eof()
+            except OSError:
+                # The router has reset the connection, as the reader will see.
+                return
 
     def close(self):
         self._keep_alive = False
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -156,12 +156,14 @@
             for number in range(self._size.callers)
         ]
         lag_task = asyncio.ensure_future(self._record_lags())
-        await self._wait_until_served()
-        await self._inject(seconds)
-        await self._wait_until_served()
-        system.callers.stop()
-        await asyncio.gather(*tasks)
-        await system.stop()
+        try:
+            await self._wait_until_served()
+            await self._inject(seconds)
+            await self._wait_until_served()
+            system.callers.stop()
+            await asyncio.gather(*tasks)
+        finally:
+            await system.stop()
         lag_task.cancel()
         counts = self._check()
         sent = list(system.callers.sent_by_id.values())
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,13 +2,17 @@
 
 import asyncio
 import os
+import socket
+import struct
 import subprocess
 import sys
+import time
 import unittest
 
 from tests.soak import backend
 from tests.soak import callers
 from tests.soak import configs
+from tests.soak import connection
 from tests.soak import routers
 from tests.soak import soak_run
 from tests.soak import unanswered
@@ -41,6 +45,25 @@
         self.assertEqual(routers.process_status(process.pid), {})
 
 
+class ConnectionTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_half_close_after_a_reset_is_no_response(self):
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            port = listener.getsockname()[1]
+            caller = connection.Connection(1, "router-0", slow=False)
+            await caller.open(f"127.0.0.1:{port}")
+            accepted, _ = listener.accept()
+            accepted.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+            accepted.close()
+            # The event loop does not see the reset before the half-close.
+            time.sleep(0.1)  # noqa: ASYNC251
+            caller.write(b"", half_close=True)
+            with self.assertRaises(connection.IncompleteResponseError):
+                await caller.read_response()
+            caller.close()
+
+
 class _IdleRouter:
     """A router without disruptions or signals, and with an empty log."""
 
