--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
@@ -40,6 +40,13 @@
     def server(self) -> directory.Server:
         return self.stream.path.first
 
+    def has_gone_on(self, silent_since: float) -> bool:
+        """Returns whether an event or a valid end ended its silence."""
+        done = self.receiver.done
+        return self.receiver.last_byte_at != silent_since or (
+            done.done() and done.result().failure is None
+        )
+
 
 class StreamAttempts:
     """The attempts at one stream, of which at most two run at a time.
@@ -96,23 +103,12 @@
         while outcome is None:
             await self._changed.wait()
             self._changed.clear()
-            outcome = self._collect_outcome()
+            outcome = self.collect_outcome()
             if outcome is None:
                 await self._start_successor()
         return outcome
 
-    def close(self) -> None:
-        """Ends all attempts."""
-        for running in list(self._running):
-            self._end(running)
-
-    def set_writable(self, writable: bool) -> None:
-        """Pauses reading from the runners while the caller reads too slowly."""
-        self._paused = not writable
-        for running in self._running:
-            self._apply_backpressure(running)
-
-    def _collect_outcome(self) -> attempt.Outcome | None:
+    def collect_outcome(self) -> attempt.Outcome | None:
         """Ends the attempts that are done; returns the outcome of the last."""
         for running in list(self._running):
             if not running.receiver.done.done():
@@ -127,6 +123,17 @@
             )
         return None
 
+    def close(self) -> None:
+        """Ends all attempts."""
+        for running in list(self._running):
+            self._end(running)
+
+    def set_writable(self, writable: bool) -> None:
+        """Pauses reading from the runners while the caller reads too slowly."""
+        self._paused = not writable
+        for running in self._running:
+            self._apply_backpressure(running)
+
     def _checked(self, receiver: attempt.ResponseReceiver) -> attempt.Outcome:
         """Returns an attempt's outcome, in the light of the events so far.
 
@@ -181,9 +188,9 @@
             return
         (first,) = self._running
         first.stream.release_resume_path(self._context.board)
-        last_byte_at = first.receiver.last_byte_at
+        silent_since = first.receiver.last_byte_at
         outcome = await self._start(path, beside=first)
-        if outcome is not None and first.receiver.last_byte_at == last_byte_at:
+        if outcome is not None and not first.has_gone_on(silent_since):
             self._failures.record(
                 self._admitted, outcome, path.first, self._reply
             )
@@ -209,9 +216,11 @@
         now = self._loop.time()
         self._reply.paths.append(path_explanation.format_path(path))
         self.last_server = path.first
-        context.board.link_budget.record_transfer(
-            now, engine, path, admitted.prompt_tokens
-        )
+        if beside is None:
+            # That of a successor was recorded with its path's reservation.
+            context.board.link_budget.record_transfer(
+                now, engine, path, admitted.prompt_tokens
+            )
         running = self._new_attempt(path, now)
         running.stream.reserve(context.board)
         upstream: http_call.Connection | attempt.Outcome | None = None
@@ -223,7 +232,7 @@
                 self._end(running)
         if isinstance(upstream, attempt.Outcome):
             return upstream
-        if beside and beside.receiver.last_byte_at != silent_since:
+        if beside and beside.has_gone_on(silent_since):
             upstream.abort()
             self._end(running)
             return attempt.Outcome(
@@ -295,7 +304,10 @@
                 server=other.server.id,
                 by=running.server.id,
             )
+            unfinished = not other.receiver.done.done()
             self._end(other)
+            if unfinished and self._context.board.has_terminated(other.server):
+                self._reply.progress.terminated_runs += 1
         self._last_event_id = running.events.last_id
         self._reply.on_events(head, data)
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_resumer.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_resumer.py
@@ -63,6 +63,11 @@
         # Without the reservation, streams that lose the same runner would all
         # choose the same free capacity.
         stream.reserve_resume_path(self._board, path)
+        engine = stream.admitted.service.engine
+        assert engine is not None
+        self._board.link_budget.record_transfer(
+            now, engine, path, stream.admitted.prompt_tokens
+        )
         stream.paired = True
         self._metrics.repairs.labels("resume", "started").inc()
         self._log.write(
@@ -124,7 +129,7 @@
         route = stream.admitted.route
         progress = stream.progress
         board = self._board
-        server_lost = board.has_ended(stream.path.first)
+        server_lost = board.has_terminated(stream.path.first)
         return route.repeatable and retry_policy.has_attempts_left(
             route, progress, server_lost=server_lost
         )
