Replace a silent runner's layers only once it stays silent

What callers saw: new streams refused after a runner had been silent for a moment. Running ones went on.

Cause: the planner took each suspect runner but one that rejects requests for lost.

Change: reasons that a sound, silent runner can have (no report, stalled, reported by a peer) count as lost once they have lasted for 1.5 s. A crash or an unreachable runner counts at once, also if the runner was suspect for a weaker reason before; until now the first reason stayed.

Checked: formatter, linter, types, the tests of the gateway whose names begin with s, planner, controllers and peers.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/planner_controller.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/planner_controller.py
@@ -211,7 +211,7 @@
         starting = not any(server.layers.count for server in servers)
         if starting and not self._has_settled(service.id, len(servers), now):
             return 0.0
-        usable = {s.id for s in servers if self._is_usable(s)}
+        usable = {s.id for s in servers if self._is_usable(s, now)}
         holdings = [self._holding(s, usable, now) for s in servers]
         if self._was_planned_recently(service.id, holdings, now):
             return self._latest_eta()
@@ -260,11 +260,11 @@
         self._planned_by_service[service] = (now, state)
         return False
 
-    def _is_usable(self, server: directory.Server) -> bool:
+    def _is_usable(self, server: directory.Server, now: float) -> bool:
         return (
             server.state is directory.ServerState.READY
             and not self._board.suspect_servers.needs_replacement(
-                server.address, server.lifetime
+                now, server.address, server.lifetime
             )
         )
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/suspect_servers.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/suspect_servers.py
@@ -12,6 +12,9 @@
 LOST_HOLD_DOWN_SECONDS = 1.0
 """A server that rejects requests counts as lost once its hold-down has grown
 to this, with the third failure in a row."""
+LOST_SILENCE_SECONDS = 1.5
+"""A runner that is merely silent counts as lost once it has been suspect for
+this time. A sound runner may be silent for a second and go on."""
 PROBE_INTERVAL_SECONDS = 0.5
 """A third of the time in which a restarted runner loads its layers."""
 
@@ -47,11 +50,20 @@
 TERMINATED_REASONS = frozenset({Reason.CRASHED, Reason.UNREACHABLE})
 """Reasons by which this router itself has found that a server has ended or is
 cut off."""
+SILENCE_REASONS = frozenset(
+    {Reason.NO_REPORT, Reason.STALLED, Reason.REPORTED_BY_PEER}
+)
+"""Reasons by which a sound runner that is silent for a moment may be
+suspect."""
 SHARED_REASONS = DOWN_REASONS - {Reason.REPORTED_BY_PEER}
 """Reasons that hold for all routers. NOT_CONNECTED is not among them: such a
 server may be cut off from this router only."""
 
 
+def _severity(reason: Reason) -> int:
+    return (reason in DOWN_REASONS) + (reason in TERMINATED_REASONS)
+
+
 @dataclasses.dataclass
 class _Record:
     lifetime: tuple[str, int]
@@ -85,7 +97,7 @@
 
         Returns:
             Whether the server becomes suspect, or a suspect turns out to be
-            down.
+            down or to have terminated.
         """
         record = self._record_by_address.get(address)
         if record is not None and record.lifetime == lifetime:
@@ -113,8 +125,8 @@
         return True
 
     def _escalate(self, record: _Record, reason: Reason) -> bool:
-        """Records that a suspect is down; returns whether that is new."""
-        if reason not in DOWN_REASONS or record.reason in DOWN_REASONS:
+        """Records stronger evidence; returns whether the reason changes."""
+        if _severity(reason) <= _severity(record.reason):
             return False
         record.reason = reason
         self.version += 1
@@ -130,22 +142,24 @@
         )
 
     def needs_replacement(
-        self, address: str, lifetime: tuple[str, int]
+        self, now: float, address: str, lifetime: tuple[str, int]
     ) -> bool:
         """Returns whether a suspect's layers have to be loaded elsewhere.
 
         A server that rejects requests may be short of memory temporarily. One
-        that continues to reject them is shutting down without notice.
+        that continues to reject them is shutting down without notice. A silent
+        server may go on.
         """
         if not self.is_suspect(address, lifetime):
             return False
         record = self._record_by_address[address]
         if record.reason == Reason.LAYERS_CHANGED:
             return False
-        return (
-            record.reason != Reason.REJECTED
-            or record.hold_down_seconds >= LOST_HOLD_DOWN_SECONDS
-        )
+        if record.reason == Reason.REJECTED:
+            return record.hold_down_seconds >= LOST_HOLD_DOWN_SECONDS
+        if record.reason in SILENCE_REASONS:
+            return now - record.failed_at >= LOST_SILENCE_SECONDS
+        return True
 
     def reason(self, address: str) -> str:
         """Returns why the address is suspect, or an empty string."""
--- a/tests/gateway/test_suspect_servers.py
+++ b/tests/gateway/test_suspect_servers.py
@@ -48,6 +48,8 @@
             ("connect", "unreachable", True, "unreachable"),
             ("unreachable", "connect", False, "unreachable"),
             ("crashed", "stalled", False, "crashed"),
+            ("stalled", "crashed", True, "crashed"),
+            ("peer", "stalled", False, "peer"),
             ("rejected", "moved", False, "rejected"),
         ]
         for first, second, is_new, kept in reasons:
@@ -72,11 +74,39 @@
             self.trust.mark_suspect(
                 float(number), "a", LIFE, suspect_servers.Reason.REJECTED
             )
-            lost.append(self.trust.needs_replacement("a", LIFE))
+            lost.append(self.trust.needs_replacement(float(number), "a", LIFE))
             self.trust.clear("a")
         self.assertEqual(lost, [False, False, True, True])
         self.trust.mark_suspect(9.0, "b", LIFE, "connect")
-        self.assertTrue(self.trust.needs_replacement("b", LIFE))
+        self.assertTrue(self.trust.needs_replacement(9.0, "b", LIFE))
+
+    def test_only_a_long_silence_requires_a_replacement(self):
+        long = suspect_servers.LOST_SILENCE_SECONDS
+        cases = [
+            # reasons in order, seconds since the first, lost
+            (["no report"], 0.0, False),
+            (["no report"], 1.2, False),
+            (["no report"], long, True),
+            (["stalled"], 1.2, False),
+            (["stalled"], long, True),
+            (["peer"], 1.2, False),
+            (["peer"], long, True),
+            (["no report", "stalled"], long, True),
+            (["no report", "crashed"], 0.0, True),
+            (["stalled", "crashed"], 0.0, True),
+            (["peer", "unreachable"], 0.0, True),
+            (["crashed", "no report"], 0.0, True),
+        ]
+        for reasons, seconds, lost in cases:
+            with self.subTest(reasons=reasons, seconds=seconds):
+                suspects = suspect_servers.SuspectServers()
+                for reason in reasons:
+                    suspects.mark_suspect(
+                        5.0, "a", LIFE, suspect_servers.Reason(reason)
+                    )
+                self.assertIs(
+                    suspects.needs_replacement(5.0 + seconds, "a", LIFE), lost
+                )
 
     def test_removed_addresses_are_forgotten(self):
         self.trust.mark_suspect(0.0, "a", LIFE, "stalled")
