Give no orders to a silent runner, and keep what proves it lost

With one runner crashed and another silent, the layers of the crashed one were ordered elsewhere after 2.8 s in place of 0.1 s.

A reason that counts as lost at once was replaced by a stronger one that does not. A runner that fell silent again each time it was trusted was never replaced.

Change: a silent runner keeps its layers and gets no order; the others fill the gaps and are redistributed without it. Each failure sets the time from which a suspect counts as lost, and a later one only brings it forward. The third silence in a row counts at once, as the third rejection does.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/layer_planner.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/layer_planner.py
@@ -41,7 +41,8 @@
 
 
 _GroupState = tuple[tuple[tuple[str, int], directory.LayerRange, bool], ...]
-"""The lifetime, the layers and the busy flag of each runner of a group."""
+"""The lifetime and the layers of each runner of a group, and whether it takes
+orders."""
 MAX_STABLE_GROUP_COUNT = 32
 """Bounds the remembered groups; several times the number of failure domains."""
 
@@ -70,7 +71,7 @@
         moves: list[Move] = []
         for members in self._make_groups(holdings):
             state = tuple(
-                (m.server.lifetime, m.layers, m.busy) for m in members
+                (m.server.lifetime, m.layers, m.takes_orders) for m in members
             )
             if state in self._stable_groups:
                 continue
@@ -168,7 +169,7 @@
         empty = [
             server_id
             for server_id, member in group.member_by_id.items()
-            if not member.layers.count and not member.busy
+            if not member.layers.count and member.takes_orders
         ]
         empty.sort(key=lambda server_id: (group.pace(server_id), server_id))
         for server_id in empty:
@@ -238,7 +239,7 @@
         best_cost = float("inf")
         gap_value = 1.0 / runner_group.CAPACITY_RATIO_OFFSET
         for server_id, held in group.held_by_id.items():
-            if group.member_by_id[server_id].busy or not held.count:
+            if not group.member_by_id[server_id].takes_orders or not held.count:
                 continue
             for target in self._gap_candidates(group, server_id, gap):
                 newly_covered = group.uncovered_count(target)
@@ -282,7 +283,8 @@
         """Reassigns all ranges when no single move closes the gaps.
 
         Each runner gets a number of layers in proportion to its memory, in the
-        order of the layers that the runners hold now.
+        order of the layers that the runners hold now. Silent runners keep
+        theirs, and the others together hold all layers.
         """
         if any(member.busy for member in group.member_by_id.values()):
             return {}
@@ -310,6 +312,7 @@
         memory_by_id = {
             i: self._engine.kind(member.server.kind).memory_mb
             for i, member in group.member_by_id.items()
+            if not member.silent
         }
         total = sum(memory_by_id.values())
         counts = {
@@ -331,7 +334,7 @@
         self, group: runner_group.RunnerGroup
     ) -> dict[str, str]:
         """Moves one runner if the gain exceeds the cost of loading."""
-        if any(member.busy for member in group.member_by_id.values()):
+        if not all(m.takes_orders for m in group.member_by_id.values()):
             return {}
         best: tuple[str, directory.LayerRange] | None = None
         best_gain = MIN_MOVE_GAIN
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/planner_controller.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/planner_controller.py
@@ -59,7 +59,7 @@
 
 
 _State = list[tuple[tuple[str, int], directory.LayerRange, bool, bool]]
-"""The lifetime, the layers, and the usable and busy flags of each runner."""
+"""Each runner's lifetime, layers, and whether it is usable and takes orders."""
 
 
 class PlannerController:
@@ -248,7 +248,8 @@
         Records this plan when they were not.
         """
         state = [
-            (h.server.lifetime, h.layers, h.usable, h.busy) for h in holdings
+            (h.server.lifetime, h.layers, h.usable, h.takes_orders)
+            for h in holdings
         ]
         known = self._planned_by_service.get(service)
         if (
@@ -299,6 +300,9 @@
                 server.id in usable,
                 now < self._busy_until_by_id.get(server.id, 0.0),
                 requests,
+                self._board.suspect_servers.may_go_on(
+                    now, server.address, server.lifetime
+                ),
             )
         if now > pending.due and not pending.checking:
             pending.checking = True
@@ -316,11 +320,10 @@
         starting: bool,
     ) -> None:
         held = move.server.layers
-        new = sum(
-            1
-            for layer in range(move.layers.start, move.layers.end)
-            if not held.start <= layer < held.end
-        )
+        start = max(held.start, move.layers.start)
+        end = max(start, min(held.end, move.layers.end))
+        retained = directory.LayerRange(start, end)
+        new = move.layers.count - retained.count
         seconds = engine.load_seconds * new / engine.layers
         if starting:
             seconds *= INITIAL_LOAD_TIME_RATIO
@@ -332,14 +335,8 @@
             + seconds * contention * LOAD_OVERDUE_RATIO
             + LOAD_OVERDUE_GRACE_SECONDS
         )
-        start = max(held.start, move.layers.start)
-        end = max(start, min(held.end, move.layers.end))
         pending = _Pending(
-            move.layers,
-            directory.LayerRange(start, end),
-            move.server.lifetime,
-            eta,
-            due,
+            move.layers, retained, move.server.lifetime, eta, due
         )
         self._pending_by_id[move.server.id] = pending
         self._log.write(
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/runner_group.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/runner_group.py
@@ -39,6 +39,8 @@
         usable: whether it serves new requests, or will after its load.
         busy: whether it is carrying out an order.
         requests: number of requests whose path includes it.
+        silent: whether it is silent but may go on. It keeps its layers and
+            gets no order.
     """
 
     server: directory.Server
@@ -46,6 +48,12 @@
     usable: bool
     busy: bool
     requests: int = 0
+    silent: bool = False
+
+    @property
+    def takes_orders(self) -> bool:
+        """Whether other layers may be assigned to it."""
+        return not self.busy and not self.silent
 
 
 class RunnerGroup:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/suspect_servers.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/suspect_servers.py
@@ -10,11 +10,11 @@
 RELAPSE_WINDOW_SECONDS = 15.0
 """A failure within this time of the previous one counts as a relapse."""
 LOST_HOLD_DOWN_SECONDS = 1.0
-"""A server that rejects requests counts as lost once its hold-down has grown
-to this, with the third failure in a row."""
+"""A server that rejects requests or falls silent counts as lost once its
+hold-down has grown to this, with the third failure in a row."""
 LOST_SILENCE_SECONDS = 1.5
-"""A runner that is merely silent counts as lost once it has been suspect for
-this time. A sound runner may be silent for a second and go on."""
+"""A silent server counts as lost after this time. A sound server may be silent
+for a second and go on."""
 PROBE_INTERVAL_SECONDS = 0.5
 """A third of the time in which a restarted runner loads its layers."""
 
@@ -53,17 +53,12 @@
 SILENCE_REASONS = frozenset(
     {Reason.NO_REPORT, Reason.STALLED, Reason.REPORTED_BY_PEER}
 )
-"""Reasons by which a sound runner that is silent for a moment may be
-suspect."""
+"""Reasons for which a sound server that is silent for a moment is suspect."""
 SHARED_REASONS = DOWN_REASONS - {Reason.REPORTED_BY_PEER}
 """Reasons that hold for all routers. NOT_CONNECTED is not among them: such a
 server may be cut off from this router only."""
 
 
-def _severity(reason: Reason) -> int:
-    return (reason in DOWN_REASONS) + (reason in TERMINATED_REASONS)
-
-
 @dataclasses.dataclass
 class _Record:
     lifetime: tuple[str, int]
@@ -72,6 +67,8 @@
     failed_at: float
     hold_down_seconds: float
     probed_at: float
+    lost_at: float
+    """Time from which its layers have to be loaded elsewhere."""
 
 
 class SuspectServers:
@@ -97,12 +94,12 @@
 
         Returns:
             Whether the server becomes suspect, or a suspect turns out to be
-            down or to have terminated.
+            down or terminated.
         """
         record = self._record_by_address.get(address)
         if record is not None and record.lifetime == lifetime:
             if record.suspect:
-                return self._escalate(record, reason)
+                return self._escalate(now, record, reason)
             recent = now - record.failed_at < RELAPSE_WINDOW_SECONDS
             hold_down_seconds = max(
                 record.hold_down_seconds * 2, INITIAL_HOLD_DOWN_SECONDS
@@ -113,20 +110,30 @@
             hold_down_seconds = INITIAL_HOLD_DOWN_SECONDS
         if reason == Reason.LAYERS_CHANGED:
             hold_down_seconds = 0.0
+        hold_down_seconds = min(hold_down_seconds, MAX_HOLD_DOWN_SECONDS)
         self._record_by_address[address] = _Record(
             lifetime,
             reason,
             True,
             now,
-            min(hold_down_seconds, MAX_HOLD_DOWN_SECONDS),
+            hold_down_seconds,
             float("-inf") if reason == Reason.LAYERS_CHANGED else now,
+            _find_lost_at(now, reason, hold_down_seconds),
         )
         self.version += 1
         return True
 
-    def _escalate(self, record: _Record, reason: Reason) -> bool:
-        """Records stronger evidence; returns whether the reason changes."""
-        if _severity(reason) <= _severity(record.reason):
+    def _escalate(self, now: float, record: _Record, reason: Reason) -> bool:
+        """Adds a reason to a suspect; returns whether it is a stronger one."""
+        lost_at = _find_lost_at(now, reason, record.hold_down_seconds)
+        record.lost_at = min(record.lost_at, lost_at)
+        if not (
+            (reason in DOWN_REASONS and record.reason not in DOWN_REASONS)
+            or (
+                reason in TERMINATED_REASONS
+                and record.reason not in TERMINATED_REASONS
+            )
+        ):
             return False
         record.reason = reason
         self.version += 1
@@ -150,16 +157,18 @@
         that continues to reject them is shutting down without notice. A silent
         server may go on.
         """
-        if not self.is_suspect(address, lifetime):
-            return False
-        record = self._record_by_address[address]
-        if record.reason == Reason.LAYERS_CHANGED:
-            return False
-        if record.reason == Reason.REJECTED:
-            return record.hold_down_seconds >= LOST_HOLD_DOWN_SECONDS
-        if record.reason in SILENCE_REASONS:
-            return now - record.failed_at >= LOST_SILENCE_SECONDS
-        return True
+        return (
+            self.is_suspect(address, lifetime)
+            and now >= self._record_by_address[address].lost_at
+        )
+
+    def may_go_on(
+        self, now: float, address: str, lifetime: tuple[str, int]
+    ) -> bool:
+        """Returns whether a suspect is silent, but not yet for long."""
+        return self.is_suspect(
+            address, lifetime
+        ) and now < self._record_by_address[address].lost_at < float("inf")
 
     def reason(self, address: str) -> str:
         """Returns why the address is suspect, or an empty string."""
@@ -217,3 +226,24 @@
             for address, record in self._record_by_address.items()
             if record.suspect
         }
+
+
+def _find_lost_at(
+    now: float, reason: Reason, hold_down_seconds: float
+) -> float:
+    """Returns when a server that fails now counts as lost if it stays suspect.
+
+    Args:
+        now: the time in seconds.
+        reason: how it has failed.
+        hold_down_seconds: its hold-down, which grows with each relapse.
+    """
+    if reason == Reason.LAYERS_CHANGED:
+        return float("inf")
+    if reason != Reason.REJECTED and reason not in SILENCE_REASONS:
+        return now
+    if hold_down_seconds >= LOST_HOLD_DOWN_SECONDS:
+        return now
+    if reason == Reason.REJECTED:
+        return float("inf")
+    return now + LOST_SILENCE_SECONDS
--- a/tests/gateway/test_suspect_servers.py
+++ b/tests/gateway/test_suspect_servers.py
@@ -96,6 +96,11 @@
             (["stalled", "crashed"], 0.0, True),
             (["peer", "unreachable"], 0.0, True),
             (["crashed", "no report"], 0.0, True),
+            (["connect", "stalled"], 0.0, True),
+            (["connect", "peer"], 0.0, True),
+            (["rejected", "no report"], 1.2, False),
+            (["rejected", "no report"], long, True),
+            (["moved", "no report"], long, True),
         ]
         for reasons, seconds, lost in cases:
             with self.subTest(reasons=reasons, seconds=seconds):
@@ -104,9 +109,36 @@
                     suspects.mark_suspect(
                         5.0, "a", LIFE, suspect_servers.Reason(reason)
                     )
-                self.assertIs(
-                    suspects.needs_replacement(5.0 + seconds, "a", LIFE), lost
-                )
+                now = 5.0 + seconds
+                self.assertIs(suspects.needs_replacement(now, "a", LIFE), lost)
+                self.assertIs(suspects.may_go_on(now, "a", LIFE), not lost)
+
+    def test_repeated_silences_require_a_replacement(self):
+        for reason in ("no report", "stalled", "peer"):
+            with self.subTest(reason):
+                suspects = suspect_servers.SuspectServers()
+                lost = []
+                for number in range(4):
+                    suspects.mark_suspect(
+                        float(number), "a", LIFE, suspect_servers.Reason(reason)
+                    )
+                    lost.append(
+                        suspects.needs_replacement(float(number), "a", LIFE)
+                    )
+                    suspects.clear("a")
+                self.assertEqual(lost, [False, False, True, True])
+
+    def test_a_third_rejection_followed_by_silence_requires_a_replacement(self):
+        for number in range(3):
+            self.trust.clear("a")
+            self.trust.mark_suspect(
+                float(number), "a", LIFE, suspect_servers.Reason.REJECTED
+            )
+        for reason in ("stalled", "peer", "no report"):
+            self.trust.mark_suspect(
+                2.1, "a", LIFE, suspect_servers.Reason(reason)
+            )
+            self.assertTrue(self.trust.needs_replacement(2.1, "a", LIFE))
 
     def test_removed_addresses_are_forgotten(self):
         self.trust.mark_suspect(0.0, "a", LIFE, "stalled")
