Record in the soak how long the routers wait for a processor

The soak printed how late its own process ran, but not whether a router that answered late had been given a processor. The wait of each router's main thread is now read from the kernel every 0.1 s, printed in total, and written with its time to the list of events. It excuses nothing.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -40,7 +40,8 @@
         print(
             f"seed {seed} {state}: {result.served} of {result.sent} served,"
             f" {len(result.faults)} faults, unanswered {result.unanswered},"
-            f" soak late for {result.late_seconds:.1f} s",
+            f" soak late for {result.late_seconds:.1f} s,"
+            f" routers waited {result.wait_seconds:.1f} s for a processor",
             flush=True,
         )
         problems_by_kind = collections.defaultdict(list)
--- a/tests/soak/routers.py
+++ b/tests/soak/routers.py
@@ -17,6 +17,8 @@
 rotation."""
 MAX_RESIDENT_BYTES = 300e6
 SAMPLE_INTERVAL_SECONDS = 0.1
+MIN_WAIT_SECONDS = 0.1
+"""Shorter waits for a processor are not recorded."""
 
 
 def reserve_ports(count):
@@ -50,6 +52,16 @@
     return dict(line.split(":", 1) for line in text.splitlines())
 
 
+def processor_wait(pid):
+    """Returns for how many seconds a process was ready and did not run."""
+    path = pathlib.Path(f"/proc/{pid}/schedstat")
+    try:
+        _, waited_ns, _ = path.read_text(encoding="ascii").split()
+    except OSError:
+        return 0.0
+    return int(waited_ns) / 1e9
+
+
 @dataclasses.dataclass
 class Disruption:
     """A kill or a pause of a router; its end is infinite until it is known."""
@@ -67,6 +79,7 @@
         disruptions: kills and pauses so far.
         signals: times and numbers of all signals sent.
         terminated_at: times of the first SIGTERM of each process.
+        waits: times and seconds of waits for a processor.
     """
 
     def __init__(self, folder, vm, store_address, rng, problems):
@@ -79,6 +92,7 @@
         self.disruptions = []
         self.signals = []
         self.terminated_at = []
+        self.waits = []
         self._rng = rng
         self._problems = problems
         self._path = pathlib.Path(folder) / f"{vm}.yaml"
@@ -179,11 +193,16 @@
                 self.send(signal.SIGTERM)
 
     async def _wait(self):
-        """Waits for the end of the process and samples its memory."""
+        """Waits for the end of the process; samples its memory and waits."""
         ended = asyncio.ensure_future(self._process.wait())
         has_exceeded = False
+        waited = 0.0
         while not ended.done():
             await asyncio.wait([ended], timeout=SAMPLE_INTERVAL_SECONDS)
+            waited_before = waited
+            waited = processor_wait(self._process.pid)
+            if waited - waited_before > MIN_WAIT_SECONDS:
+                self.waits.append((self._now(), waited - waited_before))
             resident = self._resident_bytes()
             if resident > MAX_RESIDENT_BYTES and not has_exceeded:
                 has_exceeded = True
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -54,6 +54,7 @@
         late_seconds: how long the soak's own process ran late in total. If it
             did for much of the run, the numbers of servers, callers or routers
             are too large for the machine.
+        wait_seconds: how long the routers waited for a processor in total.
     """
 
     problems: list[str]
@@ -62,6 +63,7 @@
     unanswered: dict[str, int]
     faults: list[str]
     late_seconds: float
+    wait_seconds: float
 
 
 class System:
@@ -175,6 +177,11 @@
             counts,
             [name for _, name in self._events],
             sum(seconds for _, seconds in self._lags),
+            sum(
+                seconds
+                for router in system.routers
+                for _, seconds in router.waits
+            ),
         )
 
     async def _inject(self, seconds):
@@ -272,6 +279,10 @@
         lines += [(at, f"soak late by {lag:.2f} s") for at, lag in self._lags]
         for router in self._system.routers:
             lines += [(at, f"{n.name} {router.vm}") for at, n in router.signals]
+            lines += [
+                (at, f"{router.vm} waited {seconds:.2f} s for a processor")
+                for at, seconds in router.waits
+            ]
         lines += [
             (each.at, f"configuration {each.timeout_by_kind}")
             for each in self._system.config_writer.written
