Play servers that leave in the soak

The incident of the unanswered requests began when runners left while streams ran through them. The soak's servers never left, its streams of 0.36 s were rarely in flight when something changed, and a runner held most of the model.

Servers now leave with notice (draining, later without an entry) and without (no entry, serving on for at least 2 s), alone or several of a service in close succession, beside the other faults and changes of the configuration. They accept what is still sent, end once their requests are done or break off what still runs, and return as a new lifetime at another address. No server leaves if fewer than three runners of its model, or no other plain server of its service, would remain.

Half of the streams, but no pipelined second ones, last 1.2 s. A runner holds at most 41 of the 80 layers, six runners serve each model, and requests have 1,000 tokens, so that streams take several runners and room can get short.

A new check reports a stream whose sound run was ended before another run had sent an event and before its deadline or time-out, also if a later run completed the stream. The other checks and their reasons are unchanged.

--faults limits a run by hand to some faults.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -19,6 +19,7 @@
     servers=soak_run.Size.servers,
     callers=soak_run.Size.callers,
     keep="",
+    faults=(),
 ):
     """Runs the soak for each seed in turn and prints the results.
 
@@ -30,11 +31,14 @@
         servers: number of servers; half of them are runners.
         callers: number of callers.
         keep: folder for logs and times of events, which are kept.
+        faults: names of the faults to choose from, as a list; all by default.
     """
     size = soak_run.Size(routers, servers, callers)
     failed = 0
     for seed in range(first, first + seeds):
-        result = asyncio.run(soak_run.run_seed(seed, seconds, size, keep))
+        result = asyncio.run(
+            soak_run.run_seed(seed, seconds, size, keep, faults)
+        )
         state = "failed" if result.problems else "passed"
         failed += bool(result.problems)
         print(
--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -10,12 +10,16 @@
 from tests.soak import endless
 
 LAYER_COUNT = 80
+EXIT_CHECK_INTERVAL_SECONDS = 0.02
 EVENT_COUNT = 12
 EVENT_INTERVAL_SECONDS = 0.03
 LAST_CHUNK = b"0\r\n\r\n"
 LARGE = "large"
 """Ends the path of a request for events that fill the socket buffers."""
 LARGE_EVENT_BYTES = 512 * 1024
+LONG = "long"
+"""Ends the path of a request for a stream of 1.2 s."""
+LONG_EVENT_COUNT = 40
 
 
 def plain_body(request_id):
@@ -27,11 +31,25 @@
     return LARGE_EVENT_BYTES if target.endswith(f"/{LARGE}") else 0
 
 
+def event_count(target):
+    """Returns the number of events in a stream."""
+    return LONG_EVENT_COUNT if target.endswith(f"/{LONG}") else EVENT_COUNT
+
+
 def event(request_id, number, size):
     data = f"id: {number}\ndata: {request_id}:{number}"
     return (data + "x" * size + "\n\n").encode()
 
 
+class EntryState(enum.Enum):
+    """What the store says of a server."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    REMOVED = "removed"
+    """The store has no entry; the server may serve on."""
+
+
 class Fault(enum.Enum):
     """How a server fails.
 
@@ -63,7 +81,9 @@
         fault: the server's fault at the start of the run.
         started_at: time of its start, in seconds of the event loop's clock.
         ended_at: time of its end; infinite while it goes on.
+        began_at: time of its first event; infinite before.
         has_broken_off: whether the server broke off.
+        is_complete: whether the server has sent the whole response.
     """
 
     server: str
@@ -71,6 +91,8 @@
     started_at: float
     ended_at: float = float("inf")
     has_broken_off: bool = False
+    is_complete: bool = False
+    began_at: float = float("inf")
 
 
 @dataclasses.dataclass
@@ -80,10 +102,12 @@
     Attributes:
         runs_by_id: the runs of a request, by the caller's request id.
         problems: violated guarantees.
+        events: times and names of the changes of the servers' lifetimes.
     """
 
     runs_by_id: dict[str, list[Run]] = dataclasses.field(default_factory=dict)
     problems: list[str] = dataclasses.field(default_factory=list)
+    events: list[tuple[float, str]] = dataclasses.field(default_factory=list)
 
 
 class Server:
@@ -102,6 +126,7 @@
         self.order_count = 0
         self.start_time = 1000
         self.lifetime_lock = asyncio.Lock()
+        self._entry_state = EntryState.REMOVED
         self._awake = asyncio.Event()
         self._awake.set()
         self._active = []
@@ -113,14 +138,33 @@
 
     async def start(self):
         await self._server.start()
-        await self.write("ready")
+        await self.change_entry(EntryState.READY)
 
     async def crash(self):
         """Resets all connections; the entry ends as after missed heartbeats."""
+        self._break_off("crashed")
+        await self.change_entry(EntryState.REMOVED)
+
+    async def exit(self, seconds):
+        """Accepts no more connections and exits once its requests are done.
+
+        Args:
+            seconds: time after which running requests are broken off.
+        """
+        self._server.close()
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        while (  # noqa: ASYNC110
+            self._server.open_connection_count and loop.time() < end
+        ):
+            await asyncio.sleep(EXIT_CHECK_INTERVAL_SECONDS)
+        self._break_off("exited")
+
+    def _break_off(self, event_name):
         for run in self._active:
             run.has_broken_off = True
         self._server.abort()
-        await self.memory.txn([], [kv.Delete(f"servers/{self.name}")])
+        self._record(f"{event_name}, {len(self._active)} broken off")
 
     async def restart(self):
         """Starts a new lifetime at another address, without layers."""
@@ -136,13 +180,27 @@
         await asyncio.sleep(seconds)
         self._awake.set()
 
-    async def write(self, state):
+    async def change_entry(self, state):
+        """Changes the state in the server's entry, or removes the entry."""
+        self._entry_state = state
+        self._record(f"entry {state.value}")
+        if state is EntryState.REMOVED:
+            await self.memory.txn([], [kv.Delete(f"servers/{self.name}")])
+        else:
+            await self._write_entry()
+
+    def _record(self, event_name):
+        now = asyncio.get_running_loop().time()
+        name = f"{self.name} at {self.address}: {event_name}"
+        self.record.events.append((now, name))
+
+    async def _write_entry(self):
         entry = {
             "service": self.service,
             "address": self.address,
             "zone": "a",
             "slots": 96,
-            "state": state,
+            "state": self._entry_state.value,
             "sequence": 1,
             "born": self.start_time,
             "kind": self.kind,
@@ -177,7 +235,8 @@
         self.order_count += 1
         self.layers = {"from": order["from"], "target": order["target"]}
         self._send(writer, 202, {})
-        await self.write("ready")
+        if self._entry_state is not EntryState.REMOVED:
+            await self._write_entry()
 
     async def _serve(self, request, writer):
         request_id = request.headers["x-attempt-id"]
@@ -246,13 +305,15 @@
 
     async def _stream(self, request, writer, run):
         request_id = request.headers["x-attempt-id"]
-        size = event_size(request.head.split(" ")[1])
+        loop = asyncio.get_running_loop()
+        target = request.head.split(" ")[1]
+        size, count = event_size(target), event_count(target)
         writer.write(stand_ins.stream_head(request))
         first = int(request.headers.get("last-event-id", 0)) + 1
-        for number in range(first, EVENT_COUNT + 1):
+        for number in range(first, count + 1):
             await asyncio.sleep(EVENT_INTERVAL_SECONDS)
             await self._awake.wait()
-            is_half = number == EVENT_COUNT // 2
+            is_half = number == count // 2
             if run.fault is Fault.CORRUPT and is_half:
                 run.has_broken_off = True
                 stand_ins.reset_connection(writer)
@@ -262,8 +323,10 @@
                 return
             data = event(request_id, number, size)
             writer.write(b"%x\r\n%b\r\n" % (len(data), data))
+            run.began_at = min(run.began_at, loop.time())
             await writer.drain()
         writer.write(LAST_CHUNK)
+        run.is_complete = True
 
     @staticmethod
     def _send(writer, status, body):
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -13,6 +13,7 @@
 MAX_OVERRUN_SECONDS = 0.5
 """A request without an outcome this long after its deadline is a violation."""
 OK = 200
+SMALL = "small"
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
@@ -63,6 +64,7 @@
         started: whether a part of an incomplete response was received.
         detail: the error that ended it.
         status: HTTP status of the response; 0 without one.
+        size: last part of the path.
     """
 
     id: str
@@ -79,6 +81,7 @@
     started: bool = False
     detail: str = ""
     status: int = 0
+    size: str = SMALL
 
 
 class Callers:
@@ -178,9 +181,13 @@
             self._check(sent, response)
 
     def _new_request(self, connection, style, behind):
-        kind = "stream"
+        kind, size = "stream", backend.LARGE
         if style is not Style.SLOW:
             kind = self._rng.choice(["stream", "safe", "unsafe", "unsafe"])
+            size = self._rng.choice([SMALL, backend.LONG])
+        if behind is not None:
+            # Two long streams one after the other reach the deadline.
+            size = SMALL
         sent = Sent(
             id=f"{kind}-{next(self._numbers)}",
             kind=kind,
@@ -191,6 +198,7 @@
             behind=behind,
             on_idle=connection.answered_count > 0 and behind is None,
             sent_at=asyncio.get_running_loop().time(),
+            size=size,
         )
         self.sent_by_id[sent.id] = sent
         return sent
@@ -202,10 +210,11 @@
             )
         expected = backend.plain_body(sent.id)
         if sent.kind == "stream":
-            size = backend.event_size(_target(sent))
+            target = _target(sent)
+            size = backend.event_size(target)
             expected = b"".join(
                 backend.event(sent.id, n, size)
-                for n in range(1, backend.EVENT_COUNT + 1)
+                for n in range(1, backend.event_count(target) + 1)
             )
         if response.body != expected:
             self._problems.append(
@@ -214,8 +223,7 @@
 
 
 def _target(sent):
-    size = backend.LARGE if sent.style is Style.SLOW else "small"
-    return f"/{sent.kind}/{size}"
+    return f"/{sent.kind}/{sent.size}"
 
 
 def _format(sent):
@@ -224,7 +232,7 @@
         (b"x-attempt-id", sent.id.encode()),
         (b"x-api-key", sent.key.encode()),
         (b"x-deadline-ms", b"%d" % (DEADLINE_SECONDS * 1000)),
-        (b"x-token-usage", b"100,48"),
+        (b"x-token-usage", b"1000,48"),
     ]
     method = "GET" if sent.kind == "safe" else "POST"
     return http_call.format_request(method, _target(sent), headers, b"")
--- a/tests/soak/configs.py
+++ b/tests/soak/configs.py
@@ -15,6 +15,10 @@
     "unsafe": ("core", "core-b"),
 }
 MODELS = SERVICES_BY_KIND["stream"]
+RUNNER_MEMORY_MB = 72000.0
+"""Holds 41 of the 80 layers, so that requests take several runners."""
+MIN_RUNNERS = 3
+"""Number of runners that hold all layers with room for requests."""
 PLAIN_SERVICES = SERVICES_BY_KIND["safe"]
 MAX_TIMEOUT_SECONDS = 5.0
 
@@ -73,7 +77,7 @@
     async def write(self, now):
         self._version += self._rng.randint(1, 4)
         engine = json.loads(json.dumps(test_platform_schema.ENGINE))
-        engine["kinds"][0]["mb"] = 300000.0
+        engine["kinds"][0]["mb"] = RUNNER_MEMORY_MB
         config = {
             "version": self._version,
             "routes": [self._route(kind) for kind in KINDS],
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,14 +1,18 @@
 """The faults of a soak run, drawn from its seed."""
 
 import asyncio
+import dataclasses
 import functools
 import signal
 
 from tests.soak import backend
+from tests.soak import configs
 from tests.soak import endless
 from tests.soak import network
 
 MAX_SERIES_LENGTH = 5
+DRAIN_SECONDS = 2.0
+"""Shortest time for which a leaving server serves on, as on the platform."""
 _SIGNALS = (
     signal.SIGTERM,
     signal.SIGTERM,
@@ -18,6 +22,28 @@
 )
 
 
+def _name(fault):
+    return fault.__name__.strip("_")
+
+
+@dataclasses.dataclass
+class _Departure:
+    """How a server leaves and returns.
+
+    Attributes:
+        has_notice: whether its entry says that it drains before it is removed.
+        serving_seconds: how long it accepts requests after its first change of
+            the entry.
+        exit_seconds: how long running requests may go on after that.
+        absent_seconds: time from its end to its next lifetime.
+    """
+
+    has_notice: bool
+    serving_seconds: float
+    exit_seconds: float
+    absent_seconds: float
+
+
 class Injector:
     """Injects one fault into the processes and stand-ins of a run."""
 
@@ -32,31 +58,43 @@
         self._rng = rng
         self._system = system
 
-    def draw(self):
-        """Returns the name of a random fault and its coroutine."""
-        fault, may_change_config = self._rng.choice(
-            [
-                (self._kill_router, False),
-                (self._drain_router, False),
-                (self._pause_router, False),
-                (self._reload_router, False),
-                (self._send_signals, True),
-                (self._disrupt_store_connection, False),
-                (self._fail_store, False),
-                (self._send_store_responses_without_end, True),
-                (self._fail_server, True),
-                (self._crash_server, False),
-                (self._pause_servers, True),
-                (self._pause_service, True),
-                (self._send_control_responses_without_end, True),
-                (self._change_config, False),
-                (self._revoke_key, False),
-            ]
-        )
-        name = fault.__name__.strip("_")
+    def draw(self, names=()):
+        """Returns the name of a random fault and its coroutine.
+
+        Args:
+            names: names of the faults to choose from; empty for all.
+        """
+        drawn = [
+            (fault, may_change_config)
+            for fault, may_change_config in self._all()
+            if not names or _name(fault) in names
+        ]
+        fault, may_change_config = self._rng.choice(drawn)
         if may_change_config and self._rng.random() < 0.5:
-            return f"{name}, change_config", self._beside_config(fault)
-        return name, fault()
+            return f"{_name(fault)}, change_config", self._beside_config(fault)
+        return _name(fault), fault()
+
+    def _all(self):
+        """Returns all faults and whether each may go with a changed config."""
+        return [
+            (self._kill_router, False),
+            (self._drain_router, False),
+            (self._pause_router, False),
+            (self._reload_router, False),
+            (self._send_signals, True),
+            (self._disrupt_store_connection, False),
+            (self._fail_store, False),
+            (self._send_store_responses_without_end, True),
+            (self._fail_server, True),
+            (self._crash_server, False),
+            (self._leave_server, True),
+            (self._leave_servers, True),
+            (self._pause_servers, True),
+            (self._pause_service, True),
+            (self._send_control_responses_without_end, True),
+            (self._change_config, False),
+            (self._revoke_key, False),
+        ]
 
     async def _beside_config(self, fault):
         await asyncio.gather(fault(), self._change_config())
@@ -141,6 +179,58 @@
             await asyncio.sleep(self._random_duration())
             await server.restart()
 
+    async def _leave_server(self):
+        await self._leave(self._server().service, self._draw_departure())
+
+    async def _leave_servers(self):
+        """Several servers of a service leave in close succession."""
+        service = self._server().service
+        departures = []
+        for _ in range(self._rng.randint(2, 4)):
+            departure = self._leave(service, self._draw_departure())
+            departures.append(asyncio.ensure_future(departure))
+            await asyncio.sleep(self._rng.uniform(0.02, 0.6))
+        await asyncio.gather(*departures)
+
+    def _draw_departure(self):
+        return _Departure(
+            has_notice=self._rng.random() < 0.5,
+            serving_seconds=DRAIN_SECONDS + self._rng.uniform(0.1, 1.5),
+            exit_seconds=self._rng.uniform(0.2, 2.0),
+            absent_seconds=self._rng.uniform(0.3, 1.5),
+        )
+
+    async def _leave(self, service, departure):
+        """A server of a service leaves, unless too few would remain."""
+        is_model = service in configs.MODELS
+        min_remaining = configs.MIN_RUNNERS if is_model else 1
+        present = self._present_servers(service)
+        if len(present) <= min_remaining:
+            return
+        server = self._rng.choice(present)
+        async with server.lifetime_lock:
+            # A crash may have held the lock in between.
+            if len(self._present_servers(service)) < min_remaining:
+                return
+            if departure.has_notice:
+                await server.change_entry(backend.EntryState.DRAINING)
+                await asyncio.sleep(departure.serving_seconds)
+                await server.change_entry(backend.EntryState.REMOVED)
+            else:
+                await server.change_entry(backend.EntryState.REMOVED)
+                await asyncio.sleep(departure.serving_seconds)
+            await server.exit(departure.exit_seconds)
+            await asyncio.sleep(departure.absent_seconds)
+            await server.restart()
+
+    def _present_servers(self, service):
+        """Returns the servers of a service that neither leave nor crash."""
+        return [
+            server
+            for server in self._system.servers
+            if server.service == service and not server.lifetime_lock.locked()
+        ]
+
     async def _pause_servers(self):
         """One sound server or more fall silent, and go on."""
         for _ in range(self._rng.randint(1, 3)):
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -10,6 +10,7 @@
 import time
 
 from tests.gateway import store_stand_in
+from tests.soak import abandoned
 from tests.soak import backend
 from tests.soak import callers
 from tests.soak import configs
@@ -36,7 +37,7 @@
     """
 
     routers: int = 3
-    servers: int = 12
+    servers: int = 24
     callers: int = 14
 
 
@@ -140,11 +141,12 @@
 class SoakRun:
     """One soak run; its files are in a folder."""
 
-    def __init__(self, seed, size, folder):
+    def __init__(self, seed, size, folder, fault_names=()):
         self._seed = seed
         self._rng = random.Random(seed)
         self._size = size
         self._folder = pathlib.Path(folder)
+        self._fault_names = fault_names
         self._system = System(random.Random(f"{seed}-system"), size)
         self._events = []
         self._lags = []
@@ -190,7 +192,8 @@
         running = set()
         while loop.time() < end:
             fault_rng = random.Random(f"{self._seed}-{len(self._events)}")
-            name, fault = faults.Injector(fault_rng, self._system).draw()
+            injector = faults.Injector(fault_rng, self._system)
+            name, fault = injector.draw(self._fault_names)
             self._events.append((loop.time(), name))
             running.add(asyncio.ensure_future(fault))
             if self._rng.random() < 0.4:
@@ -245,6 +248,8 @@
         for sent in system.callers.sent_by_id.values():
             check.check(sent)
             self._check_runs(sent)
+            if not check.is_disrupted(sent):
+                self._check_streams(sent, check.due_at(sent))
         problems.extend(check.problems)
         for router in system.routers:
             log = router.log()
@@ -257,6 +262,15 @@
             for reason, count in check.count_by_reason.items()
         }
 
+    def _check_streams(self, sent, due_at):
+        runs = self._system.record.runs_by_id.get(sent.id, [])
+        for run in abandoned.find(sent, runs, due_at):
+            self._system.record.problems.append(
+                f"sound run abandoned: {sent.id} at {sent.vm}, sent"
+                f" {sent.sent_at:.2f}, at {run.server}"
+                f" {run.started_at:.2f}-{run.ended_at:.2f}"
+            )
+
     def _check_runs(self, sent):
         problems = self._system.record.problems
         runs = self._system.record.runs_by_id.get(sent.id, [])
@@ -275,7 +289,7 @@
 
     def _write_events(self):
         """Writes the times of all events, for reading with the logs."""
-        lines = list(self._events)
+        lines = self._events + self._system.record.events
         lines += [(at, f"soak late by {lag:.2f} s") for at, lag in self._lags]
         for router in self._system.routers:
             lines += [(at, f"{n.name} {router.vm}") for at, n in router.signals]
@@ -296,12 +310,20 @@
                 print(json.dumps(line), file=file)
 
 
-async def run_seed(seed, seconds, size=Size(), keep=""):
-    """Runs the soak with a seed in a temporary folder, or in one to keep."""
+async def run_seed(seed, seconds, size=Size(), keep="", fault_names=()):
+    """Runs the soak with a seed in a temporary folder, or in one to keep.
+
+    Args:
+        seed: seed of the random numbers.
+        seconds: duration of the faults.
+        size: numbers of processes, stand-ins and callers.
+        keep: folder for logs and times of events; empty to keep none.
+        fault_names: names of the faults to choose from; empty for all.
+    """
     with contextlib.ExitStack() as stack:
         if keep:
             folder = pathlib.Path(keep) / f"seed-{seed}"
             folder.mkdir(parents=True, exist_ok=True)
         else:
             folder = stack.enter_context(tempfile.TemporaryDirectory())
-        return await SoakRun(seed, size, folder).run(seconds)
+        return await SoakRun(seed, size, folder, fault_names).run(seconds)
--- a/tests/soak/unanswered.py
+++ b/tests/soak/unanswered.py
@@ -83,13 +83,13 @@
             self.problems.append(self._describe(sent, "no outcome"))
         elif (
             sent.ended_at - sent.sent_at > limit + TOLERANCE_SECONDS
-            and not self._is_disrupted(sent)
+            and not self.is_disrupted(sent)
         ):
             self.problems.append(self._describe(sent, "held too long"))
 
     def _find_reason(self, sent):
         runs = self._runs_by_id.get(sent.id, [])
-        if self._is_disrupted(sent):
+        if self.is_disrupted(sent):
             return Reason.ROUTER_DISRUPTED
         last_ended = max(runs, key=lambda run: run.ended_at, default=None)
         if last_ended is not None and last_ended.has_broken_off:
@@ -112,19 +112,24 @@
             return Reason.HALF_CLOSED
         return None
 
-    def _is_disrupted(self, sent):
+    def is_disrupted(self, sent):
+        """Returns whether a kill or a pause of its router excuses a request."""
         return any(
             disruption.start <= sent.ended_at
             and sent.sent_at <= disruption.end + CONTACT_SECONDS
             for disruption in self._router_by_vm[sent.vm].disruptions
         )
 
-    def _is_overdue(self, sent):
+    def due_at(self, sent):
+        """Returns when a request's deadline or time-out may pass."""
         timeout = self._config_writer.min_timeout(
             sent.kind, sent.sent_at, sent.ended_at
         )
         limit = min(callers.DEADLINE_SECONDS, timeout)
-        return sent.ended_at >= sent.sent_at + limit - TOLERANCE_SECONDS
+        return sent.sent_at + limit - TOLERANCE_SECONDS
+
+    def _is_overdue(self, sent):
+        return sent.ended_at >= self.due_at(sent)
 
     def _is_slow(self, sent, runs):
         """Returns whether the rest of the response waits for its caller."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import random
 import socket
 import struct
 import subprocess
@@ -9,10 +10,13 @@
 import time
 import unittest
 
+from nutmeglift import kv
+from tests.soak import abandoned
 from tests.soak import backend
 from tests.soak import callers
 from tests.soak import configs
 from tests.soak import connection
+from tests.soak import faults
 from tests.soak import routers
 from tests.soak import soak_run
 from tests.soak import unanswered
@@ -75,6 +79,24 @@
         return ""
 
 
+def _stream(ended_at):
+    """Returns a stream whose connection was closed at a time."""
+    return callers.Sent(
+        id="stream-1",
+        kind="stream",
+        key="key-1",
+        vm=_IdleRouter.vm,
+        connection=1,
+        style=callers.Style.PLAIN,
+        behind=None,
+        on_idle=False,
+        sent_at=0.0,
+        ended_at=ended_at,
+        ending=callers.Ending.CLOSED,
+        started=True,
+    )
+
+
 # For each run its start, its end and whether its server broke off; whether the
 # end of the stream is excused.
 STREAM_RUNS = (
@@ -112,24 +134,153 @@
                 check = unanswered.UnansweredCheck(
                     record, writer, [_IdleRouter()]
                 )
-                check.check(
-                    callers.Sent(
-                        id="stream-1",
-                        kind="stream",
-                        key="key-1",
-                        vm=_IdleRouter.vm,
-                        connection=1,
-                        style=callers.Style.PLAIN,
-                        behind=None,
-                        on_idle=False,
-                        sent_at=0.0,
-                        ended_at=1.0,
-                        ending=callers.Ending.CLOSED,
-                        started=True,
-                    )
-                )
+                check.check(_stream(ended_at=1.0))
                 self.assertEqual(check.problems == [], excused)
 
 
+class LeavingServerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.record = backend.Record()
+        self.memory = kv.MemoryKv()
+        self.server = backend.Server(
+            self.record, self.memory, "model-1", "model", "big"
+        )
+        await self.server.start()
+
+    async def asyncTearDown(self):
+        await self.server.exit(0)
+
+    async def _open_stream(self, size):
+        """Requests a stream; returns its reader once it has begun."""
+        host, _, port = self.server.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        writer.write(
+            f"POST /stream/{size} HTTP/1.1\r\nx-attempt-id: stream-1\r\n"
+            "x-expect-instance: model-1\r\n"
+            f"x-hop-count: {self.server.address}=0-80\r\n\r\n".encode()
+        )
+        await reader.readuntil(b"id: 1\n")
+        return reader
+
+    async def test_a_server_without_an_entry_serves_on(self):
+        await self.server.change_entry(backend.EntryState.REMOVED)
+        self.assertIsNone(await self.memory.get("servers/model-1"))
+        reader = await self._open_stream("small")
+        await self.server.exit(5.0)
+        self.assertTrue((await reader.read()).endswith(backend.LAST_CHUNK))
+        (run,) = self.record.runs_by_id["stream-1"]
+        self.assertTrue(run.is_complete)
+        self.assertFalse(run.has_broken_off)
+
+    async def test_an_exit_breaks_off_what_still_runs(self):
+        reader = await self._open_stream(backend.LONG)
+        await self.server.exit(0.1)
+        with self.assertRaises(ConnectionResetError):
+            while await reader.read(65536):
+                pass
+        (run,) = self.record.runs_by_id["stream-1"]
+        self.assertFalse(run.is_complete)
+        self.assertTrue(run.has_broken_off)
+
+    async def test_orders_do_not_restore_a_removed_entry(self):
+        await self.server.change_entry(backend.EntryState.REMOVED)
+        order = b'{"operation":"place","expected":0,"from":0,"target":20}'
+        host, _, port = self.server.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        writer.write(
+            b"POST /v1/order HTTP/1.1\r\ncontent-length: %d\r\n\r\n%b"
+            % (len(order), order)
+        )
+        self.assertIn(b" 202 ", await reader.readuntil(b"\r\n\r\n"))
+        self.assertIsNone(await self.memory.get("servers/model-1"))
+
+
+# For each run its start, its end, whether its server broke off, whether it was
+# complete and its first event; whether the first run counts as abandoned.
+ABANDONED_RUNS: tuple[tuple[str, list[tuple[float, ...]], bool], ...] = (
+    ("complete", [(0.1, 1.0, False, True, 0.15)], False),
+    ("ended with the request", [(0.1, 1.0, False, False, 0.15)], False),
+    (
+        "broke off",
+        [(0.1, 0.5, True, False, 0.15), (0.6, 1.0, False, True, 0.65)],
+        False,
+    ),
+    (
+        "superseded",
+        [(0.1, 0.7, False, False, 0.15), (0.6, 1.0, False, True, 0.65)],
+        False,
+    ),
+    (
+        "superseded its successor",
+        [(0.1, 1.0, False, True, 0.15), (0.6, 0.7, False, False, 0.65)],
+        False,
+    ),
+    (
+        "ended before its successor",
+        [(0.1, 0.5, False, False, 0.15), (0.6, 1.0, False, True, 0.65)],
+        True,
+    ),
+    (
+        "ended before its successor's first event",
+        [(0.1, 0.62, False, False, 0.15), (0.6, 1.0, False, True, 0.65)],
+        True,
+    ),
+    ("ended without a successor", [(0.1, 0.5, False, False, 0.15)], True),
+)
+
+
+class AbandonedRunTest(unittest.TestCase):
+    def test_a_sound_run_may_only_end_beside_another_one(self):
+        for name, rows, is_abandoned in ABANDONED_RUNS:
+            with self.subTest(name):
+                runs = [
+                    backend.Run("model-1", backend.Fault.NONE, *row)
+                    for row in rows
+                ]
+                sent = _stream(ended_at=1.0)
+                expected = runs[:1] if is_abandoned else []
+                self.assertEqual(abandoned.find(sent, runs, 3.0), expected)
+                self.assertEqual(abandoned.find(sent, runs, 0.5), [])
+
+
+class FaultsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_enough_servers_of_each_service_remain(self):
+        for service, count, min_remaining in (
+            ("core", 3, 1),
+            ("model", 6, configs.MIN_RUNNERS),
+        ):
+            with self.subTest(service):
+                system = soak_run.System(random.Random(1), soak_run.Size())
+                system.servers = [
+                    backend.Server(
+                        system.record, kv.MemoryKv(), str(n), service
+                    )
+                    for n in range(count)
+                ]
+                for server in system.servers:
+                    await server.start()
+                injector = faults.Injector(random.Random(1), system)
+                leaving = [
+                    asyncio.ensure_future(injector._leave_servers())
+                    for _ in range(5)
+                ]
+                remaining_counts = []
+                for _ in range(20):
+                    await asyncio.sleep(0.1)
+                    leaving_count = sum(
+                        server.lifetime_lock.locked()
+                        for server in system.servers
+                    )
+                    remaining_counts.append(count - leaving_count)
+                self.assertEqual(min(remaining_counts), min_remaining)
+                for task in leaving:
+                    task.cancel()
+                await asyncio.wait(leaving)
+                for server in system.servers:
+                    await server.exit(0)
+
+
 if __name__ == "__main__":
     unittest.main()
