--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -288,7 +288,10 @@
             problems.append(f"{sent.id} ran with a revoked key")
 
     def _write_events(self):
-        """Writes the times of all events, for reading with the logs."""
+        """Writes problems and times of events, for reading with the logs."""
+        path = self._folder / "problems.txt"
+        lines = [f"{each}\n" for each in self._system.record.problems]
+        path.write_text("".join(lines), encoding="utf-8")
         lines = self._events + self._system.record.events
         lines += [(at, f"soak late by {lag:.2f} s") for at, lag in self._lags]
         for router in self._system.routers:
