Excuse a late response in the soak only for lack of a processor

On a busy machine the soak reported responses that were late because neither the router nor the soak had been given a processor.

A response that is late counts as excused if the kernel's record of the router's waits and the soak's own lags come to the permitted overrun (0.5 s) within the request's time. Requests that end without a response or break off, runs that are abandoned or repeated, and all other checks are excused by nothing new.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -74,6 +74,7 @@
     vm = "router-0"
     disruptions = ()
     terminated_at = ()
+    waits = ()
 
     def log(self):
         return ""
@@ -138,6 +139,39 @@
                 self.assertEqual(check.problems == [], excused)
 
 
+# Waits of the router and lags of the soak; whether a late response is excused.
+STARVATION = (
+    ("none", [], [], False),
+    ("router", [(1.0, 0.3), (3.0, 0.2)], [], True),
+    ("both", [(1.0, 0.3)], [(2.0, 0.2)], True),
+    ("too short", [(1.0, 0.2)], [(2.0, 0.2)], False),
+    ("before", [(-0.1, 2.0)], [], False),
+    ("after", [], [(3.6, 2.0)], False),
+)
+
+
+class StarvationTest(unittest.TestCase):
+    def test_only_a_late_response_without_a_processor_is_excused(self):
+        for name, waits, lags, excused in STARVATION:
+            for ending in (callers.Ending.NO_RESPONSE, callers.Ending.CLOSED):
+                with self.subTest(name, ending=ending):
+                    self.check(waits, lags, ending, excused)
+
+    def check(self, waits, lags, ending, excused):
+        router = _IdleRouter()
+        router.waits = waits
+        writer = configs.ConfigWriter(None, None, None)
+        writer.written.append(configs.Written(-10.0, {"stream": 5.0}))
+        check = unanswered.UnansweredCheck(
+            backend.Record(), writer, [router], lags
+        )
+        closed = ending is callers.Ending.CLOSED
+        sent = _stream(ended_at=2.8 if closed else 3.5)
+        sent.ending = ending
+        check.check(sent)
+        self.assertEqual(check.problems == [], excused and not closed)
+
+
 class LeavingServerTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.record = backend.Record()
