Run the gateway's socket tests in virtual time

Cause: the tests compare time-outs of 40 ms to 5 s with real time, while the servers, the callers and the router share one event loop. A pause of the machine counts as a silent server, a late connection or a passed deadline.

Two tests delayed the event loop by time.sleep(); they advance its clock by the same time. The test that a process stays until its responses have been sent relied on the real time that it takes to read 32 MiB: it now waits for longer than the time after which unsent bytes are dropped. Without that, a router that ignores unsent bytes passed in virtual time. No other wait, bound, input or assertion changes. UvloopClosingTest stays in real time, as uvloop has no clock that a test can set.

--- a/tests/gateway/stand_ins.py
+++ b/tests/gateway/stand_ins.py
@@ -18,6 +18,7 @@
 from nutmeglift_gateway import stream_monitor
 from nutmeglift_platform import names
 from tests.gateway import rig
+from tests.gateway import virtual_time_case
 
 WAIT_SECONDS = 5.0
 """Longest time that a test waits for an expected event."""
@@ -333,3 +334,12 @@
             server.close()
         for connection in list(self.connections):
             connection.abort()
+
+
+class GatewayTestCase(virtual_time_case.VirtualTimeTestCase):
+    """Test case with a router's listener for callers and its exchanges."""
+
+    async def asyncSetUp(self):
+        self.rig = GatewayRig()
+        await self.rig.start()
+        self.addAsyncCleanup(self.rig.stop)
--- a/tests/gateway/test_configuration_changes.py
+++ b/tests/gateway/test_configuration_changes.py
@@ -11,6 +11,7 @@
 from nutmeglift_gateway import http_call
 from tests.gateway import rig
 from tests.gateway import stand_ins
+from tests.gateway import virtual_time_case
 
 OTHER = ids.ServiceId("other")
 LAST_CHUNK = b"0\r\n\r\n"
@@ -123,7 +124,7 @@
         )
 
 
-class ConfigurationChangeTest(unittest.IsolatedAsyncioTestCase):
+class ConfigurationChangeTest(virtual_time_case.VirtualTimeTestCase):
     async def asyncSetUp(self):
         await self.restart()
 
--- a/tests/gateway/test_connection_reads.py
+++ b/tests/gateway/test_connection_reads.py
@@ -9,6 +9,7 @@
 
 from nutmeglift_gateway import http_call
 from tests.gateway import test_http_call
+from tests.gateway import virtual_time_case
 
 TOTAL_BYTES = 64 * 1024 * 1024
 READ_BYTES = test_http_call.READ_BYTES
@@ -77,7 +78,7 @@
                 )
 
 
-class PauseTest(unittest.IsolatedAsyncioTestCase):
+class PauseTest(virtual_time_case.VirtualTimeTestCase):
     async def test_a_pause_outlasts_the_turn_after_a_large_read(self):
         cases = [
             # calls before the turn ends, whether reading goes on after it
--- a/tests/gateway/test_control_client.py
+++ b/tests/gateway/test_control_client.py
@@ -13,6 +13,7 @@
 from nutmeglift_platform import store
 from tests.gateway import endless
 from tests.gateway import stand_ins
+from tests.gateway import virtual_time_case
 
 CASES = (
     endless.HEAD_CASES
@@ -30,7 +31,7 @@
     return RESPONSE % (len(body), body)
 
 
-class EndlessCallTest(unittest.IsolatedAsyncioTestCase):
+class EndlessCallTest(virtual_time_case.VirtualTimeTestCase):
     async def _start(self, case, **options):
         server = await endless.EndlessServer(*case, **options).start()
         self.addCleanup(server.close)
@@ -80,7 +81,7 @@
         await asyncio.wait_for(server.client_eof.wait(), TIMEOUT_SECONDS)
 
 
-class ExtraBytesTest(unittest.IsolatedAsyncioTestCase):
+class ExtraBytesTest(virtual_time_case.VirtualTimeTestCase):
     async def test_extra_bytes_are_not_the_next_response(self):
         extra = response(b"extra")
         cases = {
--- a/tests/gateway/test_crash_detector.py
+++ b/tests/gateway/test_crash_detector.py
@@ -11,9 +11,10 @@
 from tests.gateway import endless
 from tests.gateway import rig
 from tests.gateway import stand_ins
+from tests.gateway import virtual_time_case
 
 
-class CrashDetectorTest(unittest.IsolatedAsyncioTestCase):
+class CrashDetectorTest(virtual_time_case.VirtualTimeTestCase):
     async def asyncSetUp(self):
         self.board = rig.make_board()
         self.log = rig.MemoryLog()
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -11,6 +11,7 @@
 from tests.gateway import endless
 from tests.gateway import rig
 from tests.gateway import stand_ins
+from tests.gateway import virtual_time_case
 
 PARALLEL_REQUEST_COUNT = 20
 PARALLEL_STREAM_COUNT = 3
@@ -18,7 +19,7 @@
 40 ms to accept a connection counts as lost."""
 
 
-class EndlessResponseTest(unittest.IsolatedAsyncioTestCase):
+class EndlessResponseTest(virtual_time_case.VirtualTimeTestCase):
     async def asyncSetUp(self):
         self.rig = stand_ins.GatewayRig()
         route = rig.make_route("status", catalog.Idempotency.SAFE, rig.CORE)
--- a/tests/gateway/test_exchange_plain.py
+++ b/tests/gateway/test_exchange_plain.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import re
-import time
 import unittest
 from unittest import mock
 
@@ -108,19 +107,12 @@
     return connect_and_lose
 
 
-class PlainTestCase(unittest.IsolatedAsyncioTestCase):
-    async def asyncSetUp(self):
-        self.rig = stand_ins.GatewayRig()
-        await self.rig.start()
-        self.addAsyncCleanup(self.rig.stop)
-
-
-class DeadlineTest(PlainTestCase):
+class DeadlineTest(stand_ins.GatewayTestCase):
     async def test_a_response_read_beside_the_deadline_is_delivered(self):
         async def late_loop(request, writer, number):
             writer.write(stand_ins.complete_response(request))
             # The response and the deadline are due in one turn of the loop.
-            time.sleep(0.3)  # noqa: ASYNC251 - delays the event loop.
+            asyncio.get_running_loop().advance(0.3)
 
         for path in ("/release/1", "/status/1", "/draft/1"):
             with self.subTest(path):
@@ -134,7 +126,7 @@
                 await self.rig.stop()
 
 
-class UnsafeTest(PlainTestCase):
+class UnsafeTest(stand_ins.GatewayTestCase):
     async def test_responses_of_one_server(self):
         cases = [
             # script, status for the caller, body; None for the router's own
@@ -251,7 +243,7 @@
         self.assertEqual(server.requests, [])
 
 
-class SafeTest(PlainTestCase):
+class SafeTest(stand_ins.GatewayTestCase):
     async def test_which_failures_are_retried(self):
         cases = [
             (server_error, 200, 1),
@@ -323,7 +315,7 @@
         self.assertEqual((len(one.requests), len(other.requests)), (1, 0))
 
 
-class ForwardingTest(PlainTestCase):
+class ForwardingTest(stand_ins.GatewayTestCase):
     async def test_forwarded_request(self):
         server = await self.rig.add_server(stand_ins.healthy, "only")
         await self.rig.call(
--- a/tests/gateway/test_exchange_stream.py
+++ b/tests/gateway/test_exchange_stream.py
@@ -54,12 +54,7 @@
     await asyncio.sleep(60)
 
 
-class StreamTestCase(unittest.IsolatedAsyncioTestCase):
-    async def asyncSetUp(self):
-        self.rig = stand_ins.GatewayRig()
-        await self.rig.start()
-        self.addAsyncCleanup(self.rig.stop)
-
+class StreamTestCase(stand_ins.GatewayTestCase):
     async def event_ids(self, **headers):
         response = await self.rig.call("/draft/1", **headers)
         self.assertEqual(response.status, 200)
--- a/tests/gateway/test_gateway_endings.py
+++ b/tests/gateway/test_gateway_endings.py
@@ -23,6 +23,7 @@
 from nutmeglift_platform import store
 from tests.gateway import rig
 from tests.gateway import stand_ins
+from tests.gateway import virtual_time_case
 
 WAIT_SECONDS = stand_ins.WAIT_SECONDS
 NO_STORE = "127.0.0.1:1"
@@ -37,7 +38,7 @@
     )
 
 
-class EndingsTest(unittest.IsolatedAsyncioTestCase):
+class EndingsTest(virtual_time_case.VirtualTimeTestCase):
     """Runs a router whose configuration and servers are set by the test."""
 
     async def asyncSetUp(self):
@@ -255,7 +256,7 @@
         )
         os.kill(os.getpid(), signal.SIGTERM)
         await self.wait_for_event("draining")
-        await asyncio.sleep(4 * drain.TICK_SECONDS)
+        await asyncio.sleep(drain.FLUSH_SECONDS + 4 * drain.TICK_SECONDS)
         self.assertFalse(self.task.done())
         self.assertIn(b"200 OK", head)
         body = await asyncio.wait_for(
--- a/tests/gateway/test_http_call.py
+++ b/tests/gateway/test_http_call.py
@@ -6,6 +6,7 @@
 from nutmeglift_gateway import http_call
 from nutmeglift_gateway import response_parser
 from tests.gateway import endless
+from tests.gateway import virtual_time_case
 
 READ_BYTES = 256 * 1024
 """Most bytes that an event loop reads at once."""
@@ -94,7 +95,7 @@
     return fed_bytes
 
 
-class EndlessHeadTest(unittest.IsolatedAsyncioTestCase):
+class EndlessHeadTest(virtual_time_case.VirtualTimeTestCase):
     async def test_endless_framing_fails_before_it_uses_memory(self):
         cases = endless.HEAD_CASES | endless.FRAMING_CASES
         for name, (first, repeated) in cases.items():
@@ -158,7 +159,7 @@
                     self.assertEqual(recorder.body_bytes, 10000)
 
 
-class NoRequestTest(unittest.IsolatedAsyncioTestCase):
+class NoRequestTest(virtual_time_case.VirtualTimeTestCase):
     async def test_bytes_that_belong_to_no_request_close_the_connection(self):
         response = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nx"
         cases = [
--- a/tests/gateway/test_listener.py
+++ b/tests/gateway/test_listener.py
@@ -6,6 +6,7 @@
 from nutmeglift_gateway import catalog
 from nutmeglift_gateway import http_listener
 from nutmeglift_gateway import responses
+from tests.gateway import virtual_time_case
 
 LIMITS = catalog.ClientLimits(
     header_bytes=400, body_bytes=50, header_timeout=0.2, idle_timeout=0.3
@@ -13,7 +14,7 @@
 HEAD = b"POST /a HTTP/1.1\r\nhost: h\r\n"
 
 
-class ListenerTest(unittest.IsolatedAsyncioTestCase):
+class ListenerTest(virtual_time_case.VirtualTimeTestCase):
     async def asyncSetUp(self):
         self.requests = []
         self.connections = set()
--- a/tests/gateway/test_listener_closing.py
+++ b/tests/gateway/test_listener_closing.py
@@ -13,6 +13,7 @@
 from nutmeglift_gateway import catalog
 from nutmeglift_gateway import http_listener
 from nutmeglift_gateway import responses
+from tests.gateway import virtual_time_case
 
 WAIT_SECONDS = 5.0
 LIMITS = catalog.ClientLimits(
@@ -38,8 +39,8 @@
     connection.finish(keep_alive=request.keep_alive)
 
 
-class ClosingTest(unittest.IsolatedAsyncioTestCase):
-    """Runs on asyncio's event loop; UvloopClosingTest runs it on uvloop."""
+class ClosingTest(virtual_time_case.VirtualTimeTestCase):
+    """Runs in virtual time; UvloopClosingTest runs it in real time."""
 
     async def asyncSetUp(self):
         self.limits = LIMITS
@@ -65,12 +66,15 @@
         for connection in list(self.connections):
             connection.abort()
 
+    def delay_loop(self, seconds):
+        asyncio.get_running_loop().advance(seconds)
+
     def handle(self, connection, request):
         if self.during_delay is not None:
             # Another request delays the event loop beyond the time limits.
             self.during_delay()
             self.during_delay = None
-            time.sleep(1.5 * LIMITS.idle_timeout)
+            self.delay_loop(1.5 * LIMITS.idle_timeout)
         if self.hold:
             self.held.append((connection, request))
             return
@@ -305,10 +309,10 @@
 class UvloopClosingTest(ClosingTest):
     """The same on the event loop that routers use."""
 
-    @classmethod
-    def setUpClass(cls):
-        asyncio.set_event_loop_policy(uvloop.EventLoopPolicy())
-        cls.addClassCleanup(asyncio.set_event_loop_policy, None)
+    loop_factory = staticmethod(uvloop.new_event_loop)
+
+    def delay_loop(self, seconds):
+        time.sleep(seconds)
 
 
 if __name__ == "__main__":
--- a/tests/gateway/test_pace_reader.py
+++ b/tests/gateway/test_pace_reader.py
@@ -54,12 +54,7 @@
                 )
 
 
-class PaceReaderTest(unittest.IsolatedAsyncioTestCase):
-    async def asyncSetUp(self):
-        self.rig = stand_ins.GatewayRig()
-        await self.rig.start()
-        self.addAsyncCleanup(self.rig.stop)
-
+class PaceReaderTest(stand_ins.GatewayTestCase):
     async def test_the_next_stream_avoids_a_slow_runner(self):
         async def slow(request, writer, number):
             writer.write(stand_ins.stream_head(request))
--- a/tests/gateway/test_peer_links.py
+++ b/tests/gateway/test_peer_links.py
@@ -14,6 +14,7 @@
 from tests.gateway import rig
 from tests.gateway import stand_ins
 from tests.gateway import test_whole_gateway
+from tests.gateway import virtual_time_case
 
 
 class Router:
@@ -42,7 +43,7 @@
             task.cancel()
 
 
-class PeerLinksTest(unittest.IsolatedAsyncioTestCase):
+class PeerLinksTest(virtual_time_case.VirtualTimeTestCase):
     async def asyncSetUp(self):
         self.one, self.two = Router("one"), Router("two")
         for router in (self.one, self.two):
@@ -96,7 +97,7 @@
         self.assertEqual(pending, set())
 
 
-class FrozenPeerTest(unittest.IsolatedAsyncioTestCase):
+class FrozenPeerTest(virtual_time_case.VirtualTimeTestCase):
     """A link to a peer whose process is stopped, so that it reads nothing."""
 
     async def freeze(self, connection):
--- a/tests/gateway/test_pipelined_drain.py
+++ b/tests/gateway/test_pipelined_drain.py
@@ -17,11 +17,9 @@
     return stand_ins.GatewayRig.format_request(path, x_attempt_id=name.encode())
 
 
-class PipelinedDrainTest(unittest.IsolatedAsyncioTestCase):
+class PipelinedDrainTest(stand_ins.GatewayTestCase):
     async def asyncSetUp(self):
-        self.rig = stand_ins.GatewayRig()
-        await self.rig.start()
-        self.addAsyncCleanup(self.rig.stop)
+        await super().asyncSetUp()
         self.may_finish = asyncio.Event()
 
     async def plain(self, request, writer, number):
--- a/tests/gateway/test_platform_store.py
+++ b/tests/gateway/test_platform_store.py
@@ -5,6 +5,7 @@
 from nutmeglift import kv
 from nutmeglift_platform import store
 from tests.gateway import store_stand_in
+from tests.gateway import virtual_time_case
 
 
 def status(code):
@@ -12,7 +13,7 @@
     return lambda request: b"HTTP/1.1 %d X\r\ncontent-length: 0\r\n\r\n" % code
 
 
-class PlatformKvTest(unittest.IsolatedAsyncioTestCase):
+class PlatformKvTest(virtual_time_case.VirtualTimeTestCase):
     async def asyncSetUp(self):
         self.stand_in = await store_stand_in.StoreStandIn().start()
         self.addCleanup(self.stand_in.server.close)
--- a/tests/gateway/test_reachability.py
+++ b/tests/gateway/test_reachability.py
@@ -8,6 +8,7 @@
 from nutmeglift_gateway import suspect_servers
 from tests.gateway import rig
 from tests.gateway import stand_ins
+from tests.gateway import virtual_time_case
 
 
 class UnresponsiveHost:
@@ -31,7 +32,7 @@
             open_socket.close()
 
 
-class ReachabilityTest(unittest.IsolatedAsyncioTestCase):
+class ReachabilityTest(virtual_time_case.VirtualTimeTestCase):
     async def asyncSetUp(self):
         self.board = rig.make_board()
         self.log = rig.MemoryLog()
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -8,6 +8,7 @@
 from nutmeglift_gateway import relay
 from tests.gateway import rig
 from tests.gateway import test_peer_state
+from tests.gateway import virtual_time_case
 
 
 class RelayTest(unittest.TestCase):
@@ -38,7 +39,7 @@
     return kv.WatchEvent(kv.WatchKind.PUT, rig.make_entry(key, value, revision))
 
 
-class RelayedChangesTest(unittest.IsolatedAsyncioTestCase):
+class RelayedChangesTest(virtual_time_case.VirtualTimeTestCase):
     """Applies a planner's changes at another router, without a socket."""
 
     async def asyncSetUp(self):
--- a/tests/gateway/test_server_changes.py
+++ b/tests/gateway/test_server_changes.py
@@ -6,6 +6,7 @@
 from nutmeglift import ids
 from nutmeglift_gateway import http_call
 from tests.gateway import stand_ins
+from tests.gateway import virtual_time_case
 
 OTHER = ids.ServiceId("other")
 OK = 200
@@ -23,7 +24,7 @@
 ]
 
 
-class ServerChangeTest(unittest.IsolatedAsyncioTestCase):
+class ServerChangeTest(virtual_time_case.VirtualTimeTestCase):
     async def check(self, changes, status):
         gateway = stand_ins.GatewayRig()
         self.addAsyncCleanup(gateway.stop)
--- a/tests/gateway/test_whole_gateway.py
+++ b/tests/gateway/test_whole_gateway.py
@@ -22,6 +22,7 @@
 from tests.gateway import stand_ins
 from tests.gateway import store_stand_in
 from tests.gateway import test_platform_schema
+from tests.gateway import virtual_time_case
 
 WAIT_SECONDS = stand_ins.WAIT_SECONDS
 LAST_CHUNK = b"0\r\n\r\n"
@@ -93,7 +94,7 @@
         return listener.getsockname()[1]
 
 
-class WholeGatewayTest(unittest.IsolatedAsyncioTestCase):
+class WholeGatewayTest(virtual_time_case.VirtualTimeTestCase):
     async def asyncSetUp(self):
         self.store = await store_stand_in.StoreStandIn().start()
         self.addCleanup(self.store.server.close)
