--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -141,12 +141,12 @@
 
 # Waits of the router and lags of the soak; whether a late response is excused.
 STARVATION = (
-    ("none", [], [], False),
-    ("router", [(1.0, 0.3), (3.0, 0.2)], [], True),
-    ("both", [(1.0, 0.3)], [(2.0, 0.2)], True),
-    ("too short", [(1.0, 0.2)], [(2.0, 0.2)], False),
-    ("before", [(-0.1, 2.0)], [], False),
-    ("after", [], [(3.6, 2.0)], False),
+    ("none", (), (), False),
+    ("router", ((1.0, 0.3), (3.0, 0.2)), (), True),
+    ("both", ((1.0, 0.3),), ((2.0, 0.2),), True),
+    ("too short", ((1.0, 0.2),), ((2.0, 0.2),), False),
+    ("before", ((-0.1, 2.0),), (), False),
+    ("after", (), ((3.6, 2.0),), False),
 )
 
 
