Count a superseded run as such if the stream was complete at once

The log has 'successor started' while the service was paused, and 'attempt superseded' by model-1 0.2 s later. By what the check compares, the first run must have ended, with its last event, before the end of the successor was seen; the caller was still reading.

A run that was sending before and completed the stream is a reason to end another one, whichever end is seen first. One that did not is none.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -251,6 +251,16 @@
         [(0.1, 1.0, False, True, 0.15), (0.6, 0.7, False, False, 0.65)],
         False,
     ),
+    (
+        "superseded by a run that completed the stream at once",
+        [(0.1, 0.7, False, False, 0.15), (0.6, 0.69, False, True, 0.65)],
+        False,
+    ),
+    (
+        "superseded by a run that did not complete the stream",
+        [(0.1, 0.7, False, False, 0.15), (0.6, 0.69, False, False, 0.65)],
+        True,
+    ),
     (
         "ended before its successor",
         [(0.1, 0.5, False, False, 0.15), (0.6, 1.0, False, True, 0.65)],
