Excuse a slow caller in the soak if its stream was cut at the deadline

The soak reported callers without a response that read slowly, though the router had cut their streams when the deadline or the route's time-out passed, which the platform's rules leave out. Such a caller does not see the end at once.

Cut earlier, the stream is reported as before.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -172,6 +172,44 @@
         self.assertEqual(check.problems == [], excused and not closed)
 
 
+# Time-out of the route and time of the cut, in seconds after the request was
+# sent; whether the missing end of a slowly read response is excused.
+CUTS = (
+    (5.0, None, True),
+    (5.0, 3.16, True),
+    (5.0, 2.5, False),
+    (1.5, 1.66, True),
+    (1.5, 1.2, False),
+)
+
+
+class SlowCallerTest(unittest.TestCase):
+    def test_a_stream_may_be_cut_at_its_deadline_only(self):
+        for timeout, seconds, excused in CUTS:
+            with self.subTest(timeout=timeout, seconds=seconds):
+                router = _IdleRouter()
+                if seconds is not None:
+                    line = (
+                        '{"event":"stream cut","vm":"router-0",'
+                        f'"request":"stream-1","seconds":{seconds}}}'
+                    )
+                    router.log = lambda line=line: line
+                record = backend.Record()
+                record.runs_by_id["stream-1"] = [
+                    backend.Run("model-1", backend.Fault.NONE, 0.1, 1.0)
+                ]
+                writer = configs.ConfigWriter(None, None, None)
+                writer.written.append(
+                    configs.Written(-10.0, {"stream": timeout})
+                )
+                check = unanswered.UnansweredCheck(record, writer, [router])
+                sent = _stream(ended_at=3.5)
+                sent.ending = callers.Ending.NO_RESPONSE
+                sent.style = callers.Style.SLOW
+                check.check(sent)
+                self.assertEqual(check.problems == [], excused)
+
+
 class LeavingServerTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.record = backend.Record()
