Move the decoding of the store's entries into a module

No change in behaviour.

Checked: make check; the tests of the gateway, failing only those known red.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
@@ -11,7 +11,7 @@
 from nutmeglift import retry
 from nutmeglift_gateway import board as boards
 from nutmeglift_gateway import decision_log
-from nutmeglift_gateway import directory
+from nutmeglift_gateway import entry_decoder
 from nutmeglift_gateway import freshness
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import relay
@@ -61,12 +61,12 @@
     ) -> None:
         self._store = store
         self._schema = schema
+        self._decoder = entry_decoder.EntryDecoder(schema, log)
         self._board = board
         self._log = log
         self._rng = rng
         self._last_failure_at = float("-inf")
         self.is_down = False
-        self._unreadable: set[tuple[str, int]] = set()
         self._announced_catalog_revision = ids.Revision(0)
         self._catalog_requested_at = float("-inf")
         self.revision = UNLISTED
@@ -132,7 +132,7 @@
             read_at: loop time at which the peer's view was up to date.
         """
         self.live_at = max(self.live_at, read_at)
-        servers = [s for e in entries if (s := self._decode_server(e))]
+        servers = [s for e in entries if (s := self._decoder.decode_server(e))]
         for entry in entries:
             self.entry_by_key[entry.key] = entry
         self._board.directory.replace_all(now, servers, lapsed=False)
@@ -141,12 +141,8 @@
         """Activates a configuration from the store or a peer if it is newer."""
         if entry.mod_revision <= self._board.catalog_revision:
             return
-        if (entry.key, entry.mod_revision) in self._unreadable:
-            return
-        try:
-            found = self._schema.decode_catalog(entry)
-        except ports.UndecodableEntryError as error:
-            self._log_unreadable(entry, str(error))
+        found = self._decoder.decode_catalog(entry)
+        if found is None:
             return
         if self._board.set_catalog(entry.mod_revision, found):
             self.entry_by_key[entry.key] = entry
@@ -291,7 +287,7 @@
                 self.apply_catalog(entry)
             elif entry.key.startswith(self._schema.server_prefix):
                 self.entry_by_key[entry.key] = entry
-                server = self._decode_server(entry)
+                server = self._decoder.decode_server(entry)
                 if server is not None:
                     servers.append(server)
             elif entry.key.startswith(ROUTER_PREFIX):
@@ -342,7 +338,7 @@
             self._board.directory.remove(now, server_id, lapsed=lapsed)
             return
         self.entry_by_key[entry.key] = entry
-        server = self._decode_server(entry)
+        server = self._decoder.decode_server(entry)
         if server is None or not self._board.directory.put(now, server):
             return
         self._log.write(
@@ -354,25 +350,6 @@
             revision=entry.mod_revision,
         )
 
-    def _decode_server(self, entry: kv.KeyValue) -> directory.Server | None:
-        try:
-            return self._schema.decode_server(entry)
-        except ports.UndecodableEntryError as error:
-            self._log_unreadable(entry, str(error))
-            return None
-
-    def _log_unreadable(self, entry: kv.KeyValue, detail: str) -> None:
-        seen = (entry.key, entry.mod_revision)
-        if seen in self._unreadable:
-            return
-        self._unreadable.add(seen)
-        self._log.write(
-            "entry skipped",
-            key=entry.key,
-            revision=entry.mod_revision,
-            detail=detail,
-        )
-
     def _after_outage(self, now: float) -> bool:
         return now - self._last_failure_at < OUTAGE_EFFECT_SECONDS
 
