Log and measure how old the view of the servers is

The incident's log showed that a removal was taken for a lapse, but not on what evidence. "server removed" now tells the revision, how long ago a call to the store failed and how old the view was; a gauge has the age of the view. With them a removal that is kept as a lapse (a recent failure, a fresh view), a view that is behind (a great age) and a request sent in spite of a removal (lapsed is false) look different.

Checked: make check; the tests of the gateway, failing only those known red.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/metrics.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/metrics.py
@@ -67,6 +67,9 @@
         self.confirmation_age = self._gauge(
             "confirmation_age_seconds", "Age of the last confirmation."
         )
+        self.view_age = self._gauge(
+            "view_age_seconds", "Age of the view of the backend servers."
+        )
 
     def text(self) -> bytes:
         """Returns all metrics in the text format."""
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
@@ -334,7 +334,14 @@
         if removed:
             self.entry_by_key.pop(entry.key, None)
             lapsed = self._after_outage(now)
-            self._log.write("server removed", server=server_id, lapsed=lapsed)
+            self._log.write(
+                "server removed",
+                server=server_id,
+                lapsed=lapsed,
+                revision=entry.mod_revision,
+                store_failed_ago=round(now - self._last_failure_at, 3),
+                view_age=round(self.age(now), 3),
+            )
             self._board.directory.remove(now, server_id, lapsed=lapsed)
             return
         self.entry_by_key[entry.key] = entry
