Test that servers that leave are unused within the bound

Callers of the consortium's deployment saw none of it, but their requests reached a runner 2,049 ms after it had left (bound 2,000): a rival bank's work on a server that may exit at any moment.

Real routers, with the platform's client over sockets in virtual time, on a stand-in of the store that withholds responses.

--- /dev/null
+++ b/tests/gateway/store_routers.py
@@ -0,0 +1,159 @@
+"""Routers that keep in sync with a stand-in of the store, over sockets."""
+
+import asyncio
+
+from nutmeglift import ids
+from nutmeglift import kv
+from nutmeglift_gateway import failure_recorder
+from nutmeglift_gateway import metrics
+from nutmeglift_gateway import peer_links
+from nutmeglift_gateway import planner_controller
+from nutmeglift_gateway import prober
+from nutmeglift_gateway import registration
+from nutmeglift_gateway import settings
+from nutmeglift_gateway import store_reader
+from nutmeglift_platform import store
+from tests.gateway import rig
+from tests.gateway import stand_ins
+from tests.gateway import store_stand_in
+from tests.gateway import test_whole_gateway
+
+CATALOG_KEY = "operators/configuration"
+POLL_SECONDS = 0.01
+
+
+class Router:
+    """The controllers of one router, with its own way to the store.
+
+    Attributes:
+        vm: name of the router's VM.
+        store: the store as this router reaches it.
+        board: the router's shared state.
+        log: the router's log.
+    """
+
+    def __init__(self, vm, memory, schema):
+        self.vm = vm
+        self.log = rig.MemoryLog()
+        self.board = rig.make_board()
+        self.board.catalog = None
+        self.board.catalog_revision = ids.Revision(0)
+        self.store = store_stand_in.StoreStandIn()
+        self.store.memory = memory
+        self._schema = schema
+        self._tasks = []
+
+    async def start(self):
+        await self.store.start()
+        client = store.PlatformKv(
+            self.store.server.address,
+            settings.Store("127.0.0.1:1").timeout_seconds,
+        )
+        rng = rig.make_rng()
+        rng.seed(self.vm)
+        address = f"127.0.0.1:{test_whole_gateway.free_port()}"
+        runners = rig.MemoryRunners()
+        counters = metrics.Metrics()
+        reader = store_reader.StoreReader(
+            client, self._schema, self.board, self.log, rng
+        )
+        registered = registration.Registration(
+            client, self.vm, address, self.log, rng
+        )
+        planner = planner_controller.PlannerController(
+            client,
+            reader,
+            registered,
+            self.board,
+            runners,
+            self.vm,
+            self.log,
+            counters,
+            failure_recorder.FailureRecorder(self.board, self.log, counters),
+            rng,
+        )
+        links = peer_links.PeerLinks(self.board, reader, self.vm, self.log, rng)
+        probes = prober.Prober(self.board, runners, self.log)
+        self._tasks = [
+            asyncio.ensure_future(work)
+            for work in (
+                reader.watch(),
+                reader.confirm(),
+                registered.run(),
+                planner.run(),
+                probes.run(),
+                links.serve(address),
+                links.dial(),
+            )
+        ]
+
+    async def stop(self):
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.store.server.abort()
+
+    def uses(self, name):
+        """Returns whether new requests may be sent to a server."""
+        return name in {s.id for s in self.board.usable(rig.CORE)}
+
+    @property
+    def plans(self):
+        return bool(self.board.fence)
+
+    async def wait_until_unused(self, name):
+        """Returns the loop time from which a server gets no new requests."""
+        loop = asyncio.get_running_loop()
+        while self.uses(name):  # noqa: ASYNC110 - in virtual time.
+            await asyncio.sleep(POLL_SECONDS)
+        return loop.time()
+
+
+class Deployment:
+    """Some routers, and backend servers that write to the same store.
+
+    Attributes:
+        memory: what the store holds.
+        routers: the routers, started.
+    """
+
+    def __init__(self):
+        self.memory = kv.MemoryKv()
+        self.schema = rig.MemorySchema()
+        self.schema.by_value[b"config"] = rig.make_catalog()
+        self.routers = []
+
+    async def start(self, names, servers):
+        await self.memory.txn([], [kv.Put(CATALOG_KEY, b"config")])
+        for name in servers:
+            await self.put_server(name)
+        self.routers = [
+            Router(name, self.memory, self.schema) for name in names
+        ]
+        for router in self.routers:
+            await router.start()
+
+    async def stop(self):
+        for router in self.routers:
+            await router.stop()
+
+    async def put_server(self, name, **changes):
+        fields = {"service": rig.CORE, "kind": ""} | changes
+        value = f"{name}{sorted(fields.items())}".encode()
+        self.schema.by_value[value] = fields
+        await self.memory.txn([], [kv.Put(f"backends/{name}", value)])
+
+    async def remove_server(self, name):
+        await self.memory.txn([], [kv.Delete(f"backends/{name}")])
+
+    def set_silent(self, silent):
+        """Withholds all responses of the store, or answers calls again."""
+        for router in self.routers:
+            router.store.silent = silent
+
+    async def wait_for_planner(self):
+        """Returns the planning router once all routers follow it."""
+        async with asyncio.timeout(stand_ins.WAIT_SECONDS):
+            while not any(r.plans for r in self.routers):  # noqa: ASYNC110
+                await asyncio.sleep(POLL_SECONDS)
+        return next(r for r in self.routers if r.plans)
--- a/tests/gateway/store_stand_in.py
+++ b/tests/gateway/store_stand_in.py
@@ -10,6 +10,9 @@
 from nutmeglift import kv
 from tests.gateway import stand_ins
 
+SILENCE_SECONDS = 60.0
+"""Longer than any client waits for a response."""
+
 
 def _encode_entry(entry):
     return {
@@ -31,6 +34,9 @@
             usual one.
         writer_fault: None, or a coroutine function that is called with the
             connection's writer in place of a response.
+        silent: whether responses are withheld, also those to calls that are
+            waiting; a call that arrives meanwhile has no effect.
+        silent_watches: whether just the responses to watches are withheld.
         page_size: largest number of items in one page of a listing.
     """
 
@@ -38,6 +44,9 @@
         self.memory = kv.MemoryKv()
         self.fault = None
         self.writer_fault = None
+        self.silent = False
+        self.silent_watches = False
+        self._watch_arrived = asyncio.Event()
         self.page_size = 500
         self.server = stand_ins.ScriptedServer(self._respond, keep_alive=True)
 
@@ -45,6 +54,11 @@
         await self.server.start()
         return self
 
+    async def wait_for_watch(self):
+        """Waits until the next watch call arrives."""
+        self._watch_arrived.clear()
+        await self._watch_arrived.wait()
+
     async def _respond(self, request, writer, number):
         method, target, _ = request.head.split(" ")
         url = parse.urlsplit(target)
@@ -57,10 +71,15 @@
             if raw is not None:
                 writer.write(raw)
                 if not raw:
-                    await asyncio.sleep(60)
+                    await asyncio.sleep(SILENCE_SECONDS)
                 return
         body = json.loads(request.body) if request.body else {}
+        if self.silent:
+            await asyncio.sleep(SILENCE_SECONDS)
         status, response = await self._dispatch(method, url.path, query, body)
+        is_watch = url.path.endswith("/kv-watch")
+        if self.silent or (is_watch and self.silent_watches):
+            await asyncio.sleep(SILENCE_SECONDS)
         raw = json.dumps(response).encode()
         writer.write(
             b"HTTP/1.1 %d X\r\ncontent-length: %d\r\n\r\n%b"
@@ -106,6 +125,7 @@
         return 400, {"error": path}
 
     async def _watch(self, query):
+        self._watch_arrived.set()
         after = int(query["after"])
         watch = self.memory.watch(
             query["prefix"], prefix=True, start=ids.Revision(after + 1)
