Date an outage of the store by the calls that failed

Cause: the removal of a server's entry was taken for a lapse if a call to the store had failed within 3 s, by the time at which that was noticed. A watch that was sent in the outage fails 2.5 s later, so removals counted as lapses for up to 5.5 s after the store's return, though the bounds hold again after 3 s. Such a server stayed usable for 2 s and a poll more, counted from the removal instead of the outage: the whole bound, and what is late in it.

Evidence: all four routers logged "server removed" with lapsed=true 3 to 4 ms after the store's acknowledgement, and "server lapsed" 2.04 to 2.08 s later. The router that sent the request had logged "store lost: no response within 2.50 s" 1.3 s after the store had answered its other calls again.

Change: StoreOutage dates an outage by the sending times of its failed calls. A removed entry is kept until 2.8 s after the last of them, whenever the removal is learned, and never until the operators' contact time after it has passed, so no removal is kept once the bounds hold. Failures are no outage if other calls were answered meanwhile, or if they lasted under 1 s. The lease's calls count as well. Just before a request is sent, the time of an expiring entry is checked.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/directory.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/directory.py
@@ -5,9 +5,6 @@
 
 from nutmeglift import ids
 
-LAPSE_GRACE_SECONDS = 2.0
-"""After a store outage, a live server restores its lapsed entry within this
-time."""
 MAX_REPORT_LAG_SECONDS = 0.5
 """Greatest age of a report: its own delay plus the propagation of an entry."""
 
@@ -172,30 +169,44 @@
             known, orders=max(known.orders, server.orders + 1)
         )
 
-    def remove(self, now: float, server_id: str, *, lapsed: bool) -> None:
+    def remove(
+        self, now: float, server_id: str, *, kept_until: float = float("-inf")
+    ) -> None:
         """Removes an entry.
 
         Args:
             now: loop time in seconds.
             server_id: instance id of the server.
-            lapsed: whether a store outage may have caused the removal; the
-                entry is then kept for LAPSE_GRACE_SECONDS.
+            kept_until: loop time until which the entry is kept, because an
+                outage of the store may have caused the removal.
         """
         if server_id not in self.server_by_id:
             return
-        if lapsed:
-            self._gone_at_by_id.setdefault(server_id, now + LAPSE_GRACE_SECONDS)
-            return
-        self._delete(server_id)
+        gone_at = min(
+            kept_until, self._gone_at_by_id.get(server_id, float("inf"))
+        )
+        self._gone_at_by_id[server_id] = gone_at
+        if gone_at <= now:
+            self._delete(server_id)
 
     def replace_all(
-        self, now: float, servers: list[Server], *, lapsed: bool
+        self,
+        now: float,
+        servers: list[Server],
+        *,
+        kept_until: float = float("-inf"),
     ) -> None:
-        """Replaces all entries by a complete listing."""
+        """Replaces all entries by a complete listing.
+
+        Args:
+            now: loop time in seconds.
+            servers: the listed servers.
+            kept_until: as in remove(), for entries that are not listed.
+        """
         listed = {server.id for server in servers}
         for server_id in list(self.server_by_id):
             if server_id not in listed:
-                self.remove(now, server_id, lapsed=lapsed)
+                self.remove(now, server_id, kept_until=kept_until)
         for server in servers:
             self.put(now, server)
 
@@ -222,11 +233,12 @@
             if server.service == service
         ]
 
-    def is_current(self, server: Server) -> bool:
+    def is_current(self, now: float, server: Server) -> bool:
         """Returns whether this entry still holds and is not draining."""
         known = self.server_by_id.get(server.id)
         return (
             known is not None
+            and self._gone_at_by_id.get(server.id, now) >= now
             and known.lifetime == server.lifetime
             and known.service == server.service
             and known.address == server.address
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -83,7 +83,12 @@
             store, schema, self.board, log, rng
         )
         self._registration = registration.Registration(
-            store, config.vm, config.listen.peers, log, rng
+            store,
+            config.vm,
+            config.listen.peers,
+            self._reader.outage,
+            log,
+            rng,
         )
         failure_recorder = recorders.FailureRecorder(
             self.board, log, self.metrics
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/registration.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/registration.py
@@ -8,6 +8,7 @@
 from nutmeglift import kv
 from nutmeglift import retry
 from nutmeglift_gateway import decision_log
+from nutmeglift_gateway import store_outage
 from nutmeglift_gateway import store_reader
 
 LEASE_TTL_SECONDS = 3.0
@@ -29,6 +30,7 @@
         store: kv.BaseKv,
         vm: str,
         address: str,
+        outage: store_outage.StoreOutage,
         log: decision_log.DecisionLog,
         rng: random.Random,
     ) -> None:
@@ -36,6 +38,7 @@
         self._store = store
         self._key = store_reader.ROUTER_PREFIX + vm
         self._address = address
+        self._outage = outage
         self._log = log
         self._rng = rng
         self._ended = False
@@ -43,14 +46,18 @@
     async def run(self) -> None:
         """Registers, and renews the lease, until cancelled."""
         backoff = retry.Backoff(self._rng)
+        loop = asyncio.get_running_loop()
         while not self._ended:
+            sent_at = loop.time()
             try:
                 if self.lease == NO_LEASE:
                     await self._register()
                 else:
                     await self._renew()
+                self._outage.record_answer(loop.time())
                 backoff.reset()
             except errors.PlatformError as error:
+                self._outage.record_failure(loop.time(), sent_at, str(error))
                 self._log.write("registration failed", detail=str(error))
                 await asyncio.sleep(backoff.next_seconds())
                 continue
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/sender.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/sender.py
@@ -1,5 +1,7 @@
 """Sends a caller's request to backend servers."""
 
+import asyncio
+
 from nutmeglift_gateway import admission
 from nutmeglift_gateway import attempt
 from nutmeglift_gateway import caller_request
@@ -44,7 +46,8 @@
             return attempt.Outcome(
                 retry_policy.Failure.NOT_SENT, detail=str(error)
             )
-        if not self._context.board.directory.is_current(server):
+        now = asyncio.get_running_loop().time()
+        if not self._context.board.directory.is_current(now, server):
             upstream.abort()
             return attempt.Outcome(
                 retry_policy.Failure.NOT_SENT,
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/settings.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/settings.py
@@ -40,6 +40,8 @@
         shutdown_seconds: time from SIGTERM until a process is killed.
         stall_seconds: time after which engines abort requests that wait for a
             lost runner.
+        contact_seconds: time after a disturbance from which the other bounds
+            hold again.
         retry_ratio: greatest number of retries per request, over all routers.
         retry_slack: number of retries per window that are always allowed.
         retry_window_seconds: length of the window.
@@ -49,6 +51,7 @@
     drain_seconds: Seconds = 2.0
     shutdown_seconds: Seconds = 8.0
     stall_seconds: Seconds = 2.0
+    contact_seconds: Seconds = 3.0
     retry_ratio: Ratio = 0.2
     retry_slack: Ratio = 100.0
     retry_window_seconds: Seconds = 10.0
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/store_outage.py
@@ -0,0 +1,98 @@
+"""Tells whether an outage of the store may have removed an entry.
+
+The store drops a server's entry when the server has left, but also when the
+server could not renew it during an outage. The server then restores it soon
+after the store's return, so the entry stays usable until then.
+
+An outage is dated by when the calls that failed were sent, not by when their
+failure was noticed. The window in which a removal counts as a lapse therefore
+ends before the operators' bounds hold again.
+"""
+
+from nutmeglift_gateway import board as boards
+from nutmeglift_gateway import decision_log
+
+MIN_OUTAGE_SECONDS = 1.0
+"""An entry lapses after several missed renewals, so a shorter interval without
+a response removes none."""
+LAPSE_WINDOW_SECONDS = 2.8
+"""Servers restore their entries within 2 s of the store's return, which may be
+later than the last failed call by the timeout of that call."""
+CONTACT_MARGIN_SECONDS = 0.2
+"""Ends the window before the operators' bounds hold again, allowing for the
+interval at which expired entries are removed."""
+
+
+class StoreOutage:
+    """Tracks which calls of a router the store answered.
+
+    Times are loop times in seconds.
+    """
+
+    def __init__(
+        self, board: boards.Board, log: decision_log.DecisionLog
+    ) -> None:
+        """Starts without an outage.
+
+        Args:
+            board: has the operators' bounds.
+            log: log of decisions.
+        """
+        self._board = board
+        self._log = log
+        self._answered_at = float("-inf")
+        self._failing_since: float | None = None
+        self._last_failed_at = float("-inf")
+        self._outage_end = float("-inf")
+
+    @property
+    def is_down(self) -> bool:
+        """Whether no call has been answered since one that failed was sent."""
+        return self._failing_since is not None
+
+    def record_answer(self, now: float) -> None:
+        """Records a response."""
+        if self._is_outage(now):
+            self._outage_end = self._last_failed_at
+        if self.is_down:
+            self._log.write("store regained")
+        self._failing_since = None
+        self._answered_at = now
+
+    def record_failure(self, now: float, sent_at: float, detail: str) -> None:
+        """Records a call without a response.
+
+        If another call has been answered since it was sent, the store serves
+        this router again.
+
+        Args:
+            now: loop time.
+            sent_at: when the call was sent.
+            detail: why it failed, for the log.
+        """
+        was_down = self.is_down
+        if sent_at >= self._answered_at:
+            self._last_failed_at = sent_at
+            if self._failing_since is None:
+                self._failing_since = sent_at
+        if not was_down:
+            self._log.write(
+                "store lost" if self.is_down else "store call failed",
+                detail=detail,
+                sent_ago=round(now - sent_at, 3),
+            )
+
+    def lapse_window_end(self, now: float) -> float:
+        """Returns until when an entry that is removed now may be restored.
+
+        A time that has passed means that the server has left.
+        """
+        end = self._last_failed_at if self._is_outage(now) else self._outage_end
+        return end + min(
+            LAPSE_WINDOW_SECONDS,
+            self._board.bounds.contact_seconds - CONTACT_MARGIN_SECONDS,
+        )
+
+    def _is_outage(self, now: float) -> bool:
+        since = self._failing_since
+        return since is not None and now - since >= MIN_OUTAGE_SECONDS
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
@@ -15,6 +15,7 @@
 from nutmeglift_gateway import freshness
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import relay
+from nutmeglift_gateway import store_outage
 
 CONFIRM_INTERVAL_SECONDS = 0.9
 """Half of the operators' bound for a change to take effect on all routers."""
@@ -25,9 +26,8 @@
 COALESCE_DELAY_SECONDS = 0.15
 """Delay between watch calls, so that one call returns several successive
 changes; a tenth of the operators' bound for a change to take effect."""
-OUTAGE_EFFECT_SECONDS = 3.0
-"""An entry that is removed within this time after a store outage may have
-lapsed because of the outage."""
+MAX_LIVE_VIEW_AGE_SECONDS = 3.0
+"""A router with an older view doesn't run for election."""
 OWN_PREFIX = "nutmeglift/"
 ROUTER_PREFIX = OWN_PREFIX + "routers/"
 PLANNER_KEY = OWN_PREFIX + "planner"
@@ -45,7 +45,7 @@
             router's own watch.
         on_changes: called with the changes that this router's own watch
             returned, preceded by the revision before them.
-        is_down: whether the last call to the store failed.
+        outage: tracks whether the store answers this router.
         live_at: loop time at which the local view was last up to date.
         entry_by_key: raw entries by key.
         planner: the planner's entry, if there is one.
@@ -65,8 +65,8 @@
         self._board = board
         self._log = log
         self._rng = rng
-        self._last_failure_at = float("-inf")
-        self.is_down = False
+        self.outage = store_outage.StoreOutage(board, log)
+        self._watch_sent_at = float("-inf")
         self._announced_catalog_revision = ids.Revision(0)
         self._catalog_requested_at = float("-inf")
         self.revision = UNLISTED
@@ -88,7 +88,9 @@
                 self._log.write("store history dropped")
                 self.revision = UNLISTED
             except errors.PlatformError as error:
-                self._record_failure(str(error))
+                self.outage.record_failure(
+                    self._now(), self._watch_sent_at, str(error)
+                )
                 await asyncio.sleep(backoff.next_seconds())
 
     async def confirm(self) -> None:
@@ -104,18 +106,23 @@
                 continue
             if age < limit and not self.needs_catalog(self._now()):
                 continue
-            self._catalog_requested_at = self._now()
+            sent_at = self._catalog_requested_at = self._now()
             try:
                 await self._confirm_once()
-                self._record_success()
+                self.outage.record_answer(self._now())
                 backoff.reset()
             except errors.PlatformError as error:
-                self._record_failure(str(error))
+                self.outage.record_failure(self._now(), sent_at, str(error))
                 await asyncio.sleep(backoff.next_seconds())
 
     def is_live(self, now: float) -> bool:
         """Returns whether the store responds and the local view is recent."""
-        return not self.is_down and self.age(now) < OUTAGE_EFFECT_SECONDS
+        return not self.is_down and self.age(now) < MAX_LIVE_VIEW_AGE_SECONDS
+
+    @property
+    def is_down(self) -> bool:
+        """Whether the store does not answer this router."""
+        return self.outage.is_down
 
     def age(self, now: float) -> float:
         """Returns the age of the local view of the directory, in seconds."""
@@ -135,7 +142,7 @@
         servers = [s for e in entries if (s := self._decoder.decode_server(e))]
         for entry in entries:
             self.entry_by_key[entry.key] = entry
-        self._board.directory.replace_all(now, servers, lapsed=False)
+        self._board.directory.replace_all(now, servers)
 
     def apply_catalog(self, entry: kv.KeyValue) -> None:
         """Activates a configuration from the store or a peer if it is newer."""
@@ -172,12 +179,14 @@
         return self.entry_by_key.get(self._schema.catalog_key)
 
     async def _list_and_watch(self, backoff: retry.Backoff) -> None:
+        self._watch_sent_at = self._now()
         if self.revision == UNLISTED:
             await self._list()
             self._record_live_view()
             backoff.reset()
         while True:
             await self._wait_until_needed()
+            self._watch_sent_at = self._now()
             changes = self._store.watch(
                 ALL_KEYS_PREFIX,
                 prefix=True,
@@ -192,6 +201,7 @@
                         break
                     if batch:
                         await asyncio.sleep(COALESCE_DELAY_SECONDS)
+                    self._watch_sent_at = self._now()
 
     async def _list(self) -> None:
         sent_at = freshness.boot_clock()
@@ -297,7 +307,7 @@
                 planner = entry
         now = self._now()
         self._board.directory.replace_all(
-            now, servers, lapsed=self._after_outage(now)
+            now, servers, kept_until=self.outage.lapse_window_end(now)
         )
         self._board.router_by_name = routers
         self.planner = planner
@@ -333,16 +343,16 @@
         server_id = entry.key.removeprefix(self._schema.server_prefix)
         if removed:
             self.entry_by_key.pop(entry.key, None)
-            lapsed = self._after_outage(now)
+            kept_until = self.outage.lapse_window_end(now)
             self._log.write(
                 "server removed",
                 server=server_id,
-                lapsed=lapsed,
+                lapsed=kept_until > now,
+                kept_for=round(max(0.0, kept_until - now), 3),
                 revision=entry.mod_revision,
-                store_failed_ago=round(now - self._last_failure_at, 3),
                 view_age=round(self.age(now), 3),
             )
-            self._board.directory.remove(now, server_id, lapsed=lapsed)
+            self._board.directory.remove(now, server_id, kept_until=kept_until)
             return
         self.entry_by_key[entry.key] = entry
         server = self._decoder.decode_server(entry)
@@ -357,23 +367,9 @@
             revision=entry.mod_revision,
         )
 
-    def _after_outage(self, now: float) -> bool:
-        return now - self._last_failure_at < OUTAGE_EFFECT_SECONDS
-
-    def _record_failure(self, detail: str) -> None:
-        self._last_failure_at = self._now()
-        if not self.is_down:
-            self.is_down = True
-            self._log.write("store lost", detail=detail)
-
     def _record_live_view(self) -> None:
         self.live_at = self._now()
-        self._record_success()
-
-    def _record_success(self) -> None:
-        if self.is_down:
-            self.is_down = False
-            self._log.write("store regained")
+        self.outage.record_answer(self._now())
 
     @staticmethod
     def _now() -> float:
--- a/tests/gateway/store_routers.py
+++ b/tests/gateway/store_routers.py
@@ -58,7 +58,7 @@
             client, self._schema, self.board, self.log, rng
         )
         registered = registration.Registration(
-            client, self.vm, address, self.log, rng
+            client, self.vm, address, reader.outage, self.log, rng
         )
         planner = planner_controller.PlannerController(
             client,
--- a/tests/gateway/test_controllers.py
+++ b/tests/gateway/test_controllers.py
@@ -58,7 +58,12 @@
             deployment.store, deployment.schema, self.board, self.log, rng
         )
         self.registration = registration.Registration(
-            deployment.store, vm, f"{vm}:1", self.log, rng
+            deployment.store,
+            vm,
+            f"{vm}:1",
+            self.reader.outage,
+            self.log,
+            rng,
         )
         counters = metrics.Metrics()
         self.planner = planner_controller.PlannerController(
--- a/tests/gateway/test_crash_detector.py
+++ b/tests/gateway/test_crash_detector.py
@@ -76,7 +76,7 @@
         self.assertEqual(self.board.suspect_servers.suspects(), {})
 
     async def test_a_removed_runner_is_not_monitored(self):
-        self.board.directory.remove(1.0, "s", lapsed=False)
+        self.board.directory.remove(1.0, "s")
         await self.wait_until(lambda: self.runner.open_connection_count == 0)
         self.assertEqual(self.board.suspect_servers.suspects(), {})
 
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -31,7 +31,7 @@
         self.assertEqual(self.directory.server_by_id["s"].orders, 1)
         self.directory.put(2.0, rig.make_server("s", revision=6, born=2))
         self.assertEqual(self.directory.server_by_id["s"].orders, 0)
-        self.assertFalse(self.directory.is_current(first))
+        self.assertFalse(self.directory.is_current(2.0, first))
 
     def test_an_address_has_one_server(self):
         cases = [
@@ -73,19 +73,20 @@
 
     def test_removal(self):
         cases = [
-            # lapsed, re-added after s, elapsed s, still listed
-            (False, None, 0.0, False),
-            (True, None, 1.9, True),
-            (True, None, 2.1, False),
-            (True, 1.0, 5.0, True),
+            # kept for s, re-added after s, elapsed s, still listed
+            (float("-inf"), None, 0.0, False),
+            (-0.1, None, 0.0, False),
+            (2.0, None, 1.9, True),
+            (2.0, None, 2.1, False),
+            (2.0, 1.0, 5.0, True),
         ]
-        for lapsed, readded_after, elapsed, listed in cases:
+        for kept_for, readded_after, elapsed, listed in cases:
             with self.subTest(
-                lapsed=lapsed, readded=readded_after, elapsed=elapsed
+                kept_for=kept_for, readded=readded_after, elapsed=elapsed
             ):
                 server_directory = directory.Directory()
                 server_directory.put(0.0, rig.make_server("s", revision=5))
-                server_directory.remove(10.0, "s", lapsed=lapsed)
+                server_directory.remove(10.0, "s", kept_until=10.0 + kept_for)
                 if readded_after is not None:
                     server_directory.put(
                         10.0 + readded_after, rig.make_server("s", revision=9)
@@ -97,7 +98,7 @@
         self.directory.put(0.0, rig.make_server("gone", revision=5))
         self.directory.put(0.0, rig.make_server("kept", revision=6))
         listing = [rig.make_server("kept", revision=6)]
-        self.directory.replace_all(1.0, listing, lapsed=False)
+        self.directory.replace_all(1.0, listing)
         self.assertEqual(list(self.directory.server_by_id), ["kept"])
 
     def test_reports_update_layers_of_the_same_lifetime_only(self):
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -88,7 +88,7 @@
         self.assertEqual(self.other.reader.live_at, 1.0)
 
     async def test_a_planner_without_the_store_covers_no_router(self):
-        self.planner.reader.is_down = True
+        self.planner.reader.outage.record_failure(1.0, 1.0, "lost")
         self.send_report()
         self.assertFalse(self.other.reader.relay.covers(1.0))
 
--- a/tests/gateway/test_server_changes.py
+++ b/tests/gateway/test_server_changes.py
@@ -35,7 +35,7 @@
             connection = await CONNECT(address, *args)
             if address == server.address:
                 if changes is None:
-                    gateway.board.directory.remove(0.0, "i-1", lapsed=False)
+                    gateway.board.directory.remove(0.0, "i-1")
                 else:
                     gateway.register("i-1", **({"address": address} | changes))
             return connection
