Move the local view of the store out of its reader

The reader makes the calls, the view applies what they return.

Checked: make check; the tests of the gateway, failing only those known red.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -328,7 +328,7 @@
             age = board.freshness.age(freshness.boot_clock())
             self.metrics.confirmation_age.set(age)
         now = asyncio.get_running_loop().time()
-        self.metrics.view_age.set(self._reader.age(now))
+        self.metrics.view_age.set(self._reader.view.age(now))
         return self.metrics.text()
 
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_links.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_links.py
@@ -108,7 +108,7 @@
         if not self._board.fence:
             return
         message = peer_state.make_changes(
-            after, events, self._reader.catalog_key
+            after, events, self._reader.view.catalog_key
         )
         for outbox in self._outboxes:
             outbox.put(message)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
@@ -70,9 +70,9 @@
             store_age=(
                 -1.0
                 if self._reader.is_down
-                else _known_age(self._reader.age(now))
+                else _known_age(self._reader.view.age(now))
             ),
-            store_revision=self._reader.revision,
+            store_revision=self._reader.view.revision,
             coverage_in=max(0.0, board.coverage_eta - now),
             loads=[
                 peer_messages.LoadRow(
@@ -125,21 +125,21 @@
             case peer_messages.PeerReport():
                 return self._handle_report(message, now, boot_now)
             case peer_messages.CatalogCopy(entry):
-                self._reader.apply_catalog(_key_value(entry))
+                self._reader.view.apply_catalog(_key_value(entry))
             case peer_messages.ServersCopy(age, entries):
                 min_difference = (
                     0.0
                     if self._reader.is_down
                     else MIN_VIEW_AGE_DIFFERENCE_SECONDS
                 )
-                if age + min_difference < self._reader.age(now):
-                    self._reader.apply_servers(
+                if age + min_difference < self._reader.view.age(now):
+                    self._reader.view.apply_servers(
                         now,
                         [_key_value(entry) for entry in entries],
                         now - age,
                     )
             case peer_messages.Changes(after, rows):
-                self._reader.apply_changes(
+                self._reader.view.apply_changes(
                     ids.Revision(after), [_event(row) for row in rows]
                 )
         return []
@@ -207,9 +207,11 @@
             now,
             live=report.store_age >= 0,
             revision=report.store_revision,
-            own_revision=reader.revision,
+            own_revision=reader.view.revision,
         ):
-            reader.live_at = max(reader.live_at, now - report.store_age)
+            reader.view.live_at = max(
+                reader.view.live_at, now - report.store_age
+            )
         board.set_moves(
             now,
             {
@@ -247,7 +249,7 @@
         if now - self._copied_at < COPY_INTERVAL_SECONDS:
             return []
         copies: list[peer_messages.Message] = []
-        entry = self._reader.catalog_entry()
+        entry = self._reader.view.catalog_entry()
         if (
             self._behind_since is not None
             and now - self._behind_since >= CATALOG_COPY_DELAY_SECONDS
@@ -255,7 +257,9 @@
         ):
             copies.append(peer_messages.CatalogCopy(_row(entry)))
         own_age = (
-            MAX_AGE_SECONDS if self._reader.is_down else self._reader.age(now)
+            MAX_AGE_SECONDS
+            if self._reader.is_down
+            else self._reader.view.age(now)
         )
         peer_age = (
             report.store_age if report.store_age >= 0 else MAX_AGE_SECONDS
@@ -263,7 +267,8 @@
         if own_age + MIN_VIEW_AGE_DIFFERENCE_SECONDS < peer_age:
             copies.append(
                 peer_messages.ServersCopy(
-                    own_age, [_row(e) for e in self._reader.server_entries()]
+                    own_age,
+                    [_row(e) for e in self._reader.view.server_entries()],
                 )
             )
         if copies:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/planner_controller.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/planner_controller.py
@@ -19,6 +19,7 @@
 from nutmeglift_gateway import registration
 from nutmeglift_gateway import runner_group
 from nutmeglift_gateway import store_reader
+from nutmeglift_gateway import store_view
 from nutmeglift_gateway import suspect_servers
 
 POLL_INTERVAL_SECONDS = 0.15
@@ -113,7 +114,7 @@
             self._plan(loop.time())
 
     def _is_planner(self) -> bool:
-        holder = self._reader.planner
+        holder = self._reader.view.planner
         return (
             holder is not None
             and holder.value.decode("latin-1") == self._vm
@@ -123,16 +124,16 @@
         )
 
     async def _try_election(self) -> None:
-        if self._reader.planner is not None or self._board.draining:
+        if self._reader.view.planner is not None or self._board.draining:
             return
         if self._registered.lease == registration.NO_LEASE:
             return
         if not self._reader.is_live(asyncio.get_running_loop().time()):
             return
         await asyncio.sleep(self._rng.uniform(0, ELECTION_JITTER_SECONDS))
-        if self._reader.planner is not None:
+        if self._reader.view.planner is not None:
             return
-        key = store_reader.PLANNER_KEY
+        key = store_view.PLANNER_KEY
         put = kv.Put(key, self._vm.encode(), self._registered.lease)
         try:
             result = await self._store.txn(
@@ -149,7 +150,7 @@
         self._planned_by_service.clear()
         self._log.write("planner elected", fence=self._fence)
         await self._read_all_reports()
-        self._reader.planner = kv.KeyValue(
+        self._reader.view.planner = kv.KeyValue(
             key, self._vm.encode(), result.revision, self._registered.lease
         )
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/registration.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/registration.py
@@ -9,7 +9,7 @@
 from nutmeglift import retry
 from nutmeglift_gateway import decision_log
 from nutmeglift_gateway import store_outage
-from nutmeglift_gateway import store_reader
+from nutmeglift_gateway import store_view
 
 LEASE_TTL_SECONDS = 3.0
 """Time after which a lost planner is replaced. Engines hold requests that wait
@@ -36,7 +36,7 @@
     ) -> None:
         self.lease = NO_LEASE
         self._store = store
-        self._key = store_reader.ROUTER_PREFIX + vm
+        self._key = store_view.ROUTER_PREFIX + vm
         self._address = address
         self._outage = outage
         self._log = log
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/store_view.py
@@ -0,0 +1,244 @@
+"""A router's local view of the store."""
+
+import asyncio
+
+from nutmeglift import ids
+from nutmeglift import kv
+from nutmeglift_gateway import board as boards
+from nutmeglift_gateway import decision_log
+from nutmeglift_gateway import entry_decoder
+from nutmeglift_gateway import ports
+from nutmeglift_gateway import store_outage
+
+OWN_PREFIX = "nutmeglift/"
+ROUTER_PREFIX = OWN_PREFIX + "routers/"
+PLANNER_KEY = OWN_PREFIX + "planner"
+UNLISTED = ids.Revision(-1)
+"""The local view has no revision, so the whole store has to be listed."""
+
+
+class StoreView:
+    """Applies the store's entries and changes to the board.
+
+    Attributes:
+        revision: revision of the last change in the view, or UNLISTED.
+        live_at: loop time at which the view was last up to date.
+        entry_by_key: raw entries by key.
+        planner: the planner's entry, if there is one.
+    """
+
+    def __init__(
+        self,
+        schema: ports.BaseSchema,
+        board: boards.Board,
+        outage: store_outage.StoreOutage,
+        log: decision_log.DecisionLog,
+    ) -> None:
+        """Initializes an empty view.
+
+        Args:
+            schema: format of the entries.
+            board: receives what the entries say.
+            outage: tells which removals may be lapses.
+            log: log of decisions.
+        """
+        self._schema = schema
+        self._board = board
+        self._outage = outage
+        self._log = log
+        self._decoder = entry_decoder.EntryDecoder(schema, log)
+        self._announced_catalog_revision = ids.Revision(0)
+        self.revision = UNLISTED
+        self.live_at = float("-inf")
+        self.entry_by_key: dict[str, kv.KeyValue] = {}
+        self.planner: kv.KeyValue | None = None
+
+    def age(self, now: float) -> float:
+        """Returns the age of the view, in seconds."""
+        return now - self.live_at
+
+    @property
+    def lacks_catalog(self) -> bool:
+        """Whether a configuration was announced but not read yet."""
+        return self._announced_catalog_revision > self._board.catalog_revision
+
+    @property
+    def catalog_key(self) -> str:
+        """Store key of the configuration."""
+        return self._schema.catalog_key
+
+    def server_entries(self) -> list[kv.KeyValue]:
+        """Returns the raw entries of all listed backend servers."""
+        prefix = self._schema.server_prefix
+        return [
+            entry
+            for key, entry in self.entry_by_key.items()
+            if key.startswith(prefix)
+        ]
+
+    def catalog_entry(self) -> kv.KeyValue | None:
+        """Returns the raw entry of the configuration, if known."""
+        return self.entry_by_key.get(self._schema.catalog_key)
+
+    def apply_snapshot(self, snapshot: kv.Snapshot) -> None:
+        """Replaces the view by a listing of the whole store."""
+        servers = []
+        routers = {}
+        planner = None
+        self.entry_by_key = {
+            key: entry
+            for key, entry in self.entry_by_key.items()
+            if key == self._schema.catalog_key
+        }
+        for entry in snapshot.entries:
+            if entry.key == self._schema.catalog_key:
+                self.apply_catalog(entry)
+            elif entry.key.startswith(self._schema.server_prefix):
+                self.entry_by_key[entry.key] = entry
+                server = self._decoder.decode_server(entry)
+                if server is not None:
+                    servers.append(server)
+            elif entry.key.startswith(ROUTER_PREFIX):
+                name = entry.key.removeprefix(ROUTER_PREFIX)
+                routers[name] = entry.value.decode("latin-1")
+            elif entry.key == PLANNER_KEY:
+                planner = entry
+        now = self._now()
+        self._board.directory.replace_all(
+            now, servers, kept_until=self._outage.lapse_window_end(now)
+        )
+        self._board.router_by_name = routers
+        self.planner = planner
+        self.revision = snapshot.revision
+        self._log.write(
+            "store listed",
+            revision=snapshot.revision,
+            servers=len(servers),
+            routers=len(routers),
+            planner=planner.value.decode("latin-1") if planner else None,
+        )
+
+    def apply_servers(
+        self, now: float, entries: list[kv.KeyValue], read_at: float
+    ) -> None:
+        """Applies a listing of backend servers received from a peer.
+
+        Args:
+            now: loop time in seconds.
+            entries: raw entries.
+            read_at: loop time at which the peer's view was up to date.
+        """
+        self.live_at = max(self.live_at, read_at)
+        servers = [s for e in entries if (s := self._decoder.decode_server(e))]
+        for entry in entries:
+            self.entry_by_key[entry.key] = entry
+        self._board.directory.replace_all(now, servers)
+
+    def apply_catalog(self, entry: kv.KeyValue) -> None:
+        """Activates a configuration from the store or a peer if it is newer."""
+        if entry.mod_revision <= self._board.catalog_revision:
+            return
+        found = self._decoder.decode_catalog(entry)
+        if found is None:
+            return
+        if self._board.set_catalog(entry.mod_revision, found):
+            self.entry_by_key[entry.key] = entry
+            self._log.write(
+                "configuration in force",
+                generation=found.generation,
+                revision=entry.mod_revision,
+                routes=len(found.routes),
+            )
+
+    def apply_batch(self, batch: list[kv.WatchEvent]) -> list[kv.WatchEvent]:
+        """Applies changes from a watch; returns those that are new."""
+        after = self.revision
+        new_events = [e for e in batch if e.entry.mod_revision > after]
+        # The newest configuration first: those before it aren't decoded then.
+        for event in reversed(new_events):
+            if event.entry.key == self._schema.catalog_key:
+                self._apply_event(event)
+        for event in new_events:
+            if event.entry.key != self._schema.catalog_key:
+                self._apply_event(event)
+            self.revision = max(self.revision, event.entry.mod_revision)
+        return new_events
+
+    def apply_changes(
+        self, after: ids.Revision, changes: list[kv.WatchEvent]
+    ) -> bool:
+        """Applies changes relayed by the planner.
+
+        Args:
+            after: revision of the last change before them.
+            changes: changes in order; the configuration has no value.
+
+        Returns:
+            False if the local view lacks earlier changes; this router's own
+            watch then catches up.
+        """
+        if self.revision == UNLISTED or self.revision < after:
+            return False
+        known = self.revision
+        for event in changes:
+            revision = event.entry.mod_revision
+            if revision <= known:
+                continue
+            if event.entry.key == self._schema.catalog_key:
+                self._announced_catalog_revision = revision
+            else:
+                self._apply_event(event)
+            self.revision = max(self.revision, revision)
+        return True
+
+    def _apply_event(self, event: kv.WatchEvent) -> None:
+        entry = event.entry
+        removed = event.kind is kv.WatchKind.DELETE
+        if entry.key == self._schema.catalog_key:
+            if not removed:
+                self.apply_catalog(entry)
+        elif entry.key.startswith(self._schema.server_prefix):
+            self._apply_server(entry, removed)
+        elif entry.key.startswith(ROUTER_PREFIX):
+            name = entry.key.removeprefix(ROUTER_PREFIX)
+            routers = dict(self._board.router_by_name)
+            if removed:
+                routers.pop(name, None)
+            else:
+                routers[name] = entry.value.decode("latin-1")
+            self._board.router_by_name = routers
+        elif entry.key == PLANNER_KEY:
+            self.planner = None if removed else entry
+
+    def _apply_server(self, entry: kv.KeyValue, removed: bool) -> None:
+        now = self._now()
+        server_id = entry.key.removeprefix(self._schema.server_prefix)
+        if removed:
+            self.entry_by_key.pop(entry.key, None)
+            kept_until = self._outage.lapse_window_end(now)
+            self._log.write(
+                "server removed",
+                server=server_id,
+                lapsed=kept_until > now,
+                kept_for=round(max(0.0, kept_until - now), 3),
+                revision=entry.mod_revision,
+                view_age=round(self.age(now), 3),
+            )
+            self._board.directory.remove(now, server_id, kept_until=kept_until)
+            return
+        self.entry_by_key[entry.key] = entry
+        server = self._decoder.decode_server(entry)
+        if server is None or not self._board.directory.put(now, server):
+            return
+        self._log.write(
+            "server",
+            server=server_id,
+            address=server.address,
+            state=server.state.value,
+            layers=f"{server.layers.start}-{server.layers.end}",
+            revision=entry.mod_revision,
+        )
+
+    @staticmethod
+    def _now() -> float:
+        return asyncio.get_running_loop().time()
--- a/tests/gateway/test_peer_state.py
+++ b/tests/gateway/test_peer_state.py
@@ -74,7 +74,7 @@
         for router in (self.one, self.two):
             router.schema.by_value[b"nine"] = newer
         entry = rig.make_entry("operators/configuration", b"nine", 50)
-        self.two.reader.apply_catalog(entry)
+        self.two.reader.view.apply_catalog(entry)
         for step in range(4):
             self.send(self.one, self.two, 1.0 + step * 0.25, 100.0)
         self.assertEqual(self.one.board.catalog.generation, 9)
@@ -83,11 +83,13 @@
         for router in (self.one, self.two):
             router.schema.by_value[b"s"] = {}
         entry = rig.make_entry("backends/s", b"s", 7)
-        self.two.reader.apply_servers(99.0, [entry], 99.0)
+        self.two.reader.view.apply_servers(99.0, [entry], 99.0)
         self.send(self.one, self.two, 100.0, 100.0)
         self.assertEqual(list(self.one.board.directory.server_by_id), ["s"])
         # Neither router requests it again.
-        self.assertEqual(self.one.reader.age(100.0), self.two.reader.age(100.0))
+        self.assertEqual(
+            self.one.reader.view.age(100.0), self.two.reader.view.age(100.0)
+        )
 
     def test_peer_loads_add_up_and_expire(self):
         self.two.board.load_tracker.reserve(
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -50,13 +50,13 @@
             router.schema.by_value[b"leaving"] = {
                 "state": directory.ServerState.DRAINING
             }
-            router.reader.revision = ids.Revision(4)
+            router.reader.view.revision = ids.Revision(4)
         self.planner.board.fence = ids.FencingNumber(9)
-        self.planner.reader.live_at = 1.0
+        self.planner.reader.view.live_at = 1.0
 
     def send_changes(self, after, events):
         message = peer_state.make_changes(
-            ids.Revision(after), events, self.planner.reader.catalog_key
+            ids.Revision(after), events, self.planner.reader.view.catalog_key
         )
         raw = peer_messages.encode(message)
         self.other.state.handle_message(peer_messages.decode(raw), 1.0, 100.0)
@@ -71,21 +71,21 @@
         self.send_changes(5, [put("backends/s", b"leaving", 6)])
         self.send_changes(4, [put("backends/s", b"s", 5)])
         self.assertEqual(listed["s"].state, directory.ServerState.DRAINING)
-        self.assertEqual(self.other.reader.revision, 6)
+        self.assertEqual(self.other.reader.view.revision, 6)
 
     async def test_changes_after_a_gap_are_left_to_our_own_watch(self):
         self.send_changes(7, [put("backends/s", b"s", 8)])
         self.assertEqual(self.other.board.directory.server_by_id, {})
-        self.planner.reader.revision = ids.Revision(8)
+        self.planner.reader.view.revision = ids.Revision(8)
         self.send_report()
         self.assertFalse(self.other.reader.relay.covers(1.0))
 
     async def test_a_caught_up_router_needs_no_watch(self):
         self.send_changes(4, [put("backends/s", b"s", 5)])
-        self.planner.reader.revision = ids.Revision(5)
+        self.planner.reader.view.revision = ids.Revision(5)
         self.send_report()
         self.assertTrue(self.other.reader.relay.covers(1.0))
-        self.assertEqual(self.other.reader.live_at, 1.0)
+        self.assertEqual(self.other.reader.view.live_at, 1.0)
 
     async def test_a_planner_without_the_store_covers_no_router(self):
         self.planner.reader.outage.record_failure(1.0, 1.0, "lost")
@@ -98,10 +98,10 @@
         self.assertFalse(self.other.reader.relay.covers(1.0))
 
     async def test_a_configuration_is_read_from_the_store(self):
-        key = self.planner.reader.catalog_key
+        key = self.planner.reader.view.catalog_key
         self.send_changes(4, [put(key, b"large", 5)])
         self.assertEqual(self.other.board.catalog.generation, 7)
-        self.assertEqual(self.other.reader.revision, 5)
+        self.assertEqual(self.other.reader.view.revision, 5)
         self.assertTrue(self.other.reader.needs_catalog(10.0))
 
 
