Know the age of a view that another router maintains

What callers saw: with the store silent to the planner, or the planner cut off, requests reached servers 2,007 to 2,141 ms after they had left (bound 2,000) at routers that could reach the store.

Cause: the other routers took the planner's view as up to date from when its report arrived, however old the view was, and the planner noticed a silent watch after 2.5 s. The confirmations that they made every second were answered by the store, which had later revisions, but only the configuration was compared.

Change: ViewAge dates a view by evidence. A linearizable response names the store's revision; a view with that revision holds all that was acknowledged before the call was sent. A transaction without writes, which confirms the configuration anyway, is such a response; a conflict names no revision of the store, so one small read follows if the view's age is due. Routers pass the evidence on with its age, dated like a confirmation by the report that is echoed. If the store, or a peer, has a later revision and the changes have not arrived within 0.3 s, a router ends its own watch or stops relying on the planner, and lists the store. An age is due after 0.9 to 1.2 s, so that missing changes are found within 1.7 s of their acknowledgement.

The in-memory store raised its revision at transactions without writes, which etcd and the platform's store don't; it no longer does.

--- a/packages/nutmeglift/nutmeglift/kv.py
+++ b/packages/nutmeglift/nutmeglift/kv.py
@@ -374,7 +374,8 @@
         for write in writes:
             if isinstance(write, Put) and write.lease:
                 self._check_lease(write.lease)
-        self._commit(writes)
+        if writes:
+            self._commit(writes)
         return TxnResult(True, self._revision)
 
     def _check_lease(self, lease: ids.LeaseId) -> None:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -327,8 +327,8 @@
             self.metrics.generation.set(board.catalog.generation)
             age = board.freshness.age(freshness.boot_clock())
             self.metrics.confirmation_age.set(age)
-        now = asyncio.get_running_loop().time()
-        self.metrics.view_age.set(self._reader.view.age(now))
+        view_age = self._reader.view.view_age
+        self.metrics.view_age.set(view_age.age(freshness.boot_clock()))
         return self.metrics.text()
 
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
@@ -66,9 +66,10 @@
         generation: generation of the sender's configuration; 0 for none.
         confirmation_age: age of the sender's last confirmation of the
             configuration when sent, in seconds; negative for none.
-        store_age: age of the sender's view of the store, in seconds;
-            negative for none, and if the store does not serve the sender.
-        store_revision: revision of the last change in that view; negative for
+        store_age: greatest possible age of the sender's view of the store, in
+            seconds; negative for none, and if the store does not serve the
+            sender.
+        store_revision: revision that the store had at that age; negative for
             none.
         coverage_in: seconds until uncovered layers are loaded; 0 if none are
             uncovered.
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
@@ -10,6 +10,7 @@
 from nutmeglift_gateway import retry_budget
 from nutmeglift_gateway import store_reader
 from nutmeglift_gateway import suspect_servers
+from nutmeglift_gateway import view_age
 
 COPY_INTERVAL_SECONDS = 0.5
 """A peer without access to the store receives the state of draining servers
@@ -17,9 +18,8 @@
 CATALOG_COPY_DELAY_SECONDS = 0.4
 """A peer's own watch usually delivers a configuration earlier than a copy."""
 MIN_VIEW_AGE_DIFFERENCE_SECONDS = 2.6
-"""Each watch call confirms that a view of the store is up to date. A view that
-is older than another by more than one call belongs to a router that the store
-does not serve."""
+"""Confirmations date a view of the store about once a second. A view that is
+older than another by more belongs to a router that the store does not serve."""
 PACE_REPORT_MAX_AGE_SECONDS = 1.0
 """Paces read within this time are reported, including nominal ones, so that a
 peer that considers a runner slow is informed of its recovery."""
@@ -70,9 +70,9 @@
             store_age=(
                 -1.0
                 if self._reader.is_down
-                else _known_age(self._reader.view.age(now))
+                else _known_age(self._view_age(boot_now))
             ),
-            store_revision=self._reader.view.revision,
+            store_revision=self._reader.view.confirmed_revision,
             coverage_in=max(0.0, board.coverage_eta - now),
             loads=[
                 peer_messages.LoadRow(
@@ -132,11 +132,11 @@
                     if self._reader.is_down
                     else MIN_VIEW_AGE_DIFFERENCE_SECONDS
                 )
-                if age + min_difference < self._reader.view.age(now):
+                if age + min_difference < self._view_age(boot_now):
                     self._reader.view.apply_servers(
                         now,
                         [_key_value(entry) for entry in entries],
-                        now - age,
+                        boot_now - age,
                     )
             case peer_messages.Changes(after, rows):
                 self._reader.view.apply_changes(
@@ -193,7 +193,8 @@
                     pace.pace, read_at
                 )
         self._apply_confirmation(report)
-        return self._make_copies(report, now)
+        self._compare_views(report, boot_now)
+        return self._make_copies(report, now, boot_now)
 
     def _apply_planner_report(
         self, report: peer_messages.PeerReport, now: float
@@ -202,16 +203,12 @@
         board = self._board
         if not board.record_planner(ids.FencingNumber(report.fence)):
             return
-        reader = self._reader
-        if reader.relay.record_report(
+        self._reader.relay.record_report(
             now,
             live=report.store_age >= 0,
             revision=report.store_revision,
-            own_revision=reader.view.revision,
-        ):
-            reader.view.live_at = max(
-                reader.view.live_at, now - report.store_age
-            )
+            own_revision=self._reader.view.revision,
+        )
         board.set_moves(
             now,
             {
@@ -237,8 +234,26 @@
             return
         self._board.freshness.confirm(sent_at - report.confirmation_age)
 
+    def _compare_views(
+        self, report: peer_messages.PeerReport, boot_now: float
+    ) -> None:
+        """Records a peer's revision of the store, dated like a confirmation."""
+        if report.store_revision < 0:
+            return
+        current_at = view_age.NEVER
+        sent_at = self._sent_at_by_sequence.get(report.echo)
+        if sent_at is not None and report.store_age >= 0:
+            current_at = sent_at - report.store_age
+        self._reader.view.view_age.record_store_revision(
+            boot_now, ids.Revision(report.store_revision), current_at
+        )
+        self._reader.check_view()
+
+    def _view_age(self, boot_now: float) -> float:
+        return self._reader.view.view_age.age(boot_now)
+
     def _make_copies(
-        self, report: peer_messages.PeerReport, now: float
+        self, report: peer_messages.PeerReport, now: float, boot_now: float
     ) -> list[peer_messages.Message]:
         own = self._board.catalog
         behind = own is not None and report.generation < own.generation
@@ -259,7 +274,7 @@
         own_age = (
             MAX_AGE_SECONDS
             if self._reader.is_down
-            else self._reader.view.age(now)
+            else self._view_age(boot_now)
         )
         peer_age = (
             report.store_age if report.store_age >= 0 else MAX_AGE_SECONDS
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/planner_controller.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/planner_controller.py
@@ -128,7 +128,7 @@
             return
         if self._registered.lease == registration.NO_LEASE:
             return
-        if not self._reader.is_live(asyncio.get_running_loop().time()):
+        if not self._reader.is_live:
             return
         await asyncio.sleep(self._rng.uniform(0, ELECTION_JITTER_SECONDS))
         if self._reader.view.planner is not None:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/relay.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/relay.py
@@ -3,8 +3,9 @@
 Each call to the store is billed and counts towards its rate limits; a waiting
 watch counts as one call. Therefore only the planner watches the store, and
 relays the changes. Another router watches the store itself while it receives no
-reports from a planner with a current view, and until it has caught up with that
-view.
+reports from a planner that the store serves, and until it has caught up with
+the planner's view. That the view lacks changes is found by its age, whoever
+relays them.
 """
 
 PLANNER_REPORT_MAX_AGE_SECONDS = 0.6
@@ -27,13 +28,13 @@
         Args:
             now: loop time in seconds.
             live: whether the planner's view follows the store.
-            revision: revision of the last change in the planner's view.
+            revision: revision of the planner's view; negative for none.
             own_revision: revision of the last change in the local view.
 
         Returns:
             Whether the local view is as recent as the planner's.
         """
-        if not live or own_revision < revision:
+        if not live or not 0 <= revision <= own_revision:
             return False
         self._fresh_until = now + PLANNER_REPORT_MAX_AGE_SECONDS
         return True
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
@@ -1,6 +1,7 @@
 """Keeps the configuration and the directory in sync with the store."""
 
 import asyncio
+from collections.abc import AsyncIterator
 from collections.abc import Callable
 import contextlib
 import random
@@ -28,6 +29,12 @@
 changes; a tenth of the operators' bound for a change to take effect."""
 MAX_LIVE_VIEW_AGE_SECONDS = 3.0
 """A router with an older view doesn't run for election."""
+MAX_BEHIND_SECONDS = 0.3
+"""Changes that the store is known to have usually arrive within this time: the
+planner's delay between watch calls, and two network hops."""
+RELIST_INTERVAL_SECONDS = 1.0
+"""Shortest interval of listings because of missing changes: half of the time in
+which a draining runner may still receive requests."""
 ALL_KEYS_PREFIX = ""
 
 
@@ -59,6 +66,8 @@
         self.outage = store_outage.StoreOutage(board, log)
         self._watch_sent_at = float("-inf")
         self._catalog_requested_at = float("-inf")
+        self._listed_at = float("-inf")
+        self._watch_limit: asyncio.Timeout | None = None
         self.view = store_view.StoreView(schema, board, self.outage, log)
         self.relay = relay.Relay()
         self.on_changes: Callable[[ids.Revision, list[kv.WatchEvent]], None] = (
@@ -88,10 +97,10 @@
                 0, CONFIRM_JITTER_SECONDS
             )
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
-            age = self._board.freshness.age(freshness.boot_clock())
+            self.check_view()
             if self._board.catalog is None:
                 continue
-            if age < limit and not self.needs_catalog(self._now()):
+            if not self._is_confirmation_due(limit):
                 continue
             sent_at = self._catalog_requested_at = self._now()
             try:
@@ -102,53 +111,110 @@
                 self.outage.record_failure(self._now(), sent_at, str(error))
                 await asyncio.sleep(backoff.next_seconds())
 
-    def is_live(self, now: float) -> bool:
-        """Returns whether the store responds and the local view is recent."""
-        return (
-            not self.is_down and self.view.age(now) < MAX_LIVE_VIEW_AGE_SECONDS
-        )
+    @property
+    def is_live(self) -> bool:
+        """Whether the store responds and the local view is recent."""
+        return not self.is_down and self._view_age() < MAX_LIVE_VIEW_AGE_SECONDS
 
     @property
     def is_down(self) -> bool:
         """Whether the store does not answer this router."""
         return self.outage.is_down
 
+    def check_view(self) -> None:
+        """Ends this router's own watch if changes remain missing."""
+        limit = self._watch_limit
+        if limit is not None and not limit.expired() and self._must_list():
+            limit.reschedule(self._now())
+
+    def _must_list(self) -> bool:
+        """Returns whether changes are missing that will not arrive soon."""
+        age = self.view.view_age
+        return (
+            age.behind_for(freshness.boot_clock()) >= MAX_BEHIND_SECONDS
+            and self._now() - self._listed_at >= RELIST_INTERVAL_SECONDS
+        )
+
+    def _view_age(self) -> float:
+        return self.view.view_age.age(freshness.boot_clock())
+
+    def _is_confirmation_due(self, limit: float) -> bool:
+        """Returns whether to ask the store for its revision.
+
+        Args:
+            limit: age in seconds at which that of the configuration is
+                confirmed, and that of the view unless it is known to be behind.
+        """
+        age = self._board.freshness.age(freshness.boot_clock())
+        if not self.view.view_age.is_behind:
+            age = max(age, self._view_age())
+        return age >= limit or self.needs_catalog(self._now())
+
     async def _list_and_watch(self, backoff: retry.Backoff) -> None:
-        self._watch_sent_at = self._now()
         if self.view.revision == store_view.UNLISTED:
             await self._list()
-            self._record_live_view()
             backoff.reset()
         while True:
             await self._wait_until_needed()
-            self._watch_sent_at = self._now()
+            if self._must_list():
+                self._log_missing_changes()
+                await self._list()
             changes = self._store.watch(
                 ALL_KEYS_PREFIX,
                 prefix=True,
                 start=ids.Revision(self.view.revision + 1),
             )
             async with contextlib.aclosing(changes):  # type: ignore[type-var]
-                async for batch in changes:
-                    self._record_live_view()
+                while (batch := await self._next_batch(changes)) is not None:
                     backoff.reset()
                     self._apply_batch(batch)
                     if self.relay.covers(self._now()):
                         break
                     if batch:
                         await asyncio.sleep(COALESCE_DELAY_SECONDS)
-                    self._watch_sent_at = self._now()
+
+    async def _next_batch(
+        self, changes: AsyncIterator[list[kv.WatchEvent]]
+    ) -> list[kv.WatchEvent] | None:
+        """Returns the next changes, or None if check_view() ended the watch."""
+        self._watch_sent_at = self._now()
+        try:
+            async with asyncio.timeout(None) as self._watch_limit:
+                batch = await anext(changes, None)
+        except TimeoutError:
+            return None
+        finally:
+            self._watch_limit = None
+        self.outage.record_answer(self._now())
+        return batch
+
+    def _log_missing_changes(self) -> None:
+        age = self.view.view_age
+        now = freshness.boot_clock()
+        self._log.write(
+            "changes missing",
+            revision=self.view.revision,
+            behind_for=round(age.behind_for(now), 3),
+            view_age=round(age.age(now), 3),
+            relayed=self.relay.covers(self._now()),
+        )
 
     async def _list(self) -> None:
+        self._watch_sent_at = self._listed_at = self._now()
         sent_at = freshness.boot_clock()
         snapshot = await self._store.snapshot(ALL_KEYS_PREFIX)
-        self.view.apply_snapshot(snapshot)
+        self.outage.record_answer(self._now())
+        self.view.apply_snapshot(snapshot, sent_at)
         if self._board.catalog is not None:
             self._board.freshness.confirm(sent_at)
 
     async def _wait_until_needed(self) -> None:
-        while self.relay.covers(self._now()):  # noqa: ASYNC110 - expires.
+        while self._is_covered():  # noqa: ASYNC110 - ends with the time.
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
 
+    def _is_covered(self) -> bool:
+        return self.relay.covers(self._now()) and not self._must_list()
+
     def _apply_batch(self, batch: list[kv.WatchEvent]) -> None:
         """Applies changes from this router's own watch, and forwards them."""
         after = self.view.revision
@@ -173,7 +239,9 @@
         result = await self._store.txn(
             [kv.Compare(key, revision)], [], [kv.Get(key)]
         )
-        if not result.succeeded:
+        if result.succeeded:
+            self._record_store_revision(result.revision, sent_at)
+        else:
             found = result.found[0] if result.found else []
             if not found:
                 self._log.write("configuration missing in the store")
@@ -181,10 +249,21 @@
             self.view.apply_catalog(found[0])
         if self._board.catalog_revision >= revision:
             self._board.freshness.confirm(sent_at)
+        if self._view_age() >= CONFIRM_INTERVAL_SECONDS:
+            # A conflict does not name the store's revision.
+            await self._read_store_revision()
 
-    def _record_live_view(self) -> None:
-        self.view.live_at = self._now()
-        self.outage.record_answer(self._now())
+    async def _read_store_revision(self) -> None:
+        sent_at = freshness.boot_clock()
+        snapshot = await self._store.snapshot(store_view.PLANNER_KEY)
+        self._record_store_revision(snapshot.revision, sent_at)
+
+    def _record_store_revision(
+        self, revision: ids.Revision, sent_at: float
+    ) -> None:
+        self.view.view_age.record_store_revision(
+            freshness.boot_clock(), revision, sent_at
+        )
 
     @staticmethod
     def _now() -> float:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/store_view.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/store_view.py
@@ -7,8 +7,10 @@
 from nutmeglift_gateway import board as boards
 from nutmeglift_gateway import decision_log
 from nutmeglift_gateway import entry_decoder
+from nutmeglift_gateway import freshness
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import store_outage
+from nutmeglift_gateway import view_age
 
 OWN_PREFIX = "nutmeglift/"
 ROUTER_PREFIX = OWN_PREFIX + "routers/"
@@ -21,8 +23,7 @@
     """Applies the store's entries and changes to the board.
 
     Attributes:
-        revision: revision of the last change in the view, or UNLISTED.
-        live_at: loop time at which the view was last up to date.
+        view_age: tracks how old the view may be.
         entry_by_key: raw entries by key.
         planner: the planner's entry, if there is one.
     """
@@ -48,14 +49,21 @@
         self._log = log
         self._decoder = entry_decoder.EntryDecoder(schema, log)
         self._announced_catalog_revision = ids.Revision(0)
-        self.revision = UNLISTED
-        self.live_at = float("-inf")
+        self.view_age = view_age.ViewAge()
+        self._revision = UNLISTED
         self.entry_by_key: dict[str, kv.KeyValue] = {}
         self.planner: kv.KeyValue | None = None
 
-    def age(self, now: float) -> float:
-        """Returns the age of the view, in seconds."""
-        return now - self.live_at
+    @property
+    def revision(self) -> ids.Revision:
+        """Revision of the last change in the view, or UNLISTED."""
+        return self._revision
+
+    @revision.setter
+    def revision(self, revision: ids.Revision) -> None:
+        self._revision = revision
+        if revision != UNLISTED:
+            self.view_age.set_view_revision(revision)
 
     @property
     def lacks_catalog(self) -> bool:
@@ -80,8 +88,18 @@
         """Returns the raw entry of the configuration, if known."""
         return self.entry_by_key.get(self._schema.catalog_key)
 
-    def apply_snapshot(self, snapshot: kv.Snapshot) -> None:
-        """Replaces the view by a listing of the whole store."""
+    @property
+    def confirmed_revision(self) -> ids.Revision:
+        """Revision that the view's age belongs to, or UNLISTED."""
+        return UNLISTED if self.view_age.is_copied else self._revision
+
+    def apply_snapshot(self, snapshot: kv.Snapshot, sent_at: float) -> None:
+        """Replaces the view by a listing of the whole store.
+
+        Args:
+            snapshot: the listing.
+            sent_at: when its call was sent, on the clock of `view_age`.
+        """
         servers = []
         routers = {}
         planner = None
@@ -109,6 +127,7 @@
         )
         self._board.router_by_name = routers
         self.planner = planner
+        self.view_age.record_listing(snapshot.revision, sent_at)
         self.revision = snapshot.revision
         self._log.write(
             "store listed",
@@ -126,9 +145,10 @@
         Args:
             now: loop time in seconds.
             entries: raw entries.
-            read_at: loop time at which the peer's view was up to date.
+            read_at: time at which the peer's view was up to date, on the clock
+                of `view_age`.
         """
-        self.live_at = max(self.live_at, read_at)
+        self.view_age.record_copy(read_at)
         servers = [s for e in entries if (s := self._decoder.decode_server(e))]
         for entry in entries:
             self.entry_by_key[entry.key] = entry
@@ -222,7 +242,7 @@
                 lapsed=kept_until > now,
                 kept_for=round(max(0.0, kept_until - now), 3),
                 revision=entry.mod_revision,
-                view_age=round(self.age(now), 3),
+                view_age=round(self.view_age.age(freshness.boot_clock()), 3),
             )
             self._board.directory.remove(now, server_id, kept_until=kept_until)
             return
--- a/tests/gateway/store_routers.py
+++ b/tests/gateway/store_routers.py
@@ -54,7 +54,7 @@
         address = f"127.0.0.1:{test_whole_gateway.free_port()}"
         runners = rig.MemoryRunners()
         counters = metrics.Metrics()
-        reader = store_reader.StoreReader(
+        reader = self.reader = store_reader.StoreReader(
             client, self._schema, self.board, self.log, rng
         )
         registered = registration.Registration(
--- a/tests/gateway/test_peer_state.py
+++ b/tests/gateway/test_peer_state.py
@@ -88,7 +88,8 @@
         self.assertEqual(list(self.one.board.directory.server_by_id), ["s"])
         # Neither router requests it again.
         self.assertEqual(
-            self.one.reader.view.age(100.0), self.two.reader.view.age(100.0)
+            self.one.reader.view.view_age.age(100.0),
+            self.two.reader.view.view_age.age(100.0),
         )
 
     def test_peer_loads_add_up_and_expire(self):
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -52,7 +52,7 @@
             }
             router.reader.view.revision = ids.Revision(4)
         self.planner.board.fence = ids.FencingNumber(9)
-        self.planner.reader.view.live_at = 1.0
+        self.planner.reader.view.view_age.record_listing(ids.Revision(4), 99.5)
 
     def send_changes(self, after, events):
         message = peer_state.make_changes(
@@ -85,7 +85,37 @@
         self.planner.reader.view.revision = ids.Revision(5)
         self.send_report()
         self.assertTrue(self.other.reader.relay.covers(1.0))
-        self.assertEqual(self.other.reader.view.live_at, 1.0)
+
+    async def test_the_planners_view_is_dated_by_our_own_report(self):
+        own = self.other.state.make_report(1.0, 100.0)
+        self.planner.state.handle_message(own, 1.0, 100.0)
+        report = self.planner.state.make_report(1.5, 100.5)
+        self.other.state.handle_message(report, 9.0, 108.0)
+        # It was 1.0 s old when it was sent, after our report at 100.0.
+        age = self.other.reader.view.view_age
+        self.assertAlmostEqual(age.complete_at, 99.0)
+
+    async def test_which_reports_of_a_view_show_that_changes_are_missing(self):
+        cases = [
+            # name, own revision, planner's revision, missing
+            ("the same", 4, 4, False),
+            ("the planner lacks changes", 5, 4, False),
+            ("we lack changes", 4, 5, True),
+        ]
+        for name, ours, theirs, missing in cases:
+            with self.subTest(name):
+                await self.asyncSetUp()
+                self.other.reader.view.revision = ids.Revision(ours)
+                self.planner.reader.view.revision = ids.Revision(theirs)
+                self.send_report()
+                age = self.other.reader.view.view_age
+                self.assertEqual(age.is_behind, missing)
+
+    async def test_a_copied_view_dates_no_other_and_covers_no_router(self):
+        self.planner.reader.view.apply_servers(1.0, [], 99.9)
+        self.send_report()
+        self.assertFalse(self.other.reader.relay.covers(1.0))
+        self.assertFalse(self.other.reader.view.view_age.is_behind)
 
     async def test_a_planner_without_the_store_covers_no_router(self):
         self.planner.reader.outage.record_failure(1.0, 1.0, "lost")
