Find late requests to servers that left in the soak

The soak had servers that leave and outages of the store, but no check of when requests reach a server that has left, no outage in which entries lapse, and no server that leaves just after one; so it could not see the incident.

LateRunCheck compares each run with the departures: later than 2.0 s after the store accepted it, at a router that ran and reached the store for 3 s, if the store was undisturbed when the server left; time without a processor is added to the bound. New faults: lapse_entries, and leave_after_outage.

--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -95,6 +95,21 @@
     began_at: float = float("inf")
 
 
+@dataclasses.dataclass
+class Departure:
+    """How a lifetime of a server ended.
+
+    Attributes:
+        server: name of the server.
+        left_at: when the store accepted its first change of the entry.
+        ended_at: when it stopped; infinite until then.
+    """
+
+    server: str
+    left_at: float
+    ended_at: float = float("inf")
+
+
 @dataclasses.dataclass
 class Record:
     """What all stand-ins have observed.
@@ -103,11 +118,13 @@
         runs_by_id: the runs of a request, by the caller's request id.
         problems: violated guarantees.
         events: times and names of the changes of the servers' lifetimes.
+        departures: the servers that left.
     """
 
     runs_by_id: dict[str, list[Run]] = dataclasses.field(default_factory=dict)
     problems: list[str] = dataclasses.field(default_factory=list)
     events: list[tuple[float, str]] = dataclasses.field(default_factory=list)
+    departures: list[Departure] = dataclasses.field(default_factory=list)
 
 
 class Server:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,6 +1,7 @@
 """The faults of a soak run, drawn from its seed."""
 
 import asyncio
+import contextlib
 import dataclasses
 import functools
 import signal
@@ -8,9 +9,16 @@
 from tests.soak import backend
 from tests.soak import configs
 from tests.soak import endless
+from tests.soak import late_runs
 from tests.soak import network
+from tests.soak import routers
 
 MAX_SERIES_LENGTH = 5
+LAPSE_RATIO = 0.3
+"""Part of the servers whose entries lapse in an outage of the store."""
+MAX_OUTAGE_SECONDS = 5.0
+MAX_RESTORE_SECONDS = 1.8
+"""Longest time from the store's return until a server restores its entry."""
 DRAIN_SECONDS = 2.0
 """Shortest time for which a leaving server serves on, as on the platform."""
 _SIGNALS = (
@@ -84,6 +92,8 @@
             (self._send_signals, True),
             (self._disrupt_store_connection, False),
             (self._fail_store, False),
+            (self._lapse_entries, False),
+            (self._leave_after_outage, False),
             (self._send_store_responses_without_end, True),
             (self._fail_server, True),
             (self._crash_server, False),
@@ -132,25 +142,74 @@
 
     # The store.
 
+    @contextlib.contextmanager
+    def _disturbing_store(self, affected):
+        """Records that the store is disturbed for these routers."""
+        loop = asyncio.get_running_loop()
+        disruptions = [routers.Disruption(loop.time()) for _ in affected]
+        for router, disruption in zip(affected, disruptions, strict=True):
+            router.store_disruptions.append(disruption)
+        yield
+        for disruption in disruptions:
+            disruption.end = loop.time()
+
     async def _disrupt_store_connection(self):
-        proxy = self._rng.choice(self._system.proxies)
+        number = self._rng.randrange(len(self._system.routers))
+        proxy = self._system.proxies[number]
         modes = [mode for mode in network.Mode if mode is not network.Mode.PASS]
-        proxy.set_mode(self._rng.choice(modes))
-        await asyncio.sleep(self._random_duration())
-        proxy.set_mode(network.Mode.PASS)
+        with self._disturbing_store([self._system.routers[number]]):
+            proxy.set_mode(self._rng.choice(modes))
+            await asyncio.sleep(self._random_duration())
+            proxy.set_mode(network.Mode.PASS)
+
+    async def _lapse_entries(self):
+        """The store is silent, and entries of some servers lapse meanwhile."""
+        store = self._system.store
+        async with contextlib.AsyncExitStack() as locks:
+            lapsed = []
+            for server in self._system.servers:
+                if self._rng.random() < LAPSE_RATIO:
+                    await locks.enter_async_context(server.lifetime_lock)
+                    lapsed.append(server)
+            with self._disturbing_store(self._system.routers):
+                store.silent = True
+                await asyncio.sleep(self._rng.uniform(1.0, MAX_OUTAGE_SECONDS))
+                for server in lapsed:
+                    await server.change_entry(backend.EntryState.REMOVED)
+                await asyncio.sleep(self._rng.uniform(0.0, 1.0))
+                store.silent = False
+            restored_after = sorted(
+                self._rng.uniform(0.0, MAX_RESTORE_SECONDS) for _ in lapsed
+            )
+            loop = asyncio.get_running_loop()
+            returned_at = loop.time()
+            for server, seconds in zip(lapsed, restored_after, strict=True):
+                await asyncio.sleep(returned_at + seconds - loop.time())
+                await server.change_entry(backend.EntryState.READY)
+
+    async def _leave_after_outage(self):
+        """Servers leave soon after the bounds hold again."""
+        await self._lapse_entries()
+        settled = late_runs.CONTACT_SECONDS - MAX_RESTORE_SECONDS
+        for _ in range(2):
+            await asyncio.sleep(settled + self._rng.uniform(0.0, 1.0))
+            await self._leave_servers()
 
     async def _fail_store(self):
         status = self._rng.choice([429, 503])
         raw = b"HTTP/1.1 %d X\r\ncontent-length: 0\r\n\r\n" % status
-        self._system.store.fault = lambda request: raw
-        await asyncio.sleep(self._random_duration())
-        self._system.store.fault = None
+        with self._disturbing_store(self._system.routers):
+            self._system.store.fault = lambda request: raw
+            await asyncio.sleep(self._random_duration())
+            self._system.store.fault = None
 
     async def _send_store_responses_without_end(self):
         kind = self._rng.choice(list(endless.Endless))
-        self._system.store.writer_fault = functools.partial(endless.write, kind)
-        await asyncio.sleep(self._random_duration())
-        self._system.store.writer_fault = None
+        with self._disturbing_store(self._system.routers):
+            store = self._system.store
+            store.writer_fault = functools.partial(endless.write, kind)
+            await asyncio.sleep(self._random_duration())
+            store.writer_fault = None
 
     # Backend servers.
 
@@ -212,6 +271,7 @@
             # A crash may have held the lock in between.
             if len(self._present_servers(service)) < min_remaining:
                 return
+            left = self._record_departure(server)
             if departure.has_notice:
                 await server.change_entry(backend.EntryState.DRAINING)
                 await asyncio.sleep(departure.serving_seconds)
@@ -220,9 +280,16 @@
                 await server.change_entry(backend.EntryState.REMOVED)
                 await asyncio.sleep(departure.serving_seconds)
             await server.exit(departure.exit_seconds)
+            left.ended_at = asyncio.get_running_loop().time()
             await asyncio.sleep(departure.absent_seconds)
             await server.restart()
 
+    def _record_departure(self, server):
+        now = asyncio.get_running_loop().time()
+        departure = backend.Departure(server.name, now)
+        self._system.record.departures.append(departure)
+        return departure
+
     def _present_servers(self, service):
         """Returns the servers of a service that neither leave nor crash."""
         return [
--- a/tests/soak/routers.py
+++ b/tests/soak/routers.py
@@ -77,6 +77,8 @@
         vm: the router's VM.
         address: address for callers.
         disruptions: kills and pauses so far.
+        store_disruptions: times in which the store was disturbed for it.
+        started_at: times at which its processes were started.
         signals: times and numbers of all signals sent.
         terminated_at: times of the first SIGTERM of each process.
         waits: times and seconds of waits for a processor.
@@ -90,6 +92,8 @@
         )
         self.address = callers
         self.disruptions = []
+        self.store_disruptions = []
+        self.started_at = []
         self.signals = []
         self.terminated_at = []
         self.waits = []
@@ -217,6 +221,7 @@
 
     async def _start_process(self):
         self._signals = set()
+        self.started_at.append(self._now())
         with self._log_path.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -15,6 +15,7 @@
 from tests.soak import callers
 from tests.soak import configs
 from tests.soak import faults
+from tests.soak import late_runs
 from tests.soak import network
 from tests.soak import routers
 from tests.soak import unanswered
@@ -245,8 +246,13 @@
         check = unanswered.UnansweredCheck(
             system.record, system.config_writer, system.routers, self._lags
         )
+        late = late_runs.LateRunCheck(
+            system.record.departures, system.routers, self._lags
+        )
         for sent in system.callers.sent_by_id.values():
             check.check(sent)
+            runs = system.record.runs_by_id.get(sent.id, [])
+            problems.extend(late.find(sent, runs))
             self._check_runs(sent)
             if not check.is_disrupted(sent):
                 self._check_streams(sent, check.due_at(sent))
