Keep lapsed entries for the whole time of their restoration

Cause: dates an outage by its last failed call. Calls back off to 2 s, and a call that was sent in the outage may fail only after the store's return; both were not counted.

Change: the confirmations back off to 0.3 s at most, and a failed call that was sent before the end of the outage extends its window. The directory holds the window's end and compares it when an entry is removed, when it is used and when it expires, so that a window that is extended keeps what has lapsed already.

The window still ends before the bounds hold again, after 3 s.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/directory.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/directory.py
@@ -76,13 +76,16 @@
         server_by_id: all current entries.
         draining_since_by_id: loop time at which each draining server was first
             seen draining.
+        lapse_window_end: loop time until which a removed entry may have lapsed
+            and is kept; written by the tracker of the store's outages.
         version: incremented by changes of the entries.
     """
 
     def __init__(self) -> None:
         self.server_by_id: dict[str, Server] = {}
         self.draining_since_by_id: dict[str, float] = {}
-        self._gone_at_by_id: dict[str, float] = {}
+        self.lapse_window_end = float("-inf")
+        self._lapsed_ids: set[str] = set()
         self._changed_at_by_id: dict[str, float] = {}
         self.version = 0
 
@@ -105,7 +108,7 @@
             self.draining_since_by_id.pop(server.id, None)
         elif known is not None:
             server = dataclasses.replace(server, orders=known.orders)
-        self._gone_at_by_id.pop(server.id, None)
+        self._lapsed_ids.discard(server.id)
         if known is None or known.layers != server.layers:
             self._changed_at_by_id[server.id] = now
         self.server_by_id[server.id] = server
@@ -169,44 +172,21 @@
             known, orders=max(known.orders, server.orders + 1)
         )
 
-    def remove(
-        self, now: float, server_id: str, *, kept_until: float = float("-inf")
-    ) -> None:
-        """Removes an entry.
-
-        Args:
-            now: loop time in seconds.
-            server_id: instance id of the server.
-            kept_until: loop time until which the entry is kept, because an
-                outage of the store may have caused the removal.
-        """
+    def remove(self, now: float, server_id: str) -> None:
+        """Removes an entry, or keeps it while it may be restored."""
         if server_id not in self.server_by_id:
             return
-        gone_at = min(
-            kept_until, self._gone_at_by_id.get(server_id, float("inf"))
-        )
-        self._gone_at_by_id[server_id] = gone_at
-        if gone_at <= now:
-            self._delete(server_id)
-
-    def replace_all(
-        self,
-        now: float,
-        servers: list[Server],
-        *,
-        kept_until: float = float("-inf"),
-    ) -> None:
-        """Replaces all entries by a complete listing.
+        if now < self.lapse_window_end:
+            self._lapsed_ids.add(server_id)
+            return
+        self._delete(server_id)
 
-        Args:
-            now: loop time in seconds.
-            servers: the listed servers.
-            kept_until: as in remove(), for entries that are not listed.
-        """
+    def replace_all(self, now: float, servers: list[Server]) -> None:
+        """Replaces all entries by a complete listing."""
         listed = {server.id for server in servers}
         for server_id in list(self.server_by_id):
             if server_id not in listed:
-                self.remove(now, server_id, kept_until=kept_until)
+                self.remove(now, server_id)
         for server in servers:
             self.put(now, server)
 
@@ -216,11 +196,9 @@
         Returns:
             The ids of the removed servers.
         """
-        gone = [
-            server_id
-            for server_id, gone_at in self._gone_at_by_id.items()
-            if gone_at <= now
-        ]
+        if now < self.lapse_window_end:
+            return []
+        gone = sorted(self._lapsed_ids)
         for server_id in gone:
             self._delete(server_id)
         return gone
@@ -238,7 +216,9 @@
         known = self.server_by_id.get(server.id)
         return (
             known is not None
-            and self._gone_at_by_id.get(server.id, now) >= now
+            and not (
+                server.id in self._lapsed_ids and now >= self.lapse_window_end
+            )
             and known.lifetime == server.lifetime
             and known.service == server.service
             and known.address == server.address
@@ -248,6 +228,6 @@
     def _delete(self, server_id: str) -> None:
         self.server_by_id.pop(server_id, None)
         self.draining_since_by_id.pop(server_id, None)
-        self._gone_at_by_id.pop(server_id, None)
+        self._lapsed_ids.discard(server_id)
         self._changed_at_by_id.pop(server_id, None)
         self.version += 1
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/store_outage.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/store_outage.py
@@ -35,7 +35,8 @@
         """Starts without an outage.
 
         Args:
-            board: has the operators' bounds.
+            board: has the operators' bounds; its directory receives the window
+                in which a removed entry counts as lapsed.
             log: log of decisions.
         """
         self._board = board
@@ -43,7 +44,7 @@
         self._answered_at = float("-inf")
         self._failing_since: float | None = None
         self._last_failed_at = float("-inf")
-        self._outage_end = float("-inf")
+        self._outage_ended_at = float("-inf")
 
     @property
     def is_down(self) -> bool:
@@ -53,7 +54,8 @@
     def record_answer(self, now: float) -> None:
         """Records a response."""
         if self._is_outage(now):
-            self._outage_end = self._last_failed_at
+            self._extend_window(self._last_failed_at)
+            self._outage_ended_at = now
         if self.is_down:
             self._log.write("store regained")
         self._failing_since = None
@@ -72,9 +74,12 @@
         """
         was_down = self.is_down
         if sent_at >= self._answered_at:
-            self._last_failed_at = sent_at
-            if self._failing_since is None:
+            self._last_failed_at = max(self._last_failed_at, sent_at)
+            if not was_down:
                 self._failing_since = sent_at
+        # A call that was sent in an outage may fail after the store's return.
+        if self._is_outage(now) or sent_at < self._outage_ended_at:
+            self._extend_window(sent_at)
         if not was_down:
             self._log.write(
                 "store lost" if self.is_down else "store call failed",
@@ -82,17 +87,18 @@
                 sent_ago=round(now - sent_at, 3),
             )
 
-    def lapse_window_end(self, now: float) -> float:
-        """Returns until when an entry that is removed now may be restored.
-
-        A time that has passed means that the server has left.
-        """
-        end = self._last_failed_at if self._is_outage(now) else self._outage_end
-        return end + min(
-            LAPSE_WINDOW_SECONDS,
-            self._board.bounds.contact_seconds - CONTACT_MARGIN_SECONDS,
-        )
-
     def _is_outage(self, now: float) -> bool:
         since = self._failing_since
         return since is not None and now - since >= MIN_OUTAGE_SECONDS
+
+    def _extend_window(self, failed_at: float) -> None:
+        """Lets removed entries count as lapsed for a while after a call."""
+        directory = self._board.directory
+        directory.lapse_window_end = max(
+            directory.lapse_window_end,
+            failed_at
+            + min(
+                LAPSE_WINDOW_SECONDS,
+                self._board.bounds.contact_seconds - CONTACT_MARGIN_SECONDS,
+            ),
+        )
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
@@ -22,6 +22,8 @@
 """Half of the operators' bound for a change to take effect on all routers."""
 CONFIRM_JITTER_SECONDS = 0.3
 """Spreads the routers' confirmations; the first one is passed to the peers."""
+MAX_CONFIRM_BACKOFF_SECONDS = 0.3
+"""Bounds how long after the last failed call a store may have returned."""
 POLL_INTERVAL_SECONDS = 0.1
 """Interval at which the age of the confirmation is checked."""
 COALESCE_DELAY_SECONDS = 0.15
@@ -68,7 +70,7 @@
         self._catalog_requested_at = float("-inf")
         self._listed_at = float("-inf")
         self._watch_limit: asyncio.Timeout | None = None
-        self.view = store_view.StoreView(schema, board, self.outage, log)
+        self.view = store_view.StoreView(schema, board, log)
         self.relay = relay.Relay()
         self.on_changes: Callable[[ids.Revision, list[kv.WatchEvent]], None] = (
             lambda after, events: None
@@ -91,7 +93,7 @@
 
     async def confirm(self) -> None:
         """Confirms the configuration periodically until cancelled."""
-        backoff = retry.Backoff(self._rng)
+        backoff = retry.Backoff(self._rng, largest=MAX_CONFIRM_BACKOFF_SECONDS)
         while True:
             limit = CONFIRM_INTERVAL_SECONDS + self._rng.uniform(
                 0, CONFIRM_JITTER_SECONDS
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/store_view.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/store_view.py
@@ -9,7 +9,6 @@
 from nutmeglift_gateway import entry_decoder
 from nutmeglift_gateway import freshness
 from nutmeglift_gateway import ports
-from nutmeglift_gateway import store_outage
 from nutmeglift_gateway import view_age
 
 OWN_PREFIX = "nutmeglift/"
@@ -32,7 +31,6 @@
         self,
         schema: ports.BaseSchema,
         board: boards.Board,
-        outage: store_outage.StoreOutage,
         log: decision_log.DecisionLog,
     ) -> None:
         """Initializes an empty view.
@@ -40,12 +38,10 @@
         Args:
             schema: format of the entries.
             board: receives what the entries say.
-            outage: tells which removals may be lapses.
             log: log of decisions.
         """
         self._schema = schema
         self._board = board
-        self._outage = outage
         self._log = log
         self._decoder = entry_decoder.EntryDecoder(schema, log)
         self._announced_catalog_revision = ids.Revision(0)
@@ -122,9 +118,7 @@
             elif entry.key == PLANNER_KEY:
                 planner = entry
         now = self._now()
-        self._board.directory.replace_all(
-            now, servers, kept_until=self._outage.lapse_window_end(now)
-        )
+        self._board.directory.replace_all(now, servers)
         self._board.router_by_name = routers
         self.planner = planner
         self.view_age.record_listing(snapshot.revision, sent_at)
@@ -235,16 +229,16 @@
         server_id = entry.key.removeprefix(self._schema.server_prefix)
         if removed:
             self.entry_by_key.pop(entry.key, None)
-            kept_until = self._outage.lapse_window_end(now)
+            kept_for = max(0.0, self._board.directory.lapse_window_end - now)
             self._log.write(
                 "server removed",
                 server=server_id,
-                lapsed=kept_until > now,
-                kept_for=round(max(0.0, kept_until - now), 3),
+                lapsed=kept_for > 0,
+                kept_for=round(kept_for, 3),
                 revision=entry.mod_revision,
                 view_age=round(self.view_age.age(freshness.boot_clock()), 3),
             )
-            self._board.directory.remove(now, server_id, kept_until=kept_until)
+            self._board.directory.remove(now, server_id)
             return
         self.entry_by_key[entry.key] = entry
         server = self._decoder.decode_server(entry)
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -73,20 +73,21 @@
 
     def test_removal(self):
         cases = [
-            # kept for s, re-added after s, elapsed s, still listed
+            # window s, re-added after s, elapsed s, still listed
             (float("-inf"), None, 0.0, False),
             (-0.1, None, 0.0, False),
             (2.0, None, 1.9, True),
             (2.0, None, 2.1, False),
             (2.0, 1.0, 5.0, True),
         ]
-        for kept_for, readded_after, elapsed, listed in cases:
+        for window, readded_after, elapsed, listed in cases:
             with self.subTest(
-                kept_for=kept_for, readded=readded_after, elapsed=elapsed
+                window=window, readded=readded_after, elapsed=elapsed
             ):
                 server_directory = directory.Directory()
                 server_directory.put(0.0, rig.make_server("s", revision=5))
-                server_directory.remove(10.0, "s", kept_until=10.0 + kept_for)
+                server_directory.lapse_window_end = 10.0 + window
+                server_directory.remove(10.0, "s")
                 if readded_after is not None:
                     server_directory.put(
                         10.0 + readded_after, rig.make_server("s", revision=9)
--- a/tests/gateway/test_leaving_servers.py
+++ b/tests/gateway/test_leaving_servers.py
@@ -10,6 +10,8 @@
 BOUND_SECONDS = settings.Bounds().drain_seconds
 IN_TOUCH_SECONDS = 3.0
 """The bound holds for a VM that reached the store for this long."""
+RESTORE_SECONDS = 1.5
+"""Time in which most servers restore their entries after an outage."""
 
 
 class LeavingServerTest(virtual_time_case.VirtualTimeTestCase):
@@ -46,6 +48,22 @@
                     deployment.routers, self.loop.time()
                 )
 
+    async def test_a_server_whose_entry_lapsed_is_used_until_restored(self):
+        for outage in (4.1, 5.5, 6.7):
+            with self.subTest(outage=outage):
+                deployment = await self.start(["one", "two"])
+                deployment.set_silent(True)
+                await asyncio.sleep(outage / 2)
+                await deployment.remove_server("leaves")
+                await asyncio.sleep(outage / 2)
+                deployment.set_silent(False)
+                await asyncio.sleep(RESTORE_SECONDS)
+                for router in deployment.routers:
+                    self.assertTrue(router.uses("leaves"), router.vm)
+                await asyncio.sleep(IN_TOUCH_SECONDS - RESTORE_SECONDS)
+                for router in deployment.routers:
+                    self.assertFalse(router.uses("leaves"), router.vm)
+
     async def test_a_server_that_left_during_a_cut_of_this_vm_is_unused(self):
         for cut in (4.0, 5.0, 6.0):
             with self.subTest(cut=cut):
--- a/tests/gateway/test_store_outage.py
+++ b/tests/gateway/test_store_outage.py
@@ -28,37 +28,46 @@
                     outage.record_failure(now, sent_at, "no response")
                 case ("answer", now):
                     outage.record_answer(now)
-        return outage
 
     def test_the_window_starts_with_the_last_failed_call(self):
         never = float("-inf")
         cases = [
-            # name, calls, time of the removal, start of the window
-            ("no failure", [answer(1.0)], 2.0, never),
-            ("still away", [fail(2.0, 3.0), fail(3.1, 4.1)], 4.2, 3.1),
-            ("returned", [fail(2.0, 3.0), fail(3.1, 4.1), answer(4.2)], 9.0,
-             3.1),
+            # name, calls, start of the window
+            ("no failure", [answer(1.0)], never),
+            ("still away", [fail(2.0, 3.0), fail(3.1, 4.1)], 3.1),
+            ("returned", [fail(2.0, 3.0), fail(3.1, 4.1), answer(4.2)], 3.1),
             ("too short to let an entry lapse", [fail(2.0, 2.1), answer(2.3)],
-             2.4, never),
+             never),
+            ("calls that fail at once",
+             [fail(2.0, 2.0), fail(2.8, 2.8), answer(3.1)], 2.8),
             ("an answer while the call waited",
-             [answer(1.0), answer(2.5), fail(2.0, 3.0)], 3.1, never),
+             [answer(1.0), answer(2.5), fail(2.0, 3.0)], never),
             ("a watch from the outage fails after the return",
              [fail(2.0, 3.0), fail(3.1, 4.1), answer(4.2), fail(2.5, 5.0)],
-             5.1, 3.1),
+             3.1),
+            ("a later call from the outage fails after the return",
+             [fail(2.0, 3.0), fail(3.1, 4.1), answer(4.2), fail(4.0, 5.0)],
+             4.0),
+            ("a call fails after the outage",
+             [fail(2.0, 3.0), answer(3.1), fail(4.0, 4.5), answer(4.6)], 2.0),
         ]  # fmt: skip
-        for name, events, removed_at, start in cases:
+        for name, events, start in cases:
             with self.subTest(name):
-                outage = self.play(events)
+                self.board.directory.lapse_window_end = never
+                self.play(events)
                 self.assertAlmostEqual(
-                    outage.lapse_window_end(removed_at), start + WINDOW
+                    self.board.directory.lapse_window_end, start + WINDOW
                 )
 
     def test_the_window_ends_before_the_bounds_hold_again(self):
         for contact in (1.0, 3.0, 5.0):
             with self.subTest(contact):
+                self.board.directory.lapse_window_end = float("-inf")
                 self.board.set_bounds(settings.Bounds(contact_seconds=contact))
-                outage = self.play([fail(2.0, 3.0), answer(3.1)])
-                self.assertLess(outage.lapse_window_end(3.1), 2.0 + contact)
+                self.play([fail(2.0, 3.0), answer(3.1)])
+                self.assertLess(
+                    self.board.directory.lapse_window_end, 2.0 + contact
+                )
 
     def test_what_is_logged(self):
         self.play([fail(2.0, 3.0), fail(3.1, 4.1), answer(4.2), fail(2.5, 5.0)])
