--- a/tests/gateway/store_routers.py
+++ b/tests/gateway/store_routers.py
@@ -54,7 +54,7 @@
         address = f"127.0.0.1:{test_whole_gateway.free_port()}"
         runners = rig.MemoryRunners()
         counters = metrics.Metrics()
-        reader = self.reader = store_reader.StoreReader(
+        reader = store_reader.StoreReader(
             client, self._schema, self.board, self.log, rng
         )
         registered = registration.Registration(
@@ -152,7 +152,7 @@
             router.store.silent = silent
 
     async def wait_for_planner(self):
-        """Returns the planning router once all routers follow it."""
+        """Returns the planning router once one is elected."""
         async with asyncio.timeout(stand_ins.WAIT_SECONDS):
             while not any(r.plans for r in self.routers):  # noqa: ASYNC110
                 await asyncio.sleep(POLL_SECONDS)
