Don't read the pace of a runner that gives no report

Cause: a stream that goes on after a silence looks slow, so that the pace reader requested the report of a runner that is suspect because it gives none. The stream monitor did not, by a check of its own.

The check is one of the suspect servers, and both use it.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/pace_reader.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/pace_reader.py
@@ -77,11 +77,13 @@
             now: event loop time in seconds.
             streams: the running streams.
         """
+        gives_no_report = self._board.suspect_servers.gives_no_report
         addresses = {
             part.server.address
             for stream in streams
             if is_slow(stream, now)
             for part in stream.path.parts
+            if not gives_no_report(part.server.address, part.server.lifetime)
         }
         known = self._board.pace_by_address
         addresses |= {
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_monitor.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_monitor.py
@@ -5,7 +5,6 @@
 from nutmeglift_gateway import background_tasks
 from nutmeglift_gateway import board as boards
 from nutmeglift_gateway import decision_log
-from nutmeglift_gateway import directory
 from nutmeglift_gateway import failure_recorder as recorders
 from nutmeglift_gateway import metrics as metric_sets
 from nutmeglift_gateway import pace_reader
@@ -104,7 +103,10 @@
                 case stalls.Action.WAIT:
                     pass
                 case stalls.Action.REQUEST_REPORT:
-                    if self._gives_no_report(stream.path.first):
+                    first = stream.path.first
+                    if self._board.suspect_servers.gives_no_report(
+                        first.address, first.lifetime
+                    ):
                         self._resumer.start_successor(
                             stream, now, "its first runner gives no report"
                         )
@@ -155,18 +157,6 @@
         self._try_move(stream)
         return stream.is_busy
 
-    def _gives_no_report(self, server: directory.Server) -> bool:
-        """Returns whether a report was requested in vain, and will be again.
-
-        Suspects are probed, so no further report is requested here.
-        """
-        suspects = self._board.suspect_servers
-        return (
-            suspects.is_suspect(server.address, server.lifetime)
-            and suspects.reason(server.address)
-            == suspect_servers.Reason.NO_REPORT
-        )
-
     def _request_report(self, address: str, now: float) -> None:
         requested_at = self._requested_at_by_address.get(address, float("-inf"))
         if now - requested_at < MIN_REPORT_INTERVAL_SECONDS:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/suspect_servers.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/suspect_servers.py
@@ -170,6 +170,16 @@
             address, lifetime
         ) and now < self._record_by_address[address].lost_at < float("inf")
 
+    def gives_no_report(self, address: str, lifetime: tuple[str, int]) -> bool:
+        """Returns whether a server's report was requested in vain.
+
+        It is requested again by probes, so that no further request is needed.
+        """
+        return (
+            self.is_suspect(address, lifetime)
+            and self._record_by_address[address].reason == Reason.NO_REPORT
+        )
+
     def reason(self, address: str) -> str:
         """Returns why the address is suspect, or an empty string."""
         record = self._record_by_address.get(address)
