Keep the summed loads up to date by differences

Change: a report replaces only what its sender reported before. Idle servers have no entry, which also discards what rounding leaves.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/loads.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/loads.py
@@ -10,6 +10,9 @@
 """Time without new requests for a server that rejected one as full. Capacity on
 it becomes free, and peers report their load, about this often."""
 
+ROUNDING_TOKEN_LAYERS = 1e-3
+"""Larger than what rounding leaves of reservations that have all ended."""
+
 
 @dataclasses.dataclass(slots=True)
 class Load:
@@ -64,21 +67,23 @@
     def reserve(self, reservations: tuple[Reservation, ...]) -> None:
         """Adds the reservations of a request that starts."""
         for reservation in reservations:
-            self._add(self._own_by_address, reservation, 1)
-            self._add(self._total_by_address, reservation, 1)
+            _add(self._own_by_address, reservation, 1)
+            _add(self._total_by_address, reservation, 1)
 
     def release(self, reservations: tuple[Reservation, ...]) -> None:
         """Removes the reservations of a request that ended."""
         for reservation in reservations:
-            self._add(self._own_by_address, reservation, -1)
-            self._add(self._total_by_address, reservation, -1)
+            _add(self._own_by_address, reservation, -1)
+            _add(self._total_by_address, reservation, -1)
 
     def record_report(
         self, now: float, peer: str, loads: Mapping[str, Load]
     ) -> None:
         """Replaces the loads that a peer reported before."""
+        self._subtract_report(peer)
         self._peer_loads[peer] = (now, loads)
-        self._recompute_totals()
+        for address, load in loads.items():
+            _accumulate(self._total_by_address, address, load, 1)
 
     def expire(self, now: float) -> None:
         """Drops the reports of peers that no longer send any."""
@@ -88,42 +93,36 @@
             if now - received_at > PEER_REPORT_TIMEOUT_SECONDS
         ]
         for peer in silent:
-            del self._peer_loads[peer]
-        if silent:
-            self._recompute_totals()
+            self._subtract_report(peer)
 
     def own(self) -> dict[str, Load]:
         """Returns this router's own load by address, without idle servers."""
-        return {
-            address: load
-            for address, load in self._own_by_address.items()
-            if load.requests > 0
-        }
+        return dict(self._own_by_address)
 
     def at(self, address: str) -> Load:
         """Returns the load of a backend server over all routers."""
         return self._total_by_address.get(address, NO_LOAD)
 
-    def _recompute_totals(self) -> None:
-        totals: dict[str, Load] = {}
-        sources = [self._own_by_address]
-        sources += [dict(loads) for _, loads in self._peer_loads.values()]
-        for source in sources:
-            for address, load in source.items():
-                total = totals.setdefault(address, Load())
-                total.requests += load.requests
-                total.requests_as_first += load.requests_as_first
-                total.token_layers += load.token_layers
-        self._total_by_address = totals
-
-    @staticmethod
-    def _add(
-        loads: dict[str, Load], reservation: Reservation, sign: int
-    ) -> None:
-        load = loads.get(reservation.address)
-        if load is None:
-            load = loads[reservation.address] = Load()
-        load.requests += sign
-        load.token_layers += sign * reservation.token_layers
-        if reservation.first:
-            load.requests_as_first += sign
+    def _subtract_report(self, peer: str) -> None:
+        _, loads = self._peer_loads.pop(peer, (0.0, {}))
+        for address, load in loads.items():
+            _accumulate(self._total_by_address, address, load, -1)
+
+
+def _add(loads: dict[str, Load], reservation: Reservation, sign: int) -> None:
+    change = Load(1, int(reservation.first), reservation.token_layers)
+    _accumulate(loads, reservation.address, change, sign)
+
+
+def _accumulate(
+    loads: dict[str, Load], address: str, change: Load, sign: int
+) -> None:
+    """Adds a change to a server's load; an idle server has no entry."""
+    load = loads.get(address)
+    if load is None:
+        load = loads[address] = Load()
+    load.requests += sign * change.requests
+    load.requests_as_first += sign * change.requests_as_first
+    load.token_layers += sign * change.token_layers
+    if not load.requests and abs(load.token_layers) < ROUNDING_TOKEN_LAYERS:
+        del loads[address]
