Let two routers watch each runner for crashes

Cause: each router kept an idle connection to each runner with layers, and opened it again whenever the runner closed it, every 6 s or so.

Change: rendezvous hashing chooses two watchers for each runner among the routers whose reports arrive, in different failure domains; a lost watcher is replaced within a second. They tell the others by an urgent report, as before, and each of these confirms the crash by one connection of its own, so that the crash counts as certain everywhere. Reports name the sender's failure domain. A metric counts connections by purpose.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
@@ -12,6 +12,7 @@
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import freshness
 from nutmeglift_gateway import link_budget
+from nutmeglift_gateway import live_peers
 from nutmeglift_gateway import loads
 from nutmeglift_gateway import paths
 from nutmeglift_gateway import retry_budget
@@ -71,6 +72,10 @@
             pace reader and the peers' links.
         router_by_name: addresses of the live routers, by VM; written by the
             store reader.
+        live_peers: routers from which reports arrive; written by the peers'
+            links.
+        on_crash_reported: called with the time and a server that a peer reports
+            as crashed; set by the crash detector.
         penalties: plain servers that lost responses; written by the requests.
         link_budget: this router's traffic between failure domains; written by
             the requests and the stream monitor.
@@ -106,6 +111,10 @@
         self.load_tracker = loads.LoadTracker()
         self.pace_by_address: dict[str, Pace] = {}
         self.router_by_name: dict[str, str] = {}
+        self.live_peers = live_peers.LivePeers()
+        self.on_crash_reported: Callable[[float, directory.Server], None] = (
+            lambda now, server: None
+        )
         self.penalties = server_selection.LossPenalties()
         self.link_budget = link_budget.LinkBudget()
         self.draining = False
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -98,7 +98,7 @@
         )
         self._prober = prober.Prober(self.board, runners, log)
         self._crash_detector = crash_detector.CrashDetector(
-            self.board, failure_recorder
+            self.board, failure_recorder, config.vm, self.metrics, log
         )
         self._planner = planner_controller.PlannerController(
             store,
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/metrics.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/metrics.py
@@ -41,6 +41,9 @@
         self.unanswered = self._counter(
             "unanswered", "Requests that the router left unanswered.", ["cause"]
         )
+        self.connections = self._counter(
+            "connections", "Connections to backend servers.", ["purpose"]
+        )
         self.attempts = self._counter(
             "attempts", "Attempts at backend servers.", ["outcome"]
         )
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
@@ -79,6 +79,7 @@
         fence: fencing number under which the sender plans; 0 if it does not.
         moves: pending moves, if the sender plans.
         budgets: counts for the services' retry budgets.
+        domain: the sender's failure domain.
     """
 
     vm: str
@@ -95,6 +96,7 @@
     fence: int
     moves: list[MoveRow]
     budgets: list[BudgetRow]
+    domain: str = ""
 
 
 class EntryRow(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
@@ -115,6 +115,7 @@
                 )
                 for service, counts in board.budget_counts(now).items()
             ],
+            domain=board.home,
         )
 
     def handle_message(
@@ -153,6 +154,9 @@
             )
         board = self._board
         self._received = report.sequence
+        board.live_peers.record_report(
+            now, report.vm, ids.FailureDomain(report.domain)
+        )
         board.load_tracker.record_report(
             now,
             report.vm,
@@ -185,6 +189,8 @@
                 board.suspect(
                     now, server, suspect_servers.Reason.REPORTED_BY_PEER
                 )
+                if row.reason == suspect_servers.Reason.CRASHED:
+                    board.on_crash_reported(now, server)
         for pace in report.paces:
             known = board.pace_by_address.get(pace.address)
             read_at = now - pace.age
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/sender.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/sender.py
@@ -37,6 +37,7 @@
         self, server: directory.Server
     ) -> http_call.Connection | attempt.Outcome:
         """Opens a connection; returns the outcome if that fails."""
+        self._context.metrics.connections.labels("request").inc()
         try:
             upstream = await http_call.connect(server.address)
         except http_call.CallError as error:
