Send only changed loads in the reports between routers

Cause: each report repeated the loads of all servers that its sender uses, with their addresses, to every other router.

Change: on a link, a report has the servers whose load has changed, by their position in a table that both sides build up. The benchmark now changes the loads between reports.

--- a/benchmarks/bench_gateway.py
+++ b/benchmarks/bench_gateway.py
@@ -143,7 +143,7 @@
 def measure_report(count: int) -> figures.Measurement:
     """Measures the bytes per second that one router sends to one peer.
 
-    All runners are in use.
+    Each runner is in use; between two reports a few requests start and end.
     """
     board = boards.Board(settings.Bounds(), ids.FailureDomain("domain-0"))
     reader = store_reader.StoreReader(
@@ -153,17 +153,32 @@
         decision_log.DecisionLog(logging.getLogger("bench")),
         random.Random(1),
     )
+    rng = random.Random(2)
+    servers = place_layers(count)
     board.load_tracker.reserve(
         tuple(
             loads.Reservation(server.address, True, 4321.5)
-            for server in place_layers(count)
+            for server in servers
         )
     )
     state = peer_state.PeerState(board, reader, "front-domain-0-1")
-    raw = peer_messages.encode(state.make_report(100.0, 100.0))
-    return figures.Measurement(len(raw) / REPORT_INTERVAL_SECONDS)
-
-
+    sizes = []
+    for step in range(REPORT_COUNT):
+        for _ in range(REQUESTS_PER_REPORT):
+            board.load_tracker.reserve(
+                tuple(
+                    loads.Reservation(server.address, False, 8123.5)
+                    for server in rng.sample(servers, RUNNERS_PER_REQUEST)
+                )
+            )
+        at = 100.0 + step * REPORT_INTERVAL_SECONDS
+        sizes.append(len(peer_messages.encode(state.make_report(at, at))))
+    return figures.Measurement(statistics.mean(sizes) / REPORT_INTERVAL_SECONDS)
+
+
+REPORT_COUNT = 100
+REQUESTS_PER_REPORT = 4
+RUNNERS_PER_REQUEST = 8
 REPORT_INTERVAL_SECONDS = 0.25
 """Copy of `peer_links.REPORT_INTERVAL_SECONDS`: that module opens sockets."""
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
@@ -4,15 +4,7 @@
 import msgspec
 
 from nutmeglift import errors
-
-
-class LoadRow(msgspec.Struct, array_like=True, frozen=True):
-    """The sender's own requests in flight on one backend server."""
-
-    address: str
-    requests: int
-    requests_as_first: int
-    token_layers: float
+from nutmeglift_gateway import load_rows
 
 
 class SuspectRow(msgspec.Struct, array_like=True, frozen=True):
@@ -73,7 +65,8 @@
             none.
         coverage_in: seconds until uncovered layers are loaded; 0 if none are
             uncovered.
-        loads: requests in flight that the sender itself dispatched.
+        loads: changes of the requests in flight that the sender itself
+            dispatched.
         suspects: backend servers that the sender excludes.
         paces: paces of runners that the sender read recently.
         fence: fencing number under which the sender plans; 0 if it does not.
@@ -90,7 +83,7 @@
     store_age: float
     store_revision: int
     coverage_in: float
-    loads: list[LoadRow]
+    loads: load_rows.LoadChanges
     suspects: list[SuspectRow]
     paces: list[PaceRow]
     fence: int
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
@@ -5,7 +5,7 @@
 from nutmeglift import kv
 from nutmeglift_gateway import board as boards
 from nutmeglift_gateway import directory
-from nutmeglift_gateway import loads
+from nutmeglift_gateway import load_rows
 from nutmeglift_gateway import peer_messages
 from nutmeglift_gateway import retry_budget
 from nutmeglift_gateway import store_reader
@@ -39,6 +39,8 @@
         self._board = board
         self._reader = reader
         self._vm = vm
+        self._load_encoder = load_rows.Encoder()
+        self._load_decoder = load_rows.Decoder()
         self._sequence = 0
         self._received = 0
         self._sent_at_by_sequence: dict[int, float] = {}
@@ -74,15 +76,7 @@
             ),
             store_revision=self._reader.view.confirmed_revision,
             coverage_in=max(0.0, board.coverage_eta - now),
-            loads=[
-                peer_messages.LoadRow(
-                    address,
-                    load.requests,
-                    load.requests_as_first,
-                    load.token_layers,
-                )
-                for address, load in board.load_tracker.own().items()
-            ],
+            loads=self._load_encoder.encode(board.load_tracker.own()),
             suspects=[
                 peer_messages.SuspectRow(
                     address,
@@ -158,14 +152,7 @@
             now, report.vm, ids.FailureDomain(report.domain)
         )
         board.load_tracker.record_report(
-            now,
-            report.vm,
-            {
-                row.address: loads.Load(
-                    row.requests, row.requests_as_first, row.token_layers
-                )
-                for row in report.loads
-            },
+            now, report.vm, self._load_decoder.decode(report.loads)
         )
         if report.coverage_in > 0:
             board.coverage_eta = max(
