Read a configuration once in each failure domain

Cause: each router read each new configuration whole from the store.

Change: a decision of its own says from where a configuration comes. The first router of each failure domain reads the store; the others request a compressed copy, from one router at a time, as soon as a report shows that it is there, and read the store themselves after 0.4 s. A new configuration causes an urgent report. A copy that is cut short, changed or too large closes the link.

test_a_newer_configuration_is_copied now passes on messages in both directions, as the copy is requested by the router that lags; what it checks is unchanged.

--- a/benchmarks/bench_gateway.py
+++ b/benchmarks/bench_gateway.py
@@ -152,6 +152,7 @@
         board,
         decision_log.DecisionLog(logging.getLogger("bench")),
         random.Random(1),
+        "front-domain-0-1",
     )
     rng = random.Random(2)
     servers = place_layers(count)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
@@ -144,6 +144,7 @@
             return False
         self.catalog = found
         self.catalog_revision = revision
+        self._notify_listeners()
         return True
 
     def set_bounds(self, bounds: settings.Bounds) -> None:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -80,7 +80,7 @@
             config.bounds, ids.FailureDomain(config.failure_domain)
         )
         self._reader = store_reader.StoreReader(
-            store, schema, self.board, log, rng
+            store, schema, self.board, log, rng, config.vm
         )
         self._registration = registration.Registration(
             store,
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
@@ -1,5 +1,7 @@
 """Messages between routers, encoded as CBOR."""
 
+import zlib
+
 import cbor2
 import msgspec
 
@@ -100,8 +102,22 @@
     revision: int
 
 
+class CatalogRequest(msgspec.Struct, array_like=True, frozen=True, tag="want"):
+    """Requests a copy of the configuration.
+
+    Attributes:
+        generation: generation of the sender's configuration; 0 for none.
+    """
+
+    generation: int
+
+
 class CatalogCopy(msgspec.Struct, array_like=True, frozen=True, tag="catalog"):
-    """The configuration, sent to a router that has an older one."""
+    """The configuration, sent to a router that requested it.
+
+    Attributes:
+        entry: its entry of the store, with a compressed value.
+    """
 
     entry: EntryRow
 
@@ -139,11 +155,41 @@
     rows: list[ChangeRow]
 
 
-Message = PeerReport | CatalogCopy | ServersCopy | Changes
+Message = PeerReport | CatalogRequest | CatalogCopy | ServersCopy | Changes
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 """Four times the largest value that the store accepts."""
 
 
+MAX_VALUE_BYTES = MAX_MESSAGE_BYTES
+"""Limits a decompressed value."""
+COMPRESSION_LEVEL = 1
+"""The fastest: configurations repeat the same few fields."""
+
+
+def compress(value: bytes) -> bytes:
+    """Returns a compressed value of an entry."""
+    return zlib.compress(value, COMPRESSION_LEVEL)
+
+
+def decompress(raw: bytes) -> bytes:
+    """Returns the value that was compressed.
+
+    Raises:
+        errors.MalformedMessageError: the bytes are no complete compressed
+            value, or the value is too large.
+    """
+    decompressor = zlib.decompressobj()
+    try:
+        value = decompressor.decompress(raw, MAX_VALUE_BYTES)
+    except zlib.error as error:
+        raise errors.MalformedMessageError(f"compressed: {error}") from error
+    if not decompressor.eof:
+        raise errors.MalformedMessageError(
+            f"the value is cut short or exceeds {MAX_VALUE_BYTES} bytes"
+        )
+    return value
+
+
 def encode(message: Message) -> bytes:
     """Encodes a message."""
     raw: bytes = cbor2.dumps(
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
@@ -15,8 +15,6 @@
 COPY_INTERVAL_SECONDS = 0.5
 """A peer without access to the store receives the state of draining servers
 within this time, a quarter of the operators' bound."""
-CATALOG_COPY_DELAY_SECONDS = 0.4
-"""A peer's own watch usually delivers a configuration earlier than a copy."""
 MIN_VIEW_AGE_DIFFERENCE_SECONDS = 2.6
 """Confirmations date a view of the store about once a second. A view that is
 older than another by more belongs to a router that the store does not serve."""
@@ -45,7 +43,6 @@
         self._received = 0
         self._sent_at_by_sequence: dict[int, float] = {}
         self._copied_at = float("-inf")
-        self._behind_since: float | None = None
 
     def make_report(
         self, now: float, boot_now: float
@@ -119,8 +116,13 @@
         match message:
             case peer_messages.PeerReport():
                 return self._handle_report(message, now, boot_now)
+            case peer_messages.CatalogRequest(generation):
+                return self._copy_catalog(generation)
             case peer_messages.CatalogCopy(entry):
-                self._reader.view.apply_catalog(_key_value(entry))
+                value = peer_messages.decompress(entry.value)
+                self._reader.view.apply_catalog(
+                    kv.KeyValue(entry.key, value, ids.Revision(entry.revision))
+                )
             case peer_messages.ServersCopy(age, entries):
                 min_difference = (
                     0.0
@@ -187,7 +189,9 @@
                 )
         self._apply_confirmation(report)
         self._compare_views(report, boot_now)
-        return self._make_copies(report, now, boot_now)
+        return self._request_catalog(report, now) + self._make_copies(
+            report, now, boot_now
+        )
 
     def _apply_planner_report(
         self, report: peer_messages.PeerReport, now: float
@@ -245,25 +249,33 @@
     def _view_age(self, boot_now: float) -> float:
         return self._reader.view.view_age.age(boot_now)
 
+    def _request_catalog(
+        self, report: peer_messages.PeerReport, now: float
+    ) -> list[peer_messages.Message]:
+        """Requests the peer's configuration if it is newer and needed."""
+        own = self._board.catalog
+        if not self._reader.catalog_fetch.should_request(
+            now,
+            ids.Generation(report.generation),
+            ids.FailureDomain(report.domain),
+        ):
+            return []
+        return [peer_messages.CatalogRequest(own.generation if own else 0)]
+
+    def _copy_catalog(self, generation: int) -> list[peer_messages.Message]:
+        """Returns a copy for a peer with an older configuration."""
+        own = self._board.catalog
+        compressed = self._reader.view.compressed_catalog()
+        if own is None or compressed is None or own.generation <= generation:
+            return []
+        return [peer_messages.CatalogCopy(_row(compressed))]
+
     def _make_copies(
         self, report: peer_messages.PeerReport, now: float, boot_now: float
     ) -> list[peer_messages.Message]:
-        own = self._board.catalog
-        behind = own is not None and report.generation < own.generation
-        if not behind:
-            self._behind_since = None
-        elif self._behind_since is None:
-            self._behind_since = now
+        """Returns the backend servers for a peer whose view is older."""
         if now - self._copied_at < COPY_INTERVAL_SECONDS:
             return []
-        copies: list[peer_messages.Message] = []
-        entry = self._reader.view.catalog_entry()
-        if (
-            self._behind_since is not None
-            and now - self._behind_since >= CATALOG_COPY_DELAY_SECONDS
-            and entry is not None
-        ):
-            copies.append(peer_messages.CatalogCopy(_row(entry)))
         own_age = (
             MAX_AGE_SECONDS
             if self._reader.is_down
@@ -272,16 +284,15 @@
         peer_age = (
             report.store_age if report.store_age >= 0 else MAX_AGE_SECONDS
         )
-        if own_age + MIN_VIEW_AGE_DIFFERENCE_SECONDS < peer_age:
-            copies.append(
-                peer_messages.ServersCopy(
-                    own_age,
-                    [_row(e) for e in self._reader.view.server_entries()],
-                )
+        if own_age + MIN_VIEW_AGE_DIFFERENCE_SECONDS >= peer_age:
+            return []
+        self._copied_at = now
+        return [
+            peer_messages.ServersCopy(
+                own_age,
+                [_row(e) for e in self._reader.view.server_entries()],
             )
-        if copies:
-            self._copied_at = now
-        return copies
+        ]
 
 
 def _known_age(age: float) -> float:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
@@ -11,6 +11,7 @@
 from nutmeglift import kv
 from nutmeglift import retry
 from nutmeglift_gateway import board as boards
+from nutmeglift_gateway import catalog_fetch
 from nutmeglift_gateway import decision_log
 from nutmeglift_gateway import freshness
 from nutmeglift_gateway import ports
@@ -50,6 +51,7 @@
         on_changes: called with the changes that this router's own watch
             returned, preceded by the revision before them.
         outage: tracks whether the store answers this router.
+        catalog_fetch: decides from where to get a new configuration.
     """
 
     def __init__(
@@ -59,6 +61,7 @@
         board: boards.Board,
         log: decision_log.DecisionLog,
         rng: random.Random,
+        vm: str,
     ) -> None:
         self._store = store
         self._schema = schema
@@ -72,6 +75,7 @@
         self._watch_limit: asyncio.Timeout | None = None
         self.view = store_view.StoreView(schema, board, log)
         self.relay = relay.Relay()
+        self.catalog_fetch = catalog_fetch.CatalogFetch(board, vm)
         self.on_changes: Callable[[ids.Revision, list[kv.WatchEvent]], None] = (
             lambda after, events: None
         )
@@ -232,6 +236,7 @@
         return (
             self.view.lacks_catalog
             and now - self._catalog_requested_at >= COALESCE_DELAY_SECONDS
+            and self.catalog_fetch.may_read_store(now)
         )
 
     async def _confirm_once(self) -> None:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/store_view.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/store_view.py
@@ -1,6 +1,7 @@
 """A router's local view of the store."""
 
 import asyncio
+import dataclasses
 
 from nutmeglift import ids
 from nutmeglift import kv
@@ -8,6 +9,7 @@
 from nutmeglift_gateway import decision_log
 from nutmeglift_gateway import entry_decoder
 from nutmeglift_gateway import freshness
+from nutmeglift_gateway import peer_messages
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import view_age
 
@@ -49,6 +51,8 @@
         self._revision = UNLISTED
         self.entry_by_key: dict[str, kv.KeyValue] = {}
         self.planner: kv.KeyValue | None = None
+        self._compressed_from: kv.KeyValue | None = None
+        self._compressed: kv.KeyValue | None = None
 
     @property
     def revision(self) -> ids.Revision:
@@ -80,9 +84,17 @@
             if key.startswith(prefix)
         ]
 
-    def catalog_entry(self) -> kv.KeyValue | None:
-        """Returns the raw entry of the configuration, if known."""
-        return self.entry_by_key.get(self._schema.catalog_key)
+    def compressed_catalog(self) -> kv.KeyValue | None:
+        """Returns the entry of the configuration with a compressed value."""
+        entry = self.entry_by_key.get(self._schema.catalog_key)
+        if entry is None:
+            return None
+        if entry is not self._compressed_from:
+            self._compressed_from = entry
+            self._compressed = dataclasses.replace(
+                entry, value=peer_messages.compress(entry.value)
+            )
+        return self._compressed
 
     @property
     def confirmed_revision(self) -> ids.Revision:
--- a/tests/gateway/store_routers.py
+++ b/tests/gateway/store_routers.py
@@ -55,7 +55,7 @@
         runners = rig.MemoryRunners()
         counters = metrics.Metrics()
         reader = store_reader.StoreReader(
-            client, self._schema, self.board, self.log, rng
+            client, self._schema, self.board, self.log, rng, self.vm
         )
         registered = registration.Registration(
             client, self.vm, address, reader.outage, self.log, rng
--- a/tests/gateway/test_controllers.py
+++ b/tests/gateway/test_controllers.py
@@ -55,7 +55,7 @@
         self.board.catalog_revision = ids.Revision(0)
         rng = rig.make_rng()
         self.reader = store_reader.StoreReader(
-            deployment.store, deployment.schema, self.board, self.log, rng
+            deployment.store, deployment.schema, self.board, self.log, rng, vm
         )
         self.registration = registration.Registration(
             deployment.store,
--- a/tests/gateway/test_peer_links.py
+++ b/tests/gateway/test_peer_links.py
@@ -26,7 +26,7 @@
         self.log = rig.MemoryLog()
         self.board = rig.make_board()
         self.reader = store_reader.StoreReader(
-            kv.MemoryKv(), rig.MemorySchema(), self.board, self.log, None
+            kv.MemoryKv(), rig.MemorySchema(), self.board, self.log, None, vm
         )
         self.links = peer_links.PeerLinks(
             self.board, self.reader, vm, self.log, rig.make_rng()
--- a/tests/gateway/test_peer_state.py
+++ b/tests/gateway/test_peer_state.py
@@ -29,6 +29,7 @@
             self.board,
             rig.MemoryLog(),
             random.Random(1),
+            vm,
         )
         self.state = peer_state.PeerState(self.board, self.reader, vm)
 
@@ -38,13 +39,18 @@
         self.one, self.two = PeerRouter("one"), PeerRouter("two")
 
     def send(self, source, target, now, boot):
-        raw = peer_messages.encode(source.state.make_report(now, boot))
-        replies = target.state.handle_message(
-            peer_messages.decode(raw), now, boot
-        )
-        for reply in replies:
-            raw = peer_messages.encode(reply)
-            source.state.handle_message(peer_messages.decode(raw), now, boot)
+        """Delivers a report and all that follows from it."""
+        messages = [source.state.make_report(now, boot)]
+        while messages:
+            raws = [peer_messages.encode(message) for message in messages]
+            messages = [
+                reply
+                for raw in raws
+                for reply in target.state.handle_message(
+                    peer_messages.decode(raw), now, boot
+                )
+            ]
+            source, target = target, source
 
     def test_a_confirmation_is_dated_by_our_own_report(self):
         # The peer confirmed at 99.0. The two clocks need not agree, and the
@@ -77,8 +83,55 @@
         self.two.reader.view.apply_catalog(entry)
         for step in range(4):
             self.send(self.one, self.two, 1.0 + step * 0.25, 100.0)
+            self.send(self.two, self.one, 1.0 + step * 0.25, 100.0)
         self.assertEqual(self.one.board.catalog.generation, 9)
 
+    def test_a_copy_that_is_cut_short_changes_nothing(self):
+        value = peer_messages.compress(b"nine" * 100)
+        cases = [
+            ("cut short", value[:-5]),
+            ("empty", b""),
+            ("not compressed", b"nine"),
+            ("a changed byte", value[:9] + b"\xff" + value[10:]),
+            (
+                "too large",
+                peer_messages.compress(
+                    bytes(peer_messages.MAX_VALUE_BYTES + 1)
+                ),
+            ),
+        ]
+        before = self.one.board.catalog
+        for name, raw in cases:
+            copy = peer_messages.CatalogCopy(
+                peer_messages.EntryRow("operators/configuration", raw, 50)
+            )
+            with (
+                self.subTest(name),
+                self.assertRaises(errors.MalformedMessageError),
+            ):
+                self.one.state.handle_message(copy, 1.0, 100.0)
+            self.assertIs(self.one.board.catalog, before)
+
+    def test_who_answers_a_request_for_the_configuration(self):
+        nine = rig.make_catalog(generation=9)
+        self.two.schema.by_value[b"nine"] = nine
+        entry = rig.make_entry("operators/configuration", b"nine", 50)
+        self.two.reader.view.apply_catalog(entry)
+        cases = [(0, 1), (7, 1), (9, 0), (12, 0)]
+        for generation, count in cases:
+            with self.subTest(generation):
+                replies = self.two.state.handle_message(
+                    peer_messages.CatalogRequest(generation), 1.0, 100.0
+                )
+                self.assertEqual(len(replies), count)
+        # Its configuration did not come with an entry that could be copied.
+        self.assertEqual(
+            self.one.state.handle_message(
+                peer_messages.CatalogRequest(0), 1.0, 100.0
+            ),
+            [],
+        )
+
     def test_a_router_with_an_older_view_receives_the_servers(self):
         for router in (self.one, self.two):
             router.schema.by_value[b"s"] = {}
--- a/tests/gateway/test_store_restore.py
+++ b/tests/gateway/test_store_restore.py
@@ -37,7 +37,12 @@
         }
         self.store = kv.MemoryKv()
         self.reader = store_reader.StoreReader(
-            self.store, schema, self.board, rig.MemoryLog(), rig.make_rng()
+            self.store,
+            schema,
+            self.board,
+            rig.MemoryLog(),
+            rig.make_rng(),
+            "vm",
         )
 
     async def list_store(self, revision, rows):
