Read large responses of the store as long as they make progress

Cause: each call had 1 s for its whole response.

Change: the limit applies to progress, 16 KiB in each time limit, up to 10 s in all. A response that stalls or trickles ends as before.

Result: test_a_large_configuration_on_a_slow_link failed before (the value of 900 kB takes 2.4 s) and passes; the table plays fast, slow, stalled and trickling responses.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/control_client.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/control_client.py
@@ -32,21 +32,32 @@
             self.done.set_exception(error)
 
 
+MIN_PROGRESS_BYTES = 16 * 1024
+"""A response of which fewer bytes arrive within its time limit has stalled. Any
+link that can serve callers carries many times as much in a second."""
+
+
 async def exchange(
     connection: http_call.Connection,
     method: str,
     request: bytes,
     timeout: float,
     max_body_bytes: int = body_buffer.MAX_TOTAL_BYTES,
+    max_seconds: float = 0.0,
 ) -> http_call.Response:
     """Sends a request and returns the complete response.
 
+    A large response may take longer than its time limit on a slow link. It is
+    read on as long as MIN_PROGRESS_BYTES arrive within each time limit.
+
     Args:
         connection: open connection.
         method: HTTP method.
         request: encoded request.
-        timeout: longest wait for the complete response, in seconds.
+        timeout: time limit for the complete response, or for progress, in
+            seconds.
         max_body_bytes: limit on the body.
+        max_seconds: time limit for a response that makes progress.
 
     Raises:
         http_call.CallError: no complete response was received; the connection
@@ -60,18 +71,42 @@
         max_body_bytes=max_body_bytes,
     )
     try:
-        async with asyncio.timeout(timeout):
-            return await collector.done
-    except TimeoutError as error:
-        connection.abort()
-        raise http_call.CallError(
-            http_call.CallFailure.TIMEOUT,
-            True,
-            f"no response within {timeout:.2f} s",
-        ) from error
+        await _wait_for_response(
+            connection, collector.done, timeout, max_seconds
+        )
     except asyncio.CancelledError:
         connection.abort()
         raise
+    if collector.done.done():
+        return collector.done.result()
+    connection.abort()
+    raise http_call.CallError(
+        http_call.CallFailure.TIMEOUT,
+        True,
+        f"no response within {timeout:.2f} s, "
+        f"received {connection.received_bytes} bytes",
+    )
+
+
+async def _wait_for_response(
+    connection: http_call.Connection,
+    done: "asyncio.Future[http_call.Response]",
+    timeout: float,
+    max_seconds: float,
+) -> None:
+    """Waits until the response is complete, stalls or takes too long."""
+    loop = asyncio.get_running_loop()
+    ends_at = loop.time() + max(timeout, max_seconds)
+    while True:
+        received_before = connection.received_bytes
+        await asyncio.wait({done}, timeout=min(timeout, ends_at - loop.time()))
+        progress = connection.received_bytes - received_before
+        if (
+            done.done()
+            or progress < MIN_PROGRESS_BYTES
+            or loop.time() >= ends_at
+        ):
+            return
 
 
 class ControlClient:
@@ -88,8 +123,9 @@
         body: bytes = b"",
         *,
         timeout: float,
+        max_seconds: float = 0.0,
     ) -> http_call.Response:
-        """Makes one call.
+        """Makes one call; see `exchange`.
 
         Raises:
             http_call.CallError: no complete response was received.
@@ -99,7 +135,9 @@
         if body:
             headers.append((b"content-type", b"application/json"))
         request = http_call.format_request(method, target, headers, body)
-        response = await exchange(connection, method, request, timeout)
+        response = await exchange(
+            connection, method, request, timeout, max_seconds=max_seconds
+        )
         if connection.reusable:
             self._idle.append(connection)
         else:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/http_call.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/http_call.py
@@ -92,11 +92,13 @@
 
     Attributes:
         reusable: whether another request may be sent.
+        received_bytes: number of bytes received.
         on_lost: called when the connection is closed; used while idle.
     """
 
     def __init__(self) -> None:
         self.reusable = False
+        self.received_bytes = 0
         self.on_lost: Callable[[], None] | None = None
         self._transport: asyncio.Transport | None = None
         self._receiver: BaseReceiver | None = None
@@ -195,6 +197,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Passes received bytes to the parser."""
+        self.received_bytes += len(data)
         if self._receiver is None or self._parser is None:
             # Bytes after the end of a response belong to no request.
             self.close()
--- a/tests/gateway/test_control_client.py
+++ b/tests/gateway/test_control_client.py
@@ -81,6 +81,75 @@
         await asyncio.wait_for(server.client_eof.wait(), TIMEOUT_SECONDS)
 
 
+class SlowCallTest(virtual_time_case.VirtualTimeTestCase):
+    """Large responses of the store on a slow link."""
+
+    async def _call(self, sizes, interval, max_seconds=10.0):
+        """Calls a server that sends pieces of a body at an interval."""
+
+        async def script(request, writer, number):
+            total = sum(sizes)
+            writer.write(
+                b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % total
+            )
+            for size in sizes:
+                writer.write(b"x" * size)
+                await asyncio.sleep(interval)
+            await asyncio.sleep(60.0)
+
+        server = await stand_ins.ScriptedServer(script).start()
+        self.addCleanup(server.close)
+        client = control_client.ControlClient(server.address)
+        self.addCleanup(client.close)
+        started_at = asyncio.get_running_loop().time()
+        try:
+            found = await client.call(
+                "GET", "/", timeout=1.0, max_seconds=max_seconds
+            )
+            received = len(found.body)
+        except http_call.CallError as error:
+            self.assertIs(error.failure, http_call.CallFailure.TIMEOUT)
+            received = None
+        return received, asyncio.get_running_loop().time() - started_at
+
+    async def test_which_responses_are_read_to_their_end(self):
+        large = [50_000] * 20
+        cases = [
+            # pieces, interval, longest time, complete, seconds at most
+            ("fast", large, 0.01, 10.0, True, 1.0),
+            ("slow", large, 0.3, 10.0, True, 7.0),
+            ("stalled", [50_000, *[0] * 60, 1], 0.1, 10.0, False, 2.1),
+            ("a byte now and then", [1] * 300, 0.1, 10.0, False, 1.1),
+            ("too slow", large, 0.9, 10.0, False, 10.1),
+            ("not allowed longer", large, 0.3, 0.0, False, 1.1),
+        ]
+        for name, sizes, interval, longest, complete, seconds in cases:
+            with self.subTest(name):
+                received, took = await self._call(sizes, interval, longest)
+                self.assertEqual(received, sum(sizes) if complete else None)
+                self.assertLessEqual(took, seconds)
+
+    async def test_a_large_configuration_on_a_slow_link(self):
+        value = b"x" * 900_000
+        body = store.msgspec.json.encode(
+            {"key": "k", "revision": 5, "value": value}
+        )
+
+        async def script(request, writer, number):
+            writer.write(
+                b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body)
+            )
+            for start in range(0, len(body), 50_000):
+                writer.write(body[start : start + 50_000])
+                await asyncio.sleep(0.1)
+
+        server = await stand_ins.ScriptedServer(script).start()
+        self.addCleanup(server.close)
+        client = store.PlatformKv(server.address, 1.0)
+        entry = await client.get("k")
+        self.assertEqual(entry.value, value)
+
+
 class ExtraBytesTest(virtual_time_case.VirtualTimeTestCase):
     async def test_extra_bytes_are_not_the_next_response(self):
         extra = response(b"extra")
