Open a second connection to a silent runner only if it is needed

Change: the second connection, which covers a lost SYN packet, follows after 15 ms without an answer, within the same 40 ms. Runners that were found lost are left to the prober.

The test of the number of connections is stricter: one to each runner that answers, where it was two. A new one loses the first packet to each of them.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/reachability.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/reachability.py
@@ -15,9 +15,9 @@
 MAX_LOOP_DELAY_SECONDS = 0.015
 """If the event loop runs later than this, it may have missed connections that
 were accepted in time."""
-PARALLEL_CONNECTION_COUNT = 2
-"""Connections opened in parallel: a link that loses one packet in 40 loses both
-SYN packets once in 1,600 checks."""
+SECOND_CONNECTION_DELAY_SECONDS = 0.015
+"""Time after which a second connection is opened, many round trips: a link that
+loses one packet in 40 loses both SYN packets once in 1,600 checks."""
 RECHECK_INTERVAL_SECONDS = 0.3
 """A runner is not checked again sooner, as connections have a cost."""
 
@@ -83,15 +83,21 @@
 
     @staticmethod
     async def _is_reachable(address: str) -> bool:
-        attempts = [
-            _can_connect(address) for _ in range(PARALLEL_CONNECTION_COUNT)
-        ]
-        return any(await asyncio.gather(*attempts))
+        first = asyncio.create_task(
+            _can_connect(address, CHECK_TIMEOUT_SECONDS)
+        )
+        await asyncio.wait({first}, timeout=SECOND_CONNECTION_DELAY_SECONDS)
+        if first.done() and first.result():
+            return True
+        second = _can_connect(
+            address, CHECK_TIMEOUT_SECONDS - SECOND_CONNECTION_DELAY_SECONDS
+        )
+        return any(await asyncio.gather(first, second))
 
 
-async def _can_connect(address: str) -> bool:
+async def _can_connect(address: str, timeout: float) -> bool:
     try:
-        connection = await http_call.connect(address, CHECK_TIMEOUT_SECONDS)
+        connection = await http_call.connect(address, timeout)
     except http_call.CallError as error:
         # A refused connection proves that the host is reachable; the crash
         # detector handles a process that ended.
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_monitor.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_monitor.py
@@ -78,11 +78,13 @@
 
     def _check_streams(self, now: float) -> None:
         streams = [each for each in self._streams if not each.paused]
+        silent_addresses = silence_detection.suspected_addresses(
+            each.silence(now) for each in streams
+        )
         self._reachability.check(
             now,
-            silence_detection.suspected_addresses(
-                each.silence(now) for each in streams
-            ),
+            silent_addresses
+            - self._board.suspect_servers.terminated_addresses(),
         )
         self._pace_reader.read(now, streams)
         down_addresses = self._board.suspect_servers.down_addresses()
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/suspect_servers.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/suspect_servers.py
@@ -222,6 +222,14 @@
             if record.suspect and record.reason in DOWN_REASONS
         }
 
+    def terminated_addresses(self) -> set[str]:
+        """Returns the addresses of suspects that were found lost."""
+        return {
+            address
+            for address, record in self._record_by_address.items()
+            if record.suspect and record.reason in TERMINATED_REASONS
+        }
+
     def down_since(self, address: str) -> float | None:
         """Returns when the suspect at an address failed; None if not down."""
         record = self._record_by_address.get(address)
--- a/tests/gateway/test_reachability.py
+++ b/tests/gateway/test_reachability.py
@@ -1,8 +1,10 @@
 import asyncio
 import socket
 import unittest
+from unittest import mock
 
 from nutmeglift_gateway import failure_recorder
+from nutmeglift_gateway import http_call
 from nutmeglift_gateway import metrics
 from nutmeglift_gateway import reachability
 from nutmeglift_gateway import suspect_servers
@@ -83,20 +85,40 @@
             suspect_servers.Reason.UNREACHABLE,
         )
 
+    async def test_a_lost_packet_does_not_make_a_runner_suspect(self):
+        connect = http_call.connect
+        lost = {s.address for s in self.responsive}
+
+        async def lose_the_first(address, timeout):
+            if address in lost:
+                lost.discard(address)
+                await asyncio.sleep(timeout)
+                raise http_call.CallError(
+                    http_call.CallFailure.NOT_CONNECTED, False, address
+                )
+            return await connect(address, timeout)
+
+        with mock.patch.object(http_call, "connect", lose_the_first):
+            self.checker.check(
+                asyncio.get_running_loop().time(),
+                {s.address for s in self.responsive},
+            )
+            await asyncio.sleep(0.1)
+        self.assertEqual(lost, set())
+        self.assertEqual([s.accepted_count for s in self.responsive], [1, 1])
+        self.assertEqual(self.board.suspect_servers.suspects(), {})
+
     async def test_runners_that_answer_are_not_rechecked_at_once(self):
         addresses = {s.address for s in self.responsive}
         for now in (10.0, 10.1, 10.2):
             self.checker.check(now, addresses)
         await self.wait_until(
-            lambda: all(
-                s.accepted_count == reachability.PARALLEL_CONNECTION_COUNT
-                for s in self.responsive
-            )
+            lambda: all(s.accepted_count == 1 for s in self.responsive)
         )
-        await asyncio.sleep(0.02)
+        await asyncio.sleep(0.1)
         self.assertEqual(
             [s.accepted_count for s in self.responsive],
-            [reachability.PARALLEL_CONNECTION_COUNT] * len(self.responsive),
+            [1] * len(self.responsive),
         )
         self.assertEqual(self.board.suspect_servers.suspects(), {})
 
--- a/tests/gateway/test_suspect_servers.py
+++ b/tests/gateway/test_suspect_servers.py
@@ -140,6 +140,18 @@
             )
             self.assertTrue(self.trust.needs_replacement(2.1, "a", LIFE))
 
+    def test_which_suspects_were_found_lost(self):
+        for reason in suspect_servers.Reason:
+            with self.subTest(reason):
+                trust = suspect_servers.SuspectServers()
+                trust.mark_suspect(10.0, "a", LIFE, reason)
+                lost = reason in suspect_servers.TERMINATED_REASONS
+                self.assertEqual(
+                    trust.terminated_addresses(), {"a"} if lost else set()
+                )
+                trust.clear("a")
+                self.assertEqual(trust.terminated_addresses(), set())
+
     def test_removed_addresses_are_forgotten(self):
         self.trust.mark_suspect(0.0, "a", LIFE, "stalled")
         self.trust.keep_only(set())
