Report a pace once, by the router that read it

Cause: each report repeated for a second all paces on the board, those that came from other routers as well.

Change: a router reports the paces that it read itself, once on each link, which delivers in order.

Result: test_a_pace_is_reported_once_by_the_router_that_read_it.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
@@ -33,10 +33,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class Pace:
-    """A runner's factor on the step time, and when it was read."""
+    """A runner's factor on the step time, and when it was read.
+
+    Attributes:
+        value: the factor.
+        read_at: loop time at which it was read.
+        own: whether this router read it, and not a peer.
+    """
 
     value: float
     read_at: float
+    own: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -279,7 +286,7 @@
 
     def record_pace(self, now: float, address: str, value: float) -> None:
         """Records a pace that a runner has just reported."""
-        self.pace_by_address[address] = Pace(value, now)
+        self.pace_by_address[address] = Pace(value, now, own=True)
 
     def pace_reader(self, now: float) -> Callable[[str], float]:
         """Returns a function from an address to the runner's pace."""
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
@@ -19,8 +19,8 @@
 """Confirmations date a view of the store about once a second. A view that is
 older than another by more belongs to a router that the store does not serve."""
 PACE_REPORT_MAX_AGE_SECONDS = 1.0
-"""Paces read within this time are reported, including nominal ones, so that a
-peer that considers a runner slow is informed of its recovery."""
+"""Paces read within this time are reported, once on each link. Nominal ones are
+included, so that a peer that considers a runner slow learns of its recovery."""
 MAX_AGE_SECONDS = 1e9
 """Greater than any known age; stands for an unknown one."""
 
@@ -39,6 +39,7 @@
         self._vm = vm
         self._load_encoder = load_rows.Encoder()
         self._load_decoder = load_rows.Decoder()
+        self._paces_sent_until = float("-inf")
         self._sequence = 0
         self._received = 0
         self._sent_at_by_sequence: dict[int, float] = {}
@@ -60,7 +61,7 @@
             if old < self._received or old < self._sequence - 50:
                 del self._sent_at_by_sequence[old]
         age = board.freshness.age(boot_now)
-        return peer_messages.PeerReport(
+        report = peer_messages.PeerReport(
             vm=self._vm,
             sequence=self._sequence,
             echo=self._received,
@@ -88,7 +89,9 @@
             paces=[
                 peer_messages.PaceRow(address, pace.value, now - pace.read_at)
                 for address, pace in board.pace_by_address.items()
-                if now - pace.read_at < PACE_REPORT_MAX_AGE_SECONDS
+                if pace.own
+                and pace.read_at >= self._paces_sent_until
+                and now - pace.read_at < PACE_REPORT_MAX_AGE_SECONDS
             ],
             fence=board.fence,
             moves=[
@@ -108,6 +111,8 @@
             ],
             domain=board.home,
         )
+        self._paces_sent_until = now
+        return report
 
     def handle_message(
         self, message: peer_messages.Message, now: float, boot_now: float
--- a/tests/gateway/test_peer_state.py
+++ b/tests/gateway/test_peer_state.py
@@ -156,6 +156,23 @@
         self.one.board.load_tracker.expire(3.0)
         self.assertEqual(self.one.board.load_tracker.at("x"), loads.Load())
 
+    def test_a_pace_is_reported_once_by_the_router_that_read_it(self):
+        three = PeerRouter("three")
+        self.two.board.record_pace(1.0, "x", 4.0)
+        report = self.two.state.make_report(1.1, 100.0)
+        self.assertEqual(len(report.paces), 1)
+        self.one.state.handle_message(report, 1.1, 100.0)
+        self.assertEqual(self.one.board.pace_by_address["x"].value, 4.0)
+        self.assertEqual(self.one.state.make_report(1.2, 100.0).paces, [])
+        self.assertEqual(self.two.state.make_report(1.2, 100.0).paces, [])
+        # On another link it is new, as is what is read later.
+        state = peer_state.PeerState(self.two.board, self.two.reader, "two")
+        self.assertEqual(len(state.make_report(1.3, 100.0).paces), 1)
+        self.two.board.record_pace(1.4, "x", 1.0)
+        report = self.two.state.make_report(1.5, 100.0)
+        three.state.handle_message(report, 1.5, 100.0)
+        self.assertEqual(three.board.pace_by_address["x"].value, 1.0)
+
     def test_which_failures_are_shared(self):
         cases = [
             ("stalled", True),
