Request the servers' entries from one router at a time

With 26 routers a router that is cut off from the store got 25 copies each 0.5 s.

Change: the router with the older view requests a copy, at most once in 0.5 s, from a router of its own failure domain if one has a newer view. A router that the store does not serve, but that gets the planner's changes, needs none.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
@@ -122,8 +122,14 @@
     entry: EntryRow
 
 
+class ServersRequest(
+    msgspec.Struct, array_like=True, frozen=True, tag="want servers"
+):
+    """Requests a copy of all backend servers."""
+
+
 class ServersCopy(msgspec.Struct, array_like=True, frozen=True, tag="servers"):
-    """All backend servers, sent to a router whose view is older.
+    """All backend servers, sent to a router that requested them.
 
     Attributes:
         age: age of the sender's view, in seconds.
@@ -155,7 +161,14 @@
     rows: list[ChangeRow]
 
 
-Message = PeerReport | CatalogRequest | CatalogCopy | ServersCopy | Changes
+Message = (
+    PeerReport
+    | CatalogRequest
+    | CatalogCopy
+    | ServersRequest
+    | ServersCopy
+    | Changes
+)
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 """Four times the largest value that the store accepts."""
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
@@ -8,16 +8,11 @@
 from nutmeglift_gateway import load_rows
 from nutmeglift_gateway import peer_messages
 from nutmeglift_gateway import retry_budget
+from nutmeglift_gateway import servers_fetch
 from nutmeglift_gateway import store_reader
 from nutmeglift_gateway import suspect_servers
 from nutmeglift_gateway import view_age
 
-COPY_INTERVAL_SECONDS = 0.5
-"""A peer without access to the store receives the state of draining servers
-within this time, a quarter of the operators' bound."""
-MIN_VIEW_AGE_DIFFERENCE_SECONDS = 2.6
-"""Confirmations date a view of the store about once a second. A view that is
-older than another by more belongs to a router that the store does not serve."""
 PACE_REPORT_MAX_AGE_SECONDS = 1.0
 """Paces read within this time are reported, once on each link. Nominal ones are
 included, so that a peer that considers a runner slow learns of its recovery."""
@@ -43,7 +38,6 @@
         self._sequence = 0
         self._received = 0
         self._sent_at_by_sequence: dict[int, float] = {}
-        self._copied_at = float("-inf")
 
     def make_report(
         self, now: float, boot_now: float
@@ -128,11 +122,13 @@
                 self._reader.view.apply_catalog(
                     kv.KeyValue(entry.key, value, ids.Revision(entry.revision))
                 )
+            case peer_messages.ServersRequest():
+                return self._copy_servers(boot_now)
             case peer_messages.ServersCopy(age, entries):
                 min_difference = (
                     0.0
                     if self._reader.is_down
-                    else MIN_VIEW_AGE_DIFFERENCE_SECONDS
+                    else servers_fetch.MIN_AGE_DIFFERENCE_SECONDS
                 )
                 if age + min_difference < self._view_age(boot_now):
                     self._reader.view.apply_servers(
@@ -194,7 +190,7 @@
                 )
         self._apply_confirmation(report)
         self._compare_views(report, boot_now)
-        return self._request_catalog(report, now) + self._make_copies(
+        return self._request_catalog(report, now) + self._request_servers(
             report, now, boot_now
         )
 
@@ -275,28 +271,31 @@
             return []
         return [peer_messages.CatalogCopy(_row(compressed))]
 
-    def _make_copies(
+    def _request_servers(
         self, report: peer_messages.PeerReport, now: float, boot_now: float
     ) -> list[peer_messages.Message]:
-        """Returns the backend servers for a peer whose view is older."""
-        if now - self._copied_at < COPY_INTERVAL_SECONDS:
+        """Requests the peer's view of the servers if it is newer and needed."""
+        if (
+            report.store_age < 0
+            or not self._reader.servers_fetch.should_request(
+                now,
+                ids.FailureDomain(report.domain),
+                age=report.store_age,
+                own_age=self._view_age(boot_now),
+                is_down=self._reader.is_down,
+            )
+        ):
             return []
-        own_age = (
-            MAX_AGE_SECONDS
-            if self._reader.is_down
-            else self._view_age(boot_now)
-        )
-        peer_age = (
-            report.store_age if report.store_age >= 0 else MAX_AGE_SECONDS
-        )
-        if own_age + MIN_VIEW_AGE_DIFFERENCE_SECONDS >= peer_age:
+        return [peer_messages.ServersRequest()]
+
+    def _copy_servers(self, boot_now: float) -> list[peer_messages.Message]:
+        """Returns a copy for a peer with an older view."""
+        age = self._view_age(boot_now)
+        if self._reader.is_down or age >= MAX_AGE_SECONDS:
             return []
-        self._copied_at = now
+        entries = self._reader.view.server_entries()
         return [
-            peer_messages.ServersCopy(
-                own_age,
-                [_row(e) for e in self._reader.view.server_entries()],
-            )
+            peer_messages.ServersCopy(age, [_row(entry) for entry in entries])
         ]
 
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
@@ -16,6 +16,7 @@
 from nutmeglift_gateway import freshness
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import relay
+from nutmeglift_gateway import servers_fetch
 from nutmeglift_gateway import store_outage
 from nutmeglift_gateway import store_view
 
@@ -52,6 +53,7 @@
             returned, preceded by the revision before them.
         outage: tracks whether the store answers this router.
         catalog_fetch: decides from where to get a new configuration.
+        servers_fetch: decides from which router to request the servers.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         self.view = store_view.StoreView(schema, board, log)
         self.relay = relay.Relay()
         self.catalog_fetch = catalog_fetch.CatalogFetch(board, vm)
+        self.servers_fetch = servers_fetch.ServersFetch(board.home)
         self.on_changes: Callable[[ids.Revision, list[kv.WatchEvent]], None] = (
             lambda after, events: None
         )
