Let the planner confirm the configuration for the others

Cause: each router drew a new limit for the age of its confirmation at each poll, from 0.9 s on, and heard of another's confirmation up to 0.25 s later.

Change: the planner confirms at 0.7 s and its peers hear of it at once; the others do at 1.15 to 1.45 s, drawn once for each confirmation.

No confirmation grows older than 1.8 s, also with a planner whom the store doesn't answer.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
@@ -151,7 +151,7 @@
             return False
         self.catalog = found
         self.catalog_revision = revision
-        self._notify_listeners()
+        self.notify_listeners()
         return True
 
     def set_bounds(self, bounds: settings.Bounds) -> None:
@@ -231,7 +231,7 @@
             self._moves = moves
             self._moves_version += 1
             if self.fence:
-                self._notify_listeners()
+                self.notify_listeners()
 
     def record_planner(self, fence: ids.FencingNumber) -> bool:
         """Records a planning router's fencing number.
@@ -334,10 +334,11 @@
             now, server.address, server.lifetime, reason
         )
         if changed and reason in suspect_servers.SHARED_REASONS:
-            self._notify_listeners()
+            self.notify_listeners()
         return changed
 
-    def _notify_listeners(self) -> None:
+    def notify_listeners(self) -> None:
+        """Has peers receive this router's state without delay."""
         for listener in list(self.listeners):
             listener()
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
@@ -20,10 +20,15 @@
 from nutmeglift_gateway import store_outage
 from nutmeglift_gateway import store_view
 
-CONFIRM_INTERVAL_SECONDS = 0.9
-"""Half of the operators' bound for a change to take effect on all routers."""
+PLANNER_CONFIRM_INTERVAL_SECONDS = 0.7
+"""The planner confirms before the others, which add the interval of reports to
+the age of what it tells them."""
+CONFIRM_INTERVAL_SECONDS = 1.15
+"""With the jitter three quarters of the operators' bound for a change to take
+effect on all routers."""
 CONFIRM_JITTER_SECONDS = 0.3
-"""Spreads the routers' confirmations; the first one is passed to the peers."""
+"""Spreads the confirmations of routers whose planner gives none. Each is passed
+to the peers at once."""
 MAX_CONFIRM_BACKOFF_SECONDS = 0.3
 """Bounds how long after the last failed call a store may have returned."""
 POLL_INTERVAL_SECONDS = 0.1
@@ -101,10 +106,8 @@
     async def confirm(self) -> None:
         """Confirms the configuration periodically until cancelled."""
         backoff = retry.Backoff(self._rng, largest=MAX_CONFIRM_BACKOFF_SECONDS)
+        limit = self._choose_confirm_limit()
         while True:
-            limit = CONFIRM_INTERVAL_SECONDS + self._rng.uniform(
-                0, CONFIRM_JITTER_SECONDS
-            )
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
             self.check_view()
             if self._board.catalog is None:
@@ -112,9 +115,11 @@
             if not self._is_confirmation_due(limit):
                 continue
             sent_at = self._catalog_requested_at = self._now()
+            limit = self._choose_confirm_limit()
             try:
                 await self._confirm_once()
                 self.outage.record_answer(self._now())
+                self._board.notify_listeners()
                 backoff.reset()
             except errors.PlatformError as error:
                 self.outage.record_failure(self._now(), sent_at, str(error))
@@ -147,6 +152,12 @@
     def _view_age(self) -> float:
         return self.view.view_age.age(freshness.boot_clock())
 
+    def _choose_confirm_limit(self) -> float:
+        """Returns the age at which this router confirms unless it plans."""
+        return CONFIRM_INTERVAL_SECONDS + self._rng.uniform(
+            0, CONFIRM_JITTER_SECONDS
+        )
+
     def _is_confirmation_due(self, limit: float) -> bool:
         """Returns whether to ask the store for its revision.
 
@@ -154,6 +165,8 @@
             limit: age in seconds at which that of the configuration is
                 confirmed, and that of the view unless it is known to be behind.
         """
+        if self._board.fence:
+            limit = PLANNER_CONFIRM_INTERVAL_SECONDS
         age = self._board.freshness.age(freshness.boot_clock())
         if not self.view.view_age.is_behind:
             age = max(age, self._view_age())
--- a/tests/gateway/store_routers.py
+++ b/tests/gateway/store_routers.py
@@ -123,7 +123,7 @@
         self.schema.by_value[b"config"] = rig.make_catalog()
         self.routers = []
 
-    async def start(self, names, servers):
+    async def start(self, names, servers, domain_by_name=None):
         await self.memory.txn([], [kv.Put(CATALOG_KEY, b"config")])
         for name in servers:
             await self.put_server(name)
@@ -131,6 +131,8 @@
             Router(name, self.memory, self.schema) for name in names
         ]
         for router in self.routers:
+            if domain_by_name is not None:
+                router.board.home = ids.FailureDomain(domain_by_name[router.vm])
             await router.start()
 
     async def stop(self):
--- a/tests/gateway/store_stand_in.py
+++ b/tests/gateway/store_stand_in.py
@@ -38,6 +38,7 @@
             waiting; a call that arrives meanwhile has no effect.
         silent_watches: whether just the responses to watches are withheld.
         page_size: largest number of items in one page of a listing.
+        sent_values: the values of all items that were sent, in order.
     """
 
     def __init__(self):
@@ -48,6 +49,7 @@
         self.silent_watches = False
         self._watch_arrived = asyncio.Event()
         self.page_size = 500
+        self.sent_values = []
         self.server = stand_ins.ScriptedServer(self._respond, keep_alive=True)
 
     async def start(self):
@@ -86,13 +88,17 @@
             % (status, len(raw), raw)
         )
 
+    def _encode(self, entry):
+        self.sent_values.append(entry.value)
+        return _encode_entry(entry)
+
     async def _dispatch(self, method, path, query, body):
         match path.split("/")[2:]:
             case ["kv-key"]:
                 entry = await self.memory.get(query["key"])
                 if entry is None:
                     return 404, {}
-                return 200, _encode_entry(entry)
+                return 200, self._encode(entry)
             case ["kv-range"]:
                 snapshot = await self.memory.snapshot(query["prefix"])
                 rest = [
@@ -102,7 +108,7 @@
                 ]
                 return 200, {
                     "items": [
-                        _encode_entry(entry) for entry in rest[: self.page_size]
+                        self._encode(entry) for entry in rest[: self.page_size]
                     ],
                     "more_pages": len(rest) > self.page_size,
                     "store_revision": snapshot.revision,
@@ -142,7 +148,7 @@
                 "removed": True,
             }
             if event.kind is kv.WatchKind.DELETE
-            else _encode_entry(event.entry)
+            else self._encode(event.entry)
             for event in batch
         ]
         revision = (await self.memory.snapshot("")).revision
@@ -170,6 +176,6 @@
         if result.succeeded:
             return 200, {"revision": result.revision}
         items = [
-            _encode_entry(entry) for found in result.found for entry in found
+            self._encode(entry) for found in result.found for entry in found
         ]
         return 412, {"items": items}
