Spread streams that broke off over the failure domains

Result: test_streams_that_broke_off_are_spread_over_failure_domains failed before (12 of 12 at one domain) and passes.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
@@ -22,6 +22,7 @@
 from nutmeglift_gateway import running_stream
 from nutmeglift_gateway import sender as senders
 from nutmeglift_gateway import sse
+from nutmeglift_gateway import successor_paths
 
 
 @dataclasses.dataclass(eq=False)
@@ -165,7 +166,13 @@
         )
         usable = board.usable(self._admitted.service.id)
         finder = board.path_finder(engine, now)
-        path = finder.find(self._failures.untried(usable), requirements)
+        untried = self._failures.untried(usable)
+        if self._reply.progress.sent:
+            path = successor_paths.find_path(
+                finder, untried, requirements, self._context.rng
+            )
+        else:
+            path = finder.find(untried, requirements)
         if path is None and self._reply.progress.started:
             path = finder.find(usable, requirements)
         if path is None:
