Count the prompts that wait at a runner in the cost of a path

Change: requests count their prompts at their path's runners until the first event; reports carry the sums. A twentieth of the mean wait for the prompts ahead is added to the cost of a token step. The costs are a module of their own.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load_rows.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load_rows.py
@@ -25,12 +25,14 @@
         requests: requests whose path includes it; 0 if there are none left.
         requests_as_first: requests for which it is the first runner.
         token_layers: reserved KV cache, in tokens times layers.
+        prompt_token_layers: prompts not yet processed, in tokens times layers.
     """
 
     position: int
     requests: int
     requests_as_first: int
     token_layers: int
+    prompt_token_layers: int
 
 
 class LoadChanges(msgspec.Struct, array_like=True, frozen=True):
@@ -79,7 +81,7 @@
             if self._sent_by_address.get(address) != row
         ]
         rows += [
-            LoadRow(self._position_by_address[address], 0, 0, 0)
+            LoadRow(self._position_by_address[address], 0, 0, 0, 0)
             for address in sorted(ended)
         ]
         self._sent_by_address = row_by_address
@@ -91,6 +93,7 @@
             load.requests,
             load.requests_as_first,
             round(load.token_layers),
+            round(load.prompt_token_layers),
         )
 
 
@@ -128,7 +131,15 @@
             raise errors.MalformedMessageError(
                 f"no address at position {row.position}"
             )
-        if min(row.requests, row.requests_as_first, row.token_layers) < 0:
+        if (
+            min(
+                row.requests,
+                row.requests_as_first,
+                row.token_layers,
+                row.prompt_token_layers,
+            )
+            < 0
+        ):
             raise errors.MalformedMessageError(
                 f"a negative load of {self._addresses[row.position]}"
             )
@@ -137,5 +148,8 @@
             self._load_by_address.pop(address, None)
             return
         self._load_by_address[address] = loads.Load(
-            row.requests, row.requests_as_first, row.token_layers
+            row.requests,
+            row.requests_as_first,
+            row.token_layers,
+            row.prompt_token_layers,
         )
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/loads.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/loads.py
@@ -22,20 +22,31 @@
         requests: requests whose path includes it.
         requests_as_first: requests for which it is the first runner.
         token_layers: reserved KV cache, in tokens times layers.
+        prompt_token_layers: prompts that it has not yet processed, in tokens
+            times layers.
     """
 
     requests: int = 0
     requests_as_first: int = 0
     token_layers: float = 0.0
+    prompt_token_layers: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reservation:
-    """Capacity that one request reserves on one backend server."""
+    """Capacity that one request reserves on one backend server.
+
+    Attributes:
+        address: address of the server.
+        first: whether the request is sent to it.
+        token_layers: KV cache, in tokens times layers.
+        prompt_token_layers: its part of the prompt, in tokens times layers.
+    """
 
     address: str
     first: bool
     token_layers: float
+    prompt_token_layers: float = 0.0
 
 
 NO_LOAD = Load()
@@ -76,6 +87,25 @@
             _add(self._own_by_address, reservation, -1)
             _add(self._total_by_address, reservation, -1)
 
+    def begin_prompts(self, reservations: tuple[Reservation, ...]) -> None:
+        """Adds the prompt of a request that was sent."""
+        self._add_prompts(reservations, 1)
+
+    def end_prompts(self, reservations: tuple[Reservation, ...]) -> None:
+        """Removes the prompt of a request whose first event has arrived."""
+        self._add_prompts(reservations, -1)
+
+    def _add_prompts(
+        self, reservations: tuple[Reservation, ...], sign: int
+    ) -> None:
+        for reservation in reservations:
+            change = Load(prompt_token_layers=reservation.prompt_token_layers)
+            for load_by_address in (
+                self._own_by_address,
+                self._total_by_address,
+            ):
+                _accumulate(load_by_address, reservation.address, change, sign)
+
     def record_report(
         self, now: float, peer: str, loads: Mapping[str, Load]
     ) -> None:
@@ -124,5 +154,6 @@
     load.requests += sign * change.requests
     load.requests_as_first += sign * change.requests_as_first
     load.token_layers += sign * change.token_layers
+    load.prompt_token_layers += sign * change.prompt_token_layers
     if not load.requests and abs(load.token_layers) < ROUNDING_TOKEN_LAYERS:
         del loads[address]
--- /dev/null
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/path_costs.py
@@ -0,0 +1,96 @@
+"""The costs by which paths are compared.
+
+Load: a fast pipeline attracts the requests of all failure domains. Its token
+steps stay short while the prompts that wait for it add up, so that the cost
+includes the time in which the prompts ahead are processed.
+"""
+
+from collections.abc import Callable
+
+from nutmeglift_gateway import catalog
+from nutmeglift_gateway import directory
+from nutmeglift_gateway import loads
+
+CROSSING_COST_RATIO = 4.0
+"""Multiple of its delay that a crossing between failure domains costs: it
+delays every token and shares the link with all other crossings."""
+CROWDING_THRESHOLD_RATIO = 0.5
+"""Part of a runner's memory or slots whose use does not affect the cost: the
+memory that a request will need is known only within a factor of two."""
+CROWDING_COST_RATIO = 6.0
+"""Increase of a runner's cost with the use beyond that threshold: a full
+runner costs four times as much, as preempted requests wait for memory."""
+PROMPT_WAIT_COST_RATIO = 0.05
+"""Part of the wait for the prompts ahead that is added to the cost of a token
+step: the wait comes once, and a response has many steps."""
+
+
+class PathCosts:
+    """Costs of the runners of one service at their current load."""
+
+    def __init__(
+        self,
+        engine: catalog.Engine,
+        load_tracker: loads.LoadTracker,
+        pace_of: Callable[[str], float],
+    ) -> None:
+        """Initializes the costs.
+
+        Args:
+            engine: performance model and limits of the runners.
+            load_tracker: load of the runners.
+            pace_of: returns the pace of the runner at an address.
+        """
+        self._engine = engine
+        self._load_tracker = load_tracker
+        self._pace_of = pace_of
+
+    def layer_seconds(self, server: directory.Server) -> float:
+        """Returns a runner's expected seconds for one layer of a token step."""
+        engine = self._engine
+        kind = engine.kind(server.kind)
+        load = self._load_tracker.at(server.address)
+        held = max(1, server.layers.count)
+        tokens = load.token_layers / held
+        step = (
+            engine.step_seconds
+            + load.requests * engine.sequence_seconds
+            + tokens * engine.context_seconds
+        )
+        pace = kind.pace * self._pace_of(server.address)
+        return step * pace / engine.layers
+
+    def layer_cost(self, server: directory.Server) -> float:
+        """Returns the cost of one layer on a runner, with crowding."""
+        load = self._load_tracker.at(server.address)
+        kind = self._engine.kind(server.kind)
+        room = self._engine.token_layer_capacity(kind, server.layers.count)
+        share = load.token_layers / room if room else 1.0
+        slots = server.slots or self._engine.slots
+        share = max(share, load.requests_as_first / slots)
+        crowding = 1.0 + CROWDING_COST_RATIO * max(
+            0.0, share - CROWDING_THRESHOLD_RATIO
+        )
+        # All layers together cost the mean wait of the pipeline's runners, as
+        # these process successive prompts at the same time.
+        wait = self.prompt_wait_seconds(server) / self._engine.layers
+        return (
+            self.layer_seconds(server) * crowding
+            + PROMPT_WAIT_COST_RATIO * wait
+        )
+
+    def prompt_wait_seconds(self, server: directory.Server) -> float:
+        """Returns the time in which a runner processes its waiting prompts."""
+        engine = self._engine
+        kind = engine.kind(server.kind)
+        waiting = self._load_tracker.at(server.address).prompt_token_layers
+        factor = kind.prompt_time_factor * self._pace_of(server.address)
+        return (
+            waiting / engine.layers / engine.prompt_tokens_per_second * factor
+        )
+
+    def crossing_seconds(self) -> float:
+        """Returns the time of a crossing between failure domains."""
+        engine = self._engine
+        transfer = engine.activation_bytes * 8 / (engine.pipe_mbps * 1e6)
+        return engine.domain_delay + transfer
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/paths.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/paths.py
@@ -16,6 +16,7 @@
 from nutmeglift_gateway import catalog
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import loads
+from nutmeglift_gateway import path_costs
 
 MAX_PART_COUNT = 32
 """Runners reject longer paths (limit of the engines' protocol)."""
@@ -27,15 +28,6 @@
 MAX_SLOT_RATIO = 0.95
 """Maximum part of a first runner's slots to use; the rest is for requests that
 other routers sent since their last report."""
-CROSSING_COST_RATIO = 4.0
-"""Multiple of its delay that a crossing between failure domains costs: it
-delays every token and shares the link with all other crossings."""
-CROWDING_THRESHOLD_RATIO = 0.5
-"""Part of a runner's memory or slots whose use does not affect the cost: the
-memory that a request will need is known only within a factor of two."""
-CROWDING_COST_RATIO = 6.0
-"""Increase of a runner's cost with the use beyond that threshold: a full
-runner costs four times as much, as preempted requests wait for memory."""
 REMOTE_DOMAIN_COST_RATIO = 1.3
 """Factor by which a pipeline in another failure domain has to be faster,
 because traffic between failure domains is billed by the byte."""
@@ -80,13 +72,21 @@
         """Returns whether a runner is on the path."""
         return any(part.server.address == address for part in self.parts)
 
-    def reservations(self, tokens: float) -> tuple[loads.Reservation, ...]:
-        """Returns the reservations for a request with this many tokens."""
+    def reservations(
+        self, tokens: float, prompt_tokens: int = 0
+    ) -> tuple[loads.Reservation, ...]:
+        """Returns the reservations for a request.
+
+        Args:
+            tokens: tokens that it holds.
+            prompt_tokens: tokens of its prompt.
+        """
         return tuple(
             loads.Reservation(
                 part.server.address,
                 index == 0,
                 tokens * (part.end - part.start),
+                prompt_tokens * (part.end - part.start),
             )
             for index, part in enumerate(self.parts)
         )
@@ -173,23 +173,12 @@
         """
         self._engine = engine
         self._load_tracker = load_tracker
-        self._pace_of = pace_of
+        self._costs = path_costs.PathCosts(engine, load_tracker, pace_of)
         self._full = full
 
     def layer_seconds(self, server: directory.Server) -> float:
         """Returns a runner's expected seconds for one layer of a token step."""
-        engine = self._engine
-        kind = engine.kind(server.kind)
-        load = self._load_tracker.at(server.address)
-        held = max(1, server.layers.count)
-        tokens = load.token_layers / held
-        step = (
-            engine.step_seconds
-            + load.requests * engine.sequence_seconds
-            + tokens * engine.context_seconds
-        )
-        pace = kind.pace * self._pace_of(server.address)
-        return step * pace / engine.layers
+        return self._costs.layer_seconds(server)
 
     def find(
         self,
@@ -297,19 +286,6 @@
         )
         return load.token_layers + needed <= room * MAX_MEMORY_RATIO
 
-    def _layer_cost(self, server: directory.Server) -> float:
-        """Returns the cost of one layer on a runner, with crowding."""
-        load = self._load_tracker.at(server.address)
-        kind = self._engine.kind(server.kind)
-        room = self._engine.token_layer_capacity(kind, server.layers.count)
-        share = load.token_layers / room if room else 1.0
-        slots = server.slots or self._engine.slots
-        share = max(share, load.requests_as_first / slots)
-        crowding = 1.0 + CROWDING_COST_RATIO * max(
-            0.0, share - CROWDING_THRESHOLD_RATIO
-        )
-        return self.layer_seconds(server) * crowding
-
     def _has_free_slot(self, server: directory.Server) -> bool:
         slots = server.slots or self._engine.slots
         return (
@@ -317,16 +293,13 @@
             < slots * MAX_SLOT_RATIO
         )
 
-    def _crossing_seconds(self) -> float:
-        engine = self._engine
-        transfer = engine.activation_bytes * 8 / (engine.pipe_mbps * 1e6)
-        return engine.domain_delay + transfer
-
     def _search(
         self, servers: list[directory.Server], segment: Segment
     ) -> Path | None:
-        crossing = self._crossing_seconds() * CROSSING_COST_RATIO
-        costs = {s.address: self._layer_cost(s) for s in servers}
+        crossing = (
+            self._costs.crossing_seconds() * path_costs.CROSSING_COST_RATIO
+        )
+        costs = {s.address: self._costs.layer_cost(s) for s in servers}
         begin = _PartialPath(0.0, 0, segment.domain, None, None)
         frontier: dict[int, dict[str, _PartialPath]] = {
             segment.start: {segment.domain: begin}
@@ -373,7 +346,7 @@
             for part in parts
         )
         path = Path(tuple(parts), seconds, partial.cost)
-        delay = path.crossings * self._crossing_seconds()
+        delay = path.crossings * self._costs.crossing_seconds()
         return dataclasses.replace(path, step_seconds=seconds + delay)
 
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/running_stream.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/running_stream.py
@@ -58,6 +58,7 @@
     resume_not_before: float = 0.0
     _reserved: tuple[loads.Reservation, ...] = ()
     _resume_reserved: tuple[loads.Reservation, ...] = ()
+    _prompt_reserved: tuple[loads.Reservation, ...] = ()
 
     @property
     def request_id(self) -> str:
@@ -81,12 +82,25 @@
     def reserve(self, board: boards.Board) -> tuple[loads.Reservation, ...]:
         """Reserves capacity on its path; returns the reservations."""
         self.release(board)
-        self._reserved = self.path.reservations(self.tokens)
+        self._reserved = self.path.reservations(
+            self.tokens, self.admitted.prompt_tokens
+        )
         board.load_tracker.reserve(self._reserved)
         return self._reserved
 
+    def begin_prompt(self, board: boards.Board) -> None:
+        """Counts its prompt as waiting at the runners of its path."""
+        self._prompt_reserved = self._reserved
+        board.load_tracker.begin_prompts(self._prompt_reserved)
+
+    def end_prompt(self, board: boards.Board) -> None:
+        """Counts its prompt as processed."""
+        board.load_tracker.end_prompts(self._prompt_reserved)
+        self._prompt_reserved = ()
+
     def release(self, board: boards.Board) -> None:
         """Releases its reservations."""
+        self.end_prompt(board)
         if self._reserved:
             board.load_tracker.release(self._reserved)
             self._reserved = ()
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
@@ -230,6 +230,7 @@
             )
         running = self._new_attempt(path, now)
         running.stream.reserve(context.board)
+        running.stream.begin_prompt(context.board)
         upstream: http_call.Connection | attempt.Outcome | None = None
         silent_since = beside.receiver.last_byte_at if beside else 0.0
         try:
@@ -315,6 +316,7 @@
             self._end(other)
             if unfinished and self._context.board.has_terminated(other.server):
                 self._reply.progress.terminated_runs += 1
+        running.stream.end_prompt(self._context.board)
         self._last_event_id = running.events.last_id
         self._reply.on_events(head, data)
 
--- a/tests/gateway/test_load_rows.py
+++ b/tests/gateway/test_load_rows.py
@@ -13,7 +13,9 @@
 
 def make_loads(rng):
     return {
-        address: loads.Load(rng.randint(1, 9), rng.randint(0, 2), 812.0 * 40)
+        address: loads.Load(
+            rng.randint(1, 9), rng.randint(0, 2), 812.0 * 40, rng.randint(0, 3)
+        )
         for address in rng.sample(ADDRESSES, rng.randint(0, len(ADDRESSES)))
     }
 
@@ -70,10 +72,11 @@
         row = load_rows.LoadRow
         cases = [
             ("addresses are missing", 5, ["a:1"], []),
-            ("addresses come twice", 1, [], [row(2, 1, 1, 1)]),
-            ("no such position", 2, [], [row(2, 1, 1, 1)]),
-            ("a negative position", 2, [], [row(-1, 1, 1, 1)]),
-            ("a negative load", 2, [], [row(0, -1, 0, 0)]),
+            ("addresses come twice", 1, [], [row(2, 1, 1, 1, 0)]),
+            ("no such position", 2, [], [row(2, 1, 1, 1, 0)]),
+            ("a negative position", 2, [], [row(-1, 1, 1, 1, 0)]),
+            ("a negative load", 2, [], [row(0, -1, 0, 0, 0)]),
+            ("a negative prompt", 2, [], [row(0, 1, 0, 0, -5)]),
             ("too many", 2, ["c:1"] * (2 * load_rows.MAX_ADDRESS_COUNT), []),
         ]
         for name, start, addresses, rows in cases:
--- a/tests/gateway/test_paths.py
+++ b/tests/gateway/test_paths.py
@@ -3,6 +3,7 @@
 from nutmeglift import ids
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import loads
+from nutmeglift_gateway import path_costs
 from nutmeglift_gateway import path_explanation
 from nutmeglift_gateway import paths
 from tests.gateway import rig
@@ -142,7 +143,7 @@
                 load_tracker.at(first.address).token_layers / capacity
             )
         self.assertGreater(
-            min(share_by_domain.values()), paths.CROWDING_THRESHOLD_RATIO
+            min(share_by_domain.values()), path_costs.CROWDING_THRESHOLD_RATIO
         )
 
     def test_the_expected_step_excludes_the_crowding_cost(self):
