--- a/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
@@ -12,6 +12,7 @@
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import freshness
 from nutmeglift_gateway import link_budget
+from nutmeglift_gateway import live_peers
 from nutmeglift_gateway import loads
 from nutmeglift_gateway import paths
 from nutmeglift_gateway import retry_budget
@@ -32,10 +33,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class Pace:
-    """A runner's factor on the step time, and when it was read."""
+    """A runner's factor on the step time, and when it was read.
+
+    Attributes:
+        value: the factor.
+        read_at: loop time at which it was read.
+        own: whether this router read it, and not a peer.
+    """
 
     value: float
     read_at: float
+    own: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -71,6 +79,10 @@
             pace reader and the peers' links.
         router_by_name: addresses of the live routers, by VM; written by the
             store reader.
+        live_peers: routers from which reports arrive; written by the peers'
+            links.
+        on_crash_reported: called with the time and a server that a peer reports
+            as crashed; set by the crash detector.
         penalties: plain servers that lost responses; written by the requests.
         link_budget: this router's traffic between failure domains; written by
             the requests and the stream monitor.
@@ -106,6 +118,10 @@
         self.load_tracker = loads.LoadTracker()
         self.pace_by_address: dict[str, Pace] = {}
         self.router_by_name: dict[str, str] = {}
+        self.live_peers = live_peers.LivePeers()
+        self.on_crash_reported: Callable[[float, directory.Server], None] = (
+            lambda now, server: None
+        )
         self.penalties = server_selection.LossPenalties()
         self.link_budget = link_budget.LinkBudget()
         self.draining = False
@@ -135,6 +151,7 @@
             return False
         self.catalog = found
         self.catalog_revision = revision
+        self.notify_listeners()
         return True
 
     def set_bounds(self, bounds: settings.Bounds) -> None:
@@ -214,7 +231,7 @@
             self._moves = moves
             self._moves_version += 1
             if self.fence:
-                self._notify_listeners()
+                self.notify_listeners()
 
     def record_planner(self, fence: ids.FencingNumber) -> bool:
         """Records a planning router's fencing number.
@@ -269,7 +286,7 @@
 
     def record_pace(self, now: float, address: str, value: float) -> None:
         """Records a pace that a runner has just reported."""
-        self.pace_by_address[address] = Pace(value, now)
+        self.pace_by_address[address] = Pace(value, now, own=True)
 
     def pace_reader(self, now: float) -> Callable[[str], float]:
         """Returns a function from an address to the runner's pace."""
@@ -317,10 +334,11 @@
             now, server.address, server.lifetime, reason
         )
         if changed and reason in suspect_servers.SHARED_REASONS:
-            self._notify_listeners()
+            self.notify_listeners()
         return changed
 
-    def _notify_listeners(self) -> None:
+    def notify_listeners(self) -> None:
+        """Has peers receive this router's state without delay."""
         for listener in list(self.listeners):
             listener()
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -80,7 +80,7 @@
             config.bounds, ids.FailureDomain(config.failure_domain)
         )
         self._reader = store_reader.StoreReader(
-            store, schema, self.board, log, rng
+            store, schema, self.board, log, rng, config.vm
         )
         self._registration = registration.Registration(
             store,
@@ -94,11 +94,11 @@
             self.board, log, self.metrics
         )
         self._monitor = stream_monitor.StreamMonitor(
-            self.board, runners, log, self.metrics, failure_recorder
+            self.board, runners, log, self.metrics, failure_recorder, rng
         )
         self._prober = prober.Prober(self.board, runners, log)
         self._crash_detector = crash_detector.CrashDetector(
-            self.board, failure_recorder
+            self.board, failure_recorder, config.vm, self.metrics, log
         )
         self._planner = planner_controller.PlannerController(
             store,
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/loads.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/loads.py
@@ -10,6 +10,9 @@
 """Time without new requests for a server that rejected one as full. Capacity on
 it becomes free, and peers report their load, about this often."""
 
+ROUNDING_TOKEN_LAYERS = 1e-3
+"""Larger than what rounding leaves of reservations that have all ended."""
+
 
 @dataclasses.dataclass(slots=True)
 class Load:
@@ -19,20 +22,31 @@
         requests: requests whose path includes it.
         requests_as_first: requests for which it is the first runner.
         token_layers: reserved KV cache, in tokens times layers.
+        prompt_token_layers: prompts that it has not yet processed, in tokens
+            times layers.
     """
 
     requests: int = 0
     requests_as_first: int = 0
     token_layers: float = 0.0
+    prompt_token_layers: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reservation:
-    """Capacity that one request reserves on one backend server."""
+    """Capacity that one request reserves on one backend server.
+
+    Attributes:
+        address: address of the server.
+        first: whether the request is sent to it.
+        token_layers: KV cache, in tokens times layers.
+        prompt_token_layers: its part of the prompt, in tokens times layers.
+    """
 
     address: str
     first: bool
     token_layers: float
+    prompt_token_layers: float = 0.0
 
 
 NO_LOAD = Load()
@@ -64,21 +78,42 @@
     def reserve(self, reservations: tuple[Reservation, ...]) -> None:
         """Adds the reservations of a request that starts."""
         for reservation in reservations:
-            self._add(self._own_by_address, reservation, 1)
-            self._add(self._total_by_address, reservation, 1)
+            _add(self._own_by_address, reservation, 1)
+            _add(self._total_by_address, reservation, 1)
 
     def release(self, reservations: tuple[Reservation, ...]) -> None:
         """Removes the reservations of a request that ended."""
         for reservation in reservations:
-            self._add(self._own_by_address, reservation, -1)
-            self._add(self._total_by_address, reservation, -1)
+            _add(self._own_by_address, reservation, -1)
+            _add(self._total_by_address, reservation, -1)
+
+    def begin_prompts(self, reservations: tuple[Reservation, ...]) -> None:
+        """Adds the prompt of a request that was sent."""
+        self._add_prompts(reservations, 1)
+
+    def end_prompts(self, reservations: tuple[Reservation, ...]) -> None:
+        """Removes the prompt of a request whose first event has arrived."""
+        self._add_prompts(reservations, -1)
+
+    def _add_prompts(
+        self, reservations: tuple[Reservation, ...], sign: int
+    ) -> None:
+        for reservation in reservations:
+            change = Load(prompt_token_layers=reservation.prompt_token_layers)
+            for load_by_address in (
+                self._own_by_address,
+                self._total_by_address,
+            ):
+                _accumulate(load_by_address, reservation.address, change, sign)
 
     def record_report(
         self, now: float, peer: str, loads: Mapping[str, Load]
     ) -> None:
         """Replaces the loads that a peer reported before."""
+        self._subtract_report(peer)
         self._peer_loads[peer] = (now, loads)
-        self._recompute_totals()
+        for address, load in loads.items():
+            _accumulate(self._total_by_address, address, load, 1)
 
     def expire(self, now: float) -> None:
         """Drops the reports of peers that no longer send any."""
@@ -88,42 +123,37 @@
             if now - received_at > PEER_REPORT_TIMEOUT_SECONDS
         ]
         for peer in silent:
-            del self._peer_loads[peer]
-        if silent:
-            self._recompute_totals()
+            self._subtract_report(peer)
 
     def own(self) -> dict[str, Load]:
         """Returns this router's own load by address, without idle servers."""
-        return {
-            address: load
-            for address, load in self._own_by_address.items()
-            if load.requests > 0
-        }
+        return dict(self._own_by_address)
 
     def at(self, address: str) -> Load:
         """Returns the load of a backend server over all routers."""
         return self._total_by_address.get(address, NO_LOAD)
 
-    def _recompute_totals(self) -> None:
-        totals: dict[str, Load] = {}
-        sources = [self._own_by_address]
-        sources += [dict(loads) for _, loads in self._peer_loads.values()]
-        for source in sources:
-            for address, load in source.items():
-                total = totals.setdefault(address, Load())
-                total.requests += load.requests
-                total.requests_as_first += load.requests_as_first
-                total.token_layers += load.token_layers
-        self._total_by_address = totals
-
-    @staticmethod
-    def _add(
-        loads: dict[str, Load], reservation: Reservation, sign: int
-    ) -> None:
-        load = loads.get(reservation.address)
-        if load is None:
-            load = loads[reservation.address] = Load()
-        load.requests += sign
-        load.token_layers += sign * reservation.token_layers
-        if reservation.first:
-            load.requests_as_first += sign
+    def _subtract_report(self, peer: str) -> None:
+        _, loads = self._peer_loads.pop(peer, (0.0, {}))
+        for address, load in loads.items():
+            _accumulate(self._total_by_address, address, load, -1)
+
+
+def _add(loads: dict[str, Load], reservation: Reservation, sign: int) -> None:
+    change = Load(1, int(reservation.first), reservation.token_layers)
+    _accumulate(loads, reservation.address, change, sign)
+
+
+def _accumulate(
+    loads: dict[str, Load], address: str, change: Load, sign: int
+) -> None:
+    """Adds a change to a server's load; an idle server has no entry."""
+    load = loads.get(address)
+    if load is None:
+        load = loads[address] = Load()
+    load.requests += sign * change.requests
+    load.requests_as_first += sign * change.requests_as_first
+    load.token_layers += sign * change.token_layers
+    load.prompt_token_layers += sign * change.prompt_token_layers
+    if not load.requests and abs(load.token_layers) < ROUNDING_TOKEN_LAYERS:
+        del loads[address]
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
@@ -1,18 +1,12 @@
 """Messages between routers, encoded as CBOR."""
 
+import zlib
+
 import cbor2
 import msgspec
 
 from nutmeglift import errors
-
-
-class LoadRow(msgspec.Struct, array_like=True, frozen=True):
-    """The sender's own requests in flight on one backend server."""
-
-    address: str
-    requests: int
-    requests_as_first: int
-    token_layers: float
+from nutmeglift_gateway import load_rows
 
 
 class SuspectRow(msgspec.Struct, array_like=True, frozen=True):
@@ -73,12 +67,14 @@
             none.
         coverage_in: seconds until uncovered layers are loaded; 0 if none are
             uncovered.
-        loads: requests in flight that the sender itself dispatched.
+        loads: changes of the requests in flight that the sender itself
+            dispatched.
         suspects: backend servers that the sender excludes.
         paces: paces of runners that the sender read recently.
         fence: fencing number under which the sender plans; 0 if it does not.
         moves: pending moves, if the sender plans.
         budgets: counts for the services' retry budgets.
+        domain: the sender's failure domain.
     """
 
     vm: str
@@ -89,12 +85,13 @@
     store_age: float
     store_revision: int
     coverage_in: float
-    loads: list[LoadRow]
+    loads: load_rows.LoadChanges
     suspects: list[SuspectRow]
     paces: list[PaceRow]
     fence: int
     moves: list[MoveRow]
     budgets: list[BudgetRow]
+    domain: str = ""
 
 
 class EntryRow(msgspec.Struct, array_like=True, frozen=True):
@@ -105,14 +102,34 @@
     revision: int
 
 
+class CatalogRequest(msgspec.Struct, array_like=True, frozen=True, tag="want"):
+    """Requests a copy of the configuration.
+
+    Attributes:
+        generation: generation of the sender's configuration; 0 for none.
+    """
+
+    generation: int
+
+
 class CatalogCopy(msgspec.Struct, array_like=True, frozen=True, tag="catalog"):
-    """The configuration, sent to a router that has an older one."""
+    """The configuration, sent to a router that requested it.
+
+    Attributes:
+        entry: its entry of the store, with a compressed value.
+    """
 
     entry: EntryRow
 
 
+class ServersRequest(
+    msgspec.Struct, array_like=True, frozen=True, tag="want servers"
+):
+    """Requests a copy of all backend servers."""
+
+
 class ServersCopy(msgspec.Struct, array_like=True, frozen=True, tag="servers"):
-    """All backend servers, sent to a router whose view is older.
+    """All backend servers, sent to a router that requested them.
 
     Attributes:
         age: age of the sender's view, in seconds.
@@ -144,11 +161,48 @@
     rows: list[ChangeRow]
 
 
-Message = PeerReport | CatalogCopy | ServersCopy | Changes
+Message = (
+    PeerReport
+    | CatalogRequest
+    | CatalogCopy
+    | ServersRequest
+    | ServersCopy
+    | Changes
+)
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 """Four times the largest value that the store accepts."""
 
 
+MAX_VALUE_BYTES = MAX_MESSAGE_BYTES
+"""Limits a decompressed value."""
+COMPRESSION_LEVEL = 1
+"""The fastest: configurations repeat the same few fields."""
+
+
+def compress(value: bytes) -> bytes:
+    """Returns a compressed value of an entry."""
+    return zlib.compress(value, COMPRESSION_LEVEL)
+
+
+def decompress(raw: bytes) -> bytes:
+    """Returns the value that was compressed.
+
+    Raises:
+        errors.MalformedMessageError: the bytes are no complete compressed
+            value, or the value is too large.
+    """
+    decompressor = zlib.decompressobj()
+    try:
+        value = decompressor.decompress(raw, MAX_VALUE_BYTES)
+    except zlib.error as error:
+        raise errors.MalformedMessageError(f"compressed: {error}") from error
+    if not decompressor.eof:
+        raise errors.MalformedMessageError(
+            f"the value is cut short or exceeds {MAX_VALUE_BYTES} bytes"
+        )
+    return value
+
+
 def encode(message: Message) -> bytes:
     """Encodes a message."""
     raw: bytes = cbor2.dumps(
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
@@ -5,24 +5,17 @@
 from nutmeglift import kv
 from nutmeglift_gateway import board as boards
 from nutmeglift_gateway import directory
-from nutmeglift_gateway import loads
+from nutmeglift_gateway import load_rows
 from nutmeglift_gateway import peer_messages
 from nutmeglift_gateway import retry_budget
+from nutmeglift_gateway import servers_fetch
 from nutmeglift_gateway import store_reader
 from nutmeglift_gateway import suspect_servers
 from nutmeglift_gateway import view_age
 
-COPY_INTERVAL_SECONDS = 0.5
-"""A peer without access to the store receives the state of draining servers
-within this time, a quarter of the operators' bound."""
-CATALOG_COPY_DELAY_SECONDS = 0.4
-"""A peer's own watch usually delivers a configuration earlier than a copy."""
-MIN_VIEW_AGE_DIFFERENCE_SECONDS = 2.6
-"""Confirmations date a view of the store about once a second. A view that is
-older than another by more belongs to a router that the store does not serve."""
 PACE_REPORT_MAX_AGE_SECONDS = 1.0
-"""Paces read within this time are reported, including nominal ones, so that a
-peer that considers a runner slow is informed of its recovery."""
+"""Paces read within this time are reported, once on each link. Nominal ones are
+included, so that a peer that considers a runner slow learns of its recovery."""
 MAX_AGE_SECONDS = 1e9
 """Greater than any known age; stands for an unknown one."""
 
@@ -39,11 +32,12 @@
         self._board = board
         self._reader = reader
         self._vm = vm
+        self._load_encoder = load_rows.Encoder()
+        self._load_decoder = load_rows.Decoder()
+        self._paces_sent_until = float("-inf")
         self._sequence = 0
         self._received = 0
         self._sent_at_by_sequence: dict[int, float] = {}
-        self._copied_at = float("-inf")
-        self._behind_since: float | None = None
 
     def make_report(
         self, now: float, boot_now: float
@@ -61,7 +55,7 @@
             if old < self._received or old < self._sequence - 50:
                 del self._sent_at_by_sequence[old]
         age = board.freshness.age(boot_now)
-        return peer_messages.PeerReport(
+        report = peer_messages.PeerReport(
             vm=self._vm,
             sequence=self._sequence,
             echo=self._received,
@@ -74,15 +68,7 @@
             ),
             store_revision=self._reader.view.confirmed_revision,
             coverage_in=max(0.0, board.coverage_eta - now),
-            loads=[
-                peer_messages.LoadRow(
-                    address,
-                    load.requests,
-                    load.requests_as_first,
-                    load.token_layers,
-                )
-                for address, load in board.load_tracker.own().items()
-            ],
+            loads=self._load_encoder.encode(board.load_tracker.own()),
             suspects=[
                 peer_messages.SuspectRow(
                     address,
@@ -97,7 +83,9 @@
             paces=[
                 peer_messages.PaceRow(address, pace.value, now - pace.read_at)
                 for address, pace in board.pace_by_address.items()
-                if now - pace.read_at < PACE_REPORT_MAX_AGE_SECONDS
+                if pace.own
+                and pace.read_at >= self._paces_sent_until
+                and now - pace.read_at < PACE_REPORT_MAX_AGE_SECONDS
             ],
             fence=board.fence,
             moves=[
@@ -115,7 +103,10 @@
                 )
                 for service, counts in board.budget_counts(now).items()
             ],
+            domain=board.home,
         )
+        self._paces_sent_until = now
+        return report
 
     def handle_message(
         self, message: peer_messages.Message, now: float, boot_now: float
@@ -124,13 +115,20 @@
         match message:
             case peer_messages.PeerReport():
                 return self._handle_report(message, now, boot_now)
+            case peer_messages.CatalogRequest(generation):
+                return self._copy_catalog(generation)
             case peer_messages.CatalogCopy(entry):
-                self._reader.view.apply_catalog(_key_value(entry))
+                value = peer_messages.decompress(entry.value)
+                self._reader.view.apply_catalog(
+                    kv.KeyValue(entry.key, value, ids.Revision(entry.revision))
+                )
+            case peer_messages.ServersRequest():
+                return self._copy_servers(boot_now)
             case peer_messages.ServersCopy(age, entries):
                 min_difference = (
                     0.0
                     if self._reader.is_down
-                    else MIN_VIEW_AGE_DIFFERENCE_SECONDS
+                    else servers_fetch.MIN_AGE_DIFFERENCE_SECONDS
                 )
                 if age + min_difference < self._view_age(boot_now):
                     self._reader.view.apply_servers(
@@ -153,15 +151,11 @@
             )
         board = self._board
         self._received = report.sequence
+        board.live_peers.record_report(
+            now, report.vm, ids.FailureDomain(report.domain)
+        )
         board.load_tracker.record_report(
-            now,
-            report.vm,
-            {
-                row.address: loads.Load(
-                    row.requests, row.requests_as_first, row.token_layers
-                )
-                for row in report.loads
-            },
+            now, report.vm, self._load_decoder.decode(report.loads)
         )
         if report.coverage_in > 0:
             board.coverage_eta = max(
@@ -185,6 +179,8 @@
                 board.suspect(
                     now, server, suspect_servers.Reason.REPORTED_BY_PEER
                 )
+                if row.reason == suspect_servers.Reason.CRASHED:
+                    board.on_crash_reported(now, server)
         for pace in report.paces:
             known = board.pace_by_address.get(pace.address)
             read_at = now - pace.age
@@ -194,7 +190,9 @@
                 )
         self._apply_confirmation(report)
         self._compare_views(report, boot_now)
-        return self._make_copies(report, now, boot_now)
+        return self._request_catalog(report, now) + self._request_servers(
+            report, now, boot_now
+        )
 
     def _apply_planner_report(
         self, report: peer_messages.PeerReport, now: float
@@ -252,43 +250,53 @@
     def _view_age(self, boot_now: float) -> float:
         return self._reader.view.view_age.age(boot_now)
 
-    def _make_copies(
-        self, report: peer_messages.PeerReport, now: float, boot_now: float
+    def _request_catalog(
+        self, report: peer_messages.PeerReport, now: float
     ) -> list[peer_messages.Message]:
+        """Requests the peer's configuration if it is newer and needed."""
         own = self._board.catalog
-        behind = own is not None and report.generation < own.generation
-        if not behind:
-            self._behind_since = None
-        elif self._behind_since is None:
-            self._behind_since = now
-        if now - self._copied_at < COPY_INTERVAL_SECONDS:
+        if not self._reader.catalog_fetch.should_request(
+            now,
+            ids.Generation(report.generation),
+            ids.FailureDomain(report.domain),
+        ):
             return []
-        copies: list[peer_messages.Message] = []
-        entry = self._reader.view.catalog_entry()
+        return [peer_messages.CatalogRequest(own.generation if own else 0)]
+
+    def _copy_catalog(self, generation: int) -> list[peer_messages.Message]:
+        """Returns a copy for a peer with an older configuration."""
+        own = self._board.catalog
+        compressed = self._reader.view.compressed_catalog()
+        if own is None or compressed is None or own.generation <= generation:
+            return []
+        return [peer_messages.CatalogCopy(_row(compressed))]
+
+    def _request_servers(
+        self, report: peer_messages.PeerReport, now: float, boot_now: float
+    ) -> list[peer_messages.Message]:
+        """Requests the peer's view of the servers if it is newer and needed."""
         if (
-            self._behind_since is not None
-            and now - self._behind_since >= CATALOG_COPY_DELAY_SECONDS
-            and entry is not None
-        ):
-            copies.append(peer_messages.CatalogCopy(_row(entry)))
-        own_age = (
-            MAX_AGE_SECONDS
-            if self._reader.is_down
-            else self._view_age(boot_now)
-        )
-        peer_age = (
-            report.store_age if report.store_age >= 0 else MAX_AGE_SECONDS
-        )
-        if own_age + MIN_VIEW_AGE_DIFFERENCE_SECONDS < peer_age:
-            copies.append(
-                peer_messages.ServersCopy(
-                    own_age,
-                    [_row(e) for e in self._reader.view.server_entries()],
-                )
+            report.store_age < 0
+            or not self._reader.servers_fetch.should_request(
+                now,
+                ids.FailureDomain(report.domain),
+                age=report.store_age,
+                own_age=self._view_age(boot_now),
+                is_down=self._reader.is_down,
             )
-        if copies:
-            self._copied_at = now
-        return copies
+        ):
+            return []
+        return [peer_messages.ServersRequest()]
+
+    def _copy_servers(self, boot_now: float) -> list[peer_messages.Message]:
+        """Returns a copy for a peer with an older view."""
+        age = self._view_age(boot_now)
+        if self._reader.is_down or age >= MAX_AGE_SECONDS:
+            return []
+        entries = self._reader.view.server_entries()
+        return [
+            peer_messages.ServersCopy(age, [_row(entry) for entry in entries])
+        ]
 
 
 def _known_age(age: float) -> float:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
@@ -11,17 +11,24 @@
 from nutmeglift import kv
 from nutmeglift import retry
 from nutmeglift_gateway import board as boards
+from nutmeglift_gateway import catalog_fetch
 from nutmeglift_gateway import decision_log
 from nutmeglift_gateway import freshness
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import relay
+from nutmeglift_gateway import servers_fetch
 from nutmeglift_gateway import store_outage
 from nutmeglift_gateway import store_view
 
-CONFIRM_INTERVAL_SECONDS = 0.9
-"""Half of the operators' bound for a change to take effect on all routers."""
+PLANNER_CONFIRM_INTERVAL_SECONDS = 0.7
+"""The planner confirms before the others, which add the interval of reports to
+the age of what it tells them."""
+CONFIRM_INTERVAL_SECONDS = 1.15
+"""With the jitter three quarters of the operators' bound for a change to take
+effect on all routers."""
 CONFIRM_JITTER_SECONDS = 0.3
-"""Spreads the routers' confirmations; the first one is passed to the peers."""
+"""Spreads the confirmations of routers whose planner gives none. Each is passed
+to the peers at once."""
 MAX_CONFIRM_BACKOFF_SECONDS = 0.3
 """Bounds how long after the last failed call a store may have returned."""
 POLL_INTERVAL_SECONDS = 0.1
@@ -50,6 +57,8 @@
         on_changes: called with the changes that this router's own watch
             returned, preceded by the revision before them.
         outage: tracks whether the store answers this router.
+        catalog_fetch: decides from where to get a new configuration.
+        servers_fetch: decides from which router to request the servers.
     """
 
     def __init__(
@@ -59,6 +68,7 @@
         board: boards.Board,
         log: decision_log.DecisionLog,
         rng: random.Random,
+        vm: str,
     ) -> None:
         self._store = store
         self._schema = schema
@@ -72,6 +82,8 @@
         self._watch_limit: asyncio.Timeout | None = None
         self.view = store_view.StoreView(schema, board, log)
         self.relay = relay.Relay()
+        self.catalog_fetch = catalog_fetch.CatalogFetch(board, vm)
+        self.servers_fetch = servers_fetch.ServersFetch(board.home)
         self.on_changes: Callable[[ids.Revision, list[kv.WatchEvent]], None] = (
             lambda after, events: None
         )
@@ -94,10 +106,8 @@
     async def confirm(self) -> None:
         """Confirms the configuration periodically until cancelled."""
         backoff = retry.Backoff(self._rng, largest=MAX_CONFIRM_BACKOFF_SECONDS)
+        limit = self._choose_confirm_limit()
         while True:
-            limit = CONFIRM_INTERVAL_SECONDS + self._rng.uniform(
-                0, CONFIRM_JITTER_SECONDS
-            )
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
             self.check_view()
             if self._board.catalog is None:
@@ -105,9 +115,11 @@
             if not self._is_confirmation_due(limit):
                 continue
             sent_at = self._catalog_requested_at = self._now()
+            limit = self._choose_confirm_limit()
             try:
                 await self._confirm_once()
                 self.outage.record_answer(self._now())
+                self._board.notify_listeners()
                 backoff.reset()
             except errors.PlatformError as error:
                 self.outage.record_failure(self._now(), sent_at, str(error))
@@ -140,6 +152,12 @@
     def _view_age(self) -> float:
         return self.view.view_age.age(freshness.boot_clock())
 
+    def _choose_confirm_limit(self) -> float:
+        """Returns the age at which this router confirms unless it plans."""
+        return CONFIRM_INTERVAL_SECONDS + self._rng.uniform(
+            0, CONFIRM_JITTER_SECONDS
+        )
+
     def _is_confirmation_due(self, limit: float) -> bool:
         """Returns whether to ask the store for its revision.
 
@@ -147,6 +165,8 @@
             limit: age in seconds at which that of the configuration is
                 confirmed, and that of the view unless it is known to be behind.
         """
+        if self._board.fence:
+            limit = PLANNER_CONFIRM_INTERVAL_SECONDS
         age = self._board.freshness.age(freshness.boot_clock())
         if not self.view.view_age.is_behind:
             age = max(age, self._view_age())
@@ -232,6 +252,7 @@
         return (
             self.view.lacks_catalog
             and now - self._catalog_requested_at >= COALESCE_DELAY_SECONDS
+            and self.catalog_fetch.may_read_store(now)
         )
 
     async def _confirm_once(self) -> None:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
@@ -22,6 +22,7 @@
 from nutmeglift_gateway import running_stream
 from nutmeglift_gateway import sender as senders
 from nutmeglift_gateway import sse
+from nutmeglift_gateway import successor_paths
 
 
 @dataclasses.dataclass(eq=False)
@@ -165,7 +166,13 @@
         )
         usable = board.usable(self._admitted.service.id)
         finder = board.path_finder(engine, now)
-        path = finder.find(self._failures.untried(usable), requirements)
+        untried = self._failures.untried(usable)
+        if self._reply.progress.sent:
+            path = successor_paths.find_path(
+                finder, untried, requirements, self._context.rng
+            )
+        else:
+            path = finder.find(untried, requirements)
         if path is None and self._reply.progress.started:
             path = finder.find(usable, requirements)
         if path is None:
@@ -223,6 +230,7 @@
             )
         running = self._new_attempt(path, now)
         running.stream.reserve(context.board)
+        running.stream.begin_prompt(context.board)
         upstream: http_call.Connection | attempt.Outcome | None = None
         silent_since = beside.receiver.last_byte_at if beside else 0.0
         try:
@@ -308,6 +316,7 @@
             self._end(other)
             if unfinished and self._context.board.has_terminated(other.server):
                 self._reply.progress.terminated_runs += 1
+        running.stream.end_prompt(self._context.board)
         self._last_event_id = running.events.last_id
         self._reply.on_events(head, data)
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_monitor.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_monitor.py
@@ -1,11 +1,11 @@
 """Monitors running streams; moves or resumes those on failed runners."""
 
 import asyncio
+import random
 
 from nutmeglift_gateway import background_tasks
 from nutmeglift_gateway import board as boards
 from nutmeglift_gateway import decision_log
-from nutmeglift_gateway import directory
 from nutmeglift_gateway import failure_recorder as recorders
 from nutmeglift_gateway import metrics as metric_sets
 from nutmeglift_gateway import pace_reader
@@ -43,6 +43,7 @@
         log: decision_log.DecisionLog,
         metrics: metric_sets.Metrics,
         failure_recorder: recorders.FailureRecorder,
+        rng: random.Random,
     ) -> None:
         self._board = board
         self._runners = runners
@@ -55,7 +56,7 @@
         self._pace_reader = pace_reader.PaceReader(
             board, runners, failure_recorder, log
         )
-        self._resumer = stream_resumer.StreamResumer(board, log, metrics)
+        self._resumer = stream_resumer.StreamResumer(board, log, metrics, rng)
         self._background_tasks = background_tasks.BackgroundTasks(log)
         self._streams: set[running_stream.Stream] = set()
         self._requested_at_by_address: dict[str, float] = {}
@@ -77,11 +78,13 @@
 
     def _check_streams(self, now: float) -> None:
         streams = [each for each in self._streams if not each.paused]
+        silent_addresses = silence_detection.suspected_addresses(
+            each.silence(now) for each in streams
+        )
         self._reachability.check(
             now,
-            silence_detection.suspected_addresses(
-                each.silence(now) for each in streams
-            ),
+            silent_addresses
+            - self._board.suspect_servers.terminated_addresses(),
         )
         self._pace_reader.read(now, streams)
         down_addresses = self._board.suspect_servers.down_addresses()
@@ -104,7 +107,10 @@
                 case stalls.Action.WAIT:
                     pass
                 case stalls.Action.REQUEST_REPORT:
-                    if self._gives_no_report(stream.path.first):
+                    first = stream.path.first
+                    if self._board.suspect_servers.gives_no_report(
+                        first.address, first.lifetime
+                    ):
                         self._resumer.start_successor(
                             stream, now, "its first runner gives no report"
                         )
@@ -155,18 +161,6 @@
         self._try_move(stream)
         return stream.is_busy
 
-    def _gives_no_report(self, server: directory.Server) -> bool:
-        """Returns whether a report was requested in vain, and will be again.
-
-        Suspects are probed, so no further report is requested here.
-        """
-        suspects = self._board.suspect_servers
-        return (
-            suspects.is_suspect(server.address, server.lifetime)
-            and suspects.reason(server.address)
-            == suspect_servers.Reason.NO_REPORT
-        )
-
     def _request_report(self, address: str, now: float) -> None:
         requested_at = self._requested_at_by_address.get(address, float("-inf"))
         if now - requested_at < MIN_REPORT_INTERVAL_SECONDS:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/suspect_servers.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/suspect_servers.py
@@ -170,6 +170,16 @@
             address, lifetime
         ) and now < self._record_by_address[address].lost_at < float("inf")
 
+    def gives_no_report(self, address: str, lifetime: tuple[str, int]) -> bool:
+        """Returns whether a server's report was requested in vain.
+
+        It is requested again by probes, so that no further request is needed.
+        """
+        return (
+            self.is_suspect(address, lifetime)
+            and self._record_by_address[address].reason == Reason.NO_REPORT
+        )
+
     def reason(self, address: str) -> str:
         """Returns why the address is suspect, or an empty string."""
         record = self._record_by_address.get(address)
@@ -212,6 +222,14 @@
             if record.suspect and record.reason in DOWN_REASONS
         }
 
+    def terminated_addresses(self) -> set[str]:
+        """Returns the addresses of suspects that were found lost."""
+        return {
+            address
+            for address, record in self._record_by_address.items()
+            if record.suspect and record.reason in TERMINATED_REASONS
+        }
+
     def down_since(self, address: str) -> float | None:
         """Returns when the suspect at an address failed; None if not down."""
         record = self._record_by_address.get(address)
