Keep the sending times of reports until a peer has echoed them

Cause: a router dropped the times of its own reports by the sequence of its peer's. Once a peer had sent more reports than it, as the planner with its urgent ones, no echo could be dated: its confirmations of the configuration and of the view were ignored.

Change: times are dropped by the greatest echo of this router's own sequence.

Result: test_a_confirmation_of_a_peer_that_sends_more_reports_than_we failed before (no confirmation) and passes.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
@@ -16,6 +16,9 @@
 PACE_REPORT_MAX_AGE_SECONDS = 1.0
 """Paces read within this time are reported, once on each link. Nominal ones are
 included, so that a peer that considers a runner slow learns of its recovery."""
+MAX_UNECHOED_COUNT = 50
+"""Reports whose times are kept for a peer that echoes none: those of a second
+in which all of them are urgent."""
 MAX_AGE_SECONDS = 1e9
 """Greater than any known age; stands for an unknown one."""
 
@@ -37,6 +40,7 @@
         self._paces_sent_until = float("-inf")
         self._sequence = 0
         self._received = 0
+        self._echoed = 0
         self._sent_at_by_sequence: dict[int, float] = {}
 
     def make_report(
@@ -52,7 +56,7 @@
         self._sequence += 1
         self._sent_at_by_sequence[self._sequence] = boot_now
         for old in list(self._sent_at_by_sequence):
-            if old < self._received or old < self._sequence - 50:
+            if old < self._echoed or old < self._sequence - MAX_UNECHOED_COUNT:
                 del self._sent_at_by_sequence[old]
         age = board.freshness.age(boot_now)
         report = peer_messages.PeerReport(
@@ -151,6 +155,8 @@
             )
         board = self._board
         self._received = report.sequence
+        if report.echo in self._sent_at_by_sequence:
+            self._echoed = max(self._echoed, report.echo)
         board.live_peers.record_report(
             now, report.vm, ids.FailureDomain(report.domain)
         )
--- a/tests/gateway/test_peer_state.py
+++ b/tests/gateway/test_peer_state.py
@@ -62,6 +62,21 @@
         # It was 1.5 s old when it was sent, after our report at 100.0.
         self.assertAlmostEqual(self.one.board.freshness.confirmed_at, 98.5)
 
+    def test_a_confirmation_of_a_peer_that_sends_more_reports_than_we(self):
+        for step in range(9):
+            self.send(self.two, self.one, 0.1 * step, 90.0 + 0.1 * step)
+        self.send(self.one, self.two, 1.0, 100.0)
+        self.one.state.make_report(1.1, 100.1)
+        self.two.board.freshness.confirm(100.2)
+        self.send(self.two, self.one, 1.3, 100.3)
+        # It echoes our report at 100.0 and is 0.1 s old.
+        self.assertAlmostEqual(self.one.board.freshness.confirmed_at, 99.9)
+        # Later reports that echo the same one of ours are dated by it as well.
+        self.two.board.freshness.confirm(100.4)
+        self.send(self.two, self.one, 1.4, 100.4)
+        self.assertAlmostEqual(self.one.board.freshness.confirmed_at, 100.0)
+        self.assertLess(len(self.one.state._sent_at_by_sequence), 4)
+
     def test_a_confirmation_that_echoes_no_report_of_ours_is_ignored(self):
         self.two.board.freshness.confirm(99.0)
         self.send(self.two, self.one, 1.0, 100.0)
