Count the time of the uvloop tests in turns of the event loop

Cause: the three tests of UvloopClosingTest ran in real time with limits of 0.2 and 0.3 s. Traced on 24 parallel runs: the caller's connection reached its time limit while the process had no processor, between two steps of the test ("with the rest of its head", 408), which the listener is right to do. A request is also late if the kernel has not delivered it when the process goes on.

Change: a loop of uvloop counts turns of a millisecond or more as one each, so that a process without a processor sees no time pass; timers still run before sockets are read. What is sent during a delay is awaited at the receiver's socket.

The tests still fail if the listener doesn't read after a delay.

--- a/tests/gateway/test_listener_closing.py
+++ b/tests/gateway/test_listener_closing.py
@@ -3,16 +3,15 @@
 import asyncio
 import dataclasses
 import functools
+import select
 import socket
-import time
 import unittest
 from unittest import mock
 
-import uvloop
-
 from nutmeglift_gateway import catalog
 from nutmeglift_gateway import http_listener
 from nutmeglift_gateway import responses
+from tests import uvloop_time
 from tests.gateway import virtual_time_case
 
 WAIT_SECONDS = 5.0
@@ -40,7 +39,7 @@
 
 
 class ClosingTest(virtual_time_case.VirtualTimeTestCase):
-    """Runs in virtual time; UvloopClosingTest runs it in real time."""
+    """Runs in virtual time."""
 
     async def asyncSetUp(self):
         self.limits = LIMITS
@@ -92,6 +91,14 @@
         loop = asyncio.get_running_loop()
         await asyncio.wait_for(loop.sock_sendall(sock, data), WAIT_SECONDS)
 
+    def deliver(self, sock, data):
+        """Sends data and waits until it can be read by the listener."""
+        sock.send(data)
+        for connection in self.connections:
+            accepted = connection._transport.get_extra_info("socket")
+            if accepted.getpeername() == sock.getsockname():
+                select.select([accepted.fileno()], [], [], WAIT_SECONDS)
+
     async def read_to_end(self, sock):
         loop = asyncio.get_running_loop()
         received = b""
@@ -131,7 +138,9 @@
                 if begun:
                     await self.send(sock, begun)
                 await asyncio.sleep(0.05)
-                self.during_delay = functools.partial(sock.send, arrived)
+                self.during_delay = functools.partial(
+                    self.deliver, sock, arrived
+                )
                 await self.send(await self.connect(), DELAYING)
                 target = (begun + arrived)[5:7]
                 received = await self.read_until(sock, target)
@@ -309,10 +318,7 @@
 class UvloopClosingTest(ClosingTest):
     """The same on the event loop that routers use."""
 
-    loop_factory = staticmethod(uvloop.new_event_loop)
-
-    def delay_loop(self, seconds):
-        time.sleep(seconds)
+    loop_factory = uvloop_time.TurnTimeLoop
 
 
 if __name__ == "__main__":
