--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -13,6 +13,7 @@
     "demo": (1, 1, 2),
     "consortium": (10, 1, 5),
     "addressing": (10, 1, 3),
+    "booking": (10, 1, 3),
 }
 SETTINGS = {
     "router.yaml": settings.RouterSettings,
