Log which requests may have caused the end of a runner

The incident's hypotheses could not be told apart: the logs named neither the parts of a prompt nor whether an attempt itself had begun to deliver.

The router now decodes the segments of a prompt (the header's name is in the platform's adapter), tracks each run by the lifetime of its runner, and logs 'server ended runs' once a runner is found ended: the requests that had delivered nothing yet, or had just begun, with their segments, and the number of the others. A request that has survived the beginning of a run elsewhere is no suspect. 'attempt failed' has the segments, and the metric crashed_runs counts both kinds.

Decides nothing yet.

--- a/packages/nutmeglift/nutmeglift/ids.py
+++ b/packages/nutmeglift/nutmeglift/ids.py
@@ -24,6 +24,8 @@
 Revision = NewType("Revision", int)
 """Revision of the key-value service."""
 RouteId = NewType("RouteId", str)
+SegmentId = NewType("SegmentId", str)
+"""Identifies a part of a prompt, of which requests may share some."""
 ServiceId = NewType("ServiceId", str)
 VersionId = NewType("VersionId", str)
 VmId = NewType("VmId", str)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/admission.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/admission.py
@@ -9,6 +9,7 @@
 from nutmeglift_gateway import caller_request
 from nutmeglift_gateway import catalog
 from nutmeglift_gateway import ports
+from nutmeglift_gateway import prompt_segments
 from nutmeglift_gateway import retry_delay
 
 MAX_AUTHORITATIVE_AGE_SECONDS = 1.8
@@ -42,6 +43,9 @@
         deadline_known: whether the caller set a deadline.
         prompt_tokens: tokens of the prompt; 0 for a plain service.
         response_tokens: expected tokens of the response.
+        segments: segments of its prompt that other requests may share; none if
+            the list is malformed.
+        segments_problem: why the list is malformed, or an empty string.
     """
 
     request_id: bytes
@@ -52,6 +56,8 @@
     deadline_known: bool
     prompt_tokens: int
     response_tokens: float
+    segments: tuple[ids.SegmentId, ...] = ()
+    segments_problem: str = ""
 
     @property
     def held_tokens(self) -> float:
@@ -210,6 +216,7 @@
                 errors.ErrorKind.BAD_REQUEST, None, "malformed token counts"
             )
         prompt_tokens, response_tokens = counts
+    segments, segments_problem = _parse_segments(names, request, service)
     return Admitted(
         request_id=request.get(names.request_id) or b"",
         route=route,
@@ -219,9 +226,30 @@
         deadline_known=raw is not None,
         prompt_tokens=prompt_tokens,
         response_tokens=response_tokens,
+        segments=segments,
+        segments_problem=segments_problem,
     )
 
 
+def _parse_segments(
+    names: ports.HeaderNames,
+    request: caller_request.Request,
+    service: catalog.Service,
+) -> tuple[tuple[ids.SegmentId, ...], str]:
+    """Returns the shared segments, and what is wrong with their list."""
+    if service.engine is None:
+        return (), ""
+    lists = [
+        value
+        for name, value in request.headers
+        if name == names.prompt_segments
+    ]
+    try:
+        return prompt_segments.parse_shared(b",".join(lists)), ""
+    except prompt_segments.MalformedSegmentsError as error:
+        return (), str(error)
+
+
 def _parse_token_counts(
     names: ports.HeaderNames, request: caller_request.Request
 ) -> tuple[int, float] | None:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
@@ -6,10 +6,12 @@
 
 from nutmeglift_gateway import admission
 from nutmeglift_gateway import caller_request
+from nutmeglift_gateway import directory
 from nutmeglift_gateway import http_call
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import responses
 from nutmeglift_gateway import retry_policy
+from nutmeglift_gateway import runs
 from nutmeglift_gateway import sse
 
 EVENT_STREAM_TYPE = b"text/event-stream"
@@ -233,3 +235,49 @@
     def _finish(self, outcome: Outcome) -> None:
         if not self.done.done():
             self.done.set_result(outcome)
+
+
+def new_run(
+    admitted: admission.Admitted,
+    server: directory.Server,
+    now: float,
+    *,
+    survived: bool = False,
+) -> runs.Run:
+    """Returns the record of a run that is about to be sent.
+
+    Args:
+        admitted: the request.
+        server: the server that it is sent to.
+        now: loop time in seconds.
+        survived: whether an earlier run of the request survived its beginning.
+    """
+    return runs.Run(
+        admitted.request_id.decode("latin-1"),
+        admitted.service.id,
+        admitted.segments,
+        server.lifetime,
+        now,
+        survived=survived,
+    )
+
+
+_RUN_END_BY_FAILURE = {
+    None: runs.End.COMPLETE,
+    retry_policy.Failure.LOST: runs.End.LOST,
+    retry_policy.Failure.INVALID: runs.End.LOST,
+    retry_policy.Failure.NOT_SENT: runs.End.NOT_RUN,
+    retry_policy.Failure.REJECTED: runs.End.NOT_RUN,
+    retry_policy.Failure.SERVER_ERROR: runs.End.NOT_RUN,
+    retry_policy.Failure.TIMEOUT: runs.End.ABORTED,
+}
+
+
+def run_end(receiver: ResponseReceiver) -> runs.End:
+    """Returns how the run of a response ended, once its connection is closed.
+
+    A complete error response shows neither a crash nor a sound prompt.
+    """
+    if not receiver.done.done() or receiver.done.cancelled():
+        return runs.End.ABORTED
+    return _RUN_END_BY_FAILURE[receiver.done.result().failure]
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/attempt_failures.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/attempt_failures.py
@@ -149,6 +149,7 @@
             fault=outcome.fault,
             path=reply.paths[-1:] or None,
             started=self._progress.started,
+            segments=admitted.segments or None,
             seconds=round(reply.elapsed(), 3),
         )
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
@@ -16,6 +16,7 @@
 from nutmeglift_gateway import loads
 from nutmeglift_gateway import paths
 from nutmeglift_gateway import retry_budget
+from nutmeglift_gateway import runs
 from nutmeglift_gateway import server_selection
 from nutmeglift_gateway import settings
 from nutmeglift_gateway import suspect_servers
@@ -86,6 +87,8 @@
         penalties: plain servers that lost responses; written by the requests.
         link_budget: this router's traffic between failure domains; written by
             the requests and the stream monitor.
+        runs: the runs of requests at the servers; written by the requests and
+            the failure recorder.
         draining: whether this process is shutting down; set by the gateway.
         fence: fencing number under which this router plans, or 0; written by
             the planner.
@@ -124,6 +127,7 @@
         )
         self.penalties = server_selection.LossPenalties()
         self.link_budget = link_budget.LinkBudget()
+        self.runs = runs.RunTracker()
         self.draining = False
         self.refusing = False
         self.coverage_eta = 0.0
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
@@ -15,6 +15,7 @@
 from nutmeglift_gateway import reply
 from nutmeglift_gateway import retry_delay
 from nutmeglift_gateway import retry_policy
+from nutmeglift_gateway import runs
 from nutmeglift_gateway import sender as senders
 from nutmeglift_gateway import server_selection
 from nutmeglift_gateway import stream_attempts
@@ -62,6 +63,12 @@
             self._reply.refuse(result.kind, result.retry_after, result.detail)
             return
         self._admitted = result
+        if result.segments_problem:
+            context.log.write(
+                "prompt segments malformed",
+                request=result.request_id.decode("latin-1"),
+                detail=result.segments_problem,
+            )
         context.board.budget(result.service.id).record_request(self._now())
         try:
             await self._serve(result)
@@ -223,6 +230,7 @@
             on_events=None,
         )
         self._receiver = receiver
+        run = self._begin_run(admitted, server)
         try:
             self._sender.send(
                 upstream,
@@ -234,10 +242,21 @@
             await receiver.done
         finally:
             upstream.abort()
+            self._context.board.runs.end(
+                self._now(), run, attempt.run_end(receiver)
+            )
         outcome = self._plain_outcome()
         assert outcome is not None
         return outcome
 
+    def _begin_run(
+        self, admitted: admission.Admitted, server: directory.Server
+    ) -> runs.Run:
+        run = attempt.new_run(admitted, server, self._now())
+        if admitted.service.engine is not None:
+            self._context.board.runs.begin(run)
+        return run
+
     def _first_event_id(self) -> int | None:
         raw = self._request.get(self._context.names.last_event_id)
         return int(raw) if raw is not None and raw.isdigit() else None
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/failure_recorder.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/failure_recorder.py
@@ -8,6 +8,9 @@
 from nutmeglift_gateway import metrics as metric_sets
 from nutmeglift_gateway import suspect_servers
 
+MAX_LOGGED_SUSPECT_COUNT = 8
+"""Suspect requests that are named in the log line of a crash."""
+
 
 class FailureRecorder:
     """Marks servers as suspect; all failures are recorded through it."""
@@ -46,6 +49,32 @@
             reason=reason.value,
             detail=detail,
         )
+        if reason is suspect_servers.Reason.CRASHED:
+            self._record_crash(now, server)
+
+    def _record_crash(self, now: float, server: directory.Server) -> None:
+        """Logs which requests a crash ended, and which may have caused it."""
+        crash = self._board.runs.take_ended(now, server.lifetime)
+        if crash is None:
+            return
+        self._metrics.crashed_runs.labels("suspect").inc(len(crash.suspects))
+        self._metrics.crashed_runs.labels("other").inc(crash.other_count)
+        self._log.write(
+            "server ended runs",
+            server=server.id,
+            address=server.address,
+            service=server.service,
+            suspects=[
+                {
+                    "request": run.request_id,
+                    "segments": run.segments,
+                    "waited": round(crash.at - run.sent_at, 3),
+                }
+                for run in crash.suspects[:MAX_LOGGED_SUSPECT_COUNT]
+            ],
+            suspect_count=len(crash.suspects),
+            others=crash.other_count,
+        )
 
     def record_by_address(
         self, address: str, reason: suspect_servers.Reason, detail: str
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/metrics.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/metrics.py
@@ -59,6 +59,9 @@
         self.suspects = self._counter(
             "suspects", "Backend servers left out.", ["reason"]
         )
+        self.crashed_runs = self._counter(
+            "crashed_runs", "Runs that a server's end ended.", ["part"]
+        )
         self.first_event = self._histogram(
             "first_event_seconds", "Time to a stream's first event."
         )
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/ports.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/ports.py
@@ -28,6 +28,8 @@
         fault: address of the runner that caused a failure.
         tokens: number of prompt tokens, and greatest number of output tokens.
         length_hint: the caller's estimate of the number of output tokens.
+        prompt_segments: the segments of the prompt in order, as
+            comma-separated ids with their numbers of tokens.
         last_event_id: last event that was received; a stream continues after
             it.
         priority: 0 is served first; set by the gateway.
@@ -47,6 +49,7 @@
     fault: bytes
     tokens: bytes
     length_hint: bytes
+    prompt_segments: bytes
     last_event_id: bytes
     priority: bytes
     expected_version: bytes
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
@@ -20,6 +20,7 @@
 from nutmeglift_gateway import reply as replies
 from nutmeglift_gateway import retry_policy
 from nutmeglift_gateway import running_stream
+from nutmeglift_gateway import runs
 from nutmeglift_gateway import sender as senders
 from nutmeglift_gateway import sse
 from nutmeglift_gateway import successor_paths
@@ -31,6 +32,7 @@
 
     stream: running_stream.Stream
     events: sse.EventSplitter
+    run: runs.Run
     upstream: http_call.Connection | None = None
 
     @property
@@ -88,6 +90,7 @@
         self._changed = asyncio.Event()
         self._successor_path: paths.Path | None = None
         self._paused = False
+        self._survived = False
         self._loop = asyncio.get_running_loop()
 
     async def next_outcome(self) -> attempt.Outcome | None:
@@ -247,6 +250,8 @@
                 retry_policy.Failure.NOT_SENT, detail="the stream has gone on"
             )
         running.upstream = upstream
+        running.run.sent_at = self._loop.time()
+        context.board.runs.begin(running.run)
         self._running.append(running)
         self._update_pairing()
         context.monitor.add(running.stream)
@@ -281,7 +286,10 @@
             excluded_ids=self._failures.tried,
             on_successor=self._on_successor,
         )
-        running = _Running(stream, events)
+        run = attempt.new_run(
+            self._admitted, path.first, now, survived=self._survived
+        )
+        running = _Running(stream, events, run)
         return running
 
     def _end(self, running: _Running) -> None:
@@ -297,6 +305,9 @@
             )
         self._context.monitor.remove(running.stream)
         running.stream.release(self._context.board)
+        self._context.board.runs.end(
+            self._loop.time(), running.run, attempt.run_end(running.receiver)
+        )
 
     def _update_pairing(self) -> None:
         for running in self._running:
@@ -316,6 +327,9 @@
             self._end(other)
             if unfinished and self._context.board.has_terminated(other.server):
                 self._reply.progress.terminated_runs += 1
+        self._survived |= self._context.board.runs.record_event(
+            self._loop.time(), running.run
+        )
         running.stream.end_prompt(self._context.board)
         self._last_event_id = running.events.last_id
         self._reply.on_events(head, data)
