Keep prompts that end runners away from all routers' runners

Cause: what a router learned from a crash it held against the runner and never against the request. A run at a runner that had ended did not count toward the route's attempts, so that one request ended four runners, and no router could tell what such requests had in common.

The class: a retry policy that counts only what the request has cost, not what it has done. The change: - A request that ended two servers when it was about to begin isn't sent to a third. - Each router reports the suspects of a crash (not begun, or just begun) and which of their segments it has seen survived. The sets are merged by union and maximum; a router passes on only what a peer's digest shows missing. - A segment is judged by the crashes since it was last survived. Each counts by how unlikely it is for a sound request: other crashes at the time, its share of the requests, its survivals before. Segments that always come together are quarantined together only. - A quarantined request is refused at once, truly not run, before each attempt; one that runs and has delivered nothing is ended (502). - The verdict is kept in the store and in the reports, so that a router that starts knows it. It ends by a single trial, reserved in the store, after 600 s without such requests (doubled by each failure) or after a release.

--- a/packages/nutmeglift/nutmeglift/errors.py
+++ b/packages/nutmeglift/nutmeglift/errors.py
@@ -31,6 +31,8 @@
     OUTCOME_UNKNOWN = "outcome_unknown"
     OVERLOADED = "overloaded"
     PLATFORM_UNAVAILABLE = "platform_unavailable"
+    QUARANTINED = "quarantined"
+    """Requests like this one have ended the servers that answered them."""
     STAGE_FAILED = "stage_failed"
     STALE_FENCING_NUMBER = "stale_fencing_number"
     STREAM_BROKEN = "stream_broken"
@@ -82,6 +84,7 @@
     ErrorKind.OUTCOME_UNKNOWN: Answer(502, _UNKNOWN, False),
     ErrorKind.OVERLOADED: Answer(503, _NOT_RUN, True),
     ErrorKind.PLATFORM_UNAVAILABLE: Answer(503, _NOT_RUN, True),
+    ErrorKind.QUARANTINED: Answer(503, _NOT_RUN, True),
     ErrorKind.STAGE_FAILED: Answer(502, _UNKNOWN, True),
     ErrorKind.STALE_FENCING_NUMBER: Answer(409, _NOT_RUN, False),
     ErrorKind.STREAM_BROKEN: Answer(502, _UNKNOWN, True),
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
@@ -257,6 +257,7 @@
         admitted.service.id,
         admitted.segments,
         server.lifetime,
+        server.address,
         now,
         survived=survived,
     )
@@ -270,6 +271,7 @@
     retry_policy.Failure.REJECTED: runs.End.NOT_RUN,
     retry_policy.Failure.SERVER_ERROR: runs.End.NOT_RUN,
     retry_policy.Failure.TIMEOUT: runs.End.ABORTED,
+    retry_policy.Failure.QUARANTINED: runs.End.ABORTED,
 }
 
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/attempt_failures.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/attempt_failures.py
@@ -5,6 +5,7 @@
 from nutmeglift_gateway import admission
 from nutmeglift_gateway import attempt
 from nutmeglift_gateway import context as contexts
+from nutmeglift_gateway import crash_checks
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import http_call
 from nutmeglift_gateway import reply as replies
@@ -48,6 +49,7 @@
         self._context = context
         self._progress = progress
         self._connect_failures = 0
+        self._servers_lost_before_begin: list[directory.Server] = []
 
     def untried(self, usable: list[directory.Server]) -> list[directory.Server]:
         """Returns the servers to choose from, without those already tried.
@@ -79,6 +81,7 @@
             reply: the response to the caller so far.
         """
         self._record(admitted, outcome, server, reply)
+        self._record_loss(outcome, server)
         lost = outcome.failure is retry_policy.Failure.LOST
         if lost and self._context.board.has_ended(server):
             self._progress.terminated_runs += 1
@@ -103,6 +106,10 @@
         self._record(admitted, outcome, first_server, reply)
         if await self._server_terminated(admitted, outcome, first_server):
             self._progress.terminated_runs += 1
+        self._record_loss(outcome, first_server)
+        await self._count_ended_servers(admitted)
+        if self._context.board.guard.find(admitted.segments) is not None:
+            failure = retry_policy.Failure.QUARANTINED
         decision = retry_policy.decide(
             admitted.route,
             self._progress,
@@ -210,17 +217,51 @@
             or not admitted.route.repeatable
         ):
             return False
-        if self._context.board.has_ended(first_server):
+        return self._context.board.has_ended(
+            first_server
+        ) or await self._has_ended(first_server)
+
+    def _record_loss(
+        self, outcome: attempt.Outcome, server: directory.Server
+    ) -> None:
+        """Records a server that was lost before it began to answer."""
+        lost = outcome.failure is retry_policy.Failure.LOST
+        if lost and not self._progress.survived:
+            self._servers_lost_before_begin.append(server)
+
+    async def _count_ended_servers(self, admitted: admission.Admitted) -> None:
+        """Counts the servers that ended before they began to answer.
+
+        They are contacted only if this request, or a segment of its prompt, is
+        suspect already.
+        """
+        lost = self._servers_lost_before_begin
+        board = self._context.board
+        if self._progress.survived or not lost:
+            return
+        if len(
+            lost
+        ) >= retry_policy.MAX_ENDED_SERVER_COUNT or board.guard.is_suspected(
+            admitted.segments
+        ):
+            ended = [await self._has_ended(server) for server in lost]
+            self._progress.ended_servers = sum(ended)
+
+    async def _has_ended(self, server: directory.Server) -> bool:
+        """Returns whether a server has ended, by a connection if needed."""
+        if crash_checks.has_crashed(
+            self._context.board, server.lifetime, server.address
+        ):
             return True
         try:
-            connection = await http_call.connect(first_server.address)
+            connection = await http_call.connect(server.address)
         except http_call.CallError as error:
-            refused = error.failure is http_call.CallFailure.REFUSED
-            if refused:
+            if error.failure is http_call.CallFailure.REFUSED:
                 self._context.failure_recorder.record(
-                    first_server, suspect_servers.Reason.CRASHED, str(error)
+                    server, suspect_servers.Reason.CRASHED, str(error)
                 )
-            return refused
+                return True
+            return False
         connection.close()
         return False
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
@@ -15,6 +15,7 @@
 from nutmeglift_gateway import live_peers
 from nutmeglift_gateway import loads
 from nutmeglift_gateway import paths
+from nutmeglift_gateway import poison_guard
 from nutmeglift_gateway import retry_budget
 from nutmeglift_gateway import runs
 from nutmeglift_gateway import server_selection
@@ -89,6 +90,8 @@
             the requests and the stream monitor.
         runs: the runs of requests at the servers; written by the requests and
             the failure recorder.
+        guard: which requests end servers; written by the failure recorder, the
+            requests, the peers' links and the store reader.
         draining: whether this process is shutting down; set by the gateway.
         fence: fencing number under which this router plans, or 0; written by
             the planner.
@@ -128,6 +131,8 @@
         self.penalties = server_selection.LossPenalties()
         self.link_budget = link_budget.LinkBudget()
         self.runs = runs.RunTracker()
+        self.guard = poison_guard.PoisonGuard()
+        self.guard.router_count = lambda: self.routers
         self.draining = False
         self.refusing = False
         self.coverage_eta = 0.0
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/directory.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/directory.py
@@ -49,6 +49,7 @@
         orders: number of orders known to have been accepted in this lifetime;
             not part of the entry.
         revision: store revision of the entry.
+        version: version of its software; empty if not reported.
     """
 
     id: str
@@ -62,6 +63,7 @@
     layers: LayerRange
     orders: int
     revision: ids.Revision
+    version: str = ""
 
     @property
     def lifetime(self) -> tuple[str, int]:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
@@ -69,6 +69,8 @@
                 request=result.request_id.decode("latin-1"),
                 detail=result.segments_problem,
             )
+        if await self._refuse_quarantined(result):
+            return
         context.board.budget(result.service.id).record_request(self._now())
         try:
             await self._serve(result)
@@ -78,6 +80,30 @@
                 self._reply.record_caller_left(result)
             raise
 
+    async def _refuse_quarantined(self, admitted: admission.Admitted) -> bool:
+        """Refuses a request that would end its server, unless as a trial."""
+        guard = self._context.board.guard
+        request_id = admitted.request_id.decode("latin-1")
+        entry = guard.find_for(admitted.segments, request_id)
+        if entry is None:
+            return False
+        board = self._context.board
+        now = self._now()
+        servers = board.usable(admitted.service.id)
+        due = guard.quarantines.is_trial_due(
+            now, entry, {server.version for server in servers}
+        )
+        guard.quarantines.record_request(now, entry)
+        if due and await guard.claim_trial(entry, request_id):
+            return False
+        self._reply.refuse(
+            errors.ErrorKind.QUARANTINED,
+            retry_delay.QUARANTINE_RETRY_SECONDS,
+            f"quarantined: {','.join(entry.segments)}"
+            f" (version {entry.version})",
+        )
+        return True
+
     def interrupt(self, kind: errors.ErrorKind, detail: str) -> None:
         """Responds after run() was cancelled or failed.
 
@@ -105,6 +131,18 @@
                 self._first_event_id(),
             )
             self._connection.on_writable = self._streams.set_writable
+            self._context.board.guard.listeners.add(
+                self._streams.check_quarantine
+            )
+        try:
+            await self._run_attempts(admitted)
+        finally:
+            if self._streams is not None:
+                self._context.board.guard.listeners.discard(
+                    self._streams.check_quarantine
+                )
+
+    async def _run_attempts(self, admitted: admission.Admitted) -> None:
         while True:
             outcome = await self._attempt(admitted)
             if outcome is None:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/failure_recorder.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/failure_recorder.py
@@ -6,6 +6,7 @@
 from nutmeglift_gateway import decision_log
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import metrics as metric_sets
+from nutmeglift_gateway import runs
 from nutmeglift_gateway import suspect_servers
 
 MAX_LOGGED_SUSPECT_COUNT = 8
@@ -50,20 +51,26 @@
             detail=detail,
         )
         if reason is suspect_servers.Reason.CRASHED:
-            self._record_crash(now, server)
+            self.record_ended(now, server.lifetime)
 
-    def _record_crash(self, now: float, server: directory.Server) -> None:
-        """Logs which requests a crash ended, and which may have caused it."""
-        crash = self._board.runs.take_ended(now, server.lifetime)
+    def record_ended(self, now: float, lifetime: runs.Lifetime) -> None:
+        """Records the requests that a server's end has ended.
+
+        Args:
+            now: loop time in seconds.
+            lifetime: the lifetime of the server.
+        """
+        server = self._board.directory.server_by_id.get(lifetime[0])
+        crash = self._board.runs.take_ended(now, lifetime)
         if crash is None:
+            # A peer may have reported the suspects before.
+            self._board.guard.judge(now)
             return
         self._metrics.crashed_runs.labels("suspect").inc(len(crash.suspects))
         self._metrics.crashed_runs.labels("other").inc(crash.other_count)
         self._log.write(
             "server ended runs",
-            server=server.id,
-            address=server.address,
-            service=server.service,
+            server=lifetime[0],
             suspects=[
                 {
                     "request": run.request_id,
@@ -75,6 +82,9 @@
             suspect_count=len(crash.suspects),
             others=crash.other_count,
         )
+        self._board.guard.record_crash(
+            now, crash, server.version if server is not None else ""
+        )
 
     def record_by_address(
         self, address: str, reason: suspect_servers.Reason, detail: str
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -29,6 +29,7 @@
 from nutmeglift_gateway import planner_controller
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import prober
+from nutmeglift_gateway import quarantine_controller
 from nutmeglift_gateway import registration
 from nutmeglift_gateway import responses
 from nutmeglift_gateway import settings
@@ -112,6 +113,15 @@
             failure_recorder,
             rng,
         )
+        self._quarantines = quarantine_controller.QuarantineController(
+            store,
+            self._reader,
+            self.board,
+            failure_recorder,
+            config.vm,
+            log,
+            self.metrics,
+        )
         self._peers = peer_links.PeerLinks(
             self.board, self._reader, config.vm, log, rng
         )
@@ -182,6 +192,7 @@
             ("prober", self._prober.run),
             ("crash detector", self._crash_detector.run),
             ("planner", self._planner.run),
+            ("quarantines", self._quarantines.run),
             (
                 "peer server",
                 functools.partial(self._peers.serve, self._config.listen.peers),
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/metrics.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/metrics.py
@@ -62,6 +62,9 @@
         self.crashed_runs = self._counter(
             "crashed_runs", "Runs that a server's end ended.", ["part"]
         )
+        self.quarantines = self._counter(
+            "quarantine_changes", "Changes of quarantines.", ["state"]
+        )
         self.first_event = self._histogram(
             "first_event_seconds", "Time to a stream's first event."
         )
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
@@ -7,6 +7,7 @@
 
 from nutmeglift import errors
 from nutmeglift_gateway import load_rows
+from nutmeglift_gateway import poison_rows
 
 
 class SuspectRow(msgspec.Struct, array_like=True, frozen=True):
@@ -75,6 +76,7 @@
         moves: pending moves, if the sender plans.
         budgets: counts for the services' retry budgets.
         domain: the sender's failure domain.
+        poison: what the sender has learned of requests that end servers.
     """
 
     vm: str
@@ -92,6 +94,7 @@
     moves: list[MoveRow]
     budgets: list[BudgetRow]
     domain: str = ""
+    poison: poison_rows.PoisonReport = poison_rows.PoisonReport()
 
 
 class EntryRow(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
@@ -7,6 +7,7 @@
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import load_rows
 from nutmeglift_gateway import peer_messages
+from nutmeglift_gateway import poison_rows
 from nutmeglift_gateway import retry_budget
 from nutmeglift_gateway import servers_fetch
 from nutmeglift_gateway import store_reader
@@ -37,6 +38,7 @@
         self._vm = vm
         self._load_encoder = load_rows.Encoder()
         self._load_decoder = load_rows.Decoder()
+        self._poison_encoder = poison_rows.Encoder()
         self._paces_sent_until = float("-inf")
         self._sequence = 0
         self._received = 0
@@ -108,6 +110,7 @@
                 for service, counts in board.budget_counts(now).items()
             ],
             domain=board.home,
+            poison=self._poison_encoder.encode(now, board.guard),
         )
         self._paces_sent_until = now
         return report
@@ -194,12 +197,24 @@
                 board.pace_by_address[pace.address] = boards.Pace(
                     pace.pace, read_at
                 )
+        self._apply_poison(report, now)
         self._apply_confirmation(report)
         self._compare_views(report, boot_now)
         return self._request_catalog(report, now) + self._request_servers(
             report, now, boot_now
         )
 
+    def _apply_poison(
+        self, report: peer_messages.PeerReport, now: float
+    ) -> None:
+        guard = self._board.guard
+        problems = poison_rows.apply(now, report.vm, report.poison, guard)
+        self._poison_encoder.record_peer_digest(
+            now, report.poison.digest, guard.digest()
+        )
+        if problems:
+            self._reader.log_malformed_rows(report.vm, problems)
+
     def _apply_planner_report(
         self, report: peer_messages.PeerReport, now: float
     ) -> None:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/retry_delay.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/retry_delay.py
@@ -13,6 +13,8 @@
 ANNOUNCEMENT_MARGIN_SECONDS = 0.15
 """Time until the directory entry of a runner with new layers reaches all
 routers."""
+QUARANTINE_RETRY_SECONDS = 60.0
+"""A quarantine ends at the earliest minutes after the last such request."""
 MAX_RETRY_SECONDS = 5.0
 """At most a third of the time that callers have left before their deadline."""
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/retry_policy.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/retry_policy.py
@@ -13,6 +13,8 @@
 
 MIN_ATTEMPT_SECONDS = 0.03
 """Below the time that a backend server needs for the shortest response."""
+MAX_ENDED_SERVER_COUNT = 2
+"""Servers that a request may end before it counts as the cause."""
 MAX_SEND_COUNT = 4
 """Times that one request is sent, including to servers that reject it: each
 rejection costs a round trip, which counts toward the caller's latency."""
@@ -33,6 +35,8 @@
     """A complete response that reports a failure of the backend server."""
     TIMEOUT = "timeout"
     """The request's deadline passed."""
+    QUARANTINED = "quarantined"
+    """Requests like it were found to end servers while it ran."""
 
 
 @dataclasses.dataclass
@@ -45,12 +49,16 @@
         terminated_runs: number of those runs whose backend server process has
             terminated since; they do not count toward the route's limit.
         started: whether part of the response was delivered to the caller.
+        survived: whether a run of it survived its beginning.
+        ended_servers: number of servers that ended when it was about to begin.
     """
 
     sent: int = 0
     runs: int = 0
     terminated_runs: int = 0
     started: bool = False
+    survived: bool = False
+    ended_servers: int = 0
 
     @property
     def counted_runs(self) -> int:
@@ -115,7 +123,11 @@
             be lost.
     """
     runs = progress.counted_runs - server_lost
-    return runs < route.max_attempts and progress.sent < MAX_SEND_COUNT
+    return (
+        runs < route.max_attempts
+        and progress.sent < MAX_SEND_COUNT
+        and progress.ended_servers < MAX_ENDED_SERVER_COUNT
+    )
 
 
 def decide(
@@ -132,6 +144,10 @@
         failure: why the attempt failed.
         remaining: seconds until the request's deadline.
     """
+    if failure is Failure.QUARANTINED:
+        return _refuse_or_fail(progress, errors.ErrorKind.QUARANTINED)
+    if progress.ended_servers >= MAX_ENDED_SERVER_COUNT:
+        return _refuse_or_fail(progress, errors.ErrorKind.OUTCOME_UNKNOWN)
     if remaining < MIN_ATTEMPT_SECONDS or failure is Failure.TIMEOUT:
         return _refuse_or_fail(progress, errors.ErrorKind.DEADLINE)
     if failure is Failure.NOT_SENT:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/runs.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/runs.py
@@ -12,9 +12,11 @@
 Lifetime = tuple[str, int]
 """Instance id and start time of a backend server."""
 
-BEGIN_SECONDS = 0.1
+BEGIN_SECONDS = 0.05
 """A run that delivers for this long after its first event has survived its
 beginning: a crash closes the connection within a round trip."""
+BEGIN_EVENT_COUNT = 1
+"""So does one that delivers more events than this."""
 LOST_RUN_SECONDS = 5.0
 """Time for which a run that ended early is kept: a crash is known by then, at
 the latest because the server's next lifetime is listed."""
@@ -46,8 +48,10 @@
         service: its service.
         segments: segments of its prompt that other requests may share.
         lifetime: the lifetime of the server that it was sent to.
+        address: the server's address.
         sent_at: loop time at which it was sent.
         first_event_at: loop time of its first event; None before.
+        event_count: number of events that it has delivered.
         survived: whether the request has outlived the beginning of a run.
         ended_at: loop time of its end; None while it runs.
         keep_seconds: time for which it is kept after its end.
@@ -57,8 +61,10 @@
     service: ids.ServiceId
     segments: tuple[ids.SegmentId, ...]
     lifetime: Lifetime
+    address: str
     sent_at: float
     first_event_at: float | None = None
+    event_count: int = 0
     survived: bool = False
     ended_at: float | None = None
     keep_seconds: float = LOST_RUN_SECONDS
@@ -98,8 +104,13 @@
         """Records that a run was sent."""
         self._runs_by_lifetime.setdefault(run.lifetime, []).append(run)
 
-    def record_event(self, now: float, run: Run) -> bool:
-        """Records that a run has delivered an event.
+    def record_events(self, now: float, run: Run, count: int) -> bool:
+        """Records that a run has delivered events.
+
+        Args:
+            now: loop time in seconds.
+            run: the run.
+            count: number of events.
 
         Returns:
             Whether this shows for the first time that it survived its
@@ -107,23 +118,34 @@
         """
         if run.first_event_at is None:
             run.first_event_at = now
-        if run.survived or now - run.first_event_at < BEGIN_SECONDS:
+        run.event_count += count
+        if run.survived or (
+            run.event_count <= BEGIN_EVENT_COUNT
+            and now - run.first_event_at < BEGIN_SECONDS
+        ):
             return False
         run.survived = True
         return True
 
-    def end(self, now: float, run: Run, how: End) -> None:
-        """Records how a run ended; only the first call counts."""
+    def end(self, now: float, run: Run, how: End) -> bool:
+        """Records how a run ended; only the first call counts.
+
+        Returns:
+            Whether this shows for the first time that it survived its
+            beginning.
+        """
         if run.ended_at is not None:
-            return
+            return False
         run.ended_at = now
-        run.survived = run.survived or how is End.COMPLETE
+        newly_survived = how is End.COMPLETE and not run.survived
+        run.survived = run.survived or newly_survived
         if how is End.ABORTED:
             run.keep_seconds = ABORTED_RUN_SECONDS
         if how in (End.COMPLETE, End.NOT_RUN) or self._ended_count() > (
             MAX_ENDED_RUN_COUNT
         ):
             self._remove(run)
+        return newly_survived
 
     def take_ended(self, now: float, lifetime: Lifetime) -> Crash | None:
         """Returns what the end of a lifetime ended; None if nothing.
@@ -145,14 +167,20 @@
             len(found) - len(suspects),
         )
 
-    def lifetimes_with_lost_runs(self, now: float) -> list[Lifetime]:
-        """Returns the lifetimes at which runs ended early; drops old runs."""
+    def lifetimes_with_lost_runs(
+        self, now: float
+    ) -> list[tuple[Lifetime, str]]:
+        """Returns the lifetimes at which runs ended early; drops old runs.
+
+        Returns:
+            The lifetimes with the addresses of their servers.
+        """
         found = []
         for lifetime, tracked in list(self._runs_by_lifetime.items()):
             for run in [run for run in tracked if run.is_old(now)]:
                 self._remove(run)
             if any(run.ended_at is not None for run in tracked):
-                found.append(lifetime)
+                found.append((lifetime, tracked[0].address))
         return found
 
     def _ended_count(self) -> int:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/sse.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/sse.py
@@ -3,7 +3,8 @@
 import re
 
 _ID = re.compile(rb"(?:^|\n)id: ?(\d{1,19})")
-_DELIMITER = b"\n\n"
+DELIMITER = b"\n\n"
+"""Ends an event."""
 MAX_EVENT_BYTES = 1024 * 1024
 """Limits the buffer of a stream; a longer event is an error."""
 
@@ -44,9 +45,9 @@
         """
         pending = self._pending
         # The bytes before were searched already, and may be many.
-        search_start = max(0, len(pending) - len(_DELIMITER) + 1)
+        search_start = max(0, len(pending) - len(DELIMITER) + 1)
         pending += data
-        end = pending.rfind(_DELIMITER, search_start)
+        end = pending.rfind(DELIMITER, search_start)
         if end < 0:
             if len(pending) > MAX_EVENT_BYTES:
                 raise BrokenStreamError(
@@ -54,17 +55,17 @@
                     f" received {len(pending)}"
                 )
             return b""
-        complete = bytes(pending[: end + len(_DELIMITER)])
-        del pending[: end + len(_DELIMITER)]
+        complete = bytes(pending[: end + len(DELIMITER)])
+        del pending[: end + len(DELIMITER)]
         for id_match in _ID.finditer(complete):
             event_id = int(id_match.group(1))
             if self.last_id is not None and event_id != self.last_id + 1:
                 # The stream is resumed after last_id, so the caller needs the
                 # events up to it.
-                start = complete.rfind(_DELIMITER, 0, id_match.start() + 1)
+                start = complete.rfind(DELIMITER, 0, id_match.start() + 1)
                 raise BrokenStreamError(
                     f"event {event_id} follows {self.last_id}",
-                    complete[: start + len(_DELIMITER)] if start >= 0 else b"",
+                    complete[: start + len(DELIMITER)] if start >= 0 else b"",
                 )
             self.last_id = event_id
         return complete
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
@@ -125,6 +125,15 @@
                 self.outage.record_failure(self._now(), sent_at, str(error))
                 await asyncio.sleep(backoff.next_seconds())
 
+    def log_malformed_rows(self, vm: str, problems: list[str]) -> None:
+        """Logs rows of a peer's report that were left out."""
+        self._log.write(
+            "peer rows malformed",
+            peer=vm,
+            count=len(problems),
+            detail=problems[0],
+        )
+
     @property
     def is_live(self) -> bool:
         """Whether the store responds and the local view is recent."""
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/store_view.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/store_view.py
@@ -10,12 +10,14 @@
 from nutmeglift_gateway import entry_decoder
 from nutmeglift_gateway import freshness
 from nutmeglift_gateway import peer_messages
+from nutmeglift_gateway import poison_rows
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import view_age
 
 OWN_PREFIX = "nutmeglift/"
 ROUTER_PREFIX = OWN_PREFIX + "routers/"
 PLANNER_KEY = OWN_PREFIX + "planner"
+QUARANTINE_PREFIX = OWN_PREFIX + "quarantines/"
 UNLISTED = ids.Revision(-1)
 """The local view has no revision, so the whole store has to be listed."""
 
@@ -27,6 +29,7 @@
         view_age: tracks how old the view may be.
         entry_by_key: raw entries by key.
         planner: the planner's entry, if there is one.
+        quarantine_by_key: raw entries of the quarantines by key.
     """
 
     def __init__(
@@ -51,6 +54,7 @@
         self._revision = UNLISTED
         self.entry_by_key: dict[str, kv.KeyValue] = {}
         self.planner: kv.KeyValue | None = None
+        self.quarantine_by_key: dict[str, kv.KeyValue] = {}
         self._compressed_from: kv.KeyValue | None = None
         self._compressed: kv.KeyValue | None = None
 
@@ -111,6 +115,7 @@
         servers = []
         routers = {}
         planner = None
+        self.quarantine_by_key = {}
         self.entry_by_key = {
             key: entry
             for key, entry in self.entry_by_key.items()
@@ -129,6 +134,8 @@
                 routers[name] = entry.value.decode("latin-1")
             elif entry.key == PLANNER_KEY:
                 planner = entry
+            elif entry.key.startswith(QUARANTINE_PREFIX):
+                self.apply_quarantine(entry)
         now = self._now()
         self._board.directory.replace_all(now, servers)
         self._board.router_by_name = routers
@@ -235,6 +242,23 @@
             self._board.router_by_name = routers
         elif entry.key == PLANNER_KEY:
             self.planner = None if removed else entry
+        elif entry.key.startswith(QUARANTINE_PREFIX):
+            if removed:
+                self.quarantine_by_key.pop(entry.key, None)
+            else:
+                self.apply_quarantine(entry)
+
+    def apply_quarantine(self, entry: kv.KeyValue) -> None:
+        """Applies the stored entry of a quarantine."""
+        known = self.quarantine_by_key.get(entry.key)
+        if known is not None and known.mod_revision >= entry.mod_revision:
+            return
+        self.quarantine_by_key[entry.key] = entry
+        found = poison_rows.decode_entry(entry.value)
+        if found is None:
+            self._log.write("entry skipped", key=entry.key, detail="malformed")
+            return
+        self._board.guard.merge_entry(self._now(), found, "store")
 
     def _apply_server(self, entry: kv.KeyValue, removed: bool) -> None:
         now = self._now()
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
@@ -90,7 +90,6 @@
         self._changed = asyncio.Event()
         self._successor_path: paths.Path | None = None
         self._paused = False
-        self._survived = False
         self._loop = asyncio.get_running_loop()
 
     async def next_outcome(self) -> attempt.Outcome | None:
@@ -100,6 +99,8 @@
             None if no path is available.
         """
         self._successor_path = None
+        if self._is_quarantined():
+            return self._quarantined("requests like it end servers")
         path = self._find_path()
         if path is None:
             return None
@@ -108,10 +109,25 @@
             await self._changed.wait()
             self._changed.clear()
             outcome = self.collect_outcome()
+            if outcome is None and self._is_quarantined():
+                return self._quarantined("requests like it end servers")
             if outcome is None:
                 await self._start_successor()
         return outcome
 
+    def _is_quarantined(self) -> bool:
+        """Returns whether it must not begin at any server."""
+        if self._reply.progress.survived:
+            return False
+        admitted = self._admitted
+        request_id = admitted.request_id.decode("latin-1")
+        guard = self._context.board.guard
+        return guard.find_for(admitted.segments, request_id) is not None
+
+    def _quarantined(self, detail: str) -> attempt.Outcome:
+        self.close()
+        return attempt.Outcome(retry_policy.Failure.QUARANTINED, detail=detail)
+
     def collect_outcome(self) -> attempt.Outcome | None:
         """Ends the attempts that are done; returns the outcome of the last."""
         for running in list(self._running):
@@ -127,6 +143,10 @@
             )
         return None
 
+    def check_quarantine(self) -> None:
+        """Has the attempts checked against changed quarantines."""
+        self._changed.set()
+
     def close(self) -> None:
         """Ends all attempts."""
         for running in list(self._running):
@@ -243,6 +263,12 @@
                 self._end(running)
         if isinstance(upstream, attempt.Outcome):
             return upstream
+        if self._is_quarantined():
+            upstream.abort()
+            self._end(running)
+            return attempt.Outcome(
+                retry_policy.Failure.NOT_SENT, detail="quarantined"
+            )
         if beside and beside.has_gone_on(silent_since):
             upstream.abort()
             self._end(running)
@@ -287,7 +313,10 @@
             on_successor=self._on_successor,
         )
         run = attempt.new_run(
-            self._admitted, path.first, now, survived=self._survived
+            self._admitted,
+            path.first,
+            now,
+            survived=self._reply.progress.survived,
         )
         running = _Running(stream, events, run)
         return running
@@ -305,9 +334,14 @@
             )
         self._context.monitor.remove(running.stream)
         running.stream.release(self._context.board)
-        self._context.board.runs.end(
+        if self._context.board.runs.end(
             self._loop.time(), running.run, attempt.run_end(running.receiver)
-        )
+        ):
+            self._record_survival(running.run)
+
+    def _record_survival(self, run: runs.Run) -> None:
+        self._reply.progress.survived = True
+        self._context.board.guard.record_survival(self._loop.time(), run)
 
     def _update_pairing(self) -> None:
         for running in self._running:
@@ -327,9 +361,10 @@
             self._end(other)
             if unfinished and self._context.board.has_terminated(other.server):
                 self._reply.progress.terminated_runs += 1
-        self._survived |= self._context.board.runs.record_event(
-            self._loop.time(), running.run
-        )
+        now = self._loop.time()
+        count = data.count(sse.DELIMITER)
+        if self._context.board.runs.record_events(now, running.run, count):
+            self._record_survival(running.run)
         running.stream.end_prompt(self._context.board)
         self._last_event_id = running.events.last_id
         self._reply.on_events(head, data)
--- a/tests/gateway/crash_load.py
+++ b/tests/gateway/crash_load.py
@@ -20,6 +20,7 @@
 from tests.gateway import store_stand_in
 from tests.gateway import test_platform_schema
 from tests.gateway import test_whole_gateway
+from tests.soak import routers
 
 CONTACT_SECONDS = 3.0
 """Time after the fifth crash from which poison requests are counted."""
@@ -78,6 +79,9 @@
         self._load = load
 
     async def _respond(self, request, writer, number):
+        if b'"repath"' in request.body:
+            await self._send_json(writer, 404, {})
+            return
         if not request.head.startswith("POST /p/"):
             await super()._respond(request, writer, number)
             return
@@ -97,7 +101,7 @@
         gateways: the routers.
     """
 
-    def __init__(self, routers, runner_count, crowd):
+    def __init__(self, router_count, runner_count, crowd):
         self.store = store_stand_in.StoreStandIn()
         self.sent = []
         self.crashes = {segment: [] for segment in crowd.segments}
@@ -105,10 +109,11 @@
         self.logs = []
         self.gateways = []
         self.crowd = crowd
-        self._router_count = routers
+        self._router_count = router_count
         self._runner_count = runner_count
         self._settings = []
         self._running = []
+        self._reserved = []
         self._names = itertools.count()
         self._rng = random.Random(7)
         self._numbers = itertools.count(1)
@@ -137,6 +142,8 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         self.store.server.close()
+        for sock in self._reserved:
+            sock.close()
 
     async def run(self, seconds):
         """Sends the crowd's requests for that long; awaits the outcomes."""
@@ -202,9 +209,10 @@
         await Runner(self, f"r-{next(self._names)}").start()
 
     async def _start_router(self, vm):
-        addresses = [
-            f"127.0.0.1:{test_whole_gateway.free_port()}" for _ in range(4)
-        ]
+        # Connections of this process would take the ports of closed sockets.
+        reserved = routers.reserve_ports(4)
+        self._reserved += reserved
+        addresses = [f"127.0.0.1:{sock.getsockname()[1]}" for sock in reserved]
         config = settings.Settings(
             vm=vm,
             failure_domain="a",
--- a/tests/gateway/test_runs.py
+++ b/tests/gateway/test_runs.py
@@ -10,7 +10,11 @@
 
 
 def make_run(name, sent_at=0.0, **changes):
-    values = {"segments": (ids.SegmentId("aa"),), "lifetime": LIFETIME}
+    values = {
+        "segments": (ids.SegmentId("aa"),),
+        "lifetime": LIFETIME,
+        "address": "h:1",
+    }
     return runs.Run(
         name, ids.ServiceId("s"), sent_at=sent_at, **values | changes
     )
@@ -32,6 +36,7 @@
             ("just begun", [0.95], None, True),
             ("begun long ago", [0.5, 0.65], None, False),
             ("a pause after the first event", [0.5], None, True),
+            ("two events at once", [0.95, 0.95], None, False),
             ("lost", [], (END.LOST, 0.99), True),
             ("lost long ago", [], (END.LOST, -5.0), None),
             ("complete", [], (END.COMPLETE, 0.9), None),
@@ -44,7 +49,7 @@
                 run = make_run(name, sent_at=-6.0)
                 self.tracker.begin(run)
                 for at in events:
-                    self.tracker.record_event(at, run)
+                    self.tracker.record_events(at, run, 1)
                 if end is not None:
                     self.tracker.end(end[1], run, end[0])
                 found = self.suspects(1.0)
@@ -70,7 +75,9 @@
             run = make_run(f"n-{number}")
             self.tracker.begin(run)
             self.tracker.end(0.5, run, END.LOST)
-        self.assertEqual(self.tracker.lifetimes_with_lost_runs(1.0), [LIFETIME])
+        self.assertEqual(
+            self.tracker.lifetimes_with_lost_runs(1.0), [(LIFETIME, "h:1")]
+        )
         kept = len(self.suspects(1.0))
         self.assertLessEqual(kept, runs.MAX_ENDED_RUN_COUNT + 1)
         self.tracker.begin(run := make_run("old"))
