Stop a request that ends agents as it begins, after two

RequestRecovery now counts the agents that were lost while an attempt had released at most one token on them, also if a neighbour reported the failure first and the loss is known later. The second one ends the request with what is known of its run. An attempt that releases more starts afresh; the limit of four failures stays.

--- a/packages/nutmeglift/nutmeglift/recovery.py
+++ b/packages/nutmeglift/nutmeglift/recovery.py
@@ -12,6 +12,11 @@
 
 MAX_FAILURE_COUNT = 4
 MAX_REFUSAL_COUNT = 16
+MAX_ENDED_COUNT = 2
+"""Agents that may be lost while a request begins on them, before it counts as
+the cause."""
+MAX_BEGIN_TOKENS = 1
+"""An attempt that releases more tokens than this has outlived its beginning."""
 MAX_PIPELINE_WAIT_SECONDS = 5.0
 PIPELINE_RETRY_SECONDS = 0.1
 REOPEN_SECONDS = 0.25
@@ -27,6 +32,7 @@
         refused: whether an agent refused the attempt as new work.
         not_run: whether it is proven that no layer ran for the attempt.
         kind: kind of the error returned to the caller if recovery fails.
+        lost: whether the agent on the VM at fault was lost.
     """
 
     detail: str
@@ -34,6 +40,7 @@
     refused: bool = False
     not_run: bool = False
     kind: errors.ErrorKind = errors.ErrorKind.STAGE_FAILED
+    lost: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -73,6 +80,9 @@
         self.failed: set[ids.VmId] = set()
         self._failures = 0
         self._refusals = 0
+        self._released_at_start = 0
+        self._failed_at_begin: set[ids.VmId] = set()
+        self._ended: set[ids.VmId] = set()
         self._may_have_run = False
         self._waiting_since: float | None = None
 
@@ -80,6 +90,17 @@
         """Records that the attempt was sent to its first stage."""
         self._waiting_since = None
 
+    def record_lost(self, vm: ids.VmId) -> bool:
+        """Records that an agent was lost.
+
+        Returns:
+            Whether the request may not be sent to another agent: it has failed
+            on too many agents as it began, and all of them were lost.
+        """
+        if vm in self._failed_at_begin:
+            self._ended.add(vm)
+        return len(self._ended) >= MAX_ENDED_COUNT
+
     def fail(self, failure: Failure, released: int) -> Action:
         """Decides how to continue after a failed attempt.
 
@@ -95,8 +116,18 @@
             self._refusals += 1
         else:
             self._failures += 1
+        begun = released - self._released_at_start > MAX_BEGIN_TOKENS
+        self._released_at_start = released
+        if begun:
+            self._failed_at_begin.clear()
+            self._ended.clear()
+        elif failure.vm is not None and not failure.refused:
+            self._failed_at_begin.add(failure.vm)
+            if failure.lost:
+                self._ended.add(failure.vm)
         if (
-            self._failures >= MAX_FAILURE_COUNT
+            len(self._ended) >= MAX_ENDED_COUNT
+            or self._failures >= MAX_FAILURE_COUNT
             or self._refusals >= MAX_REFUSAL_COUNT
         ):
             return Abort(
--- a/packages/nutmeglift_router/nutmeglift_router/chat_controller.py
+++ b/packages/nutmeglift_router/nutmeglift_router/chat_controller.py
@@ -134,9 +134,13 @@
     def on_agent_lost(self, vm: ids.VmId) -> None:
         """Recovers the streams whose pipeline includes a lost agent."""
         for stream in list(self._stream_by_request.values()):
-            if stream.runs_on(vm):
+            must_end = stream.recovery.record_lost(vm)
+            if must_end or stream.runs_on(vm):
                 self._handle_failure(
-                    stream, recovery.Failure(f"the agent on {vm} was lost", vm)
+                    stream,
+                    recovery.Failure(
+                        f"the agent on {vm} was lost", vm, lost=True
+                    ),
                 )
 
     def on_attempt_lost(self, lost: messages.HeldAttempt) -> None:
