--- a/packages/nutmeglift_gateway/nutmeglift_gateway/quarantine_controller.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/quarantine_controller.py
@@ -23,6 +23,9 @@
 """Delay after a failed write."""
 REPAIR_INTERVAL_SECONDS = 5.0
 """Interval at which the planner compares the store with what is known."""
+CONFIRM_SECONDS = 2.0
+"""Time in which this router finds that a server that a peer reports has
+ended."""
 KEY_DIGEST_BYTES = 16
 
 
@@ -61,6 +64,8 @@
         self._changed = asyncio.Event()
         self._save_not_before = float("-inf")
         self._repair_at = float("-inf")
+        self._judge_until = float("-inf")
+        self._judged_stamp = 0
         self._guard.vm = vm
         self._guard.on_decision = self._record_decision
         self._guard.on_change = self._on_change
@@ -82,7 +87,11 @@
             now = loop.time()
             self._find_replaced(now)
             self._guard.expire(now)
-            self._guard.judge(now)
+            if self._guard.evidence.stamp != self._judged_stamp:
+                self._judged_stamp = self._guard.evidence.stamp
+                self._judge_until = now + CONFIRM_SECONDS
+            if now < self._judge_until:
+                self._guard.judge(now)
             if now >= self._save_not_before:
                 await self._save(now)
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/store_view.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/store_view.py
@@ -55,6 +55,7 @@
         self.entry_by_key: dict[str, kv.KeyValue] = {}
         self.planner: kv.KeyValue | None = None
         self.quarantine_by_key: dict[str, kv.KeyValue] = {}
+        self._skipped_quarantine: kv.KeyValue | None = None
         self._compressed_from: kv.KeyValue | None = None
         self._compressed: kv.KeyValue | None = None
 
@@ -256,7 +257,11 @@
         self.quarantine_by_key[entry.key] = entry
         found = poison_rows.decode_entry(entry.value)
         if found is None:
-            self._log.write("entry skipped", key=entry.key, detail="malformed")
+            if self._skipped_quarantine != entry:
+                self._skipped_quarantine = entry
+                self._log.write(
+                    "entry skipped", key=entry.key, detail="malformed"
+                )
             return
         self._board.guard.merge_entry(self._now(), found, "store")
 
