Drop a refusal that belongs to another request

Other operators saw an earlier refusal written again on a kept connection. Each attempt here has a connection of its own, so that it could only come on a fresh one; but a refusal ('not run') was believed whichever request it named, and a request that might have run would have been refused as not run, or sent again. One that echoes another request's id is now invalid.

Three cases in the table of test_decisions; two failed before.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/responses.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/responses.py
@@ -108,11 +108,15 @@
         head: status and headers.
         request_id: the id that the request carried.
     """
+    echoed = head.get(names.request_id)
+    if echoed is not None and echoed != request_id:
+        # Also if it states that it did not run: another request didn't.
+        return Verdict.INVALID
     if head.get(names.not_run) is not None:
         return Verdict.NOT_RUN
     if head.status == MISDIRECTED_STATUS:
         return Verdict.NOT_RUN
-    if head.get(names.request_id) != request_id:
+    if echoed is None:
         # Servers echo the id. Without it the response may belong to another
         # request.
         return Verdict.INVALID
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -245,6 +245,17 @@
             (503, {b"x-not-executed": b"1"}, verdict.NOT_RUN),
             (400, {b"x-not-executed": b"1"}, verdict.NOT_RUN),
             (421, {}, verdict.NOT_RUN),
+            (
+                503,
+                {b"x-not-executed": b"1", b"x-attempt-id": b"b"},
+                verdict.INVALID,
+            ),
+            (421, {b"x-attempt-id": b"b"}, verdict.INVALID),
+            (
+                503,
+                {b"x-not-executed": b"1", b"x-attempt-id": b"a"},
+                verdict.NOT_RUN,
+            ),
         ]
         for status, headers, expected in cases:
             with self.subTest(status=status, headers=headers):
