Count a stream that ends before its first event as lost

A stream with neither a length nor chunks whose server ended before the first event was passed on as a whole, empty one, with status 200.

The other unframed streams, reset or ended within an event, were cut before, too; a whole one is delivered whole. A head that is cut short is no answer.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
@@ -195,7 +195,14 @@
         assert self.head is not None
         if self._streaming:
             assert self._events is not None
-            if self._events.is_clean:
+            if not self.events_seen and not self.head.is_framed:
+                self._finish(
+                    Outcome(
+                        retry_policy.Failure.LOST,
+                        detail="closed before the first event",
+                    )
+                )
+            elif self._events.is_clean:
                 self._finish(Outcome(None))
             else:
                 self._finish(
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/http_call.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/http_call.py
@@ -66,6 +66,14 @@
                 return value
         return None
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the end of the body doesn't depend on the connection's."""
+        return any(
+            name in (b"content-length", b"transfer-encoding")
+            for name, _ in self.headers
+        )
+
 
 class BaseReceiver(abc.ABC):
     """Receives a response; its last call is on_complete or on_failure."""
