--- a/packages/nutmeglift_gateway/nutmeglift_gateway/cli.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/cli.py
@@ -7,6 +7,7 @@
 
 from nutmeglift import errors
 from nutmeglift_gateway import gateway
+from nutmeglift_gateway import quarantine_commands
 from nutmeglift_gateway import settings
 
 EXIT_FAILED = 1
@@ -16,9 +17,17 @@
 class Commands:
     """A router that forwards callers' requests to backend servers."""
 
-    def __init__(self, run: gateway.RunGateway, default_path: str) -> None:
+    def __init__(
+        self,
+        run: gateway.RunGateway,
+        default_path: str,
+        open_store: quarantine_commands.OpenStore,
+    ) -> None:
         self._run = run
         self._default_path = default_path
+        self.quarantine = quarantine_commands.QuarantineCommands(
+            self._load, open_store
+        )
 
     def serve(self, path: str = "") -> None:
         """Serves until SIGTERM.
@@ -55,6 +64,10 @@
             sys.exit(EXIT_SETTINGS)
 
 
-def main(run: gateway.RunGateway, default_path: str) -> None:
+def main(
+    run: gateway.RunGateway,
+    default_path: str,
+    open_store: quarantine_commands.OpenStore,
+) -> None:
     """Runs the command given on the command line."""
-    fire.Fire(Commands(run, default_path))
+    fire.Fire(Commands(run, default_path, open_store))
--- a/tests/gateway/test_cli.py
+++ b/tests/gateway/test_cli.py
@@ -20,7 +20,9 @@
         mock.patch("sys.argv", ["router", *arguments]),
     ):
         try:
-            cli.main(platform_command.make_run({}), path)
+            cli.main(
+                platform_command.make_run({}), path, platform_command.open_store
+            )
         except SystemExit as error:
             return error.code or 0, out.getvalue(), err.getvalue()
     return 0, out.getvalue(), err.getvalue()
