--- a/packages/nutmeglift_gateway/nutmeglift_gateway/context.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/context.py
@@ -4,6 +4,7 @@
 import random
 
 from nutmeglift_gateway import board as boards
+from nutmeglift_gateway import configuration_gate
 from nutmeglift_gateway import decision_log
 from nutmeglift_gateway import failure_recorder as recorders
 from nutmeglift_gateway import metrics as metric_sets
@@ -24,6 +25,7 @@
         log: log of the router's decisions.
         metrics: counters and histograms.
         rng: random number generator.
+        gate: lets requests wait for the first configuration.
     """
 
     board: boards.Board
@@ -34,3 +36,6 @@
     log: decision_log.DecisionLog
     metrics: metric_sets.Metrics
     rng: random.Random
+    gate: configuration_gate.ConfigurationGate = dataclasses.field(
+        default_factory=configuration_gate.ConfigurationGate
+    )
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
@@ -52,6 +52,7 @@
     async def run(self) -> None:
         """Serves the request; cancelled when the caller disconnects."""
         context = self._context
+        await context.gate.wait(context.board)
         result = admission.admit(
             context.board,
             context.names,
--- a/tests/gateway/test_first_configuration.py
+++ b/tests/gateway/test_first_configuration.py
@@ -1,7 +1,9 @@
 """Requests that arrive while a router that has just started loads."""
 
 import asyncio
+from unittest import mock
 
+from nutmeglift_gateway import configuration_gate
 from nutmeglift_gateway import freshness
 from tests.gateway import rig
 from tests.gateway import stand_ins
@@ -28,6 +30,21 @@
         self.assertEqual(response.status, 200)
         self.assertEqual(stand_ins.event_ids(response.body), list(range(1, 10)))
 
+    async def test_requests_beyond_the_limit_are_refused_at_once(self):
+        loop = asyncio.get_running_loop()
+        with mock.patch.object(configuration_gate, "MAX_WAITING_COUNT", 2):
+            waiting = [
+                asyncio.ensure_future(self.rig.call("/draft/1"))
+                for _ in range(2)
+            ]
+            await asyncio.sleep(LOADING_SECONDS)
+            start = loop.time()
+            self.assertEqual((await self.rig.call("/draft/1")).status, 503)
+            self.assertLess(loop.time() - start, LOADING_SECONDS)
+            for response in await asyncio.gather(*waiting):
+                self.assertEqual(response.status, 503)
+        self.assertEqual(self.rig.context.gate._waiting_count, 0)
+
     async def test_a_router_that_gets_none_refuses_in_time(self):
         async with asyncio.timeout(1.0):
             response = await self.rig.call("/draft/1")
