Bound the time that the judgement of crashes takes

The share of a segment was counted over all survivals for each candidate, at each report of each peer. Counts are now kept per segment, crashes are checked against the quarantines only if they share a segment, and a report that brings nothing new isn't judged.

A request that doesn't stream is checked once connected, too, and a request that has survived its beginning isn't ended by a quarantine.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/attempt_failures.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/attempt_failures.py
@@ -108,7 +108,10 @@
             self._progress.terminated_runs += 1
         self._record_loss(outcome, first_server)
         await self._count_ended_servers(admitted)
-        if self._context.board.guard.find(admitted.segments) is not None:
+        if (
+            not self._progress.survived
+            and self._context.board.guard.find(admitted.segments) is not None
+        ):
             failure = retry_policy.Failure.QUARANTINED
         decision = retry_policy.decide(
             admitted.route,
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
@@ -262,6 +262,13 @@
         upstream = await self._sender.connect(server)
         if isinstance(upstream, attempt.Outcome):
             return upstream
+        if self._context.board.guard.find_for(
+            admitted.segments, admitted.request_id.decode("latin-1")
+        ):
+            upstream.abort()
+            return attempt.Outcome(
+                retry_policy.Failure.NOT_SENT, detail="quarantined"
+            )
         receiver = attempt.ResponseReceiver(
             self._context.names,
             admitted.request_id,
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/poison_guard.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/poison_guard.py
@@ -5,6 +5,7 @@
 """
 
 import bisect
+import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -58,6 +59,9 @@
         )
         self.unsaved: set[Segments] = set()
         self._survivals: list[tuple[float, Segments]] = []
+        self._survival_counts: collections.Counter[ids.SegmentId] = (
+            collections.Counter()
+        )
 
     def digest(self) -> int:
         """Returns a number that is the same if two routers know the same."""
@@ -68,8 +72,9 @@
     def record_survival(self, now: float, run: runs.Run) -> None:
         """Records that a run survived its beginning."""
         self._survivals.append((now, run.segments))
+        self._survival_counts.update(run.segments)
         if len(self._survivals) > MAX_SURVIVAL_COUNT:
-            del self._survivals[: MAX_SURVIVAL_COUNT // 2]
+            self._drop_survivals(MAX_SURVIVAL_COUNT // 2)
         if not run.segments:
             return
         stamp = self.evidence.stamp
@@ -161,9 +166,9 @@
 
     def merge_crash(
         self, now: float, crash: crash_evidence.CrashRecord
-    ) -> None:
-        """Adds a peer's report of a crash."""
-        self.evidence.merge(now, crash)
+    ) -> bool:
+        """Adds a peer's report of a crash; returns whether it was new."""
+        return self.evidence.merge(now, crash)
 
     def merge_entry(
         self, now: float, entry: quarantine.Entry, source: str
@@ -179,7 +184,7 @@
         self.evidence.expire(now)
         self.quarantines.expire(now)
         old = self._survival_index(now - 2 * poison_detection.RATE_SECONDS)
-        del self._survivals[:old]
+        self._drop_survivals(old)
 
     def _applied(
         self,
@@ -230,6 +235,8 @@
 
     def _is_explained(self, crash: crash_evidence.CrashRecord) -> bool:
         """Returns whether a suspect of a crash is in quarantine since."""
+        if self.quarantines.segments().isdisjoint(crash.suspects_by_segment):
+            return False
         return any(
             self.quarantines.find(suspect.segments) is not None
             for suspect in crash.suspect_by_id.values()
@@ -245,9 +252,17 @@
 
         One more request is assumed to have it.
         """
-        count = sum(segment in segments for _, segments in self._survivals)
+        count = self._survival_counts[segment]
         return (count + 0.5) / (len(self._survivals) + 1.0)
 
+    def _drop_survivals(self, count: int) -> None:
+        for _, segments in self._survivals[:count]:
+            self._survival_counts.subtract(segments)
+            for segment in segments:
+                if self._survival_counts[segment] <= 0:
+                    del self._survival_counts[segment]
+        del self._survivals[:count]
+
     def _survival_index(self, at: float) -> int:
         return bisect.bisect(self._survivals, at, key=lambda each: each[0])
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/poison_rows.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/poison_rows.py
@@ -182,9 +182,10 @@
             )
         else:
             problems.append("malformed segment that was survived")
+    news = False
     for crash in report.crashes:
         if _is_crash(crash):
-            guard.merge_crash(now, _crash_record(now, crash))
+            news |= guard.merge_crash(now, _crash_record(now, crash))
         else:
             problems.append("malformed crash")
     for row in report.quarantines:
@@ -197,7 +198,7 @@
         known = guard.quarantines.get(poison_guard.shared(requested.segments))
         if known is not None and _is_age(requested.age):
             guard.quarantines.record_request(now - requested.age, known)
-    if report.crashes:
+    if news:
         guard.judge(now)
     return problems
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/quarantine.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/quarantine.py
@@ -125,6 +125,15 @@
             for segments in sorted(self._local_by_segments)
         ]
 
+    def segments(self) -> set[ids.SegmentId]:
+        """Returns the segments of all quarantines that are not lifted."""
+        return {
+            segment
+            for local in self._local_by_segments.values()
+            if local.entry.state is not State.LIFTED
+            for segment in local.entry.segments
+        }
+
     def entries_since(self, stamp: int) -> list[Entry]:
         """Returns the entries that have changed after a position."""
         return [
