Play prompts that end runners in the soak

Callers send a segment, at either place of a third of their streams, that ends the runner that begins to answer; the runner is back 1.5 s later. The soak counts the requests with it that reach a runner later than 3 s after the fifth crash, from routers that were in touch: more than three are a problem.

--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -8,12 +8,14 @@
 from nutmeglift import kv
 from tests.gateway import stand_ins
 from tests.soak import endless
+from tests.soak import poison
 
 LAYER_COUNT = 80
 EXIT_CHECK_INTERVAL_SECONDS = 0.02
 EVENT_COUNT = 12
 EVENT_INTERVAL_SECONDS = 0.03
 LAST_CHUNK = b"0\r\n\r\n"
+POISON_RESTART_SECONDS = 1.5
 LARGE = "large"
 """Ends the path of a request for events that fill the socket buffers."""
 LARGE_EVENT_BYTES = 512 * 1024
@@ -119,12 +121,16 @@
         problems: violated guarantees.
         events: times and names of the changes of the servers' lifetimes.
         departures: the servers that left.
+        poison_by_segment: segments that end the runners that answer them.
     """
 
     runs_by_id: dict[str, list[Run]] = dataclasses.field(default_factory=dict)
     problems: list[str] = dataclasses.field(default_factory=list)
     events: list[tuple[float, str]] = dataclasses.field(default_factory=list)
     departures: list[Departure] = dataclasses.field(default_factory=list)
+    poison_by_segment: dict[str, poison.Poison] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 class Server:
@@ -147,6 +153,7 @@
         self._awake = asyncio.Event()
         self._awake.set()
         self._active = []
+        self._restarting = None
         self._server = stand_ins.ScriptedServer(self._respond)
 
     @property
@@ -287,6 +294,13 @@
 
     async def _run(self, request, writer, run):
         request_id = request.headers["x-attempt-id"]
+        segment = poison.find(
+            request.headers.get("x-prompt-prefix", ""),
+            self.record.poison_by_segment,
+        )
+        if segment is not None:
+            await self._end_by(segment, request_id, run)
+            return
         if run.fault is Fault.RESET:
             run.has_broken_off = True
             stand_ins.reset_connection(writer)
@@ -304,6 +318,25 @@
             body = plain_body(request_id)
             writer.write(stand_ins.complete_response(request, body))
 
+    async def _end_by(self, segment, request_id, run):
+        """Ends this server as it begins to answer, and restarts it later."""
+        found = self.record.poison_by_segment[segment]
+        loop = asyncio.get_running_loop()
+        found.arrivals.append((loop.time(), request_id))
+        await asyncio.sleep(EVENT_INTERVAL_SECONDS)
+        run.has_broken_off = True
+        if self.lifetime_lock.locked():
+            # It is leaving, or has crashed in the meantime.
+            return
+        found.crashes.append(loop.time())
+        self._restarting = asyncio.ensure_future(self._crash_and_restart())
+
+    async def _crash_and_restart(self):
+        async with self.lifetime_lock:
+            await self.crash()
+            await asyncio.sleep(POISON_RESTART_SECONDS)
+            await self.restart()
+
     def _begins_with_events(self):
         """Returns whether a response without end begins with events."""
         return self.kind and self.endless is endless.Endless.CHUNKS
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -8,12 +8,15 @@
 from nutmeglift_gateway import http_call
 from tests.soak import backend
 from tests.soak import connection as connections
+from tests.soak import poison
 
 DEADLINE_SECONDS = 3.0
 MAX_OVERRUN_SECONDS = 0.5
 """A request without an outcome this long after its deadline is a violation."""
 OK = 200
 SMALL = "small"
+POISON_EVERY = 3
+"""One in so many requests has the segment that ends runners."""
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
@@ -65,6 +68,7 @@
         detail: the error that ended it.
         status: HTTP status of the response; 0 without one.
         size: last part of the path.
+        segments: the list of the prompt's segments.
     """
 
     id: str
@@ -82,6 +86,7 @@
     detail: str = ""
     status: int = 0
     size: str = SMALL
+    segments: str = ""
 
 
 class Callers:
@@ -90,6 +95,7 @@
     Attributes:
         sent_by_id: all requests sent, by request id.
         keys: valid API keys.
+        poison: segment that some of the streams have; empty for none.
         revoked_keys: revoked API keys; the latest one is still sent.
         revoked_at_by_key: when each key was revoked, in seconds of the event
             loop's clock.
@@ -98,6 +104,7 @@
     def __init__(self, routers, rng, problems):
         self.sent_by_id = {}
         self.keys = ["key-1", "key-2"]
+        self.poison = ""
         self.revoked_keys = []
         self.revoked_at_by_key = {}
         self._routers = routers
@@ -188,8 +195,12 @@
         if behind is not None:
             # Two long streams one after the other reach the deadline.
             size = SMALL
+        number = next(self._numbers)
+        segment = ""
+        if kind == "stream" and self.poison:
+            segment = self.poison if number % POISON_EVERY == 0 else ""
         sent = Sent(
-            id=f"{kind}-{next(self._numbers)}",
+            id=f"{kind}-{number}",
             kind=kind,
             key=self._rng.choice(self.keys + self.revoked_keys[-1:]),
             vm=connection.vm,
@@ -199,6 +210,7 @@
             on_idle=connection.answered_count > 0 and behind is None,
             sent_at=asyncio.get_running_loop().time(),
             size=size,
+            segments=poison.make_header(number, segment, first=number % 2 == 0),
         )
         self.sent_by_id[sent.id] = sent
         return sent
@@ -233,6 +245,7 @@
         (b"x-api-key", sent.key.encode()),
         (b"x-deadline-ms", b"%d" % (DEADLINE_SECONDS * 1000)),
         (b"x-token-usage", b"1000,48"),
+        (b"x-prompt-prefix", sent.segments.encode()),
     ]
     method = "GET" if sent.kind == "safe" else "POST"
     return http_call.format_request(method, _target(sent), headers, b"")
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -11,6 +11,7 @@
 from tests.soak import endless
 from tests.soak import late_runs
 from tests.soak import network
+from tests.soak import poison
 from tests.soak import routers
 
 MAX_SERIES_LENGTH = 5
@@ -97,6 +98,7 @@
             (self._send_store_responses_without_end, True),
             (self._fail_server, True),
             (self._crash_server, False),
+            (self._send_poison, False),
             (self._leave_server, True),
             (self._leave_servers, True),
             (self._pause_servers, True),
@@ -238,6 +240,17 @@
             await asyncio.sleep(self._random_duration())
             await server.restart()
 
+    async def _send_poison(self):
+        """Some streams end the runners that begin to answer them."""
+        found = self._system.record.poison_by_segment
+        segment = f"bad{len(found)}"
+        found[segment] = poison.Poison()
+        callers = self._system.callers
+        callers.poison = segment
+        await asyncio.sleep(self._rng.uniform(4.0, 9.0))
+        if callers.poison == segment:
+            callers.poison = ""
+
     async def _leave_server(self):
         await self._leave(self._server().service, self._draw_departure())
 
--- a/tests/soak/late_runs.py
+++ b/tests/soak/late_runs.py
@@ -5,6 +5,7 @@
 store was served without disturbance when the server left.
 """
 
+from tests.soak import poison
 from tests.soak import unanswered
 
 BOUND_SECONDS = 2.0
@@ -53,6 +54,34 @@
             and self._is_in_touch(router, run.started_at)
         )
 
+    def find_poison(self, segment, found, sent_by_id):
+        """Returns a description if poison requests arrived too late."""
+
+        def is_in_touch(request_id, at):
+            router = self._router_by_vm[sent_by_id[request_id].vm]
+            return self._is_in_touch(router, at)
+
+        def starved_seconds(start, end):
+            waits = [
+                wait
+                for router in self._router_by_vm.values()
+                for wait in router.waits
+            ]
+            return sum(
+                seconds
+                for at, seconds in [*waits, *self._lags]
+                if start <= at <= end
+            )
+
+        late = poison.late_arrivals(found, is_in_touch, starved_seconds)
+        if not late:
+            return []
+        return [
+            f"requests with {segment}, which had ended servers at"
+            f" {[round(at, 2) for at in sorted(found.crashes)]}, reached"
+            f" servers: {late}"
+        ]
+
     def _is_in_touch(self, router, at):
         changes = [*router.terminated_at, *router.started_at]
         return not (
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -256,6 +256,10 @@
             self._check_runs(sent)
             if not check.is_disrupted(sent):
                 self._check_streams(sent, check.due_at(sent))
+        for segment, found in system.record.poison_by_segment.items():
+            problems.extend(
+                late.find_poison(segment, found, system.callers.sent_by_id)
+            )
         problems.extend(check.problems)
         for router in system.routers:
             log = router.log()
