--- a/tests/gateway/test_quarantine_controller.py
+++ b/tests/gateway/test_quarantine_controller.py
@@ -3,6 +3,7 @@
 import asyncio
 from unittest import mock
 
+from nutmeglift import ids
 from nutmeglift import kv
 from nutmeglift_gateway import failure_recorder
 from nutmeglift_gateway import metrics
@@ -14,7 +15,7 @@
 from tests.gateway import test_runs
 from tests.gateway import virtual_time_case
 
-BAD = ("bad",)
+BAD = (ids.SegmentId("bad"),)
 KEY = quarantine_controller.entry_key(BAD)
 SECONDS = 1.0
 
