Test evidence around a silent link and after a cut, and begun streams

A link that is silent one way is passed around by another router within a second of virtual time; a router that was cut off, and its peers, learn on their new links what they missed; a stream whose first event has just been delivered is cut by the verdict, not resumed.

--- a/tests/gateway/test_poison_exchange.py
+++ b/tests/gateway/test_poison_exchange.py
@@ -124,6 +124,24 @@
         self.assertEqual(response.status, 502)
         self.assertEqual((len(first.requests), len(second.requests)), (1, 0))
 
+    async def test_a_stream_that_had_just_begun_is_not_resumed(self):
+        async def beginning(request, writer, number):
+            writer.write(stand_ins.stream_head(request))
+            writer.write(stand_ins.sse_chunk(1, 1))
+            await writer.drain()
+            # The caller has the event before the verdict.
+            await asyncio.sleep(0.01)
+            self.impose("bad")
+            first.abort()
+
+        first = await self.rig.add_runner(beginning, "x", 0, 80)
+        second = await self.rig.add_runner(
+            streams.resumable, "y", 0, 80, kind="whole-slow"
+        )
+        with self.assertRaises(http_call.CallError):
+            await self.rig.call("/draft/1", **POISON)
+        self.assertEqual(second.requests, [])
+
     async def test_a_verdict_while_connecting_prevents_the_request(self):
         server = await self.rig.add_runner(streams.resumable, "x", 0, 80)
         connect = http_call.connect
--- a/tests/gateway/test_poison_rows.py
+++ b/tests/gateway/test_poison_rows.py
@@ -80,6 +80,38 @@
         self.assertIsNotNone(c.find(BAD))
         self.assertLess(now - 62.0, 1.0)
 
+    def test_evidence_passes_around_a_link_that_is_silent_one_way(self):
+        a, b, c = (make_guard(f"vm-{name}") for name in "abc")
+        survive(c, 60.0, 200)
+        pairs = ((a, b), (b, a), (b, c), (c, b), (c, a))
+        links = {pair: Link(*pair) for pair in pairs}
+        lost = Link(a, c)
+        observe(a, 61.0, "s1", ("r1", "bad"))
+        observe(a, 62.0, "s2", ("r2", "bad"))
+        now = 62.0
+        while c.find(BAD) is None and now < 65.0:
+            # What a sends to c never arrives.
+            lost.encoder.encode(now, a)
+            for (source, target), link in links.items():
+                link.send(now, links.get((target, source), lost))
+            now += 0.25
+        self.assertIsNotNone(c.find(BAD))
+        self.assertLess(now - 62.0, 1.0)
+
+    def test_a_router_that_was_cut_off_learns_what_it_missed(self):
+        a, c = make_guard("a"), make_guard("c")
+        survive(c, 80.0, 200)
+        Link(a, c).send(60.0)
+        observe(a, 61.0, "s1", ("r1", "bad"))
+        observe(a, 62.0, "s2", ("r2", "bad"))
+        observe(c, 61.5, "s3", ("r3", "bad"))
+        self.assertIsNone(c.find(BAD))
+        # Both open a new link after the cut.
+        Link(a, c).send(90.0)
+        Link(c, a).send(90.0)
+        self.assertIsNotNone(c.find(BAD))
+        self.assertEqual(a.evidence.digest(), c.evidence.digest())
+
     def test_nothing_is_passed_on_twice_in_a_full_mesh(self):
         guards = [make_guard(f"vm-{n}") for n in range(4)]
         links = {
