Break a circular import of the soak's modules

tests.soak.poison imported unanswered, which imports backend and so poison: it worked only if backend was imported first. The bound is an argument now.

--- a/tests/soak/late_runs.py
+++ b/tests/soak/late_runs.py
@@ -73,7 +73,9 @@
                 if start <= at <= end
             )
 
-        late = poison.late_arrivals(found, is_in_touch, starved_seconds)
+        late = poison.late_arrivals(
+            found, CONTACT_SECONDS, is_in_touch, starved_seconds
+        )
         if not late:
             return []
         return [
--- a/tests/soak/poison.py
+++ b/tests/soak/poison.py
@@ -2,12 +2,9 @@
 
 import dataclasses
 
-from tests.soak import unanswered
-
 COUNTED_CRASHES = 5
 MAX_LATE_ARRIVALS = 3
 POPULAR_SEGMENT_COUNT = 3
-CONTACT_SECONDS = unanswered.CONTACT_SECONDS
 
 
 @dataclasses.dataclass
@@ -43,11 +40,13 @@
     return next((s for s in segments if s in poison_by_segment), None)
 
 
-def late_arrivals(poison, is_in_touch, starved_seconds):
+def late_arrivals(poison, contact_seconds, is_in_touch, starved_seconds):
     """Returns the request ids that arrived too late after the fifth crash.
 
     Args:
         poison: the segment.
+        contact_seconds: time after the fifth crash in which all routers learn
+            of it.
         is_in_touch: returns whether the router of a request counts at a time.
         starved_seconds: returns how long no processor was free between two
             times.
@@ -58,7 +57,7 @@
     late = [
         request_id
         for at, request_id in poison.arrivals
-        if at > fifth + CONTACT_SECONDS + starved_seconds(fifth, at)
+        if at > fifth + contact_seconds + starved_seconds(fifth, at)
         and is_in_touch(request_id, at)
     ]
     return late if len(late) > MAX_LATE_ARRIVALS else []
--- a/tests/test_soak_poison.py
+++ b/tests/test_soak_poison.py
@@ -27,6 +27,7 @@
                 )
                 late = poison.late_arrivals(
                     found,
+                    3.0,
                     lambda request_id, at, result=in_touch: result,
                     lambda start, end, result=starved: result,
                 )
