--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -12,6 +12,7 @@
 import json
 import os
 import pathlib
+import re
 import shutil
 import signal
 import socket
@@ -637,7 +638,8 @@
         head += ["X-Response-Seal: s.1", "Content-Type: text/event-stream"]
         head += ["Transfer-Encoding: chunked", "", ""]
         writer.write("\r\n".join(head).encode())
-        first = int(request.headers.get("last-event-id", "0")) + 1
+        step = self.fleet.id_step
+        first = int(request.headers.get("last-event-id", "0")) // step + 1
         lives = [(self.fleet.server_at(p[0]), p) for p in path]
         born = [server.born for server, _ in lives]
         for number in range(first, self.fleet.event_count + 1):
@@ -648,7 +650,7 @@
             ):
                 await asyncio.sleep(STALL_SECONDS)
                 return False
-            event = f"id: {number}\ndata: {echo[0][1]}\n\n".encode()
+            event = f"id: {number * step}\ndata: {echo[0][1]}\n\n".encode()
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
         writer.write(b"0\r\n\r\n")
@@ -669,6 +671,7 @@
         self.arrivals = []
         self.work_seconds = 0.03
         self.event_count = EVENT_COUNT
+        self.id_step = 1
 
     def add(self, service, kind=""):
         server = Server(self, service, kind)
@@ -835,6 +838,14 @@
             )  # fmt: skip
         self.record.write(f"router {self.name} started at {self.address}")
 
+    def change_settings(self, name, value):
+        """Replaces the settings file by one with another bound."""
+        changed = re.sub(rf"{name}: \S+", f"{name}: {value}", self._settings)
+        self._settings = changed
+        new = self._path.with_suffix(".new")
+        new.write_text(changed % "false", encoding="utf-8")
+        new.replace(self._path)
+
     def send(self, number):
         self.record.write(f"router {self.name} gets {number.name}")
         self.process.send_signal(number)
