--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -12,6 +12,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import shutil
 import signal
@@ -124,10 +125,10 @@
         return f"{HOST}:{self.port}"
 
     async def start(self):
+        self.port = self.port or free_ports(1)[0]
         self._server = await asyncio.start_server(
             self._serve, HOST, self.port, limit=2**22
         )
-        self.port = self._server.sockets[0].getsockname()[1]
 
     async def _serve(self, reader, writer):
         task = asyncio.current_task()
@@ -173,6 +174,27 @@
             task.cancel()
 
 
+def free_ports(count):
+    """Returns ports that nothing listens on.
+
+    They are below those that the kernel gives to outgoing connections, which
+    could take them before they are used, or while a server is down.
+    """
+    socks = []
+    while len(socks) < count:
+        sock = socket.socket()
+        try:
+            sock.bind((HOST, random.randint(10000, 32000)))
+        except OSError:
+            sock.close()
+            continue
+        socks.append(sock)
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
 def respond(writer, status, body=b"", headers=()):
     lines = [f"HTTP/1.1 {status} X"]
     lines += [f"{name}: {value}" for name, value in headers]
@@ -781,17 +803,6 @@
     } | changes  # fmt: skip
 
 
-def free_ports(count):
-    """Returns ports that nothing listens on."""
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind((HOST, 0))
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
-
-
 class Router:
     """One router process, started as deploy/system.toml says."""
 
