--- a/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
@@ -18,6 +18,7 @@
 INTERVAL_SMOOTHING_RATIO = 0.3
 """Weight of the newest interval in the exponential moving average, which spans
 the last few events."""
+MAX_LOGGED_VALUE_LENGTH = 32
 
 
 @dataclasses.dataclass(frozen=True)
@@ -217,12 +218,17 @@
     def _finish_response(self, body: bytes) -> None:
         assert self.head is not None
         fault = self.head.get(self._names.fault) or b""
+        detail = f"status {self.head.status}"
+        retry_after = self.head.get(self._names.retry_after)
+        if retry_after is not None:
+            value = retry_after[:MAX_LOGGED_VALUE_LENGTH].decode("latin-1")
+            detail += f", retry after {value}"
         self._finish(
             Outcome(
                 _FAILURE_BY_VERDICT[self._verdict],
                 http_call.Response(self.head, body),
                 fault.decode("latin-1"),
-                f"status {self.head.status}",
+                detail,
             )
         )
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/freshness.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/freshness.py
@@ -7,6 +7,7 @@
 bound was sent before the bound had passed, whatever happens to it afterwards.
 """
 
+import enum
 import time
 
 from nutmeglift import ids
@@ -21,6 +22,16 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+class Source(enum.Enum):
+    """Where a confirmation comes from."""
+
+    TRANSACTION = "transaction"
+    """This router's own conditional call."""
+    LISTING = "listing"
+    """This router's own listing of the store."""
+    PEER = "peer"
+
+
 class Freshness:
     """Determines whether requests with an API key may be accepted.
 
@@ -28,6 +39,7 @@
         revocation_seconds: bound within which a revoked key has to be refused.
         confirmed_at: time at which the newest confirmation was sent, in
             seconds of the clock that includes time in suspension.
+        confirmed_by: source of the newest confirmation, or None.
         rejected_revision: store revision of a configuration that is newer
             than the one in force and was not taken, or NONE.
     """
@@ -36,12 +48,17 @@
         """Starts without any confirmation."""
         self.revocation_seconds = revocation_seconds
         self.confirmed_at = float("-inf")
+        self.confirmed_by: Source | None = None
         self.rejected_revision = NONE
         self._retained_keys: frozenset[str] | None = None
 
-    def confirm(self, sent_at: float) -> None:
+    def confirm(
+        self, sent_at: float, source: Source = Source.TRANSACTION
+    ) -> None:
         """Records a confirmation by this router or by a peer."""
-        self.confirmed_at = max(self.confirmed_at, sent_at)
+        if sent_at > self.confirmed_at:
+            self.confirmed_at = sent_at
+            self.confirmed_by = source
 
     def record_rejected(
         self, revision: ids.Revision, keys: frozenset[str] | None
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
@@ -5,6 +5,7 @@
 from nutmeglift import kv
 from nutmeglift_gateway import board as boards
 from nutmeglift_gateway import directory
+from nutmeglift_gateway import freshness
 from nutmeglift_gateway import load_rows
 from nutmeglift_gateway import peer_messages
 from nutmeglift_gateway import poison_rows
@@ -263,7 +264,9 @@
             return
         if own.generation < report.generation:
             return
-        self._board.freshness.confirm(sent_at - report.confirmation_age)
+        self._board.freshness.confirm(
+            sent_at - report.confirmation_age, freshness.Source.PEER
+        )
 
     def _compare_views(
         self, report: peer_messages.PeerReport, boot_now: float
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/reply.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/reply.py
@@ -208,6 +208,7 @@
                 min(context.board.freshness.age(freshness.boot_clock()), 1e6),
                 3,
             ),
+            confirmed_by=_confirmed_by(context),
             directory_version=context.board.directory.version,
             sent=self.progress.sent,
             paths=self.paths,
@@ -245,3 +246,9 @@
     """Returns the generation of the configuration in force, if there is one."""
     catalog = context.board.catalog
     return catalog.generation if catalog else None
+
+
+def _confirmed_by(context: contexts.Context) -> str | None:
+    """Returns what confirmed the configuration last, if anything did."""
+    source = context.board.freshness.confirmed_by
+    return source.value if source else None
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
@@ -284,7 +284,7 @@
         self.outage.record_answer(self._now())
         self.view.apply_snapshot(snapshot, sent_at)
         if self._board.catalog is not None:
-            self._board.freshness.confirm(sent_at)
+            self._board.freshness.confirm(sent_at, freshness.Source.LISTING)
 
     async def _wait_until_needed(self) -> None:
         while self._is_covered():  # noqa: ASYNC110 - ends with the time.
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/store_view.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/store_view.py
@@ -154,6 +154,13 @@
                 planner = entry
             elif entry.key.startswith(QUARANTINE_PREFIX):
                 self._guard(entry, self.apply_quarantine)
+        if snapshot.revision < self.revision:
+            self._log.write(
+                "store revisions went back",
+                revision=snapshot.revision,
+                view_revision=self.revision,
+                catalog_revision=self._board.catalog_revision,
+            )
         self._board.directory.replace_all(now, servers)
         self._board.router_by_name = routers
         self.planner = planner
@@ -193,6 +200,7 @@
                 nothing of the store unless it can be read.
         """
         if entry.mod_revision <= self._board.catalog_revision:
+            self._log_dropped_catalog(entry)
             return
         if entry.mod_revision == self._board.freshness.rejected_revision:
             return
@@ -223,6 +231,17 @@
         )
         self._reject_catalog(entry, frozenset(found.account_by_key))
 
+    def _log_dropped_catalog(self, entry: kv.KeyValue) -> None:
+        """Logs an entry that is dropped as older and has another value."""
+        in_force = self.entry_by_key.get(entry.key)
+        if in_force is None or in_force.value == entry.value:
+            return
+        self._log.write(
+            "configuration dropped",
+            revision=entry.mod_revision,
+            in_force=in_force.mod_revision,
+        )
+
     def announce_catalog(self, revision: ids.Revision) -> None:
         """Records that the store has a configuration with unknown value."""
         self._announced_catalog_revision = max(
--- a/tests/gateway/store_stand_in.py
+++ b/tests/gateway/store_stand_in.py
@@ -8,6 +8,7 @@
 from nutmeglift import errors
 from nutmeglift import ids
 from nutmeglift import kv
+from tests.gateway import restorable_kv
 from tests.gateway import stand_ins
 
 SILENCE_SECONDS = 60.0
@@ -39,10 +40,15 @@
         silent_watches: whether just the responses to watches are withheld.
         page_size: largest number of items in one page of a listing.
         sent_values: the values of all items that were sent, in order.
+        era: number of the store's era, sent with each response; None sends
+            none, as a store does that never came back from a copy.
+        away: whether all connections are reset.
     """
 
     def __init__(self):
-        self.memory = kv.MemoryKv()
+        self.memory = restorable_kv.RestorableKv()
+        self.era = None
+        self.away = False
         self.fault = None
         self.writer_fault = None
         self.silent = False
@@ -56,6 +62,20 @@
         await self.server.start()
         return self
 
+    async def drill(self, taken, away_seconds):
+        """Is away for a while, and comes back from a copy in the next era.
+
+        Args:
+            taken: the copy, from memory.take_copy().
+            away_seconds: how long no call is answered.
+        """
+        self.away = True
+        self.server.reset_connections()
+        await asyncio.sleep(away_seconds)
+        self.memory.restore_copy(taken)
+        self.era = (self.era or 0) + 1
+        self.away = False
+
     async def wait_for_watch(self):
         """Waits until the next watch call arrives."""
         self._watch_arrived.clear()
@@ -65,6 +85,9 @@
         method, target, _ = request.head.split(" ")
         url = parse.urlsplit(target)
         query = dict(parse.parse_qsl(url.query, keep_blank_values=True))
+        if self.away:
+            stand_ins.reset_connection(writer)
+            return
         if self.writer_fault is not None:
             await self.writer_fault(writer)
             return
@@ -83,9 +106,10 @@
         if self.silent or (is_watch and self.silent_watches):
             await asyncio.sleep(SILENCE_SECONDS)
         raw = json.dumps(response).encode()
+        era = b"" if self.era is None else b"store-era: %d\r\n" % self.era
         writer.write(
-            b"HTTP/1.1 %d X\r\ncontent-length: %d\r\n\r\n%b"
-            % (status, len(raw), raw)
+            b"HTTP/1.1 %d X\r\n%bcontent-length: %d\r\n\r\n%b"
+            % (status, era, len(raw), raw)
         )
 
     def _encode(self, entry):
@@ -141,6 +165,8 @@
                 batch = await anext(watch)
         except TimeoutError:
             batch = []
+        except errors.KvCompactedError:
+            return 410, {}
         events = [
             {
                 "key": event.entry.key,
