--- a/tests/gateway/store_routers.py
+++ b/tests/gateway/store_routers.py
@@ -15,6 +15,7 @@
 from nutmeglift_gateway import store_reader
 from nutmeglift_gateway import supervision
 from nutmeglift_platform import store
+from tests.gateway import restorable_kv
 from tests.gateway import rig
 from tests.gateway import stand_ins
 from tests.gateway import store_stand_in
@@ -127,7 +128,8 @@
     """
 
     def __init__(self):
-        self.memory = kv.MemoryKv()
+        self.memory = restorable_kv.RestorableKv()
+        self._era = None
         self.schema = rig.MemorySchema()
         self.schema.by_value[b"config"] = rig.make_catalog()
         self.routers = []
@@ -152,6 +154,7 @@
     async def add_router(self, name, domain=None):
         """Starts another router, and returns it."""
         router = Router(name, self.memory, self.schema)
+        router.store.era = self._era
         if domain is not None:
             router.board.home = ids.FailureDomain(domain)
         self.routers.append(router)
@@ -176,6 +179,31 @@
         for router in self.routers:
             router.store.silent = silent
 
+    def set_era(self, era):
+        """Sets the era that the store names in its responses."""
+        self._era = era
+        for router in self.routers:
+            router.store.era = era
+
+    async def drill(self, taken, away_seconds):
+        """The store is away, and comes back from a copy in the next era."""
+        self.leave()
+        await asyncio.sleep(away_seconds)
+        self.come_back(taken)
+
+    def leave(self):
+        """Resets all connections to the store from now on."""
+        for router in self.routers:
+            router.store.away = True
+            router.store.server.reset_connections()
+
+    def come_back(self, taken):
+        """Restores the store from a copy, and answers calls again."""
+        self.memory.restore_copy(taken)
+        self.set_era((self._era or 0) + 1)
+        for router in self.routers:
+            router.store.away = False
+
     async def wait_for_planner(self):
         """Returns the planning router once one is elected."""
         async with asyncio.timeout(stand_ins.WAIT_SECONDS):
