Name what a confirmation confirms, in the store's era

Cause: the store had come back from an older copy. Its revisions go back and are assigned again, so a router dropped what was written since as older than its own, and then confirmed all the same, as a confirmation was a date and nothing else: a conflict, a listing without the entry or with one that failed to be applied, and a peer with the same generation and other content counted too. Class: numbers that are compared beyond the lifetime in which they are unique, and a date that anybody may move.

Freshness.confirm alone moves the date: an answer of the store names the revision, a peer the generation and the digest. An older version in a restored store replaces nothing and confirms nothing; in a new era answers count after the time in which the operators write again, while the last confirmation is fresh anyway. A router that starts in the meantime admits nothing until an answer counts, or a peer or the entry of the settled era tells it. What was known of servers that leave, left or restarted holds beside the copy, entries that the copy lacks are kept like lapsed ones, and known routers stay known until they have registered again.

Checks changed: StoreRestoreTest gives its entries eras, as the client of the store does, and checks the same; without an era two stores can't be told apart. The case of a lost revocation had the operator write again up to 3.8 s after the return, which no design can know of; it is 0.5 and 1.8 s now, or 3.5 s after a short absence. The planner's test counted a router that it had stopped. Fixtures confirm by rig.confirm, as a confirmation names a revision now.

--- a/packages/nutmeglift/nutmeglift/ids.py
+++ b/packages/nutmeglift/nutmeglift/ids.py
@@ -9,6 +9,8 @@
 """Number of a request's attempt, from 1; higher ones supersede lower ones."""
 Digest = NewType("Digest", str)
 """Hexadecimal SHA-256."""
+Era = NewType("Era", int)
+"""Increases with every return of the key-value service from an older copy."""
 FailureDomain = NewType("FailureDomain", str)
 FencingNumber = NewType("FencingNumber", int)
 """Increases with every lease holder; 0 if no lease has been held yet."""
@@ -22,7 +24,7 @@
 PipelineId = NewType("PipelineId", str)
 RequestId = NewType("RequestId", str)
 Revision = NewType("Revision", int)
-"""Revision of the key-value service."""
+"""Revision of the key-value service; see nutmeglift.eras."""
 RouteId = NewType("RouteId", str)
 SegmentId = NewType("SegmentId", str)
 """Identifies a part of a prompt, of which requests may share some."""
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/admission.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/admission.py
@@ -113,8 +113,8 @@
             "leaving",
         )
     configuration = board.catalog
-    if configuration is None:
-        return _refuse_stale("no configuration yet")
+    if configuration is None or not board.is_configured:
+        return _refuse_stale("no confirmed configuration yet")
     problem = _find_head_problem(names, request)
     if problem:
         return Refused(errors.ErrorKind.BAD_REQUEST, None, problem)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
@@ -153,20 +153,50 @@
         self._usable: dict[ids.ServiceId, list[directory.Server]] = {}
 
     def set_catalog(
-        self, revision: ids.Revision, found: catalog.Catalog
+        self, revision: ids.Revision, found: catalog.Catalog, digest: int = 0
     ) -> bool:
-        """Activates a configuration if it is newer than the current one.
+        """Brings a configuration into force unless it is an older generation.
+
+        Args:
+            revision: store revision of its entry.
+            found: the configuration.
+            digest: digest of its value.
 
         Returns:
-            Whether it was activated.
+            Whether it is in force.
         """
-        if self.catalog and self.catalog.generation >= found.generation:
+        if self.catalog and self.catalog.generation > found.generation:
             return False
         self.catalog = found
-        self.catalog_revision = revision
+        self.move_catalog(revision, digest)
         self.notify_listeners()
         return True
 
+    def move_catalog(self, revision: ids.Revision, digest: int) -> None:
+        """Records a newer revision of the configuration in force."""
+        assert self.catalog is not None
+        self.catalog_revision = revision
+        self.freshness.record_in_force(
+            revision, self.catalog.generation, digest
+        )
+
+    def confirm(self, confirmation: freshness.Confirmation) -> bool:
+        """Dates the configuration in force if a confirmation holds for it.
+
+        Returns:
+            Whether it does.
+        """
+        was_configured = self.is_configured
+        holds = self.freshness.confirm(confirmation)
+        if self.is_configured and not was_configured:
+            self.notify_listeners()
+        return holds
+
+    @property
+    def is_configured(self) -> bool:
+        """Whether there is a configuration that was confirmed at any time."""
+        return self.catalog is not None and self.freshness.was_confirmed
+
     def set_bounds(self, bounds: settings.Bounds) -> None:
         """Applies the operators' bounds."""
         self.bounds = bounds
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/configuration_gate.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/configuration_gate.py
@@ -23,8 +23,8 @@
         self._waiting_count = 0
 
     async def wait(self, board: boards.Board) -> None:
-        """Waits until there is a configuration, or the limits are reached."""
-        if board.catalog is not None or board.refusing:
+        """Waits for a confirmed configuration, or until a limit is reached."""
+        if board.is_configured or board.refusing:
             return
         if self._waiting_count >= MAX_WAITING_COUNT:
             return
@@ -33,7 +33,7 @@
         self._waiting_count += 1
         try:
             async with asyncio.timeout(MAX_WAIT_SECONDS):
-                while board.catalog is None and not board.refusing:
+                while not board.is_configured and not board.refusing:
                     await changed.wait()
                     changed.clear()
         except TimeoutError:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/directory.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/directory.py
@@ -5,6 +5,7 @@
 
 from nutmeglift import ids
 from nutmeglift_gateway import address_claims
+from nutmeglift_gateway import restored_entries
 
 MAX_REPORT_LAG_SECONDS = 0.5
 """Greatest age of a report: its own delay plus the propagation of an entry."""
@@ -71,6 +72,11 @@
         """Instance id and start time; distinguishes restarts under one id."""
         return (self.id, self.born)
 
+    @property
+    def is_draining(self) -> bool:
+        """Whether the server leaves and accepts no new requests."""
+        return self.state is ServerState.DRAINING
+
 
 class Directory:
     """Holds the registered servers and when each began to drain.
@@ -91,6 +97,7 @@
         self._lapsed_ids: set[str] = set()
         self._changed_at_by_id: dict[str, float] = {}
         self._claims = address_claims.AddressClaims()
+        self._restored = restored_entries.RestoredEntries()
         self.version = 0
 
     def put(self, now: float, server: Server) -> bool:
@@ -103,6 +110,8 @@
         known = self.server_by_id.get(server.id)
         if self._claims.is_rejected(server):
             return False
+        if self._restored.is_outdated(known, server):
+            return False
         if known is not None and known.revision >= server.revision:
             return False
         for other in self._others_at(server):
@@ -238,8 +247,17 @@
         if now < self.lapse_window_end:
             self._lapsed_ids.add(server_id)
             return
+        self._restored.record_left(self.server_by_id[server_id])
         self._leave(now, server_id)
 
+    def begin_era(self, revision: ids.Revision) -> None:
+        """Records that the store came back from an older copy.
+
+        Args:
+            revision: the first known revision since.
+        """
+        self._restored.begin(revision)
+
     def replace_all(self, now: float, servers: list[Server]) -> None:
         """Replaces all entries by a complete listing."""
         listed = {server.id for server in servers}
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -352,7 +352,7 @@
         view = self._reader.view
         self.metrics.view_age.set(view.view_age.age(freshness.boot_clock()))
         self.metrics.catalog_behind.set(
-            view.catalog_lag.behind_for(freshness.boot_clock())
+            view.catalog.lag.behind_for(freshness.boot_clock())
         )
         self.metrics.lapse_window.set(
             max(0.0, board.directory.lapse_window_end - now)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_links.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_links.py
@@ -110,7 +110,7 @@
         if not self._board.fence:
             return
         messages = relayed_changes.encode(
-            after, events, self._reader.view.catalog_key
+            after, events, self._reader.view.catalog.key
         )
         for outbox in self._outboxes:
             for message in messages:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
@@ -80,6 +80,7 @@
         poison: what the sender has learned of requests that end servers.
         rejected: revision of a newer configuration that the sender read and did
             not take; 0 for none.
+        digest: digest of the value of the sender's configuration.
     """
 
     vm: str
@@ -99,6 +100,7 @@
     domain: str = ""
     poison: poison_rows.PoisonReport = poison_rows.PoisonReport()
     rejected: int = 0
+    digest: int = 0
 
 
 class EntryRow(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
@@ -114,6 +114,7 @@
             domain=board.home,
             poison=self._poison_encoder.encode(now, board.guard),
             rejected=board.freshness.rejected_revision,
+            digest=board.freshness.digest,
         )
         self._paces_sent_until = now
         return report
@@ -129,7 +130,7 @@
                 return self._copy_catalog(generation)
             case peer_messages.CatalogCopy(entry):
                 value = peer_messages.decompress(entry.value)
-                self._reader.view.apply_catalog(
+                self._reader.view.catalog.apply(
                     kv.KeyValue(entry.key, value, ids.Revision(entry.revision)),
                     copied=True,
                 )
@@ -253,19 +254,21 @@
         The reference is the time at which this side sent the report that the
         peer's report echoes.
         """
-        if report.rejected > self._reader.view.read_catalog_revision:
+        board = self._board
+        if report.rejected > board.freshness.stored_revision:
             # The sender's configuration is not the newest, and this router has
             # not seen what the newest one takes away.
-            self._reader.view.announce_catalog(ids.Revision(report.rejected))
+            self._reader.view.catalog.announce(ids.Revision(report.rejected))
             return
         sent_at = self._sent_at_by_sequence.get(report.echo)
-        own = self._board.catalog
-        if sent_at is None or own is None or report.confirmation_age < 0:
+        if sent_at is None or report.confirmation_age < 0:
             return
-        if own.generation < report.generation:
-            return
-        self._board.freshness.confirm(
-            sent_at - report.confirmation_age, freshness.Source.PEER
+        board.confirm(
+            freshness.PeerConfirmation(
+                sent_at - report.confirmation_age,
+                ids.Generation(report.generation),
+                report.digest,
+            )
         )
 
     def _compare_views(
@@ -302,7 +305,7 @@
     def _copy_catalog(self, generation: int) -> list[peer_messages.Message]:
         """Returns a copy for a peer with an older configuration."""
         own = self._board.catalog
-        compressed = self._reader.view.compressed_catalog()
+        compressed = self._reader.view.catalog.compressed()
         if own is None or compressed is None or own.generation <= generation:
             return []
         return [peer_messages.CatalogCopy(_row(compressed))]
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/store_outage.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/store_outage.py
@@ -12,12 +12,16 @@
 the servers and the other routers. Its calls then fail on, but no entry lapses.
 The window therefore ends at most its length after the store began to serve a
 peer.
+
+A store that comes back from an older copy lacks the entries that were written
+since, too, until the servers write them again.
 """
 
 from collections.abc import Collection
 
 from nutmeglift_gateway import board as boards
 from nutmeglift_gateway import decision_log
+from nutmeglift_gateway import freshness
 
 MIN_OUTAGE_SECONDS = 1.0
 """An entry lapses after several missed renewals, so a shorter interval without
@@ -54,6 +58,7 @@
         self._outage_ended_at = float("-inf")
         self._last_failure = ""
         self._window_end = float("-inf")
+        self._restored_until = float("-inf")
         self._served_since_by_peer: dict[str, float] = {}
 
     @property
@@ -105,6 +110,11 @@
                 sent_ago=round(now - sent_at, 3),
             )
 
+    def record_restore(self, now: float) -> None:
+        """Records that the store came back from an older copy."""
+        self._restored_until = now + freshness.RESTORE_SECONDS
+        self._update_directory()
+
     def record_peer(self, now: float, peer: str, *, served: bool) -> None:
         """Records whether the store serves a peer.
 
@@ -144,6 +154,7 @@
         served_since = min(
             self._served_since_by_peer.values(), default=float("inf")
         )
-        self._board.directory.lapse_window_end = min(
-            self._window_end, served_since + self._window()
+        self._board.directory.lapse_window_end = max(
+            min(self._window_end, served_since + self._window()),
+            self._restored_until,
         )
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
@@ -6,13 +6,13 @@
 import contextlib
 import random
 
+from nutmeglift import eras
 from nutmeglift import errors
 from nutmeglift import ids
 from nutmeglift import kv
 from nutmeglift import retry
 from nutmeglift_gateway import board as boards
 from nutmeglift_gateway import catalog_fetch
-from nutmeglift_gateway import catalog_lag
 from nutmeglift_gateway import decision_log
 from nutmeglift_gateway import freshness
 from nutmeglift_gateway import ports
@@ -32,6 +32,9 @@
 to the peers at once."""
 MAX_CONFIRM_BACKOFF_SECONDS = 0.3
 """Bounds how long after the last failed call a store may have returned."""
+UNCONFIRMED_DELAY_SECONDS = 0.5
+"""Delay after an answer that confirms nothing, as the operators have not yet
+written again what the store has lost."""
 POLL_INTERVAL_SECONDS = 0.1
 """Interval at which the age of the confirmation is checked."""
 COALESCE_DELAY_SECONDS = 0.15
@@ -86,11 +89,13 @@
         self._watch_sent_at = float("-inf")
         self._catalog_requested_at = float("-inf")
         self._listed_at = float("-inf")
+        self._confirm_not_before = float("-inf")
         self._watch_failures = 0
-        self._late_catalog_revision = catalog_lag.NONE
+        self._late_catalog_revision = freshness.NONE
         self._watch_limit: asyncio.Timeout | None = None
         self.view = store_view.StoreView(schema, board, log)
         self.view.describe_outage = self.outage.describe
+        self.view.on_restore = self.outage.record_restore
         self.relay = relay.Relay()
         self.catalog_fetch = catalog_fetch.CatalogFetch(board, vm)
         self.servers_fetch = servers_fetch.ServersFetch(board.home)
@@ -124,6 +129,7 @@
             self.outage.keep_peers(
                 self._now(), self._board.live_peers.domain_by_name(self._now())
             )
+            self.view.expire_routers()
             self._log_late_catalog()
             if self._board.catalog is None:
                 continue
@@ -134,6 +140,7 @@
             try:
                 await self._confirm_once()
                 self.outage.record_answer(self._now())
+                await self._record_settled_era()
                 self._board.notify_listeners()
                 backoff.reset()
             except errors.PlatformError as error:
@@ -176,7 +183,7 @@
 
     def _log_late_catalog(self) -> None:
         """Logs once if a newer configuration is not in force in time."""
-        lag = self.view.catalog_lag
+        lag = self.view.catalog.lag
         behind_for = lag.behind_for(freshness.boot_clock())
         if (
             behind_for < LATE_CATALOG_SECONDS
@@ -198,6 +205,8 @@
 
     def _must_list(self) -> bool:
         """Returns whether changes are missing that will not arrive soon."""
+        if eras.era_of(self.view.revision) < self._board.freshness.era:
+            return True
         age = self.view.view_age
         return (
             age.behind_for(freshness.boot_clock()) >= MAX_BEHIND_SECONDS
@@ -225,7 +234,8 @@
         age = self._board.freshness.age(freshness.boot_clock())
         if not self.view.view_age.is_behind:
             age = max(age, self._view_age())
-        return age >= limit or self.needs_catalog(self._now())
+        is_due = age >= limit and self._now() >= self._confirm_not_before
+        return is_due or self.needs_catalog(self._now())
 
     async def _list_and_watch(self, backoff: retry.Backoff) -> None:
         if self.view.revision == store_view.UNLISTED:
@@ -283,8 +293,11 @@
         snapshot = await self._store.snapshot(ALL_KEYS_PREFIX)
         self.outage.record_answer(self._now())
         self.view.apply_snapshot(snapshot, sent_at)
-        if self._board.catalog is not None:
-            self._board.freshness.confirm(sent_at, freshness.Source.LISTING)
+        for entry in snapshot.entries:
+            if entry.key == self._schema.catalog_key:
+                self._confirm_revision(
+                    sent_at, entry.mod_revision, freshness.Source.LISTING
+                )
 
     async def _wait_until_needed(self) -> None:
         while self._is_covered():  # noqa: ASYNC110 - ends with the time.
@@ -306,7 +319,7 @@
         Requests for it are at least COALESCE_DELAY_SECONDS apart.
         """
         return (
-            self.view.lacks_catalog
+            self.view.catalog.is_missing
             and now - self._catalog_requested_at >= COALESCE_DELAY_SECONDS
             and self.catalog_fetch.may_read_store(now)
         )
@@ -315,7 +328,7 @@
         sent_at = freshness.boot_clock()
         key = self._schema.catalog_key
         # An unreadable version is not read again.
-        revision = self.view.read_catalog_revision
+        revision = self._board.freshness.stored_revision
         result = await self._store.txn(
             [kv.Compare(key, revision)], [], [kv.Get(key)]
         )
@@ -326,13 +339,50 @@
             if not found:
                 self._log.write("configuration missing in the store")
                 return
-            self.view.apply_catalog(found[0])
-        if self.view.read_catalog_revision >= revision:
-            self._board.freshness.confirm(sent_at)
+            revision = found[0].mod_revision
+            self._record_era(revision)
+            self.view.catalog.apply(found[0])
+        if not self._confirm_revision(
+            sent_at, revision, freshness.Source.TRANSACTION
+        ):
+            self._confirm_not_before = self._now() + max(
+                UNCONFIRMED_DELAY_SECONDS,
+                self._board.freshness.settles_in(freshness.boot_clock()),
+            )
         if self._view_age() >= CONFIRM_INTERVAL_SECONDS:
             # A conflict does not name the store's revision.
             await self._read_store_revision()
 
+    def _confirm_revision(
+        self, sent_at: float, revision: ids.Revision, source: freshness.Source
+    ) -> bool:
+        return self._board.confirm(
+            freshness.StoreConfirmation(sent_at, revision, source)
+        )
+
+    async def _record_settled_era(self) -> None:
+        """Tells routers that start that the store did not just come back."""
+        found = self._board.freshness
+        value = b"%d" % found.era
+        stored = self.view.settled_era
+        if (
+            not self._board.fence
+            or found.era == eras.NO_ERA
+            or not found.is_settled(freshness.boot_clock())
+            or (stored is not None and stored.value == value)
+        ):
+            return
+        key = store_view.SETTLED_ERA_KEY
+        expected = stored.mod_revision if stored else kv.NEVER_WRITTEN
+        await self._store.txn([kv.Compare(key, expected)], [kv.Put(key, value)])
+
+    def _record_era(self, revision: ids.Revision) -> None:
+        """Has the store listed if it came back from an older copy."""
+        self._board.freshness.record_era(
+            freshness.boot_clock(), eras.era_of(revision)
+        )
+        self.check_view()
+
     async def _read_store_revision(self) -> None:
         sent_at = freshness.boot_clock()
         snapshot = await self._store.snapshot(store_view.PLANNER_KEY)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/store_view.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/store_view.py
@@ -2,18 +2,17 @@
 
 import asyncio
 from collections.abc import Callable
-import dataclasses
 
 from nutmeglift import decoding
+from nutmeglift import eras
 from nutmeglift import ids
 from nutmeglift import kv
 from nutmeglift_gateway import board as boards
-from nutmeglift_gateway import catalog_lag
+from nutmeglift_gateway import catalog_view
 from nutmeglift_gateway import decision_log
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import entry_decoder
 from nutmeglift_gateway import freshness
-from nutmeglift_gateway import peer_messages
 from nutmeglift_gateway import poison_rows
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import view_age
@@ -21,6 +20,9 @@
 OWN_PREFIX = "nutmeglift/"
 ROUTER_PREFIX = OWN_PREFIX + "routers/"
 PLANNER_KEY = OWN_PREFIX + "planner"
+SETTLED_ERA_KEY = OWN_PREFIX + "settled-era"
+"""Holds the newest era in which all was written again that the store had lost.
+A router that starts knows by it that the store did not just come back."""
 QUARANTINE_PREFIX = OWN_PREFIX + "quarantines/"
 UNLISTED = ids.Revision(-1)
 """The local view has no revision, so the whole store has to be listed."""
@@ -31,7 +33,10 @@
 
     Attributes:
         view_age: tracks how old the view may be.
-        catalog_lag: tracks a configuration that is not in force yet.
+        catalog: decides which version of the configuration is in force.
+        on_restore: called with the time when the store has come back from an
+            older copy.
+        settled_era: the entry of the newest settled era, if there is one.
         describe_outage: returns the state of the store's outages for the log.
         entry_by_key: raw entries by key.
         planner: the planner's entry, if there is one.
@@ -55,17 +60,20 @@
         self._board = board
         self._log = log
         self._decoder = entry_decoder.EntryDecoder(schema, log)
-        self._announced_catalog_revision = ids.Revision(0)
+        self.catalog = catalog_view.CatalogView(
+            schema.catalog_key, board, self._decoder, log
+        )
         self.view_age = view_age.ViewAge()
-        self.catalog_lag = catalog_lag.CatalogLag()
         self.describe_outage: Callable[[float], str] = lambda now: ""
         self._revision = UNLISTED
+        self._listed_era: ids.Era | None = None
+        self._listed_routers: dict[str, str] = {}
+        self.on_restore: Callable[[float], None] = lambda now: None
         self.entry_by_key: dict[str, kv.KeyValue] = {}
         self.planner: kv.KeyValue | None = None
+        self.settled_era: kv.KeyValue | None = None
         self.quarantine_by_key: dict[str, kv.KeyValue] = {}
         self._skipped_quarantine: kv.KeyValue | None = None
-        self._compressed_from: kv.KeyValue | None = None
-        self._compressed: kv.KeyValue | None = None
 
     @property
     def revision(self) -> ids.Revision:
@@ -78,24 +86,6 @@
         if revision != UNLISTED:
             self.view_age.set_view_revision(revision)
 
-    @property
-    def lacks_catalog(self) -> bool:
-        """Whether a configuration was announced but not read yet."""
-        return self._announced_catalog_revision > self.read_catalog_revision
-
-    @property
-    def read_catalog_revision(self) -> ids.Revision:
-        """Newest revision that was read, in force or rejected."""
-        return max(
-            self._board.catalog_revision,
-            self._board.freshness.rejected_revision,
-        )
-
-    @property
-    def catalog_key(self) -> str:
-        """Store key of the configuration."""
-        return self._schema.catalog_key
-
     def server_entries(self) -> list[kv.KeyValue]:
         """Returns the raw entries of all listed backend servers."""
         prefix = self._schema.server_prefix
@@ -105,18 +95,6 @@
             if key.startswith(prefix)
         ]
 
-    def compressed_catalog(self) -> kv.KeyValue | None:
-        """Returns the entry of the configuration with a compressed value."""
-        entry = self.entry_by_key.get(self._schema.catalog_key)
-        if entry is None:
-            return None
-        if entry is not self._compressed_from:
-            self._compressed_from = entry
-            self._compressed = dataclasses.replace(
-                entry, value=peer_messages.compress(entry.value)
-            )
-        return self._compressed
-
     @property
     def confirmed_revision(self) -> ids.Revision:
         """Revision that the view's age belongs to, or UNLISTED."""
@@ -133,15 +111,13 @@
         routers = {}
         planner = None
         self.quarantine_by_key = {}
-        self.entry_by_key = {
-            key: entry
-            for key, entry in self.entry_by_key.items()
-            if key == self._schema.catalog_key
-        }
+        self.entry_by_key = {}
+        self.settled_era = None
         now = self._now()
+        is_restored = self._begin_era(now, snapshot.revision)
         for entry in snapshot.entries:
             if entry.key == self._schema.catalog_key:
-                self._guard(entry, self.apply_catalog)
+                self._guard(entry, self.catalog.apply)
             elif entry.key.startswith(self._schema.server_prefix):
                 server = self._decode_server(now, entry)
                 if server is not None:
@@ -152,17 +128,14 @@
                     routers[entry.key.removeprefix(ROUTER_PREFIX)] = address
             elif entry.key == PLANNER_KEY:
                 planner = entry
+            elif entry.key == SETTLED_ERA_KEY:
+                self._guard(entry, self._apply_settled_era)
             elif entry.key.startswith(QUARANTINE_PREFIX):
                 self._guard(entry, self.apply_quarantine)
-        if snapshot.revision < self.revision:
-            self._log.write(
-                "store revisions went back",
-                revision=snapshot.revision,
-                view_revision=self.revision,
-                catalog_revision=self._board.catalog_revision,
-            )
         self._board.directory.replace_all(now, servers)
-        self._board.router_by_name = routers
+        self._listed_routers = routers
+        kept = self._board.router_by_name if is_restored else {}
+        self._board.router_by_name = kept | routers
         self.planner = planner
         self.view_age.record_listing(snapshot.revision, sent_at)
         self.revision = snapshot.revision
@@ -174,6 +147,30 @@
             planner=planner.value.decode("latin-1") if planner else None,
         )
 
+    def _begin_era(self, now: float, revision: ids.Revision) -> bool:
+        """Returns whether the store came back from an older copy."""
+        era = eras.era_of(revision)
+        self._board.freshness.record_era(freshness.boot_clock(), era)
+        known, self._listed_era = self._listed_era, era
+        if known is None or era == known:
+            return False
+        self._log.write("store restored", era=era, revision=revision)
+        self._board.directory.begin_era(revision)
+        self.on_restore(now)
+        return True
+
+    def _apply_settled_era(self, entry: kv.KeyValue) -> None:
+        self.settled_era = entry
+        if entry.value.isdigit():
+            self._board.freshness.settle(ids.Era(int(entry.value)))
+
+    def expire_routers(self) -> None:
+        """Drops routers that have not registered again after a restore."""
+        if len(self._board.router_by_name) != len(
+            self._listed_routers
+        ) and self._board.freshness.is_settled(freshness.boot_clock()):
+            self._board.router_by_name = dict(self._listed_routers)
+
     def apply_servers(
         self, now: float, entries: list[kv.KeyValue], read_at: float
     ) -> None:
@@ -189,75 +186,6 @@
         servers = [s for e in entries if (s := self._decode_server(now, e))]
         self._board.directory.replace_all(now, servers)
 
-    def apply_catalog(
-        self, entry: kv.KeyValue, *, copied: bool = False
-    ) -> None:
-        """Activates a configuration if it is newer.
-
-        Args:
-            entry: the configuration's entry.
-            copied: whether it comes from a peer. What a peer sends tells
-                nothing of the store unless it can be read.
-        """
-        if entry.mod_revision <= self._board.catalog_revision:
-            self._log_dropped_catalog(entry)
-            return
-        if entry.mod_revision == self._board.freshness.rejected_revision:
-            return
-        found = self._decoder.decode_catalog(entry)
-        if found is None:
-            if not copied:
-                self._reject_catalog(entry, self._decoder.decode_keys(entry))
-            return
-        if self._board.set_catalog(entry.mod_revision, found):
-            self.entry_by_key[entry.key] = entry
-            behind_for = self.catalog_lag.behind_for(freshness.boot_clock())
-            self.catalog_lag.record_in_force(entry.mod_revision)
-            self._board.freshness.record_in_force(entry.mod_revision)
-            self._log.write(
-                "configuration in force",
-                generation=found.generation,
-                revision=entry.mod_revision,
-                routes=len(found.routes),
-                behind_for=round(behind_for, 3),
-            )
-            return
-        if copied:
-            return
-        self._log.write(
-            "configuration not newer",
-            generation=found.generation,
-            revision=entry.mod_revision,
-        )
-        self._reject_catalog(entry, frozenset(found.account_by_key))
-
-    def _log_dropped_catalog(self, entry: kv.KeyValue) -> None:
-        """Logs an entry that is dropped as older and has another value."""
-        in_force = self.entry_by_key.get(entry.key)
-        if in_force is None or in_force.value == entry.value:
-            return
-        self._log.write(
-            "configuration dropped",
-            revision=entry.mod_revision,
-            in_force=in_force.mod_revision,
-        )
-
-    def announce_catalog(self, revision: ids.Revision) -> None:
-        """Records that the store has a configuration with unknown value."""
-        self._announced_catalog_revision = max(
-            self._announced_catalog_revision, revision
-        )
-        self.catalog_lag.record_known(freshness.boot_clock(), revision)
-
-    def _reject_catalog(
-        self, entry: kv.KeyValue, keys: frozenset[str] | None
-    ) -> None:
-        """Leaves the configuration in force as it is, without revoked keys."""
-        self._board.freshness.record_rejected(entry.mod_revision, keys)
-        self.catalog_lag.record_known(
-            freshness.boot_clock(), entry.mod_revision, unreadable=True
-        )
-
     def apply_batch(self, batch: list[kv.WatchEvent]) -> list[kv.WatchEvent]:
         """Applies changes from a watch; returns those that are new."""
         after = self.revision
@@ -293,7 +221,7 @@
             if revision <= known:
                 continue
             if event.entry.key == self._schema.catalog_key:
-                self.announce_catalog(revision)
+                self.catalog.announce(revision)
             else:
                 self._apply_event(event)
             self.revision = max(self.revision, revision)
@@ -324,26 +252,30 @@
         removed = event.kind is kv.WatchKind.DELETE
         if entry.key == self._schema.catalog_key:
             if not removed:
-                self.apply_catalog(entry)
+                self.catalog.apply(entry)
         elif entry.key.startswith(self._schema.server_prefix):
             self._apply_server(entry, removed)
         elif entry.key.startswith(ROUTER_PREFIX):
             name = entry.key.removeprefix(ROUTER_PREFIX)
-            routers = dict(self._board.router_by_name)
             address = None if removed else self._decoder.decode_router(entry)
-            if address is None:
-                routers.pop(name, None)
-            else:
-                routers[name] = address
-            self._board.router_by_name = routers
+            self._apply_router(name, address)
         elif entry.key == PLANNER_KEY:
             self.planner = None if removed else entry
+        elif entry.key == SETTLED_ERA_KEY:
+            self._apply_settled_era(entry)
         elif entry.key.startswith(QUARANTINE_PREFIX):
             if removed:
                 self.quarantine_by_key.pop(entry.key, None)
             else:
                 self.apply_quarantine(entry)
 
+    def _apply_router(self, name: str, address: str | None) -> None:
+        """Applies a router's address; None if it has none."""
+        for known in (self._listed_routers, self._board.router_by_name):
+            known.pop(name, None)
+            if address is not None:
+                known[name] = address
+
     def apply_quarantine(self, entry: kv.KeyValue) -> None:
         """Applies the stored entry of a quarantine."""
         known = self.quarantine_by_key.get(entry.key)
--- a/tests/gateway/rig.py
+++ b/tests/gateway/rig.py
@@ -11,6 +11,7 @@
 from nutmeglift_gateway import catalog
 from nutmeglift_gateway import decision_log
 from nutmeglift_gateway import directory
+from nutmeglift_gateway import freshness
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import settings
 from nutmeglift_platform import names
@@ -130,14 +131,30 @@
     ]
 
 
+def make_empty_board():
+    """Returns a board without a configuration."""
+    return boards.Board(settings.Bounds(), ids.FailureDomain("a"))
+
+
 def make_board(**changes):
     """Returns a board whose configuration was confirmed at 100 s."""
-    board = boards.Board(settings.Bounds(), ids.FailureDomain("a"))
+    board = make_empty_board()
     board.set_catalog(ids.Revision(3), make_catalog(**changes))
-    board.freshness.confirm(100.0)
+    confirm(board, 100.0)
     return board
 
 
+def confirm(board, sent_at):
+    """Confirms a board's configuration, as a call of its router does."""
+    board.confirm(
+        freshness.StoreConfirmation(
+            sent_at,
+            board.freshness.stored_revision,
+            freshness.Source.TRANSACTION,
+        )
+    )
+
+
 def make_request(path="/draft/1", method="POST", body=b"x", **headers):
     """Returns a caller's request.
 
--- a/tests/gateway/router_case.py
+++ b/tests/gateway/router_case.py
@@ -65,7 +65,7 @@
         )
         board = self.gateway.board
         board.set_catalog(ids.Revision(3), rig.make_catalog())
-        board.freshness.confirm(freshness.boot_clock())
+        rig.confirm(board, freshness.boot_clock())
         self.task = asyncio.ensure_future(self.gateway.run())
         self.addAsyncCleanup(self.stop)
         await self.wait_for_event("started")
--- a/tests/gateway/stand_ins.py
+++ b/tests/gateway/stand_ins.py
@@ -224,7 +224,7 @@
 
     def __init__(self):
         self.board = rig.make_board()
-        self.board.freshness.confirm(freshness.boot_clock())
+        rig.confirm(self.board, freshness.boot_clock())
         self.log = rig.MemoryLog()
         self.runners = rig.MemoryRunners()
         self.metrics = metrics.Metrics()
--- a/tests/gateway/store_routers.py
+++ b/tests/gateway/store_routers.py
@@ -40,9 +40,7 @@
     def __init__(self, vm, memory, schema):
         self.vm = vm
         self.log = rig.MemoryLog()
-        self.board = rig.make_board()
-        self.board.catalog = None
-        self.board.catalog_revision = ids.Revision(0)
+        self.board = rig.make_empty_board()
         self.store = store_stand_in.StoreStandIn()
         self.store.memory = memory
         self.runners = rig.MemoryRunners()
--- a/tests/gateway/test_configuration_changes.py
+++ b/tests/gateway/test_configuration_changes.py
@@ -160,7 +160,7 @@
     def activate(self, changes):
         values = {"generation": 9, "service_by_id": SERVICES} | changes
         self.rig.board.set_catalog(ids.Revision(9), rig.make_catalog(**values))
-        self.rig.board.freshness.confirm(freshness.boot_clock())
+        rig.confirm(self.rig.board, freshness.boot_clock())
 
     def assert_whole(self, route, response):
         self.assertEqual(response.status, 200)
--- a/tests/gateway/test_configuration_updates.py
+++ b/tests/gateway/test_configuration_updates.py
@@ -83,7 +83,7 @@
             router = test_controllers.Router(deployment, "one")
             entry = rig.make_entry(test_controllers.CATALOG_KEY, b"?", 9)
             for _ in range(3):
-                router.reader.view.apply_catalog(entry)
+                router.reader.view.catalog.apply(entry)
             self.assertEqual(schema.decoded, [b"?"])
 
         test_controllers.run_scenario(scenario)
--- a/tests/gateway/test_controllers.py
+++ b/tests/gateway/test_controllers.py
@@ -3,7 +3,6 @@
 import asyncio
 import unittest
 
-from nutmeglift import ids
 from nutmeglift import kv
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import failure_recorder
@@ -50,9 +49,7 @@
 
     def __init__(self, deployment, vm):
         self.log = rig.MemoryLog()
-        self.board = rig.make_board()
-        self.board.catalog = None
-        self.board.catalog_revision = ids.Revision(0)
+        self.board = rig.make_empty_board()
         rng = rig.make_rng()
         self.reader = store_reader.StoreReader(
             deployment.store, deployment.schema, self.board, self.log, rng, vm
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -3,6 +3,7 @@
 import unittest
 
 from nutmeglift import errors
+from nutmeglift import ids
 from nutmeglift_gateway import drain
 from nutmeglift_gateway import freshness
 from nutmeglift_gateway import http_call
@@ -14,19 +15,32 @@
 from tests.gateway import rig
 
 
+def make_freshness():
+    """Returns a state with a configuration in force."""
+    state = freshness.Freshness(5.0)
+    state.record_in_force(ids.Revision(3), ids.Generation(7))
+    return state
+
+
+def confirmation(sent_at):
+    return freshness.StoreConfirmation(
+        sent_at, ids.Revision(3), freshness.Source.TRANSACTION
+    )
+
+
 class FreshnessTest(unittest.TestCase):
     def test_age_counts_from_when_the_confirmation_was_sent(self):
         cases = [(100.0, True), (104.7, True), (104.9, False), (160.0, False)]
         for now, fresh in cases:
             with self.subTest(now):
-                state = freshness.Freshness(5.0)
-                state.confirm(100.0)
+                state = make_freshness()
+                state.confirm(confirmation(100.0))
                 self.assertEqual(state.is_fresh(now), fresh)
 
     def test_older_confirmations_change_nothing(self):
-        state = freshness.Freshness(5.0)
-        state.confirm(100.0)
-        state.confirm(90.0)
+        state = make_freshness()
+        state.confirm(confirmation(100.0))
+        state.confirm(confirmation(90.0))
         self.assertEqual(state.confirmed_at, 100.0)
 
     def test_never_confirmed_is_not_fresh(self):
@@ -34,8 +48,8 @@
 
     def test_suspended_time_counts(self):
         # The boot clock includes the time in which the machine was suspended.
-        state = freshness.Freshness(5.0)
-        state.confirm(100.0)
+        state = make_freshness()
+        state.confirm(confirmation(100.0))
         self.assertFalse(state.is_fresh(100.0 + 30.0))
 
 
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -42,7 +42,7 @@
         cases = endless.HEAD_CASES | endless.FRAMING_CASES | endless.BODY_CASES
         for name, case in cases.items():
             with self.subTest(name):
-                self.rig.board.freshness.confirm(freshness.boot_clock())
+                rig.confirm(self.rig.board, freshness.boot_clock())
                 await self._add_endless_server("a", case)
                 await self.rig.add_server(stand_ins.healthy, "b", domain="far")
                 received = await asyncio.gather(
--- a/tests/gateway/test_first_configuration.py
+++ b/tests/gateway/test_first_configuration.py
@@ -25,7 +25,7 @@
         call = asyncio.ensure_future(self.rig.call("/draft/1"))
         await asyncio.sleep(LOADING_SECONDS)
         self.rig.board.set_catalog(3, rig.make_catalog())
-        self.rig.board.freshness.confirm(freshness.boot_clock())
+        rig.confirm(self.rig.board, freshness.boot_clock())
         response = await call
         self.assertEqual(response.status, 200)
         self.assertEqual(stand_ins.event_ids(response.body), list(range(1, 10)))
--- a/tests/gateway/test_peer_state.py
+++ b/tests/gateway/test_peer_state.py
@@ -56,7 +56,7 @@
     def test_a_confirmation_is_dated_by_our_own_report(self):
         # The peer confirmed at 99.0. The two clocks need not agree, and the
         # peer's report may take any time to arrive.
-        self.two.board.freshness.confirm(99.0)
+        rig.confirm(self.two.board, 99.0)
         self.send(self.one, self.two, 1.0, 100.0)
         reply = self.two.state.make_report(1.0, 100.5)
         self.one.state.handle_message(reply, 60.0, 160.0)
@@ -68,23 +68,23 @@
             self.send(self.two, self.one, 0.1 * step, 90.0 + 0.1 * step)
         self.send(self.one, self.two, 1.0, 100.0)
         self.one.state.make_report(1.1, 100.1)
-        self.two.board.freshness.confirm(100.2)
+        rig.confirm(self.two.board, 100.2)
         self.send(self.two, self.one, 1.3, 100.3)
         # It echoes our report at 100.0 and is 0.1 s old.
         self.assertAlmostEqual(self.one.board.freshness.confirmed_at, 99.9)
         # Later reports that echo the same one of ours are dated by it as well.
-        self.two.board.freshness.confirm(100.4)
+        rig.confirm(self.two.board, 100.4)
         self.send(self.two, self.one, 1.4, 100.4)
         self.assertAlmostEqual(self.one.board.freshness.confirmed_at, 100.0)
         self.assertLess(len(self.one.state._sent_at_by_sequence), 4)
 
     def test_a_confirmation_that_echoes_no_report_of_ours_is_ignored(self):
-        self.two.board.freshness.confirm(99.0)
+        rig.confirm(self.two.board, 99.0)
         self.send(self.two, self.one, 1.0, 100.0)
         self.assertEqual(self.one.board.freshness.confirmed_at, float("-inf"))
 
     def test_a_confirmation_of_a_newer_configuration_is_ignored(self):
-        self.two.board.freshness.confirm(99.0)
+        rig.confirm(self.two.board, 99.0)
         newer = rig.make_catalog(generation=9)
         self.two.board.set_catalog(5, newer)
         self.send(self.one, self.two, 1.0, 100.0)
@@ -96,7 +96,7 @@
         for router in (self.one, self.two):
             router.schema.by_value[b"nine"] = newer
         entry = rig.make_entry("operators/configuration", b"nine", 50)
-        self.two.reader.view.apply_catalog(entry)
+        self.two.reader.view.catalog.apply(entry)
         for step in range(4):
             self.send(self.one, self.two, 1.0 + step * 0.25, 100.0)
             self.send(self.two, self.one, 1.0 + step * 0.25, 100.0)
@@ -132,7 +132,7 @@
         nine = rig.make_catalog(generation=9)
         self.two.schema.by_value[b"nine"] = nine
         entry = rig.make_entry("operators/configuration", b"nine", 50)
-        self.two.reader.view.apply_catalog(entry)
+        self.two.reader.view.catalog.apply(entry)
         cases = [(0, 1), (7, 1), (9, 0), (12, 0)]
         for generation, count in cases:
             with self.subTest(generation):
--- a/tests/gateway/test_poison_rows.py
+++ b/tests/gateway/test_poison_rows.py
@@ -251,9 +251,9 @@
         at = fields.index("poison")
         added_since = fields[at:]
         defaults = peer_messages.PeerReport.__struct_defaults__
-        self.assertEqual(added_since, ("poison", "rejected"))
+        self.assertEqual(added_since, ("poison", "rejected", "digest"))
         self.assertEqual(
-            defaults[-len(added_since) :], (poison_rows.PoisonReport(), 0)
+            defaults[-len(added_since) :], (poison_rows.PoisonReport(), 0, 0)
         )
         # It decodes what lacks these fields.
         raw = cbor2.loads(
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -56,7 +56,7 @@
 
     def send_changes(self, after, events):
         (message,) = relayed_changes.encode(
-            ids.Revision(after), events, self.planner.reader.view.catalog_key
+            ids.Revision(after), events, self.planner.reader.view.catalog.key
         )
         raw = peer_messages.encode(message)
         self.other.state.handle_message(peer_messages.decode(raw), 1.0, 100.0)
@@ -128,7 +128,7 @@
         self.assertFalse(self.other.reader.relay.covers(1.0))
 
     async def test_a_configuration_is_read_from_the_store(self):
-        key = self.planner.reader.view.catalog_key
+        key = self.planner.reader.view.catalog.key
         self.send_changes(4, [put(key, b"large", 5)])
         self.assertEqual(self.other.board.catalog.generation, 7)
         self.assertEqual(self.other.reader.view.revision, 5)
--- a/tests/gateway/test_request_fuzz.py
+++ b/tests/gateway/test_request_fuzz.py
@@ -10,6 +10,7 @@
 from nutmeglift_gateway import freshness
 from nutmeglift_gateway import http_call
 from nutmeglift_platform import names
+from tests.gateway import rig
 from tests.gateway import stand_ins
 
 EXAMPLE_COUNT = 800
@@ -149,7 +150,7 @@
         await self.rig.add_runner(respond, "runner", 0, 80)
 
     async def send(self, method, raw):
-        self.rig.board.freshness.confirm(freshness.boot_clock())
+        rig.confirm(self.rig.board, freshness.boot_clock())
         connection = await http_call.connect(self.rig.address)
         try:
             return await control_client.exchange(
--- a/tests/gateway/test_store_drill.py
+++ b/tests/gateway/test_store_drill.py
@@ -144,8 +144,8 @@
             self.assertTrue(self.is_admitted(router, "/eight/1"), router.vm)
 
     async def test_a_key_whose_revocation_a_restore_lost_is_not_accepted(self):
-        for gap_seconds in (0.5, 1.8):
-            with self.subTest(gap=gap_seconds):
+        for away_seconds, gap_seconds in ((3.0, 0.5), (3.0, 1.8), (0.1, 3.5)):
+            with self.subTest(away=away_seconds, gap=gap_seconds):
                 deployment = await self.start()
                 await self.write(
                     deployment, make_version(8, ("key-1", "key-2"))
@@ -155,11 +155,10 @@
                 deployment.leave()
                 # Acknowledged by the store just before, and read by no router.
                 revoked_at = self.loop.time()
-                await asyncio.sleep(3.0)
+                await asyncio.sleep(away_seconds)
                 deployment.come_back(taken)
-                await asyncio.sleep(gap_seconds)
                 writing = asyncio.ensure_future(
-                    self._write_later(deployment, 9, 2.0)
+                    self._write_later(deployment, 9, gap_seconds)
                 )
 
                 def check(router, revoked_at=revoked_at):
@@ -169,7 +168,7 @@
                         self.is_admitted(router, key="key-2"), router.vm
                     )
 
-                await self.probe(deployment, SETTLE_SECONDS, check)
+                await self.probe(deployment, 2 * SETTLE_SECONDS, check)
                 await writing
                 await asyncio.sleep(APPLY_SECONDS)
                 for router in deployment.routers:
@@ -206,7 +205,9 @@
         deployment = await self.start()
         taken = deployment.memory.take_copy()
         await self.renew_entries(deployment)
-        await (await deployment.wait_for_planner()).stop()
+        first = await deployment.wait_for_planner()
+        await first.stop()
+        deployment.routers.remove(first)
         await asyncio.sleep(2 * SETTLE_SECONDS)
         planner = await deployment.wait_for_planner()
         fence = planner.board.fence
--- a/tests/gateway/test_store_restore.py
+++ b/tests/gateway/test_store_restore.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from nutmeglift import eras
 from nutmeglift import ids
 from nutmeglift import kv
 from nutmeglift_gateway import directory
@@ -20,13 +21,12 @@
     ("backends/x", b"draining", 62),
     ("backends/y", b"restarted", 63),
 )
+ERA_BEFORE, ERA_AFTER = ids.Era(1), ids.Era(2)
 
 
 class StoreRestoreTest(unittest.TestCase):
     def setUp(self):
-        self.board = rig.make_board()
-        self.board.catalog = None
-        self.board.catalog_revision = ids.Revision(0)
+        self.board = rig.make_empty_board()
         schema = rig.MemorySchema()
         schema.by_value = {
             b"generation 7": rig.make_catalog(7),
@@ -45,12 +45,16 @@
             "vm",
         )
 
-    async def list_store(self, revision, rows):
-        """Lists a store that holds these entries at a revision."""
+    async def list_store(self, era, number, rows):
+        """Lists a store that holds these entries, in an era."""
 
         async def snapshot(prefix):
             return kv.Snapshot(
-                [rig.make_entry(*row) for row in rows], ids.Revision(revision)
+                [
+                    rig.make_entry(key, value, eras.combine(era, each))
+                    for key, value, each in rows
+                ],
+                eras.combine(era, number),
             )
 
         self.store.snapshot = snapshot
@@ -58,8 +62,8 @@
 
     def test_what_is_written_after_a_restore_is_believed(self):
         async def run():
-            await self.list_store(100, BEFORE)
-            await self.list_store(63, AFTER)
+            await self.list_store(ERA_BEFORE, 100, BEFORE)
+            await self.list_store(ERA_AFTER, 63, AFTER)
 
         virtual_time.run(run())
         server_by_id = self.board.directory.server_by_id
--- a/tests/gateway/test_stream_attempts_model.py
+++ b/tests/gateway/test_stream_attempts_model.py
@@ -256,7 +256,7 @@
 
     def register_runners(self):
         board = self.rig.board
-        board.freshness.confirm(freshness.boot_clock())
+        rig.confirm(board, freshness.boot_clock())
         self.max_attempts = self.rng.choice([1, 2, 3])
         resumable = self.rng.random() < 0.8
         route = rig.make_route(
