Soak: routes and keys change, probes, drills and faults of the store

Cause: the soak's configurations changed neither routes nor hosts, nothing asked for what was just added or removed, and the store never came back from an older copy, so the soak could not see CONFIG and DENIED. Change: each version adds a route and removes, splits or moves another, or changes keys; versions also come in storms. Probes on their own connections ask each router; all responses are judged. Copies of the store are taken every 0.1 s, drills restore one, and servers and the operator write again what was lost. Servers renew their entries each second, which raises revisions. Further faults: lost and slow answers, 429, cut watches, dropped history with small pages, a planner that is disturbed and a router that starts beside a drill. Faults of the store mostly wait 7 s, since they excuse 3 s after their end.

--- a/tests/gateway/restorable_kv.py
+++ b/tests/gateway/restorable_kv.py
@@ -56,6 +56,11 @@
         self._history.clear()
         self._notify()
 
+    def drop_history(self):
+        """Drops the history, so that watches that lag have to start anew."""
+        self.first_revision = self._revision
+        self._history.clear()
+
     async def watch(self, key, *, prefix=False, start):
         """Yields changes from a revision on.
 
--- a/tests/gateway/store_stand_in.py
+++ b/tests/gateway/store_stand_in.py
@@ -43,12 +43,19 @@
         era: number of the store's era, sent with each response; None sends
             none, as a store does that never came back from a copy.
         away: whether all connections are reset.
+        losing_answers: whether calls other than watches are executed, and
+            their connections reset without a response.
+        draw_delay: None, or a function that returns for how many seconds the
+            next call other than a watch waits before it is executed.
     """
 
     def __init__(self):
         self.memory = restorable_kv.RestorableKv()
         self.era = None
         self.away = False
+        self.losing_answers = False
+        self.draw_delay = None
+        self._watch_writers = set()
         self.fault = None
         self.writer_fault = None
         self.silent = False
@@ -76,6 +83,11 @@
         self.era = (self.era or 0) + 1
         self.away = False
 
+    def cut_watches(self):
+        """Resets the connections of all watches that wait."""
+        for writer in list(self._watch_writers):
+            stand_ins.reset_connection(writer)
+
     async def wait_for_watch(self):
         """Waits until the next watch call arrives."""
         self._watch_arrived.clear()
@@ -101,8 +113,20 @@
         body = json.loads(request.body) if request.body else {}
         if self.silent:
             await asyncio.sleep(SILENCE_SECONDS)
-        status, response = await self._dispatch(method, url.path, query, body)
         is_watch = url.path.endswith("/kv-watch")
+        if self.draw_delay is not None and not is_watch:
+            await asyncio.sleep(self.draw_delay())
+        if is_watch:
+            self._watch_writers.add(writer)
+        try:
+            status, response = await self._dispatch(
+                method, url.path, query, body
+            )
+        finally:
+            self._watch_writers.discard(writer)
+        if self.away or (self.losing_answers and not is_watch):
+            stand_ins.reset_connection(writer)
+            return
         if self.silent or (is_watch and self.silent_watches):
             await asyncio.sleep(SILENCE_SECONDS)
         raw = json.dumps(response).encode()
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -6,6 +6,8 @@
 
 import fire
 
+from tests.soak import in_force
+from tests.soak import in_force_check
 from tests.soak import soak_run
 
 MAX_SHOWN_COUNT = 3
@@ -26,6 +28,17 @@
     )
 
 
+def format_first_seen(delays):
+    """Returns a histogram of when versions were first seen at a router."""
+    limits = [f"<= {limit} s" for limit in in_force.DELAY_BUCKETS_SECONDS]
+    return ", ".join(
+        f"{limit}: {count}"
+        for limit, count in zip(
+            [*limits, "more"], in_force.count_delays(delays), strict=True
+        )
+    )
+
+
 def main(
     seeds=1,
     first=1,
@@ -51,6 +64,7 @@
     size = soak_run.Size(routers, servers, callers)
     failed = departures = 0
     delays = []
+    findings = in_force_check.Findings()
     for seed in range(first, first + seeds):
         result = asyncio.run(
             soak_run.run_seed(seed, seconds, size, keep, faults)
@@ -66,6 +80,7 @@
         )
         departures += result.departures
         delays += result.leaving_delays
+        findings.add(result.findings)
         problems_by_kind = collections.defaultdict(list)
         for problem in result.problems:
             problems_by_kind[problem.partition(":")[0]].append(problem)
@@ -76,6 +91,9 @@
     print(
         f"last requests to leaving servers: {format_delays(departures, delays)}"
     )
+    print(f"versions first seen after: {format_first_seen(findings.delays)}")
+    print(f"probes by status: {dict(findings.probe_count_by_status)}")
+    print(f"excused: {dict(findings.count_by_excused)}")
     print(f"{seeds - failed} passed, {failed} failed")
 
 
--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -213,6 +213,11 @@
         else:
             await self._write_entry()
 
+    async def renew(self):
+        """Writes the entry again, unless it was removed."""
+        if self._entry_state is not EntryState.REMOVED:
+            await self._write_entry()
+
     def _record(self, event_name):
         now = asyncio.get_running_loop().time()
         name = f"{self.name} at {self.address}: {event_name}"
--- a/tests/soak/configs.py
+++ b/tests/soak/configs.py
@@ -1,11 +1,15 @@
 """Writes configurations that vary within what every caller may use."""
 
+import asyncio
 import dataclasses
 import json
 
 from nutmeglift import kv
 from tests.gateway import test_platform_schema
+from tests.soak import in_force
+from tests.soak import route_changes
 
+CONFIG_KEY = "op/config"
 APPLY_SECONDS = 2.0
 """Time after which a configuration is in force on every router."""
 KINDS = ("stream", "safe", "unsafe")
@@ -30,10 +34,30 @@
     Attributes:
         at: time of writing, in seconds of the event loop's clock.
         timeout_by_kind: time-out of each route in seconds.
+        number: its version number.
+        kept_since: since when the store keeps it; infinite once it is lost.
     """
 
     at: float
     timeout_by_kind: dict[str, float]
+    number: int = 0
+    kept_since: float = 0.0
+
+
+def _make_version(config):
+    """Returns what a configuration allows."""
+    return in_force.Version(
+        config["version"],
+        {
+            (route["host"], route["prefix"]): frozenset(
+                backend["service"] for backend in route["backends"]
+            )
+            for route in config["routes"]
+        },
+        frozenset(
+            key for tenant in config["tenants"] for key in tenant["api_keys"]
+        ),
+    )
 
 
 class ConfigWriter:
@@ -41,10 +65,16 @@
 
     Attributes:
         written: all configurations so far, in order.
+        history: the same as the judge of responses needs them.
+        extra: the routes and keys beside those that all callers use.
     """
 
     def __init__(self, memory, rng, callers):
         self.written = []
+        self.history = in_force.History()
+        self.extra = route_changes.ExtraRoutes(rng)
+        self._number_by_raw = {}
+        self._config = {}
         self._memory = memory
         self._rng = rng
         self._callers = callers
@@ -55,7 +85,8 @@
         self._max_header_bytes = 16384
 
     def vary(self):
-        """Changes one part of the next configuration."""
+        """Changes parts of the next configuration."""
+        self.extra.vary()
         kind = self._rng.choice(KINDS)
         match self._rng.choice(["service", "weights", "time-out", "limits"]):
             case "service":
@@ -74,14 +105,50 @@
                 self._idle_timeout = self._rng.choice([0.3, 1.0, 15.0])
                 self._max_header_bytes = self._rng.choice([4096, 16384])
 
-    async def write(self, now):
-        """Writes the next version."""
-        config = self._next_version()
-        self.written.append(Written(now, dict(self._timeout_by_kind)))
-        await self._put(config)
+    async def write(self):
+        """Writes the next version once the store is there."""
+        await self._memory.wait_until_present()
+        self._config = self._next_version()
+        now = asyncio.get_running_loop().time()
+        self.written.append(
+            Written(
+                now, dict(self._timeout_by_kind), self._config["version"], now
+            )
+        )
+        await self._put(self._config)
+        self._acknowledge()
+
+    async def write_again(self):
+        """Writes the newest version again, unless the store has it."""
+        await self._memory.wait_until_present()
+        if CONFIG_KEY in self._memory.lost_keys():
+            await self._put(self._config)
+            self.written[-1].kept_since = asyncio.get_running_loop().time()
+            self._acknowledge()
+
+    def lose(self, raw):
+        """Records that the store came back with an older configuration.
+
+        Args:
+            raw: the configuration that it came back with.
+        """
+        now = asyncio.get_running_loop().time()
+        number, is_valid = self._number_by_raw[raw]
+        self.history.lose(number, now)
+        if not is_valid:
+            self.history.overwrite(now)
+        for each in self.written:
+            if each.number > number:
+                each.kept_since = float("inf")
+
+    def _acknowledge(self):
+        self.history.acknowledge(
+            _make_version(self._config), asyncio.get_running_loop().time()
+        )
 
     async def write_odd(self):
         """Writes a version that is invalid, and must not come into force."""
+        await self._memory.wait_until_present()
         config = self._next_version()
         odd = self._rng.choice(
             [
@@ -92,11 +159,13 @@
                 {"limits": {"max_header_bytes": -1}},
             ]
         )
-        await self._put(config | odd)
+        await self._put(config, odd)
+        self.history.overwrite(asyncio.get_running_loop().time())
 
-    async def _put(self, config):
-        raw = json.dumps(config).encode()
-        await self._memory.txn([], [kv.Put("op/config", raw)])
+    async def _put(self, config, odd=None):
+        raw = json.dumps(config | (odd or {})).encode()
+        self._number_by_raw[raw] = (config["version"], odd is None)
+        await self._memory.txn([], [kv.Put(CONFIG_KEY, raw)])
 
     def _next_version(self):
         self._version += self._rng.randint(1, 4)
@@ -104,21 +173,32 @@
         engine["kinds"][0]["mb"] = RUNNER_MEMORY_MB
         return {
             "version": self._version,
-            "routes": [self._route(kind) for kind in KINDS],
+            "routes": [self._route(kind) for kind in KINDS]
+            + self.extra.routes(),
             "services": [{"name": name, "engine": engine} for name in MODELS]
             + [{"name": name} for name in PLAIN_SERVICES],
             "limits": {
                 "idle_timeout_ms": self._idle_timeout * 1000,
                 "max_header_bytes": self._max_header_bytes,
             },
-            "tenants": [{"name": "bank", "api_keys": self._callers.keys}],
+            "tenants": [
+                {"name": "bank", "api_keys": list(self._callers.keys)},
+                {"name": "shop", "api_keys": list(self.extra.keys)},
+            ],
         }
 
     def min_timeout(self, kind, sent_at, ended_at):
         """Returns the shortest time-out that may have been in force."""
         in_force = [w for w in self.written if w.at <= ended_at]
-        older = [w for w in in_force if w.at < sent_at - APPLY_SECONDS]
-        candidates = in_force[max(len(older) - 1, 0) :]
+        oldest = max(
+            (
+                index
+                for index, written in enumerate(in_force)
+                if max(written.at, written.kept_since) < sent_at - APPLY_SECONDS
+            ),
+            default=0,
+        )
+        candidates = in_force[oldest:]
         return min(each.timeout_by_kind[kind] for each in candidates)
 
     def _route(self, kind):
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,7 +13,7 @@
 from tests.soak import network
 from tests.soak import odd_entries
 from tests.soak import poison
-from tests.soak import routers
+from tests.soak import store_faults
 
 MAX_SERIES_LENGTH = 5
 LAPSE_RATIO = 0.3
@@ -23,6 +23,20 @@
 """Longest time from the store's return until a server restores its entry."""
 DRAIN_SECONDS = 2.0
 """Shortest time for which a leaving server serves on, as on the platform."""
+SETTLE_RATIO = 0.85
+"""Part of the draws in which the store is left alone if it was disturbed."""
+_STORE_FAULTS = (
+    "fail_store",
+    "lapse_entries",
+    "leave_after_outage",
+    "send_store_responses_without_end",
+    "drill_store",
+    "drill_as_router_starts",
+    "lose_answers",
+    "slow_store",
+    "limit_store",
+    "disturb_planner",
+)
 _SIGNALS = (
     signal.SIGTERM,
     signal.SIGTERM,
@@ -79,6 +93,16 @@
             for fault, may_change_config in self._all()
             if not names or _name(fault) in names
         ]
+        now = asyncio.get_running_loop().time()
+        if (
+            store_faults.is_settling(self._system.routers, now)
+            and self._rng.random() < SETTLE_RATIO
+        ):
+            drawn = [
+                (fault, may_change_config)
+                for fault, may_change_config in drawn
+                if _name(fault) not in _STORE_FAULTS
+            ] or drawn
         fault, may_change_config = self._rng.choice(drawn)
         if may_change_config and self._rng.random() < 0.5:
             return f"{_name(fault)}, change_config", self._beside_config(fault)
@@ -109,6 +133,7 @@
             (self._send_control_responses_without_end, True),
             (self._change_config, False),
             (self._revoke_key, False),
+            *store_faults.StoreFaults(self._rng, self._system).all(),
         ]
 
     async def _beside_config(self, fault):
@@ -147,22 +172,11 @@
 
     # The store.
 
-    @contextlib.contextmanager
-    def _disturbing_store(self, affected):
-        """Records that the store is disturbed for these routers."""
-        loop = asyncio.get_running_loop()
-        disruptions = [routers.Disruption(loop.time()) for _ in affected]
-        for router, disruption in zip(affected, disruptions, strict=True):
-            router.store_disruptions.append(disruption)
-        yield
-        for disruption in disruptions:
-            disruption.end = loop.time()
-
     async def _disrupt_store_connection(self):
         number = self._rng.randrange(len(self._system.routers))
         proxy = self._system.proxies[number]
         modes = [mode for mode in network.Mode if mode is not network.Mode.PASS]
-        with self._disturbing_store([self._system.routers[number]]):
+        with store_faults.disturbing([self._system.routers[number]]):
             proxy.set_mode(self._rng.choice(modes))
             await asyncio.sleep(self._random_duration())
             proxy.set_mode(network.Mode.PASS)
@@ -176,7 +190,7 @@
                 if self._rng.random() < LAPSE_RATIO:
                     await locks.enter_async_context(server.lifetime_lock)
                     lapsed.append(server)
-            with self._disturbing_store(self._system.routers):
+            with store_faults.disturbing(self._system.routers):
                 store.silent = True
                 await asyncio.sleep(self._rng.uniform(1.0, MAX_OUTAGE_SECONDS))
                 for server in lapsed:
@@ -203,21 +217,21 @@
     async def _fail_store(self):
         status = self._rng.choice([429, 503])
         raw = b"HTTP/1.1 %d X\r\ncontent-length: 0\r\n\r\n" % status
-        with self._disturbing_store(self._system.routers):
+        with store_faults.disturbing(self._system.routers):
             self._system.store.fault = lambda request: raw
             await asyncio.sleep(self._random_duration())
             self._system.store.fault = None
 
     async def _put_odd_entries(self):
         """Another writer leaves odd entries for a while."""
-        memory = self._system.store.memory
+        memory = self._system.writer
         keys = await odd_entries.put(self._rng, memory, self._system.servers)
         await asyncio.sleep(2 * self._random_duration())
         await odd_entries.remove(memory, keys)
 
     async def _send_store_responses_without_end(self):
         kind = self._rng.choice(list(endless.Endless))
-        with self._disturbing_store(self._system.routers):
+        with store_faults.disturbing(self._system.routers):
             store = self._system.store
             store.writer_fault = functools.partial(endless.write, kind)
             await asyncio.sleep(self._random_duration())
@@ -341,16 +355,20 @@
     # The configuration.
 
     async def _change_config(self):
-        for _ in range(self._rng.randint(1, 5)):
+        """Versions are written in uneven steps, or in a storm."""
+        count, pauses = self._rng.randint(1, 5), [0.05, 0.05, 0.5]
+        if self._rng.random() < 0.25:
+            count, pauses = self._rng.randint(5, 15), [0.0, 0.02, 0.1]
+        for _ in range(count):
             self._system.config_writer.vary()
-            await self._write_config()
-            await asyncio.sleep(self._rng.choice([0.05, 0.05, 0.5]))
+            await self._system.config_writer.write()
+            await asyncio.sleep(self._rng.choice(pauses))
 
     async def _write_odd_config(self):
         """An invalid configuration is written, and a sound one later."""
         await self._system.config_writer.write_odd()
         await asyncio.sleep(self._random_duration())
-        await self._write_config()
+        await self._system.config_writer.write()
 
     async def _revoke_key(self):
         callers = self._system.callers
@@ -358,10 +376,6 @@
             key = callers.keys[0]
             callers.keys = [*callers.keys[1:], f"{key}-next"]
             callers.revoked_keys.append(key)
-            await self._write_config()
+            await self._system.config_writer.write()
             loop = asyncio.get_running_loop()
             callers.revoked_at_by_key[key] = loop.time()
-
-    async def _write_config(self):
-        now = asyncio.get_running_loop().time()
-        await self._system.config_writer.write(now)
--- a/tests/soak/in_force.py
+++ b/tests/soak/in_force.py
@@ -46,9 +46,17 @@
     number: int
     services_by_route: dict[tuple[str, str], frozenset[str]]
     keys: frozenset[str]
+    _found: dict[tuple[str, str], frozenset[str] | None] = dataclasses.field(
+        default_factory=dict, compare=False, repr=False
+    )
 
     def services(self, host, path):
         """Returns the services of the longest prefix; None without a route."""
+        if (host, path) not in self._found:
+            self._found[host, path] = self._find_services(host, path)
+        return self._found[host, path]
+
+    def _find_services(self, host, path):
         found = [
             (len(prefix), services)
             for (name, prefix), services in self.services_by_route.items()
--- a/tests/soak/late_runs.py
+++ b/tests/soak/late_runs.py
@@ -75,14 +75,14 @@
     def _is_bound(self, router, run, departure):
         return not self._is_disturbed(
             router.store_disruptions, departure.left_at
-        ) and self._is_in_touch(router, run.started_at)
+        ) and self.is_in_touch(router, run.started_at)
 
     def find_poison(self, segment, found, sent_by_id):
         """Returns a description if poison requests arrived too late."""
 
         def is_in_touch(request_id, at):
             router = self._router_by_vm[sent_by_id[request_id].vm]
-            return self._is_in_touch(router, at)
+            return self.is_in_touch(router, at)
 
         def starved_seconds(start, end):
             waits = [
@@ -107,7 +107,8 @@
             f" servers: {late}"
         ]
 
-    def _is_in_touch(self, router, at):
+    def is_in_touch(self, router, at):
+        """Returns whether nothing excuses a router at a time."""
         changes = [*router.terminated_at, *router.started_at]
         return not (
             self._is_disturbed(router.disruptions, at)
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -15,9 +15,14 @@
 from tests.soak import callers
 from tests.soak import configs
 from tests.soak import faults
+from tests.soak import in_force_check
 from tests.soak import late_runs
 from tests.soak import network
+from tests.soak import probes
+from tests.soak import renewals
 from tests.soak import routers
+from tests.soak import store_faults
+from tests.soak import store_writer
 from tests.soak import unanswered
 
 REVOCATION_SECONDS = 2.0
@@ -60,6 +65,7 @@
         departures: number of servers that left, times routers.
         leaving_delays: seconds from a server's leaving to the last request that
             a router sent it, where there was one and the bound held.
+        findings: what the judge of configurations in force found.
     """
 
     problems: list[str]
@@ -71,6 +77,7 @@
     wait_seconds: float
     departures: int
     leaving_delays: list[float]
+    findings: in_force_check.Findings
 
 
 class System:
@@ -84,17 +91,28 @@
         routers: the router processes.
         callers: the callers.
         config_writer: writes the configuration.
+        writer: writes for the operator and the servers.
+        copies: copies of the store.
+        drill_lock: held while the store is away in a drill.
+        probes: requests on what changes.
     """
 
     def __init__(self, rng, size):
         self.record = backend.Record()
         self.store = store_stand_in.StoreStandIn()
+        self.store.era = 1
+        self.writer = store_writer.StoreWriter(self.store)
+        self.copies = store_faults.Copies(self.store.memory)
+        self.drill_lock = asyncio.Lock()
         self.servers = []
         self.proxies = []
         self.routers = []
         self.callers = callers.Callers(self.routers, rng, self.record.problems)
         self.config_writer = configs.ConfigWriter(
-            self.store.memory, rng, self.callers
+            self.writer, rng, self.callers
+        )
+        self.probes = probes.Probes(
+            self.routers, rng, self.callers, self.config_writer.extra
         )
         self._rng = rng
         self._size = size
@@ -105,7 +123,7 @@
             await self._start_server(number)
         for number in range(self._size.routers):
             await self._add_router(folder, number)
-        await self.config_writer.write(asyncio.get_running_loop().time())
+        await self.config_writer.write()
         await asyncio.gather(*(router.start() for router in self.routers))
 
     async def stop(self):
@@ -121,7 +139,7 @@
         service = services[number // 2 % 2]
         server = backend.Server(
             self.record,
-            self.store.memory,
+            self.writer,
             f"{service}-{number}",
             service,
             kind,
@@ -157,6 +175,7 @@
         self._events = []
         self._lags = []
         self._leaving_delays = {}
+        self._findings = in_force_check.Findings()
 
     async def run(self, seconds):
         """Injects faults for that many seconds; then checks all guarantees."""
@@ -166,16 +185,23 @@
             asyncio.ensure_future(system.callers.run(number))
             for number in range(self._size.callers)
         ]
-        lag_task = asyncio.ensure_future(self._record_lags())
+        tasks.append(asyncio.ensure_future(system.probes.run()))
+        background = [
+            asyncio.ensure_future(self._record_lags()),
+            asyncio.ensure_future(system.copies.run()),
+            asyncio.ensure_future(renewals.run(system.servers)),
+        ]
         try:
             await self._wait_until_served()
             await self._inject(seconds)
             await self._wait_until_served()
             system.callers.stop()
+            system.probes.stop()
             await asyncio.gather(*tasks)
         finally:
             await system.stop()
-        lag_task.cancel()
+        for task in background:
+            task.cancel()
         counts = self._check()
         sent = list(system.callers.sent_by_id.values())
         self._write_events()
@@ -193,6 +219,7 @@
             ),
             len(system.record.departures) * len(system.routers),
             list(self._leaving_delays.values()),
+            self._findings,
         )
 
     async def _inject(self, seconds):
@@ -270,6 +297,8 @@
                 late.find_poison(segment, found, system.callers.sent_by_id)
             )
         problems.extend(check.problems)
+        self._findings = in_force_check.check(system, late, self._lags)
+        problems.extend(self._findings.problems)
         for router in system.routers:
             log = router.log()
             for mark in ("internal error", "controller failed", "Traceback"):
@@ -320,7 +349,7 @@
                 for at, seconds in router.waits
             ]
         lines += [
-            (each.at, f"configuration {each.timeout_by_kind}")
+            (each.at, f"configuration {each.number} {each.timeout_by_kind}")
             for each in self._system.config_writer.written
         ]
         # Log lines have the time of the wall clock.
