--- a/tests/gateway/store_stand_in.py
+++ b/tests/gateway/store_stand_in.py
@@ -83,6 +83,16 @@
         self.era = (self.era or 0) + 1
         self.away = False
 
+    def format_refusal(self, status):
+        """Returns a response without a body, for use in a fault."""
+        return b"HTTP/1.1 %d X\r\n%bcontent-length: 0\r\n\r\n" % (
+            status,
+            self._era_header(),
+        )
+
+    def _era_header(self):
+        return b"" if self.era is None else b"store-era: %d\r\n" % self.era
+
     def cut_watches(self):
         """Resets the connections of all watches that wait."""
         for writer in list(self._watch_writers):
@@ -130,10 +140,9 @@
         if self.silent or (is_watch and self.silent_watches):
             await asyncio.sleep(SILENCE_SECONDS)
         raw = json.dumps(response).encode()
-        era = b"" if self.era is None else b"store-era: %d\r\n" % self.era
         writer.write(
             b"HTTP/1.1 %d X\r\n%bcontent-length: %d\r\n\r\n%b"
-            % (status, era, len(raw), raw)
+            % (status, self._era_header(), len(raw), raw)
         )
 
     def _encode(self, entry):
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -3,9 +3,11 @@
 import asyncio
 import bisect
 import collections
+import random
 
 import fire
 
+from tests.soak import faults as fault_kinds
 from tests.soak import in_force
 from tests.soak import in_force_check
 from tests.soak import soak_run
@@ -48,6 +50,7 @@
     callers=soak_run.Size.callers,
     keep="",
     faults=(),
+    without=(),
 ):
     """Runs the soak for each seed in turn and prints the results.
 
@@ -60,8 +63,13 @@
         callers: number of callers.
         keep: folder for logs and times of events, which are kept.
         faults: names of the faults to choose from, as a list; all by default.
+        without: names of faults to leave out, as a list.
     """
     size = soak_run.Size(routers, servers, callers)
+    if without:
+        system = soak_run.System(random.Random(first), size)
+        names = faults or fault_kinds.Injector(None, system).names()
+        faults = [name for name in names if name not in without]
     failed = departures = 0
     delays = []
     findings = in_force_check.Findings()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -36,6 +36,7 @@
     "slow_store",
     "limit_store",
     "disturb_planner",
+    "drill_as_planner_fails",
 )
 _SIGNALS = (
     signal.SIGTERM,
@@ -82,6 +83,10 @@
         self._rng = rng
         self._system = system
 
+    def names(self):
+        """Returns the names of all faults."""
+        return [_name(fault) for fault, _ in self._all()]
+
     def draw(self, names=()):
         """Returns the name of a random fault and its coroutine.
 
@@ -216,11 +221,11 @@
 
     async def _fail_store(self):
         status = self._rng.choice([429, 503])
-        raw = b"HTTP/1.1 %d X\r\ncontent-length: 0\r\n\r\n" % status
+        store = self._system.store
         with store_faults.disturbing(self._system.routers):
-            self._system.store.fault = lambda request: raw
+            store.fault = lambda request: store.format_refusal(status)
             await asyncio.sleep(self._random_duration())
-            self._system.store.fault = None
+            store.fault = None
 
     async def _put_odd_entries(self):
         """Another writer leaves odd entries for a while."""
--- a/tests/soak/store_faults.py
+++ b/tests/soak/store_faults.py
@@ -94,6 +94,7 @@
             (self.drop_history, True),
             (self.limit_store, True),
             (self.disturb_planner, True),
+            (self.drill_as_planner_fails, True),
         ]
 
     async def drill_store(self):
@@ -179,22 +180,26 @@
 
     async def limit_store(self):
         """Some calls get 429."""
-        raw = b"HTTP/1.1 429 X\r\ncontent-length: 0\r\n\r\n"
         with disturbing(self._system.routers):
             self._store.fault = lambda request: (
-                raw if self._rng.random() < 0.7 else None
+                self._store.format_refusal(429)
+                if self._rng.random() < 0.7
+                else None
             )
             await asyncio.sleep(self._duration())
             self._store.fault = None
 
     async def disturb_planner(self):
         """The planner is paused, killed or cut off during another fault."""
-        others = [self.drill_store, self.lose_answers, self.slow_store]
+        others = [self.lose_answers, self.slow_store]
         others += [self.drop_history, self.limit_store]
         await asyncio.gather(
             self._rng.choice(others)(), self._disturb_planner_alone()
         )
 
+    async def drill_as_planner_fails(self):
+        await asyncio.gather(self.drill_store(), self._disturb_planner_alone())
+
     async def _disturb_planner_alone(self):
         await asyncio.sleep(self._rng.uniform(0.0, 1.0))
         entry = await self._store.memory.get(store_view.PLANNER_KEY)
