--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -3,9 +3,13 @@
 import asyncio
 import bisect
 import collections
+import random
 
 import fire
 
+from tests.soak import faults as fault_kinds
+from tests.soak import in_force
+from tests.soak import in_force_check
 from tests.soak import soak_run
 
 MAX_SHOWN_COUNT = 3
@@ -26,6 +30,17 @@
     )
 
 
+def format_first_seen(delays):
+    """Returns a histogram of when versions were first seen at a router."""
+    limits = [f"<= {limit} s" for limit in in_force.DELAY_BUCKETS_SECONDS]
+    return ", ".join(
+        f"{limit}: {count}"
+        for limit, count in zip(
+            [*limits, "more"], in_force.count_delays(delays), strict=True
+        )
+    )
+
+
 def main(
     seeds=1,
     first=1,
@@ -35,6 +50,7 @@
     callers=soak_run.Size.callers,
     keep="",
     faults=(),
+    without=(),
 ):
     """Runs the soak for each seed in turn and prints the results.
 
@@ -47,10 +63,16 @@
         callers: number of callers.
         keep: folder for logs and times of events, which are kept.
         faults: names of the faults to choose from, as a list; all by default.
+        without: names of faults to leave out, as a list.
     """
     size = soak_run.Size(routers, servers, callers)
+    if without:
+        system = soak_run.System(random.Random(first), size)
+        names = faults or fault_kinds.Injector(None, system).names()
+        faults = [name for name in names if name not in without]
     failed = departures = 0
     delays = []
+    findings = in_force_check.Findings()
     for seed in range(first, first + seeds):
         result = asyncio.run(
             soak_run.run_seed(seed, seconds, size, keep, faults)
@@ -66,6 +88,7 @@
         )
         departures += result.departures
         delays += result.leaving_delays
+        findings.add(result.findings)
         problems_by_kind = collections.defaultdict(list)
         for problem in result.problems:
             problems_by_kind[problem.partition(":")[0]].append(problem)
@@ -76,6 +99,9 @@
     print(
         f"last requests to leaving servers: {format_delays(departures, delays)}"
     )
+    print(f"versions first seen after: {format_first_seen(findings.delays)}")
+    print(f"probes by status: {dict(findings.probe_count_by_status)}")
+    print(f"excused: {dict(findings.count_by_excused)}")
     print(f"{seeds - failed} passed, {failed} failed")
 
 
