Refuse as stale, not as unknown, what a rejected version may add

Callers were refused with 404 and 401 for a route or a key of a version that the store had accepted and the router had not: one that it can't read, or whose number is not greater (DENIED).

A refusal for good now needs the newest version to be the one in force; else it is a 503 with a time to come back. test_false_confirmations: three subtests failed before (unreadable, the same number, a lower number) and pass; 14 tests of unreadable configurations and of admission pass unchanged.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/admission.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/admission.py
@@ -14,7 +14,8 @@
 
 MAX_AUTHORITATIVE_AGE_SECONDS = 1.8
 """A route or key that is missing from a configuration confirmed within this
-time does not exist: operators require changes to be in force within 2 s."""
+time does not exist: operators require changes to be in force within 2 s. A
+newer version that was rejected may have it."""
 LENGTH_HINT_RATIO = 1.3
 """Half of the responses are longer than the caller's estimate."""
 MEAN_HELD_RESPONSE_RATIO = 0.5
@@ -120,6 +121,7 @@
         return Refused(errors.ErrorKind.BAD_REQUEST, None, problem)
     is_authoritative = (
         board.freshness.age(boot_now) < MAX_AUTHORITATIVE_AGE_SECONDS
+        and board.freshness.is_newest_taken
     )
     host = request.get(b"host") or b""
     route = configuration.find_route(host.decode("latin-1"), request.target)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/freshness.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/freshness.py
@@ -54,11 +54,14 @@
         sent_at: when the call was sent, on the boot clock.
         revision: store revision of the configuration's entry in the answer.
         source: the call.
+        known_revision: newest revision of the entry that was known when the
+            call was sent; one before it is that of an earlier answer.
     """
 
     sent_at: float
     revision: ids.Revision
     source: Source
+    known_revision: ids.Revision = NONE
 
 
 @dataclasses.dataclass(frozen=True)
@@ -118,8 +121,12 @@
             Whether it does.
         """
         match confirmation:
-            case StoreConfirmation(sent_at, revision, source):
-                holds = self._includes(revision) and self.is_settled(sent_at)
+            case StoreConfirmation(sent_at, revision, source, known_revision):
+                holds = (
+                    revision >= known_revision
+                    and self._includes(revision)
+                    and self.is_settled(sent_at)
+                )
             case PeerConfirmation(sent_at, generation, digest):
                 source = Source.PEER
                 holds = 0 < generation < self.generation or (
@@ -233,6 +240,11 @@
         """Whether the configuration was confirmed at any time."""
         return self.confirmed_by is not None
 
+    @property
+    def is_newest_taken(self) -> bool:
+        """Whether the newest version that was read was not rejected."""
+        return self.rejected_revision == NONE
+
     def may_be_revoked(self, key: str) -> bool:
         """Returns whether a newer, rejected configuration lacks a key."""
         return (
--- a/tests/gateway/test_false_confirmations.py
+++ b/tests/gateway/test_false_confirmations.py
@@ -334,7 +334,7 @@
         stored = await deployment.memory.snapshot("")
         deployment.leave()
         for router in deployment.routers:
-            router.reader.view.announce_catalog(stored.revision)
+            router.reader.view.catalog.announce(stored.revision)
         await asyncio.sleep(0.2)
         deployment.come_back(taken)
         await self.put(deployment, make_version(9))
