--- a/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
@@ -18,6 +18,7 @@
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import relay
 from nutmeglift_gateway import servers_fetch
+from nutmeglift_gateway import settled_era
 from nutmeglift_gateway import store_outage
 from nutmeglift_gateway import store_view
 
@@ -97,6 +98,7 @@
         self.view.describe_outage = self.outage.describe
         self.view.on_restore = self.outage.record_restore
         self.relay = relay.Relay()
+        self._settled_era = settled_era.SettledEra(store, board)
         self.catalog_fetch = catalog_fetch.CatalogFetch(board, vm)
         self.servers_fetch = servers_fetch.ServersFetch(board.home)
         self.on_changes: Callable[[ids.Revision, list[kv.WatchEvent]], None] = (
@@ -140,7 +142,7 @@
             try:
                 await self._confirm_once()
                 self.outage.record_answer(self._now())
-                await self._record_settled_era()
+                await self._settled_era.record(self.view.settled_era)
                 self._board.notify_listeners()
                 backoff.reset()
             except errors.PlatformError as error:
@@ -290,13 +292,19 @@
     async def _list(self) -> None:
         self._watch_sent_at = self._listed_at = self._now()
         sent_at = freshness.boot_clock()
+        known = self._board.freshness.stored_revision
         snapshot = await self._store.snapshot(ALL_KEYS_PREFIX)
         self.outage.record_answer(self._now())
         self.view.apply_snapshot(snapshot, sent_at)
         for entry in snapshot.entries:
             if entry.key == self._schema.catalog_key:
-                self._confirm_revision(
-                    sent_at, entry.mod_revision, freshness.Source.LISTING
+                self._board.confirm(
+                    freshness.StoreConfirmation(
+                        sent_at,
+                        entry.mod_revision,
+                        freshness.Source.LISTING,
+                        known,
+                    )
                 )
 
     async def _wait_until_needed(self) -> None:
@@ -328,7 +336,7 @@
         sent_at = freshness.boot_clock()
         key = self._schema.catalog_key
         # An unreadable version is not read again.
-        revision = self._board.freshness.stored_revision
+        known = revision = self._board.freshness.stored_revision
         result = await self._store.txn(
             [kv.Compare(key, revision)], [], [kv.Get(key)]
         )
@@ -342,8 +350,10 @@
             revision = found[0].mod_revision
             self._record_era(revision)
             self.view.catalog.apply(found[0])
-        if not self._confirm_revision(
-            sent_at, revision, freshness.Source.TRANSACTION
+        if not self._board.confirm(
+            freshness.StoreConfirmation(
+                sent_at, revision, freshness.Source.TRANSACTION, known
+            )
         ):
             self._confirm_not_before = self._now() + max(
                 UNCONFIRMED_DELAY_SECONDS,
@@ -353,29 +363,6 @@
             # A conflict does not name the store's revision.
             await self._read_store_revision()
 
-    def _confirm_revision(
-        self, sent_at: float, revision: ids.Revision, source: freshness.Source
-    ) -> bool:
-        return self._board.confirm(
-            freshness.StoreConfirmation(sent_at, revision, source)
-        )
-
-    async def _record_settled_era(self) -> None:
-        """Tells routers that start that the store did not just come back."""
-        found = self._board.freshness
-        value = b"%d" % found.era
-        stored = self.view.settled_era
-        if (
-            not self._board.fence
-            or found.era == eras.NO_ERA
-            or not found.is_settled(freshness.boot_clock())
-            or (stored is not None and stored.value == value)
-        ):
-            return
-        key = store_view.SETTLED_ERA_KEY
-        expected = stored.mod_revision if stored else kv.NEVER_WRITTEN
-        await self._store.txn([kv.Compare(key, expected)], [kv.Put(key, value)])
-
     def _record_era(self, revision: ids.Revision) -> None:
         """Has the store listed if it came back from an older copy."""
         self._board.freshness.record_era(
--- a/tests/gateway/test_catalog_view.py
+++ b/tests/gateway/test_catalog_view.py
@@ -153,6 +153,8 @@
 CONFIRMATIONS = (
     ("what is stored", freshness.StoreConfirmation, (5, "own"), True),
     ("what was stored before", freshness.StoreConfirmation, (4, "own"), True),
+    ("what was known", freshness.StoreConfirmation, (5, "own", 5), True),
+    ("an earlier answer", freshness.StoreConfirmation, (4, "own", 5), False),
     ("what was not read yet", freshness.StoreConfirmation, (6, "own"), False),
     ("no version", freshness.StoreConfirmation, (0, "own"), False),
     ("a peer's same", freshness.PeerConfirmation, (7, 70), True),
