--- a/tests/gateway/test_confirmation_model.py
+++ b/tests/gateway/test_confirmation_model.py
@@ -50,6 +50,7 @@
     ),
     st.tuples(st.just("cut_watches")),
     st.tuples(st.just("drop_history"), INDICES),
+    st.tuples(st.just("list_in_pages"), INDICES, st.sampled_from([1, 500])),
     st.tuples(st.just("silence_watches"), INDICES, LONGER_SECONDS),
     st.tuples(st.just("restart"), INDICES),
     st.tuples(st.just("cut_links"), INDICES, LONGER_SECONDS),
