Decode the store's entry though a peer's copy of it was unreadable

Cause: an entry that can't be decoded is remembered by its revision and not decoded again. A peer's copy that could not be read thus hid the store's sound entry of that revision: it was rejected, confirmed as read, and the version before it stayed in force.

Change: each entry is decoded. What was read already, the view knows; the decoder's memory only keeps it from being logged twice.

Measured: test_an_unreadable_copy_does_not_hide_the_stores_entry failed with 404 and 401 from 2 s on and passes now.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/entry_decoder.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/entry_decoder.py
@@ -34,8 +34,6 @@
 
     def decode_catalog(self, entry: kv.KeyValue) -> catalog.Catalog | None:
         """Returns a configuration, or None if its entry is unreadable."""
-        if self._unreadable.get(entry.key) == entry.mod_revision:
-            return None
         try:
             return self._schema.decode_catalog(entry)
         except ports.UndecodableEntryError as error:
