--- a/tests/gateway/test_crash_detector.py
+++ b/tests/gateway/test_crash_detector.py
@@ -27,7 +27,9 @@
     )
 
 
-class CrashDetectorTest(virtual_time_case.VirtualTimeTestCase):
+class DetectorTestCase(virtual_time_case.VirtualTimeTestCase):
+    """Test case with a crash detector that watches one runner."""
+
     async def asyncSetUp(self):
         self.board = rig.make_board()
         self.log = rig.MemoryLog()
@@ -49,6 +51,8 @@
             while not check():  # noqa: ASYNC110 - over the network.
                 await asyncio.sleep(0.01)
 
+
+class CrashDetectorTest(DetectorTestCase):
     async def test_a_crash_is_detected(self):
         self.runner.abort()
         address = self.server.address
