Send nothing to a server that asked to be left alone

Cause: the header of a server's response was only logged.

The time is now recorded when the response's head is read, by the lifetime of the server (or of the one of its service that it blames). Until it ends, plain selection and path finding leave the server out, a request that waits for a connection is not sent, and probes, pace and stall reports, crash watches, reachability checks and orders wait. It is no suspect and keeps its layers. Peers take such a server last. What nobody can serve is refused as not run with a Retry-After that fits the first server to come back, spread over callers.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
@@ -117,6 +117,7 @@
         *,
         events: sse.EventSplitter | None,
         on_events: Callable[[http_call.Head, bytes], None] | None,
+        on_hold_off: Callable[[bytes, bytes], None] | None = None,
     ) -> None:
         """Initializes a receiver for one response.
 
@@ -126,6 +127,8 @@
             events: splits the stream into events; None if no stream is
                 expected.
             on_events: called with the response head and complete events.
+            on_hold_off: called with the time for which the server wants
+                nothing, and the address that it blames, as received.
         """
         loop = asyncio.get_running_loop()
         self.done: asyncio.Future[Outcome] = loop.create_future()
@@ -138,6 +141,7 @@
         self._request_id = request_id
         self._events = events
         self._on_events = on_events
+        self._on_hold_off = on_hold_off
         self._streaming = False
         self._verdict = responses.Verdict.INVALID
 
@@ -148,6 +152,7 @@
         an invalid response or a rejection may never end.
         """
         self.head = head
+        self._report_hold_off(head)
         self._verdict = responses.judge(self._names, head, self._request_id)
         if self._verdict in _VERDICTS_WITHOUT_BODY:
             self._finish_response(b"")
@@ -160,6 +165,17 @@
         )
         return not self._streaming
 
+    def _report_hold_off(self, head: http_call.Head) -> None:
+        """Reports it at once: the attempt itself may be cancelled."""
+        seconds = head.get(self._names.retry_after)
+        if (
+            self._on_hold_off is None
+            or seconds is None
+            or head.status != responses.UNAVAILABLE_STATUS
+        ):
+            return
+        self._on_hold_off(seconds, head.get(self._names.fault) or b"")
+
     def on_body(self, data: bytes) -> None:
         """Handles a part of a stream."""
         if self.done.done():
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/attempt_failures.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/attempt_failures.py
@@ -184,6 +184,11 @@
         )
         if misdirected and not first_server.kind:
             self._reject_lifetime(first_server)
+        at_fault = server or first_server
+        if not misdirected and board.hold_offs.holds_off(at_fault.lifetime):
+            # It has named the time, and is sound.
+            self.tried.add(at_fault.id)
+            return
         if server is None:
             self.tried.add(first_server.id)
             if outcome.failure is retry_policy.Failure.REJECTED:
@@ -268,6 +273,8 @@
             self._context.board, server.lifetime, server.address
         ):
             return True
+        if self._context.board.hold_offs.holds_off(server.lifetime):
+            return False
         try:
             connection = await http_call.connect(server.address)
         except http_call.CallError as error:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
@@ -11,6 +11,7 @@
 from nutmeglift_gateway import catalog
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import freshness
+from nutmeglift_gateway import hold_offs
 from nutmeglift_gateway import link_budget
 from nutmeglift_gateway import live_peers
 from nutmeglift_gateway import loads
@@ -75,6 +76,8 @@
             reader and by the peers' links.
         suspect_servers: suspect backend servers; written by the failure
             recorder, the peers' links and the prober.
+        hold_offs: servers that want nothing for a time; written by the failure
+            recorder, the peers' links and the prober.
         load_tracker: requests in flight; written by the requests and the
             peers' links.
         pace_by_address: runners' paces; written by the stream monitor, its
@@ -125,6 +128,7 @@
         self.directory = directory.Directory()
         self.freshness = freshness.Freshness(bounds.revocation_seconds)
         self.suspect_servers = suspect_servers.SuspectServers()
+        self.hold_offs = hold_offs.HoldOffs()
         self.load_tracker = loads.LoadTracker()
         self.pace_by_address: dict[str, Pace] = {}
         self.router_by_name: dict[str, str] = {}
@@ -149,7 +153,7 @@
         self._moves: dict[str, PendingMove] = {}
         self._moves_updated_at = float("-inf")
         self._moves_version = 0
-        self._usable_version = (-1, -1, -1)
+        self._usable_version = (-1, -1, -1, -1)
         self._usable: dict[ids.ServiceId, list[directory.Server]] = {}
 
     def set_catalog(
@@ -201,13 +205,14 @@
     def usable(self, service: ids.ServiceId) -> list[directory.Server]:
         """Returns the servers of a service that accept new requests.
 
-        Servers that leave and suspects are excluded. A runner that is being
-        moved is listed with the layers that it retains.
+        Servers that leave, that hold off and suspects are excluded. A runner
+        that is being moved is listed with the layers that it retains.
         """
         version = (
             self.directory.version,
             self.suspect_servers.version,
             self._moves_version,
+            self.hold_offs.version,
         )
         if version != self._usable_version:
             self._usable_version = version
@@ -217,13 +222,20 @@
                     continue
                 if self.suspect_servers.is_suspect(
                     server.address, server.lifetime
-                ):
+                ) or self.hold_offs.holds_off(server.lifetime):
                     continue
                 self._usable.setdefault(server.service, []).append(
                     self._with_retained_layers(server)
                 )
         return self._usable.get(service, [])
 
+    def holds_off_at(self, address: str) -> bool:
+        """Returns whether the server at an address holds off."""
+        if not self.hold_offs.count:
+            return False
+        server = self.server_at(address)
+        return server is not None and self.hold_offs.holds_off(server.lifetime)
+
     @property
     def moves(self) -> dict[str, PendingMove]:
         """The pending moves by the runner's id."""
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/crash_detector.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/crash_detector.py
@@ -130,7 +130,9 @@
         loop = asyncio.get_running_loop()
         while True:
             opened_at = loop.time()
-            connection = await self._connect(server)
+            connection = None
+            if not self._board.hold_offs.holds_off(server.lifetime):
+                connection = await self._connect(server)
             if connection is not None:
                 lost = asyncio.Event()
                 connection.on_lost = lost.set
@@ -154,6 +156,8 @@
         }
         if server.lifetime in confirmed_at_by_lifetime:
             return
+        if self._board.hold_offs.holds_off(server.lifetime):
+            return
         confirmed_at_by_lifetime[server.lifetime] = now
         self._background_tasks.start(self._confirm(server))
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
@@ -1,6 +1,7 @@
 """Processes one caller's request until its response has ended."""
 
 import asyncio
+import functools
 
 from nutmeglift import errors
 from nutmeglift_gateway import admission
@@ -248,6 +249,7 @@
         self, admitted: admission.Admitted
     ) -> attempt.Outcome | None:
         board = self._context.board
+        board.hold_offs.expire(self._now())
         usable = board.usable(admitted.service.id)
         full = board.load_tracker.full(self._now())
         candidates = self._failure_handler.untried(usable)
@@ -258,6 +260,7 @@
             # Requests that do not stream need a runner that holds all layers.
             layers = admitted.service.engine.layers
             candidates = [s for s in candidates if s.layers.count == layers]
+        candidates = board.hold_offs.by_preference(candidates)[0]
         server = server_selection.select_server(
             self._now(),
             candidates,
@@ -298,6 +301,9 @@
             admitted.request_id,
             events=None,
             on_events=None,
+            on_hold_off=functools.partial(
+                self._context.failure_recorder.record_hold_off, server
+            ),
         )
         self._receiver = receiver
         run = self._begin_run(admitted, server)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/failure_recorder.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/failure_recorder.py
@@ -2,15 +2,18 @@
 
 import asyncio
 
+from nutmeglift import errors
 from nutmeglift_gateway import board as boards
 from nutmeglift_gateway import decision_log
 from nutmeglift_gateway import directory
+from nutmeglift_gateway import hold_offs
 from nutmeglift_gateway import metrics as metric_sets
 from nutmeglift_gateway import runs
 from nutmeglift_gateway import suspect_servers
 
 MAX_LOGGED_SUSPECT_COUNT = 8
 """Suspect requests that are named in the log line of a crash."""
+MAX_LOGGED_VALUE_LENGTH = 32
 
 
 class FailureRecorder:
@@ -86,6 +89,46 @@
             now, crash, server.version if server is not None else ""
         )
 
+    def record_hold_off(
+        self, first: directory.Server, raw: bytes, fault: bytes
+    ) -> None:
+        """Records that a server wants nothing from this router for a time.
+
+        Args:
+            first: the server that responded.
+            raw: the time that it named.
+            fault: address of the server that it blames; empty for none. The
+                time belongs to that one if it is of the same service.
+        """
+        now = asyncio.get_running_loop().time()
+        server = self._board.server_at(fault.decode("latin-1"))
+        if server is None or server.service != first.service:
+            server = first
+        state = self._board.hold_offs
+        try:
+            seconds = hold_offs.parse_seconds(raw)
+        except errors.MalformedMessageError as error:
+            self._metrics.hold_offs.labels("malformed").inc()
+            if state.record_malformed(server.lifetime):
+                self._log.write(
+                    "hold-off malformed",
+                    server=server.id,
+                    address=server.address,
+                    value=raw[:MAX_LOGGED_VALUE_LENGTH].decode("latin-1"),
+                    detail=str(error),
+                )
+            return
+        if not state.record(now, server.lifetime, seconds):
+            return
+        self._metrics.hold_offs.labels("begun").inc()
+        self._log.write(
+            "server holds off",
+            server=server.id,
+            address=server.address,
+            seconds=seconds,
+            asked_by=first.id,
+        )
+
     def record_by_address(
         self, address: str, reason: suspect_servers.Reason, detail: str
     ) -> None:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -354,6 +354,7 @@
         self.metrics.catalog_behind.set(
             view.catalog_lag.behind_for(freshness.boot_clock())
         )
+        self.metrics.holding_off.set(board.hold_offs.count)
         self.metrics.lapse_window.set(
             max(0.0, board.directory.lapse_window_end - now)
         )
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/metrics.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/metrics.py
@@ -59,6 +59,12 @@
         self.suspects = self._counter(
             "suspects", "Backend servers left out.", ["reason"]
         )
+        self.hold_offs = self._counter(
+            "hold_offs", "Times in which a server wants nothing.", ["state"]
+        )
+        self.holding_off = self._gauge(
+            "servers_holding_off", "Servers that want nothing for a time."
+        )
         self.crashed_runs = self._counter(
             "crashed_runs", "Runs that a server's end ended.", ["part"]
         )
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/pace_reader.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/pace_reader.py
@@ -90,7 +90,9 @@
             a for a, pace in known.items() if pace.value > SLOW_PACE_RATIO
         }
         for address in addresses:
-            if self._is_due(now, address):
+            if self._is_due(now, address) and not self._board.holds_off_at(
+                address
+            ):
                 self._requested_at_by_address[address] = now
                 self._background_tasks.start(self._read(address))
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
@@ -7,6 +7,7 @@
 
 from nutmeglift import decoding
 from nutmeglift import errors
+from nutmeglift_gateway import hold_off_rows
 from nutmeglift_gateway import load_rows
 from nutmeglift_gateway import poison_rows
 
@@ -80,6 +81,7 @@
         poison: what the sender has learned of requests that end servers.
         rejected: revision of a newer configuration that the sender read and did
             not take; 0 for none.
+        hold_offs: backend servers that want nothing from the sender.
     """
 
     vm: str
@@ -99,6 +101,7 @@
     domain: str = ""
     poison: poison_rows.PoisonReport = poison_rows.PoisonReport()
     rejected: int = 0
+    hold_offs: list[hold_off_rows.HoldOffRow] = []
 
 
 class EntryRow(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
@@ -6,6 +6,7 @@
 from nutmeglift_gateway import board as boards
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import freshness
+from nutmeglift_gateway import hold_off_rows
 from nutmeglift_gateway import load_rows
 from nutmeglift_gateway import peer_messages
 from nutmeglift_gateway import poison_rows
@@ -114,6 +115,7 @@
             domain=board.home,
             poison=self._poison_encoder.encode(now, board.guard),
             rejected=board.freshness.rejected_revision,
+            hold_offs=hold_off_rows.encode(now, board.hold_offs),
         )
         self._paces_sent_until = now
         return report
@@ -205,6 +207,9 @@
                 board.pace_by_address[pace.address] = boards.Pace(
                     pace.pace, read_at
                 )
+        hold_off_rows.apply(
+            now, report.hold_offs, board.directory, board.hold_offs
+        )
         self._apply_poison(report, now)
         self._apply_confirmation(report)
         self._compare_views(report, boot_now)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/planner_controller.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/planner_controller.py
@@ -136,6 +136,8 @@
         self, server: directory.Server
     ) -> ports.Report | None:
         now = asyncio.get_running_loop().time
+        if self._board.hold_offs.holds_off(server.lifetime):
+            return None
         try:
             report = await self._runners.report(server.address)
         except ports.RunnerUnavailableError as error:
@@ -268,6 +270,7 @@
             del self._pending_by_id[server.id]
             pending = None
         requests = self._board.load_tracker.at(server.address).requests
+        holds_off = self._board.hold_offs.holds_off(server.lifetime)
         if pending is None:
             return runner_group.Holding(
                 server,
@@ -275,11 +278,12 @@
                 server.id in usable,
                 now < self._busy_until_by_id.get(server.id, 0.0),
                 requests,
-                self._board.suspect_servers.may_go_on(
+                holds_off
+                or self._board.suspect_servers.may_go_on(
                     now, server.address, server.lifetime
                 ),
             )
-        if now > pending.due and not pending.checking:
+        if now > pending.due and not pending.checking and not holds_off:
             pending.checking = True
             self._background_tasks.start(self._check_overdue(server, pending))
         return runner_group.Holding(
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/prober.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/prober.py
@@ -42,10 +42,13 @@
                 self._log.write("server lapsed", server=server_id)
             board.load_tracker.expire(now)
             board.expire_moves(now)
+            board.hold_offs.expire(now)
             board.suspect_servers.keep_only(
                 {s.address for s in board.directory.server_by_id.values()}
             )
             for address in board.suspect_servers.due_probes(now):
+                if board.holds_off_at(address):
+                    continue
                 self._background_tasks.start(self._probe(address))
 
     def _layers_differ(
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/reply.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/reply.py
@@ -177,12 +177,21 @@
             return
         retry_after = None
         if isinstance(decision, retry_policy.Refuse):
-            retry_after = retry_delay.retry_after(
-                self._context.board, decision.kind, self._loop.time()
-            )
+            retry_after = self._retry_after(admitted, decision.kind)
         self._count(admitted, decision.kind.value)
         self.refuse(decision.kind, retry_after, detail or "no server available")
 
+    def _retry_after(
+        self, admitted: admission.Admitted, kind: errors.ErrorKind
+    ) -> float:
+        context = self._context
+        now = self._loop.time()
+        if kind is errors.ErrorKind.NO_BACKEND:
+            return retry_delay.retry_after_no_server(
+                context.board, admitted.service.id, now, context.rng
+            )
+        return retry_delay.retry_after(context.board, kind, now)
+
     def refuse(
         self,
         kind: errors.ErrorKind,
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/responses.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/responses.py
@@ -40,6 +40,7 @@
 MISDIRECTED_STATUS = 421
 """The request did not run: the address belongs to another server now, or the
 server holds other layers."""
+UNAVAILABLE_STATUS = 503
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that state that the request did not run and will not run."""
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/runner_group.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/runner_group.py
@@ -39,8 +39,8 @@
         usable: whether it serves new requests, or will after its load.
         busy: whether it is carrying out an order.
         requests: number of requests whose path includes it.
-        silent: whether it is silent but may go on. It keeps its layers and
-            gets no order.
+        silent: whether it is silent but may go on, or holds off. It keeps its
+            layers and gets no order.
     """
 
     server: directory.Server
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/sender.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/sender.py
@@ -54,6 +54,11 @@
                 retry_policy.Failure.NOT_SENT,
                 detail="the server is no longer listed",
             )
+        if self._context.board.hold_offs.holds_off(server.lifetime):
+            upstream.abort()
+            return attempt.Outcome(
+                retry_policy.Failure.NOT_SENT, detail="the server holds off"
+            )
         return upstream
 
     def send(
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import dataclasses
+import functools
 
 from nutmeglift_gateway import admission
 from nutmeglift_gateway import attempt
@@ -187,15 +188,20 @@
         requirements = paths.PathRequirements(
             board.home, self._admitted.held_tokens
         )
+        board.hold_offs.expire(now)
         usable = board.usable(self._admitted.service.id)
         finder = board.path_finder(engine, now)
         untried = self._failures.untried(usable)
-        if self._reply.progress.sent:
-            path = successor_paths.find_path(
-                finder, untried, requirements, self._context.rng
-            )
-        else:
-            path = finder.find(untried, requirements)
+        path: paths.Path | None = None
+        for servers in board.hold_offs.by_preference(untried):
+            if path is not None:
+                break
+            if self._reply.progress.sent:
+                path = successor_paths.find_path(
+                    finder, servers, requirements, self._context.rng
+                )
+            else:
+                path = finder.find(servers, requirements)
         if path is None and self._reply.progress.started:
             path = finder.find(usable, requirements)
         if path is None:
@@ -263,18 +269,17 @@
                 self._end(running)
         if isinstance(upstream, attempt.Outcome):
             return upstream
+        detail = ""
         if self._is_quarantined():
+            detail = "quarantined"
+        elif beside and beside.has_gone_on(silent_since):
+            detail = "the stream has gone on"
+        elif self._holds_off(path):
+            detail = "a runner holds off"
+        if detail:
             upstream.abort()
             self._end(running)
-            return attempt.Outcome(
-                retry_policy.Failure.NOT_SENT, detail="quarantined"
-            )
-        if beside and beside.has_gone_on(silent_since):
-            upstream.abort()
-            self._end(running)
-            return attempt.Outcome(
-                retry_policy.Failure.NOT_SENT, detail="the stream has gone on"
-            )
+            return attempt.Outcome(retry_policy.Failure.NOT_SENT, detail=detail)
         running.upstream = upstream
         running.run.sent_at = self._loop.time()
         context.board.runs.begin(running.run)
@@ -294,6 +299,11 @@
         self._apply_backpressure(running)
         return None
 
+    def _holds_off(self, path: paths.Path) -> bool:
+        """Returns whether a runner wants nothing, since the path was found."""
+        holds_off = self._context.board.hold_offs.holds_off
+        return any(holds_off(part.server.lifetime) for part in path.parts)
+
     def _new_attempt(self, path: paths.Path, now: float) -> _Running:
         events = sse.EventSplitter(self._last_event_id)
         receiver = attempt.ResponseReceiver(
@@ -301,6 +311,9 @@
             self._admitted.request_id,
             events=events,
             on_events=lambda head, data: self._on_events(running, head, data),
+            on_hold_off=functools.partial(
+                self._context.failure_recorder.record_hold_off, path.first
+            ),
         )
         stream = running_stream.Stream(
             self._admitted,
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_monitor.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_monitor.py
@@ -83,8 +83,12 @@
         )
         self._reachability.check(
             now,
-            silent_addresses
-            - self._board.suspect_servers.terminated_addresses(),
+            {
+                address
+                for address in silent_addresses
+                - self._board.suspect_servers.terminated_addresses()
+                if not self._board.holds_off_at(address)
+            },
         )
         self._pace_reader.read(now, streams)
         down_addresses = self._board.suspect_servers.down_addresses()
@@ -165,6 +169,8 @@
         requested_at = self._requested_at_by_address.get(address, float("-inf"))
         if now - requested_at < MIN_REPORT_INTERVAL_SECONDS:
             return
+        if self._board.holds_off_at(address):
+            return
         self._requested_at_by_address[address] = now
         self._background_tasks.start(self._read_report(address))
 
--- a/tests/gateway/test_hold_off_requests.py
+++ b/tests/gateway/test_hold_off_requests.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from nutmeglift_gateway import directory
+from nutmeglift_gateway import freshness
 from nutmeglift_gateway import http_call
 from tests.gateway import holding_servers
 from tests.gateway import rig
@@ -37,6 +38,7 @@
         return script
 
     async def status(self, path="/release/1"):
+        self.rig.board.freshness.confirm(freshness.boot_clock())
         return (await self.rig.call(path)).status
 
     def lines(self, event):
--- a/tests/gateway/test_hold_offs.py
+++ b/tests/gateway/test_hold_offs.py
@@ -4,10 +4,12 @@
 
 from nutmeglift import errors
 from nutmeglift_gateway import directory
+from nutmeglift_gateway import hold_off_rows
 from nutmeglift_gateway import hold_offs
 from nutmeglift_gateway import peer_messages
 from nutmeglift_gateway import retry_delay
 from tests.gateway import rig
+from tests.gateway import test_peer_state
 
 ONE = ("one", 1)
 OTHER = ("other", 1)
@@ -95,6 +97,24 @@
         state.expire(2.0)
         self.assertFalse(state.is_hinted(ONE))
 
+    def test_servers_that_are_hinted_come_last(self):
+        one, other = rig.make_server("one"), rig.make_server("other")
+        cases = [
+            (set(), [["one", "other"]]),
+            ({"one"}, [["other"], ["one", "other"]]),
+            ({"one", "other"}, [["one", "other"]]),
+            ({"unknown"}, [["one", "other"]]),
+        ]
+        for hinted, expected in cases:
+            with self.subTest(hinted):
+                state = hold_offs.HoldOffs()
+                for name in hinted:
+                    state.record_hint(0.0, (name, 1), 2.0)
+                found = state.by_preference([one, other])
+                self.assertEqual(
+                    [[s.id for s in each] for each in found], expected
+                )
+
     def test_own_times_are_reported_by_what_is_left(self):
         state = hold_offs.HoldOffs()
         state.record(0.0, ONE, 2.0)
@@ -172,11 +192,27 @@
 
 
 class PeerRowsTest(unittest.TestCase):
+    def test_a_peer_gets_it_as_a_hint_that_it_does_not_pass_on(self):
+        routers = [test_peer_state.PeerRouter(vm) for vm in ("one", "two")]
+        for router in routers:
+            router.board.directory.put(
+                0.0, rig.make_server("one", service=rig.CORE, kind="")
+            )
+        first, second = routers
+        first.board.hold_offs.record(0.0, ONE, 2.0)
+        raw = peer_messages.encode(first.state.make_report(0.5, 100.0))
+        second.state.handle_message(peer_messages.decode(raw), 0.5, 100.0)
+        self.assertTrue(second.board.hold_offs.is_hinted(ONE))
+        self.assertEqual(len(second.board.usable(rig.CORE)), 1)
+        self.assertEqual(second.state.make_report(0.6, 100.1).hold_offs, [])
+        second.board.hold_offs.expire(2.0)
+        self.assertFalse(second.board.hold_offs.is_hinted(ONE))
+
     def test_rows_are_bounded(self):
         state = hold_offs.HoldOffs()
         for number in range(hold_offs.MAX_ROW_COUNT + 10):
             state.record(0.0, (f"s{number}", 1), 5.0)
-        rows = peer_messages.hold_off_rows(state, 1.0)
+        rows = hold_off_rows.encode(1.0, state)
         self.assertEqual(len(rows), hold_offs.MAX_ROW_COUNT)
 
     def test_rows_that_are_applied(self):
@@ -194,8 +230,11 @@
                 board.directory.put(
                     0.0, rig.make_server("one", service=rig.CORE, kind="")
                 )
-                board.apply_hold_off_hints(
-                    0.0, [peer_messages.HoldOffRow(*row)]
+                hold_off_rows.apply(
+                    0.0,
+                    [hold_off_rows.HoldOffRow(*row)],
+                    board.directory,
+                    board.hold_offs,
                 )
                 self.assertEqual(board.hold_offs.is_hinted(ONE), hinted)
                 self.assertEqual(len(board.usable(rig.CORE)), 1)
@@ -205,10 +244,12 @@
         board.directory.put(
             0.0, rig.make_server("one", service=rig.CORE, kind="")
         )
-        board.apply_hold_off_hints(
+        hold_off_rows.apply(
             0.0,
-            [peer_messages.HoldOffRow("one", 1, 2.0)]
+            [hold_off_rows.HoldOffRow("one", 1, 2.0)]
             * (hold_offs.MAX_ROW_COUNT + 1),
+            board.directory,
+            board.hold_offs,
         )
         self.assertFalse(board.hold_offs.is_hinted(ONE))
 
