Keep the retry budget over routers that are not heard

Each router spent by what it heard last: a peer that was silent for 1.5 s was forgotten with all it had sent, until then it counted as sending nothing, a store without the routers' entries made each router count itself as alone, and a process that had started knew neither the others nor what the process before it had sent.

Now a silent peer keeps its share, and what it had sent beyond its requests' part stays counted until it has left the window, as does what an ended process had sent; the retries of a process are told apart by its own count since its start. A peer counts as having sent as many since its report as this router, and a report is as old as the report of ours that it echoes. Routers that are no longer listed share for a window. A router that starts has no share of the slack for 2 s, or for a window unless it is the first start.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/attempt_failures.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/attempt_failures.py
@@ -296,7 +296,9 @@
         board = self._context.board
         purpose = retry_budget.purpose(started=self._progress.started)
         budget = board.budget(admitted.service.id)
-        if budget.try_spend(_now(), board.routers, purpose):
+        now = _now()
+        routers = board.budgets.record_routers(now, board.routers)
+        if budget.try_spend(now, routers, purpose):
             return decision
         if failure is retry_policy.Failure.SERVER_ERROR:
             return retry_policy.Deliver()
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -144,6 +144,7 @@
     async def run(self) -> None:
         """Serves until SIGTERM, then drains."""
         loop = asyncio.get_running_loop()
+        self.board.budgets.begin(loop.time(), first=self._config.first_start)
         leaving = asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, leaving.set)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGTERM})
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
@@ -46,11 +46,21 @@
 
 
 class BudgetRow(msgspec.Struct, array_like=True, frozen=True):
-    """The sender's counts for a service's retry budget in its window."""
+    """The sender's counts for a service's retry budget in its window.
+
+    Attributes:
+        service: the service.
+        requests: callers' requests for it.
+        retries: retries that the sender sent to it.
+        process: identifies the sender's process; 0 if unknown.
+        total: retries that the process has sent since its start.
+    """
 
     service: str
     requests: int
     retries: int
+    process: int = 0
+    total: int = 0
 
 
 class PeerReport(msgspec.Struct, array_like=True, frozen=True, tag="report"):
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
@@ -108,7 +108,11 @@
             ],
             budgets=[
                 peer_messages.BudgetRow(
-                    service, counts.requests, counts.retries
+                    service,
+                    counts.requests,
+                    counts.retries,
+                    counts.process,
+                    counts.total,
                 )
                 for service, counts in board.budgets.counts(now).items()
             ],
@@ -182,11 +186,20 @@
             )
         if report.fence:
             self._apply_planner_report(report, now)
+        sent_at = self._sent_at_by_sequence.get(report.echo)
         for counted in report.budgets:
             board.budget(ids.ServiceId(counted.service)).set_peer_counts(
                 now,
                 report.vm,
-                retry_budget.Counts(counted.requests, counted.retries),
+                retry_budget.Counts(
+                    counted.requests,
+                    counted.retries,
+                    counted.process,
+                    counted.total,
+                ),
+                # The peer took them after it had received the report of ours
+                # that it echoes.
+                float("-inf") if sent_at is None else now - boot_now + sent_at,
             )
         for row in report.suspects:
             server = board.server_at(row.address)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/prober.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/prober.py
@@ -43,6 +43,7 @@
             board.load_tracker.expire(now)
             board.expire_moves(now)
             board.hold_offs.expire(now)
+            board.budgets.record_routers(now, board.routers)
             board.suspect_servers.keep_only(
                 {s.address for s in board.directory.server_by_id.values()}
             )
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/retry_budget.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/retry_budget.py
@@ -5,13 +5,22 @@
 whose streams all lost their runner can use what the others do not need. Peers
 are assumed to have sent as many retries since their last report as this router
 has.
+
+A peer that is not heard keeps its share, as it may go on, and the retries that
+it had sent stay counted until they have left the window. So do those of a
+process that has ended. A process that has just started knows neither the other
+routers nor what the process before it has sent, and has no share of the
+constant.
 """
 
+import bisect
 import collections
 import dataclasses
 import enum
+import time
 
 from nutmeglift import ids
+from nutmeglift_gateway import router_counts
 
 USABLE_BUDGET_RATIO = 0.75
 """Usable part of the budget: the counts of lost or unreachable routers are
@@ -19,11 +28,10 @@
 NOT_STARTED_BUDGET_RATIO = 0.5
 """Part of that for requests without a delivered event: their callers can retry
 at no cost to the budget, while a stream that is not resumed is lost."""
-MAX_REPORT_AGE_SECONDS = 0.3
-"""Maximum age of a peer's count: the report interval plus the network
-delay."""
 PEER_REPORT_TIMEOUT_SECONDS = 1.5
 """A router whose count is older keeps its own share of the budget."""
+START_SECONDS = 2.0
+"""Time in which a router that has started hears from the others."""
 
 
 class Purpose(enum.Enum):
@@ -51,16 +59,72 @@
     Attributes:
         requests: callers' requests for the service.
         retries: retries that it sent.
+        process: identifies the router's process; 0 if unknown.
+        total: retries that the process has sent since its start.
     """
 
     requests: int
     retries: int
+    process: int = 0
+    total: int = 0
+
+
+class _Peer:
+    """What one process of another router has reported."""
+
+    def __init__(self) -> None:
+        self.received_at = float("-inf")
+        self.as_of = float("-inf")
+        self.requests = 0
+        self.replaced = False
+        self.reported = 0
+        self._total: int | None = None
+        self._spent: collections.deque[tuple[float, int]] = collections.deque()
+
+    def record(self, now: float, as_of: float, counts: Counts) -> None:
+        """Records a report.
+
+        Retries are dated by the report that first counts them, so that they
+        stay counted for a window from then on.
+        """
+        self.received_at = now
+        self.as_of = max(self.as_of, as_of)
+        self.requests = counts.requests
+        self.reported = counts.retries
+        new = counts.retries
+        if self._total is not None:
+            new = min(new, counts.total - self._total)
+        self._total = counts.total
+        if new > 0:
+            self._spent.append((now, new))
+
+    def expire(self, limit: float) -> None:
+        """Drops the retries that were counted until then."""
+        while self._spent and self._spent[0][0] <= limit:
+            self._spent.popleft()
+
+    def dated_retries(self) -> int:
+        """Returns its retries that have not been dropped."""
+        return sum(count for _, count in self._spent)
+
+    def is_live(self, now: float) -> bool:
+        """Returns whether its counts are of now."""
+        age = now - self.as_of
+        return not self.replaced and age <= PEER_REPORT_TIMEOUT_SECONDS
 
 
 class RetryBudget:
     """One router's view of a service's retry budget."""
 
-    def __init__(self, *, ratio: float, slack: float, window: float) -> None:
+    def __init__(
+        self,
+        *,
+        ratio: float,
+        slack: float,
+        window: float,
+        process: int = 0,
+        without_slack_until: float = float("-inf"),
+    ) -> None:
         """Initializes an empty budget.
 
         Args:
@@ -68,13 +132,19 @@
             slack: retries that are always allowed in a window, over all
                 routers.
             window: length of the sliding window in seconds.
+            process: identifies this process to the other routers.
+            without_slack_until: loop time until which this router has no share
+                of the slack, as it has just started.
         """
         self._ratio = ratio
         self._slack = slack
         self._window = window
+        self._process = process
+        self._without_slack_until = without_slack_until
         self._requests: collections.deque[float] = collections.deque()
         self._retries: collections.deque[float] = collections.deque()
-        self._peer_counts: dict[str, tuple[float, Counts]] = {}
+        self._total = 0
+        self._peer_by_process: dict[tuple[str, int], _Peer] = {}
 
     def set_bounds(self, *, ratio: float, slack: float, window: float) -> None:
         """Replaces the limits; see the constructor."""
@@ -89,11 +159,32 @@
     def counts(self, now: float) -> Counts:
         """Returns this router's counts, for the other routers."""
         self._expire(now)
-        return Counts(len(self._requests), len(self._retries))
+        return Counts(
+            len(self._requests), len(self._retries), self._process, self._total
+        )
+
+    def set_peer_counts(
+        self,
+        now: float,
+        peer: str,
+        counts: Counts,
+        as_of: float | None = None,
+    ) -> None:
+        """Replaces the counts of another router.
 
-    def set_peer_counts(self, now: float, peer: str, counts: Counts) -> None:
-        """Replaces the counts of another router."""
-        self._peer_counts[peer] = (now, counts)
+        Args:
+            now: event loop time in seconds.
+            peer: name of the router.
+            counts: its counts.
+            as_of: loop time by which it had not yet taken them; None for now.
+        """
+        found = self._peer_by_process.get((peer, counts.process))
+        if found is None:
+            found = self._peer_by_process[peer, counts.process] = _Peer()
+            for (name, _), other in self._peer_by_process.items():
+                if name == peer and other is not found:
+                    other.replaced = True
+        found.record(now, now if as_of is None else as_of, counts)
 
     def can_spend(self, now: float, routers: int, purpose: Purpose) -> bool:
         """Returns whether the budget allows another retry.
@@ -104,20 +195,39 @@
             purpose: purpose of the retry.
         """
         self._expire(now)
-        peers = [counts for _, counts in self._peer_counts.values()]
-        routers = max(1, routers, len(peers) + 1)
-        known = (len(peers) + 1) / routers
-        requests = len(self._requests) + sum(c.requests for c in peers)
-        allowed = USABLE_BUDGET_RATIO * (
-            self._ratio * requests + self._slack * known
-        )
+        usable = USABLE_BUDGET_RATIO
         if purpose is Purpose.NOT_STARTED:
-            allowed *= NOT_STARTED_BUDGET_RATIO
-        recent = sum(
-            1 for at in self._retries if at > now - MAX_REPORT_AGE_SECONDS
+            usable *= NOT_STARTED_BUDGET_RATIO
+        own = len(self._retries) + 1
+        if now < self._without_slack_until and own > (
+            usable * self._ratio * len(self._requests)
+        ):
+            return False
+        live = [p for p in self._peer_by_process.values() if p.is_live(now)]
+        names = {name for name, _ in self._peer_by_process}
+        share = (len(live) + 1) / max(routers, len(names) + 1)
+        requests = len(self._requests) + sum(p.requests for p in live)
+        allowed = usable * (self._ratio * requests + self._slack * share)
+        spent = own + sum(p.reported for p in live) + self._overspent(now)
+        return spent + self._unreported(live) <= allowed
+
+    def _overspent(self, now: float) -> float:
+        """Returns what silent peers had sent beyond their requests' part."""
+        part = USABLE_BUDGET_RATIO * self._ratio
+        return sum(
+            max(0.0, peer.dated_retries() - part * peer.requests)
+            for peer in self._peer_by_process.values()
+            if not peer.is_live(now)
+        )
+
+    def _unreported(self, live: list[_Peer]) -> int:
+        """Returns how many retries live peers may have sent meanwhile."""
+        if not live or not self._retries:
+            return 0
+        own = list(self._retries)
+        return sum(
+            len(own) - bisect.bisect_right(own, peer.as_of) for peer in live
         )
-        spent = len(self._retries) + sum(c.retries for c in peers)
-        return spent + recent * len(peers) + 1 <= allowed
 
     def try_spend(
         self, now: float, routers: int, purpose: Purpose = Purpose.RESUME
@@ -135,15 +245,18 @@
         if not self.can_spend(now, routers, purpose):
             return False
         self._retries.append(now)
+        self._total += 1
         return True
 
     def _expire(self, now: float) -> None:
         for times in (self._requests, self._retries):
             while times and times[0] <= now - self._window:
                 times.popleft()
-        for peer, (received_at, _) in list(self._peer_counts.items()):
-            if now - received_at > PEER_REPORT_TIMEOUT_SECONDS:
-                del self._peer_counts[peer]
+        limit = now - self._window
+        for key, peer in list(self._peer_by_process.items()):
+            peer.expire(limit)
+            if peer.received_at <= limit:
+                del self._peer_by_process[key]
 
 
 class ServiceBudgets:
@@ -151,13 +264,39 @@
 
     def __init__(self) -> None:
         self._bounds = {"ratio": 0.0, "slack": 0.0, "window": 0.0}
+        self._process = time.time_ns()
+        self._router_counts = router_counts.RouterCounts()
+        self._without_slack_until = float("-inf")
         self._budget_by_service: dict[ids.ServiceId, RetryBudget] = {}
 
+    def begin(self, now: float, *, first: bool) -> None:
+        """Records the start of this process, before any request.
+
+        Args:
+            now: loop time in seconds.
+            first: whether no process was here before.
+        """
+        seconds = START_SECONDS if first else self._bounds["window"]
+        self._without_slack_until = now + seconds
+
+    def record_routers(self, now: float, routers: int) -> int:
+        """Records the number of listed routers, including this one.
+
+        Returns:
+            The number that share the budgets: a router that is no longer
+            listed may go on, and what it has sent counts for a window.
+        """
+        return self._router_counts.record(now, routers, self._bounds["window"])
+
     def of(self, service: ids.ServiceId) -> RetryBudget:
         """Returns the budget of a service."""
         found = self._budget_by_service.get(service)
         if found is None:
-            found = RetryBudget(**self._bounds)
+            found = RetryBudget(
+                **self._bounds,
+                process=self._process,
+                without_slack_until=self._without_slack_until,
+            )
             self._budget_by_service[service] = found
         return found
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_resumer.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_resumer.py
@@ -147,6 +147,6 @@
         board = self._board
         return board.budget(stream.admitted.service.id).try_spend(
             now,
-            board.routers,
+            board.budgets.record_routers(now, board.routers),
             retry_budget.purpose(started=stream.progress.started),
         )
--- a/tests/gateway/retry_model.py
+++ b/tests/gateway/retry_model.py
@@ -65,6 +65,13 @@
     frozen_until: float = float("-inf")
     entry_until: float = float("inf")
     """Time until which the store lists it."""
+    entry_back_at: float = float("inf")
+    """Time from which the store lists it again."""
+
+    def is_listed(self, now):
+        return now < self.entry_until or (
+            self.running and now >= self.entry_back_at
+        )
 
     def works(self, now):
         return self.running and now >= self.frozen_until
@@ -77,6 +84,9 @@
         arrivals: what arrived at the servers.
         cut: pairs of routers whose link is lost.
         failing: share of the attempts that fail.
+        delay_seconds: greatest delay of a report; those of a link stay in
+            order.
+        lost: share of the reports that are lost.
     """
 
     def __init__(self, seed, count, rate):
@@ -84,11 +94,14 @@
         self.arrivals = Arrivals()
         self.cut = set()
         self.failing = 0.0
-        self.cut_off = set()
+        self.delay_seconds = 0.05
+        self.lost = 0.0
         self._rng = random.Random(seed)
         self._rate = rate
         self._in_flight = []
         self._reported_at = {}
+        self._due_at_by_link = {}
+        self._echo_by_link = {}
         self.router_by_name = {}
         for number in range(count):
             self.start(f"r{number}", first=True)
@@ -114,6 +127,7 @@
         router.frozen_until = self.now + seconds
         if seconds > LEASE_SECONDS:
             router.entry_until = self.now + LEASE_SECONDS
+            router.entry_back_at = router.frozen_until + DISCOVERY_SECONDS
 
     def lose_entries(self):
         """The store comes back from a copy without the routers' entries."""
@@ -139,15 +153,16 @@
             self._exchange_reports()
             for router in self.router_by_name.values():
                 if router.works(self.now):
+                    self._routers_known_to(router)
                     self._serve(router)
 
     def _routers_known_to(self, router):
         if self.now < router.started_at + DISCOVERY_SECONDS:
-            return 1
+            return router.budgets.record_routers(self.now, 1)
         listed = sum(
-            self.now < each.entry_until for each in self.router_by_name.values()
+            each.is_listed(self.now) for each in self.router_by_name.values()
         )
-        return max(1, listed)
+        return router.budgets.record_routers(self.now, max(1, listed))
 
     def _serve(self, router):
         budget = router.budgets.of(SERVICE)
@@ -172,7 +187,7 @@
     def _exchange_reports(self):
         in_flight, self._in_flight = self._in_flight, []
         for arrival in in_flight:
-            due_at, source, target, counts = arrival
+            due_at, source, target, counts, sent_at, echo = arrival
             receiver = self.router_by_name.get(target)
             if due_at > self.now or not receiver.works(self.now):
                 self._in_flight.append(arrival)
@@ -180,8 +195,9 @@
             if frozenset((source, target)) in self.cut:
                 continue
             receiver.budgets.of(SERVICE).set_peer_counts(
-                self.now, source, counts
+                self.now, source, counts, echo
             )
+            self._echo_by_link[source, target] = sent_at
         for router in self.router_by_name.values():
             if not router.works(self.now):
                 continue
@@ -194,7 +210,21 @@
                 pair = frozenset((router.name, peer.name))
                 if peer is router or not peer.running or pair in self.cut:
                     continue
-                delay = self._rng.random() * 0.05
+                if self._rng.random() < self.lost:
+                    continue
+                link = (router.name, peer.name)
+                due_at = max(
+                    self.now + self._rng.random() * self.delay_seconds,
+                    self._due_at_by_link.get(link, 0.0),
+                )
+                self._due_at_by_link[link] = due_at
+                echo = self._echo_by_link.get((peer.name, router.name))
                 self._in_flight.append(
-                    (self.now + delay, router.name, peer.name, counts)
+                    (
+                        due_at,
+                        *link,
+                        counts,
+                        self.now,
+                        float("-inf") if echo is None else echo,
+                    )
                 )
--- a/tests/gateway/test_retries_over_routers.py
+++ b/tests/gateway/test_retries_over_routers.py
@@ -122,6 +122,8 @@
     names = list(deployment.router_by_name)
     for _ in range(25):
         deployment.failing = rng.choice((0.0, 0.1, 0.5, 1.0))
+        deployment.delay_seconds = rng.choice((0.05, 0.05, 0.3, 1.0))
+        deployment.lost = rng.choice((0.0, 0.0, 0.3, 0.7))
         name = rng.choice(names)
         running = deployment.router_by_name[name].running
         match rng.randrange(7):
--- a/tests/gateway/test_retry_budget.py
+++ b/tests/gateway/test_retry_budget.py
@@ -1,3 +1,4 @@
+import copy
 import unittest
 
 from nutmeglift_gateway import retry_budget
@@ -100,6 +101,95 @@
         self.assertLessEqual(spent, 20 * 2 / 3)
         self.assertGreater(spent, 0)
 
+    def test_retries_of_a_lost_peer_stay_counted_for_a_window(self):
+        timeout = retry_budget.PEER_REPORT_TIMEOUT_SECONDS
+        cases = [
+            # time, retries of the peer, a later process of it, may spend
+            (1.0, 15, False, False),
+            (timeout + 0.1, 15, False, False),
+            (9.9, 15, False, False),
+            (10.1, 15, False, True),
+            (1.0, 15, True, False),
+            (9.9, 15, True, False),
+            (10.1, 15, True, True),
+            (9.9, 3, False, True),
+            (9.9, 3, True, True),
+        ]
+        for now, retries, restarted, expected in cases:
+            with self.subTest(now=now, retries=retries, restarted=restarted):
+                budget = make_budget(slack=20.0)
+                budget.set_peer_counts(
+                    0.0, "peer", retry_budget.Counts(0, retries, 1, retries)
+                )
+                if restarted:
+                    budget.set_peer_counts(
+                        now, "peer", retry_budget.Counts(0, 0, 2, 0)
+                    )
+                self.assertEqual(budget.try_spend(now, 2), expected)
+
+    def test_what_a_peer_reports_after_a_silence_is_counted_once(self):
+        budget = make_budget(slack=20.0)
+        for now, count, total in [(0.0, 5, 5), (4.0, 9, 9), (8.0, 9, 9)]:
+            budget.set_peer_counts(
+                now, "peer", retry_budget.Counts(0, count, 1, total)
+            )
+        # The first 5 have left the window; 4 are counted, of 7 for each half.
+        now = 10.5
+        spent = 0
+        while budget.try_spend(now, 2):
+            spent += 1
+        self.assertEqual(spent, 3)
+
+    def test_a_report_is_as_old_as_its_echo(self):
+        budget = make_budget(slack=20.0)
+        for _ in range(4):
+            self.assertTrue(budget.try_spend(5.0, 2))
+        for as_of, expected in [(4.9, 4), (5.0, 6)]:
+            with self.subTest(as_of=as_of):
+                found = copy.deepcopy(budget)
+                found.set_peer_counts(
+                    6.0, "peer", retry_budget.Counts(0, 0, 1), as_of
+                )
+                spent = 0
+                while found.try_spend(6.0, 2):
+                    spent += 1
+                self.assertEqual(spent, expected)
+
+    def test_a_process_that_has_started_has_no_share_of_the_slack(self):
+        cases = [
+            # first start, time, requests, retries
+            (True, 1.0, 0, 0),
+            (True, 1.0, 100, 15),
+            (True, 2.1, 0, 75),
+            (False, 2.1, 0, 0),
+            (False, 9.9, 0, 0),
+            (False, 9.9, 100, 15),
+            (False, 10.1, 0, 75),
+        ]
+        for first, now, requests, expected in cases:
+            with self.subTest(first=first, now=now, requests=requests):
+                budgets = retry_budget.ServiceBudgets()
+                budgets.set_bounds(ratio=0.2, slack=100.0, window=10.0)
+                budgets.begin(0.0, first=first)
+                budget = budgets.of("core")
+                for _ in range(requests):
+                    budget.record_request(now)
+                spent = 0
+                while budget.try_spend(now, 1):
+                    spent += 1
+                self.assertEqual(spent, expected)
+
+    def test_routers_that_are_no_longer_listed_share_for_a_window(self):
+        budgets = retry_budget.ServiceBudgets()
+        budgets.set_bounds(ratio=0.2, slack=100.0, window=10.0)
+        events = [
+            (0.0, 4, 4), (1.0, 1, 4), (5.0, 2, 4), (9.9, 1, 4), (10.1, 1, 2),
+            (15.1, 1, 1), (16.0, 3, 3),
+        ]  # fmt: skip
+        for now, listed, expected in events:
+            with self.subTest(now=now):
+                self.assertEqual(budgets.record_routers(now, listed), expected)
+
     def test_resumed_streams_have_a_larger_share(self):
         budget = make_budget(slack=100.0)
         not_started, resume = (
