Reproduce: a status check that is turned away is repeated

A runner that answers a report's request or an order with 503 and Retry-After is marked as a suspect and probed each half second within that time.

--- a/tests/gateway/test_hold_off_checks.py
+++ b/tests/gateway/test_hold_off_checks.py
@@ -10,6 +10,8 @@
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import prober
 from nutmeglift_gateway import suspect_servers
+from nutmeglift_platform import runners as platform_runners
+from tests.gateway import holding_servers
 from tests.gateway import rig
 from tests.gateway import stand_ins
 from tests.gateway import test_controllers as controllers
@@ -108,6 +110,42 @@
         self.assertEqual(server.accepted_count, 1)
 
 
+class TurnedAwayCheckTest(virtual_time_case.VirtualTimeTestCase):
+    """A status check or an order may be turned away as well."""
+
+    async def test_a_check_that_is_turned_away_is_not_repeated(self):
+        board, log = rig.make_board(), rig.MemoryLog()
+        recorder = failure_recorder.FailureRecorder(
+            board, log, metrics.Metrics()
+        )
+        holding = holding_servers.HoldingServer(HOLD_SECONDS)
+        scripted = await stand_ins.ScriptedServer(holding).start()
+        self.addCleanup(scripted.close)
+        server = rig.make_server(
+            "s", address=scripted.address, layers=directory.LayerRange(0, 80)
+        )
+        board.directory.put(0.0, server)
+        client = platform_runners.PlatformRunners()
+        client.on_hold_off = recorder.record_hold_off_at
+        calls = [
+            lambda: client.report(server.address),
+            lambda: client.place(server, server.layers, 1),
+        ]
+        for number, call in enumerate(calls):
+            with self.subTest(number):
+                now = asyncio.get_running_loop().time()
+                try:
+                    await call()
+                except ports.RunnerUnavailableError as error:
+                    recorder.record(
+                        server, suspect_servers.Reason.NO_REPORT, str(error)
+                    )
+                self.assertTrue(board.hold_offs.holds_off(server.lifetime))
+                self.assertEqual(board.suspect_servers.suspects(), {})
+                board.hold_offs.expire(now + HOLD_SECONDS + 1.0)
+        self.assertEqual(log.events(), ["server holds off"] * 2)
+
+
 class HoldOffPlanTest(unittest.TestCase):
     def test_layers_are_not_placed_elsewhere(self):
         async def scenario(deployment):
