Let a runner turn a status check away for a time

A runner that answered a request for its report, or an order, with 503 and Retry-After became a suspect and was probed each half second within that time. The time is now recorded as for a caller's request, and the runner is no suspect.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/failure_recorder.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/failure_recorder.py
@@ -43,6 +43,12 @@
             detail: evidence of the failure, for the log.
         """
         now = asyncio.get_running_loop().time()
+        if (
+            reason is suspect_servers.Reason.NO_REPORT
+            and self._board.hold_offs.holds_off(server.lifetime)
+        ):
+            # It has turned the request for a report away.
+            return
         if not self._board.suspect(now, server, reason):
             return
         self._metrics.suspects.labels(reason.value).inc()
@@ -129,6 +135,12 @@
             asked_by=first.id,
         )
 
+    def record_hold_off_at(self, address: str, raw: bytes) -> None:
+        """Records that the server at an address turned a control call away."""
+        server = self._board.server_at(address)
+        if server is not None:
+            self.record_hold_off(server, raw, b"")
+
     def record_by_address(
         self, address: str, reason: suspect_servers.Reason, detail: str
     ) -> None:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/ports.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/ports.py
@@ -1,6 +1,7 @@
 """Interfaces of the gateway to the platform that it runs on."""
 
 import abc
+from collections.abc import Callable
 import dataclasses
 import enum
 
@@ -123,7 +124,17 @@
 
 
 class BaseRunners(abc.ABC):
-    """Control calls to the runners."""
+    """Control calls to the runners.
+
+    Attributes:
+        on_hold_off: called with the address of a runner that turned a call
+            away, and the time for which it wants nothing, as received.
+    """
+
+    def __init__(self) -> None:
+        self.on_hold_off: Callable[[str, bytes], None] = lambda address, raw: (
+            None
+        )
 
     @abc.abstractmethod
     async def report(self, address: str) -> Report:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_monitor.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_monitor.py
@@ -58,6 +58,7 @@
         )
         self._resumer = stream_resumer.StreamResumer(board, log, metrics, rng)
         self._background_tasks = background_tasks.BackgroundTasks(log)
+        runners.on_hold_off = failure_recorder.record_hold_off_at
         self._streams: set[running_stream.Stream] = set()
         self._requested_at_by_address: dict[str, float] = {}
 
