Let routers that run tell a new one what was sent

A router that was started again had no share of the slack of the retry budget for a window (10 s), as the process before it may have spent it: its callers lost streams that the budget allowed to be resumed. Routers that have run for a window now report what routers that are not heard had sent beyond their requests' part, and a new one spends with that 2 s after its start.

By the decision table, a new router beside one such peer may send 70 retries of a slack of 100 after 2.1 s; it had none until 10 s.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
@@ -54,6 +54,9 @@
         retries: retries that the sender sent to it.
         process: identifies the sender's process; 0 if unknown.
         total: retries that the process has sent since its start.
+        overspent: retries that routers that the sender does not hear had sent
+            beyond their requests' part.
+        complete: whether the process has run for a window.
     """
 
     service: str
@@ -61,6 +64,8 @@
     retries: int
     process: int = 0
     total: int = 0
+    overspent: int = 0
+    complete: bool = False
 
 
 class PeerReport(msgspec.Struct, array_like=True, frozen=True, tag="report"):
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
@@ -113,6 +113,8 @@
                     counts.retries,
                     counts.process,
                     counts.total,
+                    counts.overspent,
+                    counts.complete,
                 )
                 for service, counts in board.budgets.counts(now).items()
             ],
@@ -196,6 +198,8 @@
                     counted.retries,
                     counted.process,
                     counted.total,
+                    counted.overspent,
+                    counted.complete,
                 ),
                 # The peer took them after it had received the report of ours
                 # that it echoes.
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/retry_budget.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/retry_budget.py
@@ -9,14 +9,15 @@
 A peer that is not heard keeps its share, as it may go on, and the retries that
 it had sent stay counted until they have left the window. So do those of a
 process that has ended. A process that has just started knows neither the other
-routers nor what the process before it has sent, and has no share of the
-constant.
+routers nor what the process before it has sent. It has no share of the constant
+until a router that has run for a window has told it, or a window has passed.
 """
 
 import bisect
 import collections
 import dataclasses
 import enum
+import math
 import time
 
 from nutmeglift import ids
@@ -61,12 +62,17 @@
         retries: retries that it sent.
         process: identifies the router's process; 0 if unknown.
         total: retries that the process has sent since its start.
+        overspent: retries that routers that are not heard had sent beyond their
+            requests' part.
+        complete: whether the process has run for a window.
     """
 
     requests: int
     retries: int
     process: int = 0
     total: int = 0
+    overspent: int = 0
+    complete: bool = False
 
 
 class _Peer:
@@ -77,6 +83,8 @@
         self.as_of = float("-inf")
         self.requests = 0
         self.replaced = False
+        self.overspent = 0
+        self.complete = False
         self.reported = 0
         self._total: int | None = None
         self._spent: collections.deque[tuple[float, int]] = collections.deque()
@@ -90,6 +98,8 @@
         self.received_at = now
         self.as_of = max(self.as_of, as_of)
         self.requests = counts.requests
+        self.overspent = counts.overspent
+        self.complete = counts.complete
         self.reported = counts.retries
         new = counts.retries
         if not counts.process:
@@ -126,7 +136,8 @@
         slack: float,
         window: float,
         process: int = 0,
-        without_slack_until: float = float("-inf"),
+        settled_at: float = float("-inf"),
+        complete_at: float = float("-inf"),
     ) -> None:
         """Initializes an empty budget.
 
@@ -136,14 +147,17 @@
                 routers.
             window: length of the sliding window in seconds.
             process: identifies this process to the other routers.
-            without_slack_until: loop time until which this router has no share
-                of the slack, as it has just started.
+            settled_at: loop time from which this router has heard from the
+                others; it has no share of the slack before.
+            complete_at: loop time from which it knows what was sent in the
+                window. Before, a peer that knows it has to tell.
         """
         self._ratio = ratio
         self._slack = slack
         self._window = window
         self._process = process
-        self._without_slack_until = without_slack_until
+        self._settled_at = settled_at
+        self._complete_at = complete_at
         self._requests: collections.deque[float] = collections.deque()
         self._retries: collections.deque[float] = collections.deque()
         self._total = 0
@@ -163,7 +177,12 @@
         """Returns this router's counts, for the other routers."""
         self._expire(now)
         return Counts(
-            len(self._requests), len(self._retries), self._process, self._total
+            len(self._requests),
+            len(self._retries),
+            self._process,
+            self._total,
+            math.ceil(self._overspent(now)),
+            complete=now >= self._complete_at,
         )
 
     def set_peer_counts(
@@ -202,18 +221,27 @@
         if purpose is Purpose.NOT_STARTED:
             usable *= NOT_STARTED_BUDGET_RATIO
         own = len(self._retries) + 1
-        if now < self._without_slack_until and own > (
+        live = [p for p in self._peer_by_process.values() if p.is_live(now)]
+        if not self._is_informed(now, live) and own > (
             usable * self._ratio * len(self._requests)
         ):
             return False
-        live = [p for p in self._peer_by_process.values() if p.is_live(now)]
         names = {name for name, _ in self._peer_by_process}
         share = (len(live) + 1) / max(routers, len(names) + 1)
         requests = len(self._requests) + sum(p.requests for p in live)
         allowed = usable * (self._ratio * requests + self._slack * share)
         spent = own + sum(p.reported for p in live) + self._overspent(now)
+        if now < self._complete_at:
+            # The peers know what the process before this one had sent.
+            spent += max([0, *(p.overspent for p in live)])
         return spent + self._unreported(live) <= allowed
 
+    def _is_informed(self, now: float, live: list[_Peer]) -> bool:
+        """Returns whether all that was sent in the window is known."""
+        if now >= self._complete_at:
+            return True
+        return now >= self._settled_at and any(p.complete for p in live)
+
     def _overspent(self, now: float) -> float:
         """Returns what silent peers had sent beyond their requests' part."""
         part = USABLE_BUDGET_RATIO * self._ratio
@@ -269,7 +297,8 @@
         self._bounds = {"ratio": 0.0, "slack": 0.0, "window": 0.0}
         self._process = time.time_ns()
         self._router_counts = router_counts.RouterCounts()
-        self._without_slack_until = float("-inf")
+        self._settled_at = float("-inf")
+        self._complete_at = float("-inf")
         self._budget_by_service: dict[ids.ServiceId, RetryBudget] = {}
 
     def begin(self, now: float, *, first: bool) -> None:
@@ -279,8 +308,10 @@
             now: loop time in seconds.
             first: whether no process was here before.
         """
-        seconds = START_SECONDS if first else self._bounds["window"]
-        self._without_slack_until = now + seconds
+        self._settled_at = now + START_SECONDS
+        self._complete_at = self._settled_at
+        if not first:
+            self._complete_at = now + max(START_SECONDS, self._bounds["window"])
 
     def record_routers(self, now: float, routers: int) -> int:
         """Records the number of listed routers, including this one.
@@ -298,7 +329,8 @@
             found = RetryBudget(
                 **self._bounds,
                 process=self._process,
-                without_slack_until=self._without_slack_until,
+                settled_at=self._settled_at,
+                complete_at=self._complete_at,
             )
             self._budget_by_service[service] = found
         return found
--- a/tests/gateway/test_retry_budget.py
+++ b/tests/gateway/test_retry_budget.py
@@ -179,6 +179,40 @@
                     spent += 1
                 self.assertEqual(spent, expected)
 
+    def test_a_router_that_has_run_for_a_window_tells_what_was_sent(self):
+        cases = [
+            # time, overspent, whether the peer has run for a window, retries
+            (1.9, 5, True, 0),
+            (2.1, 5, True, 70),
+            (2.1, 75, True, 0),
+            (2.1, -5, True, 75),
+            (2.1, 5, False, 0),
+            (9.9, 5, False, 0),
+            (10.1, 5, False, 75),
+        ]
+        for now, overspent, complete, expected in cases:
+            with self.subTest(now=now, overspent=overspent, complete=complete):
+                budgets = retry_budget.ServiceBudgets()
+                budgets.set_bounds(ratio=0.2, slack=100.0, window=10.0)
+                budgets.begin(0.0, first=False)
+                budget = budgets.of("core")
+                counts = retry_budget.Counts(
+                    0, 0, 1, 0, overspent, complete=complete
+                )
+                budget.set_peer_counts(now, "peer", counts)
+                spent = 0
+                while budget.try_spend(now, 2):
+                    spent += 1
+                self.assertEqual(spent, expected)
+
+    def test_the_budget_of_an_ended_process_is_told(self):
+        budget = make_budget(slack=20.0)
+        budget.set_peer_counts(0.0, "peer", retry_budget.Counts(20, 9, 1, 9))
+        self.assertEqual(budget.counts(1.0).overspent, 0)
+        # 9 without the part of its 20 requests, 3.
+        self.assertEqual(budget.counts(5.0).overspent, 6)
+        self.assertEqual(budget.counts(10.1).overspent, 0)
+
     def test_routers_that_are_no_longer_listed_share_for_a_window(self):
         budgets = retry_budget.ServiceBudgets()
         budgets.set_bounds(ratio=0.2, slack=100.0, window=10.0)
