--- a/packages/nutmeglift_gateway/nutmeglift_gateway/failure_recorder.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/failure_recorder.py
@@ -2,15 +2,18 @@
 
 import asyncio
 
+from nutmeglift import errors
 from nutmeglift_gateway import board as boards
 from nutmeglift_gateway import decision_log
 from nutmeglift_gateway import directory
+from nutmeglift_gateway import hold_offs
 from nutmeglift_gateway import metrics as metric_sets
 from nutmeglift_gateway import runs
 from nutmeglift_gateway import suspect_servers
 
 MAX_LOGGED_SUSPECT_COUNT = 8
 """Suspect requests that are named in the log line of a crash."""
+MAX_LOGGED_VALUE_LENGTH = 32
 
 
 class FailureRecorder:
@@ -40,6 +43,12 @@
             detail: evidence of the failure, for the log.
         """
         now = asyncio.get_running_loop().time()
+        if (
+            reason is suspect_servers.Reason.NO_REPORT
+            and self._board.hold_offs.holds_off(server.lifetime)
+        ):
+            # It has turned the request for a report away.
+            return
         if not self._board.suspect(now, server, reason):
             return
         self._metrics.suspects.labels(reason.value).inc()
@@ -86,6 +95,59 @@
             now, crash, server.version if server is not None else ""
         )
 
+    def record_hold_off(
+        self, first: directory.Server, raw: bytes, fault: bytes
+    ) -> None:
+        """Records that a server wants nothing from this router for a time.
+
+        Args:
+            first: the server that responded.
+            raw: the time that it named.
+            fault: address of the server that it blames; empty for none. The
+                time holds for that one too if it is of the same service.
+        """
+        self._record_hold_off(first, first, raw)
+        server = self._board.server_at(fault.decode("latin-1"))
+        if server is None or server.service != first.service:
+            return
+        if server.lifetime != first.lifetime:
+            self._record_hold_off(server, first, raw)
+
+    def _record_hold_off(
+        self, server: directory.Server, first: directory.Server, raw: bytes
+    ) -> None:
+        now = asyncio.get_running_loop().time()
+        state = self._board.hold_offs
+        try:
+            seconds = hold_offs.parse_seconds(raw)
+        except errors.MalformedMessageError as error:
+            self._metrics.hold_offs.labels("malformed").inc()
+            if state.record_malformed(server.lifetime):
+                self._log.write(
+                    "hold-off malformed",
+                    server=server.id,
+                    address=server.address,
+                    value=raw[:MAX_LOGGED_VALUE_LENGTH].decode("latin-1"),
+                    detail=str(error),
+                )
+            return
+        if not state.record(now, server.lifetime, seconds):
+            return
+        self._metrics.hold_offs.labels("begun").inc()
+        self._log.write(
+            "server holds off",
+            server=server.id,
+            address=server.address,
+            seconds=seconds,
+            asked_by=first.id,
+        )
+
+    def record_hold_off_at(self, address: str, raw: bytes) -> None:
+        """Records that the server at an address turned a control call away."""
+        server = self._board.server_at(address)
+        if server is not None:
+            self.record_hold_off(server, raw, b"")
+
     def record_by_address(
         self, address: str, reason: suspect_servers.Reason, detail: str
     ) -> None:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -144,6 +144,7 @@
     async def run(self) -> None:
         """Serves until SIGTERM, then drains."""
         loop = asyncio.get_running_loop()
+        self.board.budgets.begin(loop.time(), first=self._config.first_start)
         leaving = asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, leaving.set)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGTERM})
@@ -354,6 +355,7 @@
         self.metrics.catalog_behind.set(
             view.catalog.lag.behind_for(freshness.boot_clock())
         )
+        self.metrics.holding_off.set(board.hold_offs.count)
         self.metrics.lapse_window.set(
             max(0.0, board.directory.lapse_window_end - now)
         )
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
@@ -7,6 +7,7 @@
 
 from nutmeglift import decoding
 from nutmeglift import errors
+from nutmeglift_gateway import hold_off_rows
 from nutmeglift_gateway import load_rows
 from nutmeglift_gateway import poison_rows
 
@@ -45,11 +46,26 @@
 
 
 class BudgetRow(msgspec.Struct, array_like=True, frozen=True):
-    """The sender's counts for a service's retry budget in its window."""
+    """The sender's counts for a service's retry budget in its window.
+
+    Attributes:
+        service: the service.
+        requests: callers' requests for it.
+        retries: retries that the sender sent to it.
+        process: identifies the sender's process; 0 if unknown.
+        total: retries that the process has sent since its start.
+        overspent: retries that routers that the sender does not hear had sent
+            beyond their requests' part.
+        complete: whether the process has run for a window.
+    """
 
     service: str
     requests: int
     retries: int
+    process: int = 0
+    total: int = 0
+    overspent: int = 0
+    complete: bool = False
 
 
 class PeerReport(msgspec.Struct, array_like=True, frozen=True, tag="report"):
@@ -81,6 +97,7 @@
         rejected: revision of a newer configuration that the sender read and did
             not take; 0 for none.
         digest: digest of the value of the sender's configuration.
+        hold_offs: backend servers that want nothing from the sender.
     """
 
     vm: str
@@ -101,6 +118,7 @@
     poison: poison_rows.PoisonReport = poison_rows.PoisonReport()
     rejected: int = 0
     digest: int = 0
+    hold_offs: list[hold_off_rows.HoldOffRow] = []
 
 
 class EntryRow(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
@@ -6,6 +6,7 @@
 from nutmeglift_gateway import board as boards
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import freshness
+from nutmeglift_gateway import hold_off_rows
 from nutmeglift_gateway import load_rows
 from nutmeglift_gateway import peer_messages
 from nutmeglift_gateway import poison_rows
@@ -107,7 +108,13 @@
             ],
             budgets=[
                 peer_messages.BudgetRow(
-                    service, counts.requests, counts.retries
+                    service,
+                    counts.requests,
+                    counts.retries,
+                    counts.process,
+                    counts.total,
+                    counts.overspent,
+                    counts.complete,
                 )
                 for service, counts in board.budgets.counts(now).items()
             ],
@@ -115,6 +122,7 @@
             poison=self._poison_encoder.encode(now, board.guard),
             rejected=board.freshness.rejected_revision,
             digest=board.freshness.digest,
+            hold_offs=hold_off_rows.encode(now, board.hold_offs),
         )
         self._paces_sent_until = now
         return report
@@ -181,11 +189,22 @@
             )
         if report.fence:
             self._apply_planner_report(report, now)
+        sent_at = self._sent_at_by_sequence.get(report.echo)
         for counted in report.budgets:
             board.budget(ids.ServiceId(counted.service)).set_peer_counts(
                 now,
                 report.vm,
-                retry_budget.Counts(counted.requests, counted.retries),
+                retry_budget.Counts(
+                    counted.requests,
+                    counted.retries,
+                    counted.process,
+                    counted.total,
+                    counted.overspent,
+                    counted.complete,
+                ),
+                # The peer took them after it had received the report of ours
+                # that it echoes.
+                float("-inf") if sent_at is None else now - boot_now + sent_at,
             )
         for row in report.suspects:
             server = board.server_at(row.address)
@@ -206,6 +225,9 @@
                 board.pace_by_address[pace.address] = boards.Pace(
                     pace.pace, read_at
                 )
+        hold_off_rows.apply(
+            now, report.hold_offs, board.directory, board.hold_offs
+        )
         self._apply_poison(report, now)
         self._apply_confirmation(report)
         self._compare_views(report, boot_now)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_monitor.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_monitor.py
@@ -58,6 +58,7 @@
         )
         self._resumer = stream_resumer.StreamResumer(board, log, metrics, rng)
         self._background_tasks = background_tasks.BackgroundTasks(log)
+        runners.on_hold_off = failure_recorder.record_hold_off_at
         self._streams: set[running_stream.Stream] = set()
         self._requested_at_by_address: dict[str, float] = {}
 
@@ -83,8 +84,12 @@
         )
         self._reachability.check(
             now,
-            silent_addresses
-            - self._board.suspect_servers.terminated_addresses(),
+            {
+                address
+                for address in silent_addresses
+                - self._board.suspect_servers.terminated_addresses()
+                if not self._board.holds_off_at(address)
+            },
         )
         self._pace_reader.read(now, streams)
         down_addresses = self._board.suspect_servers.down_addresses()
@@ -165,6 +170,8 @@
         requested_at = self._requested_at_by_address.get(address, float("-inf"))
         if now - requested_at < MIN_REPORT_INTERVAL_SECONDS:
             return
+        if self._board.holds_off_at(address):
+            return
         self._requested_at_by_address[address] = now
         self._background_tasks.start(self._read_report(address))
 
