Show that events without end exceed the memory of a process (Fault)

What operators saw: a faulty runner sent bytes without end, and the machine that had called it ran out of memory, with the requests of all its other clients.

A router's process, with its store, 3 faulty servers and 200 requests at once, beside sound requests.

--- /dev/null
+++ b/tests/gateway/test_endless_memory.py
@@ -0,0 +1,209 @@
+"""The memory of a router's process whose servers send without end."""
+
+import asyncio
+import json
+import random
+import tempfile
+import threading
+import unittest
+
+from nutmeglift import kv
+from nutmeglift_gateway import control_client
+from nutmeglift_gateway import http_call
+from nutmeglift_gateway import sse
+from nutmeglift_platform import names
+from tests.gateway import endless
+from tests.gateway import stand_ins
+from tests.gateway import store_stand_in
+from tests.gateway import test_platform_schema
+from tests.soak import routers
+
+MAX_PEAK_BYTES = 200e6
+"""A router has 300 MB, of which it usually needs 74 MB."""
+START_SECONDS = 20.0
+FAULTY_SERVER_COUNT = 3
+READ_SECONDS = 0.3
+"""Time for the router to read of the faulty servers."""
+PARALLEL_REQUEST_COUNT = 200
+DEADLINE_SECONDS = 1.0
+END_SECONDS = 10.0
+"""Longest wait for a response; a loaded machine is slow."""
+SOUND_INTERVAL_SECONDS = 0.02
+BORN = test_platform_schema.HEARTBEAT["born"]
+LAYERS = {"from": 0, "target": 80}
+REPORT = json.dumps({"sequence": 4, "layers": LAYERS, "born": BORN}).encode()
+HELD_BYTES = sse.MAX_EVENT_BYTES - 2 * endless.PIECE_BYTES
+"""Bytes of a body or an event that is within every limit of its own."""
+HELD_HEAD_BYTES = 60000
+HONEST_STATUSES = frozenset({502, 503, 504})
+DECLARED = b"HTTP/1.1 200 OK\r\nx-attempt-id: attempt-1\r\n" + (
+    b"x-response-seal: seal\r\ncontent-length: 50000000\r\n\r\n"
+)
+
+
+class FaultyRunner(endless.EndlessServer):
+    """Responds to control calls only."""
+
+    async def respond(self, head, writer):
+        if head.startswith(b"GET /v1/report"):
+            writer.write(
+                b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%b"
+                % (len(REPORT), REPORT)
+            )
+            return True
+        if head.startswith(b"POST /v1/order"):
+            writer.write(b"HTTP/1.1 409 X\r\ncontent-length: 0\r\n\r\n")
+            return True
+        return False
+
+
+def _make_configuration():
+    config = json.loads(json.dumps(test_platform_schema.CONFIG))
+    engine = config["services"][0]["engine"]
+    engine["kinds"][0]["mb"] = 300000.0
+    safe = {"kind": "safe", "sticky": False, "resumable": False}
+    routes = [
+        test_platform_schema.ROUTE
+        | {"name": service, "prefix": f"/{service}/", "timeout_ms": 5000}
+        | {"backends": [{"service": service, "weight": 1}]}
+        | ({} if service == "model" else safe)
+        for service in ("sound", "plain", "model")
+    ]
+    return config | {
+        "routes": routes,
+        "services": [
+            {"name": "sound"},
+            {"name": "plain"},
+            {"name": "model", "engine": engine},
+        ],
+    }
+
+
+class EndlessMemoryTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.store = await store_stand_in.StoreStandIn().start()
+        self.addCleanup(self.store.server.close)
+        raw = json.dumps(_make_configuration()).encode()
+        await self._put("op/config", raw)
+        self.sound = await stand_ins.ScriptedServer(stand_ins.healthy).start()
+        self.addCleanup(self.sound.close)
+        await self._put_server("sound-1", "sound", self.sound.address, kind="")
+        self.aside = asyncio.new_event_loop()
+        thread = threading.Thread(target=self.aside.run_forever)
+        thread.start()
+        self.addCleanup(self.aside.close)
+        self.addCleanup(thread.join)
+        self.addCleanup(self.aside.call_soon_threadsafe, self.aside.stop)
+        self.problems = []
+        self.router = routers.RouterProcess(
+            folder.name,
+            "one",
+            self.store.server.address,
+            random.Random(1),
+            self.problems,
+        )
+        await self.router.start()
+        self.addAsyncCleanup(self.router.stop)
+        async with asyncio.timeout(START_SECONDS):
+            while await self._call("sound", 0) != 200:  # noqa: ASYNC110
+                await asyncio.sleep(0.05)
+
+    async def _put(self, key, raw):
+        await self.store.memory.txn([], [kv.Put(key, raw)])
+
+    async def _put_server(self, name, service, address, *, kind):
+        fields = {"service": service, "address": address, "kind": kind}
+        fields |= {"layers": LAYERS} if kind else {"layers": None}
+        entry = test_platform_schema.HEARTBEAT | fields
+        entry = {key: value for key, value in entry.items() if value}
+        await self._put(f"servers/{name}", json.dumps(entry).encode())
+
+    async def _call(self, service, number):
+        """Returns the status of a response; None for none."""
+        headers = [
+            (b"host", b"h"),
+            (names.HEADERS.request_id, b"%b-%d" % (service.encode(), number)),
+            (names.HEADERS.key, b"k1"),
+            (names.HEADERS.tokens, b"100,40"),
+            (names.HEADERS.deadline, b"%d" % (DEADLINE_SECONDS * 1000)),
+        ]
+        raw = http_call.format_request("POST", f"/{service}/1", headers, b"{}")
+        try:
+            connection = await http_call.connect(self.router.address, 1.0)
+            response = await control_client.exchange(
+                connection, "POST", raw, END_SECONDS
+            )
+        except http_call.CallError as error:
+            return error.failure
+        connection.close()
+        return response.status
+
+    async def _call_sound(self, statuses):
+        while True:
+            statuses.append(await self._call("sound", len(statuses)))
+            await asyncio.sleep(SOUND_INTERVAL_SECONDS)
+
+    async def check_service(self, service, case, held_bytes):
+        """Calls faulty servers of a service beside sound requests."""
+        servers = [
+            FaultyRunner(*case, held_bytes=held_bytes)
+            for _ in range(FAULTY_SERVER_COUNT)
+        ]
+        for server in servers:
+            await self._run_aside(server.start())
+        kind = "big" if service == "model" else ""
+        for number, server in enumerate(servers):
+            await self._put_server(
+                f"{service}-{number}", service, server.address, kind=kind
+            )
+        await asyncio.sleep(READ_SECONDS)
+        sound_statuses = []
+        sound = asyncio.ensure_future(self._call_sound(sound_statuses))
+        statuses = await asyncio.gather(
+            *(self._call(service, n) for n in range(PARALLEL_REQUEST_COUNT))
+        )
+        sound.cancel()
+        self.assertGreater(sum(s.connection_count for s in servers), 0)
+        for server in servers:
+            self.aside.call_soon_threadsafe(server.close)
+        self.assertLessEqual(set(statuses), HONEST_STATUSES)
+        self.assertEqual(set(sound_statuses), {200})
+        self.assertLess(self.router.peak_resident_bytes(), MAX_PEAK_BYTES)
+        self.assertEqual(self.problems, [])
+
+    async def _run_aside(self, work):
+        """Runs work in the event loop of the faulty servers."""
+        return await asyncio.wrap_future(
+            asyncio.run_coroutine_threadsafe(work, self.aside)
+        )
+
+    async def test_streams_whose_events_do_not_end(self):
+        cases = [
+            # where, bytes after which it goes on slowly
+            ("event", None),
+            ("event", HELD_BYTES),
+            ("event of many lines", None),
+        ]
+        for name, held_bytes in cases:
+            with self.subTest(name, held_bytes=held_bytes):
+                case = endless.STREAM_CASES[name]
+                await self.check_service("model", case, held_bytes)
+
+    async def test_plain_responses_that_do_not_end(self):
+        cases = [
+            # where, first bytes and those that follow, bytes until it is slow
+            ("header line", endless.HEAD_CASES["header line"], HELD_HEAD_BYTES),
+            ("body", endless.BODY_CASES["until close"], None),
+            ("body", endless.BODY_CASES["until close"], HELD_BYTES),
+            ("body with a length", (DECLARED, b"x"), HELD_BYTES),
+            ("chunks", endless.BODY_CASES["chunks"], None),
+        ]
+        for name, case, held_bytes in cases:
+            with self.subTest(name, held_bytes=held_bytes):
+                await self.check_service("plain", case, held_bytes)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/soak/routers.py
+++ b/tests/soak/routers.py
@@ -163,6 +163,11 @@
         self.signals.append((self._now(), number))
         self._process.send_signal(number)
 
+    def peak_resident_bytes(self):
+        """Returns the most memory that its process had at any time."""
+        peak = process_status(self._process.pid).get("VmHWM", "0 kB")
+        return int(peak.split()[0]) * 1024
+
     async def stop(self):
         """Sends SIGTERM and waits until the process has ended."""
         self._stopping = True
