Count incomplete events towards the memory for all responses (Fault)

What callers saw: nothing yet; operators of other systems lost machines to it. One faulty runner that 200 streams use could take 200 MB and more, as each stream kept up to 1 MiB of an event that does not end, beside the budget for all bodies.

The rest of an event is now a buffer of the shared budget (64 MiB): when it is used up, the largest is dropped at once, and its stream fails with its next bytes; the buffer ends with the attempt. Streams whose events arrive whole open no buffer.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/body_buffer.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/body_buffer.py
@@ -1,16 +1,17 @@
-"""Buffers response bodies within a budget that all responses share."""
+"""Buffers bodies and events within a budget that all responses share."""
 
 from collections.abc import Callable
 
 MAX_TOTAL_BYTES = 64 * 1024 * 1024
-"""Limits the bodies that one process buffers at the same time."""
+"""Limits the bodies, and parts of events, that one process buffers at the same
+time."""
 MAX_UNDECLARED_BYTES = 4 * 1024 * 1024
 """Limits one body that is sent without its length, as it may never end; the
 default limit on a caller's body."""
 
 
 class BodyBuffer:
-    """A body that is being received."""
+    """A body or an event that is being received."""
 
     def __init__(
         self,
@@ -38,6 +39,15 @@
         """Greatest for the body to drop first: one that may never end."""
         return self._declared is None, len(self._data)
 
+    @property
+    def is_blank(self) -> bool:
+        """Whether nothing but white space is buffered."""
+        return not self._data.strip()
+
+    def ends_with(self, end: bytes) -> bool:
+        """Returns whether the buffered bytes have this end."""
+        return self._data.endswith(end)
+
     def __len__(self) -> int:
         """Returns the number of bytes buffered."""
         return len(self._data)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/sse.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/sse.py
@@ -2,6 +2,8 @@
 
 import re
 
+from nutmeglift_gateway import body_buffer
+
 _ID = re.compile(rb"(?:^|\n)id: ?(\d{1,19})")
 DELIMITER = b"\n\n"
 """Ends an event."""
@@ -24,39 +26,65 @@
 class EventSplitter:
     """Returns complete events only, and checks that their ids are consecutive.
 
+    The bytes of an incomplete event count towards the budget that all bodies
+    of the process share. If they are dropped for others, the stream fails with
+    the next bytes that arrive.
+
     Attributes:
         last_id: id of the last valid event; None before the first.
     """
 
     def __init__(self, last_id: int | None = None) -> None:
         self.last_id = last_id
-        self._pending = bytearray()
+        self._pending: body_buffer.BodyBuffer | None = None
+        self._dropped = ""
 
     @property
     def is_clean(self) -> bool:
         """Whether no incomplete event is buffered."""
-        return not self._pending.strip()
+        if self._dropped:
+            return False
+        return self._pending is None or self._pending.is_blank
 
     def feed(self, data: bytes) -> bytes:
         """Adds received data; returns the complete events, which may be none.
 
         Raises:
-            BrokenStreamError: an event is missing, duplicated or too long.
+            BrokenStreamError: an event is missing, duplicated or too long, or
+                was dropped as too much is buffered for all streams.
         """
+        if self._dropped:
+            raise BrokenStreamError(self._dropped)
+        size = self._complete_size(data)
+        complete = b""
+        if size:
+            complete = self._take_pending() + data[:size]
+            self._check_ids(complete)
+        if size < len(data):
+            self._keep(data[size:], complete)
+        return complete
+
+    def restart(self) -> None:
+        """Drops an incomplete event: the stream ends or is resumed."""
+        self._release_pending()
+        self._dropped = ""
+
+    def _complete_size(self, data: bytes) -> int:
+        """Returns how many bytes of the data end the last complete event."""
+        end = data.rfind(DELIMITER)
+        if end >= 0:
+            return end + len(DELIMITER)
+        half = len(DELIMITER) // 2
         pending = self._pending
-        # The bytes before were searched already, and may be many.
-        search_start = max(0, len(pending) - len(DELIMITER) + 1)
-        pending += data
-        end = pending.rfind(DELIMITER, search_start)
-        if end < 0:
-            if len(pending) > MAX_EVENT_BYTES:
-                raise BrokenStreamError(
-                    f"an event exceeds {MAX_EVENT_BYTES} bytes,"
-                    f" received {len(pending)}"
-                )
-            return b""
-        complete = bytes(pending[: end + len(DELIMITER)])
-        del pending[: end + len(DELIMITER)]
+        if (
+            pending is not None
+            and pending.ends_with(DELIMITER[:half])
+            and data.startswith(DELIMITER[half:])
+        ):
+            return half
+        return 0
+
+    def _check_ids(self, complete: bytes) -> None:
         for id_match in _ID.finditer(complete):
             event_id = int(id_match.group(1))
             if self.last_id is not None and event_id != self.last_id + 1:
@@ -68,8 +96,34 @@
                     complete[: start + len(DELIMITER)] if start >= 0 else b"",
                 )
             self.last_id = event_id
-        return complete
 
-    def restart(self) -> None:
-        """Drops an incomplete event before the stream is resumed."""
-        self._pending = bytearray()
+    def _keep(self, data: bytes, complete: bytes) -> None:
+        """Buffers a part of an event until the rest arrives."""
+        if self._pending is None:
+            self._pending = body_buffer.SHARED_BUDGET.open(
+                declared=None,
+                limit=MAX_EVENT_BYTES,
+                on_too_large=self._on_dropped,
+            )
+        size = len(self._pending) + len(data)
+        if size > MAX_EVENT_BYTES:
+            self._on_dropped(
+                f"an event exceeds {MAX_EVENT_BYTES} bytes, received {size}"
+            )
+        else:
+            self._pending.add(data)
+        if self._dropped:
+            raise BrokenStreamError(self._dropped, complete)
+
+    def _take_pending(self) -> bytes:
+        pending, self._pending = self._pending, None
+        return pending.take() if pending is not None else b""
+
+    def _release_pending(self) -> None:
+        pending, self._pending = self._pending, None
+        if pending is not None:
+            pending.release()
+
+    def _on_dropped(self, detail: str) -> None:
+        self._dropped = detail
+        self._release_pending()
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
@@ -328,6 +328,7 @@
             self._update_pairing()
         if running.upstream is not None:
             running.upstream.abort()
+        running.events.restart()
         if running.receiver.done.done():
             self._reply.progress.discount(
                 running.receiver.done.result().failure
--- a/tests/gateway/endless.py
+++ b/tests/gateway/endless.py
@@ -45,6 +45,13 @@
     "event in chunks": (_CHUNKED_STREAM, b"100\r\n" + b"x" * 256 + b"\r\n"),
 }
 """The same for an endless event of a stream."""
+DECLARED_CASES = {
+    "declared": (_OK + b"content-length: 50000000\r\n\r\n", b"x"),
+}
+"""The same for a body that may be buffered, were it the only one."""
+ALL_CASES = (
+    HEAD_CASES | FRAMING_CASES | BODY_CASES | STREAM_CASES | DECLARED_CASES
+)
 NO_REQUEST_CASES = {
     "garbage": (b"", b"x"),
     "after a response": (_OK + b"content-length: 1\r\n\r\nx", b"x"),
--- a/tests/gateway/test_sse.py
+++ b/tests/gateway/test_sse.py
@@ -1,6 +1,8 @@
 import tracemalloc
 import unittest
+from unittest import mock
 
+from nutmeglift_gateway import body_buffer
 from nutmeglift_gateway import sse
 
 EVENTS = b"".join(b"id: %d\ndata: t\n\n" % i for i in range(1, 8))
@@ -66,6 +68,49 @@
         with self.assertRaises(sse.BrokenStreamError):
             splitter.feed(b"x" * (sse.MAX_EVENT_BYTES + 1))
 
+    def test_an_event_is_split_anywhere_between_its_bytes(self):
+        cases = [
+            # pieces, what is returned with each, whether nothing is left
+            ([b"a\n", b"\nb"], [b"", b"a\n\n"], False),
+            ([b"a\n", b"\n"], [b"", b"a\n\n"], True),
+            ([b"a\n", b"\n\n"], [b"", b"a\n\n\n"], True),
+            ([b"a\n", b"b\n", b"\n\n"], [b"", b"", b"a\nb\n\n\n"], True),
+            ([b"a\n", b"b\n\nc\n", b"\n"], [b"", b"a\nb\n\n", b"c\n\n"], True),
+            ([b"\n", b"\n"], [b"", b"\n\n"], True),
+            ([b"\n", b""], [b"", b""], True),
+        ]
+        for pieces, expected, clean in cases:
+            with self.subTest(pieces):
+                splitter = sse.EventSplitter()
+                received = [splitter.feed(piece) for piece in pieces]
+                self.assertEqual(received, expected)
+                self.assertEqual(splitter.is_clean, clean)
+                splitter.restart()
+                self.assertEqual(body_buffer.SHARED_BUDGET.used, 0)
+
+    def test_events_of_all_streams_together_stay_within_the_budget(self):
+        budget = body_buffer.Budget(10_000)
+        patcher = mock.patch.object(body_buffer, "SHARED_BUDGET", budget)
+        patcher.start()
+        self.addCleanup(patcher.stop)
+        held = [sse.EventSplitter() for _ in range(10)]
+        for splitter in held:
+            splitter.feed(b"id: 1\n\n" + b"x" * 900)
+        sound = sse.EventSplitter()
+        sound.feed(b"id: 1\ndata: " + b"x" * 800)
+        held[0].feed(b"x" * 150)
+        sound.feed(b"x" * 100)
+        with self.assertRaisesRegex(
+            sse.BrokenStreamError, "10000 bytes for all bodies are in use"
+        ):
+            held[0].feed(b"\n\n")
+        self.assertFalse(held[0].is_clean)
+        self.assertTrue(sound.feed(b"\n\n").endswith(b"x\n\n"))
+        self.assertLessEqual(budget.used, 10_000)
+        for splitter in held:
+            splitter.restart()
+        self.assertEqual(budget.used, 0)
+
     def test_an_endless_event_is_not_copied_with_each_piece(self):
         cases = [
             # size of a piece, pieces
