--- a/packages/nutmeglift_gateway/nutmeglift_gateway/http_call.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/http_call.py
@@ -10,6 +10,7 @@
 from typing import cast
 
 from nutmeglift_gateway import body_buffer
+from nutmeglift_gateway import read_turns
 from nutmeglift_gateway import response_parser
 
 CONNECT_TIMEOUT_SECONDS = 0.25
@@ -169,12 +170,12 @@
         self._update_reading()
 
     def _yield(self) -> None:
-        """Stops reading until the event loop has served other connections."""
+        """Stops reading until others that read as much have had their turn."""
         if self._transport is None or self._transport.is_closing():
             return
         self._yielding = True
         self._update_reading()
-        asyncio.get_running_loop().call_soon(self._end_yield)
+        read_turns.SHARED_TURNS.add(self._end_yield)
 
     def _end_yield(self) -> None:
         self._yielding = False
--- a/tests/gateway/test_connection_reads.py
+++ b/tests/gateway/test_connection_reads.py
@@ -8,6 +8,7 @@
 import uvloop
 
 from nutmeglift_gateway import http_call
+from nutmeglift_gateway import read_turns
 from tests.gateway import test_http_call
 from tests.gateway import virtual_time_case
 
@@ -78,6 +79,42 @@
                 )
 
 
+class TurnsTest(virtual_time_case.VirtualTimeTestCase):
+    async def test_few_connections_read_much_in_one_turn(self):
+        transports = []
+        for _ in range(20):
+            connection, transport = test_http_call.open_connection()
+            connection.send(b"", test_http_call.Recorder(), head_only=False)
+            connection.data_received(b"HTTP/1.1 200 OK\r\n\r\n")
+            connection.data_received(bytes(READ_BYTES))
+            transports.append((connection, transport))
+        turns = 0
+        while not all(transport.reading for _, transport in transports):
+            reading = [each for each in transports if each[1].reading]
+            await asyncio.sleep(0)
+            resumed = [each for each in transports if each[1].reading]
+            self.assertLessEqual(
+                len(resumed) - len(reading), read_turns.CONNECTIONS_PER_TURN
+            )
+            turns += 1
+            self.assertLess(turns, 50)
+        self.assertGreaterEqual(turns, 20 // read_turns.CONNECTIONS_PER_TURN)
+
+    async def test_a_small_response_waits_for_no_turn(self):
+        for _ in range(20):
+            connection, transport = test_http_call.open_connection()
+            connection.send(b"", test_http_call.Recorder(), head_only=False)
+            connection.data_received(b"HTTP/1.1 200 OK\r\n\r\n")
+            connection.data_received(bytes(READ_BYTES))
+        connection, transport = test_http_call.open_connection()
+        recorder = test_http_call.Recorder()
+        connection.send(b"", recorder, head_only=False)
+        connection.data_received(b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n")
+        self.assertTrue(transport.reading)
+        connection.data_received(b"\r\nx")
+        self.assertTrue(recorder.completed)
+
+
 class PauseTest(virtual_time_case.VirtualTimeTestCase):
     async def test_a_pause_outlasts_the_turn_after_a_large_read(self):
         cases = [
