Show that framing after a long body is hardly limited (Fault)

What operators saw: bytes that were no answer, without end, kept until the memory was used up. The limit on framing grows by a byte for each four of body, so that after 200 MB of body a trailer's line is kept up to 50 MB. Here 16 MB of body allow 4.4 MB of a chunk's extension, size or trailer.

--- a/tests/gateway/test_http_call.py
+++ b/tests/gateway/test_http_call.py
@@ -120,6 +120,28 @@
                 )
                 self.assertTrue(recorder.error.sent)
 
+    async def test_framing_after_a_long_body_is_limited_as_before_it(self):
+        chunk = b"10000\r\n" + bytes(65536) + b"\r\n"
+        for name, (first, repeated) in endless.FRAMING_CASES.items():
+            with self.subTest(name):
+                connection, transport = open_connection()
+                recorder = Recorder()
+                connection.send(b"", recorder, head_only=False)
+                head_end = first.index(b"\r\n\r\n") + 4
+                connection.data_received(first[:head_end])
+                for _ in range(256):
+                    connection.data_received(chunk)
+                self.assertIsNone(recorder.error)
+                fed_bytes = feed_until_closed(
+                    connection, transport, first[head_end:], repeated
+                )
+                self.assertLessEqual(
+                    fed_bytes, response_parser.MAX_FRAMING_BYTES + READ_BYTES
+                )
+                self.assertIs(
+                    recorder.error.failure, http_call.CallFailure.MALFORMED
+                )
+
     async def test_a_failure_names_the_limit_and_the_bytes(self):
         cases = [
             ("headers", "the head exceeds 256 headers"),
