Limit each stretch of framing in a response, whatever body came before (Fault)

What callers saw: nothing yet; a trailer or a chunk's extension without end, after a long body, held up the event loop for seconds and took tens of MB of a process.

The parser now also limits the bytes between two parts of a body, and after the last one, to 128 KiB, the limit of a response without body. The share of framing in a long body (tiny chunks) is limited as before.

Evidence: test_framing_after_a_long_body_is_limited_as_before_it failed in four cases (4.4 MB accepted after 16 MB of body), and passes.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/response_parser.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/response_parser.py
@@ -8,7 +8,8 @@
 """Longest response head, with the interim responses before it."""
 MAX_HEADER_COUNT = 256
 MAX_FRAMING_BYTES = 128 * 1024
-"""Heads, chunk sizes, extensions and trailers of a response without body."""
+"""Heads, chunk sizes, extensions and trailers of a response without body, and
+between two parts of a body or after the last one."""
 BODY_BYTES_PER_FRAMING_BYTE = 4
 """Body that allows one more byte of framing: limits the number of tiny chunks,
 each of which costs as much time as hundreds of bytes."""
@@ -70,6 +71,7 @@
         self._until_close = False
         self._received = 0
         self._body_received = 0
+        self._without_body = 0
         self._parts: list[bytes] = []
 
     def feed(self, data: bytes) -> None:
@@ -97,6 +99,7 @@
 
     def _feed(self, data: memoryview) -> None:
         self._received += len(data)
+        body_before = self._body_received
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -112,6 +115,9 @@
             ) from error
         if not self.ended:
             self._deliver_body()
+            self._without_body += len(data)
+            if self._body_received > body_before:
+                self._without_body = 0
             self._check_limits()
 
     def _check_limits(self) -> None:
@@ -120,6 +126,11 @@
             raise MalformedResponseError(
                 f"the head exceeds {MAX_HEAD_BYTES} bytes, received {framing}"
             )
+        if self._without_body > MAX_FRAMING_BYTES:
+            raise MalformedResponseError(
+                f"the framing exceeds {MAX_FRAMING_BYTES} bytes,"
+                f" received {self._without_body} after the body so far"
+            )
         limit = (
             MAX_FRAMING_BYTES
             + self._body_received // BODY_BYTES_PER_FRAMING_BYTE
