Move the checks for ended lifetimes out of the board

Change: has_ended, has_terminated and is_replaced are functions of crash_checks, beside the others of their kind.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/attempt_failures.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/attempt_failures.py
@@ -83,7 +83,7 @@
         self._record(admitted, outcome, server, reply)
         self._record_loss(outcome, server)
         lost = outcome.failure is retry_policy.Failure.LOST
-        if lost and self._context.board.has_ended(server):
+        if lost and crash_checks.has_ended(self._context.board, server):
             self._progress.terminated_runs += 1
 
     async def decide(
@@ -237,8 +237,8 @@
             or not admitted.route.repeatable
         ):
             return False
-        return self._context.board.has_ended(
-            first_server
+        return crash_checks.has_ended(
+            self._context.board, first_server
         ) or await self._has_ended(first_server)
 
     def _record_loss(
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
@@ -380,41 +380,6 @@
         for listener in list(self.listeners):
             listener()
 
-    def has_ended(self, server: directory.Server) -> bool:
-        """Returns whether a lifetime of a server is known to have ended."""
-        known = self.directory.server_by_id.get(server.id)
-        if known is None or known.lifetime != server.lifetime:
-            return True
-        return (
-            self.suspect_servers.is_suspect(server.address, server.lifetime)
-            and server.address in self.suspect_servers.down_addresses()
-        )
-
-    def has_terminated(self, server: directory.Server) -> bool:
-        """Returns whether a server is known not to go on with its requests.
-
-        A server without an entry may serve on, and so may one that another
-        server or router finds silent.
-        """
-        suspects = self.suspect_servers
-        return self.is_replaced(server) or (
-            suspects.is_suspect(server.address, server.lifetime)
-            and suspects.reason(server.address)
-            in suspect_servers.TERMINATED_REASONS
-        )
-
-    def is_replaced(self, server: directory.Server) -> bool:
-        """Returns whether a later lifetime is listed at a server's address.
-
-        A store that was restored from an older copy lists the one before.
-        """
-        known = self.server_at(server.address)
-        return (
-            known is not None
-            and known.lifetime != server.lifetime
-            and known.born >= server.born
-        )
-
     def server_at(self, address: str) -> directory.Server | None:
         """Returns the server at an address, the newest if there are several."""
         return max(
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/crash_detector.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/crash_detector.py
@@ -16,6 +16,7 @@
 from nutmeglift import ids
 from nutmeglift_gateway import background_tasks
 from nutmeglift_gateway import board as boards
+from nutmeglift_gateway import crash_checks
 from nutmeglift_gateway import crash_watchers
 from nutmeglift_gateway import decision_log
 from nutmeglift_gateway import directory
@@ -147,7 +148,7 @@
 
     def _confirm_soon(self, now: float, server: directory.Server) -> None:
         """Checks a crash that another router reports, once for a while."""
-        if self._board.has_terminated(server):
+        if crash_checks.has_terminated(self._board, server):
             return
         confirmed_at_by_lifetime = self._confirmed_at_by_lifetime = {
             lifetime: confirmed_at
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
@@ -1,9 +1,8 @@
 """Runs the attempts at one stream.
 
 While the runner of an attempt is silent, a successor may run beside it. The
-first of the two that delivers an event goes on, and the other one is ended. A
-runner that goes on after a pause therefore loses no stream, even if no other
-runner could take it over.
+first of the two that delivers an event goes on, and the other one is ended, so
+that a runner that goes on after a pause loses no stream.
 """
 
 import asyncio
@@ -14,6 +13,7 @@
 from nutmeglift_gateway import attempt
 from nutmeglift_gateway import attempt_failures
 from nutmeglift_gateway import context as contexts
+from nutmeglift_gateway import crash_checks
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import http_call
 from nutmeglift_gateway import path_explanation
@@ -364,6 +364,7 @@
     def _on_events(
         self, running: _Running, head: http_call.Head, data: bytes
     ) -> None:
+        board = self._context.board
         for other in [each for each in self._running if each is not running]:
             self._context.log.write(
                 "attempt superseded",
@@ -373,13 +374,12 @@
             )
             unfinished = not other.receiver.done.done()
             self._end(other)
-            if unfinished and self._context.board.has_terminated(other.server):
+            if unfinished and crash_checks.has_terminated(board, other.server):
                 self._reply.progress.terminated_runs += 1
-        now = self._loop.time()
         count = data.count(sse.DELIMITER)
-        if self._context.board.runs.record_events(now, running.run, count):
+        if board.runs.record_events(self._loop.time(), running.run, count):
             self._record_survival(running.run)
-        running.stream.end_prompt(self._context.board)
+        running.stream.end_prompt(board)
         self._last_event_id = running.events.last_id
         self._reply.on_events(head, data)
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_monitor.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_monitor.py
@@ -5,6 +5,7 @@
 
 from nutmeglift_gateway import background_tasks
 from nutmeglift_gateway import board as boards
+from nutmeglift_gateway import crash_checks
 from nutmeglift_gateway import decision_log
 from nutmeglift_gateway import failure_recorder as recorders
 from nutmeglift_gateway import metrics as metric_sets
@@ -103,8 +104,8 @@
             ):
                 continue
             action = stalls.judge(stream.state(now))
-            if action is not stalls.Action.WAIT and self._board.is_replaced(
-                stream.path.first
+            if action is not stalls.Action.WAIT and crash_checks.is_replaced(
+                self._board, stream.path.first
             ):
                 stream.receiver.abandon("its first runner was replaced")
                 continue
@@ -232,7 +233,8 @@
             return False
         now = asyncio.get_running_loop().time()
         has_lost_runner = self._resumer.has_stopped(stream, now) and any(
-            self._board.has_ended(part.server) for part in stream.path.parts
+            crash_checks.has_ended(self._board, part.server)
+            for part in stream.path.parts
         )
         finder = self._board.path_finder(engine, now)
         requirements = paths.PathRequirements(self._board.home, stream.tokens)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_resumer.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_resumer.py
@@ -3,6 +3,7 @@
 import random
 
 from nutmeglift_gateway import board as boards
+from nutmeglift_gateway import crash_checks
 from nutmeglift_gateway import decision_log
 from nutmeglift_gateway import metrics as metric_sets
 from nutmeglift_gateway import path_explanation
@@ -136,7 +137,7 @@
         route = stream.admitted.route
         progress = stream.progress
         board = self._board
-        server_lost = board.has_terminated(stream.path.first)
+        server_lost = crash_checks.has_terminated(board, stream.path.first)
         return route.repeatable and retry_policy.has_attempts_left(
             route, progress, server_lost=server_lost
         )
