--- a/tests/gateway/test_confirmation_model.py
+++ b/tests/gateway/test_confirmation_model.py
@@ -98,11 +98,13 @@
 
 
 def make_settings(max_examples):
+    """Returns settings for CI, in which a failure is not shrunk for minutes."""
     return hypothesis.settings(
         max_examples=max_examples,
         derandomize=True,
         deadline=None,
         database=None,
+        phases=(hypothesis.Phase.explicit, hypothesis.Phase.generate),
         suppress_health_check=list(hypothesis.HealthCheck),
     )
 
