--- a/tests/soak/store_faults.py
+++ b/tests/soak/store_faults.py
@@ -103,7 +103,7 @@
         if self._rng.random() < 0.3:
             await asyncio.sleep(self._rng.uniform(0.0, 1.5))
             rewrites += await self._drill()
-        await asyncio.gather(*rewrites)
+        await asyncio.gather(*rewrites, self._write_on())
 
     async def drill_as_router_starts(self):
         """A router is killed so that it starts before all is written again."""
@@ -135,6 +135,13 @@
             rewrites.append(asyncio.ensure_future(rewrite))
         return rewrites
 
+    async def _write_on(self):
+        """Writes versions until the rules excuse a late one no more."""
+        for _ in range(self._rng.randint(0, 10)):
+            await asyncio.sleep(self._rng.uniform(0.2, 1.2))
+            self._system.config_writer.vary()
+            await self._system.config_writer.write()
+
     async def _rewrite(self, key, seconds):
         await asyncio.sleep(seconds)
         await self._system.writer.write_again(key)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -23,6 +23,7 @@
 
 SEED = 1
 SECONDS = 20.0
+DRILL_FAULTS = ("drill_store", "change_config")
 
 
 class SoakTest(unittest.TestCase):
@@ -33,6 +34,13 @@
             result.served, result.sent * soak_run.MIN_SERVED_RATIO
         )
 
+    def test_configurations_are_in_force_beside_drills(self):
+        result = asyncio.run(
+            soak_run.run_seed(SEED, SECONDS, fault_names=DRILL_FAULTS)
+        )
+        self.assertEqual(result.problems, [])
+        self.assertGreater(len(result.findings.delays), 0)
+
     def test_no_port_is_reserved_twice(self):
         reserved = routers.reserve_ports(500)
         try:
