Limit the answers that the product's own router and agent read (Fault)

What callers saw: nothing yet. A plain service, an engine, the VM list or the key-value service that sends without end was read until the process had no memory: the HTTP client limits neither heads, chunks nor bodies. A first line without end also raised an error that no caller of the client handles.

All clients now use connections that limit the lines before, between and after parts of a body (128 KiB, 256 lines) and a body (64 MiB; of a watch, a chunk and a change) and close on more, with an error of those that are handled.

--- a/packages/nutmeglift_wire/nutmeglift_wire/etcd_kv.py
+++ b/packages/nutmeglift_wire/nutmeglift_wire/etcd_kv.py
@@ -145,7 +145,7 @@
         """Yields changes from a revision on, until the connection closes."""
         self.calls += 1
         request = _key_range(key, prefix) | {"start_revision": str(start)}
-        client = http_client.make(1)
+        client = http_client.make(1, streams=True)
         try:
             response = await client.post(
                 f"http://{self._address}/v3/watch",
@@ -155,6 +155,10 @@
             pending = b""
             async for part in response.read_chunks():
                 *lines, pending = (pending + part).split(b"\n")
+                if len(pending) > http_client.MAX_BODY_BYTES:
+                    raise errors.KvUnavailableError(
+                        "a change in the watch stream is too large"
+                    )
                 for line in lines:
                     events = _parse_events(line)
                     if events:
--- a/packages/nutmeglift_wire/nutmeglift_wire/http_client.py
+++ b/packages/nutmeglift_wire/nutmeglift_wire/http_client.py
@@ -1,11 +1,22 @@
 """HTTP clients with bounded connection pools and timeouts."""
 
+import asyncio
+from typing import NoReturn
+
 import aiosonic
+from aiosonic import connection
 from aiosonic import connectors
 from aiosonic import exceptions
 from aiosonic import pools
 from aiosonic import timeout as timeouts
 
+MAX_LINE_BYTES = 128 * 1024
+"""Limits the lines of an answer before, between and after parts of its body."""
+MAX_LINE_COUNT = 256
+"""Limits the number of these lines."""
+MAX_BODY_BYTES = 64 * 1024 * 1024
+"""Limits a body that is read as a whole, and a chunk of one that is not."""
+
 ERRORS = (OSError, EOFError, ValueError, exceptions.AiosonicError)
 """Everything that a call may raise.
 
@@ -20,10 +31,81 @@
 """Errors that a call raises only if no byte of the request was sent."""
 
 
-def make(pool_size: int) -> aiosonic.HTTPClient:
-    """Returns a client that pools up to pool_size connections per server."""
-    config = pools.PoolConfig(size=pool_size)
-    connector = connectors.TCPConnector(pool_configs={":default": config})
+class _Connection(connection.Connection):  # type: ignore[misc]
+    """A connection that fails on an answer without end."""
+
+    limits_total = True
+    """Whether a body may not exceed the limit with all its chunks."""
+
+    def __init__(self, pool: pools.BasePool) -> None:
+        super().__init__(pool)
+        self._line_bytes = 0
+        self._line_count = 0
+        self._body_bytes = 0
+
+    async def readline(self) -> bytes:
+        """Reads a line of a head or of a body's framing."""
+        return self._count_line(await super().readline())
+
+    async def readuntil(self, separator: bytes = b"\n") -> bytes:
+        """Reads the first line of a head."""
+        try:
+            line = await super().readuntil(separator)
+        except asyncio.LimitOverrunError as error:
+            self._fail(str(error))
+        return self._count_line(line)
+
+    async def readexactly(self, size: int) -> bytes:
+        """Reads a body or a chunk of it."""
+        if not self.limits_total:
+            self._body_bytes = 0
+        self._body_bytes += size
+        if self._body_bytes > MAX_BODY_BYTES:
+            self._fail(f"the body exceeds {MAX_BODY_BYTES} bytes")
+        self._line_bytes = 0
+        self._line_count = 0
+        part: bytes = await super().readexactly(size)
+        return part
+
+    def release(self) -> None:
+        """Returns the connection to its pool for the next answer."""
+        self._line_bytes = 0
+        self._line_count = 0
+        self._body_bytes = 0
+        super().release()
+
+    def _count_line(self, line: bytes) -> bytes:
+        self._line_bytes += len(line)
+        self._line_count += 1
+        if self._line_bytes > MAX_LINE_BYTES:
+            self._fail(f"head or framing exceeds {MAX_LINE_BYTES} bytes")
+        if self._line_count > MAX_LINE_COUNT:
+            self._fail(f"head or framing exceeds {MAX_LINE_COUNT} lines")
+        return line
+
+    def _fail(self, detail: str) -> NoReturn:
+        self.keep = False
+        self.close()
+        raise ValueError(detail)
+
+
+class _StreamConnection(_Connection):
+    """A connection for an answer that is read in parts, and may never end."""
+
+    limits_total = False
+
+
+def make(pool_size: int, *, streams: bool = False) -> aiosonic.HTTPClient:
+    """Returns a client that pools up to pool_size connections per server.
+
+    Args:
+        pool_size: most connections to one server.
+        streams: whether answers are read in parts, without a limit in all.
+    """
+    connector = connectors.TCPConnector(
+        pool_configs={":default": pools.PoolConfig(size=pool_size)},
+        connection_cls=_StreamConnection if streams else _Connection,
+    )
     return aiosonic.HTTPClient(connector)
 
 
