Show that small responses are dropped for large ones without end (LOST)

What callers saw: nothing yet. Once servers that declare large bodies have used up the budget for all bodies, a sound response without a length is dropped first, however small it is: the rank puts all bodies without a length first. Here one of 1,000 bytes is dropped before nine that declare 900,000.

--- a/tests/gateway/test_body_buffer.py
+++ b/tests/gateway/test_body_buffer.py
@@ -50,6 +50,27 @@
                 self.assertIn("10000 bytes for all bodies", detail)
                 self.assertEqual(last.take(), 2 * PIECE)
 
+    def test_a_small_body_is_not_dropped_for_large_ones(self):
+        budget = body_buffer.Budget(1_000_000)
+        rejected = []
+
+        def open_buffer(name, declared):
+            return budget.open(
+                declared=declared,
+                limit=10**9,
+                on_too_large=lambda detail: rejected.append(name),
+            )
+
+        small = open_buffer("small", None)
+        small.add(PIECE)
+        large = [open_buffer("large", 900_000) for _ in range(9)]
+        for _ in range(200):
+            for buffer in large:
+                buffer.add(PIECE)
+        self.assertNotIn("small", rejected)
+        self.assertIn("large", rejected)
+        self.assertEqual(small.take(), PIECE)
+
     def test_limits_of_one_body(self):
         cases = [
             # declared, limit, pieces, whether it is rejected
