--- a/packages/nutmeglift_gateway/nutmeglift_gateway/body_buffer.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/body_buffer.py
@@ -8,6 +8,8 @@
 MAX_UNDECLARED_BYTES = 4 * 1024 * 1024
 """Limits one body that is sent without its length, as it may never end; the
 default limit on a caller's body."""
+SMALL_RATIO = 1 / 256
+"""Part of the memory for all bodies up to which one is dropped last."""
 BLOCK_BYTES = 64 * 1024
 """Smallest block of a buffer but the last one. A buffer that grew as a whole
 would be copied again and again, and leave holes in the process's memory."""
@@ -39,9 +41,13 @@
         self._size = 0
 
     @property
-    def eviction_rank(self) -> tuple[bool, int]:
-        """Greatest for the body to drop first: one that may never end."""
-        return self._declared is None, self._size
+    def eviction_rank(self) -> tuple[bool, bool, int]:
+        """Greatest for the body to drop first.
+
+        That is a large one, which may never end or is largest.
+        """
+        large = self._size > self._budget.small_bytes
+        return large, self._declared is None, self._size
 
     @property
     def is_blank(self) -> bool:
@@ -100,11 +106,13 @@
 
     Attributes:
         used: number of bytes buffered.
+        small_bytes: size up to which a body is dropped last.
     """
 
     def __init__(self, limit: int) -> None:
         """Creates a budget of this many bytes."""
         self.used = 0
+        self.small_bytes = int(limit * SMALL_RATIO)
         self._limit = limit
         self._open: set[BodyBuffer] = set()
 
