Limit the items of a peer's message before it is decoded (Fault)

What callers saw: nothing yet. A message of 4 MiB of empty lists took 270 MB and held up the event loop for 1.6 s before it was rejected.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
@@ -7,6 +7,7 @@
 
 from nutmeglift import decoding
 from nutmeglift import errors
+from nutmeglift_gateway import cbor_items
 from nutmeglift_gateway import load_rows
 from nutmeglift_gateway import poison_rows
 
@@ -226,6 +227,7 @@
     Raises:
         errors.MalformedMessageError: the bytes are not a valid message.
     """
+    cbor_items.check(raw)
     return decoding.convert_cbor(raw, _convert)
 
 
