Limit the memory that all callers' requests hold together

Cause: a body was limited for its request only. All bodies were read and kept at the same time, and nothing counted them.

Why it works: a quarter of the process's memory (new setting memory_mb, 300 if unset) is the budget of all requests: heads and bodies being read, queued and in progress. A body beyond 64 KiB is read only once its largest size is reserved, in the order of announcement; one in chunks reserves the limit on bodies. A body that is being read therefore never waits for another, and the time limit on slow senders returns what they reserved. Until then the connection isn't read (TCP holds the caller back), nor is 100 Continue sent. After 0.5 s, or if so much is never reserved, the request is refused as not run (503, Retry-After, connection closed), and what was read of it is dropped. A quarter of the budget is left to small requests, so they pass by. A large body behind another request of its connection reserves nothing before its turn. The platform's checks have a budget of their own. Content-Length beyond the limit is refused at the head.

A caller's connection that is lost drops its reference to the stream's state, which kept the request until the next collection of garbage.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/caller_request.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/caller_request.py
@@ -10,6 +10,7 @@
 from nutmeglift import errors
 from nutmeglift_gateway import catalog
 from nutmeglift_gateway import http_call
+from nutmeglift_gateway import request_memory
 
 
 @dataclasses.dataclass(slots=True)
@@ -24,6 +25,7 @@
         keep_alive: whether the caller keeps the connection open.
         accepts_chunked: whether the response may be chunked (HTTP/1.1).
         received_at: event loop time in seconds at which its last byte was read.
+        holding: the memory that it holds, if that is counted.
     """
 
     method: str
@@ -33,6 +35,7 @@
     keep_alive: bool
     accepts_chunked: bool
     received_at: float
+    holding: request_memory.Holding | None = None
 
     def get(self, name: bytes) -> bytes | None:
         """Returns a header's first value, by its name in lower case."""
@@ -61,6 +64,15 @@
     def on_continue_expected(self) -> None:
         """Handles a request whose body is sent after an interim response."""
 
+    @abc.abstractmethod
+    def on_large_body(self, holding: request_memory.Holding, size: int) -> None:
+        """Handles a body that needs a reservation before it is read.
+
+        Args:
+            holding: memory of the request.
+            size: largest number of bytes that the request will hold.
+        """
+
     @abc.abstractmethod
     def on_request(self, request: Request) -> None:
         """Handles a complete request."""
@@ -79,16 +91,22 @@
     """
 
     def __init__(
-        self, receiver: BaseReceiver, limits: Callable[[], catalog.ClientLimits]
+        self,
+        receiver: BaseReceiver,
+        limits: Callable[[], catalog.ClientLimits],
+        memory: request_memory.Budget,
     ) -> None:
         """Initializes a parser.
 
         Args:
             receiver: receives the requests.
             limits: returns the current limits for requests of callers.
+            memory: limits the memory of all requests.
         """
         self._receiver = receiver
         self._limits = limits
+        self._memory = memory
+        self._holding = request_memory.Holding()
         self._loop = asyncio.get_running_loop()
         self._parser = httptools.HttpRequestParser(self)
         self._rejected = False
@@ -98,6 +116,8 @@
         """Parses received bytes; ignores them after a rejection."""
         while data and not self._rejected:
             data = self._feed(data)
+        if self.started and not self._rejected:
+            self._count_partial()
 
     def _feed(self, data: bytes) -> bytes:
         """Parses bytes and returns those that are to be parsed next."""
@@ -119,9 +139,16 @@
         """Rejects the current request; no further request is parsed."""
         if self._rejected:
             return
-        self._rejected = True
+        self.close()
         self._receiver.on_rejected(kind)
 
+    def close(self) -> None:
+        """Parses no more, and drops what has been received of a request."""
+        self._rejected = True
+        self._body.clear()
+        self._headers.clear()
+        self._memory.release(self._holding)
+
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
@@ -147,24 +174,54 @@
             return
         self.head_complete = True
         self._receiver.on_head_complete()
+        expects_continue = False
+        for name, value in self._headers:
+            if name == b"expect" and value.lower() == b"100-continue":
+                expects_continue = True
+            elif name == b"content-length" and value.isdigit():
+                self._check_length(int(value))
         # Not in HTTP/1.0 (RFC 9110, section 10.1.1).
         if self._rejected or self._parser.get_http_version() != "1.1":
             return
-        for name, value in self._headers:
-            if name == b"expect" and value.lower() == b"100-continue":
-                self._receiver.on_continue_expected()
+        if expects_continue:
+            self._receiver.on_continue_expected()
+
+    def _check_length(self, length: int) -> None:
+        """Rejects a body that is too large; announces a large one."""
+        if length > self._limits().body_bytes:
+            self.reject(errors.ErrorKind.BODY_TOO_LARGE)
+        elif length > request_memory.LARGE_BODY_BYTES:
+            self._announce_large(length)
+
+    def _announce_large(self, largest: int) -> None:
+        self._announced = True
+        self._receiver.on_large_body(
+            self._holding, self._head_memory() + largest
+        )
 
     def on_body(self, data: bytes) -> None:
         """Handles a part of the body."""
+        if self._rejected:
+            return
         self._body.append(data)
         self._body_bytes += len(data)
         if self._body_bytes > self._limits().body_bytes:
             self.reject(errors.ErrorKind.BODY_TOO_LARGE)
+        elif (
+            self._body_bytes > request_memory.LARGE_BODY_BYTES
+            and not self._announced
+        ):
+            # In chunks: the rest may be as large as the limit.
+            self._announce_large(self._limits().body_bytes)
 
     def on_message_complete(self) -> None:
         """Handles the end of a request."""
         if self._rejected or self._parser.should_upgrade():
             return
+        held = self._head_memory() + self._body_bytes
+        if not self._memory.complete(self._holding, held):
+            self.reject(errors.ErrorKind.OVERLOADED)
+            return
         request = Request(
             self._parser.get_method().decode("latin-1"),
             self._url.decode("latin-1"),
@@ -173,10 +230,25 @@
             self._parser.should_keep_alive(),
             self._parser.get_http_version() == "1.1",
             self._loop.time(),
+            self._holding,
         )
+        self._holding = request_memory.Holding()
         self._reset()
         self._receiver.on_request(request)
 
+    def _head_memory(self) -> int:
+        return request_memory.head_bytes(
+            len(self._url) + self._header_field_bytes, self._headers
+        )
+
+    def _count_partial(self) -> None:
+        """Counts what has been received of a request."""
+        held = self._head_memory() + self._body_bytes
+        if not self.head_complete:
+            held += self._head_bytes
+        if not self._memory.resize(self._holding, held):
+            self.reject(errors.ErrorKind.OVERLOADED)
+
     def _drop_upgrade(self) -> bytes:
         """Returns the head of a request to upgrade without the upgrade.
 
@@ -207,3 +279,4 @@
         self._headers: http_call.Headers = []
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._announced = False
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -31,12 +31,13 @@
 from nutmeglift_gateway import prober
 from nutmeglift_gateway import quarantine_controller
 from nutmeglift_gateway import registration
-from nutmeglift_gateway import responses
+from nutmeglift_gateway import request_memory
 from nutmeglift_gateway import settings
 from nutmeglift_gateway import settings_reload
 from nutmeglift_gateway import store_reader
 from nutmeglift_gateway import stream_monitor
 from nutmeglift_gateway import supervision
+from nutmeglift_gateway import unserved_requests
 
 
 class Gateway:
@@ -137,6 +138,10 @@
         )
         self._callers: set[http_listener.CallerConnection] = set()
         self._checkers: set[http_listener.CallerConnection] = set()
+        self._memory = request_memory.for_process(config.memory_mb)
+        self._unserved = unserved_requests.UnservedRequests(
+            names, self._memory, self.metrics, log
+        )
         self._exchanges: set[asyncio.Task[None]] = set()
         self._tasks: list[asyncio.Task[None]] = []
         self._reloading: asyncio.Task[None] | None = None
@@ -150,10 +155,14 @@
         loop.add_signal_handler(signal.SIGHUP, self._start_reload)
         listen = self._config.listen
         callers = await self._listen(
-            listen.callers, self._on_request, self._callers
+            listen.callers, self._on_request, self._callers, self._memory
         )
+        # Checks don't depend on the memory that callers use.
+        check_memory = request_memory.Budget(request_memory.CHECKS_BYTES)
         checkers = [
-            await self._listen(address, self._on_check, self._checkers)
+            await self._listen(
+                address, self._on_check, self._checkers, check_memory
+            )
             for address in sorted({listen.readiness, listen.metrics})
         ]
         for name, run in self._controllers():
@@ -234,14 +243,16 @@
         address: str,
         handler: http_listener.Handler,
         connections: set[http_listener.CallerConnection],
+        memory: request_memory.Budget,
     ) -> asyncio.Server:
         def make_connection() -> http_listener.CallerConnection:
             return http_listener.CallerConnection(
                 handler,
                 self.board.limits,
-                responses.error_response,
+                self._unserved.refuse,
                 connections,
-                self._record_unanswered,
+                self._unserved.record_unanswered,
+                memory,
             )
 
         listener = self._listeners.get(address)
@@ -287,25 +298,10 @@
             if not connection.closed and connection.current is request:
                 # The connection is aborted, so that the caller can't take a
                 # partial response for a complete one.
-                self._record_unanswered(request, cause)
+                self._unserved.record_unanswered(request, cause)
                 connection.abort()
             self.metrics.in_flight.dec()
 
-    def _record_unanswered(
-        self,
-        request: caller_request.Request,
-        cause: metric_sets.UnansweredCause,
-    ) -> None:
-        request_id = request.get(self._context.names.request_id) or b""
-        elapsed = asyncio.get_running_loop().time() - request.received_at
-        self.metrics.unanswered.labels(cause.value).inc()
-        self._log.write(
-            "unanswered",
-            request=request_id.decode("latin-1"),
-            cause=cause.value,
-            seconds=round(elapsed, 3),
-        )
-
     def _on_check(
         self,
         connection: http_listener.CallerConnection,
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
@@ -11,6 +11,7 @@
 from nutmeglift_gateway import catalog
 from nutmeglift_gateway import http_call
 from nutmeglift_gateway import metrics
+from nutmeglift_gateway import request_memory
 
 MAX_PIPELINED_REQUEST_COUNT = 16
 """Reading stops once this many requests are queued on one connection."""
@@ -27,6 +28,9 @@
 still be sending when it is rejected."""
 RESET_LINGER = struct.pack("ii", 1, 0)
 """Value of SO_LINGER with which a close discards unsent bytes and resets."""
+MEMORY_WAIT_SECONDS = 0.5
+"""Longest wait for memory. Callers leave, or try elsewhere, after a second in
+which nothing of their request was read."""
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 """Interim response to `Expect: 100-continue` (RFC 9110, section 15.2.1)."""
 
@@ -58,6 +62,7 @@
         refuse: Callable[[errors.ErrorKind], bytes],
         connections: "set[CallerConnection]",
         record_unanswered: UnansweredRecorder | None = None,
+        memory: request_memory.Budget = request_memory.SHARED_BUDGET,
     ) -> None:
         """Initializes a connection.
 
@@ -68,6 +73,7 @@
                 read.
             connections: all open connections, to which it adds itself.
             record_unanswered: records requests that are left unanswered.
+            memory: limits the memory of all callers' requests.
         """
         self.closed = False
         self.current: caller_request.Request | None = None
@@ -81,7 +87,10 @@
         self._record_unanswered = record_unanswered
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
-        self._parser = caller_request.RequestParser(self, limits)
+        self._memory = memory
+        self._parser = caller_request.RequestParser(self, limits, memory)
+        self._large: tuple[request_memory.Holding, int] | None = None
+        self._awaits_memory = False
         self._waiting: list[caller_request.Request] = []
         self._rejection: errors.ErrorKind | None = None
         self._continue_expected = False
@@ -129,6 +138,7 @@
                 otherwise it is closed once the caller has received it.
         """
         current, self.current = self.current, None
+        self._release(current)
         self._has_responded = True
         self.on_close = None
         self.on_writable = None
@@ -138,16 +148,14 @@
             self._drop_waiting(metrics.UnansweredCause.CONNECTION_CLOSED)
             self._close_after_response()
             return
-        if self._paused and len(self._waiting) < MAX_PIPELINED_REQUEST_COUNT:
-            self._paused = False
-            assert self._transport is not None
-            self._transport.resume_reading()
+        self._update_reading()
         self._start_next()
         self._restart_timer()
 
     def abort(self) -> None:
         """Aborts the connection, so that the response is visibly incomplete."""
         current, self.current = self.current, None
+        self._release(current)
         self.on_close = None
         if self._transport is not None and not self.closed:
             self.closed = True
@@ -201,7 +209,11 @@
         self.closed = True
         self._connections.discard(self)
         self._cancel_timer()
+        self._parser.close()
+        for request in [self.current, *self._waiting]:
+            self._release(request)
         self._waiting.clear()
+        self.on_writable = None
         on_close, self.on_close = self.on_close, None
         if on_close is not None:
             on_close()
@@ -231,27 +243,33 @@
         self._continue_expected = True
         self._start_next()
 
+    def on_large_body(self, holding: request_memory.Holding, size: int) -> None:
+        """Stops reading until memory is reserved for the body."""
+        self._large = (holding, size)
+        self._awaits_memory = True
+        self._update_reading()
+        self._start_next()
+
     def on_request(self, request: caller_request.Request) -> None:
         """Queues a complete request."""
         self._cancel_timer()
         self._continue_expected = False
+        self._large = None
+        self._awaits_memory = False
         self._waiting.append(request)
         if self.closed:
             # The response to a request in the same data closed the connection.
             self._drop_waiting(metrics.UnansweredCause.CONNECTION_CLOSED)
             return
-        if (
-            len(self._waiting) >= MAX_PIPELINED_REQUEST_COUNT
-            and not self._paused
-        ):
-            self._paused = True
-            assert self._transport is not None
-            self._transport.pause_reading()
+        self._update_reading()
         self._start_next()
 
     def on_rejected(self, kind: errors.ErrorKind) -> None:
         """Responds to a request that cannot be read, after those before it."""
         self._rejection = kind
+        self._large = None
+        self._awaits_memory = False
+        self._update_reading()
         self._start_next()
 
     def _start_next(self) -> None:
@@ -266,12 +284,53 @@
             self.write(self._refuse(self._rejection))
             self._close_after_response()
             return
-        if self._continue_expected:
+        if self._large is not None:
+            self._reserve_memory(*self._large)
+        if self._continue_expected and not self._awaits_memory:
             self._continue_expected = False
             self.write(CONTINUE)
 
+    def _reserve_memory(
+        self, holding: request_memory.Holding, size: int
+    ) -> None:
+        self._large = None
+        if not self._memory.reserve(holding, size, self._on_reserved):
+            self._parser.reject(errors.ErrorKind.OVERLOADED)
+            return
+        if holding.state is request_memory.State.RESERVED:
+            self._on_reserved()
+            return
+        self._restart_timer()
+
+    def _on_reserved(self) -> None:
+        """Reads the body, within the time for it."""
+        self._awaits_memory = False
+        self._update_reading()
+        self._restart_timer()
+        self._start_next()
+
+    def _update_reading(self) -> None:
+        paused = (
+            self._awaits_memory
+            or len(self._waiting) >= MAX_PIPELINED_REQUEST_COUNT
+        )
+        if paused == self._paused or self.closed:
+            return
+        self._paused = paused
+        assert self._transport is not None
+        if paused:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
+    def _release(self, request: caller_request.Request | None) -> None:
+        if request is not None and request.holding is not None:
+            self._memory.release(request.holding)
+
     def _drop_waiting(self, cause: metrics.UnansweredCause) -> None:
         waiting, self._waiting = self._waiting, []
+        for request in waiting:
+            self._release(request)
         if self._record_unanswered is None:
             return
         for request in waiting:
@@ -280,6 +339,9 @@
     def _on_header_timeout(self) -> None:
         self._parser.reject(errors.ErrorKind.HEADER_TIMEOUT)
 
+    def _on_memory_timeout(self) -> None:
+        self._parser.reject(errors.ErrorKind.OVERLOADED)
+
     def _on_idle(self) -> None:
         # A new configuration may have changed the limit.
         idle_until = self._idle_since + self._limits().idle_timeout
@@ -298,6 +360,8 @@
         if not self._parser.started:
             self._idle_since = self._loop.time()
             self._set_timer(limits.idle_timeout, self._on_idle)
+        elif self._awaits_memory:
+            self._set_timer(MEMORY_WAIT_SECONDS, self._on_memory_timeout)
         elif not self._parser.head_complete:
             self._set_timer(limits.header_timeout, self._on_header_timeout)
         else:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/settings.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/settings.py
@@ -11,6 +11,8 @@
 Address = Annotated[str, msgspec.Meta(pattern=r"^\d+\.\d+\.\d+\.\d+:\d+$")]
 """IPv4 address and port."""
 Seconds = Annotated[float, msgspec.Meta(gt=0)]
+Megabytes = Annotated[float, msgspec.Meta(gt=0)]
+"""In units of 1,000,000 bytes."""
 Ratio = Annotated[float, msgspec.Meta(ge=0)]
 
 
@@ -80,6 +82,8 @@
         store: the platform's key-value service.
         bounds: the operators' bounds.
         first_start: whether the whole system is starting for the first time.
+        memory_mb: memory beyond which the process is killed; None if it is not
+            known. A change takes effect at the next start.
     """
 
     vm: Annotated[str, msgspec.Meta(min_length=1)]
@@ -89,6 +93,7 @@
     bounds: Bounds = msgspec.field(default_factory=Bounds)
     region_by_domain: dict[str, str] = msgspec.field(default_factory=dict)
     first_start: bool = False
+    memory_mb: Megabytes | None = None
 
 
 def load(path: pathlib.Path) -> Settings:
