--- a/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
@@ -2,13 +2,14 @@
 
 import asyncio
 from collections.abc import Callable
+import functools
 import socket
-import struct
 from typing import cast
 
 from nutmeglift import errors
 from nutmeglift_gateway import caller_request
 from nutmeglift_gateway import catalog
+from nutmeglift_gateway import connection_closing
 from nutmeglift_gateway import http_call
 from nutmeglift_gateway import metrics
 from nutmeglift_gateway import request_memory
@@ -19,18 +20,6 @@
 """Shortest delay of a timer; the event loop reads from sockets before it."""
 WRITE_BUFFER_LIMIT_BYTES = 256 * 1024
 """Unsent bytes for a caller above which reading from its server is paused."""
-LINGER_SECONDS = 2.0
-"""Time for a caller to receive the last response and close. Within it, bytes
-that it still sends are discarded: a close with unread bytes resets the
-connection, and the reset may overtake the response (RFC 9112, section 9.6)."""
-LINGER_BYTES = 8 * 1024 * 1024
-"""Bytes that are discarded at most; about the largest body that a caller may
-still be sending when it is rejected."""
-RESET_LINGER = struct.pack("ii", 1, 0)
-"""Value of SO_LINGER with which a close discards unsent bytes and resets."""
-MEMORY_WAIT_SECONDS = 0.5
-"""Longest wait for memory. Callers leave, or try elsewhere, after a second in
-which nothing of their request was read."""
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 """Interim response to `Expect: 100-continue` (RFC 9110, section 15.2.1)."""
 
@@ -98,7 +87,7 @@
         self._paused = False
         self._timer: asyncio.TimerHandle | None = None
         self._idle_since = 0.0
-        self._discarded_bytes = 0
+        self._closing: connection_closing.Closing | None = None
 
     @property
     def is_idle(self) -> bool:
@@ -160,7 +149,7 @@
         if self._transport is not None and not self.closed:
             self.closed = True
             if current is not None and not current.accepts_chunked:
-                self._reset_on_close()
+                connection_closing.reset_on_close(self._transport)
             self._drop_waiting(metrics.UnansweredCause.CONNECTION_ABORTED)
             self._transport.abort()
 
@@ -193,10 +182,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Passes received bytes to the parser, or discards them."""
-        if self.closed:
-            self._discard(data)
-            return
-        if self._rejection is not None:
+        if self._closing is not None:
+            self._closing.discard(data)
+        if self.closed or self._rejection is not None:
             return
         self._parser.feed(data)
 
@@ -299,8 +287,8 @@
             return
         if holding.state is request_memory.State.RESERVED:
             self._on_reserved()
-            return
-        self._restart_timer()
+        else:
+            self._restart_timer()
 
     def _on_reserved(self) -> None:
         """Reads the body, within the time for it."""
@@ -336,12 +324,6 @@
         for request in waiting:
             self._record_unanswered(request, cause)
 
-    def _on_header_timeout(self) -> None:
-        self._parser.reject(errors.ErrorKind.HEADER_TIMEOUT)
-
-    def _on_memory_timeout(self) -> None:
-        self._parser.reject(errors.ErrorKind.OVERLOADED)
-
     def _on_idle(self) -> None:
         # A new configuration may have changed the limit.
         idle_until = self._idle_since + self._limits().idle_timeout
@@ -360,15 +342,14 @@
         if not self._parser.started:
             self._idle_since = self._loop.time()
             self._set_timer(limits.idle_timeout, self._on_idle)
-        elif self._awaits_memory:
-            self._set_timer(MEMORY_WAIT_SECONDS, self._on_memory_timeout)
-        elif not self._parser.head_complete:
-            self._set_timer(limits.header_timeout, self._on_header_timeout)
-        else:
-            self._set_timer(
-                max(limits.header_timeout, limits.idle_timeout),
-                self._on_header_timeout,
-            )
+            return
+        kind, seconds = errors.ErrorKind.HEADER_TIMEOUT, limits.header_timeout
+        if self._awaits_memory:
+            kind = errors.ErrorKind.OVERLOADED
+            seconds = request_memory.MAX_WAIT_SECONDS
+        elif self._parser.head_complete:
+            seconds = max(limits.header_timeout, limits.idle_timeout)
+        self._set_timer(seconds, functools.partial(self._parser.reject, kind))
 
     def _set_timer(self, seconds: float, call: Callable[[], None]) -> None:
         self._cancel_timer()
@@ -388,13 +369,6 @@
             self._timer.cancel()
             self._timer = None
 
-    def _reset_on_close(self) -> None:
-        """Makes the close a reset: a graceful one may end a response."""
-        assert self._transport is not None
-        sock = self._transport.get_extra_info("socket")
-        if sock is not None:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
-
     def _close(self) -> None:
         if self._transport is not None and not self.closed:
             self.closed = True
@@ -407,26 +381,14 @@
         """
         assert self._transport is not None
         self.closed = True
-        try:
-            self._transport.write_eof()
-        except OSError:
-            # The caller has reset the connection.
-            self._transport.abort()
-            return
-        if self._paused:
-            self._transport.resume_reading()
-        self._set_timer(LINGER_SECONDS, self._on_linger_end)
+        self._closing = connection_closing.Closing(self._transport)
+        if self._closing.begin(paused=self._paused):
+            self._linger()
 
-    def _on_linger_end(self) -> None:
-        assert self._transport is not None
-        if self._transport.get_write_buffer_size():
-            # The response has not left the router yet.
-            self._set_timer(LINGER_SECONDS, self._on_linger_end)
-            return
-        self._transport.close()
+    def _linger(self) -> None:
+        self._set_timer(connection_closing.LINGER_SECONDS, self._on_linger_end)
 
-    def _discard(self, data: bytes) -> None:
-        self._discarded_bytes += len(data)
-        if self._discarded_bytes > LINGER_BYTES:
-            assert self._transport is not None
-            self._transport.close()
+    def _on_linger_end(self) -> None:
+        assert self._closing is not None
+        if not self._closing.end():
+            self._linger()
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/request_memory.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/request_memory.py
@@ -22,6 +22,9 @@
 """Largest share of the memory for requests that large bodies use."""
 LARGE_BODY_BYTES = 64 * 1024
 """A body beyond this size needs a reservation."""
+MAX_WAIT_SECONDS = 0.5
+"""Longest wait for a reservation. Callers leave, or try elsewhere, after
+a second in which nothing of their request was read."""
 CHECKS_BYTES = 1_000_000
 """Memory for the platform's checks, which have no body."""
 HEADER_OVERHEAD_BYTES = 160
--- a/tests/gateway/test_listener_closing.py
+++ b/tests/gateway/test_listener_closing.py
@@ -9,6 +9,7 @@
 from unittest import mock
 
 from nutmeglift_gateway import catalog
+from nutmeglift_gateway import connection_closing
 from nutmeglift_gateway import http_listener
 from nutmeglift_gateway import responses
 from tests import uvloop_time
@@ -273,8 +274,10 @@
         for seconds, limit, reason in cases:
             with (
                 self.subTest(reason),
-                mock.patch.object(http_listener, "LINGER_SECONDS", seconds),
-                mock.patch.object(http_listener, "LINGER_BYTES", limit),
+                mock.patch.object(
+                    connection_closing, "LINGER_SECONDS", seconds
+                ),
+                mock.patch.object(connection_closing, "LINGER_BYTES", limit),
             ):
                 sock = await self.connect()
                 await self.send(sock, last)
--- a/tests/gateway/test_request_memory_waits.py
+++ b/tests/gateway/test_request_memory_waits.py
@@ -103,7 +103,7 @@
         waited = asyncio.get_running_loop().time() - began
         self.assertTrue(response.startswith(b"HTTP/1.1 503 "), response)
         self.assertIn(b"connection: close", response)
-        self.assertGreater(waited, http_listener.MEMORY_WAIT_SECONDS)
+        self.assertGreater(waited, request_memory.MAX_WAIT_SECONDS)
         self.assertLess(waited, 1.0)
         self.assertEqual(self.handled, [])
 
