Forward a large body without a copy

What was seen: a body that is being sent to a server existed twice, joined with the head and in the request, and only one of them was counted: processes used 165 MB where requests have a budget of 75.

Cause: format_request() joined head and body for each attempt.

Why it works: head and body are two writes; the event loop keeps references to both and writes them with one system call. Bodies below 64 KiB are joined as before.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/http_call.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/http_call.py
@@ -21,6 +21,8 @@
 MAX_READ_BYTES = 64 * 1024
 """Bytes read from one connection after which the others have their turn:
 uvloop reads up to 32 times in a row, 256 KiB each."""
+MIN_SHARED_BODY_BYTES = 64 * 1024
+"""Bodies below this size are joined with the head, which saves a write."""
 
 Headers = response_parser.Headers
 """Names in lower case with their values, in the order received."""
@@ -123,14 +125,16 @@
         *,
         head_only: bool,
         max_body_bytes: int = body_buffer.MAX_TOTAL_BYTES,
+        body: bytes = b"",
     ) -> None:
         """Writes a request, or fails at once if the connection is closed.
 
         Args:
-            request: the complete request.
+            request: the complete request, or its head if `body` is given.
             receiver: receives the response.
             head_only: whether responses to the method have no body.
             max_body_bytes: limit on a body that is buffered.
+            body: the body of the request; a large one is not copied.
         """
         assert self._transport is not None
         self.reusable = False
@@ -142,7 +146,11 @@
                 CallFailure.CLOSED, "closed before the request", sent=False
             )
             return
+        if len(body) < MIN_SHARED_BODY_BYTES:
+            self._transport.write(request + body)
+            return
         self._transport.write(request)
+        self._transport.write(body)
 
     def abort(self) -> None:
         """Aborts the connection; the receiver is not called any more."""
@@ -346,8 +354,18 @@
     body: bytes,
 ) -> bytes:
     """Returns the bytes of a request, with the length of its body."""
+    return format_head(method, target, headers, len(body)) + body
+
+
+def format_head(
+    method: str,
+    target: str,
+    headers: Iterable[tuple[bytes, bytes]],
+    body_bytes: int,
+) -> bytes:
+    """Returns the bytes of a request before a body of a length."""
     lines = [f"{method} {target} HTTP/1.1".encode("latin-1")]
     lines += [name + b": " + value for name, value in headers]
-    if body or method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
-        lines.append(b"content-length: %d" % len(body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+    if body_bytes or method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+        lines.append(b"content-length: %d" % body_bytes)
+    return b"\r\n".join(lines) + b"\r\n\r\n"
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/sender.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/sender.py
@@ -95,12 +95,13 @@
             last_event_id=resume_after,
         )
         upstream.send(
-            http_call.format_request(
+            http_call.format_head(
                 self._request.method,
                 self._request.target,
                 headers,
-                self._request.body,
+                len(self._request.body),
             ),
             receiver,
             head_only=self._request.method == "HEAD",
+            body=self._request.body,
         )
