Limit the memory of responses that callers don't read

What callers would see: the router is killed, and requests that ran get no answer, when many callers read large responses slowly or not at all.

A bound for each body while it is received from a server, none on the write buffers of all callers' connections together.

Evidence: test_responses_that_nobody_reads_exceed_the_memory failed before: 177 MB traced with 40 callers and responses of 4 MiB; limit 60 MB.

Why it works: an eighth of the process's memory is the budget of unsent bytes. A write that leaves 16 KiB or more unsent is counted. When the sum exceeds the budget, the buffers are measured again; if it still does, connections are reset, the one that has had unsent bytes for the longest time first, so that a caller that reads gets its whole response. The last one is left, as one response may exceed the budget. A reset doesn't look like a complete response, and cancels the request as if the caller had left. A large plain response is written without a copy.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -37,6 +37,7 @@
 from nutmeglift_gateway import store_reader
 from nutmeglift_gateway import stream_monitor
 from nutmeglift_gateway import supervision
+from nutmeglift_gateway import unsent_responses
 from nutmeglift_gateway import unserved_requests
 
 
@@ -139,6 +140,7 @@
         self._callers: set[http_listener.CallerConnection] = set()
         self._checkers: set[http_listener.CallerConnection] = set()
         self._memory = request_memory.for_process(config.memory_mb)
+        self._unsent = unsent_responses.for_process(config.memory_mb)
         self._unserved = unserved_requests.UnservedRequests(
             names, self._memory, self.metrics, log
         )
@@ -253,6 +255,7 @@
                 connections,
                 self._unserved.record_unanswered,
                 memory,
+                self._unsent,
             )
 
         listener = self._listeners.get(address)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
@@ -12,12 +12,12 @@
 from nutmeglift_gateway import connection_closing
 from nutmeglift_gateway import http_call
 from nutmeglift_gateway import metrics
+from nutmeglift_gateway import reading_timer
 from nutmeglift_gateway import request_memory
+from nutmeglift_gateway import unsent_responses
 
 MAX_PIPELINED_REQUEST_COUNT = 16
 """Reading stops once this many requests are queued on one connection."""
-READ_TURN_SECONDS = 0.001
-"""Shortest delay of a timer; the event loop reads from sockets before it."""
 WRITE_BUFFER_LIMIT_BYTES = 256 * 1024
 """Unsent bytes for a caller above which reading from its server is paused."""
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -32,7 +32,9 @@
 """Records a complete request that the router leaves without a response."""
 
 
-class CallerConnection(asyncio.Protocol, caller_request.BaseReceiver):
+class CallerConnection(
+    asyncio.Protocol, caller_request.BaseReceiver, unsent_responses.BaseWriter
+):
     """One caller's connection; its requests are processed one after another.
 
     Attributes:
@@ -52,6 +54,7 @@
         connections: "set[CallerConnection]",
         record_unanswered: UnansweredRecorder | None = None,
         memory: request_memory.Budget = request_memory.SHARED_BUDGET,
+        unsent: unsent_responses.Budget = unsent_responses.SHARED_BUDGET,
     ) -> None:
         """Initializes a connection.
 
@@ -63,6 +66,7 @@
             connections: all open connections, to which it adds itself.
             record_unanswered: records requests that are left unanswered.
             memory: limits the memory of all callers' requests.
+            unsent: limits the memory of all callers' unsent responses.
         """
         self.closed = False
         self.current: caller_request.Request | None = None
@@ -77,6 +81,7 @@
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._memory = memory
+        self._unsent = unsent
         self._parser = caller_request.RequestParser(self, limits, memory)
         self._large: tuple[request_memory.Holding, int] | None = None
         self._awaits_memory = False
@@ -85,7 +90,7 @@
         self._continue_expected = False
         self._has_responded = False
         self._paused = False
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer = reading_timer.ReadingTimer()
         self._idle_since = 0.0
         self._closing: connection_closing.Closing | None = None
 
@@ -118,6 +123,21 @@
         if self._transport is not None and not self.closed:
             self.response_begun = True
             self._transport.write(data)
+            unsent_bytes = self._transport.get_write_buffer_size()
+            if unsent_bytes >= unsent_responses.MIN_COUNTED_BYTES:
+                self._unsent.record(self, unsent_bytes)
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Number of bytes that the caller has not been sent yet."""
+        assert self._transport is not None
+        return self._transport.get_write_buffer_size()
+
+    def cut(self) -> None:
+        """Resets the connection once the current event has been handled."""
+        assert self._transport is not None
+        connection_closing.reset_on_close(self._transport)
+        self._loop.call_soon(self._transport.abort)
 
     def finish(self, *, keep_alive: bool) -> None:
         """Ends the current request.
@@ -196,7 +216,8 @@
         """Handles the loss of the connection."""
         self.closed = True
         self._connections.discard(self)
-        self._cancel_timer()
+        self._unsent.forget(self)
+        self._timer.cancel()
         self._parser.close()
         for request in [self.current, *self._waiting]:
             self._release(request)
@@ -240,7 +261,7 @@
 
     def on_request(self, request: caller_request.Request) -> None:
         """Queues a complete request."""
-        self._cancel_timer()
+        self._timer.cancel()
         self._continue_expected = False
         self._large = None
         self._awaits_memory = False
@@ -329,19 +350,19 @@
         idle_until = self._idle_since + self._limits().idle_timeout
         remaining = idle_until - self._loop.time()
         if remaining > 0:
-            self._set_timer(remaining, self._on_idle)
+            self._timer.set(remaining, self._on_idle)
             return
         self.close_if_idle()
 
     def _restart_timer(self) -> None:
         """Limits the time for the caller's next step, if one is awaited."""
-        self._cancel_timer()
+        self._timer.cancel()
         if self.closed or self.current is not None:
             return
         limits = self._limits()
         if not self._parser.started:
             self._idle_since = self._loop.time()
-            self._set_timer(limits.idle_timeout, self._on_idle)
+            self._timer.set(limits.idle_timeout, self._on_idle)
             return
         kind, seconds = errors.ErrorKind.HEADER_TIMEOUT, limits.header_timeout
         if self._awaits_memory:
@@ -349,25 +370,7 @@
             seconds = request_memory.MAX_WAIT_SECONDS
         elif self._parser.head_complete:
             seconds = max(limits.header_timeout, limits.idle_timeout)
-        self._set_timer(seconds, functools.partial(self._parser.reject, kind))
-
-    def _set_timer(self, seconds: float, call: Callable[[], None]) -> None:
-        self._cancel_timer()
-        self._timer = self._loop.call_later(
-            seconds, self._call_after_reading, call
-        )
-
-    def _call_after_reading(self, call: Callable[[], None]) -> None:
-        """Handles an elapsed time limit, unless the caller's bytes have come.
-
-        After a delay, event loops may run timers before they read.
-        """
-        self._timer = self._loop.call_later(READ_TURN_SECONDS, call)
-
-    def _cancel_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        self._timer.set(seconds, functools.partial(self._parser.reject, kind))
 
     def _close(self) -> None:
         if self._transport is not None and not self.closed:
@@ -386,7 +389,7 @@
             self._linger()
 
     def _linger(self) -> None:
-        self._set_timer(connection_closing.LINGER_SECONDS, self._on_linger_end)
+        self._timer.set(connection_closing.LINGER_SECONDS, self._on_linger_end)
 
     def _on_linger_end(self) -> None:
         assert self._closing is not None
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/reply.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/reply.py
@@ -109,16 +109,19 @@
                 )
                 return
             keep_alive = self._keeps_open()
-            self._connection.write(
-                responses.forwarded_head(
-                    response.head,
-                    length=len(response.body),
-                    chunked=False,
-                    keep_alive=keep_alive,
-                    without_body=self._request.method == "HEAD",
-                )
-                + response.body
+            head = responses.forwarded_head(
+                response.head,
+                length=len(response.body),
+                chunked=False,
+                keep_alive=keep_alive,
+                without_body=self._request.method == "HEAD",
             )
+            if len(response.body) < http_call.MIN_SHARED_BODY_BYTES:
+                self._connection.write(head + response.body)
+            else:
+                # Without a copy.
+                self._connection.write(head)
+                self._connection.write(response.body)
             self._context.metrics.answer.observe(self.elapsed())
         self._count(admitted, self._classify_latency(admitted, outcome))
         self._connection.finish(keep_alive=keep_alive)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/request_memory.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/request_memory.py
@@ -196,8 +196,19 @@
         megabytes: memory beyond which the process is killed; None if it is not
             known.
     """
+    return Budget(share(megabytes, REQUESTS_RATIO))
+
+
+def share(megabytes: float | None, ratio: float) -> int:
+    """Returns a share of a process's memory in bytes.
+
+    Args:
+        megabytes: memory beyond which the process is killed; None if it is not
+            known.
+        ratio: the share.
+    """
     limit = (megabytes or DEFAULT_PROCESS_MEGABYTES) * BYTES_PER_MEGABYTE
-    return Budget(int(limit * REQUESTS_RATIO))
+    return int(limit * ratio)
 
 
 def head_bytes(text_bytes: int, headers: http_call.Headers) -> int:
--- a/tests/gateway/test_unsent_responses.py
+++ b/tests/gateway/test_unsent_responses.py
@@ -8,6 +8,7 @@
 from nutmeglift_gateway import catalog
 from nutmeglift_gateway import http_listener
 from nutmeglift_gateway import responses
+from nutmeglift_gateway import unsent_responses
 
 CALLER_COUNT = 40
 RESPONSE_BYTES = 4 * 1024 * 1024
@@ -17,6 +18,60 @@
 REQUEST = b"GET /a HTTP/1.1\r\nhost: h\r\n\r\n"
 
 
+KB = 1000
+
+
+class Writer(unsent_responses.BaseWriter):
+    """A connection that a budget cuts."""
+
+    def __init__(self):
+        self.size = 0
+        self.is_cut = False
+
+    @property
+    def unsent_bytes(self):
+        return self.size
+
+    def cut(self):
+        self.is_cut = True
+
+
+class BudgetTest(unittest.TestCase):
+    def test_events(self):
+        # Of 300 KB.
+        cases = [
+            # writes, reads and losses; names cut; KB counted at last
+            ("within", [("a", 100), ("b", 200)], "", 300),
+            ("the oldest", [("a", 100), ("b", 200), ("c", 50)], "a", 250),
+            ("as many as needed", [("a", 100), ("b", 100), ("c", 300)],
+             "ab", 300),
+            ("read since", [("a", 200), ("read a", 20), ("b", 250)], "", 270),
+            ("read to the end", [("a", 200), ("read a", 0), ("b", 300)],
+             "", 300),
+            ("small ones", [("a", 15), ("b", 300), ("c", 15)], "", 300),
+            ("small again", [("a", 200), ("a", 10)], "", 0),
+            ("grows", [("a", 100), ("b", 100), ("a", 150), ("b", 160)],
+             "a", 160),
+            ("one alone", [("a", 900)], "", 900),
+            ("one after it", [("a", 900), ("b", 100)], "a", 100),
+            ("a lost one", [("a", 200), ("lose a", 0), ("b", 300)], "", 300),
+        ]  # fmt: skip
+        for name, events, cut, counted in cases:
+            with self.subTest(name):
+                budget = unsent_responses.Budget(300 * KB)
+                writer_by_name = {each: Writer() for each in "abc"}
+                for event, size in events:
+                    writer = writer_by_name[event[-1]]
+                    writer.size = size * KB
+                    if event.startswith("lose"):
+                        budget.forget(writer)
+                    elif not event.startswith("read"):
+                        budget.record(writer, writer.size)
+                found = [n for n, each in writer_by_name.items() if each.is_cut]
+                self.assertEqual("".join(found), cut)
+                self.assertEqual(budget.used, counted * KB)
+
+
 class UnreadResponsesTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.connections = set()
@@ -69,6 +124,18 @@
         )
         self.assertEqual(len(body), RESPONSE_BYTES)
 
+    async def test_a_request_whose_connection_is_cut_is_cancelled(self):
+        reader = await self._call()
+        (connection,) = self.connections
+        closed = []
+        connection.on_close = lambda: closed.append(True)
+        connection.cut()
+        await asyncio.sleep(0.1)
+        self.assertEqual((closed, self.connections), ([True], set()))
+        # A reset: what the caller has received doesn't look complete.
+        with self.assertRaises(ConnectionResetError):
+            await asyncio.wait_for(reader.readexactly(RESPONSE_BYTES), 30.0)
+
 
 if __name__ == "__main__":
     unittest.main()
