Make the count of a small request's memory cheaper

A request that arrives whole is counted and returned by a few additions, and its headers are searched for a length only if it arrives in parts.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/caller_request.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/caller_request.py
@@ -110,6 +110,7 @@
         self._loop = asyncio.get_running_loop()
         self._parser = httptools.HttpRequestParser(self)
         self._rejected = False
+        self._announced = False
         self._reset()
 
     def feed(self, data: bytes) -> None:
@@ -174,24 +175,28 @@
             return
         self.head_complete = True
         self._receiver.on_head_complete()
-        expects_continue = False
-        for name, value in self._headers:
-            if name == b"expect" and value.lower() == b"100-continue":
-                expects_continue = True
-            elif name == b"content-length" and value.isdigit():
-                self._check_length(int(value))
         # Not in HTTP/1.0 (RFC 9110, section 10.1.1).
         if self._rejected or self._parser.get_http_version() != "1.1":
             return
-        if expects_continue:
-            self._receiver.on_continue_expected()
+        for name, value in self._headers:
+            if name == b"expect" and value.lower() == b"100-continue":
+                self._announce_declared()
+                self._receiver.on_continue_expected()
 
-    def _check_length(self, length: int) -> None:
-        """Rejects a body that is too large; announces a large one."""
-        if length > self._limits().body_bytes:
-            self.reject(errors.ErrorKind.BODY_TOO_LARGE)
-        elif length > request_memory.LARGE_BODY_BYTES:
-            self._announce_large(length)
+    def _announce_declared(self) -> None:
+        """Rejects a declared body that is too large; announces a large one."""
+        if self._announced:
+            return
+        for name, value in self._headers:
+            if name != b"content-length" or not value.isdigit():
+                continue
+            self._announced = True
+            length = int(value)
+            if length > self._limits().body_bytes:
+                self.reject(errors.ErrorKind.BODY_TOO_LARGE)
+            elif length > request_memory.LARGE_BODY_BYTES:
+                self._announce_large(length)
+            return
 
     def _announce_large(self, largest: int) -> None:
         self._announced = True
@@ -246,6 +251,10 @@
         held = self._head_memory() + self._body_bytes
         if not self.head_complete:
             held += self._head_bytes
+        else:
+            self._announce_declared()
+        if self._rejected:
+            return
         if not self._memory.resize(self._holding, held):
             self.reject(errors.ErrorKind.OVERLOADED)
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
@@ -157,7 +157,8 @@
             self._drop_waiting(metrics.UnansweredCause.CONNECTION_CLOSED)
             self._close_after_response()
             return
-        self._update_reading()
+        if self._paused:
+            self._update_reading()
         self._start_next()
         self._restart_timer()
 
@@ -263,14 +264,14 @@
         """Queues a complete request."""
         self._timer.cancel()
         self._continue_expected = False
-        self._large = None
-        self._awaits_memory = False
         self._waiting.append(request)
         if self.closed:
             # The response to a request in the same data closed the connection.
             self._drop_waiting(metrics.UnansweredCause.CONNECTION_CLOSED)
             return
-        self._update_reading()
+        self._large, self._awaits_memory = None, False
+        if self._paused or len(self._waiting) >= MAX_PIPELINED_REQUEST_COUNT:
+            self._update_reading()
         self._start_next()
 
     def on_rejected(self, kind: errors.ErrorKind) -> None:
@@ -356,8 +357,8 @@
 
     def _restart_timer(self) -> None:
         """Limits the time for the caller's next step, if one is awaited."""
-        self._timer.cancel()
         if self.closed or self.current is not None:
+            self._timer.cancel()
             return
         limits = self._limits()
         if not self._parser.started:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/request_memory.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/request_memory.py
@@ -114,6 +114,16 @@
         Returns:
             Whether there is room for it; if not, its size doesn't change.
         """
+        growth = size - holding.size
+        if (
+            holding.state is State.RECEIVED
+            and growth >= 0
+            and self.used + growth <= self.limit
+        ):
+            # Most requests: nothing else changes.
+            holding.size = size
+            self.used += growth
+            return True
         if holding.state is State.WAITING:
             del self._waiting[holding]
             holding.state = State.RECEIVED
@@ -153,11 +163,16 @@
         """Returns the memory of a request that has ended."""
         if holding.state is State.RELEASED:
             return
-        self._count(holding, 0)
-        self._waiting.pop(holding, None)
+        self.used -= holding.size
+        if holding.state is State.RESERVED:
+            self.reserved -= holding.size
+        elif holding.state is State.WAITING:
+            del self._waiting[holding]
+            holding.on_reserved = None
+        holding.size = 0
         holding.state = State.RELEASED
-        holding.on_reserved = None
-        self._reserve_next()
+        if self._waiting:
+            self._reserve_next()
 
     def _reserve_next(self) -> None:
         while self._waiting:
