Reproduce chunked bodies that are refused where the limit exceeds the memory

Where max_body_bytes exceeds what may be reserved, every body in chunks beyond 64 KiB is refused (503), also one that would fit: it reserves the limit.

--- a/tests/gateway/test_request_memory_waits.py
+++ b/tests/gateway/test_request_memory_waits.py
@@ -25,18 +25,13 @@
         self.connections = set()
         self.handled = []
         self.budget = request_memory.Budget(1_000_000)
-        limits = catalog.ClientLimits(
-            header_bytes=16384,
-            body_bytes=LARGE_BYTES,
-            header_timeout=3.0,
-            idle_timeout=5.0,
-        )
+        self.body_bytes = LARGE_BYTES
         server = await asyncio.get_running_loop().create_server(
             lambda: http_listener.CallerConnection(
                 lambda connection, request: self.handled.append(
                     (connection, request)
                 ),
-                lambda: limits,
+                self._limits,
                 responses.error_response,
                 self.connections,
                 memory=self.budget,
@@ -57,6 +52,14 @@
         await asyncio.sleep(0.1)
         self.assertEqual((self.budget.used, self.budget.waiting_count), (0, 0))
 
+    def _limits(self):
+        return catalog.ClientLimits(
+            header_bytes=16384,
+            body_bytes=self.body_bytes,
+            header_timeout=3.0,
+            idle_timeout=5.0,
+        )
+
     async def _send(self, data):
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         self.writers.append(writer)
@@ -107,6 +110,25 @@
         self.assertLess(waited, 1.0)
         self.assertEqual(self.handled, [])
 
+    async def test_a_chunked_body_where_the_limit_exceeds_the_memory(self):
+        self.body_bytes = 2_000_000
+        cases = [
+            # length of the body, status
+            (LARGE_BYTES, b" 200 "),
+            (700_000, b" 200 "),
+            (1_500_000, b" 503 "),
+        ]
+        for size, status in cases:
+            with self.subTest(size):
+                reader, _ = await self._send(
+                    LARGE_HEAD + b"transfer-encoding: chunked\r\n\r\n"
+                    b"%x\r\n%b\r\n0\r\n\r\n" % (size, b"x" * size)
+                )
+                await asyncio.sleep(0.2)
+                if self.handled:
+                    self._respond()
+                self.assertIn(status, await self._read_head(reader))
+
     async def test_small_requests_pass_by(self):
         await self._begin_two()
         await self._send(LARGE + b"x" * 100_000)
