Reserve no more than there is for a body in chunks

A body in chunks reserves the limit on bodies or all that may be reserved, whichever is less; what exceeds it is counted as it arrives and refused as not run if there is no room.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/caller_request.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/caller_request.py
@@ -216,8 +216,10 @@
             self._body_bytes > request_memory.LARGE_BODY_BYTES
             and not self._announced
         ):
-            # In chunks: the rest may be as large as the limit.
-            self._announce_large(self._limits().body_bytes)
+            # In chunks: the rest may be as large as the limit. What exceeds the
+            # largest reservation is counted as it arrives.
+            room = self._memory.reservation_limit - self._head_memory()
+            self._announce_large(min(self._limits().body_bytes, room))
 
     def on_message_complete(self) -> None:
         """Handles the end of a request."""
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/request_memory.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/request_memory.py
@@ -69,6 +69,7 @@
         limit: most bytes that all requests hold.
         used: number of bytes that are counted for them.
         reserved: number of these that are reserved for large bodies.
+        reservation_limit: most bytes that are reserved for large bodies.
     """
 
     def __init__(self, limit: int) -> None:
@@ -76,7 +77,7 @@
         self.limit = limit
         self.used = 0
         self.reserved = 0
-        self._reservation_limit = int(limit * LARGE_RATIO)
+        self.reservation_limit = int(limit * LARGE_RATIO)
         self._waiting: dict[Holding, None] = {}
 
     @property
@@ -148,7 +149,7 @@
         Returns:
             Whether the request may wait: False if so much is never reserved.
         """
-        if size > self._reservation_limit:
+        if size > self.reservation_limit:
             return False
         holding.wanted = size
         if not self._waiting and self._has_room(holding):
@@ -187,7 +188,7 @@
 
     def _has_room(self, holding: Holding) -> bool:
         return (
-            self.reserved + holding.wanted <= self._reservation_limit
+            self.reserved + holding.wanted <= self.reservation_limit
             and self.used - holding.size + holding.wanted <= self.limit
         )
 
