--- a/packages/nutmeglift_gateway/nutmeglift_gateway/caller_request.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/caller_request.py
@@ -122,7 +122,9 @@
 
     def _feed(self, data: bytes) -> bytes:
         """Parses bytes and returns those that are to be parsed next."""
-        if not self.head_complete:
+        if self.head_complete:
+            self._framing_bytes += len(data)
+        else:
             self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -132,7 +134,10 @@
         except httptools.HttpParserError:
             self.reject(errors.ErrorKind.BAD_REQUEST)
         limits = self._limits()
-        if not self.head_complete and self._head_bytes > limits.header_bytes:
+        received = max(
+            self._framing_bytes, 0 if self.head_complete else self._head_bytes
+        )
+        if received > limits.header_bytes:
             self.reject(errors.ErrorKind.HEADER_TOO_LARGE)
         return b""
 
@@ -210,6 +215,9 @@
             return
         self._body.append(data)
         self._body_bytes += len(data)
+        # Counts what follows the last part of the body: the framing of chunks
+        # may be sent without end.
+        self._framing_bytes = 0
         if self._body_bytes > self._limits().body_bytes:
             self.reject(errors.ErrorKind.BODY_TOO_LARGE)
         elif (
@@ -285,6 +293,7 @@
         self.started = False
         self.head_complete = False
         self._head_bytes = 0
+        self._framing_bytes = 0
         self._header_field_bytes = 0
         self._url = b""
         self._headers: http_call.Headers = []
--- a/tests/gateway/test_endless_requests.py
+++ b/tests/gateway/test_endless_requests.py
@@ -7,6 +7,7 @@
 from nutmeglift import errors
 from nutmeglift_gateway import caller_request
 from nutmeglift_gateway import catalog
+from nutmeglift_gateway import request_memory
 
 PIECE_BYTES = 64 * 1024
 MAX_FED_BYTES = 4 * 1024 * 1024
@@ -36,6 +37,9 @@
     def on_continue_expected(self):
         pass
 
+    def on_large_body(self, holding, expected):
+        pass
+
     def on_request(self, request):
         raise AssertionError("the request has no end")
 
@@ -49,7 +53,9 @@
             with self.subTest(name):
                 recorder = Recorder()
                 parser = caller_request.RequestParser(
-                    recorder, catalog.ClientLimits
+                    recorder,
+                    catalog.ClientLimits,
+                    request_memory.Budget(MAX_PEAK_BYTES),
                 )
                 parser.feed(HEAD + first)
                 piece = repeated * (PIECE_BYTES // len(repeated))
