--- a/tests/gateway/test_hold_off_requests.py
+++ b/tests/gateway/test_hold_off_requests.py
@@ -38,7 +38,7 @@
         return script
 
     async def status(self, path="/release/1"):
-        self.rig.board.freshness.confirm(freshness.boot_clock())
+        rig.confirm(self.rig.board, freshness.boot_clock())
         return (await self.rig.call(path)).status
 
     def lines(self, event):
