--- a/packages/nutmeglift_gateway/nutmeglift_gateway/caller_request.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/caller_request.py
@@ -298,5 +298,5 @@
         self._url = b""
         self._headers: http_call.Headers = []
         self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body_bytes: int = 0
         self._announced = False
