Model test: more writes just before a restore; answers without an era

Change: steps are weighted; two such sequences are examples; confirmations are looked at every 20 ms.

--- a/tests/gateway/confirmation_reference.py
+++ b/tests/gateway/confirmation_reference.py
@@ -79,14 +79,23 @@
             self._revoked_at.setdefault(key, now)
         self.newest = version
 
-    def check(self, now, router):
-        """Checks a router against all rules.
+    def check_confirmation(self, now, router):
+        """Checks what a router takes for the newest version.
 
         Args:
             now: loop time, which is that of the confirmations too.
             router: the router; a new process is another one.
         """
-        for problem in self._find_problems(now, router):
+        self._record(now, router, self._find_false_confirmations(router))
+
+    def check_requests(self, now, router):
+        """Checks what a router does with requests."""
+        if router.board.catalog is not None:
+            self._record(now, router, self._find_accepted_keys(now, router))
+            self._record(now, router, self._find_refusals(now, router))
+
+    def _record(self, now, router, problems):
+        for problem in problems:
             self.problems.setdefault((problem, router.vm), round(now, 2))
 
     def check_settled(self, now, router):
@@ -111,7 +120,7 @@
                 ):
                     self.problems[("not admitted", router.vm)] = round(now, 2)
 
-    def _find_problems(self, now, router):
+    def _find_false_confirmations(self, router):
         catalog = router.board.catalog
         generation = catalog.generation if catalog else 0
         if generation < self._generation_by_router[router]:
@@ -127,12 +136,13 @@
             and not self._has_unreadable_from(newest.number)
         ):
             yield "an older version is confirmed"
+
+    def _find_accepted_keys(self, now, router):
         for key, revoked_at in self._revoked_at.items():
             if now >= revoked_at + REVOCATION_SECONDS and isinstance(
                 _admit(router, "first", key), admission.Admitted
             ):
                 yield "a revoked key is accepted"
-        yield from self._find_refusals(now, router)
 
     def _has_unreadable_from(self, number):
         """Returns whether a version from a number on is unreadable.
--- a/tests/gateway/confirmation_scenario.py
+++ b/tests/gateway/confirmation_scenario.py
@@ -18,7 +18,9 @@
 """Longest time after which confirmations of a new era count: while the last one
 before is young enough to accept keys, waiting refuses no request."""
 END_SECONDS = confirmation_reference.APPLY_SECONDS + MAX_SETTLE_SECONDS
-PROBE_SECONDS = 0.1
+PROBE_SECONDS = 0.02
+REQUEST_PROBE_COUNT = 5
+"""Every so many probes send requests."""
 COPY_SECONDS = 0.1
 """Interval of the copies that the store may come back from."""
 MAX_COPY_COUNT = 101
@@ -282,9 +284,11 @@
         await router.stop()
 
     async def _probe(self):
-        while True:
+        for number in itertools.count():
             for router in self._routers:
-                self.reference.check(self._now(), router)
+                self.reference.check_confirmation(self._now(), router)
+                if number % REQUEST_PROBE_COUNT == 0:
+                    self.reference.check_requests(self._now(), router)
             await asyncio.sleep(PROBE_SECONDS)
 
     async def _settle(self):
--- a/tests/gateway/test_confirmation_model.py
+++ b/tests/gateway/test_confirmation_model.py
@@ -77,6 +77,9 @@
     ("wait", 3.0),
 ]
 """All that is written after the restore has revisions below the known ones."""
+UNREAD = [("write", 1, False, True), ("drill", 2.0, 0.3, 1.8, "newest")]
+"""No router read the version that the copy lacks."""
+STARTED_IN_GAP = [*UNREAD, ("restart", 1), ("wait", 3.0)]
 TWICE = [
     ("storm", 5),
     ("drill", 1.0, 10.0, 0.0, "all"),
@@ -109,14 +112,25 @@
     )
 
 
-def make_steps(*strategies):
-    return st.lists(st.one_of(*strategies), max_size=MAX_STEP_COUNT)
+def make_steps(*groups):
+    """Returns lists of steps from groups, each with its weight."""
+    weighted = [
+        step
+        for weight, steps in groups
+        for step in steps
+        for _ in range(weight)
+    ]
+    return st.lists(
+        st.sampled_from(weighted).flatmap(lambda step: step),
+        max_size=MAX_STEP_COUNT,
+    )
 
 
 class ConfirmationModelTest(unittest.TestCase):
     @make_settings(60)
     @hypothesis.given(
-        st.integers(1, 3), make_steps(*WRITES, *WAITS, *TROUBLES, *UNREADABLE)
+        st.integers(1, 3),
+        make_steps((3, WRITES), (1, WAITS), (1, TROUBLES), (1, UNREADABLE)),
     )
     def test_without_a_restore(self, router_count, steps):
         self.assertEqual(find_problems(router_count, None, steps), {})
@@ -126,10 +140,14 @@
     @hypothesis.example(1, 1, LOST_REVOCATION)
     @hypothesis.example(3, 1, REVISIONS_BELOW)
     @hypothesis.example(3, 1, TWICE)
+    @hypothesis.example(1, 1, UNREAD)
+    @hypothesis.example(3, 1, STARTED_IN_GAP)
     @hypothesis.given(
         st.integers(1, 3),
         st.sampled_from([None, 1, 7]),
-        make_steps(*WRITES, *WAITS, *DRILLS, *TROUBLES, *UNREADABLE),
+        make_steps(
+            (4, WRITES), (2, WAITS), (5, DRILLS), (1, TROUBLES), (1, UNREADABLE)
+        ),
     )
     def test_with_restores(self, router_count, era, steps):
         self.assertEqual(find_problems(router_count, era, steps), {})
@@ -137,11 +155,24 @@
     @make_settings(40)
     @hypothesis.example(3, REVISIONS_BELOW)
     @hypothesis.given(
-        st.integers(1, 3), make_steps(*WRITES, *WAITS, *DRILLS, *FORGERIES)
+        st.integers(1, 3),
+        make_steps((2, WRITES), (1, WAITS), (3, DRILLS), (3, FORGERIES)),
     )
     def test_with_headers_that_are_wrong(self, router_count, steps):
         self.assertEqual(find_problems(router_count, 3, steps), {})
 
+    def test_answers_that_leave_out_an_era_that_is_known(self):
+        for kind in ("missing", "malformed"):
+            with self.subTest(kind):
+                steps = [
+                    ("storm", 2),
+                    ("forge_era", 0, kind, 2),
+                    ("drill", 0.0, 0.1, 0.0, "next"),
+                    ("renew", 1),
+                    ("wait", 1.0),
+                ]
+                self.assertEqual(find_problems(1, 3, steps), {})
+
 
 if __name__ == "__main__":
     unittest.main()
