--- a/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
@@ -2,31 +2,24 @@
 
 import asyncio
 from collections.abc import Callable
+import functools
 import socket
-import struct
 from typing import cast
 
 from nutmeglift import errors
 from nutmeglift_gateway import caller_request
 from nutmeglift_gateway import catalog
+from nutmeglift_gateway import connection_closing
 from nutmeglift_gateway import http_call
 from nutmeglift_gateway import metrics
+from nutmeglift_gateway import reading_timer
+from nutmeglift_gateway import request_memory
+from nutmeglift_gateway import unsent_responses
 
 MAX_PIPELINED_REQUEST_COUNT = 16
 """Reading stops once this many requests are queued on one connection."""
-READ_TURN_SECONDS = 0.001
-"""Shortest delay of a timer; the event loop reads from sockets before it."""
 WRITE_BUFFER_LIMIT_BYTES = 256 * 1024
 """Unsent bytes for a caller above which reading from its server is paused."""
-LINGER_SECONDS = 2.0
-"""Time for a caller to receive the last response and close. Within it, bytes
-that it still sends are discarded: a close with unread bytes resets the
-connection, and the reset may overtake the response (RFC 9112, section 9.6)."""
-LINGER_BYTES = 8 * 1024 * 1024
-"""Bytes that are discarded at most; about the largest body that a caller may
-still be sending when it is rejected."""
-RESET_LINGER = struct.pack("ii", 1, 0)
-"""Value of SO_LINGER with which a close discards unsent bytes and resets."""
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 """Interim response to `Expect: 100-continue` (RFC 9110, section 15.2.1)."""
 
@@ -39,7 +32,9 @@
 """Records a complete request that the router leaves without a response."""
 
 
-class CallerConnection(asyncio.Protocol, caller_request.BaseReceiver):
+class CallerConnection(
+    asyncio.Protocol, caller_request.BaseReceiver, unsent_responses.BaseWriter
+):
     """One caller's connection; its requests are processed one after another.
 
     Attributes:
@@ -58,6 +53,8 @@
         refuse: Callable[[errors.ErrorKind], bytes],
         connections: "set[CallerConnection]",
         record_unanswered: UnansweredRecorder | None = None,
+        memory: request_memory.Budget = request_memory.SHARED_BUDGET,
+        unsent: unsent_responses.Budget = unsent_responses.SHARED_BUDGET,
     ) -> None:
         """Initializes a connection.
 
@@ -68,6 +65,8 @@
                 read.
             connections: all open connections, to which it adds itself.
             record_unanswered: records requests that are left unanswered.
+            memory: limits the memory of all callers' requests.
+            unsent: limits the memory of all callers' unsent responses.
         """
         self.closed = False
         self.current: caller_request.Request | None = None
@@ -81,15 +80,19 @@
         self._record_unanswered = record_unanswered
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
-        self._parser = caller_request.RequestParser(self, limits)
+        self._memory = memory
+        self._unsent = unsent
+        self._parser = caller_request.RequestParser(self, limits, memory)
+        self._large: tuple[request_memory.Holding, int] | None = None
+        self._awaits_memory = False
         self._waiting: list[caller_request.Request] = []
         self._rejection: errors.ErrorKind | None = None
         self._continue_expected = False
         self._has_responded = False
         self._paused = False
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer = reading_timer.ReadingTimer()
         self._idle_since = 0.0
-        self._discarded_bytes = 0
+        self._closing: connection_closing.Closing | None = None
 
     @property
     def is_idle(self) -> bool:
@@ -120,6 +123,21 @@
         if self._transport is not None and not self.closed:
             self.response_begun = True
             self._transport.write(data)
+            unsent_bytes = self._transport.get_write_buffer_size()
+            if unsent_bytes >= unsent_responses.MIN_COUNTED_BYTES:
+                self._unsent.record(self, unsent_bytes)
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Number of bytes that the caller has not been sent yet."""
+        assert self._transport is not None
+        return self._transport.get_write_buffer_size()
+
+    def cut(self) -> None:
+        """Resets the connection once the current event has been handled."""
+        assert self._transport is not None
+        connection_closing.reset_on_close(self._transport)
+        self._loop.call_soon(self._transport.abort)
 
     def finish(self, *, keep_alive: bool) -> None:
         """Ends the current request.
@@ -129,6 +147,7 @@
                 otherwise it is closed once the caller has received it.
         """
         current, self.current = self.current, None
+        self._release(current)
         self._has_responded = True
         self.on_close = None
         self.on_writable = None
@@ -138,21 +157,20 @@
             self._drop_waiting(metrics.UnansweredCause.CONNECTION_CLOSED)
             self._close_after_response()
             return
-        if self._paused and len(self._waiting) < MAX_PIPELINED_REQUEST_COUNT:
-            self._paused = False
-            assert self._transport is not None
-            self._transport.resume_reading()
+        if self._paused:
+            self._update_reading()
         self._start_next()
         self._restart_timer()
 
     def abort(self) -> None:
         """Aborts the connection, so that the response is visibly incomplete."""
         current, self.current = self.current, None
+        self._release(current)
         self.on_close = None
         if self._transport is not None and not self.closed:
             self.closed = True
             if current is not None and not current.accepts_chunked:
-                self._reset_on_close()
+                connection_closing.reset_on_close(self._transport)
             self._drop_waiting(metrics.UnansweredCause.CONNECTION_ABORTED)
             self._transport.abort()
 
@@ -185,10 +203,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Passes received bytes to the parser, or discards them."""
-        if self.closed:
-            self._discard(data)
-            return
-        if self._rejection is not None:
+        if self._closing is not None:
+            self._closing.discard(data)
+        if self.closed or self._rejection is not None:
             return
         self._parser.feed(data)
 
@@ -200,8 +217,13 @@
         """Handles the loss of the connection."""
         self.closed = True
         self._connections.discard(self)
-        self._cancel_timer()
+        self._unsent.forget(self)
+        self._timer.cancel()
+        self._parser.close()
+        for request in [self.current, *self._waiting]:
+            self._release(request)
         self._waiting.clear()
+        self.on_writable = None
         on_close, self.on_close = self.on_close, None
         if on_close is not None:
             on_close()
@@ -231,27 +253,33 @@
         self._continue_expected = True
         self._start_next()
 
+    def on_large_body(self, holding: request_memory.Holding, size: int) -> None:
+        """Stops reading until memory is reserved for the body."""
+        self._large = (holding, size)
+        self._awaits_memory = True
+        self._update_reading()
+        self._start_next()
+
     def on_request(self, request: caller_request.Request) -> None:
         """Queues a complete request."""
-        self._cancel_timer()
+        self._timer.cancel()
         self._continue_expected = False
         self._waiting.append(request)
         if self.closed:
             # The response to a request in the same data closed the connection.
             self._drop_waiting(metrics.UnansweredCause.CONNECTION_CLOSED)
             return
-        if (
-            len(self._waiting) >= MAX_PIPELINED_REQUEST_COUNT
-            and not self._paused
-        ):
-            self._paused = True
-            assert self._transport is not None
-            self._transport.pause_reading()
+        self._large, self._awaits_memory = None, False
+        if self._paused or len(self._waiting) >= MAX_PIPELINED_REQUEST_COUNT:
+            self._update_reading()
         self._start_next()
 
     def on_rejected(self, kind: errors.ErrorKind) -> None:
         """Responds to a request that cannot be read, after those before it."""
         self._rejection = kind
+        self._large = None
+        self._awaits_memory = False
+        self._update_reading()
         self._start_next()
 
     def _start_next(self) -> None:
@@ -266,70 +294,84 @@
             self.write(self._refuse(self._rejection))
             self._close_after_response()
             return
-        if self._continue_expected:
+        if self._large is not None:
+            self._reserve_memory(*self._large)
+        if self._continue_expected and not self._awaits_memory:
             self._continue_expected = False
             self.write(CONTINUE)
 
+    def _reserve_memory(
+        self, holding: request_memory.Holding, size: int
+    ) -> None:
+        self._large = None
+        if not self._memory.reserve(holding, size, self._on_reserved):
+            self._parser.reject(errors.ErrorKind.OVERLOADED)
+            return
+        if holding.state is request_memory.State.RESERVED:
+            self._on_reserved()
+        else:
+            self._restart_timer()
+
+    def _on_reserved(self) -> None:
+        """Reads the body, within the time for it."""
+        self._awaits_memory = False
+        self._update_reading()
+        self._restart_timer()
+        self._start_next()
+
+    def _update_reading(self) -> None:
+        paused = (
+            self._awaits_memory
+            or len(self._waiting) >= MAX_PIPELINED_REQUEST_COUNT
+        )
+        if paused == self._paused or self.closed:
+            return
+        self._paused = paused
+        assert self._transport is not None
+        if paused:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
+    def _release(self, request: caller_request.Request | None) -> None:
+        if request is not None and request.holding is not None:
+            self._memory.release(request.holding)
+
     def _drop_waiting(self, cause: metrics.UnansweredCause) -> None:
         waiting, self._waiting = self._waiting, []
+        for request in waiting:
+            self._release(request)
         if self._record_unanswered is None:
             return
         for request in waiting:
             self._record_unanswered(request, cause)
 
-    def _on_header_timeout(self) -> None:
-        self._parser.reject(errors.ErrorKind.HEADER_TIMEOUT)
-
     def _on_idle(self) -> None:
         # A new configuration may have changed the limit.
         idle_until = self._idle_since + self._limits().idle_timeout
         remaining = idle_until - self._loop.time()
         if remaining > 0:
-            self._set_timer(remaining, self._on_idle)
+            self._timer.set(remaining, self._on_idle)
             return
         self.close_if_idle()
 
     def _restart_timer(self) -> None:
         """Limits the time for the caller's next step, if one is awaited."""
-        self._cancel_timer()
         if self.closed or self.current is not None:
+            self._timer.cancel()
             return
         limits = self._limits()
         if not self._parser.started:
             self._idle_since = self._loop.time()
-            self._set_timer(limits.idle_timeout, self._on_idle)
-        elif not self._parser.head_complete:
-            self._set_timer(limits.header_timeout, self._on_header_timeout)
-        else:
-            self._set_timer(
-                max(limits.header_timeout, limits.idle_timeout),
-                self._on_header_timeout,
-            )
-
-    def _set_timer(self, seconds: float, call: Callable[[], None]) -> None:
-        self._cancel_timer()
-        self._timer = self._loop.call_later(
-            seconds, self._call_after_reading, call
-        )
-
-    def _call_after_reading(self, call: Callable[[], None]) -> None:
-        """Handles an elapsed time limit, unless the caller's bytes have come.
-
-        After a delay, event loops may run timers before they read.
-        """
-        self._timer = self._loop.call_later(READ_TURN_SECONDS, call)
-
-    def _cancel_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-
-    def _reset_on_close(self) -> None:
-        """Makes the close a reset: a graceful one may end a response."""
-        assert self._transport is not None
-        sock = self._transport.get_extra_info("socket")
-        if sock is not None:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+            self._timer.set(limits.idle_timeout, self._on_idle)
+            return
+        kind, seconds = errors.ErrorKind.HEADER_TIMEOUT, limits.header_timeout
+        if self._awaits_memory:
+            kind = errors.ErrorKind.OVERLOADED
+            seconds = request_memory.MAX_WAIT_SECONDS
+        elif self._parser.head_complete:
+            seconds = max(limits.header_timeout, limits.idle_timeout)
+        self._timer.set(seconds, functools.partial(self._parser.reject, kind))
 
     def _close(self) -> None:
         if self._transport is not None and not self.closed:
@@ -343,26 +385,14 @@
         """
         assert self._transport is not None
         self.closed = True
-        try:
-            self._transport.write_eof()
-        except OSError:
-            # The caller has reset the connection.
-            self._transport.abort()
-            return
-        if self._paused:
-            self._transport.resume_reading()
-        self._set_timer(LINGER_SECONDS, self._on_linger_end)
+        self._closing = connection_closing.Closing(self._transport)
+        if self._closing.begin(paused=self._paused):
+            self._linger()
 
-    def _on_linger_end(self) -> None:
-        assert self._transport is not None
-        if self._transport.get_write_buffer_size():
-            # The response has not left the router yet.
-            self._set_timer(LINGER_SECONDS, self._on_linger_end)
-            return
-        self._transport.close()
+    def _linger(self) -> None:
+        self._timer.set(connection_closing.LINGER_SECONDS, self._on_linger_end)
 
-    def _discard(self, data: bytes) -> None:
-        self._discarded_bytes += len(data)
-        if self._discarded_bytes > LINGER_BYTES:
-            assert self._transport is not None
-            self._transport.close()
+    def _on_linger_end(self) -> None:
+        assert self._closing is not None
+        if not self._closing.end():
+            self._linger()
