Let an answer of an unknown era begin it, and keep what a lost version revoked

A success in an era that only the client had seen confirmed at once, before the time to settle; and when a restored store had the version in force at a newer revision, the keys that a rejected, newer version had taken away were accepted again. Freshness.confirm records the era that an answer names, and a rejection ends with a greater generation, or in its own era.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/freshness.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/freshness.py
@@ -69,8 +69,8 @@
     """A peer's word that its configuration was confirmed.
 
     Attributes:
-        sent_at: latest time at which the peer's call may have been sent, on
-            this router's boot clock.
+        sent_at: time before which the peer's call was not sent, on this
+            router's boot clock.
         generation: generation of the peer's configuration.
         digest: digest of its value.
     """
@@ -122,6 +122,7 @@
         """
         match confirmation:
             case StoreConfirmation(sent_at, revision, source, known_revision):
+                self.record_era(sent_at, eras.era_of(revision))
                 holds = (
                     revision >= known_revision
                     and self._includes(revision)
@@ -163,10 +164,15 @@
             generation: its generation.
             digest: digest of its value.
         """
+        is_newer = generation > self.generation
         self.generation = generation
         self.digest = digest
         self.record_stored(revision, generation)
-        if revision >= self.rejected_revision:
+        # A restored store may have lost the rejected version.
+        if revision >= self.rejected_revision and (
+            is_newer
+            or eras.era_of(revision) == eras.era_of(self.rejected_revision)
+        ):
             self.rejected_revision = NONE
             self._retained_keys = None
 
--- a/tests/gateway/test_catalog_view.py
+++ b/tests/gateway/test_catalog_view.py
@@ -140,6 +140,8 @@
                 else:
                     self.assertEqual(self.board.catalog.generation, in_force)
                 last = max(revision(*row[:2]) for row in versions)
+                # The listing that showed the era, long before the answer.
+                self.board.freshness.record_era(100.0, eras.era_of(last))
                 holds = self.board.confirm(
                     freshness.StoreConfirmation(
                         SENT_AT, last, freshness.Source.TRANSACTION
@@ -189,6 +191,15 @@
                 )
                 self.assertEqual(state.confirm(found), holds)
 
+    def test_an_answer_of_an_era_that_was_not_known_confirms_nothing(self):
+        state = self.make_freshness()
+        state.record_in_force(revision(2, 50), ids.Generation(8), 80)
+        for sent_at, holds in ((200.0, False), (202.1, True)):
+            found = freshness.StoreConfirmation(
+                sent_at, revision(2, 50), freshness.Source.TRANSACTION
+            )
+            self.assertEqual(state.confirm(found), holds)
+
     def test_a_settled_era_is_waited_for_no_more(self):
         for settled, holds in ((1, False), (2, True), (3, False)):
             with self.subTest(settled):
