Let a peer's copy of a restored store undo nothing that is known

Cause: only a router's own listing began an era, and what lapsed or became unreadable was not remembered as left. A copy begins the era too, both ways record it, and routers stay known until the era has settled.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/directory.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/directory.py
@@ -206,6 +206,7 @@
         self._claims.forget(server_id)
         if known is None:
             return False
+        self._restored.record_left(known)
         self._leave(now, server_id)
         return True
 
@@ -277,6 +278,7 @@
             return []
         gone = sorted(self._lapsed_ids)
         for server_id in gone:
+            self._restored.record_left(self.server_by_id[server_id])
             self._leave(now, server_id)
         return gone
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/store_view.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/store_view.py
@@ -114,7 +114,7 @@
         self.entry_by_key = {}
         self.settled_era = None
         now = self._now()
-        is_restored = self._begin_era(now, snapshot.revision)
+        self._begin_era(now, snapshot.revision)
         for entry in snapshot.entries:
             if entry.key == self._schema.catalog_key:
                 self._guard(entry, self.catalog.apply)
@@ -134,7 +134,8 @@
                 self._guard(entry, self.apply_quarantine)
         self._board.directory.replace_all(now, servers)
         self._listed_routers = routers
-        kept = self._board.router_by_name if is_restored else {}
+        is_settled = self._board.freshness.is_settled(freshness.boot_clock())
+        kept = {} if is_settled else self._board.router_by_name
         self._board.router_by_name = kept | routers
         self.planner = planner
         self.view_age.record_listing(snapshot.revision, sent_at)
@@ -147,17 +148,24 @@
             planner=planner.value.decode("latin-1") if planner else None,
         )
 
-    def _begin_era(self, now: float, revision: ids.Revision) -> bool:
-        """Returns whether the store came back from an older copy."""
+    def _begin_era(self, now: float, revision: ids.Revision) -> None:
+        """Records a later era, in which the store has an older copy's state.
+
+        Args:
+            now: loop time in seconds.
+            revision: newest revision of the listing or copy that shows it.
+        """
         era = eras.era_of(revision)
         self._board.freshness.record_era(freshness.boot_clock(), era)
-        known, self._listed_era = self._listed_era, era
-        if known is None or era == known:
-            return False
+        known = self._listed_era
+        if known is not None and era <= known:
+            return
+        self._listed_era = era
+        if known is None:
+            return
         self._log.write("store restored", era=era, revision=revision)
         self._board.directory.begin_era(revision)
         self.on_restore(now)
-        return True
 
     def _apply_settled_era(self, entry: kv.KeyValue) -> None:
         self.settled_era = entry
@@ -183,6 +191,8 @@
                 of `view_age`.
         """
         self.view_age.record_copy(read_at)
+        if entries:
+            self._begin_era(now, max(e.mod_revision for e in entries))
         servers = [s for e in entries if (s := self._decode_server(now, e))]
         self._board.directory.replace_all(now, servers)
 
