--- a/packages/nutmeglift_gateway/nutmeglift_gateway/failure_recorder.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/failure_recorder.py
@@ -104,11 +104,12 @@
             first: the server that responded.
             raw: the time that it named.
             fault: address of the server that it blames; empty for none. The
-                time holds for that one too if it is of the same service.
+                time holds for that one too if it is a runner of the same
+                service; a plain server depends on no other.
         """
         self._record_hold_off(first, first, raw)
         server = self._board.server_at(fault.decode("latin-1"))
-        if server is None or server.service != first.service:
+        if server is None or server.service != first.service or not first.kind:
             return
         if server.lifetime != first.lifetime:
             self._record_hold_off(server, first, raw)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
@@ -142,9 +142,9 @@
             try:
                 await self._confirm_once()
                 self.outage.record_answer(self._now())
-                await self._settled_era.record(self.view.settled_era)
                 self._board.notify_listeners()
                 backoff.reset()
+                await self._record_settled_era()
             except errors.PlatformError as error:
                 self.outage.record_failure(self._now(), sent_at, str(error))
                 await asyncio.sleep(backoff.next_seconds())
@@ -363,6 +363,13 @@
             # A conflict does not name the store's revision.
             await self._read_store_revision()
 
+    async def _record_settled_era(self) -> None:
+        """Writes the settled era; a failure says nothing of other calls."""
+        try:
+            await self._settled_era.record(self.view.settled_era)
+        except errors.PlatformError as error:
+            self._log.write("era not recorded", detail=str(error))
+
     def _record_era(self, revision: ids.Revision) -> None:
         """Has the store listed if it came back from an older copy."""
         self._board.freshness.record_era(
