--- a/tests/gateway/test_store_drill.py
+++ b/tests/gateway/test_store_drill.py
@@ -144,7 +144,15 @@
             self.assertTrue(self.is_admitted(router, "/eight/1"), router.vm)
 
     async def test_a_key_whose_revocation_a_restore_lost_is_not_accepted(self):
-        for away_seconds, gap_seconds in ((3.0, 0.5), (3.0, 1.8), (0.1, 3.5)):
+        await self.check_lost_revocation(((3.0, 0.5), (3.0, 1.8), (0.1, 3.5)))
+
+    async def test_a_lost_revocation_that_is_written_again_late_is_respected(
+        self,
+    ):
+        await self.check_lost_revocation(((3.0, 2.5), (3.0, 3.8)))
+
+    async def check_lost_revocation(self, cases):
+        for away_seconds, gap_seconds in cases:
             with self.subTest(away=away_seconds, gap=gap_seconds):
                 deployment = await self.start()
                 await self.write(
--- a/tests/gateway/test_store_eras.py
+++ b/tests/gateway/test_store_eras.py
@@ -82,6 +82,19 @@
                         found.append("dropped")
                 self.assertEqual(found, expected)
 
+    async def test_one_answer_of_a_huge_era_does_not_end_the_use_of_the_store(
+        self,
+    ):
+        self.answer_with([b"1", b"7001"] + 9 * [b"1"])
+        answered_count = 0
+        for _ in range(11):
+            try:
+                await self.client.snapshot("")
+                answered_count += 1
+            except errors.KvAnswerLostError:
+                continue
+        self.assertGreater(answered_count, 2)
+
     async def test_revisions_of_a_restored_store_are_greater(self):
         self.stand_in.era = 1
         taken = self.memory.take_copy()
