--- a/tests/gateway/test_restored_views.py
+++ b/tests/gateway/test_restored_views.py
@@ -4,6 +4,7 @@
 import unittest
 
 from nutmeglift import eras
+from nutmeglift import errors
 from nutmeglift import ids
 from nutmeglift import kv
 from nutmeglift_gateway import directory
@@ -140,6 +141,29 @@
 
         virtual_time.run(run())
 
+    def test_a_failed_note_of_the_settled_era_is_no_outage(self):
+        async def run():
+            await self.list_store(1, 90, [(CONFIGURATION, b"generation 7", 80)])
+            self.board.freshness.settle(ids.Era(1))
+            await asyncio.sleep(5)
+            self.board.fence = ids.FencingNumber(5)
+
+            async def txn(compares, writes, otherwise=None):
+                if writes:
+                    raise errors.KvUnavailableError("429")
+                return kv.TxnResult(True, rev(1, 91))
+
+            self.store.txn = txn
+            told = []
+            self.board.listeners.add(lambda: told.append(1))
+            task = asyncio.ensure_future(self.reader.confirm())
+            await asyncio.sleep(3)
+            task.cancel()
+            self.assertNotIn("store lost", self.log.events())
+            self.assertTrue(told)
+
+        virtual_time.run(run())
+
 
 if __name__ == "__main__":
     unittest.main()
