--- a/tests/gateway/test_false_confirmations.py
+++ b/tests/gateway/test_false_confirmations.py
@@ -40,11 +40,8 @@
 
 def respond(status, fields):
     raw = json.dumps(fields).encode()
-    return b"HTTP/1.1 %d X\r\ncontent-length: %d\r\n\r\n%b" % (
-        status,
-        len(raw),
-        raw,
-    )
+    head = b"HTTP/1.1 %d X\r\nstore-era: 1\r\ncontent-length: %d\r\n\r\n"
+    return head % (status, len(raw)) + raw
 
 
 class FalseConfirmationTest(virtual_time_case.VirtualTimeTestCase):
