--- a/packages/nutmeglift_gateway/nutmeglift_gateway/catalog.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/catalog.py
@@ -114,6 +114,10 @@
         nominal_tokens: nominal KV cache capacity of a runner, in tokens.
         kind_by_name: the kinds of accelerators.
         domain_delay: one-way delay between failure domains, in seconds.
+        prompt_chunk_tokens: prompt tokens that a runner processes at most in
+            one decoding step; 0 if that isn't known.
+        prompt_pair_seconds: additional prompt time per pair of a token and an
+            earlier one, in seconds.
     """
 
     layers: int
@@ -132,6 +136,8 @@
     nominal_tokens: int
     kind_by_name: dict[str, RunnerKind]
     domain_delay: float
+    prompt_chunk_tokens: int = 0
+    prompt_pair_seconds: float = 0.0
 
     @property
     def layer_token_mb(self) -> float:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/path_costs.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/path_costs.py
@@ -89,8 +89,31 @@
             waiting / engine.layers / engine.prompt_tokens_per_second * factor
         )
 
-    def crossing_seconds(self) -> float:
-        """Returns the time of a crossing between failure domains."""
+    def prompt_seconds(
+        self, server: directory.Server, prompt_tokens: int
+    ) -> float:
+        """Returns the time in which a runner processes a prompt in all layers.
+
+        Args:
+            server: the runner.
+            prompt_tokens: tokens of the prompt.
+        """
         engine = self._engine
-        transfer = engine.activation_bytes * 8 / (engine.pipe_mbps * 1e6)
+        kind = engine.kind(server.kind)
+        seconds = (
+            prompt_tokens / engine.prompt_tokens_per_second
+            + prompt_tokens**2 / 2 * engine.prompt_pair_seconds
+        )
+        return seconds * kind.prompt_time_factor * self._pace_of(server.address)
+
+    def crossing_seconds(self, tokens: int = 1) -> float:
+        """Returns the time of a crossing between failure domains.
+
+        Args:
+            tokens: tokens whose activations cross.
+        """
+        engine = self._engine
+        transfer = (
+            tokens * engine.activation_bytes * 8 / (engine.pipe_mbps * 1e6)
+        )
         return engine.domain_delay + transfer
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/paths.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/paths.py
@@ -176,6 +176,11 @@
         self._costs = path_costs.PathCosts(engine, load_tracker, pace_of)
         self._full = full
 
+    @property
+    def costs(self) -> path_costs.PathCosts:
+        """The costs of the runners at their current load."""
+        return self._costs
+
     def layer_seconds(self, server: directory.Server) -> float:
         """Returns a runner's expected seconds for one layer of a token step."""
         return self._costs.layer_seconds(server)
