Let less urgent requests wait for room

Change: a request waits while sending it would make more urgent ones late, and while it can still be in time; without room it waits in order, or is refused at once. Services whose requests have one priority are served as before.

--- a/packages/nutmeglift/nutmeglift/fair_queue.py
+++ b/packages/nutmeglift/nutmeglift/fair_queue.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import heapq
+import math
 
 from nutmeglift import ids
 
@@ -23,6 +24,8 @@
         weight: relative share among accounts of the same priority.
         cost: estimated work, in tokens.
         arrived_at: clock time of its arrival, in seconds.
+        due_at: clock time by which it should begin, in seconds; an account's
+            requests with a sooner one go first. None: in order of arrival.
     """
 
     number: int
@@ -31,21 +34,34 @@
     weight: float
     cost: float
     arrived_at: float
+    due_at: float | None = None
 
 
 class _AccountQueue:
     """Requests of one account and priority, with their virtual start time."""
 
-    __slots__ = ("cost", "start", "waiting", "weight")
+    __slots__ = ("cost", "has_due_times", "start", "waiting", "weight")
 
     def __init__(self, start: float) -> None:
         self.start = start
         self.weight = 1.0
         self.cost = 0.0
+        self.has_due_times = False
         self.waiting: collections.OrderedDict[int, QueuedRequest] = (
             collections.OrderedDict()
         )
 
+    def head(self) -> QueuedRequest:
+        """Returns the next request; the queue must not be empty."""
+        if not self.has_due_times:
+            return next(iter(self.waiting.values()))
+        return min(
+            self.waiting.values(),
+            key=lambda request: (
+                math.inf if request.due_at is None else request.due_at
+            ),
+        )
+
     @property
     def backlog(self) -> float:
         """Queued work divided by the weight, in tokens."""
@@ -77,19 +93,19 @@
             self.weight += request.weight - queue.weight
         queue.weight = request.weight
         queue.waiting[request.number] = request
+        queue.has_due_times |= request.due_at is not None
         queue.cost += request.cost
         self.cost += request.cost
 
     def head(self) -> QueuedRequest:
         """Returns the next request; the level must not be empty."""
-        account = self._next_account()
-        return next(iter(self.queue_by_account[account].waiting.values()))
+        return self.queue_by_account[self._next_account()].head()
 
     def pop(self) -> QueuedRequest:
         """Removes the next request and charges its account."""
         account = self._next_account()
         queue = self.queue_by_account[account]
-        request = next(iter(queue.waiting.values()))
+        request = queue.head()
         self.virtual_time = max(self.virtual_time, queue.start)
         queue.start += request.cost / request.weight
         heapq.heappop(self._heap)
@@ -223,11 +239,22 @@
         priorities = self._nonempty_priorities()
         if not priorities:
             return None
-        priority = self._choose_priority(priorities)
+        priority, self._lower_priority_credit = self._choose_priority(
+            priorities
+        )
         request = self._level_by_priority[priority].pop()
         del self._request_by_number[request.number]
         return request
 
+    def peek(self) -> QueuedRequest | None:
+        """Returns what pop() would return, without removing it."""
+        priorities = self._nonempty_priorities()
+        if not priorities:
+            return None
+        return self._level_by_priority[
+            self._choose_priority(priorities)[0]
+        ].head()
+
     def remove(self, number: int) -> QueuedRequest | None:
         """Removes and returns a request; None if it is not queued."""
         request = self._request_by_number.pop(number, None)
@@ -275,19 +302,18 @@
             reverse=True,
         )
 
-    def _choose_priority(self, priorities: list[int]) -> int:
+    def _choose_priority(self, priorities: list[int]) -> tuple[int, float]:
+        """Returns the priority to serve, and the lower ones' credit then."""
         highest = priorities[0]
         if len(priorities) == 1:
-            self._lower_priority_credit = 0.0
-            return highest
+            return highest, 0.0
         lower = min(priorities[1:], key=self._oldest_arrival)
         lower_cost = self._level_by_priority[lower].head().cost
         if self._lower_priority_credit >= lower_cost:
-            self._lower_priority_credit -= lower_cost
-            return lower
+            return lower, self._lower_priority_credit - lower_cost
         cost = self._level_by_priority[highest].head().cost
-        self._lower_priority_credit += cost * self._credit_per_served_token
-        return highest
+        earned = cost * self._credit_per_served_token
+        return highest, self._lower_priority_credit + earned
 
     def _oldest_arrival(self, priority: int) -> float:
         return self._level_by_priority[priority].head().arrived_at
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/context.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/context.py
@@ -10,6 +10,7 @@
 from nutmeglift_gateway import metrics as metric_sets
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import stream_monitor
+from nutmeglift_gateway.load import waiting_room
 
 
 @dataclasses.dataclass(frozen=True)
@@ -25,6 +26,7 @@
         log: log of the router's decisions.
         metrics: counters and histograms.
         rng: random number generator.
+        waiting: lets requests wait for room.
         gate: lets requests wait for the first configuration.
     """
 
@@ -36,6 +38,7 @@
     log: decision_log.DecisionLog
     metrics: metric_sets.Metrics
     rng: random.Random
+    waiting: waiting_room.WaitingRoom
     gate: configuration_gate.ConfigurationGate = dataclasses.field(
         default_factory=configuration_gate.ConfigurationGate
     )
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
@@ -21,6 +21,7 @@
 from nutmeglift_gateway import sender as senders
 from nutmeglift_gateway import server_selection
 from nutmeglift_gateway import stream_attempts
+from nutmeglift_gateway.load import events
 
 _LOST_OR_INVALID = frozenset(
     {retry_policy.Failure.LOST, retry_policy.Failure.INVALID}
@@ -55,13 +56,7 @@
         """Serves the request; cancelled when the caller disconnects."""
         context = self._context
         await context.gate.wait(context.board)
-        result = admission.admit(
-            context.board,
-            context.names,
-            self._request,
-            freshness.boot_clock(),
-            context.rng,
-        )
+        result = self._admit()
         if isinstance(result, admission.Refused):
             self._reply.refuse(result.kind, result.retry_after, result.detail)
             return
@@ -83,6 +78,16 @@
                 self._reply.record_caller_left(result)
             raise
 
+    def _admit(self) -> admission.Admitted | admission.Refused:
+        context = self._context
+        return admission.admit(
+            context.board,
+            context.names,
+            self._request,
+            freshness.boot_clock(),
+            context.rng,
+        )
+
     async def _refuse_quarantined(self, admitted: admission.Admitted) -> bool:
         """Refuses a request that would end its server, unless as a trial."""
         guard = self._context.board.guard
@@ -138,13 +143,38 @@
                 self._streams.check_quarantine
             )
         try:
-            await self._run_attempts(admitted)
+            if await self._wait_for_room(admitted):
+                await self._run_attempts(admitted)
         finally:
+            if self._reply.progress.sent:
+                self._context.waiting.record_end(admitted)
             if self._streams is not None:
                 self._context.board.guard.listeners.discard(
                     self._streams.check_quarantine
                 )
 
+    async def _wait_for_room(self, admitted: admission.Admitted) -> bool:
+        """Returns whether to send a request, perhaps after a wait."""
+        if self._streams is None or self._first_event_id() is not None:
+            return True
+        verdict = await self._context.waiting.enter(
+            admitted, self._request.received_at, len(self._request.body)
+        )
+        if isinstance(verdict, events.Refuse):
+            self._reply.refuse_waiting(admitted, verdict)
+            return False
+        self._streams.first_path = verdict.path
+        if not verdict.waited:
+            return True
+        # Its key may have been revoked meanwhile.
+        checked = self._admit()
+        if isinstance(checked, admission.Refused):
+            self._reply.refuse(
+                checked.kind, checked.retry_after, checked.detail
+            )
+            return False
+        return True
+
     async def _run_attempts(self, admitted: admission.Admitted) -> None:
         while True:
             if not self._may_begin(admitted):
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -39,6 +39,7 @@
 from nutmeglift_gateway import supervision
 from nutmeglift_gateway import unsent_responses
 from nutmeglift_gateway import unserved_requests
+from nutmeglift_gateway.load import waiting_room
 
 
 class Gateway:
@@ -127,6 +128,9 @@
         self._peers = peer_links.PeerLinks(
             self.board, self._reader, config.vm, log, rng
         )
+        self._waiting = waiting_room.WaitingRoom(
+            self.board, config.room, self.metrics, log, rng
+        )
         self._context = contexts.Context(
             self.board,
             names,
@@ -136,6 +140,7 @@
             log,
             self.metrics,
             rng,
+            self._waiting,
         )
         self._callers: set[http_listener.CallerConnection] = set()
         self._checkers: set[http_listener.CallerConnection] = set()
@@ -189,6 +194,7 @@
             first_start=self._config.first_start,
         )
         await leaving.wait()
+        self._waiting.drain()
         self._start(self._registration.end())
         await graceful_shutdown.GracefulShutdown(
             self.board,
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/room.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/room.py
@@ -32,12 +32,16 @@
         first_event_seconds: expected time to its first event.
         fastest_seconds: expected time to the first event of an equal request
             on the fastest path, once this one was sent.
-        used_ratio: used part of the path's memory or slots, whichever is more.
+        used_ratio: used part of the path's memory or slots, whichever is more,
+            once this request was sent.
+        capacity_tokens: tokens that the service's runners hold at once, over
+            all paths.
     """
 
     first_event_seconds: float
     fastest_seconds: float
     used_ratio: float
+    capacity_tokens: float
 
 
 class BaseRoom(abc.ABC):
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/loads.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/loads.py
@@ -1,6 +1,9 @@
 """Load of each backend server, summed over all routers."""
 
+from collections.abc import Callable
+from collections.abc import Iterator
 from collections.abc import Mapping
+import contextlib
 import dataclasses
 
 PEER_REPORT_TIMEOUT_SECONDS = 1.5
@@ -53,9 +56,14 @@
 
 
 class LoadTracker:
-    """Sums this router's reservations and those that other routers report."""
+    """Sums this router's reservations and those that other routers report.
+
+    Attributes:
+        on_freed: called when capacity may have become free.
+    """
 
     def __init__(self) -> None:
+        self.on_freed: Callable[[], None] = lambda: None
         self._own_by_address: dict[str, Load] = {}
         self._peer_loads: dict[str, tuple[float, Mapping[str, Load]]] = {}
         self._total_by_address: dict[str, Load] = {}
@@ -86,6 +94,24 @@
         for reservation in reservations:
             _add(self._own_by_address, reservation, -1)
             _add(self._total_by_address, reservation, -1)
+        if reservations:
+            self.on_freed()
+
+    @contextlib.contextmanager
+    def trial(self, reservations: tuple[Reservation, ...]) -> Iterator[None]:
+        """Counts a request and its prompt while the context lasts.
+
+        The context must not be left before it ends, as by `await`.
+        """
+        for reservation in reservations:
+            _add(self._total_by_address, reservation, 1)
+        self._change_prompts(self._total_by_address, reservations, 1)
+        try:
+            yield
+        finally:
+            self._change_prompts(self._total_by_address, reservations, -1)
+            for reservation in reservations:
+                _add(self._total_by_address, reservation, -1)
 
     def begin_prompts(self, reservations: tuple[Reservation, ...]) -> None:
         """Adds the prompt of a request that was sent."""
@@ -97,14 +123,19 @@
 
     def _add_prompts(
         self, reservations: tuple[Reservation, ...], sign: int
+    ) -> None:
+        for load_by_address in (self._own_by_address, self._total_by_address):
+            self._change_prompts(load_by_address, reservations, sign)
+
+    @staticmethod
+    def _change_prompts(
+        load_by_address: dict[str, Load],
+        reservations: tuple[Reservation, ...],
+        sign: int,
     ) -> None:
         for reservation in reservations:
             change = Load(prompt_token_layers=reservation.prompt_token_layers)
-            for load_by_address in (
-                self._own_by_address,
-                self._total_by_address,
-            ):
-                _accumulate(load_by_address, reservation.address, change, sign)
+            _accumulate(load_by_address, reservation.address, change, sign)
 
     def record_report(
         self, now: float, peer: str, loads: Mapping[str, Load]
@@ -114,6 +145,14 @@
         self._peer_loads[peer] = (now, loads)
         for address, load in loads.items():
             _accumulate(self._total_by_address, address, load, 1)
+        self.on_freed()
+
+    def report_age(self, now: float) -> float:
+        """Returns the seconds since the oldest of the peers' last reports."""
+        return max(
+            (now - received_at for received_at, _ in self._peer_loads.values()),
+            default=0.0,
+        )
 
     def expire(self, now: float) -> None:
         """Drops the reports of peers that no longer send any."""
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/metrics.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/metrics.py
@@ -1,5 +1,6 @@
 """Metrics of a router in the Prometheus text format."""
 
+from collections.abc import Sequence
 import enum
 
 import prometheus_client
@@ -77,6 +78,25 @@
         self.answer = self._histogram(
             "answer_seconds", "Time to a plain answer."
         )
+        self.admitted = self._counter(
+            "admitted", "Requests admitted.", ["service", "priority"]
+        )
+        self.queue_wait = self._histogram(
+            "queue_wait_seconds",
+            "Time for which requests waited for room.",
+            ["service", "priority"],
+        )
+        self.queue_refusals = self._counter(
+            "queue_refusals",
+            "Requests refused for lack of room.",
+            ["service", "priority", "reason"],
+        )
+        self.responses = self._counter(
+            "responses",
+            "Responses delivered in or after their objective.",
+            ["service", "priority", "objective"],
+        )
+        self.waiting = self._gauge("waiting", "Requests that wait for room.")
         self.in_flight = self._gauge("in_flight", "Requests at work.")
         self.generation = self._gauge("generation", "Configuration in force.")
         self.confirmation_age = self._gauge(
@@ -113,10 +133,13 @@
             PREFIX + name, text, registry=self._registry
         )
 
-    def _histogram(self, name: str, text: str) -> prometheus_client.Histogram:
+    def _histogram(
+        self, name: str, text: str, labels: Sequence[str] = ()
+    ) -> prometheus_client.Histogram:
         return prometheus_client.Histogram(
             PREFIX + name,
             text,
+            labels,
             buckets=LATENCY_BUCKETS_SECONDS,
             registry=self._registry,
         )
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/reply.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/reply.py
@@ -15,6 +15,7 @@
 from nutmeglift_gateway import responses
 from nutmeglift_gateway import retry_delay
 from nutmeglift_gateway import retry_policy
+from nutmeglift_gateway.load import events
 
 
 class Reply:
@@ -135,7 +136,13 @@
         gap = self._longest_gap
         route = admitted.route
         first = self._first_event_after or self.elapsed()
-        if first <= route.objective and gap <= route.gap_objective:
+        in_objective = first <= route.objective and gap <= route.gap_objective
+        self._context.metrics.responses.labels(
+            admitted.service.id,
+            str(admitted.priority),
+            "met" if in_objective else "missed",
+        ).inc()
+        if in_objective:
             return "served"
         self._context.log.write(
             "answer late",
@@ -195,6 +202,13 @@
             )
         return retry_delay.retry_after(context.board, kind, now)
 
+    def refuse_waiting(
+        self, admitted: admission.Admitted, refusal: events.Refuse
+    ) -> None:
+        """Refuses a request that was not sent for lack of room."""
+        self._count(admitted, refusal.kind.value)
+        self.refuse(refusal.kind, refusal.retry_after, refusal.detail)
+
     def refuse(
         self,
         kind: errors.ErrorKind,
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/retry_delay.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/retry_delay.py
@@ -91,7 +91,7 @@
     found = board.catalog.service_by_id.get(service)
     engine = found.engine if found is not None else None
     available = list(board.usable(service))
-    if _is_served(engine, available):
+    if covers_layers(engine, available):
         return None
     ends = [
         (board.hold_offs.until(server.lifetime) or 0.0, server)
@@ -99,15 +99,20 @@
     ]
     for until, server in sorted(ends, key=lambda end: end[0]):
         available.append(server)
-        if _is_served(engine, available):
+        if covers_layers(engine, available):
             return until
     return None
 
 
-def _is_served(
+def covers_layers(
     engine: catalog.Engine | None, servers: list[directory.Server]
 ) -> bool:
-    """Returns whether servers can serve a service, apart from their load."""
+    """Returns whether servers can serve a service, apart from their load.
+
+    Args:
+        engine: parameters of its runners; None for a plain service.
+        servers: the servers.
+    """
     if engine is None:
         return bool(servers)
     held: set[int] = set()
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/settings.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/settings.py
@@ -14,6 +14,8 @@
 Megabytes = Annotated[float, msgspec.Meta(gt=0)]
 """In units of 1,000,000 bytes."""
 Ratio = Annotated[float, msgspec.Meta(ge=0)]
+Share = Annotated[float, msgspec.Meta(gt=0, le=1)]
+Count = Annotated[int, msgspec.Meta(gt=0, le=100000)]
 
 
 class Listen(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -71,6 +73,25 @@
     timeout_seconds: Seconds = 1.0
 
 
+class Room(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Who gets room first while callers of several priorities ask for it.
+
+    Attributes:
+        by_priority: whether less urgent requests wait for more urgent ones.
+        urgent_ratio: part of a more urgent request's objective that its first
+            event may take before less urgent requests wait.
+        max_wait_seconds: longest wait.
+        max_waiting: number of requests that wait at a time.
+        max_waiting_mb: size of the bodies of the requests that wait.
+    """
+
+    by_priority: bool = True
+    urgent_ratio: Share = 0.5
+    max_wait_seconds: Seconds = 2.0
+    max_waiting: Count = 256
+    max_waiting_mb: Megabytes = 8.0
+
+
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """All settings.
 
@@ -81,6 +102,7 @@
         listen: addresses that the router listens on.
         store: the platform's key-value service.
         bounds: the operators' bounds.
+        room: who gets room first. A change takes effect at the next start.
         first_start: whether the whole system is starting for the first time.
         memory_mb: memory beyond which the process is killed; None if it is not
             known. A change takes effect at the next start.
@@ -91,6 +113,7 @@
     listen: Listen
     store: Store
     bounds: Bounds = msgspec.field(default_factory=Bounds)
+    room: Room = msgspec.field(default_factory=Room)
     region_by_domain: dict[str, str] = msgspec.field(default_factory=dict)
     first_start: bool = False
     memory_mb: Megabytes | None = None
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
@@ -58,6 +58,7 @@
     Attributes:
         no_path_detail: why no path was available.
         last_server: first runner of the attempt that ended last.
+        first_path: path of the first attempt, if it has just been found.
     """
 
     def __init__(
@@ -81,6 +82,7 @@
         """
         self.no_path_detail = ""
         self.last_server: directory.Server | None = None
+        self.first_path: paths.Path | None = None
         self._context = context
         self._sender = sender
         self._admitted = admitted
@@ -102,7 +104,7 @@
         self._successor_path = None
         if self._is_quarantined():
             return self._quarantined("requests like it end servers")
-        path = self._find_path()
+        path, self.first_path = self.first_path or self._find_path(), None
         if path is None:
             return None
         outcome = await self._start(path)
--- a/tests/gateway/stand_ins.py
+++ b/tests/gateway/stand_ins.py
@@ -15,7 +15,9 @@
 from nutmeglift_gateway import http_listener
 from nutmeglift_gateway import metrics
 from nutmeglift_gateway import responses
+from nutmeglift_gateway import settings
 from nutmeglift_gateway import stream_monitor
+from nutmeglift_gateway.load import waiting_room
 from nutmeglift_platform import names
 from tests.gateway import rig
 from tests.gateway import virtual_time_case
@@ -248,6 +250,13 @@
             self.log,
             self.metrics,
             rig.make_rng(),
+            waiting_room.WaitingRoom(
+                self.board,
+                settings.Room(),
+                self.metrics,
+                self.log,
+                rig.make_rng(),
+            ),
         )
         self.connections = set()
         self.address = ""
