Order requests by the account's and then the route's priority

Cause: all client accounts of a deployment can have a priority, so that the routes' priorities never count; a trial showed two ranks in place of three. Change: the route's priority decides among equal ones; a service is ordered only if its routes differ in priority. Links between failure domains count as room.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/admission.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/admission.py
@@ -71,8 +71,18 @@
     def priority(self) -> int:
         """Priority at the engines; 0 is the highest."""
         own = self.account.priority if self.account else None
-        rank = self.route.priority if own is None else own
-        return max(0, min(MAX_PRIORITY, rank))
+        found = self.route.priority if own is None else own
+        return max(0, min(MAX_PRIORITY, found))
+
+    @property
+    def rank(self) -> int:
+        """Order in which requests get room; 0 comes first.
+
+        The priority of the route decides among requests of equal priority, so
+        that it counts where all accounts have one of their own.
+        """
+        route = max(0, min(MAX_PRIORITY, self.route.priority))
+        return self.priority * (MAX_PRIORITY + 1) + route
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/link_budget.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/link_budget.py
@@ -49,14 +49,46 @@
             path: the path.
             routers: number of live routers, which share the links.
         """
-        share = (
-            MAX_UTILIZATION_RATIO * TRANSFER_WINDOW_SECONDS / max(1, routers)
-        )
-        return all(
-            self._used_seconds(now, pair) < share
-            for pair in set(crossed_links(path))
+        return self.used_ratio(now, path, routers) < 1.0
+
+    def used_ratio(self, now: float, path: paths.Path, routers: int) -> float:
+        """Returns the used part of this router's share of a path's links.
+
+        Args:
+            now: event loop time in seconds.
+            path: the path.
+            routers: number of live routers, which share the links.
+        """
+        share = _share_seconds(routers)
+        return max(
+            (
+                self._used_seconds(now, pair) / share
+                for pair in set(crossed_links(path))
+            ),
+            default=0.0,
         )
 
+    def seconds_until_room(
+        self, now: float, path: paths.Path, routers: int
+    ) -> float:
+        """Returns after which time another request may use a path.
+
+        Args:
+            now: event loop time in seconds.
+            path: the path.
+            routers: number of live routers, which share the links.
+        """
+        share = _share_seconds(routers)
+        longest = 0.0
+        for pair in set(crossed_links(path)):
+            used = self._used_seconds(now, pair)
+            for at, seconds in self._spent_by_pair.get(pair, ()):
+                if used < share:
+                    break
+                used -= seconds
+                longest = max(longest, at + TRANSFER_WINDOW_SECONDS - now)
+        return longest
+
     def record_transfer(
         self,
         now: float,
@@ -87,3 +119,8 @@
         while spent and spent[0][0] <= now - TRANSFER_WINDOW_SECONDS:
             spent.popleft()
         return sum(seconds for _, seconds in spent)
+
+
+def _share_seconds(routers: int) -> float:
+    """Returns the link time in a window that one of the routers may use."""
+    return MAX_UTILIZATION_RATIO * TRANSFER_WINDOW_SECONDS / max(1, routers)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/judgement.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/judgement.py
@@ -120,9 +120,11 @@
         self, now: float, needs: rooms.RoomRequest, offer: rooms.Offer
     ) -> str:
         """Returns how sending a request would harm more urgent ones, if so."""
-        reserve = 0.0
+        reserve = urgent_tokens = all_tokens = 0.0
         demand = self._demand.by_priority(now, needs.service)
         for priority, other in demand.items():
+            tokens = other.arrivals_per_second * other.prompt_tokens
+            all_tokens += tokens
             if priority >= needs.urgency.priority:
                 continue
             limit = self._limits.urgent_ratio * other.objective
@@ -131,9 +133,16 @@
                     f"priority {priority} would get its first event in"
                     f" {offer.fastest_seconds:.3f} s, limit {limit:.3f} s"
                 )
+            urgent_tokens += tokens
             reserve += (
                 other.arrivals_per_second * RESERVE_SECONDS * other.held_tokens
             )
+        if offer.link_used_ratio > 1.0 - urgent_tokens / max(1.0, all_tokens):
+            return (
+                f"its links are used to {offer.link_used_ratio:.2f}, and"
+                f" {urgent_tokens / max(1.0, all_tokens):.2f} of the prompts"
+                " are more urgent"
+            )
         if offer.used_ratio <= MIN_HELD_USED_RATIO or not reserve:
             return ""
         reserve_ratio = reserve / max(1.0, offer.capacity_tokens)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/path_room.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/path_room.py
@@ -49,6 +49,7 @@
             demand: counts the requests that end.
         """
         self.last_path: paths.Path | None = None
+        self._full_path: paths.Path | None = None
         self._board = board
         self._demand = demand
         self._alternatives_by_service: dict[ids.ServiceId, _Alternatives] = {}
@@ -69,9 +70,12 @@
             path = finder.find(servers, requirements)
             if path is not None:
                 break
-        if path is None or not board.link_budget.has_room(
-            now, path, board.routers
-        ):
+        self._full_path = None
+        if path is None:
+            return None
+        link_used = board.link_budget.used_ratio(now, path, board.routers)
+        if link_used >= 1.0:
+            self._full_path = path
             return None
         self.last_path = path
         others = self._alternatives(now, request, engine, finder)
@@ -97,12 +101,20 @@
             fastest,
             used,
             others.capacity_tokens,
+            link_used,
         )
 
     def seconds_until_freed(
         self, now: float, request: room.RoomRequest
     ) -> float | None:
-        """Returns after which time room for a request becomes free."""
+        """Returns after which time room for a request becomes free.
+
+        It follows the last call of offer(), which was for the same request.
+        """
+        if self._full_path is not None:
+            return self._board.link_budget.seconds_until_room(
+                now, self._full_path, self._board.routers
+            )
         engine = self._engine(request.service)
         usable = self._board.usable(request.service)
         if engine is None or not retry_delay.covers_layers(engine, usable):
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/room.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/room.py
@@ -36,12 +36,15 @@
             once this request was sent.
         capacity_tokens: tokens that the service's runners hold at once, over
             all paths.
+        link_used_ratio: used part of this router's share of the links between
+            failure domains that the path crosses.
     """
 
     first_event_seconds: float
     fastest_seconds: float
     used_ratio: float
     capacity_tokens: float
+    link_used_ratio: float = 0.0
 
 
 class BaseRoom(abc.ABC):
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/waiting_room.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/waiting_room.py
@@ -1,6 +1,7 @@
 """Carries out the decisions of the admission queue for a router's requests."""
 
 import asyncio
+from collections.abc import Iterable
 import dataclasses
 import itertools
 import random
@@ -9,6 +10,7 @@
 from nutmeglift import ids
 from nutmeglift_gateway import admission
 from nutmeglift_gateway import board as boards
+from nutmeglift_gateway import catalog
 from nutmeglift_gateway import decision_log
 from nutmeglift_gateway import metrics as metric_sets
 from nutmeglift_gateway import paths
@@ -52,11 +54,13 @@
         admitted: the request.
         since: loop time at which it began to wait.
         verdict: what became of it.
+        queued: whether it was not sent at once.
     """
 
     admitted: admission.Admitted
     since: float
     verdict: "asyncio.Future[Verdict]"
+    queued: bool = False
 
 
 class WaitingRoom:
@@ -79,6 +83,9 @@
             log: log of decisions.
             rng: spreads the callers that return.
         """
+        self._board = board
+        self._catalog: catalog.Catalog | None = None
+        self._ranked: frozenset[ids.ServiceId] = frozenset()
         self._enabled = limits.by_priority
         self._metrics = metrics
         self._log = log
@@ -99,6 +106,7 @@
         self._waiting_by_number: dict[int, _Waiting] = {}
         self._draining = False
         self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = 0.0
         self._last_pass_at = float("-inf")
         board.load_tracker.on_freed = self._on_freed
 
@@ -114,8 +122,8 @@
         """
         now = asyncio.get_running_loop().time()
         service = admitted.service.id
-        self._metrics.admitted.labels(service, str(admitted.priority)).inc()
-        if not self._enabled:
+        self._metrics.admitted.labels(service, str(admitted.rank)).inc()
+        if not self._enabled or service not in self._ranked_services():
             return Sent()
         needs = _needs(admitted, received_at)
         self._demand.record(now, needs)
@@ -140,6 +148,7 @@
             if isinstance(verdict, Sent):
                 return Sent(self._room.last_path)
             return verdict
+        waiting.queued = True
         self._metrics.waiting.set(len(self._waiting_by_number))
         try:
             return await waiting.verdict
@@ -148,9 +157,17 @@
                 self._queue.handle(now, events.Left(number))
                 self._metrics.waiting.set(len(self._waiting_by_number))
 
+    def _ranked_services(self) -> frozenset[ids.ServiceId]:
+        """Returns the services whose routes differ in priority."""
+        found = self._board.catalog
+        if found is not self._catalog:
+            self._catalog = found
+            self._ranked = _find_ranked(found.routes if found else ())
+        return self._ranked
+
     def record_end(self, admitted: admission.Admitted) -> None:
         """Records that a request ended, which frees its room."""
-        if self._enabled and admitted.service.engine is not None:
+        if self._enabled and admitted.service.id in self._ranked:
             now = asyncio.get_running_loop().time()
             self._demand.record_end(now, admitted.service.id)
 
@@ -178,9 +195,10 @@
         """Plans a pass, unless an earlier one is planned."""
         at = max(at, self._last_pass_at + MIN_PASS_INTERVAL_SECONDS)
         if self._timer is not None:
-            if self._timer.when() <= at:
+            if self._timer_at <= at:
                 return
             self._timer.cancel()
+        self._timer_at = at
         self._timer = asyncio.get_running_loop().call_at(at, self._pass)
 
     def _pass(self) -> None:
@@ -213,21 +231,21 @@
 
     def _send(self, action: events.Dispatch) -> None:
         waiting = self._waiting_by_number.pop(action.number)
-        now = asyncio.get_running_loop().time()
-        waited = now - waiting.since
-        self._metrics.queue_wait.labels(*_labels(waiting.admitted)).observe(
-            waited
-        )
-        if waited > 0:
+        waited = 0.0
+        if waiting.queued:
+            waited = asyncio.get_running_loop().time() - waiting.since
             self._log.write(
                 "sent after a wait",
                 request=waiting.admitted.request_id.decode("latin-1"),
-                priority=waiting.admitted.priority,
+                rank=waiting.admitted.rank,
                 waited=round(waited, 3),
                 detail=action.detail,
             )
+        self._metrics.queue_wait.labels(*_labels(waiting.admitted)).observe(
+            waited
+        )
         if not waiting.verdict.done():
-            waiting.verdict.set_result(Sent(waited=waited > 0))
+            waiting.verdict.set_result(Sent(waited=waiting.queued))
 
     def _refuse(self, refusal: events.Refuse) -> None:
         waiting = self._waiting_by_number.pop(refusal.number)
@@ -238,7 +256,7 @@
         if waiting.verdict.done():
             return
         detail = (
-            f"{refusal.detail}; priority {waiting.admitted.priority}, waited"
+            f"{refusal.detail}; rank {waiting.admitted.rank}, waited"
             f" {now - waiting.since:.3f} s, loads up to"
             f" {self._room.age(now):.3f} s old"
         )
@@ -246,7 +264,20 @@
 
 
 def _labels(admitted: admission.Admitted) -> tuple[str, str]:
-    return admitted.service.id, str(admitted.priority)
+    return admitted.service.id, str(admitted.rank)
+
+
+def _find_ranked(
+    routes: Iterable[catalog.Route],
+) -> frozenset[ids.ServiceId]:
+    priority_by_service: dict[ids.ServiceId, int] = {}
+    ranked = set()
+    for route in routes:
+        for each in route.services:
+            known = priority_by_service.setdefault(each.service, route.priority)
+            if known != route.priority:
+                ranked.add(each.service)
+    return frozenset(ranked)
 
 
 def _needs(
@@ -255,7 +286,7 @@
     return rooms.RoomRequest(
         admitted.service.id,
         urgencies.Urgency(
-            admitted.priority,
+            admitted.rank,
             admitted.route.objective,
             admitted.route.gap_objective,
             received_at,
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/reply.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/reply.py
@@ -139,7 +139,7 @@
         in_objective = first <= route.objective and gap <= route.gap_objective
         self._context.metrics.responses.labels(
             admitted.service.id,
-            str(admitted.priority),
+            str(admitted.rank),
             "met" if in_objective else "missed",
         ).inc()
         if in_objective:
