Forecast chunks and prompts that overlap along a path

Change: all chunks but the last count at the slowest part; the waiting prompts take a step with each chunk; half of the steps that the runners have begun is added.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/first_event.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/first_event.py
@@ -8,6 +8,12 @@
 from nutmeglift_gateway import paths
 from nutmeglift_gateway import stalls
 
+FIRST_STEP_RATIO = 1.5
+"""Token steps until the first event: one, and on average half of the steps that
+the runners have begun when the prompt arrives."""
+MIN_PASSAGE_SECONDS = 1e-9
+"""Greater than zero, for engines whose steps are configured to take no time."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Forecast:
@@ -30,9 +36,12 @@
 ) -> Forecast:
     """Returns what a request can expect on a path.
 
-    A prompt that waits for a path is at one of its runners at a time, at each
-    with a probability in proportion to its time there. So a request meets, at
-    each runner, the prompts that count there times that probability.
+    The parts of a path process successive chunks of a prompt, and successive
+    prompts, at the same time. So all chunks but the last are counted at the
+    slowest part, the last one at each. A prompt that waits for a path is at
+    one of its runners, at each with a probability in proportion to its time
+    there; a request meets the prompts that count at a runner times that
+    probability.
 
     Args:
         engine: performance model of the runners.
@@ -40,32 +49,44 @@
         path: the path.
         prompt_tokens: tokens of the request's prompt.
     """
-    chunk_tokens = engine.prompt_chunk_tokens or max(1, prompt_tokens)
-    chunk_count = math.ceil(prompt_tokens / chunk_tokens)
-    own_seconds = 0.0
+    chunk_tokens = min(
+        engine.prompt_chunk_tokens or prompt_tokens, prompt_tokens
+    )
+    chunk_count = math.ceil(prompt_tokens / chunk_tokens) if chunk_tokens else 0
+    last_tokens = prompt_tokens - (chunk_count - 1) * chunk_tokens
+    passage = 0.0
+    slowest = 0.0
     weighted_wait = 0.0
     weighted_chunk = 0.0
     for part in path.parts:
-        share = (part.end - part.start) / engine.layers
-        step = costs.layer_seconds(part.server) * (part.end - part.start)
-        reading = costs.prompt_seconds(part.server, prompt_tokens) * share
-        # A runner that processes a prompt goes on with the other requests'
-        # steps, one with each chunk.
-        own = reading + chunk_count * step
+        layers = part.end - part.start
+        step = costs.layer_seconds(part.server) * layers
+        # A runner goes on with the other requests' steps, one with each chunk.
+        chunk = (
+            costs.prompt_seconds(part.server, chunk_tokens)
+            * layers
+            / engine.layers
+        )
+        last = step
+        if chunk_tokens:
+            last += chunk * last_tokens / chunk_tokens
+        passage += last
+        slowest = max(slowest, chunk + step)
         wait = costs.prompt_wait_seconds(part.server)
-        if reading > 0:
-            wait *= own / reading
-        own_seconds += own
-        weighted_wait += wait * own
-        chunk = reading / max(1, chunk_count)
-        weighted_chunk += min(chunk, wait) * own
-    wait_seconds = weighted_wait / own_seconds if own_seconds else 0.0
-    chunk_seconds = weighted_chunk / own_seconds if own_seconds else 0.0
+        if wait > 0:
+            weighted_chunk += min(chunk, wait) * last
+            weighted_wait += costs.prompt_pass_seconds(part.server) * last
+    chunks_seconds = passage + max(0, chunk_count - 1) * slowest
+    passage = max(passage, MIN_PASSAGE_SECONDS)
+    wait_seconds = weighted_wait / passage
     crossing_seconds = path.crossings * costs.crossing_seconds(prompt_tokens)
     return Forecast(
         first_event_seconds=(
-            wait_seconds + own_seconds + crossing_seconds + path.step_seconds
+            wait_seconds
+            + chunks_seconds
+            + crossing_seconds
+            + path.step_seconds * FIRST_STEP_RATIO
         ),
         event_seconds=stalls.STEPS_PER_EVENT
-        * (path.step_seconds + chunk_seconds),
+        * (path.step_seconds + weighted_chunk / passage),
     )
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/path_costs.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/path_costs.py
@@ -89,6 +89,19 @@
             waiting / engine.layers / engine.prompt_tokens_per_second * factor
         )
 
+    def prompt_pass_seconds(self, server: directory.Server) -> float:
+        """Returns the time until a runner's waiting prompts are processed.
+
+        With each chunk of a prompt it also runs a step of other requests.
+        """
+        reading = self.prompt_wait_seconds(server)
+        chunk_tokens = self._engine.prompt_chunk_tokens
+        if not chunk_tokens:
+            return reading
+        step = self.layer_seconds(server) * self._engine.layers
+        chunk = self.prompt_seconds(server, chunk_tokens)
+        return reading * (1 + step / chunk)
+
     def prompt_seconds(
         self, server: directory.Server, prompt_tokens: int
     ) -> float:
