--- a/packages/nutmeglift_gateway/nutmeglift_gateway/admission.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/admission.py
@@ -11,6 +11,8 @@
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import prompt_segments
 from nutmeglift_gateway import retry_delay
+from nutmeglift_gateway.load import room
+from nutmeglift_gateway.load import urgency as urgencies
 
 MAX_AUTHORITATIVE_AGE_SECONDS = 1.8
 """A route or key that is missing from a configuration confirmed within this
@@ -47,6 +49,7 @@
         segments: segments of its prompt; none if
             the list is malformed.
         segments_problem: why the list is malformed, or an empty string.
+        received_at: loop time at which it was received.
     """
 
     request_id: bytes
@@ -59,6 +62,7 @@
     response_tokens: float
     segments: tuple[ids.SegmentId, ...] = ()
     segments_problem: str = ""
+    received_at: float = 0.0
 
     @property
     def held_tokens(self) -> float:
@@ -74,6 +78,21 @@
         rank = self.route.priority if own is None else own
         return max(0, min(MAX_PRIORITY, rank))
 
+    @property
+    def needs(self) -> room.RoomRequest:
+        """What it needs from the runners of its service."""
+        return room.RoomRequest(
+            self.service.id,
+            urgencies.Urgency(
+                self.priority,
+                self.route.objective,
+                self.route.gap_objective,
+                self.received_at,
+            ),
+            self.prompt_tokens,
+            self.held_tokens,
+        )
+
 
 @dataclasses.dataclass(frozen=True)
 class Refused:
@@ -234,6 +253,7 @@
         response_tokens=response_tokens,
         segments=segments,
         segments_problem=segments_problem,
+        received_at=request.received_at,
     )
 
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/catalog.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/catalog.py
@@ -5,6 +5,7 @@
 import functools
 
 from nutmeglift import ids
+from nutmeglift_gateway.load import objectives
 
 
 class Idempotency(enum.Enum):
@@ -248,6 +249,34 @@
             table.setdefault(route.host.lower(), {})[route.prefix] = route
         return table
 
+    @functools.cached_property
+    def objectives_by_service(
+        self,
+    ) -> dict[ids.ServiceId, objectives.Objectives]:
+        """What the streaming requests of each service ask for."""
+        own = {account.priority for account in self.account_by_key.values()}
+        levels_by_service: dict[
+            ids.ServiceId, list[tuple[int, float, float]]
+        ] = {}
+        for route in self.routes:
+            if not route.streaming:
+                continue
+            levels = [
+                (
+                    route.priority if priority is None else priority,
+                    route.objective,
+                    route.gap_objective,
+                )
+                for priority in own | {None}
+            ]
+            for each in route.services:
+                levels_by_service.setdefault(each.service, []).extend(levels)
+        return {
+            service: found
+            for service, levels in levels_by_service.items()
+            if (found := objectives.combine(levels)) is not None
+        }
+
     def find_route(self, host: str, target: str) -> Route | None:
         """Returns the route with the longest prefix, or None.
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/path_costs.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/path_costs.py
@@ -79,6 +79,22 @@
             + PROMPT_WAIT_COST_RATIO * wait
         )
 
+    def first_event_layer_cost(
+        self, server: directory.Server, prompt_tokens: int
+    ) -> float:
+        """Returns what one layer on a runner adds to the first event.
+
+        Args:
+            server: the runner.
+            prompt_tokens: tokens of the request's prompt.
+        """
+        reading = self.prompt_seconds(server, prompt_tokens)
+        waiting = self.prompt_pass_seconds(server)
+        # One step with the prompt's last chunk and one for the first token.
+        return 2 * self.layer_seconds(server) + (
+            (reading + waiting) / self._engine.layers
+        )
+
     def prompt_wait_seconds(self, server: directory.Server) -> float:
         """Returns the time in which a runner processes its waiting prompts."""
         engine = self._engine
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/paths.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/paths.py
@@ -17,6 +17,8 @@
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import loads
 from nutmeglift_gateway import path_costs
+from nutmeglift_gateway.load import objectives as objective_sets
+from nutmeglift_gateway.load import urgency as urgencies
 
 MAX_PART_COUNT = 32
 """Runners reject longer paths (limit of the engines' protocol)."""
@@ -100,11 +102,26 @@
         home: the router's failure domain.
         tokens: tokens that the request will hold in the KV cache.
         may_cross: whether the path may cross between failure domains.
+        prompt_tokens: tokens of its prompt.
+        urgency: what it asks for; None to take the cheapest path.
+        objectives: what the requests of its service ask for.
     """
 
     home: ids.FailureDomain
     tokens: float
     may_cross: bool = True
+    prompt_tokens: int = 0
+    urgency: urgencies.Urgency | None = None
+    objectives: objective_sets.Objectives | None = None
+
+    @property
+    def by_objective(self) -> bool:
+        """Whether its urgency matters: requests of its service differ in it."""
+        return (
+            self.urgency is not None
+            and self.objectives is not None
+            and self.objectives.differ
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -153,7 +170,11 @@
 
 
 class PathFinder:
-    """Finds paths over the runners of one service."""
+    """Finds paths over the runners of one service.
+
+    Attributes:
+        engine: performance model and limits of the runners.
+    """
 
     def __init__(
         self,
@@ -171,7 +192,7 @@
             full: addresses of runners that recently rejected requests; they
                 are not used for new parts.
         """
-        self._engine = engine
+        self.engine = engine
         self._load_tracker = load_tracker
         self._costs = path_costs.PathCosts(engine, load_tracker, pace_of)
         self._full = full
@@ -199,29 +220,122 @@
             servers: the runners that may be used.
             requirements: requirements of the request.
         """
-        usable = [
-            server
-            for server in servers
-            if server.layers.count and self.has_room(server, requirements)
-        ]
-        all_layers = Segment(0, self._engine.layers)
         best: Path | None = None
         best_cost = float("inf")
-        for domain in {server.domain for server in usable}:
-            path = self._search(
-                [s for s in usable if s.domain == domain], all_layers
-            )
-            if path is None:
-                continue
+        for path in self.find_by_domain(servers, requirements):
             cost_ratio = (
-                1.0 if domain == requirements.home else REMOTE_DOMAIN_COST_RATIO
+                1.0
+                if path.first.domain == requirements.home
+                else REMOTE_DOMAIN_COST_RATIO
             )
             cost = path.cost * cost_ratio
             if cost < best_cost:
                 best, best_cost = path, cost
         if best is not None or not requirements.may_cross:
             return best
-        return self._search(usable, all_layers)
+        usable = [s for s in servers if self._is_usable(s, requirements)]
+        return self._search(
+            usable, Segment(0, self.engine.layers), self._costs.layer_cost
+        )
+
+    def find_by_domain(
+        self,
+        servers: Iterable[directory.Server],
+        requirements: PathRequirements,
+    ) -> list[Path]:
+        """Returns the cheapest path within each failure domain that has one."""
+        return self._search_domains(
+            servers, requirements, self._costs.layer_cost
+        )
+
+    def find_earliest(
+        self,
+        servers: Iterable[directory.Server],
+        requirements: PathRequirements,
+    ) -> list[Path]:
+        """Returns the paths of the earliest first event.
+
+        Returns:
+            One within each failure domain that has one, and one that may cross
+            between them if the request's may.
+        """
+        prompt_tokens = requirements.prompt_tokens
+
+        def layer_cost(server: directory.Server) -> float:
+            return self._costs.first_event_layer_cost(server, prompt_tokens)
+
+        usable = [s for s in servers if self._is_usable(s, requirements)]
+        found = self._search_domains(usable, requirements, layer_cost)
+        if requirements.may_cross:
+            path = self._search(
+                usable,
+                Segment(0, self.engine.layers),
+                layer_cost,
+                self._costs.crossing_seconds(prompt_tokens),
+            )
+            found += [path] if path is not None and path.crossings else []
+        return found
+
+    def find_slower(
+        self,
+        servers: Iterable[directory.Server],
+        requirements: PathRequirements,
+        found: Iterable[Path],
+    ) -> list[Path]:
+        """Returns paths that leave out the fastest kind of other paths.
+
+        Args:
+            servers: the runners that may be used.
+            requirements: requirements of the request.
+            found: the other paths, of different failure domains.
+        """
+        pace_limit_by_domain = {
+            path.first.domain: min(
+                self.engine.kind(part.server.kind).pace for part in path.parts
+            )
+            for path in found
+        }
+        slower = [
+            server
+            for server in servers
+            if self.engine.kind(server.kind).pace
+            > pace_limit_by_domain.get(server.domain, float("inf"))
+        ]
+        return self.find_by_domain(slower, requirements)
+
+    def idle_seconds(self, path: Path) -> float:
+        """Returns a path's seconds for a token step without other requests."""
+        return (
+            sum(
+                (part.end - part.start)
+                * self.engine.kind(part.server.kind).pace
+                for part in path.parts
+            )
+            * self.engine.step_seconds
+            / self.engine.layers
+        ) + path.crossings * self._costs.crossing_seconds()
+
+    def _search_domains(
+        self,
+        servers: Iterable[directory.Server],
+        requirements: PathRequirements,
+        layer_cost: Callable[[directory.Server], float],
+    ) -> list[Path]:
+        usable_by_domain: dict[ids.FailureDomain, list[directory.Server]] = {}
+        for server in servers:
+            if self._is_usable(server, requirements):
+                usable_by_domain.setdefault(server.domain, []).append(server)
+        all_layers = Segment(0, self.engine.layers)
+        found = [
+            self._search(usable, all_layers, layer_cost)
+            for usable in usable_by_domain.values()
+        ]
+        return [path for path in found if path is not None]
+
+    def _is_usable(
+        self, server: directory.Server, requirements: PathRequirements
+    ) -> bool:
+        return server.layers.count > 0 and self.has_room(server, requirements)
 
     def repair(
         self,
@@ -264,7 +378,7 @@
                 )
                 continue
             segment = Segment(part.start, part.end, parts[-1].server.domain)
-            chain = self._search(candidates, segment)
+            chain = self._search(candidates, segment, self._costs.layer_cost)
             if chain is None:
                 return None
             used_ids = {each.server.id for each in chain.parts}
@@ -284,27 +398,32 @@
         if server.address in self._full:
             return False
         load = self._load_tracker.at(server.address)
-        kind = self._engine.kind(server.kind)
-        room = self._engine.token_layer_capacity(kind, server.layers.count)
+        kind = self.engine.kind(server.kind)
+        room = self.engine.token_layer_capacity(kind, server.layers.count)
         needed = requirements.tokens * min(
-            server.layers.count, self._engine.layers
+            server.layers.count, self.engine.layers
         )
         return load.token_layers + needed <= room * MAX_MEMORY_RATIO
 
     def _has_free_slot(self, server: directory.Server) -> bool:
-        slots = server.slots or self._engine.slots
+        slots = server.slots or self.engine.slots
         return (
             self._load_tracker.at(server.address).requests_as_first
             < slots * MAX_SLOT_RATIO
         )
 
     def _search(
-        self, servers: list[directory.Server], segment: Segment
+        self,
+        servers: list[directory.Server],
+        segment: Segment,
+        layer_cost: Callable[[directory.Server], float],
+        crossing: float | None = None,
     ) -> Path | None:
-        crossing = (
-            self._costs.crossing_seconds() * path_costs.CROSSING_COST_RATIO
-        )
-        costs = {s.address: self._costs.layer_cost(s) for s in servers}
+        if crossing is None:
+            crossing = (
+                self._costs.crossing_seconds() * path_costs.CROSSING_COST_RATIO
+            )
+        costs = {s.address: layer_cost(s) for s in servers}
         begin = _PartialPath(0.0, 0, segment.domain, None, None)
         frontier: dict[int, dict[str, _PartialPath]] = {
             segment.start: {segment.domain: begin}
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
@@ -25,6 +25,7 @@
 from nutmeglift_gateway import sender as senders
 from nutmeglift_gateway import sse
 from nutmeglift_gateway import successor_paths
+from nutmeglift_gateway.load import path_choice
 
 
 @dataclasses.dataclass(eq=False)
@@ -185,23 +186,24 @@
         engine = self._admitted.service.engine
         assert engine is not None
         now = self._loop.time()
-        requirements = paths.PathRequirements(
-            board.home, self._admitted.held_tokens
-        )
+        needs = self._admitted.needs
+        requirements = path_choice.make_requirements(board, needs)
         board.hold_offs.expire(now)
         usable = board.usable(self._admitted.service.id)
         finder = board.path_finder(engine, now)
         untried = self._failures.untried(usable)
         path: paths.Path | None = None
         for servers in board.hold_offs.by_preference(untried):
-            if path is not None:
-                break
             if self._reply.progress.sent:
                 path = successor_paths.find_path(
                     finder, servers, requirements, self._context.rng
                 )
             else:
-                path = finder.find(servers, requirements)
+                path = path_choice.find_path(
+                    board, finder, servers, requirements, now
+                )
+            if path is not None:
+                break
         if path is None and self._reply.progress.started:
             path = finder.find(usable, requirements)
         if path is None:
