--- a/packages/nutmeglift_gateway/nutmeglift_gateway/path_costs.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/path_costs.py
@@ -79,6 +79,22 @@
             + PROMPT_WAIT_COST_RATIO * wait
         )
 
+    def first_event_layer_cost(
+        self, server: directory.Server, prompt_tokens: int
+    ) -> float:
+        """Returns what one layer on a runner adds to the first event.
+
+        Args:
+            server: the runner.
+            prompt_tokens: tokens of the request's prompt.
+        """
+        reading = self.prompt_seconds(server, prompt_tokens)
+        waiting = self.prompt_pass_seconds(server)
+        # One step with the prompt's last chunk and one for the first token.
+        return 2 * self.layer_seconds(server) + (
+            (reading + waiting) / self._engine.layers
+        )
+
     def prompt_wait_seconds(self, server: directory.Server) -> float:
         """Returns the time in which a runner processes its waiting prompts."""
         engine = self._engine
@@ -89,6 +105,19 @@
             waiting / engine.layers / engine.prompt_tokens_per_second * factor
         )
 
+    def prompt_pass_seconds(self, server: directory.Server) -> float:
+        """Returns the time until a runner's waiting prompts are processed.
+
+        With each chunk of a prompt it also runs a step of other requests.
+        """
+        reading = self.prompt_wait_seconds(server)
+        chunk_tokens = self._engine.prompt_chunk_tokens
+        if not chunk_tokens:
+            return reading
+        step = self.layer_seconds(server) * self._engine.layers
+        chunk = self.prompt_seconds(server, chunk_tokens)
+        return reading * (1 + step / chunk)
+
     def prompt_seconds(
         self, server: directory.Server, prompt_tokens: int
     ) -> float:
