--- a/packages/nutmeglift_gateway/nutmeglift_gateway/admission.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/admission.py
@@ -101,6 +101,7 @@
             ),
             self.prompt_tokens,
             self.held_tokens,
+            self.rank,
         )
 
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
@@ -158,7 +158,7 @@
         if self._streams is None or self._first_event_id() is not None:
             return True
         verdict = await self._context.waiting.enter(
-            admitted, self._request.received_at, len(self._request.body)
+            admitted, len(self._request.body)
         )
         if isinstance(verdict, events.Refuse):
             self._reply.refuse_waiting(admitted, verdict)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/admission_queue.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/admission_queue.py
@@ -89,14 +89,14 @@
         self, now: float, arrived: events.Arrived
     ) -> tuple[events.Action, ...]:
         service = arrived.needs.service
-        priority = arrived.needs.urgency.priority
+        rank = arrived.needs.rank
         if not self.has_waiting(service) and self._judge.is_alone(now, arrived):
             return (events.Dispatch(arrived.number),)
         ahead = [
             each
             for each in self._waiting_by_number.values()
             if each.arrived.needs.service == service
-            and each.arrived.needs.urgency.priority <= priority
+            and each.arrived.needs.rank <= rank
         ]
         verdict = self._judge.judge(now, arrived, len(ahead))
         match verdict:
@@ -130,7 +130,7 @@
             fair_queue.QueuedRequest(
                 arrived.number,
                 arrived.account,
-                -needs.urgency.priority,
+                -needs.rank,
                 1.0,
                 max(1.0, needs.held_tokens),
                 now,
@@ -199,7 +199,7 @@
                 and each.arrived.needs.service == service
             ),
             key=lambda each: (
-                each.arrived.needs.urgency.priority,
+                each.arrived.needs.rank,
                 each.wait.until,
             ),
         )
@@ -276,5 +276,5 @@
 
 def _order(waiting: _Waiting) -> tuple[int, float]:
     """Returns what orders requests: priority, then what is due first."""
-    urgency = waiting.arrived.needs.urgency
-    return urgency.priority, urgency.received_at + urgency.objective
+    needs = waiting.arrived.needs
+    return needs.rank, needs.urgency.received_at + needs.urgency.objective
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/demand_tracker.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/demand_tracker.py
@@ -74,11 +74,11 @@
         """Records an admitted request at a loop time in seconds."""
         rows = self._rows_by_service.setdefault(request.service, {})
         urgency = request.urgency
-        row = rows.get(urgency.priority)
+        row = rows.get(request.rank)
         if row is None:
             self._drop_old(now)
             rows = self._rows_by_service.setdefault(request.service, {})
-            row = rows[urgency.priority] = _Row(
+            row = rows[request.rank] = _Row(
                 _Rate(),
                 urgency.objective,
                 now,
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/judgement.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/judgement.py
@@ -92,7 +92,7 @@
     def is_alone(self, now: float, arrived: events.Arrived) -> bool:
         """Returns whether no other priority was in demand recently."""
         demand = self._demand.by_priority(now, arrived.needs.service)
-        return not demand.keys() - {arrived.needs.urgency.priority}
+        return not demand.keys() - {arrived.needs.rank}
 
     def judge(
         self, now: float, arrived: events.Arrived, ahead: int
@@ -125,7 +125,7 @@
         for priority, other in demand.items():
             tokens = other.arrivals_per_second * other.prompt_tokens
             all_tokens += tokens
-            if priority >= needs.urgency.priority:
+            if priority >= needs.rank:
                 continue
             limit = self._limits.urgent_ratio * other.objective
             if offer.fastest_seconds > limit:
@@ -194,7 +194,7 @@
         """Returns a refusal; the more urgent callers return first."""
         needs = arrived.needs
         demand = self._demand.by_priority(now, needs.service)
-        behind = _count_more_urgent(demand, needs.urgency.priority)
+        behind = _count_more_urgent(demand, needs.rank)
         wait = expected * (1.0 + RETRY_PRIORITY_RATIO * behind)
         wait *= 1.0 + self._rng.uniform(0.0, RETRY_SPREAD_RATIO)
         return events.Refuse(
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/path_room.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/path_room.py
@@ -5,11 +5,11 @@
 from nutmeglift import ids
 from nutmeglift_gateway import board as boards
 from nutmeglift_gateway import catalog
-from nutmeglift_gateway import directory
 from nutmeglift_gateway import paths
 from nutmeglift_gateway import retry_delay
 from nutmeglift_gateway.load import demand_tracker
 from nutmeglift_gateway.load import first_event
+from nutmeglift_gateway.load import path_choice
 from nutmeglift_gateway.load import room
 
 ALTERNATIVES_SECONDS = 0.1
@@ -61,13 +61,15 @@
         if engine is None:
             return None
         board = self._board
-        requirements = paths.PathRequirements(board.home, request.held_tokens)
+        requirements = path_choice.make_requirements(board, request)
         board.hold_offs.expire(now)
         finder = board.path_finder(engine, now)
         usable = board.usable(request.service)
         path: paths.Path | None = None
         for servers in board.hold_offs.by_preference(usable):
-            path = finder.find(servers, requirements)
+            path = path_choice.find_path(
+                board, finder, servers, requirements, now
+            )
             if path is not None:
                 break
         self._full_path = None
@@ -143,19 +145,16 @@
         known = self._alternatives_by_service.get(request.service)
         if known is not None and now - known.found_at < ALTERNATIVES_SECONDS:
             return known
-        by_domain: dict[ids.FailureDomain, list[directory.Server]] = {}
         capacity = 0.0
-        for server in self._board.usable(request.service):
-            by_domain.setdefault(server.domain, []).append(server)
+        usable = self._board.usable(request.service)
+        for server in usable:
             capacity += engine.token_layer_capacity(
                 engine.kind(server.kind), server.layers.count
             ) * bool(server.layers.count)
-        requirements = paths.PathRequirements(
-            self._board.home, request.held_tokens, may_cross=False
+        found = finder.find_by_domain(
+            usable,
+            paths.PathRequirements(self._board.home, request.held_tokens),
         )
-        found = [
-            finder.find(servers, requirements) for servers in by_domain.values()
-        ]
         self._alternatives_by_service = {
             service: alternatives
             for service, alternatives in self._alternatives_by_service.items()
@@ -163,7 +162,7 @@
         }
         known = self._alternatives_by_service[request.service] = _Alternatives(
             now,
-            tuple(path for path in found if path is not None),
+            tuple(found),
             capacity / engine.layers,
         )
         return known
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/room.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/room.py
@@ -16,12 +16,14 @@
         urgency: its priority and objectives.
         prompt_tokens: tokens of its prompt.
         held_tokens: tokens that it holds in the KV cache on average.
+        rank: order in which requests get room; 0 comes first.
     """
 
     service: ids.ServiceId
     urgency: urgencies.Urgency
     prompt_tokens: int
     held_tokens: float
+    rank: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/urgency.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/urgency.py
@@ -8,7 +8,7 @@
     """What a request's route and account ask for.
 
     Attributes:
-        priority: rank among the requests for a service; 0 is served first.
+        priority: 0 is served first.
         objective: seconds from the request to its first event that meet the
             route's objective.
         gap_objective: longest pause between two events that meets the
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/waiting_room.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/waiting_room.py
@@ -21,8 +21,6 @@
 from nutmeglift_gateway.load import events
 from nutmeglift_gateway.load import judgement
 from nutmeglift_gateway.load import path_room
-from nutmeglift_gateway.load import room as rooms
-from nutmeglift_gateway.load import urgency as urgencies
 
 MIN_PASS_INTERVAL_SECONDS = 0.02
 """Shortest time between two passes that nothing was sent in; each searches a
@@ -111,13 +109,12 @@
         board.load_tracker.on_freed = self._on_freed
 
     async def enter(
-        self, admitted: admission.Admitted, received_at: float, body_bytes: int
+        self, admitted: admission.Admitted, body_bytes: int
     ) -> Verdict:
         """Returns whether to send a request, perhaps after a wait.
 
         Args:
             admitted: a request that streams and has not been sent.
-            received_at: loop time at which it was received.
             body_bytes: size of its body.
         """
         now = asyncio.get_running_loop().time()
@@ -125,7 +122,7 @@
         self._metrics.admitted.labels(service, str(admitted.rank)).inc()
         if not self._enabled or service not in self._ranked_services():
             return Sent()
-        needs = _needs(admitted, received_at)
+        needs = admitted.needs
         self._demand.record(now, needs)
         if self._draining or not (
             self._demand.is_mixed(now, service)
@@ -278,19 +275,3 @@
             if known != route.priority:
                 ranked.add(each.service)
     return frozenset(ranked)
-
-
-def _needs(
-    admitted: admission.Admitted, received_at: float
-) -> rooms.RoomRequest:
-    return rooms.RoomRequest(
-        admitted.service.id,
-        urgencies.Urgency(
-            admitted.rank,
-            admitted.route.objective,
-            admitted.route.gap_objective,
-            received_at,
-        ),
-        admitted.prompt_tokens,
-        admitted.held_tokens,
-    )
--- a/tests/gateway/test_admission_queue.py
+++ b/tests/gateway/test_admission_queue.py
@@ -37,6 +37,7 @@
         ),
         800,
         values["held_tokens"],
+        priority,
     )
     return events.Arrived(
         number,
--- a/tests/gateway/test_demand_tracker.py
+++ b/tests/gateway/test_demand_tracker.py
@@ -15,6 +15,7 @@
         urgency.Urgency(priority, objective, 0.3, 0.0),
         tokens,
         tokens + 100.0,
+        priority,
     )
 
 
--- a/tests/gateway/test_path_room.py
+++ b/tests/gateway/test_path_room.py
@@ -13,7 +13,7 @@
 
 NOW = 200.0
 NEEDS = room.RoomRequest(
-    rig.MODEL, urgency.Urgency(2, 1.2, 0.3, NOW), 800, 900.0
+    rig.MODEL, urgency.Urgency(2, 1.2, 0.3, NOW), 800, 900.0, 2
 )
 
 
--- a/tests/gateway/test_waiting_room.py
+++ b/tests/gateway/test_waiting_room.py
@@ -32,7 +32,7 @@
             test_exchange_stream.resumable, "x", 0, 80
         )
         self.load = (
-            loads.Reservation(self.runner.address, False, 8e4, 80 * 1.2e4),
+            loads.Reservation(self.runner.address, False, 8e4, 80 * 3e4),
         )
         self.tracker = self.rig.board.load_tracker
 
@@ -121,20 +121,22 @@
 
     async def test_a_stream_that_has_begun_does_not_wait(self):
         async def broken(request, writer, number):
+            self.rig.register(
+                "x",
+                self.runner.address,
+                rig.MODEL,
+                born=2,
+                kind="whole",
+                layers=directory.LayerRange(0, 80),
+            )
             self.begin_load()
             await test_exchange_stream.stream(1, 3, None)(
                 request, writer, number
             )
 
         await self.rig.call("/draft/1")
-        other = await self.rig.add_runner(broken, "y", 0, 80, domain="a")
-        self.rig.register(
-            "x",
-            self.runner.address,
-            rig.MODEL,
-            kind="whole-slow",
-            layers=directory.LayerRange(0, 80),
-        )
+        self.rig.board.directory.remove(0.0, "x")
+        other = await self.rig.add_runner(broken, "y", 0, 80)
         response = await self.rig.call("/batch/1")
         self.assertEqual(stand_ins.event_ids(response.body), list(range(1, 10)))
         self.assertEqual(len(other.requests), 1)
