--- a/benchmarks/bench_gateway.py
+++ b/benchmarks/bench_gateway.py
@@ -1,5 +1,6 @@
 """Gateway: processor time of path choice and planning, bytes of reports."""
 
+from collections.abc import Callable
 import logging
 import random
 import statistics
@@ -20,6 +21,14 @@
 from nutmeglift_gateway import runner_group
 from nutmeglift_gateway import settings
 from nutmeglift_gateway import store_reader
+from nutmeglift_gateway.load import admission_queue
+from nutmeglift_gateway.load import demand_tracker
+from nutmeglift_gateway.load import events
+from nutmeglift_gateway.load import judgement
+from nutmeglift_gateway.load import path_choice
+from nutmeglift_gateway.load import path_room
+from nutmeglift_gateway.load import room
+from nutmeglift_gateway.load import urgency
 from nutmeglift_platform import schema
 
 BATCH_COUNT = 9
@@ -177,6 +186,79 @@
     return figures.Measurement(statistics.mean(sizes) / REPORT_INTERVAL_SECONDS)
 
 
+def make_admission(
+    count: int,
+) -> tuple[Callable[[], object], Callable[[], object]]:
+    """Returns a decision about a request, and its path search alone."""
+    board = boards.Board(settings.Bounds(), ids.FailureDomain("domain-0"))
+    service = catalog.Service(SERVICE, "/health", ENGINE)
+    board.set_catalog(
+        ids.Revision(1),
+        catalog.Catalog(
+            ids.Generation(1),
+            (),
+            {SERVICE: service},
+            {},
+            catalog.ClientLimits(),
+            accounts_required=False,
+        ),
+    )
+    for server in place_layers(count):
+        board.directory.put(0.0, server)
+    demand = demand_tracker.DemandTracker(lambda: 10)
+    requests = [
+        room.RoomRequest(
+            SERVICE,
+            urgency.Urgency(rank, 0.5 + 0.3 * rank, 0.3, 0.0),
+            800,
+            900.0,
+            rank,
+        )
+        for rank in range(3)
+    ]
+    for request in requests:
+        demand.record(0.0, request)
+    offers = path_room.PathRoom(board, demand)
+    queue = admission_queue.AdmissionQueue(
+        offers, demand, judgement.Limits(), random.Random(1)
+    )
+    arrived = events.Arrived(1, ids.AccountId("a"), requests[-1], 25.0)
+    requirements = path_choice.make_requirements(board, requests[-1])
+
+    def decide() -> object:
+        return queue.handle(0.1, arrived)
+
+    def search() -> object:
+        return path_choice.find_path(
+            board,
+            board.path_finder(ENGINE, 0.1),
+            board.usable(SERVICE),
+            requirements,
+            0.1,
+        )
+
+    return decide, search
+
+
+def measure_admission(count: int) -> figures.Measurement:
+    """Measures the processor time of who gets room, in microseconds.
+
+    The path search is left out, as the path that it finds is used. The value
+    is the median over the batches.
+    """
+    decide, search = make_admission(count)
+    times = []
+    for _ in range(BATCH_COUNT):
+        spent = []
+        for work in (decide, search):
+            started = time.process_time()
+            for _ in range(DECISIONS_PER_BATCH):
+                work()
+            spent.append(time.process_time() - started)
+        times.append((spent[0] - spent[1]) / DECISIONS_PER_BATCH * 1e6)
+    return figures.Measurement(statistics.median(times))
+
+
 REPORT_COUNT = 100
 REQUESTS_PER_REPORT = 4
 RUNNERS_PER_REQUEST = 8
@@ -202,4 +284,19 @@
     ]
 
 
-FIGURES = [*make_figures(42), *make_figures(112), *make_figures(448)]
+def make_admission_figure(count: int) -> figures.Figure:
+    """Returns the figure of admission for a number of runners."""
+    return figures.Figure(
+        f"gateway_admission_time_{count}",
+        "µs",
+        "",
+        lambda: measure_admission(count),
+    )
+
+
+FIGURES = [
+    *make_figures(42),
+    *make_figures(112),
+    *make_figures(448),
+    *map(make_admission_figure, (60, 128, 448)),
+]
--- a/tests/gateway/test_loads.py
+++ b/tests/gateway/test_loads.py
@@ -109,6 +109,43 @@
         self.assertEqual(self.tracker.own(), {})
 
 
+class FreedTest(unittest.TestCase):
+    def setUp(self):
+        self.tracker = loads.LoadTracker()
+        self.tracker.on_freed = mock.Mock()
+        self.reservation = loads.Reservation(ADDRESSES[0], True, 80.0, 40.0)
+
+    def test_a_trial_counts_while_it_lasts(self):
+        for others in (0, 1):
+            with self.subTest(others):
+                for _ in range(others):
+                    self.tracker.reserve((self.reservation,))
+                own = self.tracker.own()
+                with self.tracker.trial((self.reservation,)):
+                    load = self.tracker.at(ADDRESSES[0])
+                    self.assertEqual(
+                        load,
+                        loads.Load(
+                            1 + others, 1 + others, 80 + 80 * others, 40
+                        ),
+                    )
+                    self.assertEqual(self.tracker.own(), own)
+                load = self.tracker.at(ADDRESSES[0])
+                self.assertEqual(load.requests, others)
+                self.assertEqual(load.prompt_token_layers, 0.0)
+        self.tracker.on_freed.assert_not_called()
+
+    def test_releases_and_reports_are_announced(self):
+        self.tracker.reserve((self.reservation,))
+        self.tracker.on_freed.assert_not_called()
+        self.tracker.release((self.reservation,))
+        self.tracker.release(())
+        self.assertEqual(self.tracker.on_freed.call_count, 1)
+        self.tracker.record_report(1.0, "router-1", {})
+        self.assertEqual(self.tracker.on_freed.call_count, 2)
+        self.assertEqual(self.tracker.report_age(1.5), 0.5)
+
+
 def make_copy(report):
     """Returns a copy, as the tracker keeps what it is given."""
     return {
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -34,6 +34,13 @@
         self.assertEqual(loaded.listen.callers, "10.0.0.1:80")
         self.assertEqual(loaded.bounds.revocation_seconds, 5.0)
         self.assertEqual(loaded.bounds.retry_ratio, 0.2)
+        self.assertEqual(loaded.room, settings.Room())
+
+    def test_the_room_settings_are_loaded(self):
+        loaded = load(GOOD + "room: {by_priority: false, max_waiting: 9}")
+        self.assertEqual(
+            loaded.room, settings.Room(by_priority=False, max_waiting=9)
+        )
 
     def test_invalid_settings(self):
         cases = [
@@ -45,6 +52,15 @@
             GOOD.replace("shutdown_seconds: 8", "shutdown_seconds: 0"),
             GOOD.replace("shutdown_seconds: 8", "shutdown_secs: 8"),
             GOOD.replace("shutdown_seconds: 8", "shutdown_seconds: soon"),
+            GOOD + "room: 1",
+            GOOD + "room: {by_priority: perhaps}",
+            GOOD + "room: {urgent_ratio: 0}",
+            GOOD + "room: {urgent_ratio: 1.1}",
+            GOOD + "room: {max_wait_seconds: 0}",
+            GOOD + "room: {max_waiting: 0}",
+            GOOD + "room: {max_waiting: 2.5}",
+            GOOD + "room: {max_waiting_mb: -1}",
+            GOOD + "room: {max_queue: 1}",
         ]
         for text in cases:
             with (
--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -1,6 +1,8 @@
 """Tests of order, fairness and displacement in the fair queue."""
 
 import collections
+import dataclasses
+import random
 import unittest
 
 from nutmeglift import fair_queue
@@ -110,6 +112,42 @@
                 self.assertGreater(cost[5], 0)
 
 
+class OrderTest(unittest.TestCase):
+    def test_an_account_begins_with_what_is_due_first(self):
+        cases = {
+            "no due times": ((None, None, None), [0, 1, 2]),
+            "due times": ((3.0, 1.0, 2.0), [1, 2, 0]),
+            "some due times": ((None, 2.0, None), [1, 0, 2]),
+            "equal": ((1.0, 1.0, 1.0), [0, 1, 2]),
+        }
+        for name, (due_times, expected) in cases.items():
+            with self.subTest(name):
+                queue = fair_queue.FairQueue(10)
+                for number, due_at in enumerate(due_times):
+                    queue.push(
+                        dataclasses.replace(make_waiting(number), due_at=due_at)
+                    )
+                order = [request.number for request in pop_all(queue)]
+                self.assertEqual(order, expected)
+
+    def test_peek_returns_what_pop_returns(self):
+        rng = random.Random(3)
+        queue = fair_queue.FairQueue(200, 0.2)
+        self.assertIsNone(queue.peek())
+        for number in range(200):
+            queue.push(
+                make_waiting(
+                    number,
+                    rng.choice("abc"),
+                    rng.choice((0, 5, 9)),
+                    cost=rng.uniform(1.0, 20.0),
+                )
+            )
+        while len(queue):
+            self.assertIs(queue.peek(), queue.peek())
+            self.assertIs(queue.peek(), queue.pop())
+
+
 class DisplacementTest(unittest.TestCase):
     TABLE = {
         # name: waiting (account, priority), arrival, displaced number
