Bound the paths that a decision compares

Cause: at 448 runners a decision forecast 32 paths and took 256 µs. Change: only the eight earliest are compared; settings whose queue would take all memory end the start.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/path_room.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/path_room.py
@@ -15,6 +15,8 @@
 ALTERNATIVES_SECONDS = 0.1
 """Time for which the paths that others could take are not searched again; their
 forecasts always follow the load. Peers report their loads less often."""
+MAX_ALTERNATIVE_COUNT = 8
+"""Of the paths that others could take, those with the earliest first event."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -155,6 +157,13 @@
             usable,
             paths.PathRequirements(self._board.home, request.held_tokens),
         )
+        found.sort(
+            key=lambda path: (
+                first_event.forecast(
+                    engine, finder.costs, path, request.prompt_tokens
+                ).first_event_seconds
+            )
+        )
         self._alternatives_by_service = {
             service: alternatives
             for service, alternatives in self._alternatives_by_service.items()
@@ -162,7 +171,7 @@
         }
         known = self._alternatives_by_service[request.service] = _Alternatives(
             now,
-            tuple(found),
+            tuple(found[:MAX_ALTERNATIVE_COUNT]),
             capacity / engine.layers,
         )
         return known
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/waiting_room.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/waiting_room.py
@@ -30,7 +30,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sent:
-    """A request is to be sent now.
+    """Send a request now.
 
     Attributes:
         path: the path for its first attempt, if one was found just now.
@@ -52,7 +52,7 @@
         admitted: the request.
         since: loop time at which it began to wait.
         verdict: what became of it.
-        queued: whether it was not sent at once.
+        queued: whether it had to wait.
     """
 
     admitted: admission.Admitted
@@ -62,7 +62,7 @@
 
 
 class WaitingRoom:
-    """Requests that wait for room, and what wakes them up."""
+    """Requests that wait for room."""
 
     def __init__(
         self,
@@ -139,20 +139,20 @@
             number, account, needs, admitted.deadline, body_bytes
         )
         self._room.last_path = None
-        self._carry_out(self._queue.handle(now, arrived))
-        if waiting.verdict.done():
-            verdict = waiting.verdict.result()
-            if isinstance(verdict, Sent):
-                return Sent(self._room.last_path)
-            return verdict
-        waiting.queued = True
-        self._metrics.waiting.set(len(self._waiting_by_number))
         try:
+            self._carry_out(self._queue.handle(now, arrived))
+            if waiting.verdict.done():
+                verdict = waiting.verdict.result()
+                if isinstance(verdict, Sent):
+                    return Sent(self._room.last_path)
+                return verdict
+            waiting.queued = True
+            self._metrics.waiting.set(len(self._waiting_by_number))
             return await waiting.verdict
         finally:
             if self._waiting_by_number.pop(number, None) is not None:
                 self._queue.handle(now, events.Left(number))
-                self._metrics.waiting.set(len(self._waiting_by_number))
+            self._metrics.waiting.set(len(self._waiting_by_number))
 
     def _ranked_services(self) -> frozenset[ids.ServiceId]:
         """Returns the services whose routes differ in priority."""
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/settings.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/settings.py
@@ -130,7 +130,7 @@
             path.read_text(encoding="utf-8"),
             getattr(yaml, "CSafeLoader", yaml.SafeLoader),
         )
-        return msgspec.convert(found, Settings, strict=False)
+        loaded = msgspec.convert(found, Settings, strict=False)
     except (
         OSError,
         ValueError,
@@ -138,3 +138,10 @@
         msgspec.ValidationError,
     ) as error:
         raise errors.SettingsError(f"{path}: {error}") from error
+    waiting_mb = loaded.room.max_waiting_mb
+    if loaded.memory_mb is not None and waiting_mb >= loaded.memory_mb:
+        raise errors.SettingsError(
+            f"{path}: max_waiting_mb is {waiting_mb:g}, and memory_mb only"
+            f" {loaded.memory_mb:g}"
+        )
+    return loaded
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -61,6 +61,8 @@
             GOOD + "room: {max_waiting: 2.5}",
             GOOD + "room: {max_waiting_mb: -1}",
             GOOD + "room: {max_queue: 1}",
+            GOOD + "memory_mb: 8",
+            GOOD + "memory_mb: 100\nroom: {max_waiting_mb: 100}",
         ]
         for text in cases:
             with (
