--- a/benchmarks/bench_gateway.py
+++ b/benchmarks/bench_gateway.py
@@ -1,5 +1,6 @@
 """Gateway: processor time of path choice and planning, bytes of reports."""
 
+import collections
 import logging
 import random
 import statistics
@@ -14,12 +15,16 @@
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import layer_planner
 from nutmeglift_gateway import loads
+from nutmeglift_gateway import path_cache
 from nutmeglift_gateway import paths
 from nutmeglift_gateway import peer_messages
 from nutmeglift_gateway import peer_state
 from nutmeglift_gateway import runner_group
 from nutmeglift_gateway import settings
 from nutmeglift_gateway import store_reader
+from nutmeglift_gateway.load import objectives as objective_sets
+from nutmeglift_gateway.load import path_choice
+from nutmeglift_gateway.load import urgency as urgencies
 from nutmeglift_platform import schema
 
 BATCH_COUNT = 9
@@ -121,6 +126,67 @@
     return figures.Measurement(statistics.median(times))
 
 
+def measure_choice(count: int, routers: int) -> figures.Measurement:
+    """Measures the processor time to choose a path by objective, in µs.
+
+    Each router has its streams in its own failure domain. Between two choices
+    come the reports that peers send in that time; they aren't measured.
+    The value is the median over the choices.
+    """
+    servers = place_layers(count)
+    domains = sorted({server.domain for server in servers})
+    board = boards.Board(settings.Bounds(), domains[0])
+    rng = random.Random(3)
+    path_by_domain = {
+        path.first.domain: path
+        for path in paths.PathFinder(
+            ENGINE, board.load_tracker, lambda address: 1.0
+        ).find_by_domain(servers, paths.PathRequirements(domains[0], 900.0))
+    }
+    cache = path_cache.PathCache[paths.Path](servers)
+    levels = [(0, 0.5, 0.3), (1, 0.6, 0.3), (2, 1.2, 0.3)]
+    rate = REQUESTS_PER_RUNNER_SECOND * count / routers
+    reports_per_choice = (routers - 1) / REPORT_INTERVAL_SECONDS / rate
+    due = 0.0
+    peer = 0
+    times = []
+    running: collections.deque[tuple[loads.Reservation, ...]] = (
+        collections.deque()
+    )
+    for number in range(BATCH_COUNT * DECISIONS_PER_BATCH):
+        due += reports_per_choice
+        while due >= 1.0:
+            due -= 1.0
+            peer = peer % (routers - 1) + 1
+            path = path_by_domain[domains[peer % len(domains)]]
+            tracker = loads.LoadTracker()
+            for _ in range(rng.randint(4, 8)):
+                reserved = path.reservations(900.0, 760)
+                tracker.reserve(reserved)
+            tracker.begin_prompts(reserved)
+            board.load_tracker.record_report(0.0, f"r{peer}", tracker.own())
+        priority, objective, gap_objective = levels[number % len(levels)]
+        requirements = paths.PathRequirements(
+            domains[0],
+            900.0,
+            prompt_tokens=760,
+            urgency=urgencies.Urgency(priority, objective, gap_objective, 0.0),
+            objectives=objective_sets.combine(levels),
+        )
+        started = time.process_time()
+        finder = paths.PathFinder(
+            ENGINE, board.load_tracker, board.pace_reader(0.0), cache=cache
+        )
+        found = path_choice.find_path(board, finder, servers, requirements, 0.0)
+        times.append((time.process_time() - started) * 1e6)
+        if found is not None:
+            running.append(found.reservations(900.0, 760))
+            board.load_tracker.reserve(running[-1])
+        if len(running) > OWN_REQUESTS:
+            board.load_tracker.release(running.popleft())
+    return figures.Measurement(statistics.median(times))
+
+
 def measure_plan(count: int) -> figures.Measurement:
     """Measures the processor time to plan without one runner, in milliseconds.
 
@@ -177,6 +243,8 @@
     return figures.Measurement(statistics.mean(sizes) / REPORT_INTERVAL_SECONDS)
 
 
+REQUESTS_PER_RUNNER_SECOND = 2.4
+OWN_REQUESTS = 8
 REPORT_COUNT = 100
 REQUESTS_PER_REPORT = 4
 RUNNERS_PER_REQUEST = 8
@@ -202,4 +270,23 @@
     ]
 
 
-FIGURES = [*make_figures(42), *make_figures(112), *make_figures(448)]
+def make_choice_figure(count: int, routers: int) -> figures.Figure:
+    """Returns the figure for a number of runners and routers."""
+    return figures.Figure(
+        f"gateway_path_choice_time_{count}_{routers}",
+        "µs",
+        "",
+        lambda: measure_choice(count, routers),
+    )
+
+
+FIGURES = [
+    *make_figures(42),
+    *make_figures(112),
+    *make_figures(448),
+    *(
+        make_choice_figure(count, routers)
+        for count in (60, 128, 448)
+        for routers in (10, 41, 100)
+    ),
+]
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/attempt_failures.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/attempt_failures.py
@@ -58,6 +58,8 @@
         rejection or a failed connection: only servers whose response was lost
         are worth another attempt.
         """
+        if not self.tried:
+            return usable
         untried = [s for s in usable if s.id not in self.tried]
         if untried or self.last_failed is None:
             return untried
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
@@ -15,6 +15,7 @@
 from nutmeglift_gateway import link_budget
 from nutmeglift_gateway import live_peers
 from nutmeglift_gateway import loads
+from nutmeglift_gateway import path_cache
 from nutmeglift_gateway import paths
 from nutmeglift_gateway import poison_guard
 from nutmeglift_gateway import retry_budget
@@ -155,6 +156,7 @@
         self._moves_version = 0
         self._usable_version = (-1, -1, -1, -1)
         self._usable: dict[ids.ServiceId, list[directory.Server]] = {}
+        self._path_caches = path_cache.PathCaches[paths.Path]()
 
     def set_catalog(
         self, revision: ids.Revision, found: catalog.Catalog, digest: int = 0
@@ -336,6 +338,7 @@
             self.load_tracker,
             self.pace_reader(now),
             frozenset(self.load_tracker.full(now)),
+            self._path_caches.of(self.catalog, engine, self.usable),
         )
 
     def record_pace(self, now: float, address: str, value: float) -> None:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/path_choice.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/path_choice.py
@@ -5,8 +5,9 @@
 """
 
 from collections.abc import Sequence
-import dataclasses
+import math
 
+from nutmeglift import ids
 from nutmeglift_gateway import board as boards
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import paths
@@ -21,13 +22,11 @@
 """Exponent of a path's idle time by which the costs of paths are divided for
 the most tolerant requests. Above 1, these prefer a slow path to a fast one that
 is used as much."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Candidate:
-    path: paths.Path
-    cost: float
-    forecast: first_event.Forecast
+MAX_DOMAINS = 4
+"""Failure domains among which a path is chosen. More would take processor time
+in deployments of many, whose load changes between two requests."""
+MIN_IDLE_SECONDS = 1e-9
+"""Greater than zero, for engines whose steps are configured to take no time."""
 
 
 def make_requirements(
@@ -79,50 +78,49 @@
     assert urgency is not None
     assert objectives is not None
     tolerance = objectives.tolerance(urgency)
-    found = finder.find_by_domain(servers, requirements)
+    found = list(finder.find_by_domain(servers, requirements, MAX_DOMAINS))
     if not found:
         return finder.find(servers, requirements)
+    domains = {path.first.domain for path in found}
     if tolerance > 0:
-        found += finder.find_slower(servers, requirements, found)
-    candidates = [_make_candidate(finder, requirements, path) for path in found]
+        found += finder.find_slower(servers, requirements, MAX_DOMAINS)
+    exponent = SLOW_PATH_PREFERENCE * tolerance
+    found.sort(key=lambda path: _preference(path, requirements.home, exponent))
     remaining = urgency.remaining(now)
-    meeting = [
-        each
-        for each in candidates
-        if _meets(each.forecast, remaining, objectives)
-    ]
-    if meeting:
-        exponent = SLOW_PATH_PREFERENCE * tolerance
-        return min(
-            meeting,
-            key=lambda each: (
-                each.cost / finder.idle_seconds(each.path) ** exponent
-            ),
-        ).path
-    candidates += [
-        _make_candidate(finder, requirements, path)
-        for path in finder.find_earliest(servers, requirements)
-        if board.link_budget.has_room(now, path, board.routers)
-    ]
-    return min(
-        candidates, key=lambda each: each.forecast.first_event_seconds
-    ).path
-
-
-def _make_candidate(
+    candidates = []
+    for path in found:
+        forecast = _forecast(finder, requirements, path)
+        if _meets(forecast, remaining, objectives):
+            return path
+        candidates.append((forecast.first_event_seconds, path))
+    earliest = finder.find_earliest(
+        [server for server in servers if server.domain in domains], requirements
+    )
+    if earliest is not None and board.link_budget.has_room(
+        now, earliest, board.routers
+    ):
+        forecast = _forecast(finder, requirements, earliest)
+        candidates.append((forecast.first_event_seconds, earliest))
+    return min(candidates, key=lambda candidate: candidate[0])[1]
+
+
+def _preference(
+    path: paths.Path, home: ids.FailureDomain, exponent: float
+) -> float:
+    """Returns the cost by which paths that meet an objective are compared."""
+    cost = path.cost
+    if path.first.domain != home:
+        cost *= paths.REMOTE_DOMAIN_COST_RATIO
+    return cost / math.pow(max(path.idle_seconds, MIN_IDLE_SECONDS), exponent)
+
+
+def _forecast(
     finder: paths.PathFinder,
     requirements: paths.PathRequirements,
     path: paths.Path,
-) -> _Candidate:
-    cost = path.cost
-    if path.first.domain != requirements.home:
-        cost *= paths.REMOTE_DOMAIN_COST_RATIO
-    return _Candidate(
-        path,
-        cost,
-        first_event.forecast(
-            finder.engine, finder.costs, path, requirements.prompt_tokens
-        ),
+) -> first_event.Forecast:
+    return first_event.forecast(
+        finder.engine, finder.costs, path, requirements.prompt_tokens
     )
 
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/loads.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/loads.py
@@ -1,7 +1,9 @@
 """Load of each backend server, summed over all routers."""
 
 from collections.abc import Mapping
+from collections.abc import Sequence
 import dataclasses
+import itertools
 
 PEER_REPORT_TIMEOUT_SECONDS = 1.5
 """Reservations of a router expire once five of its reports are missing."""
@@ -24,12 +26,14 @@
         token_layers: reserved KV cache, in tokens times layers.
         prompt_token_layers: prompts that it has not yet processed, in tokens
             times layers.
+        version: differs after each change, also from those of other servers.
     """
 
     requests: int = 0
     requests_as_first: int = 0
     token_layers: float = 0.0
     prompt_token_layers: float = 0.0
+    version: int = dataclasses.field(default=0, compare=False, repr=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,6 +55,8 @@
 
 NO_LOAD = Load()
 
+_versions = itertools.count(1)
+
 
 class LoadTracker:
     """Sums this router's reservations and those that other routers report."""
@@ -133,6 +139,11 @@
         """Returns the load of a backend server over all routers."""
         return self._total_by_address.get(address, NO_LOAD)
 
+    def versions(self, addresses: Sequence[str]) -> tuple[int, ...]:
+        """Returns the versions of the loads of several backend servers."""
+        get = self._total_by_address.get
+        return tuple([get(each, NO_LOAD).version for each in addresses])
+
     def _subtract_report(self, peer: str) -> None:
         _, loads = self._peer_loads.pop(peer, (0.0, {}))
         for address, load in loads.items():
@@ -151,6 +162,7 @@
     load = loads.get(address)
     if load is None:
         load = loads[address] = Load()
+    load.version = next(_versions)
     load.requests += sign * change.requests
     load.requests_as_first += sign * change.requests_as_first
     load.token_layers += sign * change.token_layers
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/path_costs.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/path_costs.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from typing import NamedTuple
 
 from nutmeglift_gateway import catalog
 from nutmeglift_gateway import directory
@@ -25,6 +26,47 @@
 step: the wait comes once, and a response has many steps."""
 
 
+class Shape(NamedTuple):
+    """What doesn't change with a runner's load.
+
+    Attributes:
+        step_ratio: part of a token step's time at pace 1 that one layer takes.
+        prompt_ratio: seconds to process one prompt token in one layer.
+        held: layers that it holds; at least 1.
+        room: KV cache, in tokens times layers.
+        slots: requests that it accepts as the first runner.
+    """
+
+    step_ratio: float
+    prompt_ratio: float
+    held: int
+    room: float
+    slots: int
+
+
+def make_shape(
+    engine: catalog.Engine, kind_name: str, layers: int, slots: int
+) -> Shape:
+    """Returns the shape of a runner.
+
+    Args:
+        engine: performance model of the runners.
+        kind_name: its kind.
+        layers: number of layers that it holds.
+        slots: requests that it accepts as the first; 0 if it doesn't tell.
+    """
+    kind = engine.kind(kind_name)
+    return Shape(
+        kind.pace / engine.layers,
+        kind.prompt_time_factor
+        / engine.layers
+        / engine.prompt_tokens_per_second,
+        max(1, layers),
+        engine.token_layer_capacity(kind, layers),
+        slots or max(1, engine.slots),
+    )
+
+
 class PathCosts:
     """Costs of the runners of one service at their current load."""
 
@@ -44,40 +86,63 @@
         self._engine = engine
         self._load_tracker = load_tracker
         self._pace_of = pace_of
+        self._shape_by_key: dict[tuple[str, int, int], Shape] = {}
+
+    def shape(self, server: directory.Server) -> Shape:
+        """Returns what doesn't change with a runner's load."""
+        key = (server.kind, server.layers.count, server.slots)
+        found = self._shape_by_key.get(key)
+        if found is None:
+            found = self._shape_by_key[key] = make_shape(self._engine, *key)
+        return found
 
     def layer_seconds(self, server: directory.Server) -> float:
         """Returns a runner's expected seconds for one layer of a token step."""
-        engine = self._engine
-        kind = engine.kind(server.kind)
         load = self._load_tracker.at(server.address)
-        held = max(1, server.layers.count)
-        tokens = load.token_layers / held
-        step = (
+        shape = self.shape(server)
+        return self._step_seconds(load, shape) * (
+            shape.step_ratio * self._pace_of(server.address)
+        )
+
+    def _step_seconds(self, load: loads.Load, shape: Shape) -> float:
+        """Returns the time of a token step over all layers at pace 1."""
+        engine = self._engine
+        return (
             engine.step_seconds
             + load.requests * engine.sequence_seconds
-            + tokens * engine.context_seconds
+            + load.token_layers / shape.held * engine.context_seconds
         )
-        pace = kind.pace * self._pace_of(server.address)
-        return step * pace / engine.layers
 
     def layer_cost(self, server: directory.Server) -> float:
         """Returns the cost of one layer on a runner, with crowding."""
-        load = self._load_tracker.at(server.address)
-        kind = self._engine.kind(server.kind)
-        room = self._engine.token_layer_capacity(kind, server.layers.count)
-        share = load.token_layers / room if room else 1.0
-        slots = server.slots or self._engine.slots
-        share = max(share, load.requests_as_first / slots)
-        crowding = 1.0 + CROWDING_COST_RATIO * max(
-            0.0, share - CROWDING_THRESHOLD_RATIO
+        return self.loaded_layer_cost(
+            self._load_tracker.at(server.address),
+            self.shape(server),
+            self._pace_of(server.address),
         )
+
+    def loaded_layer_cost(
+        self, load: loads.Load, shape: Shape, pace: float
+    ) -> float:
+        """Returns the cost of one layer, with crowding.
+
+        Args:
+            load: load of the runner.
+            shape: the runner's memory and speed.
+            pace: its pace.
+        """
+        share = load.token_layers / shape.room if shape.room else 1.0
+        slot_share = load.requests_as_first / shape.slots
+        share = max(share, slot_share)
+        seconds = self._step_seconds(load, shape) * shape.step_ratio * pace
+        if share > CROWDING_THRESHOLD_RATIO:
+            seconds *= 1.0 + CROWDING_COST_RATIO * (
+                share - CROWDING_THRESHOLD_RATIO
+            )
         # All layers together cost the mean wait of the pipeline's runners, as
         # these process successive prompts at the same time.
-        wait = self.prompt_wait_seconds(server) / self._engine.layers
-        return (
-            self.layer_seconds(server) * crowding
-            + PROMPT_WAIT_COST_RATIO * wait
-        )
+        wait = load.prompt_token_layers * shape.prompt_ratio * pace
+        return seconds + PROMPT_WAIT_COST_RATIO * wait / self._engine.layers
 
     def first_event_layer_cost(
         self, server: directory.Server, prompt_tokens: int
@@ -97,12 +162,10 @@
 
     def prompt_wait_seconds(self, server: directory.Server) -> float:
         """Returns the time in which a runner processes its waiting prompts."""
-        engine = self._engine
-        kind = engine.kind(server.kind)
-        waiting = self._load_tracker.at(server.address).prompt_token_layers
-        factor = kind.prompt_time_factor * self._pace_of(server.address)
         return (
-            waiting / engine.layers / engine.prompt_tokens_per_second * factor
+            self._load_tracker.at(server.address).prompt_token_layers
+            * self.shape(server).prompt_ratio
+            * self._pace_of(server.address)
         )
 
     def prompt_pass_seconds(self, server: directory.Server) -> float:
@@ -112,7 +175,7 @@
         """
         reading = self.prompt_wait_seconds(server)
         chunk_tokens = self._engine.prompt_chunk_tokens
-        if not chunk_tokens:
+        if not chunk_tokens or reading <= 0:
             return reading
         step = self.layer_seconds(server) * self._engine.layers
         chunk = self.prompt_seconds(server, chunk_tokens)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/paths.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/paths.py
@@ -16,12 +16,12 @@
 from nutmeglift_gateway import catalog
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import loads
+from nutmeglift_gateway import path_cache
 from nutmeglift_gateway import path_costs
+from nutmeglift_gateway import path_search
 from nutmeglift_gateway.load import objectives as objective_sets
 from nutmeglift_gateway.load import urgency as urgencies
 
-MAX_PART_COUNT = 32
-"""Runners reject longer paths (limit of the engines' protocol)."""
 MAX_MEMORY_RATIO = 0.97
 """Maximum part of a runner's KV cache to reserve. Reservations count what a
 request holds on average; a request holds less at its start than at its end. A
@@ -33,6 +33,7 @@
 REMOTE_DOMAIN_COST_RATIO = 1.3
 """Factor by which a pipeline in another failure domain has to be faster,
 because traffic between failure domains is billed by the byte."""
+NO_ADDRESSES: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,11 +54,13 @@
         step_seconds: expected duration of one token step.
         cost: value by which paths are compared: the duration of a step, plus
             surcharges for crossings and crowded runners.
+        idle_seconds: duration of a token step without other requests.
     """
 
     parts: tuple[Part, ...]
     step_seconds: float
     cost: float = dataclasses.field(default=0.0, compare=False)
+    idle_seconds: float = dataclasses.field(default=0.0, compare=False)
 
     @property
     def crossings(self) -> int:
@@ -124,56 +127,12 @@
         )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Segment:
-    """A range of layers to find runners for.
-
-    Attributes:
-        start: first layer.
-        end: the layer after the last.
-        domain: failure domain of the runner before the range; empty if there
-            is none.
-    """
-
-    start: int
-    end: int
-    domain: str = ""
-
-
-@dataclasses.dataclass(slots=True)
-class _PartialPath:
-    cost: float
-    count: int
-    domain: str
-    part: Part | None
-    previous: "_PartialPath | None"
-
-
-class UsableRunners:
-    """Runners that may be used, and the layers that they hold.
-
-    Attributes:
-        by_id: the runners by id.
-    """
-
-    def __init__(self, servers: Iterable[directory.Server]) -> None:
-        self.by_id = {server.id: server for server in servers}
-
-    def holds(self, part: Part) -> bool:
-        """Returns whether a part's runner is usable and holds its layers."""
-        server = self.by_id.get(part.server.id)
-        if server is None or server.lifetime != part.server.lifetime:
-            return False
-        return (
-            server.layers.start <= part.start and part.end <= server.layers.end
-        )
-
-
 class PathFinder:
     """Finds paths over the runners of one service.
 
     Attributes:
         engine: performance model and limits of the runners.
+        costs: costs of the runners at their current load.
     """
 
     def __init__(
@@ -181,7 +140,8 @@
         engine: catalog.Engine,
         load_tracker: loads.LoadTracker,
         pace_of: Callable[[str], float],
-        full: frozenset[str] = frozenset(),
+        full: frozenset[str] = NO_ADDRESSES,
+        cache: path_cache.PathCache[Path] | None = None,
     ) -> None:
         """Initializes a path finder.
 
@@ -191,20 +151,17 @@
             pace_of: returns the pace of the runner at an address.
             full: addresses of runners that recently rejected requests; they
                 are not used for new parts.
+            cache: keeps paths over the usable runners.
         """
         self.engine = engine
         self._load_tracker = load_tracker
-        self._costs = path_costs.PathCosts(engine, load_tracker, pace_of)
+        self.costs = path_costs.PathCosts(engine, load_tracker, pace_of)
+        self._default_crossing_cost = (
+            self.costs.crossing_seconds() * path_costs.CROSSING_COST_RATIO
+        )
         self._full = full
-
-    @property
-    def costs(self) -> path_costs.PathCosts:
-        """The costs of the runners at their current load."""
-        return self._costs
-
-    def layer_seconds(self, server: directory.Server) -> float:
-        """Returns a runner's expected seconds for one layer of a token step."""
-        return self._costs.layer_seconds(server)
+        self._pace_of = pace_of
+        self._cache = cache
 
     def find(
         self,
@@ -234,86 +191,150 @@
         if best is not None or not requirements.may_cross:
             return best
         usable = [s for s in servers if self._is_usable(s, requirements)]
-        return self._search(
-            usable, Segment(0, self.engine.layers), self._costs.layer_cost
+        return self.find_chain(
+            usable, path_search.Segment(0, self.engine.layers)
         )
 
-    def find_by_domain(
+    def find_chain(
         self,
         servers: Iterable[directory.Server],
-        requirements: PathRequirements,
-    ) -> list[Path]:
-        """Returns the cheapest path within each failure domain that has one."""
-        return self._search_domains(
-            servers, requirements, self._costs.layer_cost
-        )
+        segment: path_search.Segment,
+    ) -> Path | None:
+        """Returns the cheapest chain of runners for a range of layers.
 
-    def find_earliest(
+        Args:
+            servers: the runners, which have room.
+            segment: the layers.
+        """
+        return self._search(servers, segment, self.costs.layer_cost)
+
+    def find_by_domain(
         self,
         servers: Iterable[directory.Server],
         requirements: PathRequirements,
+        limit: int | None = None,
     ) -> list[Path]:
-        """Returns the paths of the earliest first event.
+        """Returns the cheapest path within each failure domain that has one.
 
-        Returns:
-            One within each failure domain that has one, and one that may cross
-            between them if the request's may.
+        Args:
+            servers: the runners that may be used.
+            requirements: requirements of the request.
+            limit: number of failure domains to search, where paths are kept;
+                None for all.
         """
-        prompt_tokens = requirements.prompt_tokens
-
-        def layer_cost(server: directory.Server) -> float:
-            return self._costs.first_event_layer_cost(server, prompt_tokens)
-
-        usable = [s for s in servers if self._is_usable(s, requirements)]
-        found = self._search_domains(usable, requirements, layer_cost)
-        if requirements.may_cross:
-            path = self._search(
-                usable,
-                Segment(0, self.engine.layers),
-                layer_cost,
-                self._costs.crossing_seconds(prompt_tokens),
+        cache = self._cache
+        if cache is None or servers is not cache.servers:
+            return self._search_domains(
+                servers, requirements, self.costs.layer_cost
             )
-            found += [path] if path is not None and path.crossings else []
-        return found
+        return self._find_cached(cache, requirements, limit)
 
     def find_slower(
         self,
         servers: Iterable[directory.Server],
         requirements: PathRequirements,
-        found: Iterable[Path],
+        limit: int | None = None,
     ) -> list[Path]:
-        """Returns paths that leave out the fastest kind of other paths.
+        """Returns paths that leave out the fastest kind of each domain.
 
         Args:
             servers: the runners that may be used.
             requirements: requirements of the request.
-            found: the other paths, of different failure domains.
+            limit: as of `find_by_domain`.
         """
-        pace_limit_by_domain = {
-            path.first.domain: min(
-                self.engine.kind(part.server.kind).pace for part in path.parts
+        cache = self._cache
+        if cache is None or servers is not cache.servers:
+            return self._search_domains(
+                path_cache.leave_out_fastest(self.engine, servers),
+                requirements,
+                self.costs.layer_cost,
             )
-            for path in found
-        }
-        slower = [
-            server
-            for server in servers
-            if self.engine.kind(server.kind).pace
-            > pace_limit_by_domain.get(server.domain, float("inf"))
-        ]
-        return self.find_by_domain(slower, requirements)
+        if cache.without_fastest is None:
+            cache.without_fastest = path_cache.PathCache(
+                path_cache.leave_out_fastest(self.engine, servers)
+            )
+        return self._find_cached(cache.without_fastest, requirements, limit)
 
-    def idle_seconds(self, path: Path) -> float:
-        """Returns a path's seconds for a token step without other requests."""
-        return (
-            sum(
-                (part.end - part.start)
-                * self.engine.kind(part.server.kind).pace
-                for part in path.parts
+    def _find_cached(
+        self,
+        cache: path_cache.PathCache[Path],
+        requirements: PathRequirements,
+        limit: int | None,
+    ) -> list[Path]:
+        found = []
+        domains = cache.domains
+        if limit is not None:
+            domains = cache.nearby(requirements.home, limit)
+        for each in domains:
+            state = path_cache.State(
+                self._load_tracker.versions(each.addresses),
+                self._full.intersection(each.addresses),
+                tuple(map(self._pace_of, each.addresses)),
             )
-            * self.engine.step_seconds
-            / self.engine.layers
-        ) + path.crossings * self._costs.crossing_seconds()
+            if not each.is_valid(state, requirements.tokens):
+                self._update(each, state, requirements)
+            if each.path is not None:
+                found.append(each.path)
+        return found
+
+    def _update(
+        self,
+        known: path_cache.DomainPath[Path],
+        state: path_cache.State,
+        requirements: PathRequirements,
+    ) -> None:
+        """Finds the cheapest path of a failure domain again."""
+        known.state = state
+        known.min_tokens, known.max_tokens = -1.0, float("inf")
+        tokens, costs = requirements.tokens, self.costs
+        holders = []
+        for server, pace in zip(known.servers, state.paces, strict=True):
+            if server.address in state.full:
+                continue
+            load = self._load_tracker.at(server.address)
+            shape = costs.shape(server)
+            free_tokens = self._free_tokens(shape, load)
+            if tokens > free_tokens:
+                known.min_tokens = max(known.min_tokens, free_tokens)
+                continue
+            known.max_tokens = min(known.max_tokens, free_tokens)
+            holders.append(
+                path_search.Holder(
+                    server,
+                    server.layers.start,
+                    server.layers.end,
+                    costs.loaded_layer_cost(load, shape, pace),
+                    load.requests_as_first < shape.slots * MAX_SLOT_RATIO,
+                )
+            )
+        known.path = self._make_path(
+            path_search.search(
+                holders,
+                path_search.Segment(0, self.engine.layers),
+                self._default_crossing_cost,
+            )
+        )
+        known.cost = known.path.cost if known.path else float("inf")
+
+    def find_earliest(
+        self,
+        servers: Iterable[directory.Server],
+        requirements: PathRequirements,
+    ) -> Path | None:
+        """Returns the path of the earliest first event, or None.
+
+        It may cross between failure domains if the request's path may.
+        """
+        prompt_tokens = requirements.prompt_tokens
+        crossing_seconds = self.costs.crossing_seconds(prompt_tokens)
+        return self._search(
+            [s for s in servers if self._is_usable(s, requirements)],
+            path_search.Segment(0, self.engine.layers),
+            lambda server: self.costs.first_event_layer_cost(
+                server, prompt_tokens
+            ),
+            crossing_seconds if requirements.may_cross else float("inf"),
+        )
 
     def _search_domains(
         self,
@@ -325,7 +346,7 @@
         for server in servers:
             if self._is_usable(server, requirements):
                 usable_by_domain.setdefault(server.domain, []).append(server)
-        all_layers = Segment(0, self.engine.layers)
+        all_layers = path_search.Segment(0, self.engine.layers)
         found = [
             self._search(usable, all_layers, layer_cost)
             for usable in usable_by_domain.values()
@@ -337,160 +358,62 @@
     ) -> bool:
         return server.layers.count > 0 and self.has_room(server, requirements)
 
-    def repair(
-        self,
-        path: Path,
-        servers: Iterable[directory.Server],
-        requirements: PathRequirements,
-    ) -> Path | None:
-        """Returns a path with the same first part that avoids lost runners.
-
-        Each part whose runner is lost, or no longer holds the layers, is
-        replaced by a chain of runners that are not on the path yet. All other
-        parts are unchanged and so keep their KV caches.
-
-        Args:
-            path: the path of a running request.
-            servers: the runners that may be used.
-            requirements: requirements of the request.
-
-        Returns:
-            The new path, or None if there is none.
-        """
-        runners = UsableRunners(servers)
-        if path.first.id not in runners.by_id:
-            return None
-        on_path = {part.server.id for part in path.parts}
-        candidates = [
-            server
-            for server in runners.by_id.values()
-            if server.id not in on_path
-            and server.layers.count
-            and self.has_room(server, requirements)
-        ]
-        parts: list[Part] = []
-        seconds = 0.0
-        for part in path.parts:
-            if not parts or runners.holds(part):
-                parts.append(part)
-                seconds += (part.end - part.start) * self.layer_seconds(
-                    part.server
-                )
-                continue
-            segment = Segment(part.start, part.end, parts[-1].server.domain)
-            chain = self._search(candidates, segment, self._costs.layer_cost)
-            if chain is None:
-                return None
-            used_ids = {each.server.id for each in chain.parts}
-            candidates = [
-                server for server in candidates if server.id not in used_ids
-            ]
-            parts += chain.parts
-            seconds += chain.step_seconds
-        if len(parts) > MAX_PART_COUNT:
-            return None
-        return Path(tuple(parts), seconds)
-
     def has_room(
         self, server: directory.Server, requirements: PathRequirements
     ) -> bool:
         """Returns whether a runner has memory for a request."""
         if server.address in self._full:
             return False
-        load = self._load_tracker.at(server.address)
-        kind = self.engine.kind(server.kind)
-        room = self.engine.token_layer_capacity(kind, server.layers.count)
-        needed = requirements.tokens * min(
-            server.layers.count, self.engine.layers
+        return requirements.tokens <= self._free_tokens(
+            self.costs.shape(server), self._load_tracker.at(server.address)
         )
-        return load.token_layers + needed <= room * MAX_MEMORY_RATIO
 
-    def _has_free_slot(self, server: directory.Server) -> bool:
-        slots = server.slots or self.engine.slots
-        return (
-            self._load_tracker.at(server.address).requests_as_first
-            < slots * MAX_SLOT_RATIO
-        )
+    def _free_tokens(self, shape: path_costs.Shape, load: loads.Load) -> float:
+        """Returns the tokens that a runner has room for in all its layers."""
+        free = shape.room * MAX_MEMORY_RATIO - load.token_layers
+        return free / min(shape.held, self.engine.layers)
 
     def _search(
         self,
-        servers: list[directory.Server],
-        segment: Segment,
+        servers: Iterable[directory.Server],
+        segment: path_search.Segment,
         layer_cost: Callable[[directory.Server], float],
-        crossing: float | None = None,
+        crossing_cost: float | None = None,
     ) -> Path | None:
-        if crossing is None:
-            crossing = (
-                self._costs.crossing_seconds() * path_costs.CROSSING_COST_RATIO
+        holders = [
+            path_search.Holder(
+                server,
+                server.layers.start,
+                server.layers.end,
+                layer_cost(server),
+                self._load_tracker.at(server.address).requests_as_first
+                < self.costs.shape(server).slots * MAX_SLOT_RATIO,
             )
-        costs = {s.address: layer_cost(s) for s in servers}
-        begin = _PartialPath(0.0, 0, segment.domain, None, None)
-        frontier: dict[int, dict[str, _PartialPath]] = {
-            segment.start: {segment.domain: begin}
-        }
-        while frontier:
-            at = min(frontier)
-            partial_paths = frontier.pop(at)
-            if at >= segment.end:
-                return self._trace(
-                    min(partial_paths.values(), key=lambda p: p.cost)
-                )
-            for server in servers:
-                held = server.layers
-                if not held.start <= at < held.end:
-                    continue
-                if at == 0 and not self._has_free_slot(server):
-                    continue
-                end = min(held.end, segment.end)
-                part = Part(server, at, end)
-                part_cost = (end - at) * costs[server.address]
-                _extend(
-                    frontier.setdefault(end, {}),
-                    partial_paths,
-                    part,
-                    part_cost,
-                    crossing,
-                )
-            frontier = {
-                at: partial_paths
-                for at, partial_paths in frontier.items()
-                if partial_paths
-            }
-        return None
-
-    def _trace(self, partial: _PartialPath) -> Path:
-        parts = []
-        current: _PartialPath | None = partial
-        while current is not None and current.part is not None:
-            parts.append(current.part)
-            current = current.previous
-        parts.reverse()
-        seconds = sum(
-            (part.end - part.start) * self.layer_seconds(part.server)
-            for part in parts
+            for server in servers
+        ]
+        if crossing_cost is None:
+            crossing_cost = self._default_crossing_cost
+        return self._make_path(
+            path_search.search(holders, segment, crossing_cost)
+        )
+
+    def _make_path(self, chain: path_search.Chain | None) -> Path | None:
+        if chain is None:
+            return None
+        costs = self.costs
+        parts = tuple([Part(*each) for each in chain.parts])
+        seconds = 0.0
+        idle_seconds = 0.0
+        for server, start, end in chain.parts:
+            seconds += (end - start) * costs.layer_seconds(server)
+            idle_seconds += (end - start) * costs.shape(server).step_ratio
+        idle_seconds *= self.engine.step_seconds
+        path = Path(parts, seconds, chain.cost, idle_seconds)
+        if not path.crossings:
+            return path
+        delay = path.crossings * costs.crossing_seconds()
+        return dataclasses.replace(
+            path,
+            step_seconds=seconds + delay,
+            idle_seconds=idle_seconds + delay,
         )
-        path = Path(tuple(parts), seconds, partial.cost)
-        delay = path.crossings * self._costs.crossing_seconds()
-        return dataclasses.replace(path, step_seconds=seconds + delay)
-
-
-def _extend(
-    partial_by_domain: dict[str, _PartialPath],
-    partial_paths: dict[str, _PartialPath],
-    part: Part,
-    part_cost: float,
-    crossing: float,
-) -> None:
-    """Records the cheapest partial path that ends with a part, by domain."""
-    domain = part.server.domain
-    for partial in partial_paths.values():
-        if partial.count >= MAX_PART_COUNT:
-            continue
-        cost = partial.cost + part_cost
-        if partial.domain and partial.domain != domain:
-            cost += crossing
-        best = partial_by_domain.get(domain)
-        if best is None or cost < best.cost:
-            partial_by_domain[domain] = _PartialPath(
-                cost, partial.count + 1, domain, part, partial
-            )
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
@@ -192,7 +192,6 @@
         usable = board.usable(self._admitted.service.id)
         finder = board.path_finder(engine, now)
         untried = self._failures.untried(usable)
-        path: paths.Path | None = None
         for servers in board.hold_offs.by_preference(untried):
             if self._reply.progress.sent:
                 path = successor_paths.find_path(
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_monitor.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_monitor.py
@@ -10,6 +10,7 @@
 from nutmeglift_gateway import failure_recorder as recorders
 from nutmeglift_gateway import metrics as metric_sets
 from nutmeglift_gateway import pace_reader
+from nutmeglift_gateway import path_repair
 from nutmeglift_gateway import paths
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import reachability
@@ -223,7 +224,7 @@
         if engine is None or stream.moving or stream.moves >= MAX_MOVE_COUNT:
             return False
         usable = self._board.usable(stream.admitted.service.id)
-        runners = paths.UsableRunners(usable)
+        runners = path_repair.UsableRunners(usable)
         if stream.path.first.id not in runners.by_id:
             return False
         unusable_parts = [
@@ -238,7 +239,8 @@
         )
         finder = self._board.path_finder(engine, now)
         requirements = paths.PathRequirements(self._board.home, stream.tokens)
-        path = finder.repair(
+        path = path_repair.repair(
+            finder,
             stream.path,
             [s for s in usable if s.id not in stream.refused_runner_ids],
             requirements,
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/successor_paths.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/successor_paths.py
@@ -7,10 +7,8 @@
 """
 
 from collections.abc import Sequence
-import dataclasses
 import random
 
-from nutmeglift import ids
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import paths
 from nutmeglift_gateway.load import first_event
@@ -39,12 +37,10 @@
         requirements: requirements of the request.
         rng: random number generator.
     """
-    path_by_domain = {}
-    for domain in sorted({server.domain for server in servers}):
-        members = [server for server in servers if server.domain == domain]
-        path = _find_within(finder, members, requirements)
-        if path is not None:
-            path_by_domain[domain] = path
+    path_by_domain = {
+        path.first.domain: path
+        for path in finder.find_by_domain(servers, requirements)
+    }
     if not path_by_domain:
         return finder.find(servers, requirements)
     cost_by_domain = {
@@ -54,7 +50,7 @@
     limit = MAX_COST_RATIO * min(cost_by_domain.values())
     if cost_by_domain.get(requirements.home, float("inf")) <= limit:
         return path_by_domain[requirements.home]
-    domains = [d for d, cost in cost_by_domain.items() if cost <= limit]
+    domains = sorted(d for d, cost in cost_by_domain.items() if cost <= limit)
     weights = [1.0 / cost_by_domain[domain] for domain in domains]
     return path_by_domain[rng.choices(domains, weights)[0]]
 
@@ -69,16 +65,3 @@
     return first_event.forecast(
         finder.engine, finder.costs, path, requirements.prompt_tokens
     ).first_event_seconds
-
-
-def _find_within(
-    finder: paths.PathFinder,
-    members: Sequence[directory.Server],
-    requirements: paths.PathRequirements,
-) -> paths.Path | None:
-    """Returns the cheapest path within a failure domain."""
-    within: ids.FailureDomain = members[0].domain
-    return finder.find(
-        members,
-        dataclasses.replace(requirements, home=within, may_cross=False),
-    )
--- a/tests/gateway/test_layer_planner.py
+++ b/tests/gateway/test_layer_planner.py
@@ -173,7 +173,7 @@
         load_tracker.reserve(path.reservations(TYPICAL_RESERVED_TOKENS))
     return [
         sum(
-            (part.end - part.start) * finder.layer_seconds(part.server)
+            (part.end - part.start) * finder.costs.layer_seconds(part.server)
             for part in path.parts
         )
         for path in chosen_paths
--- a/tests/gateway/test_paths.py
+++ b/tests/gateway/test_paths.py
@@ -5,6 +5,7 @@
 from nutmeglift_gateway import loads
 from nutmeglift_gateway import path_costs
 from nutmeglift_gateway import path_explanation
+from nutmeglift_gateway import path_repair
 from nutmeglift_gateway import paths
 from tests.gateway import rig
 
@@ -62,8 +63,8 @@
         finder = paths.PathFinder(
             rig.ENGINE, loads.LoadTracker(), lambda _: 1.0
         )
-        moved = finder.repair(
-            path, [x, kept, other], paths.PathRequirements(HOME, 1000.0)
+        moved = path_repair.repair(
+            finder, path, [x, kept, other], paths.PathRequirements(HOME, 1000.0)
         )
         self.assertEqual(parts(moved), [("x", 0, 50), ("z", 50, 80)])
 
@@ -254,8 +255,11 @@
 
     def repair(self, servers):
         return parts(
-            self.path_finder.repair(
-                self.path, servers, paths.PathRequirements(HOME, 10.0)
+            path_repair.repair(
+                self.path_finder,
+                self.path,
+                servers,
+                paths.PathRequirements(HOME, 10.0),
             )
         )
 
