--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/path_choice.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/path_choice.py
@@ -83,7 +83,9 @@
         return finder.find(servers, requirements)
     domains = {path.first.domain for path in found}
     if tolerance > 0:
-        found += finder.find_slower(servers, requirements, MAX_DOMAINS)
+        found += finder.find_by_domain(
+            servers, requirements, MAX_DOMAINS, without_fastest=True
+        )
     exponent = SLOW_PATH_PREFERENCE * tolerance
     found.sort(key=lambda path: _preference(path, requirements.home, exponent))
     remaining = urgency.remaining(now)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/path_cache.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/path_cache.py
@@ -76,18 +76,21 @@
     """The cheapest paths over the usable runners of one service.
 
     Attributes:
+        engine: performance model and limits of the runners.
         servers: the runners; the paths hold for this very sequence.
         domains: the paths by failure domain.
-        without_fastest: paths that leave out the fastest kind of each failure
-            domain; None until they are asked for.
     """
 
-    def __init__(self, servers: Sequence[directory.Server]) -> None:
+    def __init__(
+        self, engine: catalog.Engine, servers: Sequence[directory.Server]
+    ) -> None:
         """Initializes without any path.
 
         Args:
+            engine: performance model and limits of the runners.
             servers: the usable runners, which must not change any more.
         """
+        self.engine = engine
         self.servers = servers
         members: dict[ids.FailureDomain, list[directory.Server]] = {}
         for server in servers:
@@ -97,9 +100,17 @@
             DomainPath(domain, each, tuple(s.address for s in each))
             for domain, each in members.items()
         ]
-        self.without_fastest: PathCache[PathT] | None = None
+        self._without_fastest: PathCache[PathT] | None = None
         self._choices = 0
 
+    def without_fastest(self) -> "PathCache[PathT]":
+        """Returns the paths without the fastest kind of each failure domain."""
+        if self._without_fastest is None:
+            self._without_fastest = PathCache(
+                self.engine, leave_out_fastest(self.engine, self.servers)
+            )
+        return self._without_fastest
+
     def nearby(
         self, home: ids.FailureDomain, limit: int
     ) -> list[DomainPath[PathT]]:
@@ -167,12 +178,18 @@
             if service.engine is engine:
                 servers = usable(service.id)
                 cache = self._by_service.get(service.id)
-                if cache is None or cache.servers is not servers:
+                if (
+                    cache is None
+                    or cache.engine is not engine
+                    or cache.servers is not servers
+                ):
                     self._by_service = {
                         id_: each
                         for id_, each in self._by_service.items()
                         if id_ in services
                     }
-                    cache = self._by_service[service.id] = PathCache(servers)
+                    cache = self._by_service[service.id] = PathCache(
+                        engine, servers
+                    )
                 return cache
         return None
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/paths.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/paths.py
@@ -213,6 +213,8 @@
         servers: Iterable[directory.Server],
         requirements: PathRequirements,
         limit: int | None = None,
+        *,
+        without_fastest: bool = False,
     ) -> list[Path]:
         """Returns the cheapest path within each failure domain that has one.
 
@@ -221,39 +223,18 @@
             requirements: requirements of the request.
             limit: number of failure domains to search, where paths are kept;
                 None for all.
+            without_fastest: whether to leave out the fastest kind of each.
         """
         cache = self._cache
-        if cache is None or servers is not cache.servers:
-            return self._search_domains(
-                servers, requirements, self.costs.layer_cost
-            )
-        return self._find_cached(cache, requirements, limit)
-
-    def find_slower(
-        self,
-        servers: Iterable[directory.Server],
-        requirements: PathRequirements,
-        limit: int | None = None,
-    ) -> list[Path]:
-        """Returns paths that leave out the fastest kind of each domain.
-
-        Args:
-            servers: the runners that may be used.
-            requirements: requirements of the request.
-            limit: as of `find_by_domain`.
-        """
-        cache = self._cache
-        if cache is None or servers is not cache.servers:
-            return self._search_domains(
-                path_cache.leave_out_fastest(self.engine, servers),
-                requirements,
-                self.costs.layer_cost,
-            )
-        if cache.without_fastest is None:
-            cache.without_fastest = path_cache.PathCache(
-                path_cache.leave_out_fastest(self.engine, servers)
-            )
-        return self._find_cached(cache.without_fastest, requirements, limit)
+        if cache is not None and servers is cache.servers:
+            if without_fastest:
+                cache = cache.without_fastest()
+            return self._find_cached(cache, requirements, limit)
+        if without_fastest:
+            servers = path_cache.leave_out_fastest(self.engine, servers)
+        return self._search_domains(
+            servers, requirements, self.costs.layer_cost
+        )
 
     def _find_cached(
         self,
@@ -286,8 +267,7 @@
         """Finds the cheapest path of a failure domain again."""
         known.state = state
         known.min_tokens, known.max_tokens = -1.0, float("inf")
-        tokens, costs = requirements.tokens, self.costs
-        holders = []
+        tokens, costs, holders = requirements.tokens, self.costs, []
         for server, pace in zip(known.servers, state.paces, strict=True):
             if server.address in state.full:
                 continue
