--- a/packages/nutmeglift_gateway/nutmeglift_gateway/path_costs.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/path_costs.py
@@ -53,7 +53,7 @@
         engine: performance model of the runners.
         kind_name: its kind.
         layers: number of layers that it holds.
-        slots: requests that it accepts as the first; 0 if it doesn't tell.
+        slots: requests that it accepts as the first; 0 if unknown.
     """
     kind = engine.kind(kind_name)
     return Shape(
--- a/tests/gateway/test_path_choice.py
+++ b/tests/gateway/test_path_choice.py
@@ -172,7 +172,7 @@
         self.assertEqual(found, (PATHS_OF_ONE_LEVEL, 299))
 
     def test_no_path_is_later_than_the_best_of_all_domains_in_need(self):
-        # All are too late, so that the earliest is to be taken.
+        # All are too late; the earliest has to be taken.
         for seed in range(60):
             rng = random.Random(seed)
             deployment = random_runners.make_deployment(rng)
