--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/path_room.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/path_room.py
@@ -156,6 +156,7 @@
         found = finder.find_by_domain(
             usable,
             paths.PathRequirements(self._board.home, request.held_tokens),
+            MAX_ALTERNATIVE_COUNT,
         )
         found.sort(
             key=lambda path: (
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/loads.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/loads.py
@@ -3,8 +3,10 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import Mapping
+from collections.abc import Sequence
 import contextlib
 import dataclasses
+import itertools
 
 PEER_REPORT_TIMEOUT_SECONDS = 1.5
 """Reservations of a router expire once five of its reports are missing."""
@@ -27,12 +29,14 @@
         token_layers: reserved KV cache, in tokens times layers.
         prompt_token_layers: prompts that it has not yet processed, in tokens
             times layers.
+        version: differs after each change, also from those of other servers.
     """
 
     requests: int = 0
     requests_as_first: int = 0
     token_layers: float = 0.0
     prompt_token_layers: float = 0.0
+    version: int = dataclasses.field(default=0, compare=False, repr=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,6 +58,8 @@
 
 NO_LOAD = Load()
 
+_versions = itertools.count(1)
+
 
 class LoadTracker:
     """Sums this router's reservations and those that other routers report.
@@ -103,15 +109,25 @@
 
         The context must not be left before it ends, as by `await`.
         """
+        known = {
+            each.address: self._total_by_address.get(each.address)
+            for each in reservations
+        }
+        for address, load in known.items():
+            if load is not None:
+                self._total_by_address[address] = dataclasses.replace(load)
         for reservation in reservations:
             _add(self._total_by_address, reservation, 1)
         self._change_prompts(self._total_by_address, reservations, 1)
         try:
             yield
         finally:
-            self._change_prompts(self._total_by_address, reservations, -1)
-            for reservation in reservations:
-                _add(self._total_by_address, reservation, -1)
+            # The loads as they were, with the same versions.
+            for address, load in known.items():
+                if load is not None:
+                    self._total_by_address[address] = load
+                else:
+                    self._total_by_address.pop(address, None)
 
     def begin_prompts(self, reservations: tuple[Reservation, ...]) -> None:
         """Adds the prompt of a request that was sent."""
@@ -172,6 +188,11 @@
         """Returns the load of a backend server over all routers."""
         return self._total_by_address.get(address, NO_LOAD)
 
+    def versions(self, addresses: Sequence[str]) -> tuple[int, ...]:
+        """Returns the versions of the loads of several backend servers."""
+        get = self._total_by_address.get
+        return tuple([get(each, NO_LOAD).version for each in addresses])
+
     def _subtract_report(self, peer: str) -> None:
         _, loads = self._peer_loads.pop(peer, (0.0, {}))
         for address, load in loads.items():
@@ -190,6 +211,7 @@
     load = loads.get(address)
     if load is None:
         load = loads[address] = Load()
+    load.version = next(_versions)
     load.requests += sign * change.requests
     load.requests_as_first += sign * change.requests_as_first
     load.token_layers += sign * change.token_layers
--- a/tests/gateway/test_loads.py
+++ b/tests/gateway/test_loads.py
@@ -121,6 +121,7 @@
                 for _ in range(others):
                     self.tracker.reserve((self.reservation,))
                 own = self.tracker.own()
+                versions = self.tracker.versions(ADDRESSES)
                 with self.tracker.trial((self.reservation,)):
                     load = self.tracker.at(ADDRESSES[0])
                     self.assertEqual(
@@ -133,6 +134,7 @@
                 load = self.tracker.at(ADDRESSES[0])
                 self.assertEqual(load.requests, others)
                 self.assertEqual(load.prompt_token_layers, 0.0)
+                self.assertEqual(self.tracker.versions(ADDRESSES), versions)
         self.tracker.on_freed.assert_not_called()
 
     def test_releases_and_reports_are_announced(self):
