--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/admission_queue.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/admission_queue.py
@@ -3,8 +3,8 @@
 Load: callers of several priorities ask for more than the runners can begin in
 time. Without an order, the requests with the loosest objective are served best
 and those of the most urgent callers are late. Requests that wait are ordered by
-priority, then fairly among client accounts, then by the time left. While all
-requests of a service have the same priority, each is sent at once.
+rank, then fairly among client accounts, then by the time left. While all
+requests of a service have the same rank, each is sent at once.
 """
 
 import dataclasses
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/demand.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/demand.py
@@ -1,4 +1,4 @@
-"""Recent demand for a service by priority, over all routers."""
+"""Recent demand for a service by rank, over all routers."""
 
 import abc
 from collections.abc import Mapping
@@ -9,7 +9,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Demand:
-    """Recent requests of one priority for one service.
+    """Recent requests of one rank for one service.
 
     Attributes:
         arrivals_per_second: requests that callers sent, over all routers.
@@ -33,7 +33,7 @@
     def by_priority(
         self, now: float, service: ids.ServiceId
     ) -> Mapping[int, Demand]:
-        """Returns the demand of the priorities that were in use recently.
+        """Returns the demand by rank, of those that were in use recently.
 
         Args:
             now: loop time in seconds.
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/demand_tracker.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/demand_tracker.py
@@ -1,4 +1,4 @@
-"""Recent demand of this router's callers, by service and priority."""
+"""Recent demand of this router's callers, by service and rank."""
 
 from collections.abc import Callable
 from collections.abc import Mapping
@@ -10,12 +10,12 @@
 from nutmeglift_gateway.load import room
 
 IN_DEMAND_SECONDS = 3.0
-"""Time for which a priority counts as in demand after a request: at ten routers
+"""Time for which a rank counts as in demand after a request: at ten routers
 and three requests a second in all, one router sees one each three seconds."""
 RATE_SECONDS = 1.5
 """Time over which rates are averaged; as long as a peer's report holds."""
 MAX_ROW_COUNT = 1024
-"""Services times priorities; the least recent rows are dropped beyond it."""
+"""Services times ranks; those no longer in demand are dropped beyond it."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -38,7 +38,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _Row:
-    """Recent requests of one priority for one service.
+    """Recent requests of one rank for one service.
 
     Attributes:
         arrivals: their rate.
@@ -63,7 +63,7 @@
 
         Args:
             router_count: returns the number of routers, which callers of all
-                priorities reach alike.
+                ranks reach alike.
         """
         self._router_count = router_count
         self._rows_by_service: dict[ids.ServiceId, dict[int, _Row]] = {}
@@ -112,7 +112,7 @@
         return rate.per_second(now) * self._router_count()
 
     def is_mixed(self, now: float, service: ids.ServiceId) -> bool:
-        """Returns whether more than one priority was in demand recently."""
+        """Returns whether more than one rank was in demand recently."""
         rows = self._rows_by_service.get(service)
         if not rows:
             return False
@@ -122,7 +122,7 @@
     def by_priority(
         self, now: float, service: ids.ServiceId
     ) -> Mapping[int, demand.Demand]:
-        """Returns the demand of the priorities that were in use recently."""
+        """Returns the demand of the ranks that were in use recently."""
         since = now - IN_DEMAND_SECONDS
         routers = self._router_count()
         return {
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/judgement.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/judgement.py
@@ -122,15 +122,15 @@
         """Returns how sending a request would harm more urgent ones, if so."""
         reserve = urgent_tokens = all_tokens = 0.0
         demand = self._demand.by_priority(now, needs.service)
-        for priority, other in demand.items():
+        for rank, other in demand.items():
             tokens = other.arrivals_per_second * other.prompt_tokens
             all_tokens += tokens
-            if priority >= needs.rank:
+            if rank >= needs.rank:
                 continue
             limit = self._limits.urgent_ratio * other.objective
             if offer.fastest_seconds > limit:
                 return (
-                    f"priority {priority} would get its first event in"
+                    f"rank {rank} would get its first event in"
                     f" {offer.fastest_seconds:.3f} s, limit {limit:.3f} s"
                 )
             urgent_tokens += tokens
@@ -206,7 +206,5 @@
         )
 
 
-def _count_more_urgent(
-    demand: Mapping[int, demands.Demand], priority: int
-) -> int:
-    return sum(each < priority for each in demand)
+def _count_more_urgent(demand: Mapping[int, demands.Demand], rank: int) -> int:
+    return sum(each < rank for each in demand)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/waiting_room.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/waiting_room.py
@@ -155,7 +155,7 @@
             self._metrics.waiting.set(len(self._waiting_by_number))
 
     def _ranked_services(self) -> frozenset[ids.ServiceId]:
-        """Returns the services whose routes differ in priority."""
+        """Returns the services whose streaming routes differ in priority."""
         found = self._board.catalog
         if found is not self._catalog:
             self._catalog = found
@@ -270,6 +270,8 @@
     priority_by_service: dict[ids.ServiceId, int] = {}
     ranked = set()
     for route in routes:
+        if not route.streaming:
+            continue
         for each in route.services:
             known = priority_by_service.setdefault(each.service, route.priority)
             if known != route.priority:
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -1,7 +1,10 @@
+import dataclasses
 import unittest
 
 from nutmeglift import errors
+from nutmeglift import ids
 from nutmeglift_gateway import admission
+from nutmeglift_gateway import catalog
 from nutmeglift_platform import names
 from tests.gateway import rig
 
@@ -97,6 +100,29 @@
                     verdict.response_tokens, remaining_tokens
                 )
 
+    def test_the_routes_priority_decides_among_equal_accounts(self):
+        cases = [
+            # priority of the account, of the route, rank
+            (0, 0, 0),
+            (0, 2, 2),
+            (1, 0, 10),
+            (1, 2, 12),
+            (None, 0, 0),
+            (None, 2, 22),
+            (50, 50, 99),
+            (-1, -1, 0),
+        ]
+        for own, priority, rank in cases:
+            with self.subTest(account=own, route=priority):
+                route = dataclasses.replace(rig.STREAM, priority=priority)
+                account = catalog.Account(ids.AccountId("bank-1"), own)
+                board = rig.make_board(
+                    routes=(route,), account_by_key={"key-1": account}
+                )
+                verdict = admit(board, rig.make_request())
+                self.assertEqual(verdict.rank, rank)
+                self.assertEqual(verdict.needs.rank, rank)
+
     def test_an_accounts_priority_overrides_the_routes(self):
         verdict = admit(rig.make_board(), rig.make_request())
         self.assertEqual(verdict.priority, 0)
--- a/tests/gateway/test_waiting_room.py
+++ b/tests/gateway/test_waiting_room.py
@@ -143,9 +143,17 @@
         self.assertEqual(self.logged("sent after a wait"), [])
 
     async def test_routes_of_one_priority_are_not_ordered(self):
-        self.set_catalog(9, routes=(rig.STREAM,))
+        plain = rig.make_route(
+            "plain", catalog.Idempotency.SAFE, rig.MODEL, priority=0
+        )
+        accounts = {
+            "key-1": catalog.Account(ids.AccountId("bank-1"), 0),
+            "key-2": catalog.Account(ids.AccountId("bank-2"), 1),
+        }
+        self.set_catalog(9, routes=(rig.STREAM, plain), account_by_key=accounts)
+        await self.rig.call("/draft/1")
         self.begin_load()
-        response = await self.rig.call("/draft/1")
+        response = await self.rig.call("/draft/1", x_api_key=b"key-2")
         self.assertEqual(response.status, 200)
         self.assertEqual(self.logged("sent after a wait"), [])
 
