--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -128,9 +128,6 @@
         self._peers = peer_links.PeerLinks(
             self.board, self._reader, config.vm, log, rng
         )
-        self._waiting = waiting_room.WaitingRoom(
-            self.board, config.room, self.metrics, log, rng
-        )
         self._context = contexts.Context(
             self.board,
             names,
@@ -140,7 +137,9 @@
             log,
             self.metrics,
             rng,
-            self._waiting,
+            waiting_room.WaitingRoom(
+                self.board, config.room, self.metrics, log, rng
+            ),
         )
         self._callers: set[http_listener.CallerConnection] = set()
         self._checkers: set[http_listener.CallerConnection] = set()
@@ -194,7 +193,7 @@
             first_start=self._config.first_start,
         )
         await leaving.wait()
-        self._waiting.drain()
+        self._context.waiting.drain()
         self._start(self._registration.end())
         await graceful_shutdown.GracefulShutdown(
             self.board,
@@ -354,16 +353,15 @@
             self.metrics.generation.set(board.catalog.generation)
             age = board.freshness.age(freshness.boot_clock())
             self.metrics.confirmation_age.set(age)
-        now = asyncio.get_running_loop().time()
         view = self._reader.view
         self.metrics.view_age.set(view.view_age.age(freshness.boot_clock()))
-        self.metrics.catalog_behind.set(
-            view.catalog.lag.behind_for(freshness.boot_clock())
-        )
+        behind = view.catalog.lag.behind_for(freshness.boot_clock())
+        self.metrics.catalog_behind.set(behind)
         self.metrics.holding_off.set(board.hold_offs.count)
-        self.metrics.lapse_window.set(
-            max(0.0, board.directory.lapse_window_end - now)
-        )
+        end = board.directory.lapse_window_end
+        left = max(0.0, end - asyncio.get_running_loop().time())
+        self.metrics.lapse_window.set(left)
+        self._context.waiting.update_metrics()
         return self.metrics.text()
 
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
@@ -374,8 +372,7 @@
     def _on_done(self, task: "asyncio.Task[None]") -> None:
         if task.cancelled():
             return
-        error = task.exception()
-        if error is not None:
+        if (error := task.exception()) is not None:
             self._log.write("internal error", detail=repr(error))
 
 
@@ -398,7 +395,5 @@
     [settings.Settings, Callable[[], settings.Settings]],
     Coroutine[Any, Any, None],
 ]
-"""Assembles a router with the platform's adapters and runs it.
-
-The parameters are the settings, and a function that reads them again.
-"""
+"""Runs a router with the platform's adapters, by its settings and a function
+that reads them again."""
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/path_room.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/path_room.py
@@ -1,10 +1,12 @@
 """Offers of room from the paths over a service's runners."""
 
+from collections.abc import Iterable
 import dataclasses
 
 from nutmeglift import ids
 from nutmeglift_gateway import board as boards
 from nutmeglift_gateway import catalog
+from nutmeglift_gateway import directory
 from nutmeglift_gateway import paths
 from nutmeglift_gateway import retry_delay
 from nutmeglift_gateway.load import demand_tracker
@@ -126,6 +128,23 @@
         rate = self._demand.ends_per_second(now, request.service)
         return 1.0 / rate if rate > 0 else None
 
+    def held_and_free(self, service: ids.ServiceId) -> tuple[float, float]:
+        """Returns the tokens that a service's runners hold and have room for.
+
+        Args:
+            service: the service.
+        """
+        engine = self._engine(service)
+        if engine is None:
+            return 0.0, 0.0
+        usable = self._board.usable(service)
+        held = sum(
+            self._board.load_tracker.at(server.address).token_layers
+            for server in usable
+        )
+        capacity = _capacity(engine, usable)
+        return held / engine.layers, max(0.0, capacity - held / engine.layers)
+
     def age(self, now: float) -> float:
         """Returns the age in seconds of the oldest loads that offers use."""
         return self._board.load_tracker.report_age(now)
@@ -147,12 +166,7 @@
         known = self._alternatives_by_service.get(request.service)
         if known is not None and now - known.found_at < ALTERNATIVES_SECONDS:
             return known
-        capacity = 0.0
         usable = self._board.usable(request.service)
-        for server in usable:
-            capacity += engine.token_layer_capacity(
-                engine.kind(server.kind), server.layers.count
-            ) * bool(server.layers.count)
         found = finder.find_by_domain(
             usable,
             paths.PathRequirements(self._board.home, request.held_tokens),
@@ -173,6 +187,22 @@
         known = self._alternatives_by_service[request.service] = _Alternatives(
             now,
             tuple(found[:MAX_ALTERNATIVE_COUNT]),
-            capacity / engine.layers,
+            _capacity(engine, usable),
         )
         return known
+
+
+def _capacity(
+    engine: catalog.Engine, servers: Iterable[directory.Server]
+) -> float:
+    """Returns the tokens that runners hold at once, over all paths."""
+    return (
+        sum(
+            engine.token_layer_capacity(
+                engine.kind(server.kind), server.layers.count
+            )
+            for server in servers
+            if server.layers.count
+        )
+        / engine.layers
+    )
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/waiting_room.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/waiting_room.py
@@ -168,6 +168,13 @@
             now = asyncio.get_running_loop().time()
             self._demand.record_end(now, admitted.service.id)
 
+    def update_metrics(self) -> None:
+        """Updates what the metrics tell of room, for services with an order."""
+        for service in self._ranked_services():
+            held, free = self._room.held_and_free(service)
+            self._metrics.room.labels(service, "held").set(round(held))
+            self._metrics.room.labels(service, "free").set(round(free))
+
     def drain(self) -> None:
         """Refuses what waits; from now on nothing waits."""
         self._draining = True
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/metrics.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/metrics.py
@@ -97,6 +97,12 @@
             ["service", "priority", "objective"],
         )
         self.waiting = self._gauge("waiting", "Requests that wait for room.")
+        self.room = prometheus_client.Gauge(
+            PREFIX + "room_tokens",
+            "Tokens that the runners of a service hold, over all routers.",
+            ["service", "state"],
+            registry=self._registry,
+        )
         self.in_flight = self._gauge("in_flight", "Requests at work.")
         self.generation = self._gauge("generation", "Configuration in force.")
         self.confirmation_age = self._gauge(
--- a/tests/gateway/test_path_room.py
+++ b/tests/gateway/test_path_room.py
@@ -66,6 +66,9 @@
         server = self.add_runner("x", 0, 80)
         capacity = self.room.offer(NOW, NEEDS).capacity_tokens
         self.fill(server, capacity * 0.5)
+        for tokens in self.room.held_and_free(rig.MODEL):
+            self.assertAlmostEqual(tokens, capacity * 0.5)
+        self.assertEqual(self.room.held_and_free(rig.CORE), (0.0, 0.0))
         offer = self.room.offer(NOW, NEEDS)
         self.assertAlmostEqual(
             offer.used_ratio, 0.5 + 900.0 / capacity, places=3
--- a/tests/gateway/test_waiting_room.py
+++ b/tests/gateway/test_waiting_room.py
@@ -77,6 +77,9 @@
             'queue_wait_seconds_count{priority="2",service="model"} 1.0', text
         )
         self.assertEqual(self.tracker.own(), {})
+        self.rig.context.waiting.update_metrics()
+        text = self.rig.metrics.text().decode()
+        self.assertIn('room_tokens{service="model",state="held"} 0.0', text)
 
     async def test_a_request_is_sent_in_time_although_the_load_lasts(self):
         call = await self.hold_back()
