Take paths without the fastest kind out again, and halve the preference for slow ones

They use the memory of the small runners, which all paths of a failure domain need. Change: the candidates are the cheapest path of each failure domain; the power of the idle time is the tolerance itself.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/path_choice.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/path_choice.py
@@ -18,10 +18,6 @@
 MARGIN_RATIO = 2.0
 """Part of the time left that a forecast may take up: one measured first event
 in ten takes twice its forecast."""
-SLOW_PATH_PREFERENCE = 2.0
-"""Exponent of a path's idle time by which the costs of paths are divided for
-the most tolerant requests. Above 1, these prefer a slow path to a fast one that
-is used as much."""
 MAX_DOMAINS = 4
 """Failure domains among which a path is chosen. More would take processor time
 in deployments of many, whose load changes between two requests."""
@@ -77,17 +73,12 @@
     urgency, objectives = requirements.urgency, requirements.objectives
     assert urgency is not None
     assert objectives is not None
-    tolerance = objectives.tolerance(urgency)
-    found = list(finder.find_by_domain(servers, requirements, MAX_DOMAINS))
+    found = finder.find_by_domain(servers, requirements, MAX_DOMAINS)
     if not found:
         return finder.find(servers, requirements)
     domains = {path.first.domain for path in found}
-    if tolerance > 0:
-        found += finder.find_by_domain(
-            servers, requirements, MAX_DOMAINS, without_fastest=True
-        )
-    exponent = SLOW_PATH_PREFERENCE * tolerance
-    found.sort(key=lambda path: _preference(path, requirements.home, exponent))
+    tolerance = objectives.tolerance(urgency)
+    found.sort(key=lambda path: _preference(path, requirements.home, tolerance))
     remaining = urgency.remaining(now)
     candidates = []
     for path in found:
@@ -107,13 +98,17 @@
 
 
 def _preference(
-    path: paths.Path, home: ids.FailureDomain, exponent: float
+    path: paths.Path, home: ids.FailureDomain, tolerance: float
 ) -> float:
-    """Returns the cost by which paths that meet an objective are compared."""
+    """Returns the cost by which paths that meet an objective are compared.
+
+    For the most tolerant requests a path's speed doesn't count, only how much
+    slower it is than when it is idle.
+    """
     cost = path.cost
     if path.first.domain != home:
         cost *= paths.REMOTE_DOMAIN_COST_RATIO
-    return cost / math.pow(max(path.idle_seconds, MIN_IDLE_SECONDS), exponent)
+    return cost / math.pow(max(path.idle_seconds, MIN_IDLE_SECONDS), tolerance)
 
 
 def _forecast(
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/path_cache.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/path_cache.py
@@ -1,7 +1,6 @@
 """Keeps the cheapest path of each failure domain until its load changes."""
 
 from collections.abc import Callable
-from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
 from typing import Generic
@@ -100,17 +99,8 @@
             DomainPath(domain, each, tuple(s.address for s in each))
             for domain, each in members.items()
         ]
-        self._without_fastest: PathCache[PathT] | None = None
         self._choices = 0
 
-    def without_fastest(self) -> "PathCache[PathT]":
-        """Returns the paths without the fastest kind of each failure domain."""
-        if self._without_fastest is None:
-            self._without_fastest = PathCache(
-                self.engine, leave_out_fastest(self.engine, self.servers)
-            )
-        return self._without_fastest
-
     def nearby(
         self, home: ids.FailureDomain, limit: int
     ) -> list[DomainPath[PathT]]:
@@ -136,23 +126,6 @@
         return selected
 
 
-def leave_out_fastest(
-    engine: catalog.Engine, servers: Iterable[directory.Server]
-) -> list[directory.Server]:
-    """Returns the runners without the fastest kind of each failure domain."""
-    listed = list(servers)
-    pace_by_domain: dict[ids.FailureDomain, float] = {}
-    for server in listed:
-        pace = engine.kind(server.kind).pace
-        known = pace_by_domain.get(server.domain, pace)
-        pace_by_domain[server.domain] = min(known, pace)
-    return [
-        server
-        for server in listed
-        if engine.kind(server.kind).pace > pace_by_domain[server.domain]
-    ]
-
-
 class PathCaches(Generic[PathT]):
     """The cheapest paths of all services."""
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/paths.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/paths.py
@@ -213,8 +213,6 @@
         servers: Iterable[directory.Server],
         requirements: PathRequirements,
         limit: int | None = None,
-        *,
-        without_fastest: bool = False,
     ) -> list[Path]:
         """Returns the cheapest path within each failure domain that has one.
 
@@ -223,15 +221,10 @@
             requirements: requirements of the request.
             limit: number of failure domains to search, where paths are kept;
                 None for all.
-            without_fastest: whether to leave out the fastest kind of each.
         """
         cache = self._cache
         if cache is not None and servers is cache.servers:
-            if without_fastest:
-                cache = cache.without_fastest()
             return self._find_cached(cache, requirements, limit)
-        if without_fastest:
-            servers = path_cache.leave_out_fastest(self.engine, servers)
         return self._search_domains(
             servers, requirements, self.costs.layer_cost
         )
