Let routers tell each other their demand by service and priority

Change: reports carry rows of the demand of the sender's own callers, by change (beyond a fifth of a number). Malformed rows are left out alone, with one log line; reports of older builds, which have none, are accepted. Board.demand adds the peers' demand, which counts as long as their loads.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
@@ -23,6 +23,7 @@
 from nutmeglift_gateway import server_selection
 from nutmeglift_gateway import settings
 from nutmeglift_gateway import suspect_servers
+from nutmeglift_gateway.load import shared_demand
 
 PACE_MAX_AGE_SECONDS = 3.0
 """Older paces are ignored, because runners recover within seconds."""
@@ -81,6 +82,7 @@
             recorder, the peers' links and the prober.
         load_tracker: requests in flight; written by the requests and the
             peers' links.
+        demand: recent demand; written by the peers' links.
         pace_by_address: runners' paces; written by the stream monitor, its
             pace reader and the peers' links.
         router_by_name: addresses of the live routers, by VM; written by the
@@ -156,6 +158,7 @@
         self._moves_version = 0
         self._usable_version = (-1, -1, -1, -1)
         self._usable: dict[ids.ServiceId, list[directory.Server]] = {}
+        self.demand = shared_demand.SharedDemand()
         self._path_caches = path_cache.PathCaches[paths.Path]()
 
     def set_catalog(
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
@@ -1,5 +1,6 @@
 """Messages between routers, encoded as CBOR."""
 
+from typing import Any
 import zlib
 
 import cbor2
@@ -99,6 +100,8 @@
             not take; 0 for none.
         digest: digest of the value of the sender's configuration.
         hold_offs: backend servers that want nothing from the sender.
+        demand: changes of the demand of the sender's callers. The rows are
+            checked one by one.
     """
 
     vm: str
@@ -120,6 +123,7 @@
     rejected: int = 0
     digest: int = 0
     hold_offs: list[hold_off_rows.HoldOffRow] = []
+    demand: list[Any] = []
 
 
 class EntryRow(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
@@ -16,6 +16,7 @@
 from nutmeglift_gateway import store_reader
 from nutmeglift_gateway import suspect_servers
 from nutmeglift_gateway import view_age
+from nutmeglift_gateway.load import demand_rows
 
 PACE_REPORT_MAX_AGE_SECONDS = 1.0
 """Paces read within this time are reported, once on each link. Nominal ones are
@@ -41,6 +42,8 @@
         self._vm = vm
         self._load_encoder = load_rows.Encoder()
         self._load_decoder = load_rows.Decoder()
+        self._demand_encoder = demand_rows.Encoder()
+        self._demand_decoder = demand_rows.Decoder()
         self._poison_encoder = poison_rows.Encoder()
         self._paces_sent_until = float("-inf")
         self._sequence = 0
@@ -123,6 +126,7 @@
             rejected=board.freshness.rejected_revision,
             digest=board.freshness.digest,
             hold_offs=hold_off_rows.encode(now, board.hold_offs),
+            demand=self._demand_encoder.encode(board.demand.own(now)),
         )
         self._paces_sent_until = now
         return report
@@ -228,7 +232,13 @@
         hold_off_rows.apply(
             now, report.hold_offs, board.directory, board.hold_offs
         )
-        self._apply_poison(report, now)
+        problems = self._demand_decoder.apply(report.demand)
+        board.demand.record_report(
+            now, report.vm, dict(self._demand_decoder.demand_by_key)
+        )
+        problems += self._apply_poison(report, now)
+        if problems:
+            self._reader.log_malformed_rows(report.vm, problems)
         self._apply_confirmation(report)
         self._compare_views(report, boot_now)
         return self._request_catalog(report, now) + self._request_servers(
@@ -237,14 +247,14 @@
 
     def _apply_poison(
         self, report: peer_messages.PeerReport, now: float
-    ) -> None:
+    ) -> list[str]:
+        """Returns what is wrong with the rows."""
         guard = self._board.guard
         problems = poison_rows.apply(now, report.vm, report.poison, guard)
         self._poison_encoder.record_peer_digest(
             now, report.poison.digest, guard.digest()
         )
-        if problems:
-            self._reader.log_malformed_rows(report.vm, problems)
+        return problems
 
     def _apply_planner_report(
         self, report: peer_messages.PeerReport, now: float
--- a/tests/gateway/test_peer_state.py
+++ b/tests/gateway/test_peer_state.py
@@ -3,6 +3,8 @@
 import random
 import unittest
 
+import msgspec
+
 from nutmeglift import errors
 from nutmeglift import ids
 from nutmeglift import kv
@@ -13,6 +15,7 @@
 from nutmeglift_gateway import peer_state
 from nutmeglift_gateway import store_reader
 from nutmeglift_gateway import suspect_servers
+from nutmeglift_gateway.load import demand
 from tests.gateway import rig
 
 
@@ -172,6 +175,51 @@
         self.one.board.load_tracker.expire(3.0)
         self.assertEqual(self.one.board.load_tracker.at("x"), loads.Load())
 
+    def test_demand_is_reported_by_change(self):
+        known = {rig.MODEL: {1: demand.Demand(4.0, 0.5, 2, 700.0, 900.0)}}
+        self.two.board.demand.own = lambda now: known
+        for now, rows in ((1.0, 1), (1.3, 0)):
+            with self.subTest(now=now):
+                report = self.two.state.make_report(now, 100.0)
+                self.assertEqual(len(report.demand), rows)
+                self.one.state.handle_message(
+                    peer_messages.decode(peer_messages.encode(report)),
+                    now,
+                    100.0,
+                )
+                self.assertEqual(
+                    self.one.board.demand.by_priority(now, rig.MODEL),
+                    known[rig.MODEL],
+                )
+
+    def test_reports_without_demand_or_with_malformed_rows(self):
+        whole = msgspec.to_builtins(self.two.state.make_report(1.0, 100.0))
+        good = ["model", 1, 400, 500, 2, 700, 900]
+        # message, arrivals, lines in the log
+        cases = [
+            ("of an older build", whole[:-1], None, 0),
+            ("of a newer build", [*whole, "more"], None, 0),
+            ("malformed rows", [*whole[:-1], [7, good, ["x"]]], 4.0, 1),
+        ]
+        for name, message, arrivals, lines in cases:
+            with self.subTest(name):
+                self.setUp()
+                self.one.state.handle_message(
+                    peer_messages.decode(peer_messages.cbor2.dumps(message)),
+                    1.0,
+                    100.0,
+                )
+                found = self.one.board.demand.by_priority(1.0, rig.MODEL)
+                self.assertEqual(
+                    found[1].arrivals_per_second if found else None, arrivals
+                )
+                logged = [
+                    event
+                    for event in self.one.log.events()
+                    if event == "peer rows malformed"
+                ]
+                self.assertEqual(len(logged), lines)
+
     def test_a_pace_is_reported_once_by_the_router_that_read_it(self):
         three = PeerRouter("three")
         self.two.board.record_pace(1.0, "x", 4.0)
