--- a/packages/nutmeglift_gateway/nutmeglift_gateway/path_cache.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/path_cache.py
@@ -10,6 +10,7 @@
 from nutmeglift import ids
 from nutmeglift_gateway import catalog
 from nutmeglift_gateway import directory
+from nutmeglift_gateway import path_costs
 
 ROUNDING_TOKENS = 1e-6
 """Larger than what rounding makes of the tokens that a runner has room for."""
@@ -39,6 +40,7 @@
         domain: the failure domain.
         servers: its runners that hold layers.
         addresses: their addresses, in the same order.
+        shapes: their memory and speed, in the same order.
         state: state for which the path was found; None before the first time.
         min_tokens: the path holds for requests of more tokens than this,
         max_tokens: and of fewer than this.
@@ -50,6 +52,7 @@
     domain: ids.FailureDomain
     servers: list[directory.Server]
     addresses: tuple[str, ...]
+    shapes: list[path_costs.Shape]
     state: State | None = None
     min_tokens: float = 0.0
     max_tokens: float = 0.0
@@ -96,7 +99,12 @@
             if server.layers.count:
                 members.setdefault(server.domain, []).append(server)
         self.domains: list[DomainPath[PathT]] = [
-            DomainPath(domain, each, tuple(s.address for s in each))
+            DomainPath(
+                domain,
+                each,
+                tuple(server.address for server in each),
+                [path_costs.make_shape(engine, server) for server in each],
+            )
             for domain, each in members.items()
         ]
         self._choices = 0
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/path_costs.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/path_costs.py
@@ -44,18 +44,15 @@
     slots: int
 
 
-def make_shape(
-    engine: catalog.Engine, kind_name: str, layers: int, slots: int
-) -> Shape:
+def make_shape(engine: catalog.Engine, server: directory.Server) -> Shape:
     """Returns the shape of a runner.
 
     Args:
         engine: performance model of the runners.
-        kind_name: its kind.
-        layers: number of layers that it holds.
-        slots: requests that it accepts as the first; 0 if unknown.
+        server: the runner.
     """
-    kind = engine.kind(kind_name)
+    kind = engine.kind(server.kind)
+    layers = server.layers.count
     return Shape(
         kind.pace / engine.layers,
         kind.prompt_time_factor
@@ -63,7 +60,7 @@
         / engine.prompt_tokens_per_second,
         max(1, layers),
         engine.token_layer_capacity(kind, layers),
-        slots or max(1, engine.slots),
+        server.slots or max(1, engine.slots),
     )
 
 
@@ -93,7 +90,7 @@
         key = (server.kind, server.layers.count, server.slots)
         found = self._shape_by_key.get(key)
         if found is None:
-            found = self._shape_by_key[key] = make_shape(self._engine, *key)
+            found = self._shape_by_key[key] = make_shape(self._engine, server)
         return found
 
     def layer_seconds(self, server: directory.Server) -> float:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/path_search.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/path_search.py
@@ -78,6 +78,11 @@
         segment: the layers to cover.
         crossing_cost: cost of a crossing between failure domains.
     """
+    domains = {holder.server.domain for holder in holders}
+    if domains <= {segment.domain} or (
+        len(domains) == 1 and not segment.domain
+    ):
+        return _search_within(holders, segment)
     begin = _Partial(
         0.0, 0, segment.domain, None, segment.start, segment.start, None
     )
@@ -114,6 +119,35 @@
     return None
 
 
+def _search_within(holders: Sequence[Holder], segment: Segment) -> Chain | None:
+    """Returns the cheapest chain over runners of one failure domain."""
+    domain = segment.domain
+    frontier = {
+        segment.start: _Partial(
+            0.0, 0, domain, None, segment.start, segment.start, None
+        )
+    }
+    while frontier:
+        at = min(frontier)
+        partial = frontier.pop(at)
+        if at >= segment.end:
+            return _trace(partial)
+        if partial.part_count >= MAX_PART_COUNT:
+            continue
+        begin_cost, part_count = partial.cost, partial.part_count + 1
+        for server, start, held_end, layer_cost, may_be_first in holders:
+            if not start <= at < held_end or (at == 0 and not may_be_first):
+                continue
+            end = held_end if held_end < segment.end else segment.end
+            cost = begin_cost + (end - at) * layer_cost
+            best = frontier.get(end)
+            if best is None or cost < best.cost:
+                frontier[end] = _Partial(
+                    cost, part_count, domain, server, at, end, partial
+                )
+    return None
+
+
 def _trace(partial: _Partial) -> Chain:
     parts = []
     current: _Partial | None = partial
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/paths.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/paths.py
@@ -260,12 +260,14 @@
         """Finds the cheapest path of a failure domain again."""
         known.state = state
         known.min_tokens, known.max_tokens = -1.0, float("inf")
-        tokens, costs, holders = requirements.tokens, self.costs, []
-        for server, pace in zip(known.servers, state.paces, strict=True):
+        tokens, cost_of = requirements.tokens, self.costs.loaded_layer_cost
+        holders = []
+        for server, shape, pace in zip(
+            known.servers, known.shapes, state.paces, strict=True
+        ):
             if server.address in state.full:
                 continue
             load = self._load_tracker.at(server.address)
-            shape = costs.shape(server)
             free_tokens = self._free_tokens(shape, load)
             if tokens > free_tokens:
                 known.min_tokens = max(known.min_tokens, free_tokens)
@@ -276,7 +278,7 @@
                     server,
                     server.layers.start,
                     server.layers.end,
-                    costs.loaded_layer_cost(load, shape, pace),
+                    cost_of(load, shape, pace),
                     load.requests_as_first < shape.slots * MAX_SLOT_RATIO,
                 )
             )
