--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/path_choice.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/path_choice.py
@@ -18,7 +18,7 @@
 MARGIN_RATIO = 2.0
 """Part of the time left that a forecast may take up: one measured first event
 in ten takes twice its forecast."""
-MAX_DOMAINS = 4
+MAX_DOMAINS = 3
 """Failure domains among which a path is chosen. More would take processor time
 in deployments of many, whose load changes between two requests."""
 MIN_IDLE_SECONDS = 1e-9
