--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/demand_tracker.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/demand_tracker.py
@@ -1,12 +1,12 @@
 """Recent demand of this router's callers, by service and rank."""
 
-from collections.abc import Callable
 from collections.abc import Mapping
 import dataclasses
 import math
 
 from nutmeglift import ids
 from nutmeglift_gateway.load import demand
+from nutmeglift_gateway.load import demand_rows
 from nutmeglift_gateway.load import room
 
 IN_DEMAND_SECONDS = 3.0
@@ -56,16 +56,9 @@
 
 
 class DemandTracker(demand.BaseDemand):
-    """Demand from this router's own callers, who are a sample of all."""
+    """Demand of this router's own callers."""
 
-    def __init__(self, router_count: Callable[[], int]) -> None:
-        """Initializes without any demand.
-
-        Args:
-            router_count: returns the number of routers, which callers of all
-                ranks reach alike.
-        """
-        self._router_count = router_count
+    def __init__(self) -> None:
         self._rows_by_service: dict[ids.ServiceId, dict[int, _Row]] = {}
         self._ends_by_service: dict[ids.ServiceId, _Rate] = {}
         self._row_count = 0
@@ -105,34 +98,37 @@
         self._ends_by_service.setdefault(service, _Rate()).add(now)
 
     def ends_per_second(self, now: float, service: ids.ServiceId) -> float:
-        """Returns how many requests end per second, over all routers."""
+        """Returns how many of this router's requests end per second."""
         rate = self._ends_by_service.get(service)
         if rate is None or now - rate.at > IN_DEMAND_SECONDS:
             return 0.0
-        return rate.per_second(now) * self._router_count()
+        return rate.per_second(now)
 
-    def is_mixed(self, now: float, service: ids.ServiceId) -> bool:
-        """Returns whether more than one rank was in demand recently."""
-        rows = self._rows_by_service.get(service)
-        if not rows:
-            return False
-        since = now - IN_DEMAND_SECONDS
-        return sum(row.arrivals.at > since for row in rows.values()) > 1
+    def by_service(self, now: float) -> demand_rows.ServiceDemand:
+        """Returns the demand by service and rank.
+
+        Args:
+            now: loop time in seconds.
+        """
+        return {
+            service: found
+            for service in self._rows_by_service
+            if (found := self.by_priority(now, service))
+        }
 
     def by_priority(
         self, now: float, service: ids.ServiceId
     ) -> Mapping[int, demand.Demand]:
         """Returns the demand of the ranks that were in use recently."""
         since = now - IN_DEMAND_SECONDS
-        routers = self._router_count()
         return {
-            priority: demand.Demand(
-                row.arrivals.per_second(now) * routers,
+            rank: demand.Demand(
+                row.arrivals.per_second(now),
                 row.objective,
                 prompt_tokens=row.prompt_tokens,
                 held_tokens=row.held_tokens,
             )
-            for priority, row in self._rows_by_service.get(service, {}).items()
+            for rank, row in self._rows_by_service.get(service, {}).items()
             if row.arrivals.at > since
         }
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/path_room.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/path_room.py
@@ -50,7 +50,7 @@
 
         Args:
             board: the router's shared state.
-            demand: counts the requests that end.
+            demand: counts this router's requests that end.
         """
         self.last_path: paths.Path | None = None
         self._full_path: paths.Path | None = None
@@ -125,7 +125,10 @@
         usable = self._board.usable(request.service)
         if engine is None or not retry_delay.covers_layers(engine, usable):
             return None
-        rate = self._demand.ends_per_second(now, request.service)
+        # Callers of all ranks reach every router.
+        rate = self._board.routers * self._demand.ends_per_second(
+            now, request.service
+        )
         return 1.0 / rate if rate > 0 else None
 
     def held_and_free(self, service: ids.ServiceId) -> tuple[float, float]:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/waiting_room.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/waiting_room.py
@@ -87,11 +87,12 @@
         self._enabled = limits.by_priority
         self._metrics = metrics
         self._log = log
-        self._demand = demand_tracker.DemandTracker(lambda: board.routers)
+        self._demand = demand_tracker.DemandTracker()
+        board.demand.own = self._demand.by_service
         self._room = path_room.PathRoom(board, self._demand)
         self._queue = admission_queue.AdmissionQueue(
             self._room,
-            self._demand,
+            board.demand,
             judgement.Limits(
                 limits.urgent_ratio,
                 limits.max_wait_seconds,
@@ -124,10 +125,7 @@
             return Sent()
         needs = admitted.needs
         self._demand.record(now, needs)
-        if self._draining or not (
-            self._demand.is_mixed(now, service)
-            or self._queue.has_waiting(service)
-        ):
+        if self._draining:
             return Sent()
         number = next(self._numbers)
         waiting = _Waiting(
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/path_cache.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/path_cache.py
@@ -1,7 +1,6 @@
 """Keeps the cheapest path of each failure domain until its load changes."""
 
 from collections.abc import Callable
-from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
 from typing import Generic
@@ -11,6 +10,7 @@
 from nutmeglift import ids
 from nutmeglift_gateway import catalog
 from nutmeglift_gateway import directory
+from nutmeglift_gateway import path_costs
 
 ROUNDING_TOKENS = 1e-6
 """Larger than what rounding makes of the tokens that a runner has room for."""
@@ -40,6 +40,7 @@
         domain: the failure domain.
         servers: its runners that hold layers.
         addresses: their addresses, in the same order.
+        shapes: their memory and speed, in the same order.
         state: state for which the path was found; None before the first time.
         min_tokens: the path holds for requests of more tokens than this,
         max_tokens: and of fewer than this.
@@ -51,6 +52,7 @@
     domain: ids.FailureDomain
     servers: list[directory.Server]
     addresses: tuple[str, ...]
+    shapes: list[path_costs.Shape]
     state: State | None = None
     min_tokens: float = 0.0
     max_tokens: float = 0.0
@@ -97,20 +99,16 @@
             if server.layers.count:
                 members.setdefault(server.domain, []).append(server)
         self.domains: list[DomainPath[PathT]] = [
-            DomainPath(domain, each, tuple(s.address for s in each))
+            DomainPath(
+                domain,
+                each,
+                tuple(server.address for server in each),
+                [path_costs.make_shape(engine, server) for server in each],
+            )
             for domain, each in members.items()
         ]
-        self._without_fastest: PathCache[PathT] | None = None
         self._choices = 0
 
-    def without_fastest(self) -> "PathCache[PathT]":
-        """Returns the paths without the fastest kind of each failure domain."""
-        if self._without_fastest is None:
-            self._without_fastest = PathCache(
-                self.engine, leave_out_fastest(self.engine, self.servers)
-            )
-        return self._without_fastest
-
     def nearby(
         self, home: ids.FailureDomain, limit: int
     ) -> list[DomainPath[PathT]]:
@@ -136,23 +134,6 @@
         return selected
 
 
-def leave_out_fastest(
-    engine: catalog.Engine, servers: Iterable[directory.Server]
-) -> list[directory.Server]:
-    """Returns the runners without the fastest kind of each failure domain."""
-    listed = list(servers)
-    pace_by_domain: dict[ids.FailureDomain, float] = {}
-    for server in listed:
-        pace = engine.kind(server.kind).pace
-        known = pace_by_domain.get(server.domain, pace)
-        pace_by_domain[server.domain] = min(known, pace)
-    return [
-        server
-        for server in listed
-        if engine.kind(server.kind).pace > pace_by_domain[server.domain]
-    ]
-
-
 class PathCaches(Generic[PathT]):
     """The cheapest paths of all services."""
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/paths.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/paths.py
@@ -213,8 +213,6 @@
         servers: Iterable[directory.Server],
         requirements: PathRequirements,
         limit: int | None = None,
-        *,
-        without_fastest: bool = False,
     ) -> list[Path]:
         """Returns the cheapest path within each failure domain that has one.
 
@@ -223,15 +221,10 @@
             requirements: requirements of the request.
             limit: number of failure domains to search, where paths are kept;
                 None for all.
-            without_fastest: whether to leave out the fastest kind of each.
         """
         cache = self._cache
         if cache is not None and servers is cache.servers:
-            if without_fastest:
-                cache = cache.without_fastest()
             return self._find_cached(cache, requirements, limit)
-        if without_fastest:
-            servers = path_cache.leave_out_fastest(self.engine, servers)
         return self._search_domains(
             servers, requirements, self.costs.layer_cost
         )
@@ -267,12 +260,14 @@
         """Finds the cheapest path of a failure domain again."""
         known.state = state
         known.min_tokens, known.max_tokens = -1.0, float("inf")
-        tokens, costs, holders = requirements.tokens, self.costs, []
-        for server, pace in zip(known.servers, state.paces, strict=True):
+        tokens, cost_of = requirements.tokens, self.costs.loaded_layer_cost
+        holders = []
+        for server, shape, pace in zip(
+            known.servers, known.shapes, state.paces, strict=True
+        ):
             if server.address in state.full:
                 continue
             load = self._load_tracker.at(server.address)
-            shape = costs.shape(server)
             free_tokens = self._free_tokens(shape, load)
             if tokens > free_tokens:
                 known.min_tokens = max(known.min_tokens, free_tokens)
@@ -283,7 +278,7 @@
                     server,
                     server.layers.start,
                     server.layers.end,
-                    costs.loaded_layer_cost(load, shape, pace),
+                    cost_of(load, shape, pace),
                     load.requests_as_first < shape.slots * MAX_SLOT_RATIO,
                 )
             )
--- a/tests/gateway/test_waiting_room.py
+++ b/tests/gateway/test_waiting_room.py
@@ -7,6 +7,7 @@
 from nutmeglift_gateway import catalog
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import loads
+from nutmeglift_gateway.load import demand
 from tests.gateway import rig
 from tests.gateway import stand_ins
 from tests.gateway import test_exchange_stream
@@ -88,6 +89,19 @@
         (line,) = self.logged("sent after a wait")
         self.assertLess(line["waited"], 0.9)
 
+    async def test_a_request_waits_for_urgent_ones_at_other_routers(self):
+        self.begin_load()
+        now = asyncio.get_running_loop().time()
+        urgent = demand.Demand(5.0, 0.5, prompt_tokens=800.0)
+        self.rig.board.demand.record_report(
+            now, "router-2", {(rig.MODEL, 0): urgent}
+        )
+        response = await self.rig.call("/batch/1")
+        self.assertEqual(response.status, 200)
+        (line,) = self.logged("sent after a wait")
+        self.assertGreater(line["waited"], 0.2)
+        self.assertIn("rank 0", line["detail"])
+
     async def test_the_drain_refuses_what_waits(self):
         call = await self.hold_back()
         self.rig.context.waiting.drain()
