--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/path_room.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/path_room.py
@@ -17,7 +17,7 @@
 ALTERNATIVES_SECONDS = 0.1
 """Time for which the paths that others could take are not searched again; their
 forecasts always follow the load. Peers report their loads less often."""
-MAX_ALTERNATIVE_COUNT = 8
+MAX_ALTERNATIVE_COUNT = 4
 """Of the paths that others could take, those with the earliest first event."""
 
 
