Leave a fast path only while the most urgent requests need it

Change: the preference holds only while an equal request that follows would see its first event on the cheapest path after half of the shortest objective. The margin no longer applies to the pause between events.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/path_choice.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/path_choice.py
@@ -18,6 +18,9 @@
 MARGIN_RATIO = 2.0
 """Part of the time left that a forecast may take up: one measured first event
 in ten takes twice its forecast."""
+CONTENDED_RATIO = 0.5
+"""Part of the shortest objective that the first event on a path may take before
+requests that tolerate more leave it. Slow paths hold memory for longer."""
 MAX_DOMAINS = 3
 """Failure domains among which a path is chosen. More would take processor time
 in deployments of many, whose load changes between two requests."""
@@ -56,10 +59,10 @@
     """Returns the path for a request, or None if there is none.
 
     Without an urgency, it is the cheapest path. With one, it is a path whose
-    forecast meets the objective: the cheapest one for the most urgent requests,
-    and the more slow ones are preferred the more a request tolerates. If none
-    meets it, it is the path with the earliest first event, which may pass from
-    one failure domain to another.
+    forecast meets the objective: the cheapest one, unless more urgent requests
+    need that; then the more slow ones are preferred the more a request
+    tolerates. If none meets it, it is the path with the earliest first event,
+    which may pass from one failure domain to another.
 
     Args:
         board: the router's shared state.
@@ -77,8 +80,12 @@
     if not found:
         return finder.find(servers, requirements)
     domains = {path.first.domain for path in found}
+    found.sort(key=lambda path: _preference(path, requirements.home, 0.0))
     tolerance = objectives.tolerance(urgency)
-    found.sort(key=lambda path: _preference(path, requirements.home, tolerance))
+    if tolerance > 0 and _is_contended(finder, requirements, found[0]):
+        found.sort(
+            key=lambda path: _preference(path, requirements.home, tolerance)
+        )
     remaining = urgency.remaining(now)
     candidates = []
     for path in found:
@@ -111,6 +118,26 @@
     return cost / math.pow(max(path.idle_seconds, MIN_IDLE_SECONDS), tolerance)
 
 
+def _is_contended(
+    finder: paths.PathFinder,
+    requirements: paths.PathRequirements,
+    cheapest: paths.Path,
+) -> bool:
+    """Returns whether the most urgent requests need the cheapest path.
+
+    They do if an equal request that is sent there next would take more than a
+    part of the shortest objective.
+    """
+    objectives = requirements.objectives
+    assert objectives is not None
+    # The request's own prompt is ahead of the next one.
+    following = first_event.forecast(
+        finder.engine, finder.costs, cheapest, 2 * requirements.prompt_tokens
+    )
+    limit = CONTENDED_RATIO * objectives.shortest
+    return following.first_event_seconds > limit
+
+
 def _forecast(
     finder: paths.PathFinder,
     requirements: paths.PathRequirements,
@@ -132,5 +159,5 @@
     """
     return (
         forecast.first_event_seconds * MARGIN_RATIO <= remaining
-        and forecast.event_seconds * MARGIN_RATIO <= objectives.shortest_gap
+        and forecast.event_seconds <= objectives.shortest_gap
     )
