--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/judgement.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/judgement.py
@@ -17,9 +17,9 @@
 
 IN_TIME_MARGIN_RATIO = 0.2
 """Part of its objective that a request keeps for errors of its forecast."""
-RESERVE_SECONDS = 1.0
-"""Memory for the more urgent requests of this time is kept free of others: a
-runner that is full frees memory for one of them in about half of it."""
+RESERVE_SECONDS = 0.25
+"""Memory for the more urgent requests of this time is kept free of others: the
+interval of the peers' reports, until which what they have sent isn't known."""
 MIN_HELD_USED_RATIO = 0.5
 """No request waits for memory that others may need on a path that is used
 less."""
