Count calls to the store by the controller that makes them

The metric told the calls apart, but not who makes them. supervise() names the controller for its task, and the metric has it as a second label.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/metrics.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/metrics.py
@@ -51,7 +51,9 @@
             "stream_repairs", "Running streams moved.", ["how", "outcome"]
         )
         self.store_calls = self._counter(
-            "store_calls", "Calls to the key-value service.", ["call"]
+            "store_calls",
+            "Calls to the key-value service, by controller.",
+            ["call", "caller"],
         )
         self.orders = self._counter(
             "orders", "Orders to runners.", ["order", "outcome"]
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/supervision.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/supervision.py
@@ -9,6 +9,7 @@
 
 from nutmeglift import retry
 from nutmeglift_gateway import decision_log
+from nutmeglift_gateway import store_callers
 
 FIRST_DELAY_SECONDS = 0.1
 """A controller that is missing for longer than the interval between two of its
@@ -38,6 +39,7 @@
         rng: random number generator of the delays.
         on_failure: called with the name after each error.
     """
+    store_callers.set_caller(name)
     backoff = retry.Backoff(
         rng, first=FIRST_DELAY_SECONDS, largest=MAX_DELAY_SECONDS
     )
