Order each runner once

Two causes of repeated orders were found by reading and reproduced in tests:

- The planner sent all orders and read all reports at the same time.
Calls that waited for each other timed out; an order without a response was followed by a report that timed out, too, and by another order.
At most 32 calls run at a time now, an order is overdue only from when it was sent, all loads of a plan count as concurrent, and an order whose runner's report can't be read stays pending.
- A newly elected planner took runners that were loading their first layers for empty, and sent orders to them every 0.3 s that they rejected.
It reads the reports of all runners now, if there was a planner before, and goes on reading those of busy ones before it orders them.

Before, test_many_orders fails with up to 2 orders a runner among 400, and with 5 after a change of planners.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/planner_controller.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/planner_controller.py
@@ -1,7 +1,6 @@
 """Places layers on runners while this router is the elected planner."""
 
 import asyncio
-import dataclasses
 import random
 
 from nutmeglift import decoding
@@ -16,6 +15,7 @@
 from nutmeglift_gateway import failure_recorder as recorders
 from nutmeglift_gateway import layer_planner
 from nutmeglift_gateway import metrics as metric_sets
+from nutmeglift_gateway import pending_orders
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import registration
 from nutmeglift_gateway import runner_group
@@ -32,31 +32,14 @@
 INITIAL_SETTLE_SECONDS = 0.6
 """The first plan is delayed until no new runner has registered for this time,
 half a heartbeat interval."""
-LOAD_OVERDUE_RATIO = 1.5
-"""A load is overdue at this multiple of its expected time, because concurrent
-loads slow each other down. The runner's report is then read."""
-LOAD_OVERDUE_GRACE_SECONDS = 0.8
-"""Longest delay between the end of a load and the heartbeat that updates the
-runner's entry."""
 BUSY_RECHECK_SECONDS = 0.3
-"""A runner that carries out another planner's order counts as busy for this
-time, and is considered again afterwards."""
+"""Interval at which the report of a runner that carries out another planner's
+order is read; it gets no order until then."""
 INITIAL_LOAD_TIME_RATIO = 0.1
 """Before the first request, loads take a tenth of the usual time."""
-
-
-@dataclasses.dataclass
-class _Pending:
-    """An order that a runner has not completed; times are loop times."""
-
-    target: directory.LayerRange
-    retained: directory.LayerRange
-    lifetime: tuple[str, int]
-    eta: float
-    due: float
-    checking: bool = False
-
-
+MAX_CONCURRENT_CALLS = 32
+"""Calls to runners at the same time. More of them keep a router with a part of
+a core busy until those that were sent first time out."""
 _State = list[tuple[tuple[str, int], directory.LayerRange, bool, bool]]
 """Each runner's lifetime, layers, and whether it is usable and takes orders."""
 
@@ -77,6 +60,7 @@
         failure_recorder: recorders.FailureRecorder,
         rng: random.Random,
     ) -> None:
+        self._reader = reader
         self._board = board
         self._runners = runners
         self._log = log
@@ -85,7 +69,8 @@
         self._election = election.Election(
             store, reader, registered, board, vm, log, rng
         )
-        self._pending_by_id: dict[str, _Pending] = {}
+        self._pending_by_id: dict[str, pending_orders.PendingOrder] = {}
+        self._calls = asyncio.Semaphore(MAX_CONCURRENT_CALLS)
         self._background_tasks = background_tasks.BackgroundTasks(log)
         self._busy_until_by_id: dict[str, float] = {}
         self._planned_by_service: dict[ids.ServiceId, tuple[float, _State]] = {}
@@ -93,6 +78,7 @@
             ids.ServiceId, tuple[catalog.Engine, layer_planner.LayerPlanner]
         ] = {}
         self._count_since_by_id: dict[ids.ServiceId, tuple[int, float]] = {}
+        self._had_planner = False
         self._gaps: list[str] = []
         self._failure_by_service: dict[ids.ServiceId, str] = {}
 
@@ -101,6 +87,7 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
+            self._had_planner |= self._reader.view.planner is not None
             await self._run_for_election()
             if not self._election.is_held:
                 self._board.fence = boards.NOT_PLANNING
@@ -115,11 +102,12 @@
             return
         self._pending_by_id.clear()
         self._planned_by_service.clear()
+        self._busy_until_by_id.clear()
         await self._read_all_reports()
         self._election.take_office(fence)
 
     async def _read_all_reports(self) -> None:
-        """Reads how many orders the runners accepted from other planners."""
+        """Reads what the runners do for planners before, if there were any."""
         found = self._board.catalog
         if found is None:
             return
@@ -128,7 +116,7 @@
             for service in found.service_by_id.values()
             if service.engine is not None
             for server in self._board.usable(service.id)
-            if server.layers.count
+            if server.layers.count or self._had_planner
         ]
         await asyncio.gather(*(self._read_report(server) for server in holders))
 
@@ -139,7 +127,8 @@
         if self._board.hold_offs.holds_off(server.lifetime):
             return None
         try:
-            report = await self._runners.report(server.address)
+            async with self._calls:
+                report = await self._runners.report(server.address)
         except ports.RunnerUnavailableError as error:
             self._failure_recorder.record(
                 server, suspect_servers.Reason.NO_REPORT, str(error)
@@ -189,8 +178,9 @@
             return self._latest_eta()
         planner = self._planner_for(service.id, engine)
         moves = planner.plan(holdings, starting=starting)
+        busy = len(self._pending_by_id) + len(moves)
         for move in moves:
-            self._start_order(engine, move, now, starting=starting)
+            self._start_order(engine, move, now, busy, starting=starting)
         self._log_gaps([] if moves else planner.describe_gaps(holdings))
         return self._latest_eta()
 
@@ -276,7 +266,7 @@
                 server,
                 server.layers,
                 server.id in usable,
-                now < self._busy_until_by_id.get(server.id, 0.0),
+                self._is_busy(server, now),
                 requests,
                 holds_off
                 or self._board.suspect_servers.may_go_on(
@@ -290,14 +280,38 @@
             server, pending.target, server.id in usable, True, requests
         )
 
+    def _is_busy(self, server: directory.Server, now: float) -> bool:
+        """Returns whether a runner carries out another planner's order."""
+        if (busy_until := self._busy_until_by_id.get(server.id)) is None:
+            return False
+        if now >= busy_until:
+            self._busy_until_by_id[server.id] = float("inf")
+            self._background_tasks.start(self._recheck_busy(server))
+        return True
+
+    async def _recheck_busy(self, server: directory.Server) -> None:
+        report = await self._read_report(server)
+        if report is None or not report.busy:
+            self._busy_until_by_id.pop(server.id, None)
+
     def _start_order(
         self,
         engine: catalog.Engine,
         move: layer_planner.Move,
         now: float,
+        busy: int,
         *,
         starting: bool,
     ) -> None:
+        """Orders a runner to hold other layers.
+
+        Args:
+            engine: the model's engine.
+            move: the order.
+            now: loop time in seconds.
+            busy: runners that load at the same time as this one.
+            starting: whether no request was served yet.
+        """
         held = move.server.layers
         start = max(held.start, move.layers.start)
         end = max(start, min(held.end, move.layers.end))
@@ -306,16 +320,10 @@
         seconds = engine.load_seconds * new / engine.layers
         if starting:
             seconds *= INITIAL_LOAD_TIME_RATIO
-        busy = len(self._pending_by_id) + 1
-        contention = max(1.0, busy / max(1, engine.loads_at_once))
-        eta = now + seconds * contention
-        due = (
-            now
-            + seconds * contention * LOAD_OVERDUE_RATIO
-            + LOAD_OVERDUE_GRACE_SECONDS
-        )
-        pending = _Pending(
-            move.layers, retained, move.server.lifetime, eta, due
+        seconds *= max(1.0, busy / max(1, engine.loads_at_once))
+        eta = now + seconds
+        pending = pending_orders.PendingOrder(
+            move.layers, retained, move.server.lifetime, seconds, eta
         )
         self._pending_by_id[move.server.id] = pending
         self._log.write(
@@ -331,11 +339,18 @@
         self._background_tasks.start(self._send_order(move, pending))
 
     async def _send_order(
-        self, move: layer_planner.Move, pending: _Pending
+        self, move: layer_planner.Move, pending: pending_orders.PendingOrder
     ) -> None:
-        outcome = await self._runners.place(
-            move.server, move.layers, self._election.fence
-        )
+        async with self._calls:
+            if not (
+                self._is_current(move.server, pending)
+                and self._election.is_held
+            ):
+                return
+            outcome = await self._runners.place(
+                move.server, move.layers, self._election.fence
+            )
+        pending.record_sent(asyncio.get_running_loop().time())
         self._metrics.orders.labels("place", outcome.value).inc()
         if outcome is ports.OrderOutcome.BEGUN:
             self._board.directory.record_order(move.server)
@@ -349,27 +364,33 @@
             self._election.resign()
             return
         if outcome is not ports.OrderOutcome.UNKNOWN:
-            self._drop_pending(move.server, pending)
             await self._read_report(move.server)
+            self._drop_pending(move.server, pending)
             return
         await self._check_overdue(move.server, pending)
 
     async def _check_overdue(
-        self, server: directory.Server, pending: _Pending
+        self, server: directory.Server, pending: pending_orders.PendingOrder
     ) -> None:
         """Reads an overdue runner's report before any further order to it."""
         report = await self._read_report(server)
-        if report is not None and report.busy:
-            now = asyncio.get_running_loop().time()
-            pending.due = now + LOAD_OVERDUE_GRACE_SECONDS
-            pending.checking = False
+        if report is None or report.busy:
+            # A runner without a report may carry out the order; if it is lost,
+            # it is replaced as a suspect.
+            pending.check_again(asyncio.get_running_loop().time())
             return
         self._drop_pending(server, pending)
 
+    def _is_current(
+        self, server: directory.Server, pending: pending_orders.PendingOrder
+    ) -> bool:
+        """Returns whether an order was neither dropped nor replaced."""
+        return self._pending_by_id.get(server.id) is pending
+
     def _drop_pending(
-        self, server: directory.Server, pending: _Pending
+        self, server: directory.Server, pending: pending_orders.PendingOrder
     ) -> None:
-        if self._pending_by_id.get(server.id) is pending:
+        if self._is_current(server, pending):
             del self._pending_by_id[server.id]
             # Plans the unchanged runners again without delay.
             self._planned_by_service.clear()
