Keep the cost of a peer's report independent of what it does not change

Peers without dated retries are left out, only changed loads are added up, and servers are found by address.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
@@ -153,6 +153,8 @@
         self._moves: dict[str, PendingMove] = {}
         self._moves_updated_at = float("-inf")
         self._moves_version = 0
+        self._addresses_version = -1
+        self._server_by_address: dict[str, directory.Server] = {}
         self._usable_version = (-1, -1, -1, -1)
         self._usable: dict[ids.ServiceId, list[directory.Server]] = {}
 
@@ -382,12 +384,11 @@
 
     def server_at(self, address: str) -> directory.Server | None:
         """Returns the server at an address, the newest if there are several."""
-        return max(
-            (
-                server
-                for server in self.directory.server_by_id.values()
-                if server.address == address
-            ),
-            key=lambda server: server.revision,
-            default=None,
-        )
+        if self._addresses_version != self.directory.version:
+            self._addresses_version = self.directory.version
+            self._server_by_address = {}
+            for server in self.directory.server_by_id.values():
+                known = self._server_by_address.get(server.address)
+                if known is None or known.revision < server.revision:
+                    self._server_by_address[server.address] = server
+        return self._server_by_address.get(address)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/loads.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/loads.py
@@ -110,10 +110,18 @@
         self, now: float, peer: str, loads: Mapping[str, Load]
     ) -> None:
         """Replaces the loads that a peer reported before."""
-        self._subtract_report(peer)
+        _, known = self._peer_loads.get(peer, (0.0, {}))
         self._peer_loads[peer] = (now, loads)
+        totals = self._total_by_address
         for address, load in loads.items():
-            _accumulate(self._total_by_address, address, load, 1)
+            old = known.get(address)
+            if old is load:
+                continue
+            if old is not None:
+                _accumulate(totals, address, old, -1)
+            _accumulate(totals, address, load, 1)
+        for address in known.keys() - loads.keys():
+            _accumulate(totals, address, known[address], -1)
 
     def expire(self, now: float) -> None:
         """Drops the reports of peers that no longer send any."""
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/retry_budget.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/retry_budget.py
@@ -162,12 +162,15 @@
         self._retries: collections.deque[float] = collections.deque()
         self._total = 0
         self._peer_by_process: dict[tuple[str, int], _Peer] = {}
+        self._dated_by_process: dict[tuple[str, int], _Peer] = {}
+        self._expires_at = float("-inf")
 
     def set_bounds(self, *, ratio: float, slack: float, window: float) -> None:
         """Replaces the limits; see the constructor."""
         self._ratio = ratio
         self._slack = slack
         self._window = window
+        self._expires_at = float("-inf")
 
     def record_request(self, now: float) -> None:
         """Counts a caller's request for the service."""
@@ -207,6 +210,8 @@
                 if name == peer and other is not found:
                     other.replaced = True
         found.record(now, now if as_of is None else as_of, counts)
+        if found.dated_retries():
+            self._dated_by_process[peer, counts.process] = found
 
     def can_spend(self, now: float, routers: int, purpose: Purpose) -> bool:
         """Returns whether the budget allows another retry.
@@ -247,7 +252,7 @@
         part = USABLE_BUDGET_RATIO * self._ratio
         return sum(
             max(0.0, peer.dated_retries() - part * peer.requests)
-            for peer in self._peer_by_process.values()
+            for peer in self._dated_by_process.values()
             if not peer.is_live(now)
         )
 
@@ -284,10 +289,21 @@
             while times and times[0] <= now - self._window:
                 times.popleft()
         limit = now - self._window
-        for key, peer in list(self._peer_by_process.items()):
+        for key, peer in list(self._dated_by_process.items()):
             peer.expire(limit)
+            if not peer.dated_retries():
+                del self._dated_by_process[key]
+        if now < self._expires_at:
+            return
+        for key, peer in list(self._peer_by_process.items()):
             if peer.received_at <= limit:
                 del self._peer_by_process[key]
+                self._dated_by_process.pop(key, None)
+        # No report that is received meanwhile expires before.
+        self._expires_at = self._window + min(
+            (peer.received_at for peer in self._peer_by_process.values()),
+            default=now,
+        )
 
 
 class ServiceBudgets:
