Let one router of each failure domain read the store for the others

Cause: whenever the planner, the store or a link was lost, all routers watched, confirmed and renewed their leases by themselves, again and again.

Change (docs/design/0012-cost-of-control.md): - Routers of a failure domain, from three on, take turns by an order that each derives from its peers' reports. The first one watches, relays and confirms while no planner does; the next one takes over within a second. - While the store is away, two of each failure domain call it, and the others renew their leases once a peer is served. Reports date the outage for them. - Relayed changes that a peer turns out to lack are sent again. - A link stays while reports arrive, also if the peer's lease has ended, so that a router that the store refuses lives on its peers. - From 17 routers on, reports to other failure domains are sent every 0.5 s, but for a planner's and urgent ones; timers of a link cost less. - Rows of suspects and budgets, and the log of delays, have modules of their own.

test_poison_rows lists the fields that an older build leaves out: three more.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/election.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/election.py
@@ -13,7 +13,8 @@
 from nutmeglift_gateway import store_view
 
 JITTER_SECONDS = 0.15
-"""Spreads the routers' attempts, so that one write usually decides."""
+"""Spreads the attempts of the routers whose turn it is to read the store, so
+that one write usually decides."""
 MIN_INTERVAL_SECONDS = 1.0
 """Shortest interval between two elections of this router."""
 UNKNOWN_HOLDER_SECONDS = registration.LEASE_TTL_SECONDS
@@ -85,7 +86,9 @@
             return None
         if not self._reader.is_live:
             return None
-        await asyncio.sleep(self._rng.uniform(0, JITTER_SECONDS))
+        await asyncio.sleep(
+            self._reader.turn.delay + self._rng.uniform(0, JITTER_SECONDS)
+        )
         if not self._is_vacant(now):
             return None
         key = store_view.PLANNER_KEY
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -92,6 +92,7 @@
             self._reader.outage,
             log,
             rng,
+            self._reader.readers,
         )
         failure_recorder = recorders.FailureRecorder(
             self.board, log, self.metrics
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/live_peers.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/live_peers.py
@@ -6,25 +6,38 @@
 import dataclasses
 
 from nutmeglift import ids
-
-REPORT_TIMEOUT_SECONDS = 0.7
-"""Two reports of a live router may be late or missing."""
+from nutmeglift_gateway.load import report_intervals
 
 
 @dataclasses.dataclass(frozen=True)
-class _Peer:
+class Peer:
+    """A router from which reports arrive.
+
+    Attributes:
+        domain: its failure domain.
+        live_until: loop time at which it is lost unless it reports again.
+        served: whether the store serves it.
+    """
+
     domain: ids.FailureDomain
-    heard_at: float
+    live_until: float
+    served: bool
 
 
 class LivePeers:
     """The other routers from which this one receives reports."""
 
     def __init__(self) -> None:
-        self._peer_by_name: dict[str, _Peer] = {}
+        self._peer_by_name: dict[str, Peer] = {}
 
     def record_report(
-        self, now: float, name: str, domain: ids.FailureDomain
+        self,
+        now: float,
+        name: str,
+        domain: ids.FailureDomain,
+        *,
+        served: bool = True,
+        timeout: float = report_intervals.NEAR_TIMEOUT_SECONDS,
     ) -> None:
         """Records a report.
 
@@ -32,14 +45,33 @@
             now: loop time in seconds.
             name: VM of its sender.
             domain: the sender's failure domain.
+            served: whether the store serves the sender.
+            timeout: time without a report after which it is lost, in seconds.
         """
-        self._peer_by_name[name] = _Peer(domain, now)
+        self._peer_by_name[name] = Peer(domain, now + timeout, served)
 
     def domain_by_name(self, now: float) -> dict[str, ids.FailureDomain]:
         """Returns the failure domains of the live peers, by VM."""
-        self._peer_by_name = {
+        self._expire(now)
+        return {name: peer.domain for name, peer in self._peer_by_name.items()}
+
+    @property
+    def count(self) -> int:
+        """Number of live peers, as far as was found."""
+        return len(self._peer_by_name)
+
+    def in_domain(
+        self, now: float, domain: ids.FailureDomain
+    ) -> dict[str, Peer]:
+        """Returns the live peers of a failure domain, by VM."""
+        self._expire(now)
+        return {
             name: peer
             for name, peer in self._peer_by_name.items()
-            if now - peer.heard_at < REPORT_TIMEOUT_SECONDS
+            if peer.domain == domain
         }
-        return {name: peer.domain for name, peer in self._peer_by_name.items()}
+
+    def _expire(self, now: float) -> None:
+        for name, peer in list(self._peer_by_name.items()):
+            if now >= peer.live_until:
+                del self._peer_by_name[name]
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_links.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_links.py
@@ -1,6 +1,7 @@
 """Maintains a websocket connection to every other router."""
 
 import asyncio
+from collections.abc import Callable
 import functools
 import random
 
@@ -22,14 +23,15 @@
 from nutmeglift_gateway import relayed_changes
 from nutmeglift_gateway import store_reader
 
-REPORT_INTERVAL_SECONDS = 0.25
-"""Interval of reports; a request lasts several of them."""
 MIN_REPORT_INTERVAL_SECONDS = 0.02
 """Shortest interval, for urgent changes; changes within it are combined in one
 report."""
 SILENCE_TIMEOUT_SECONDS = 1.2
 """A link that has received no message for about five intervals is
 re-established."""
+SILENCE_TOLERANCE_SECONDS = 0.2
+"""The timeout is moved at most this often, because timers cost processor time;
+a silent link may be found earlier by as much."""
 OPEN_TIMEOUT_SECONDS = 0.5
 CLOSE_TIMEOUT_SECONDS = 0.1
 """Longest wait for a peer's closing handshake, as the process is about to
@@ -85,8 +87,11 @@
                 for name, address in self._board.router_by_name.items()
                 if name > self._vm
             }
+            live = self._board.live_peers.domain_by_name(loop.time())
             for name in list(self._task_by_peer):
-                if name not in wanted:
+                # A router that the store does not serve loses its entry, and
+                # relies on what its peers tell it.
+                if name not in wanted and name not in live:
                     self._task_by_peer.pop(name).cancel()
             for name, address in wanted.items():
                 task = self._task_by_peer.get(name)
@@ -106,13 +111,18 @@
     def _forward_changes(
         self, after: ids.Revision, events: list[kv.WatchEvent]
     ) -> None:
-        """Forwards changes of the store to the peers if this router plans."""
-        if not self._board.fence:
-            return
+        """Forwards changes of the store that this router's watch returned.
+
+        A planner's changes go to all routers, those of another one to the
+        routers of its failure domain.
+        """
         messages = relayed_changes.encode(
             after, events, self._reader.view.catalog.key
         )
+        plans = bool(self._board.fence)
         for outbox in self._outboxes:
+            if not plans and outbox.domain() != self._board.home:
+                continue
             for message in messages:
                 outbox.put(message)
 
@@ -180,25 +190,32 @@
         self, link: connection.Connection, state: peer_state.PeerState
     ) -> None:
         loop = asyncio.get_running_loop()
-        while True:
-            async with asyncio.timeout(SILENCE_TIMEOUT_SECONDS):
+        silent_at = loop.time() + SILENCE_TIMEOUT_SECONDS
+        async with asyncio.timeout_at(silent_at) as limit:
+            while True:
                 raw = await link.recv()
-            if isinstance(raw, str):
-                raise errors.MalformedMessageError(
-                    "received a text message; expected binary"
+                if isinstance(raw, str):
+                    raise errors.MalformedMessageError(
+                        "received a text message; expected binary"
+                    )
+                message = peer_messages.decode(raw)
+                now = loop.time()
+                responses = state.handle_message(
+                    message, now, freshness.boot_clock()
                 )
-            message = peer_messages.decode(raw)
-            responses = state.handle_message(
-                message, loop.time(), freshness.boot_clock()
-            )
-            for response in responses:
-                await link.send(peer_messages.encode(response))
+                for response in responses:
+                    await link.send(peer_messages.encode(response))
+                if now + SILENCE_TIMEOUT_SECONDS - silent_at >= (
+                    SILENCE_TOLERANCE_SECONDS
+                ):
+                    silent_at = now + SILENCE_TIMEOUT_SECONDS
+                    limit.reschedule(silent_at)
 
     async def _send_reports(
         self, link: connection.Connection, state: peer_state.PeerState
     ) -> None:
         loop = asyncio.get_running_loop()
-        outbox = _Outbox()
+        outbox = _Outbox(lambda: state.domain)
         self._outboxes.add(outbox)
         self._board.listeners.add(outbox.pending.set)
         try:
@@ -210,7 +227,7 @@
                 await asyncio.sleep(MIN_REPORT_INTERVAL_SECONDS)
                 await _wait(
                     outbox.pending,
-                    REPORT_INTERVAL_SECONDS - MIN_REPORT_INTERVAL_SECONDS,
+                    state.report_interval - MIN_REPORT_INTERVAL_SECONDS,
                 )
         except (exceptions.ConnectionClosed, OSError):
             # The receiving task logs why the link ended.
@@ -221,9 +238,14 @@
 
 
 class _Outbox:
-    """Queues the messages for one peer that are sent besides the reports."""
+    """Queues the messages for one peer that are sent besides the reports.
+
+    Attributes:
+        domain: returns the peer's failure domain, if it is known.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, domain: Callable[[], ids.FailureDomain | None]) -> None:
+        self.domain = domain
         self.pending = asyncio.Event()
         self._messages: list[peer_messages.Message] = []
 
@@ -238,9 +260,10 @@
 
 
 async def _wait(event: asyncio.Event, seconds: float) -> None:
-    """Waits for an event, at most this many seconds."""
+    """Waits for an event, at most this many seconds; it is set then."""
+    # Cheaper than a timeout, whose normal end would be an exception.
+    timer = asyncio.get_running_loop().call_later(seconds, event.set)
     try:
-        async with asyncio.timeout(seconds):
-            await event.wait()
-    except TimeoutError:
-        return
+        await event.wait()
+    finally:
+        timer.cancel()
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
@@ -7,19 +7,12 @@
 
 from nutmeglift import decoding
 from nutmeglift import errors
+from nutmeglift_gateway import budget_rows
 from nutmeglift_gateway import cbor_items
 from nutmeglift_gateway import hold_off_rows
 from nutmeglift_gateway import load_rows
 from nutmeglift_gateway import poison_rows
-
-
-class SuspectRow(msgspec.Struct, array_like=True, frozen=True):
-    """A backend server that the sender excludes."""
-
-    address: str
-    server: str
-    born: int
-    reason: str
+from nutmeglift_gateway import suspect_rows
 
 
 class PaceRow(msgspec.Struct, array_like=True, frozen=True):
@@ -46,29 +39,6 @@
     end: int
 
 
-class BudgetRow(msgspec.Struct, array_like=True, frozen=True):
-    """The sender's counts for a service's retry budget in its window.
-
-    Attributes:
-        service: the service.
-        requests: callers' requests for it.
-        retries: retries that the sender sent to it.
-        process: identifies the sender's process; 0 if unknown.
-        total: retries that the process has sent since its start.
-        overspent: retries that routers that the sender does not hear had sent
-            beyond their requests' part.
-        complete: whether the process has run for a window.
-    """
-
-    service: str
-    requests: int
-    retries: int
-    process: int = 0
-    total: int = 0
-    overspent: int = 0
-    complete: bool = False
-
-
 class PeerReport(msgspec.Struct, array_like=True, frozen=True, tag="report"):
     """One router's state, sent several times a second.
 
@@ -99,6 +69,12 @@
             not take; 0 for none.
         digest: digest of the value of the sender's configuration.
         hold_offs: backend servers that want nothing from the sender.
+        failing_for_ms: time for which the store has not served the sender;
+            negative if it does.
+        failed_ago_ms: time since the sender's last call that failed was sent;
+            negative if the store serves it.
+        watches: whether the sender watches the store, and relays the changes to
+            the routers of its failure domain.
     """
 
     vm: str
@@ -110,16 +86,19 @@
     store_revision: int
     coverage_in: float
     loads: load_rows.LoadChanges
-    suspects: list[SuspectRow]
+    suspects: list[suspect_rows.SuspectRow]
     paces: list[PaceRow]
     fence: int
     moves: list[MoveRow]
-    budgets: list[BudgetRow]
+    budgets: list[budget_rows.BudgetRow]
     domain: str = ""
     poison: poison_rows.PoisonReport = poison_rows.PoisonReport()
     rejected: int = 0
     digest: int = 0
     hold_offs: list[hold_off_rows.HoldOffRow] = []
+    failing_for_ms: int = -1
+    failed_ago_ms: int = -1
+    watches: bool = False
 
 
 class EntryRow(msgspec.Struct, array_like=True, frozen=True):
@@ -178,7 +157,7 @@
 
 
 class Changes(msgspec.Struct, array_like=True, frozen=True, tag="changes"):
-    """Changes of the store, relayed by the planner.
+    """Changes of the store, relayed by a router that watches it.
 
     Attributes:
         after: revision of the last change before them.
@@ -260,7 +239,13 @@
 
 def _check_numbers(report: PeerReport) -> None:
     """Raises ValueError for numbers that can't be computed with."""
-    numbers = [report.confirmation_age, report.store_age, report.coverage_in]
+    numbers = [
+        report.confirmation_age,
+        report.store_age,
+        report.coverage_in,
+        report.failing_for_ms,
+        report.failed_ago_ms,
+    ]
     numbers += [value for row in report.paces for value in (row.pace, row.age)]
     if not all(abs(number) <= MAX_NUMBER for number in numbers):
         raise ValueError("a number is out of range")
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
@@ -4,6 +4,7 @@
 from nutmeglift import ids
 from nutmeglift import kv
 from nutmeglift_gateway import board as boards
+from nutmeglift_gateway import budget_rows
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import freshness
 from nutmeglift_gateway import hold_off_rows
@@ -11,11 +12,11 @@
 from nutmeglift_gateway import peer_messages
 from nutmeglift_gateway import poison_rows
 from nutmeglift_gateway import relayed_changes
-from nutmeglift_gateway import retry_budget
 from nutmeglift_gateway import servers_fetch
 from nutmeglift_gateway import store_reader
-from nutmeglift_gateway import suspect_servers
+from nutmeglift_gateway import suspect_rows
 from nutmeglift_gateway import view_age
+from nutmeglift_gateway.load import report_intervals
 
 PACE_REPORT_MAX_AGE_SECONDS = 1.0
 """Paces read within this time are reported, once on each link. Nominal ones are
@@ -28,7 +29,12 @@
 
 
 class PeerState:
-    """One side of a link between two routers, independent of the transport."""
+    """One side of a link between two routers, independent of the transport.
+
+    Attributes:
+        domain: the peer's failure domain; None before its first report.
+        plans: whether the peer plans.
+    """
 
     def __init__(
         self,
@@ -39,6 +45,8 @@
         self._board = board
         self._reader = reader
         self._vm = vm
+        self.domain: ids.FailureDomain | None = None
+        self.plans = False
         self._load_encoder = load_rows.Encoder()
         self._load_decoder = load_rows.Decoder()
         self._poison_encoder = poison_rows.Encoder()
@@ -63,6 +71,7 @@
         for old in list(self._sent_at_by_sequence):
             if old < self._echoed or old < self._sequence - MAX_UNECHOED_COUNT:
                 del self._sent_at_by_sequence[old]
+        outage = self._reader.outage
         age = board.freshness.age(boot_now)
         report = peer_messages.PeerReport(
             vm=self._vm,
@@ -78,17 +87,7 @@
             store_revision=self._reader.view.confirmed_revision,
             coverage_in=max(0.0, board.coverage_eta - now),
             loads=self._load_encoder.encode(board.load_tracker.own()),
-            suspects=[
-                peer_messages.SuspectRow(
-                    address,
-                    lifetime[0],
-                    lifetime[1],
-                    board.suspect_servers.reason(address),
-                )  # fmt: skip
-                for address, lifetime in (
-                    board.suspect_servers.suspects().items()
-                )
-            ],
+            suspects=suspect_rows.encode(board),
             paces=[
                 peer_messages.PaceRow(address, pace.value, now - pace.read_at)
                 for address, pace in board.pace_by_address.items()
@@ -106,27 +105,29 @@
                 for pending_move in board.moves.values()
                 if board.fence
             ],
-            budgets=[
-                peer_messages.BudgetRow(
-                    service,
-                    counts.requests,
-                    counts.retries,
-                    counts.process,
-                    counts.total,
-                    counts.overspent,
-                    counts.complete,
-                )
-                for service, counts in board.budgets.counts(now).items()
-            ],
+            budgets=budget_rows.encode(now, board.budgets),
             domain=board.home,
             poison=self._poison_encoder.encode(now, board.guard),
             rejected=board.freshness.rejected_revision,
             digest=board.freshness.digest,
             hold_offs=hold_off_rows.encode(now, board.hold_offs),
+            failing_for_ms=outage.failing_for_ms(now),
+            failed_ago_ms=outage.failed_ago_ms(now),
+            watches=self._reader.relays_changes,
         )
         self._paces_sent_until = now
         return report
 
+    @property
+    def report_interval(self) -> float:
+        """Interval of the reports to the peer, in seconds."""
+        board = self._board
+        return report_intervals.interval(
+            board.live_peers.count,
+            is_near=self.domain in (None, board.home),
+            plans=self.plans or bool(board.fence),
+        )
+
     def handle_message(
         self, message: peer_messages.Message, now: float, boot_now: float
     ) -> list[peer_messages.Message]:
@@ -174,50 +175,42 @@
         self._received = report.sequence
         if report.echo in self._sent_at_by_sequence:
             self._echoed = max(self._echoed, report.echo)
+        is_served = report.store_age >= 0
+        self.domain = ids.FailureDomain(report.domain)
+        self.plans = bool(report.fence)
         board.live_peers.record_report(
-            now, report.vm, ids.FailureDomain(report.domain)
+            now,
+            report.vm,
+            self.domain,
+            served=is_served,
+            timeout=report_intervals.timeout(
+                board.live_peers.count, is_near=self.domain == board.home
+            ),
         )
         board.load_tracker.record_report(
             now, report.vm, self._load_decoder.decode(report.loads)
         )
-        self._reader.outage.record_peer(
-            now, report.vm, served=report.store_age >= 0
-        )
+        self._reader.outage.record_peer(now, report.vm, served=is_served)
+        self._apply_failures(report, now, boot_now)
         if report.coverage_in > 0:
             board.coverage_eta = max(
                 board.coverage_eta, now + report.coverage_in
             )
         if report.fence:
             self._apply_planner_report(report, now)
+        elif report.watches:
+            self._apply_watcher_report(report, now)
         sent_at = self._sent_at_by_sequence.get(report.echo)
-        for counted in report.budgets:
-            board.budget(ids.ServiceId(counted.service)).set_peer_counts(
-                now,
-                report.vm,
-                retry_budget.Counts(
-                    counted.requests,
-                    counted.retries,
-                    counted.process,
-                    counted.total,
-                    counted.overspent,
-                    counted.complete,
-                ),
-                # The peer took them after it had received the report of ours
-                # that it echoes.
-                float("-inf") if sent_at is None else now - boot_now + sent_at,
-            )
-        for row in report.suspects:
-            server = board.server_at(row.address)
-            if (
-                server is not None
-                and row.reason in suspect_servers.SHARED_REASONS
-                and server.lifetime == (row.server, row.born)
-            ):
-                board.suspect(
-                    now, server, suspect_servers.Reason.REPORTED_BY_PEER
-                )
-                if row.reason == suspect_servers.Reason.CRASHED:
-                    board.on_crash_reported(now, server)
+        budget_rows.apply(
+            now,
+            report.vm,
+            report.budgets,
+            board.budgets,
+            # The peer took them after it had received the report of ours that
+            # it echoes.
+            float("-inf") if sent_at is None else now - boot_now + sent_at,
+        )
+        suspect_rows.apply(now, report.suspects, board)
         for pace in report.paces:
             known = board.pace_by_address.get(pace.address)
             read_at = now - pace.age
@@ -231,8 +224,26 @@
         self._apply_poison(report, now)
         self._apply_confirmation(report)
         self._compare_views(report, boot_now)
-        return self._request_catalog(report, now) + self._request_servers(
-            report, now, boot_now
+        return (
+            self._request_catalog(report, now)
+            + self._request_servers(report, now, boot_now)
+            + self._reader.recent_changes.missing(
+                now, ids.Revision(report.store_revision)
+            )
+        )
+
+    def _apply_failures(
+        self, report: peer_messages.PeerReport, now: float, boot_now: float
+    ) -> None:
+        """Dates a peer's failed calls, by our report that it echoes."""
+        sent_at = self._sent_at_by_sequence.get(report.echo)
+        if sent_at is None or report.failed_ago_ms < 0:
+            return
+        made_at = now - boot_now + sent_at
+        self._reader.outage.record_peer_failures(
+            now,
+            made_at - report.failing_for_ms / 1000,
+            made_at - report.failed_ago_ms / 1000,
         )
 
     def _apply_poison(
@@ -244,7 +255,7 @@
             now, report.poison.digest, guard.digest()
         )
         if problems:
-            self._reader.log_malformed_rows(report.vm, problems)
+            self._reader.delay_log.write_malformed_rows(report.vm, problems)
 
     def _apply_planner_report(
         self, report: peer_messages.PeerReport, now: float
@@ -253,12 +264,7 @@
         board = self._board
         if not board.record_planner(ids.FencingNumber(report.fence)):
             return
-        self._reader.relay.record_report(
-            now,
-            live=report.store_age >= 0,
-            revision=report.store_revision,
-            own_revision=self._reader.view.revision,
-        )
+        self._record_relay(report, now)
         board.set_moves(
             now,
             {
@@ -270,6 +276,27 @@
             },
         )
 
+    def _apply_watcher_report(
+        self, report: peer_messages.PeerReport, now: float
+    ) -> None:
+        """Relies on a router of this failure domain; of two, on the first."""
+        if (
+            not self._board.fence
+            and report.domain == self._board.home
+            and (not self._reader.relays_changes or report.vm < self._vm)
+        ):
+            self._record_relay(report, now)
+
+    def _record_relay(
+        self, report: peer_messages.PeerReport, now: float
+    ) -> None:
+        self._reader.relay.record_report(
+            now,
+            live=report.store_age >= 0,
+            revision=report.store_revision,
+            own_revision=self._reader.view.revision,
+        )
+
     def _apply_confirmation(self, report: peer_messages.PeerReport) -> None:
         """Dates a peer's confirmation conservatively.
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/registration.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/registration.py
@@ -10,11 +10,13 @@
 from nutmeglift_gateway import decision_log
 from nutmeglift_gateway import store_outage
 from nutmeglift_gateway import store_view
+from nutmeglift_gateway.load import store_readers
 
 LEASE_TTL_SECONDS = 3.0
 """Time after which a lost planner is replaced. Engines hold requests that wait
 for a runner for two seconds."""
-RENEWALS_PER_LEASE_TTL = 3
+POLL_INTERVAL_SECONDS = 0.1
+"""Interval at which it is checked whether the store serves a peer."""
 NO_LEASE = ids.LeaseId(0)
 
 
@@ -33,7 +35,19 @@
         outage: store_outage.StoreOutage,
         log: decision_log.DecisionLog,
         rng: random.Random,
+        readers: store_readers.StoreReaders,
     ) -> None:
+        """Initializes without a lease.
+
+        Args:
+            store: client of the key-value service.
+            vm: this router's VM.
+            address: its address for its peers.
+            outage: tracks whether the store serves this router.
+            log: log of decisions.
+            rng: random number generator of the delays.
+            readers: decides how often to call the store.
+        """
         self.lease = NO_LEASE
         self._store = store
         self._key = store_view.ROUTER_PREFIX + vm
@@ -41,6 +55,7 @@
         self._outage = outage
         self._log = log
         self._rng = rng
+        self._readers = readers
         self._ended = False
 
     async def run(self) -> None:
@@ -59,9 +74,14 @@
             except errors.PlatformError as error:
                 self._outage.record_failure(loop.time(), sent_at, str(error))
                 self._log.write("registration failed", detail=str(error))
+                failed_at = loop.time()
                 await asyncio.sleep(backoff.next_seconds())
+                while not self._readers.may_renew(loop.time(), failed_at):  # noqa: ASYNC110 - depends on the peers.
+                    await asyncio.sleep(POLL_INTERVAL_SECONDS)
                 continue
-            await asyncio.sleep(LEASE_TTL_SECONDS / RENEWALS_PER_LEASE_TTL)
+            await asyncio.sleep(
+                LEASE_TTL_SECONDS / self._readers.renewals_per_ttl(loop.time())
+            )
 
     async def end(self) -> None:
         """Revokes the lease, so that other routers take over immediately."""
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/store_outage.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/store_outage.py
@@ -110,6 +110,41 @@
                 sent_ago=round(now - sent_at, 3),
             )
 
+    def record_peer_failures(
+        self, now: float, since: float, last_at: float
+    ) -> None:
+        """Dates an outage by the calls of a peer that makes more of them.
+
+        Those of a peer alone tell nothing: the store may refuse it.
+
+        Args:
+            now: loop time.
+            since: when the first call that failed was sent.
+            last_at: when the last one was sent.
+        """
+        if self._failing_since is None:
+            return
+        self._failing_since = max(
+            self._answered_at, min(self._failing_since, since)
+        )
+        if last_at <= self._last_failed_at:
+            return
+        self._last_failed_at = last_at
+        if self._is_outage(now):
+            self._extend_window(last_at)
+
+    def failing_for_ms(self, now: float) -> int:
+        """Returns for how long calls have failed; negative if they don't."""
+        if self._failing_since is None:
+            return -1
+        return round(1000 * (now - self._failing_since))
+
+    def failed_ago_ms(self, now: float) -> int:
+        """Returns the age of the last failed call; negative if none fails."""
+        if self._failing_since is None:
+            return -1
+        return round(1000 * (now - self._last_failed_at))
+
     def record_restore(self, now: float) -> None:
         """Records that the store came back from an older copy."""
         self._restored_until = now + freshness.RESTORE_SECONDS
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
@@ -14,13 +14,16 @@
 from nutmeglift_gateway import board as boards
 from nutmeglift_gateway import catalog_fetch
 from nutmeglift_gateway import decision_log
+from nutmeglift_gateway import delay_log
 from nutmeglift_gateway import freshness
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import relay
+from nutmeglift_gateway import relayed_changes
 from nutmeglift_gateway import servers_fetch
 from nutmeglift_gateway import settled_era
 from nutmeglift_gateway import store_outage
 from nutmeglift_gateway import store_view
+from nutmeglift_gateway.load import store_readers
 
 PLANNER_CONFIRM_INTERVAL_SECONDS = 0.7
 """The planner confirms before the others, which add the interval of reports to
@@ -29,10 +32,8 @@
 """With the jitter three quarters of the operators' bound for a change to take
 effect on all routers."""
 CONFIRM_JITTER_SECONDS = 0.3
-"""Spreads the confirmations of routers whose planner gives none. Each is passed
-to the peers at once."""
-MAX_CONFIRM_BACKOFF_SECONDS = 0.3
-"""Bounds how long after the last failed call a store may have returned."""
+"""Spreads the confirmations of routers whose planner and readers give none.
+Each is passed to the peers at once."""
 UNCONFIRMED_DELAY_SECONDS = 0.5
 """Delay after an answer that confirms nothing, as the operators have not yet
 written again what the store has lost."""
@@ -46,9 +47,6 @@
 MAX_BEHIND_SECONDS = 0.3
 """Changes that the store is known to have usually arrive within this time: the
 planner's delay between watch calls, and two network hops."""
-LATE_CATALOG_SECONDS = 1.0
-"""Half of the operators' bound for a change to take effect; a configuration
-that is known for longer and not in force is logged."""
 RELIST_INTERVAL_SECONDS = 1.0
 """Shortest interval of listings because of missing changes: half of the time in
 which a draining runner may still receive requests."""
@@ -63,10 +61,13 @@
 
     Attributes:
         view: the local view.
+        delay_log: logs what the view lacks.
+        readers: decides whose turn it is to read the store.
         relay: tracks whether the planner's relayed changes replace this
             router's own watch.
-        on_changes: called with the changes that this router's own watch
-            returned, preceded by the revision before them.
+        on_changes: called with the changes to relay that this router's own
+            watch returned, preceded by the revision before them.
+        recent_changes: the changes that were relayed last.
         outage: tracks whether the store answers this router.
         catalog_fetch: decides from where to get a new configuration.
         servers_fetch: decides from which router to request the servers.
@@ -92,13 +93,18 @@
         self._listed_at = float("-inf")
         self._confirm_not_before = float("-inf")
         self._watch_failures = 0
-        self._late_catalog_revision = freshness.NONE
         self._watch_limit: asyncio.Timeout | None = None
+        self._is_watching = False
+        self.readers = store_readers.StoreReaders(board, vm, self.outage)
+        self._watch_retries = store_readers.Retries(rng)
+        self._confirm_retries = store_readers.Retries(rng)
         self.view = store_view.StoreView(schema, board, log)
         self.view.describe_outage = self.outage.describe
         self.view.on_restore = self.outage.record_restore
+        self.recent_changes = relayed_changes.RecentChanges(schema.catalog_key)
+        self.delay_log = delay_log.DelayLog(self.view, board, log)
         self.relay = relay.Relay()
-        self._settled_era = settled_era.SettledEra(store, board)
+        self._settled_era = settled_era.SettledEra(store, board, log)
         self.catalog_fetch = catalog_fetch.CatalogFetch(board, vm)
         self.servers_fetch = servers_fetch.ServersFetch(board.home)
         self.on_changes: Callable[[ids.Revision, list[kv.WatchEvent]], None] = (
@@ -119,12 +125,13 @@
                     self._now(), self._watch_sent_at, str(error)
                 )
                 self._count_failure(str(error))
-                await asyncio.sleep(backoff.next_seconds())
+                await self._wait_to_retry(backoff.next_seconds())
+            finally:
+                self._is_watching = False
 
     async def confirm(self) -> None:
         """Confirms the configuration periodically until cancelled."""
-        backoff = retry.Backoff(self._rng, largest=MAX_CONFIRM_BACKOFF_SECONDS)
-        limit = self._choose_confirm_limit()
+        jitter_ratio = self._rng.random()
         while True:
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
             self.check_view()
@@ -132,22 +139,50 @@
                 self._now(), self._board.live_peers.domain_by_name(self._now())
             )
             self.view.expire_routers()
-            self._log_late_catalog()
-            if self._board.catalog is None:
-                continue
-            if not self._is_confirmation_due(limit):
+            self.delay_log.write_late_catalog(store_down=self.is_down)
+            if self._board.catalog is None or not self._is_confirmation_due(
+                jitter_ratio
+            ):
                 continue
             sent_at = self._catalog_requested_at = self._now()
-            limit = self._choose_confirm_limit()
+            jitter_ratio = self._rng.random()
             try:
                 await self._confirm_once()
                 self.outage.record_answer(self._now())
+                self._confirm_retries.record_answer()
                 self._board.notify_listeners()
-                backoff.reset()
-                await self._record_settled_era()
+                await self._settled_era.record(self.view.settled_era)
             except errors.PlatformError as error:
                 self.outage.record_failure(self._now(), sent_at, str(error))
-                await asyncio.sleep(backoff.next_seconds())
+                self._confirm_retries.record_failure(self._now())
+
+    async def _wait_to_retry(self, seconds: float) -> None:
+        """Waits that long, and for a turn, or until the store serves again."""
+        self._watch_retries.record_failure(self._now())
+        ends_at = self._now() + seconds
+        was_down = self.is_down
+        while not (was_down and not self.is_down) and (
+            self._now() < ends_at
+            or not self.readers.may_call(self._now(), self._watch_retries)
+        ):
+            await asyncio.sleep(min(seconds, POLL_INTERVAL_SECONDS))
+            was_down = was_down or self.is_down
+
+    @property
+    def turn(self) -> store_readers.Turn:
+        """This router's turn among those that read the store."""
+        return self.readers.turn(self._now())
+
+    @property
+    def relays_changes(self) -> bool:
+        """Whether this router passes on the changes that its watch returns.
+
+        A planner does so to all routers, another one to those of its failure
+        domain.
+        """
+        return bool(self._board.fence) or (
+            self._is_watching and self.turn.is_reader
+        )
 
     def _count_failure(self, detail: str) -> None:
         """Has the store listed if the watch fails again and again by itself."""
@@ -158,15 +193,6 @@
         self._watch_failures = 0
         self.view.revision = store_view.UNLISTED
 
-    def log_malformed_rows(self, vm: str, problems: list[str]) -> None:
-        """Logs rows of a peer's report that were left out."""
-        self._log.write(
-            "peer rows malformed",
-            peer=vm,
-            count=len(problems),
-            detail=problems[0],
-        )
-
     @property
     def is_live(self) -> bool:
         """Whether the store responds and the local view is recent."""
@@ -183,28 +209,6 @@
         if limit is not None and not limit.expired() and self._must_list():
             limit.reschedule(self._now())
 
-    def _log_late_catalog(self) -> None:
-        """Logs once if a newer configuration is not in force in time."""
-        lag = self.view.catalog.lag
-        behind_for = lag.behind_for(freshness.boot_clock())
-        if (
-            behind_for < LATE_CATALOG_SECONDS
-            or lag.revision <= self._late_catalog_revision
-        ):
-            return
-        self._late_catalog_revision = lag.revision
-        self._log.write(
-            "configuration late",
-            revision=lag.revision,
-            in_force=self._board.catalog_revision,
-            unreadable=lag.unreadable,
-            behind_for=round(behind_for, 3),
-            store_down=self.is_down,
-            confirmed_ago=round(
-                self._board.freshness.age(freshness.boot_clock()), 3
-            ),
-        )
-
     def _must_list(self) -> bool:
         """Returns whether changes are missing that will not arrive soon."""
         if eras.era_of(self.view.revision) < self._board.freshness.era:
@@ -218,26 +222,28 @@
     def _view_age(self) -> float:
         return self.view.view_age.age(freshness.boot_clock())
 
-    def _choose_confirm_limit(self) -> float:
-        """Returns the age at which this router confirms unless it plans."""
-        return CONFIRM_INTERVAL_SECONDS + self._rng.uniform(
-            0, CONFIRM_JITTER_SECONDS
-        )
-
-    def _is_confirmation_due(self, limit: float) -> bool:
+    def _is_confirmation_due(self, jitter_ratio: float) -> bool:
         """Returns whether to ask the store for its revision.
 
+        The age of the configuration's confirmation counts, and that of the view
+        unless it is known to be behind.
+
         Args:
-            limit: age in seconds at which that of the configuration is
-                confirmed, and that of the view unless it is known to be behind.
+            jitter_ratio: random part of the jitter, from 0 to 1.
         """
-        if self._board.fence:
-            limit = PLANNER_CONFIRM_INTERVAL_SECONDS
+        limit = PLANNER_CONFIRM_INTERVAL_SECONDS
+        if not self._board.fence:
+            limit = CONFIRM_INTERVAL_SECONDS + self.turn.jitter(
+                CONFIRM_JITTER_SECONDS, jitter_ratio
+            )
         age = self._board.freshness.age(freshness.boot_clock())
         if not self.view.view_age.is_behind:
             age = max(age, self._view_age())
-        is_due = age >= limit and self._now() >= self._confirm_not_before
-        return is_due or self.needs_catalog(self._now())
+        now = self._now()
+        is_due = age >= limit and now >= self._confirm_not_before
+        return (is_due or self.needs_catalog(now)) and self.readers.may_call(
+            now, self._confirm_retries
+        )
 
     async def _list_and_watch(self, backoff: retry.Backoff) -> None:
         if self.view.revision == store_view.UNLISTED:
@@ -246,7 +252,9 @@
         while True:
             await self._wait_until_needed()
             if self._must_list():
-                self._log_missing_changes()
+                self.delay_log.write_missing_changes(
+                    relayed=self.relay.covers(self._now())
+                )
                 await self._list()
             changes = self._store.watch(
                 ALL_KEYS_PREFIX,
@@ -275,20 +283,10 @@
         finally:
             self._watch_limit = None
         self._watch_failures = 0
+        self._watch_retries.record_answer()
         self.outage.record_answer(self._now())
         return batch
 
-    def _log_missing_changes(self) -> None:
-        age = self.view.view_age
-        now = freshness.boot_clock()
-        self._log.write(
-            "changes missing",
-            revision=self.view.revision,
-            behind_for=round(age.behind_for(now), 3),
-            view_age=round(age.age(now), 3),
-            relayed=self.relay.covers(self._now()),
-        )
-
     async def _list(self) -> None:
         self._watch_sent_at = self._listed_at = self._now()
         sent_at = freshness.boot_clock()
@@ -296,6 +294,8 @@
         snapshot = await self._store.snapshot(ALL_KEYS_PREFIX)
         self.outage.record_answer(self._now())
         self.view.apply_snapshot(snapshot, sent_at)
+        if self._board.routers >= store_readers.MIN_SHARING_COUNT:
+            self.relay.record_listing(self._listed_at)
         for entry in snapshot.entries:
             if entry.key == self._schema.catalog_key:
                 self._board.confirm(
@@ -308,17 +308,29 @@
                 )
 
     async def _wait_until_needed(self) -> None:
+        self._is_watching = False
         while self._is_covered():  # noqa: ASYNC110 - ends with the time.
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
+        self._is_watching = True
 
     def _is_covered(self) -> bool:
-        return self.relay.covers(self._now()) and not self._must_list()
+        """Returns whether to leave the watch to other routers now."""
+        if not self.readers.may_call(self._now(), self._watch_retries):
+            return True
+        turn = self.turn
+        behind_for = self.view.view_age.behind_for(freshness.boot_clock())
+        if turn.is_reader and behind_for >= relayed_changes.DELIVERY_SECONDS:
+            return False
+        return (
+            self.relay.covers(self._now(), turn.delay) and not self._must_list()
+        )
 
     def _apply_batch(self, batch: list[kv.WatchEvent]) -> None:
         """Applies changes from this router's own watch, and forwards them."""
         after = self.view.revision
         changes = self.view.apply_batch(batch)
-        if changes:
+        if changes and self.relays_changes:
+            self.recent_changes.record(self._now(), after, changes)
             self.on_changes(after, changes)
 
     def needs_catalog(self, now: float) -> bool:
@@ -363,13 +375,6 @@
             # A conflict does not name the store's revision.
             await self._read_store_revision()
 
-    async def _record_settled_era(self) -> None:
-        """Writes the settled era; a failure says nothing of other calls."""
-        try:
-            await self._settled_era.record(self.view.settled_era)
-        except errors.PlatformError as error:
-            self._log.write("era not recorded", detail=str(error))
-
     def _record_era(self, revision: ids.Revision) -> None:
         """Has the store listed if it came back from an older copy."""
         self._board.freshness.record_era(
--- a/tests/gateway/store_routers.py
+++ b/tests/gateway/store_routers.py
@@ -62,7 +62,13 @@
             client, self._schema, self.board, self.log, rng, self.vm
         )
         registered = registration.Registration(
-            client, self.vm, address, reader.outage, self.log, rng
+            client,
+            self.vm,
+            address,
+            reader.outage,
+            self.log,
+            rng,
+            reader.readers,
         )
         planner = planner_controller.PlannerController(
             client,
--- a/tests/gateway/test_controllers.py
+++ b/tests/gateway/test_controllers.py
@@ -61,6 +61,7 @@
             self.reader.outage,
             self.log,
             rng,
+            self.reader.readers,
         )
         counters = metrics.Metrics()
         self.planner = planner_controller.PlannerController(
--- a/tests/gateway/test_peer_links.py
+++ b/tests/gateway/test_peer_links.py
@@ -87,6 +87,15 @@
         await self.wait_until_linked()
         self.assertIn("peer link failed", self.one.log.events())
 
+    async def test_a_router_that_loses_its_entry_is_heard_until_it_ends(self):
+        await self.wait_until_linked()
+        self.one.board.router_by_name = {"one": self.one.address}
+        await asyncio.sleep(3.0)
+        await self.wait_until_linked()
+        self.two.stop()
+        await asyncio.sleep(3.0)
+        self.assertEqual(self.one.links._task_by_peer, {})
+
     async def test_cancelled_links_end_at_once(self):
         await self.wait_until_linked()
         for router in (self.one, self.two):
--- a/tests/gateway/test_poison_rows.py
+++ b/tests/gateway/test_poison_rows.py
@@ -251,7 +251,16 @@
         at = fields.index("poison")
         added_since = fields[at:]
         self.assertEqual(
-            added_since, ("poison", "rejected", "digest", "hold_offs")
+            added_since,
+            (
+                "poison",
+                "rejected",
+                "digest",
+                "hold_offs",
+                "failing_for_ms",
+                "failed_ago_ms",
+                "watches",
+            ),
         )
         # It decodes what lacks these fields.
         raw = cbor2.loads(
@@ -263,7 +272,7 @@
         found = peer_messages.decode(older)
         self.assertEqual(
             [getattr(found, name) for name in added_since],
-            [poison_rows.PoisonReport(), 0, 0, []],
+            [poison_rows.PoisonReport(), 0, 0, [], -1, -1, False],
         )
 
 
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -1,3 +1,4 @@
+import asyncio
 import unittest
 
 from nutmeglift import ids
@@ -135,5 +136,125 @@
         self.assertTrue(self.other.reader.needs_catalog(10.0))
 
 
+class RecentChangesTest(unittest.TestCase):
+    def test_what_a_peer_has_not_received(self):
+        recent = relayed_changes.RecentChanges("configuration")
+        recent.record(0.0, ids.Revision(3), [put("s", b"", 4)])
+        # Changes that this router did not relay precede these.
+        recent.record(1.0, ids.Revision(5), [put("s", b"", n) for n in (6, 8)])
+        recent.record(1.1, ids.Revision(8), [put("s", b"", 9)])
+        cases = [
+            # name, time, revision of the peer, revisions of the changes
+            ("all of them", 2.0, 5, [6, 8, 9]),
+            ("some", 2.0, 6, [8, 9]),
+            ("between two", 2.0, 7, [8, 9]),
+            ("none", 2.0, 9, []),
+            ("newer", 2.0, 12, []),
+            ("still on their way", 1.2, 8, []),
+            ("others precede them", 2.0, 4, []),
+            ("an unlisted view", 2.0, -1, []),
+        ]
+        for name, now, revision, expected in cases:
+            with self.subTest(name):
+                messages = recent.missing(now, ids.Revision(revision))
+                found = [row.revision for m in messages for row in m.rows]
+                self.assertEqual(found, expected)
+
+    def test_the_number_that_is_kept_is_bounded(self):
+        recent = relayed_changes.RecentChanges("configuration")
+        for n in range(2000):
+            recent.record(0.0, ids.Revision(n), [put("s", b"", n + 1)])
+        oldest = 2000 - relayed_changes.MAX_RECENT_COUNT
+        self.assertEqual(recent.missing(9.0, ids.Revision(oldest - 1)), [])
+        (message,) = recent.missing(9.0, ids.Revision(oldest))
+        self.assertEqual(len(message.rows), relayed_changes.MAX_RECENT_COUNT)
+
+
+class WatcherTest(virtual_time_case.VirtualTimeTestCase):
+    """Relies on what a router of the failure domain relays, without a planner.
+
+    Four routers are live, with the sender and the receiver.
+    """
+
+    async def asyncSetUp(self):
+        self.now = asyncio.get_running_loop().time()
+
+    def make_router(self, vm, *, watching=False, served=True):
+        router = test_peer_state.PeerRouter(vm)
+        router.reader.view.revision = ids.Revision(4)
+        router.reader.view.view_age.record_listing(ids.Revision(4), 99.5)
+        router.reader._is_watching = watching
+        if not served:
+            router.reader.outage.record_failure(self.now, self.now, "lost")
+        for name in {"vm-1", "vm-2", "vm-3", "vm-4"} - {vm}:
+            router.board.live_peers.record_report(self.now, name, "a")
+        return router
+
+    async def test_who_relies_on_whose_watch(self):
+        cases = [
+            # name, changes of the sender, changes of the receiver, covered
+            ("the first router watches", {}, {}, True),
+            ("it does not watch", {"watching": False}, {}, False),
+            ("the store does not serve it", {"served": False}, {}, False),
+            ("it is not the first", {"vm": "vm-3"}, {"vm": "vm-1"}, False),
+            ("another failure domain", {"home": "b"}, {}, False),
+            ("the receiver watches, too", {}, {"watching": True}, True),
+            ("the receiver plans", {}, {"fence": 9}, False),
+            ("it lacks changes", {}, {"revision": 3}, False),
+        ]
+        for name, of_sender, of_receiver, covered in cases:
+            with self.subTest(name):
+                sender, receiver = (
+                    self.make_changed(
+                        {"vm": "vm-1", "watching": True} | of_sender
+                    ),
+                    self.make_changed({"vm": "vm-2"} | of_receiver),
+                )
+                report = sender.state.make_report(self.now, 100.0)
+                receiver.state.handle_message(
+                    peer_messages.decode(peer_messages.encode(report)),
+                    self.now,
+                    100.0,
+                )
+                self.assertIs(receiver.reader.relay.covers(self.now), covered)
+
+    def make_changed(self, changes):
+        """Returns a router whose state differs in some fields."""
+        changes = dict(changes)
+        fence = changes.pop("fence", 0)
+        home = changes.pop("home", "a")
+        revision = changes.pop("revision", 4)
+        router = self.make_router(changes.pop("vm"), **changes)
+        router.board.fence = ids.FencingNumber(fence)
+        router.board.home = ids.FailureDomain(home)
+        router.reader.view.revision = ids.Revision(revision)
+        return router
+
+    async def test_a_reader_that_is_paused_is_replaced_within_a_second(self):
+        reader = self.make_router("vm-1", watching=True)
+        others = [self.make_router("vm-2"), self.make_router("vm-3")]
+        report = reader.state.make_report(self.now, 100.0)
+        for other in others:
+            other.state.handle_message(report, self.now, 100.0)
+        cases = [
+            # seconds, whether each of the others watches
+            (0.55, (False, False)),
+            (0.75, (True, False)),
+            (1.05, (True, True)),
+        ]
+        for seconds, watching in cases:
+            with self.subTest(seconds):
+                now = self.now + seconds
+                for router in others:
+                    for name in {"vm-2", "vm-3", "vm-4"} - {router.state._vm}:
+                        router.board.live_peers.record_report(now, name, "a")
+                turns = [r.reader.readers.turn(now) for r in others]
+                found = tuple(
+                    not router.reader.relay.covers(now, turn.delay)
+                    for router, turn in zip(others, turns, strict=True)
+                )
+                self.assertEqual(found, watching)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/gateway/test_store_outage.py
+++ b/tests/gateway/test_store_outage.py
@@ -11,6 +11,10 @@
     return ("fail", sent_at, now)
 
 
+def peer_fails(since, last_at, now):
+    return ("peer fails", since, last_at, now)
+
+
 def answer(now):
     return ("answer", now)
 
@@ -26,6 +30,8 @@
             match event:
                 case ("fail", sent_at, now):
                     outage.record_failure(now, sent_at, "no response")
+                case ("peer fails", since, last_at, now):
+                    outage.record_peer_failures(now, since, last_at)
                 case ("answer", now):
                     outage.record_answer(now)
 
@@ -50,6 +56,15 @@
              4.0),
             ("a call fails after the outage",
              [fail(2.0, 3.0), answer(3.1), fail(4.0, 4.5), answer(4.6)], 2.0),
+            ("a peer's calls fail longer",
+             [fail(2.0, 3.0), peer_fails(1.8, 4.0, 4.1), answer(4.5)], 4.0),
+            ("a peer's calls fail before",
+             [fail(2.9, 2.9), peer_fails(1.8, 2.7, 3.0), answer(3.2)], 2.9),
+            ("a peer's calls fail that the store refuses alone",
+             [answer(1.0), peer_fails(1.8, 4.0, 4.1), answer(4.5)], never),
+            ("a peer's calls fail for longer than since our last answer",
+             [answer(3.0), fail(3.5, 3.5), peer_fails(1.8, 3.6, 3.7),
+              answer(3.9)], never),
         ]  # fmt: skip
         for name, events, start in cases:
             with self.subTest(name):
