Read the settings again when their file changes without a signal

Cause: only SIGHUP started a reload. Change: the settings come from a source that tells by the file's status (device, inode, size, times) whether it changed since its last read. A controller looks every 0.5 s and starts the reload that SIGHUP starts; a file that stays invalid leaves the previous settings in force, with one log line for each version of it.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/background_tasks.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/background_tasks.py
@@ -14,11 +14,14 @@
         self._log = log
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def start(self, coroutine: Coroutine[Any, Any, None]) -> None:
+    def start(
+        self, coroutine: Coroutine[Any, Any, None]
+    ) -> "asyncio.Task[None]":
         """Starts a task on the running event loop."""
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._on_done)
+        return task
 
     def _on_done(self, task: "asyncio.Task[None]") -> None:
         self._tasks.discard(task)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/cli.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/cli.py
@@ -9,6 +9,7 @@
 from nutmeglift_gateway import gateway
 from nutmeglift_gateway import quarantine_commands
 from nutmeglift_gateway import settings
+from nutmeglift_gateway import settings_source
 
 EXIT_FAILED = 1
 EXIT_SETTINGS = 2
@@ -37,12 +38,10 @@
         """
         import uvloop  # noqa: PLC0415 - not needed by `check`.
 
-        def load() -> settings.Settings:
-            return settings.load(pathlib.Path(path or self._default_path))
-
-        config = self._load(path)
+        source = self._source(path)
+        config = _load_or_exit(source)
         try:
-            uvloop.run(self._run(config, load))
+            uvloop.run(self._run(config, source))
         except OSError as error:
             # An address is in use, or does not belong to this VM.
             print(f"{config.vm}: {error}", file=sys.stderr)
@@ -57,11 +56,22 @@
         print(f"{self._load(path).vm}: the settings are valid")
 
     def _load(self, path: str) -> settings.Settings:
-        try:
-            return settings.load(pathlib.Path(path or self._default_path))
-        except errors.SettingsError as error:
-            print(error, file=sys.stderr)
-            sys.exit(EXIT_SETTINGS)
+        return _load_or_exit(self._source(path))
+
+    def _source(self, path: str) -> settings_source.FileSettings:
+        return settings_source.FileSettings(
+            pathlib.Path(path or self._default_path)
+        )
+
+
+def _load_or_exit(
+    source: settings_source.BaseSettingsSource,
+) -> settings.Settings:
+    try:
+        return source.load()
+    except errors.SettingsError as error:
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
 
 
 def main(
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -34,6 +34,7 @@
 from nutmeglift_gateway import request_memory
 from nutmeglift_gateway import settings
 from nutmeglift_gateway import settings_reload
+from nutmeglift_gateway import settings_source
 from nutmeglift_gateway import store_reader
 from nutmeglift_gateway import stream_monitor
 from nutmeglift_gateway import supervision
@@ -55,7 +56,7 @@
         readiness_path: str,
         log: decision_log.DecisionLog,
         rng: random.Random,
-        load_settings: Callable[[], settings.Settings] | None = None,
+        source: settings_source.BaseSettingsSource,
         listeners: early_listeners.Listeners | None = None,
     ) -> None:
         """Assembles a router.
@@ -69,13 +70,12 @@
             readiness_path: path of the platform's readiness check.
             log: log of decisions.
             rng: random number generator.
-            load_settings: reads the settings again on SIGHUP.
+            source: the settings; read again on SIGHUP and when they change.
             listeners: sockets that are already listening, by address.
         """
         self._config = config
         self._rng = rng
         self._listeners = listeners or {}
-        self._load_settings = load_settings or (lambda: config)
         self._log = log
         self._readiness_path = readiness_path
         self.metrics = metric_sets.Metrics()
@@ -146,7 +146,9 @@
         )
         self._exchanges: set[asyncio.Task[None]] = set()
         self._tasks: list[asyncio.Task[None]] = []
-        self._reloading: asyncio.Task[None] | None = None
+        self._reloader = settings_reload.SettingsReloader(
+            source, self._apply_settings, log
+        )
 
     async def run(self) -> None:
         """Serves until SIGTERM, then drains."""
@@ -155,7 +157,7 @@
         leaving = asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, leaving.set)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGTERM})
-        loop.add_signal_handler(signal.SIGHUP, self._start_reload)
+        loop.add_signal_handler(signal.SIGHUP, self._reloader.start)
         listen = self._config.listen
         callers = await self._listen(
             listen.callers, self._on_request, self._callers, self._memory
@@ -220,26 +222,15 @@
                 functools.partial(self._peers.serve, self._config.listen.peers),
             ),
             ("peer links", self._peers.dial),
+            ("settings", self._reloader.run),
         ]
 
-    def _start_reload(self) -> None:
-        """Handles SIGHUP; a reload that still runs is replaced."""
-        if self._reloading is not None:
-            self._reloading.cancel()
-        self._reloading = asyncio.get_running_loop().create_task(self._reload())
-        self._reloading.add_done_callback(self._on_done)
-
-    async def _reload(self) -> None:
+    def _apply_settings(self, found: settings.Settings) -> bool:
         """Applies changed bounds; changed addresses need a restart."""
-        try:
-            found = await settings_reload.load_settled(self._load_settings)
-        except errors.SettingsError as error:
-            self._log.write("settings not reloaded", detail=str(error))
-            return
         changed = found.bounds != self._config.bounds
         self._config = found
         self.board.set_bounds(found.bounds)
-        self._log.write("settings reloaded", bounds_changed=changed)
+        return changed
 
     async def _listen(
         self,
@@ -389,10 +380,10 @@
 
 
 RunGateway = Callable[
-    [settings.Settings, Callable[[], settings.Settings]],
+    [settings.Settings, settings_source.BaseSettingsSource],
     Coroutine[Any, Any, None],
 ]
 """Assembles a router with the platform's adapters and runs it.
 
-The parameters are the settings, and a function that reads them again.
+The parameters are the settings, and where to read them again.
 """
--- a/tests/gateway/crash_load.py
+++ b/tests/gateway/crash_load.py
@@ -233,6 +233,7 @@
             readiness_path=names.READINESS_PATH,
             log=log,
             rng=rng,
+            source=rig.MemorySettings(config),
         )
         self.logs.append(log)
         self.gateways.append(router)
--- a/tests/gateway/rig.py
+++ b/tests/gateway/rig.py
@@ -14,6 +14,7 @@
 from nutmeglift_gateway import freshness
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import settings
+from nutmeglift_gateway import settings_source
 from nutmeglift_platform import names
 
 RUNNER_KINDS = {
@@ -199,6 +200,29 @@
         return [event for event, _ in self.lines]
 
 
+class MemorySettings(settings_source.BaseSettingsSource):
+    """In-memory replacement for the settings file.
+
+    Attributes:
+        settings: what is read.
+        reads: number of reads.
+        changed: whether a change is noticed; reset by a read.
+    """
+
+    def __init__(self, loaded):
+        self.settings = loaded
+        self.reads = 0
+        self.changed = False
+
+    def load(self):
+        self.reads += 1
+        self.changed = False
+        return self.settings
+
+    def has_changed(self):
+        return self.changed
+
+
 class MemoryRunners(ports.BaseRunners):
     """In-memory replacement for the client of the runners.
 
--- a/tests/gateway/router_case.py
+++ b/tests/gateway/router_case.py
@@ -51,6 +51,7 @@
             store=settings.Store(NO_STORE),
             bounds=settings.Bounds(shutdown_seconds=self.shutdown_seconds),
         )
+        self.source = rig.MemorySettings(self.loaded)
         self.gateway = gateway.Gateway(
             self.loaded,
             store=store.PlatformKv(NO_STORE, 1.0),
@@ -60,7 +61,7 @@
             readiness_path=names.READINESS_PATH,
             log=self.log,
             rng=rig.make_rng(),
-            load_settings=lambda: self.loaded,
+            source=self.source,
             listeners=listeners,
         )
         board = self.gateway.board
--- a/tests/gateway/test_gateway_endings.py
+++ b/tests/gateway/test_gateway_endings.py
@@ -189,7 +189,9 @@
         await self.wait_for_event("draining")
         for number, time_left in enumerate((0.0, 60.0), 1):
             bounds = settings.Bounds(shutdown_seconds=time_left)
-            self.loaded = msgspec.structs.replace(self.loaded, bounds=bounds)
+            self.source.settings = msgspec.structs.replace(
+                self.loaded, bounds=bounds
+            )
             os.kill(os.getpid(), signal.SIGTERM)
             os.kill(os.getpid(), signal.SIGHUP)
             await self.wait_until(
@@ -210,7 +212,7 @@
             bounds = texts.pop(0) if len(texts) > 1 else texts[0]
             return msgspec.structs.replace(complete, bounds=bounds)
 
-        self.gateway._load_settings = load
+        self.source.load = load
         seen = []
         self.gateway.board.set_bounds = seen.append
         os.kill(os.getpid(), signal.SIGHUP)
--- a/tests/gateway/test_platform_process.py
+++ b/tests/gateway/test_platform_process.py
@@ -20,7 +20,7 @@
     async def asyncSetUp(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
-        path = pathlib.Path(folder.name) / "router.yaml"
+        self.path = pathlib.Path(folder.name) / "router.yaml"
         text = test_settings.GOOD.replace("shutdown_seconds: 8", "")
         self.ports = [test_whole_gateway.free_port() for _ in range(5)]
         addresses = [f"10.0.0.1:8{number}" for number in range(4)]
@@ -28,13 +28,13 @@
             [*addresses, "10.0.0.9:90"], self.ports, strict=True
         ):
             text = text.replace(address, f"127.0.0.1:{port}")
-        path.write_text(text, encoding="utf-8")
+        self.path.write_text(text, encoding="utf-8")
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
             "nutmeglift_platform",
             "serve",
-            env=os.environ | {environment.SETTINGS_VARIABLE: str(path)},
+            env=os.environ | {environment.SETTINGS_VARIABLE: str(self.path)},
             stdout=asyncio.subprocess.PIPE,
         )
         self.addAsyncCleanup(self.stop)
@@ -58,11 +58,14 @@
                     return
 
     async def wait_for_event(self, event):
+        """Returns the line of an event."""
         async with asyncio.timeout(WAIT_SECONDS):
             while line := await self.process.stdout.readline():
                 if f'"{event}"'.encode() in line:
-                    return
-        self.fail(f"ended with {await self.process.wait()} before {event}")
+                    return line
+        raise self.failureException(
+            f"ended with {await self.process.wait()} before {event}"
+        )
 
     async def test_a_sighup_while_it_is_loaded_does_not_end_it(self):
         await self.wait_for_port()
@@ -75,6 +78,14 @@
         code = await asyncio.wait_for(self.process.wait(), WAIT_SECONDS)
         self.assertEqual(code, 0)
 
+    async def test_a_change_without_a_signal_is_noticed(self):
+        await self.wait_for_event("started")
+        text = self.path.read_text(encoding="utf-8")
+        text = text.replace("5000e-3", "2000e-3")
+        self.path.write_text(text, encoding="utf-8")
+        line = await self.wait_for_event("settings reloaded")
+        self.assertIn(b'"bounds_changed":true', line)
+
     async def test_a_sigterm_while_it_is_loaded_ends_it_after_a_response(self):
         await self.wait_for_port()
         reader, writer = await asyncio.open_connection(
--- a/tests/gateway/test_whole_gateway.py
+++ b/tests/gateway/test_whole_gateway.py
@@ -114,7 +114,7 @@
             store=settings.Store(self.store.server.address),
         )
         self.log = rig.MemoryLog()
-        self.reloaded = []
+        self.source = rig.MemorySettings(self.settings)
         self.gateway = gateway.Gateway(
             self.settings,
             store=store.PlatformKv(self.store.server.address, 1.0),
@@ -124,15 +124,11 @@
             readiness_path=names.READINESS_PATH,
             log=self.log,
             rng=rig.make_rng(),
-            load_settings=self.load,
+            source=self.source,
         )
         self.task = asyncio.ensure_future(self.gateway.run())
         self.addCleanup(self.task.cancel)
 
-    def load(self):
-        self.reloaded.append(True)
-        return self.settings
-
     async def get(self, address, target):
         connection = await http_call.connect(address)
         raw = http_call.format_request("GET", target, [(b"host", b"x")], b"")
@@ -292,7 +288,7 @@
 
         await self.wait_until(reloaded)
         # Two reads have to agree.
-        self.assertEqual(self.reloaded, [True, True])
+        self.assertEqual(self.source.reads, 2)
         self.assertTrue(await self.is_ready())
 
 
