Use no entry of an unknown service or kind of runner

Change: the directory knows the services and kinds of the configuration in force. An entry that names others is not usable, not planned, and ranks below those that do at an address; ranks are compared again when a configuration changes them. Orders to place layers name their runner, a 421 drops the entry, and so does a report with another start time. address_claims and restored_entries no longer import directory: they say what they need of an entry. test_silent_servers: the lifetime that takes an address over had no kind, which no runner's entry lacks; it has one now, the checks are the same.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/address_claims.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/address_claims.py
@@ -1,38 +1,68 @@
 """Keeps which lifetimes of backend servers claim the same address.
 
 An address has one server. Of two entries with it, the one that started later
-is that of a restarted server, unless another writer made it up. Only the server
-at the address knows: it rejects requests that name another lifetime, and its
-report names its own start. A lifetime that was displaced is therefore kept
-while its entry exists.
+is that of a restarted server, unless another writer made it up. An entry that
+names no service of the configuration is no claim against one that does.
+Otherwise only the server at the address knows: it rejects requests that name
+another lifetime, and its report names its own start. A lifetime that was
+displaced is therefore kept while its entry exists.
 """
 
-from typing import TYPE_CHECKING
-
-if TYPE_CHECKING:
-    from nutmeglift_gateway import directory
+from collections.abc import Callable
+from typing import Any
+from typing import Generic
+from typing import Protocol
+from typing import TypeVar
 
 MAX_CLAIM_COUNT = 64
 """Limits the displaced lifetimes of one address."""
 
 
-class AddressClaims:
+class Claimant(Protocol):
+    """An entry of a backend server that claims an address."""
+
+    @property
+    def id(self) -> str:
+        """Instance id."""
+
+    @property
+    def born(self) -> int:
+        """Start time in Unix milliseconds; 0 if not reported."""
+
+    @property
+    def address(self) -> str:
+        """IP address and port."""
+
+    @property
+    def lifetime(self) -> tuple[str, int]:
+        """Instance id and start time."""
+
+
+ClaimantT = TypeVar("ClaimantT", bound=Claimant)
+
+
+class AddressClaims(Generic[ClaimantT]):
     """Holds displaced and rejected lifetimes by address."""
 
-    def __init__(self) -> None:
-        self._displaced: dict[str, dict[str, directory.Server]] = {}
+    def __init__(self, rank: Callable[[ClaimantT], tuple[Any, ...]]) -> None:
+        """Initializes without claims.
+
+        Args:
+            rank: returns what orders the claims on an address; the greatest is
+                that of its server.
+        """
+        self._rank = rank
+        self._displaced: dict[str, dict[str, ClaimantT]] = {}
         self._rejected: dict[str, set[tuple[str, int]]] = {}
 
-    def displace(self, server: "directory.Server") -> None:
+    def displace(self, server: ClaimantT) -> None:
         """Keeps a lifetime that another one displaces."""
         claims = self._displaced.setdefault(server.address, {})
         claims[server.id] = server
         if len(claims) > MAX_CLAIM_COUNT:
-            del claims[min(claims.values(), key=_claim_rank).id]
+            del claims[min(claims.values(), key=self._rank).id]
 
-    def reject(
-        self, server: "directory.Server", born: int | None
-    ) -> "directory.Server | None":
+    def reject(self, server: ClaimantT, born: int | None) -> ClaimantT | None:
         """Records that the server at an address is not this lifetime.
 
         Args:
@@ -51,8 +81,8 @@
         return found
 
     def take(
-        self, server: "directory.Server", born: int | None = None
-    ) -> "directory.Server | None":
+        self, server: ClaimantT, born: int | None = None
+    ) -> ClaimantT | None:
         """Removes and returns the lifetime that follows one at its address.
 
         Args:
@@ -66,11 +96,21 @@
         ]
         if not candidates:
             return None
-        found = max(candidates, key=_claim_rank)
+        found = max(candidates, key=self._rank)
         self._forget_displaced(found)
         return found
 
-    def is_rejected(self, server: "directory.Server") -> bool:
+    def take_all(self) -> list[ClaimantT]:
+        """Removes and returns all displaced lifetimes."""
+        found = [
+            each
+            for claims in self._displaced.values()
+            for each in claims.values()
+        ]
+        self._displaced.clear()
+        return found
+
+    def is_rejected(self, server: ClaimantT) -> bool:
         """Returns whether the server at its address is not this lifetime."""
         return server.lifetime in self._rejected.get(server.address, ())
 
@@ -93,12 +133,8 @@
             if not lifetimes:
                 del self._rejected[address]
 
-    def _forget_displaced(self, server: "directory.Server") -> None:
+    def _forget_displaced(self, server: ClaimantT) -> None:
         claims = self._displaced[server.address]
         del claims[server.id]
         if not claims:
             del self._displaced[server.address]
-
-
-def _claim_rank(server: "directory.Server") -> tuple[int, int]:
-    return (server.born, server.revision)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
@@ -172,6 +172,7 @@
         if self.catalog and self.catalog.generation > found.generation:
             return False
         self.catalog = found
+        self.directory.recognize(found.kinds_by_service)
         self.move_catalog(revision, digest)
         self.notify_listeners()
         return True
@@ -235,8 +236,9 @@
     def usable(self, service: ids.ServiceId) -> list[directory.Server]:
         """Returns the servers of a service that accept new requests.
 
-        Servers that leave, that hold off and suspects are excluded. A runner
-        that is being moved is listed with the layers that it retains.
+        Servers that leave, that hold off and suspects are excluded, and runners
+        of an unknown kind. A runner that is being moved is listed with the
+        layers that it retains.
         """
         version = (
             self.directory.version,
@@ -248,7 +250,10 @@
             self._usable_version = version
             self._usable = {}
             for server in self.directory.server_by_id.values():
-                if server.state is not directory.ServerState.READY:
+                if (
+                    server.state is not directory.ServerState.READY
+                    or not self.directory.is_recognized(server)
+                ):
                     continue
                 if self.suspect_servers.is_suspect(
                     server.address, server.lifetime
@@ -381,13 +386,5 @@
             listener()
 
     def server_at(self, address: str) -> directory.Server | None:
-        """Returns the server at an address, the newest if there are several."""
-        return max(
-            (
-                server
-                for server in self.directory.server_by_id.values()
-                if server.address == address
-            ),
-            key=lambda server: server.revision,
-            default=None,
-        )
+        """Returns the server at an address."""
+        return self.directory.server_at(address)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/catalog.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/catalog.py
@@ -231,6 +231,16 @@
     limits: ClientLimits
     accounts_required: bool
 
+    @functools.cached_property
+    def kinds_by_service(self) -> dict[ids.ServiceId, frozenset[str] | None]:
+        """The kinds of runners of each service; None for a plain service."""
+        return {
+            service.id: frozenset(service.engine.kind_by_name)
+            if service.engine
+            else None
+            for service in self.service_by_id.values()
+        }
+
     @functools.cached_property
     def _max_prefix_length(self) -> int:
         return max((len(route.prefix) for route in self.routes), default=0)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/directory.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/directory.py
@@ -1,5 +1,6 @@
 """The backend servers that are registered in the store."""
 
+from collections.abc import Mapping
 import dataclasses
 import enum
 
@@ -11,6 +12,10 @@
 """Greatest age of a report: its own delay plus the propagation of an entry."""
 
 
+KindsByService = Mapping[ids.ServiceId, frozenset[str] | None]
+"""The kinds of runners of each service; None for a plain service."""
+
+
 class ServerState(enum.Enum):
     """State that a backend server reports in its entry."""
 
@@ -96,16 +101,21 @@
         self.lapse_window_end = float("-inf")
         self._lapsed_ids: set[str] = set()
         self._changed_at_by_id: dict[str, float] = {}
-        self._claims = address_claims.AddressClaims()
+        self._claims: address_claims.AddressClaims[Server] = (
+            address_claims.AddressClaims(self._rank)
+        )
         self._restored = restored_entries.RestoredEntries()
+        self._kinds_by_service: KindsByService | None = None
+        self._has_outdated_claims = False
         self.version = 0
 
     def put(self, now: float, server: Server) -> bool:
         """Stores an entry.
 
         Returns:
-            False if it is older than the known entry, if a newer server is
-            registered at its address, or if its lifetime was rejected.
+            False if it is older than the known entry, if a newer or a
+            recognized server is registered at its address, or if its lifetime
+            was rejected.
         """
         known = self.server_by_id.get(server.id)
         if self._claims.is_rejected(server):
@@ -115,7 +125,7 @@
         if known is not None and known.revision >= server.revision:
             return False
         for other in self._others_at(server):
-            if other.born > server.born:
+            if self._rank(other) > self._rank(server):
                 self._claims.displace(server)
                 return False
             # An address has one server, so the older one has ended, unless the
@@ -137,6 +147,43 @@
             self.draining_since_by_id.pop(server.id, None)
         return True
 
+    def recognize(self, kinds_by_service: KindsByService) -> None:
+        """Applies which services, and kinds of runners, there are.
+
+        Entries of other writers may name others. Before the first call, all
+        are recognized. Claims on an address change with the next call of
+        `update_claims`.
+
+        Args:
+            kinds_by_service: the services of the configuration in force.
+        """
+        if kinds_by_service == self._kinds_by_service:
+            return
+        self._kinds_by_service = kinds_by_service
+        self.version += 1
+        self._has_outdated_claims = True
+
+    def update_claims(self, now: float) -> None:
+        """Lists the servers whose entries have become recognized."""
+        if not self._has_outdated_claims:
+            return
+        self._has_outdated_claims = False
+        for displaced in self._claims.take_all():
+            self.put(now, displaced)
+
+    def is_recognized(self, server: Server) -> bool:
+        """Returns whether an entry names a service, and a kind, that exist."""
+        if self._kinds_by_service is None:
+            return True
+        if server.service not in self._kinds_by_service:
+            return False
+        kinds = self._kinds_by_service[server.service]
+        return kinds is None or server.kind in kinds
+
+    def _rank(self, server: Server) -> tuple[bool, int, ids.Revision]:
+        """Returns what orders the claims on an address."""
+        return (self.is_recognized(server), server.born, server.revision)
+
     def _others_at(self, server: Server) -> list[Server]:
         """Returns servers with other ids and start times at the same address.
 
@@ -290,6 +337,21 @@
             if server.service == service
         ]
 
+    def server_at(self, address: str) -> Server | None:
+        """Returns the server at an address.
+
+        Of several, the newest whose service and kind exist is returned.
+        """
+        return max(
+            (
+                server
+                for server in self.server_by_id.values()
+                if server.address == address
+            ),
+            key=lambda server: (self.is_recognized(server), server.revision),
+            default=None,
+        )
+
     def is_current(self, now: float, server: Server) -> bool:
         """Returns whether this entry still holds and is not draining."""
         known = self.server_by_id.get(server.id)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/planner_controller.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/planner_controller.py
@@ -13,6 +13,7 @@
 from nutmeglift_gateway import decision_log
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import election
+from nutmeglift_gateway import ended_lifetimes
 from nutmeglift_gateway import failure_recorder as recorders
 from nutmeglift_gateway import layer_planner
 from nutmeglift_gateway import metrics as metric_sets
@@ -145,6 +146,11 @@
                 server, suspect_servers.Reason.NO_REPORT, str(error)
             )
             return None
+        if report.born and report.born != server.born:
+            ended_lifetimes.end_lifetime(
+                self._board, self._log, server, report.born
+            )
+            return None
         self._board.directory.update_layers(
             now(), server, report.layers, report.orders
         )
@@ -179,7 +185,13 @@
     def _plan_service(self, service: catalog.Service, now: float) -> float:
         engine = service.engine
         assert engine is not None
-        servers = self._board.directory.of_service(service.id)
+        directory_ = self._board.directory
+        # A runner of an unknown kind may have less memory than any known one.
+        servers = [
+            server
+            for server in directory_.of_service(service.id)
+            if directory_.is_recognized(server)
+        ]
         starting = not any(server.layers.count for server in servers)
         if starting and not self._has_settled(service.id, len(servers), now):
             return 0.0
@@ -348,6 +360,10 @@
         if outcome is ports.OrderOutcome.STALE_FENCE:
             self._election.resign()
             return
+        if outcome is ports.OrderOutcome.MISDIRECTED:
+            self._drop_pending(move.server, pending)
+            ended_lifetimes.end_lifetime(self._board, self._log, move.server)
+            return
         if outcome is not ports.OrderOutcome.UNKNOWN:
             self._drop_pending(move.server, pending)
             await self._read_report(move.server)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/ports.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/ports.py
@@ -99,6 +99,8 @@
     CONFLICT = "conflict"
     """The order conflicts with the runner's state."""
     STALE_FENCE = "stale_fence"
+    MISDIRECTED = "misdirected"
+    """Another server has the runner's address."""
     NO_SUCH_REQUEST = "no_such_request"
     REFUSED = "refused"
     UNKNOWN = "unknown"
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/prober.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/prober.py
@@ -6,6 +6,7 @@
 from nutmeglift_gateway import board as boards
 from nutmeglift_gateway import decision_log
 from nutmeglift_gateway import directory
+from nutmeglift_gateway import ended_lifetimes
 from nutmeglift_gateway import http_call
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import suspect_servers
@@ -38,6 +39,7 @@
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
             now = loop.time()
             board = self._board
+            board.directory.update_claims(now)
             for server_id in board.directory.expire(now):
                 self._log.write("server lapsed", server=server_id)
             board.load_tracker.expire(now)
@@ -62,18 +64,6 @@
             and known.layers != report.layers
         )
 
-    def _end_lifetime(self, server: directory.Server, born: int) -> None:
-        """Removes a lifetime that isn't the one that reports at its address."""
-        now = asyncio.get_running_loop().time()
-        if self._board.directory.reject_lifetime(now, server, born):
-            self._log.write(
-                "server rejected", server=server.id, address=server.address
-            )
-        elif self._board.directory.remove_lifetime(server):
-            self._log.write(
-                "server ended", server=server.id, address=server.address
-            )
-
     async def _probe(self, address: str) -> None:
         server = self._board.server_at(address)
         if server is None:
@@ -83,7 +73,9 @@
             if server.kind:
                 report = await self._runners.report(address)
                 if report.born and server.born and report.born != server.born:
-                    self._end_lifetime(server, report.born)
+                    ended_lifetimes.end_lifetime(
+                        self._board, self._log, server, report.born
+                    )
                     return
                 self._board.directory.update_layers(
                     asyncio.get_running_loop().time(),
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/restored_entries.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/restored_entries.py
@@ -1,18 +1,35 @@
 """Tells which servers' entries of a restored store are out of date."""
 
 import collections
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from nutmeglift import eras
 from nutmeglift import ids
 
-if TYPE_CHECKING:
-    from nutmeglift_gateway import directory
-
 MAX_LEFT_COUNT = 1024
 """Lifetimes that are remembered; their servers exit within seconds."""
 
 
+class Entry(Protocol):
+    """What a backend server's entry says of the server's lifetime."""
+
+    @property
+    def born(self) -> int:
+        """Start time in Unix milliseconds; 0 if not reported."""
+
+    @property
+    def lifetime(self) -> tuple[str, int]:
+        """Instance id and start time."""
+
+    @property
+    def revision(self) -> ids.Revision:
+        """Store revision of the entry."""
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether the server leaves and accepts no new requests."""
+
+
 class RestoredEntries:
     """Compares the entries of a restored store with what was known before.
 
@@ -32,15 +49,13 @@
         """Records the first known revision of another era of the store."""
         self._restored_revision = revision
 
-    def record_left(self, server: "directory.Server") -> None:
+    def record_left(self, server: Entry) -> None:
         """Records a lifetime whose entry was removed because it left."""
         self._left[server.lifetime] = None
         if len(self._left) > MAX_LEFT_COUNT:
             self._left.popitem(last=False)
 
-    def is_outdated(
-        self, known: "directory.Server | None", server: "directory.Server"
-    ) -> bool:
+    def is_outdated(self, known: Entry | None, server: Entry) -> bool:
         """Returns whether an entry says less than what is known.
 
         Args:
--- a/tests/gateway/test_address_claims.py
+++ b/tests/gateway/test_address_claims.py
@@ -26,6 +26,10 @@
     def listed(self):
         return set(self.directory.server_by_id)
 
+    def recognize(self, kinds_by_service):
+        self.directory.recognize(kinds_by_service)
+        self.directory.update_claims(0.0)
+
     def test_the_server_that_started_last_is_listed_in_any_order(self):
         servers = [make("old", 1), make("new", 2), make("newest", 3)]
         for seed in range(6):
@@ -94,6 +98,32 @@
                 self.assertFalse(self.directory.reject_lifetime(0.0, forged))
                 self.assertEqual(self.listed(), {"forged"})
 
+    def test_an_entry_that_is_not_recognized_displaces_no_server(self):
+        known = {rig.MODEL: frozenset(["mid"]), rig.CORE: None}
+        cases = {
+            "unknown service": (known, {"service": "odd"}),
+            "unknown kind": (known, {"kind": ""}),
+            "plain": ({rig.CORE: None}, {"service": rig.MODEL}),
+        }
+        for name, (services, changes) in cases.items():
+            plain = rig.make_server("real").service not in services
+            real = make("real", 5, service=rig.CORE if plain else rig.MODEL)
+            odd = make("odd", 9, revision=2, **changes)
+            for order in ("odd last", "odd first", "recognized last"):
+                with self.subTest(name, order=order):
+                    self.directory = directory.Directory()
+                    if order != "recognized last":
+                        self.recognize(services)
+                    first = odd if order == "odd first" else real
+                    self.directory.put(0.0, first)
+                    self.directory.put(0.0, odd if first is real else real)
+                    self.recognize(services)
+                    self.assertEqual(self.listed(), {"real"})
+                    # A later configuration names the service and its kinds.
+                    kinds = {"odd": None, rig.MODEL: frozenset(["mid", ""])}
+                    self.recognize(services | kinds)
+                    self.assertEqual(self.listed(), {"odd"})
+
     def test_what_a_removed_entry_displaced_is_listed_again(self):
         removals = (
             lambda: self.directory.remove(0.0, "forged"),
@@ -112,7 +142,7 @@
             self.assertEqual(self.listed(), listed)
 
     def test_the_number_of_claims_on_an_address_is_limited(self):
-        claims = address_claims.AddressClaims()
+        claims = address_claims.AddressClaims(lambda server: server.born)
         for born in range(10 * address_claims.MAX_CLAIM_COUNT):
             claims.displace(make(f"s{born}", born))
         self.assertEqual(len(claims.ids()), address_claims.MAX_CLAIM_COUNT)
--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -155,6 +155,18 @@
                     self.assertTrue(router.uses("real"), router.vm)
                     self.assertFalse(router.uses(f"forged-{number}"), router.vm)
 
+    async def test_an_entry_of_an_unknown_service_displaces_no_server(self):
+        address = platform_routers.make_server("stays")["address"]
+        changes = {"address": address, "service": "odd", "born": 2**50}
+        deployment = await self.start(["one"], ["stays"])
+        await deployment.put_server("odd", **changes)
+        await asyncio.sleep(SETTLE_SECONDS)
+        # One router follows the store; another one starts beside the entry.
+        await deployment.add_router("two")
+        await asyncio.sleep(SETTLE_SECONDS)
+        for router in deployment.routers:
+            self.assertTrue(router.uses("stays"), router.vm)
+
     async def test_a_planner_that_is_no_router_is_replaced(self):
         deployment = await self.start(["one", "two"])
         planner = await deployment.wait_for_planner()
--- a/tests/gateway/test_planner_controller.py
+++ b/tests/gateway/test_planner_controller.py
@@ -157,6 +157,67 @@
 
         test_controllers.run_scenario(scenario)
 
+    async def put_at_first_runner(self, deployment, **changes):
+        """Writes another entry with a runner's address; returns that."""
+        (victim, *_) = rig.make_runners({"a": {"mid": 1}})
+        await deployment.put_server("odd", address=victim.address, **changes)
+        return victim.address
+
+    def test_an_entry_of_no_known_kind_names_no_runner(self):
+        layers = directory.LayerRange(0, 80)
+        cases = [
+            {"kind": "", "born": 0},
+            {"kind": "", "layers": layers},
+            {"kind": "unheard of", "born": 9},
+        ]
+        for changes in cases:
+
+            async def scenario(deployment, changes=changes):
+                await self.start(deployment)
+                await self.put_at_first_runner(deployment, **changes)
+                router = test_controllers.Router(deployment, "one")
+                await asyncio.sleep(6.0)
+                placed = {
+                    server.id for server, _, _ in deployment.runners.placed
+                }
+                self.assertTrue(placed)
+                self.assertNotIn("odd", placed)
+                usable = {s.id for s in router.board.usable(rig.MODEL)}
+                self.assertNotIn("odd", usable)
+
+            with self.subTest(changes):
+                test_controllers.run_scenario(scenario)
+
+    def test_an_order_for_another_runner_is_not_repeated(self):
+        conflict = ports.OrderOutcome.CONFLICT
+        misdirected = ports.OrderOutcome.MISDIRECTED
+        cases = {
+            "by the answer": (misdirected, 0),
+            "by the start time in the report": (conflict, 1),
+        }
+        for name, (outcome, born) in cases.items():
+
+            async def scenario(deployment, outcome=outcome, born=born):
+                await self.start(deployment)
+                router = test_controllers.Router(deployment, "one")
+                await asyncio.sleep(3.0)
+                address = await self.put_at_first_runner(
+                    deployment, kind="big", born=9
+                )
+                deployment.runners.report_by_address[address] = ports.Report(
+                    directory.NO_LAYERS, 3, False, 1.0, (), born
+                )
+                deployment.runners.outcomes = [outcome]
+                await asyncio.sleep(3.0)
+                placed = [s.id for s, _, _ in deployment.runners.placed]
+                self.assertEqual(placed.count("odd"), 1)
+                usable = {s.id for s in router.board.usable(rig.MODEL)}
+                self.assertNotIn("odd", usable)
+                self.assertIn("a-mid-0", usable)
+
+            with self.subTest(name):
+                test_controllers.run_scenario(scenario)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/gateway/test_silent_servers.py
+++ b/tests/gateway/test_silent_servers.py
@@ -175,7 +175,7 @@
         call = asyncio.ensure_future(self.rig.call("/draft/1"))
         await first.wait_for_request()
         # Another lifetime at its address, without layers.
-        self.rig.register("z", first.address, rig.MODEL, born=2)
+        self.rig.register("z", first.address, rig.MODEL, kind="whole", born=2)
         with self.assertRaises(http_call.CallError):
             await call
         self.assertIn("stream cut", self.rig.log.events())
