Move the plain attempts and the record of a running one out

Change: plain_attempts.py and running_attempt.py hold what exchange.py and stream_attempts.py held; nothing else.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
@@ -1,7 +1,6 @@
 """Processes one caller's request until its response has ended."""
 
 import asyncio
-import functools
 
 from nutmeglift import errors
 from nutmeglift_gateway import admission
@@ -13,19 +12,13 @@
 from nutmeglift_gateway import drain
 from nutmeglift_gateway import freshness
 from nutmeglift_gateway import http_listener
-from nutmeglift_gateway import loads
+from nutmeglift_gateway import plain_attempts
 from nutmeglift_gateway import reply
 from nutmeglift_gateway import retry_delay
 from nutmeglift_gateway import retry_policy
-from nutmeglift_gateway import runs
 from nutmeglift_gateway import sender as senders
-from nutmeglift_gateway import server_selection
 from nutmeglift_gateway import stream_attempts
 
-_LOST_OR_INVALID = frozenset(
-    {retry_policy.Failure.LOST, retry_policy.Failure.INVALID}
-)
-
 
 class Exchange:
     """One caller's request, from its last byte to the end of the response."""
@@ -48,7 +41,7 @@
         self._streams: stream_attempts.StreamAttempts | None = None
         self._first_server: directory.Server | None = None
         self._no_server_detail = ""
-        self._receiver: attempt.ResponseReceiver | None = None
+        self._plain: plain_attempts.PlainAttempts | None = None
         self._admitted: admission.Admitted | None = None
 
     async def run(self) -> None:
@@ -137,6 +130,14 @@
             self._context.board.guard.listeners.add(
                 self._streams.check_quarantine
             )
+        else:
+            self._plain = plain_attempts.PlainAttempts(
+                self._context,
+                self._sender,
+                admitted,
+                self._reply.progress,
+                self._failure_handler,
+            )
         try:
             await self._run_attempts(admitted)
         finally:
@@ -193,42 +194,21 @@
     async def _attempt(
         self, admitted: admission.Admitted
     ) -> attempt.Outcome | None:
+        attempts = self._streams or self._plain
+        assert attempts is not None
         try:
             async with asyncio.timeout_at(admitted.deadline):
-                if self._streams is None:
-                    return await self._attempt_plain(admitted)
-                return await self._streams.next_outcome()
+                return await attempts.next_outcome()
         except TimeoutError:
-            return self._outcome_at_deadline()
+            # The response may have been read in the same turn of the loop.
+            return attempts.collect_outcome() or attempt.Outcome(
+                retry_policy.Failure.TIMEOUT, detail="the deadline passed"
+            )
         finally:
             if self._streams is not None:
                 self._streams.close()
-                self._first_server = self._streams.last_server
                 self._no_server_detail = self._streams.no_path_detail
-
-    def _outcome_at_deadline(self) -> attempt.Outcome:
-        """Returns the outcome of an attempt that the deadline has interrupted.
-
-        The response may have been read in the same turn of the event loop.
-        """
-        if self._streams is not None:
-            found = self._streams.collect_outcome()
-        else:
-            found = self._plain_outcome()
-        return found or attempt.Outcome(
-            retry_policy.Failure.TIMEOUT, detail="the deadline passed"
-        )
-
-    def _plain_outcome(self) -> attempt.Outcome | None:
-        """Returns the outcome of the current plain attempt once it is known."""
-        receiver = self._receiver
-        if receiver is None or not receiver.done.done():
-            return None
-        if receiver.done.cancelled():
-            return None
-        outcome = receiver.done.result()
-        self._reply.progress.discount(outcome.failure)
-        return outcome
+            self._first_server = attempts.last_server
 
     def _end_without_server(self, admitted: admission.Admitted) -> None:
         last = self._failure_handler.last_failed
@@ -245,94 +225,6 @@
             ),
         )
 
-    async def _attempt_plain(
-        self, admitted: admission.Admitted
-    ) -> attempt.Outcome | None:
-        board = self._context.board
-        board.hold_offs.expire(self._now())
-        usable = board.usable(admitted.service.id)
-        full = board.load_tracker.full(self._now())
-        candidates = self._failure_handler.untried(usable)
-        candidates = [
-            s for s in candidates if s.address not in full
-        ] or candidates
-        if admitted.service.engine is not None:
-            # Requests that do not stream need a runner that holds all layers.
-            layers = admitted.service.engine.layers
-            candidates = [s for s in candidates if s.layers.count == layers]
-        candidates = board.hold_offs.by_preference(candidates)[0]
-        server = server_selection.select_server(
-            self._now(),
-            candidates,
-            board.load_tracker,
-            board.home,
-            board.penalties,
-        )
-        if server is None:
-            return None
-        self._first_server = server
-        reserved = (loads.Reservation(server.address, True, 0.0),)
-        board.load_tracker.reserve(reserved)
-        try:
-            outcome = await self._send(admitted, server)
-        finally:
-            board.load_tracker.release(reserved)
-        if outcome.failure in _LOST_OR_INVALID:
-            board.penalties.record_loss(self._now(), server.address)
-        return outcome
-
-    async def _send(
-        self, admitted: admission.Admitted, server: directory.Server
-    ) -> attempt.Outcome:
-        """Sends the request to a server and awaits the end of the response."""
-        self._receiver = None
-        upstream = await self._sender.connect(server)
-        if isinstance(upstream, attempt.Outcome):
-            return upstream
-        if self._context.board.guard.find_for(
-            admitted.segments, admitted.request_id.decode("latin-1")
-        ):
-            upstream.abort()
-            return attempt.Outcome(
-                retry_policy.Failure.NOT_SENT, detail="quarantined"
-            )
-        receiver = attempt.ResponseReceiver(
-            self._context.names,
-            admitted.request_id,
-            events=None,
-            on_events=None,
-            on_hold_off=functools.partial(
-                self._context.failure_recorder.record_hold_off, server
-            ),
-        )
-        self._receiver = receiver
-        run = self._begin_run(admitted, server)
-        try:
-            self._sender.send(
-                upstream,
-                admitted,
-                server,
-                receiver,
-                remaining=admitted.deadline - self._now(),
-            )
-            await receiver.done
-        finally:
-            upstream.abort()
-            self._context.board.runs.end(
-                self._now(), run, attempt.run_end(receiver)
-            )
-        outcome = self._plain_outcome()
-        assert outcome is not None
-        return outcome
-
-    def _begin_run(
-        self, admitted: admission.Admitted, server: directory.Server
-    ) -> runs.Run:
-        run = attempt.new_run(admitted, server, self._now())
-        if admitted.service.engine is not None:
-            self._context.board.runs.begin(run)
-        return run
-
     def _first_event_id(self) -> int | None:
         raw = self._request.get(self._context.names.last_event_id)
         return int(raw) if raw is not None and raw.isdigit() else None
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import dataclasses
 import functools
 
 from nutmeglift_gateway import admission
@@ -20,6 +19,7 @@
 from nutmeglift_gateway import paths
 from nutmeglift_gateway import reply as replies
 from nutmeglift_gateway import retry_policy
+from nutmeglift_gateway import running_attempt
 from nutmeglift_gateway import running_stream
 from nutmeglift_gateway import runs
 from nutmeglift_gateway import sender as senders
@@ -27,31 +27,6 @@
 from nutmeglift_gateway import successor_paths
 
 
-@dataclasses.dataclass(eq=False)
-class _Running:
-    """An attempt that was sent and has not ended."""
-
-    stream: running_stream.Stream
-    events: sse.EventSplitter
-    run: runs.Run
-    upstream: http_call.Connection | None = None
-
-    @property
-    def receiver(self) -> attempt.ResponseReceiver:
-        return self.stream.receiver
-
-    @property
-    def server(self) -> directory.Server:
-        return self.stream.path.first
-
-    def has_gone_on(self, silent_since: float) -> bool:
-        """Returns whether an event or a valid end ended its silence."""
-        done = self.receiver.done
-        return self.receiver.last_byte_at != silent_since or (
-            done.done() and done.result().failure is None
-        )
-
-
 class StreamAttempts:
     """The attempts at one stream, of which at most two run at a time.
 
@@ -87,7 +62,7 @@
         self._reply = reply
         self._failures = failures
         self._last_event_id = last_event_id
-        self._running: list[_Running] = []
+        self._running: list[running_attempt.Running] = []
         self._changed = asyncio.Event()
         self._successor_path: paths.Path | None = None
         self._paused = False
@@ -134,7 +109,9 @@
         for running in list(self._running):
             if not running.receiver.done.done():
                 continue
-            outcome = self._checked(running.receiver)
+            outcome = running_attempt.checked_outcome(
+                running.receiver, self._reply.progress
+            )
             self._end(running)
             self.last_server = running.server
             if outcome.failure is None or not self._running:
@@ -159,27 +136,6 @@
         for running in self._running:
             self._apply_backpressure(running)
 
-    def _checked(self, receiver: attempt.ResponseReceiver) -> attempt.Outcome:
-        """Returns an attempt's outcome, in the light of the events so far.
-
-        A complete response other than a stream can't follow events. A stream
-        without events ends the response, which is empty if it is the first.
-        """
-        outcome = receiver.done.result()
-        response = outcome.response
-        if outcome.failure is not None:
-            return outcome
-        if not self._reply.progress.started:
-            if response is None and receiver.head is not None:
-                response = http_call.Response(receiver.head, b"")
-            return attempt.Outcome(None, response)
-        if response is None:
-            return outcome
-        return attempt.Outcome(
-            retry_policy.Failure.INVALID,
-            detail=f"status {response.status} without the rest of the stream",
-        )
-
     def _find_path(self) -> paths.Path | None:
         board = self._context.board
         engine = self._admitted.service.engine
@@ -233,7 +189,7 @@
         self._update_pairing()
 
     async def _start(
-        self, path: paths.Path, beside: _Running | None = None
+        self, path: paths.Path, beside: running_attempt.Running | None = None
     ) -> attempt.Outcome | None:
         """Starts an attempt.
 
@@ -304,7 +260,9 @@
         holds_off = self._context.board.hold_offs.holds_off
         return any(holds_off(part.server.lifetime) for part in path.parts)
 
-    def _new_attempt(self, path: paths.Path, now: float) -> _Running:
+    def _new_attempt(
+        self, path: paths.Path, now: float
+    ) -> running_attempt.Running:
         events = sse.EventSplitter(self._last_event_id)
         receiver = attempt.ResponseReceiver(
             self._context.names,
@@ -331,10 +289,10 @@
             now,
             survived=self._reply.progress.survived,
         )
-        running = _Running(stream, events, run)
+        running = running_attempt.Running(stream, events, run)
         return running
 
-    def _end(self, running: _Running) -> None:
+    def _end(self, running: running_attempt.Running) -> None:
         """Ends an attempt and releases what it holds."""
         if running in self._running:
             self._running.remove(running)
@@ -362,7 +320,10 @@
             running.stream.paired = len(self._running) > 1
 
     def _on_events(
-        self, running: _Running, head: http_call.Head, data: bytes
+        self,
+        running: running_attempt.Running,
+        head: http_call.Head,
+        data: bytes,
     ) -> None:
         board = self._context.board
         for other in [each for each in self._running if each is not running]:
@@ -390,7 +351,7 @@
     def _on_change(self, done: "asyncio.Future[attempt.Outcome]") -> None:
         self._changed.set()
 
-    def _apply_backpressure(self, running: _Running) -> None:
+    def _apply_backpressure(self, running: running_attempt.Running) -> None:
         if running.upstream is None:
             return
         running.stream.set_paused(self._paused, self._loop.time())
