Move the budgets of all services into a module of their own

Change: service_budgets.py holds ServiceBudgets; nothing else. Result: test_retry_budget, test_retries_over_routers and test_peer_state pass (31 tests).

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
@@ -20,6 +20,7 @@
 from nutmeglift_gateway import retry_budget
 from nutmeglift_gateway import runs
 from nutmeglift_gateway import server_selection
+from nutmeglift_gateway import service_budgets
 from nutmeglift_gateway import settings
 from nutmeglift_gateway import suspect_servers
 
@@ -148,7 +149,7 @@
         self.fence = NOT_PLANNING
         self.greatest_fence = NOT_PLANNING
         self.listeners: set[Callable[[], None]] = set()
-        self.budgets = retry_budget.ServiceBudgets()
+        self.budgets = service_budgets.ServiceBudgets()
         self.set_bounds(bounds)
         self._moves: dict[str, PendingMove] = {}
         self._moves_updated_at = float("-inf")
--- a/tests/gateway/retry_model.py
+++ b/tests/gateway/retry_model.py
@@ -10,7 +10,7 @@
 import random
 
 from nutmeglift import ids
-from nutmeglift_gateway import retry_budget
+from nutmeglift_gateway import service_budgets
 
 SERVICE = ids.ServiceId("core")
 RATIO = 0.2
@@ -59,7 +59,7 @@
     """One router: its budgets and what it knows of the others."""
 
     name: str
-    budgets: retry_budget.ServiceBudgets
+    budgets: service_budgets.ServiceBudgets
     started_at: float
     running: bool = True
     frozen_until: float = float("-inf")
@@ -107,7 +107,7 @@
             self.start(f"r{number}", first=True)
 
     def start(self, name, *, first=False):
-        budgets = retry_budget.ServiceBudgets()
+        budgets = service_budgets.ServiceBudgets()
         budgets.set_bounds(ratio=RATIO, slack=SLACK, window=WINDOW)
         budgets.begin(self.now, first=first)
         self.router_by_name[name] = Router(name, budgets, self.now)
--- a/tests/gateway/test_retry_budget.py
+++ b/tests/gateway/test_retry_budget.py
@@ -2,6 +2,7 @@
 import unittest
 
 from nutmeglift_gateway import retry_budget
+from nutmeglift_gateway import service_budgets
 
 
 def make_budget(*, slack):
@@ -168,7 +169,7 @@
         ]
         for first, now, requests, expected in cases:
             with self.subTest(first=first, now=now, requests=requests):
-                budgets = retry_budget.ServiceBudgets()
+                budgets = service_budgets.ServiceBudgets()
                 budgets.set_bounds(ratio=0.2, slack=100.0, window=10.0)
                 budgets.begin(0.0, first=first)
                 budget = budgets.of("core")
@@ -192,7 +193,7 @@
         ]
         for now, overspent, complete, expected in cases:
             with self.subTest(now=now, overspent=overspent, complete=complete):
-                budgets = retry_budget.ServiceBudgets()
+                budgets = service_budgets.ServiceBudgets()
                 budgets.set_bounds(ratio=0.2, slack=100.0, window=10.0)
                 budgets.begin(0.0, first=False)
                 budget = budgets.of("core")
@@ -214,7 +215,7 @@
         self.assertEqual(budget.counts(10.1).overspent, 0)
 
     def test_routers_that_are_no_longer_listed_share_for_a_window(self):
-        budgets = retry_budget.ServiceBudgets()
+        budgets = service_budgets.ServiceBudgets()
         budgets.set_bounds(ratio=0.2, slack=100.0, window=10.0)
         events = [
             (0.0, 4, 4), (1.0, 1, 4), (5.0, 2, 4), (9.9, 1, 4), (10.1, 1, 2),
