Limit second attempts to a share of requests over all routers

Change: bounds.second_attempt_ratio (default 0: off; more than retry_ratio is invalid); the routers divide the share of all requests by whole second attempts, in the order of their processes, and report what they have sent; a silent peer's part counts as sent, and a process that doesn't know what was sent in the window sends none.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
@@ -210,6 +210,7 @@
             ratio=bounds.retry_ratio,
             slack=bounds.retry_slack,
             window=bounds.retry_window_seconds,
+            second_ratio=bounds.second_attempt_ratio,
         )
 
     def limits(self) -> catalog.ClientLimits:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
@@ -58,6 +58,7 @@
         overspent: retries that routers that the sender does not hear had sent
             beyond their requests' part.
         complete: whether the process has run for a window.
+        second_attempts: those of the retries that ran beside a slow attempt.
     """
 
     service: str
@@ -67,6 +68,7 @@
     total: int = 0
     overspent: int = 0
     complete: bool = False
+    second_attempts: int = 0
 
 
 class PeerReport(msgspec.Struct, array_like=True, frozen=True, tag="report"):
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
@@ -115,6 +115,7 @@
                     counts.total,
                     counts.overspent,
                     counts.complete,
+                    counts.second_attempts,
                 )
                 for service, counts in board.budgets.counts(now).items()
             ],
@@ -201,6 +202,7 @@
                     counted.total,
                     counted.overspent,
                     counted.complete,
+                    counted.second_attempts,
                 ),
                 # The peer took them after it had received the report of ours
                 # that it echoes.
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/retry_budget.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/retry_budget.py
@@ -19,6 +19,8 @@
 import enum
 import math
 
+from nutmeglift_gateway.load import second_attempt_share
+
 USABLE_BUDGET_RATIO = 0.75
 """Usable part of the budget: the counts of lost or unreachable routers are
 unknown."""
@@ -36,6 +38,8 @@
     """No part of the response was delivered."""
     RESUME = "resume"
     """Resumes a stream of which a part was delivered."""
+    SECOND_ATTEMPT = "second"
+    """Runs beside a slow attempt of which no part was delivered."""
 
 
 def purpose(*, started: bool) -> Purpose:
@@ -59,6 +63,7 @@
         overspent: retries that routers that are not heard had sent beyond their
             requests' part.
         complete: whether the process has run for a window.
+        second_attempts: those of the retries that ran beside a slow attempt.
     """
 
     requests: int
@@ -67,6 +72,7 @@
     total: int = 0
     overspent: int = 0
     complete: bool = False
+    second_attempts: int = 0
 
 
 class _Peer:
@@ -81,6 +87,9 @@
         self.complete = False
         self.reported = 0
         self._total: int | None = None
+        self._second_attempts: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
         self._spent: collections.deque[tuple[float, int]] = collections.deque()
 
     def record(self, now: float, as_of: float, counts: Counts) -> None:
@@ -104,11 +113,20 @@
         self._total = counts.total
         if new > 0:
             self._spent.append((now, new))
+        new = counts.second_attempts - self.second_attempts
+        if new > 0:
+            self._second_attempts.append((now, new))
 
     def expire(self, limit: float) -> None:
         """Drops the retries that were counted until then."""
-        while self._spent and self._spent[0][0] <= limit:
-            self._spent.popleft()
+        for dated in (self._spent, self._second_attempts):
+            while dated and dated[0][0] <= limit:
+                dated.popleft()
+
+    @property
+    def second_attempts(self) -> int:
+        """Its second attempts that have not been dropped."""
+        return sum(count for _, count in self._second_attempts)
 
     def dated_retries(self) -> int:
         """Returns its retries that have not been dropped."""
@@ -129,6 +147,7 @@
         ratio: float,
         slack: float,
         window: float,
+        second_ratio: float = 0.0,
         process: int = 0,
         settled_at: float = float("-inf"),
         complete_at: float = float("-inf"),
@@ -140,6 +159,8 @@
             slack: retries that are always allowed in a window, over all
                 routers.
             window: length of the sliding window in seconds.
+            second_ratio: allowed second attempts per request; part of the
+                retries.
             process: identifies this process to the other routers.
             settled_at: loop time from which this router has heard from the
                 others; it has no share of the slack before.
@@ -149,6 +170,7 @@
         self._ratio = ratio
         self._slack = slack
         self._window = window
+        self._second_ratio = second_ratio
         self._process = process
         self._settled_at = settled_at
         self._complete_at = complete_at
@@ -156,12 +178,21 @@
         self._retries: collections.deque[float] = collections.deque()
         self._total = 0
         self._peer_by_process: dict[tuple[str, int], _Peer] = {}
+        self._share = second_attempt_share.SecondAttemptShare()
 
-    def set_bounds(self, *, ratio: float, slack: float, window: float) -> None:
+    def set_bounds(
+        self,
+        *,
+        ratio: float,
+        slack: float,
+        window: float,
+        second_ratio: float = 0.0,
+    ) -> None:
         """Replaces the limits; see the constructor."""
         self._ratio = ratio
         self._slack = slack
         self._window = window
+        self._second_ratio = second_ratio
 
     def record_request(self, now: float) -> None:
         """Counts a caller's request for the service."""
@@ -170,6 +201,7 @@
     def counts(self, now: float) -> Counts:
         """Returns this router's counts, for the other routers."""
         self._expire(now)
+        self._share.observe(now, self._second_limit, *self._share_counts(now))
         return Counts(
             len(self._requests),
             len(self._retries),
@@ -177,6 +209,7 @@
             self._total,
             math.ceil(self._overspent(now)),
             complete=now >= self._complete_at,
+            second_attempts=self._share.sent,
         )
 
     def set_peer_counts(
@@ -211,8 +244,10 @@
             purpose: purpose of the retry.
         """
         self._expire(now)
+        if purpose is Purpose.SECOND_ATTEMPT and not self._has_share(now):
+            return False
         usable = USABLE_BUDGET_RATIO
-        if purpose is Purpose.NOT_STARTED:
+        if purpose is not Purpose.RESUME:
             usable *= NOT_STARTED_BUDGET_RATIO
         own = len(self._retries) + 1
         live = [p for p in self._peer_by_process.values() if p.is_live(now)]
@@ -230,6 +265,40 @@
             spent += max([0, *(p.overspent for p in live)])
         return spent + self._unreported(live) <= allowed
 
+    @property
+    def _second_limit(self) -> float:
+        return USABLE_BUDGET_RATIO * self._second_ratio
+
+    def _has_share(self, now: float) -> bool:
+        """Returns whether the share of second attempts has one left.
+
+        None is sent before all that was sent in the window is known.
+        """
+        if now < self._complete_at or not self._second_ratio:
+            return False
+        return self._share.allows(
+            now, self._second_limit, *self._share_counts(now)
+        )
+
+    def _share_counts(
+        self, now: float
+    ) -> tuple[
+        second_attempt_share.RouterCount,
+        list[second_attempt_share.RouterCount],
+    ]:
+        """Returns the second attempts of this router and of its peers."""
+        own = second_attempt_share.RouterCount(
+            self._process, len(self._requests), self._share.sent
+        )
+        if not self._second_ratio:
+            return own, []
+        return own, [
+            second_attempt_share.RouterCount(
+                process, peer.requests, peer.second_attempts, peer.is_live(now)
+            )
+            for (_, process), peer in self._peer_by_process.items()
+        ]
+
     def _is_informed(self, now: float, live: list[_Peer]) -> bool:
         """Returns whether all that was sent in the window is known."""
         if now >= self._complete_at:
@@ -271,6 +340,8 @@
             return False
         self._retries.append(now)
         self._total += 1
+        if purpose is Purpose.SECOND_ATTEMPT:
+            self._share.record(now)
         return True
 
     def _expire(self, now: float) -> None:
@@ -282,3 +353,4 @@
             peer.expire(limit)
             if peer.received_at <= limit:
                 del self._peer_by_process[key]
+        self._share.expire(limit)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/service_budgets.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/service_budgets.py
@@ -14,7 +14,12 @@
     """The retry budgets of all services, with the same bounds."""
 
     def __init__(self) -> None:
-        self._bounds = {"ratio": 0.0, "slack": 0.0, "window": 0.0}
+        self._bounds = {
+            "ratio": 0.0,
+            "slack": 0.0,
+            "window": 0.0,
+            "second_ratio": 0.0,
+        }
         self._process = time.time_ns()
         self._router_counts = router_counts.RouterCounts()
         self._settled_at = float("-inf")
@@ -57,9 +62,21 @@
             self._budget_by_service[service] = found
         return found
 
-    def set_bounds(self, *, ratio: float, slack: float, window: float) -> None:
+    def set_bounds(
+        self,
+        *,
+        ratio: float,
+        slack: float,
+        window: float,
+        second_ratio: float = 0.0,
+    ) -> None:
         """Applies the operators' bounds; see RetryBudget."""
-        self._bounds = {"ratio": ratio, "slack": slack, "window": window}
+        self._bounds = {
+            "ratio": ratio,
+            "slack": slack,
+            "window": window,
+            "second_ratio": second_ratio,
+        }
         for budget in self._budget_by_service.values():
             budget.set_bounds(**self._bounds)
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/settings.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/settings.py
@@ -47,6 +47,8 @@
         retry_ratio: greatest number of retries per request, over all routers.
         retry_slack: number of retries per window that are always allowed.
         retry_window_seconds: length of the window.
+        second_attempt_ratio: greatest number of second attempts per request,
+            over all routers; they are part of the retries. 0 for none.
     """
 
     revocation_seconds: Seconds = 5.0
@@ -57,6 +59,16 @@
     retry_ratio: Ratio = 0.2
     retry_slack: Ratio = 100.0
     retry_window_seconds: Seconds = 10.0
+    second_attempt_ratio: Ratio = 0.0
+
+    def __post_init__(self) -> None:
+        """Checks limits against each other.
+
+        Raises:
+            ValueError: the second attempts exceed the retries.
+        """
+        if self.second_attempt_ratio > self.retry_ratio:
+            raise ValueError("second_attempt_ratio exceeds retry_ratio")
 
 
 class Store(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/tests/gateway/retry_model.py
+++ b/tests/gateway/retry_model.py
@@ -10,6 +10,7 @@
 import random
 
 from nutmeglift import ids
+from nutmeglift_gateway import retry_budget
 from nutmeglift_gateway import service_budgets
 
 SERVICE = ids.ServiceId("core")
@@ -87,15 +88,27 @@
         delay_seconds: greatest delay of a report; those of a link stay in
             order.
         lost: share of the reports that are lost.
+        purpose: purpose of the retries.
+        second_ratio: allowed second attempts per request.
     """
 
-    def __init__(self, seed, count, rate):
+    def __init__(
+        self,
+        seed,
+        count,
+        rate,
+        *,
+        purpose=retry_budget.Purpose.RESUME,
+        second_ratio=0.0,
+    ):
         self.now = 1000.0
         self.arrivals = Arrivals()
         self.cut = set()
         self.failing = 0.0
         self.delay_seconds = 0.05
         self.lost = 0.0
+        self.purpose = purpose
+        self.second_ratio = second_ratio
         self._rng = random.Random(seed)
         self._rate = rate
         self._in_flight = []
@@ -108,7 +121,12 @@
 
     def start(self, name, *, first=False):
         budgets = service_budgets.ServiceBudgets()
-        budgets.set_bounds(ratio=RATIO, slack=SLACK, window=WINDOW)
+        budgets.set_bounds(
+            ratio=RATIO,
+            slack=SLACK,
+            window=WINDOW,
+            second_ratio=self.second_ratio,
+        )
         budgets.begin(self.now, first=first)
         self.router_by_name[name] = Router(name, budgets, self.now)
 
@@ -175,7 +193,7 @@
             budget.record_request(self.now)
             failed = self._rng.random() < self.failing
             while failed and budget.try_spend(
-                self.now, self._routers_known_to(router)
+                self.now, self._routers_known_to(router), self.purpose
             ):
                 self.arrivals.retries.append(self.now)
                 failed = self._rng.random() < self.failing
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -34,6 +34,9 @@
         self.assertEqual(loaded.listen.callers, "10.0.0.1:80")
         self.assertEqual(loaded.bounds.revocation_seconds, 5.0)
         self.assertEqual(loaded.bounds.retry_ratio, 0.2)
+        self.assertEqual(loaded.bounds.second_attempt_ratio, 0.0)
+        loaded = load(GOOD + "  second_attempt_ratio: 0.05")
+        self.assertEqual(loaded.bounds.second_attempt_ratio, 0.05)
 
     def test_invalid_settings(self):
         cases = [
@@ -45,6 +48,10 @@
             GOOD.replace("shutdown_seconds: 8", "shutdown_seconds: 0"),
             GOOD.replace("shutdown_seconds: 8", "shutdown_secs: 8"),
             GOOD.replace("shutdown_seconds: 8", "shutdown_seconds: soon"),
+            GOOD + "  second_attempt_ratio: -0.01",
+            GOOD + "  second_attempt_ratio: .nan",
+            GOOD + "  second_attempt_ratio: often",
+            GOOD + "  second_attempt_ratio: 0.21",
         ]
         for text in cases:
             with (
