Start a second attempt beside a slow one that may be repeated

The first answer wins, the other is ended at once. Metrics second_attempts and second_attempts_denied.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/context.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/context.py
@@ -10,6 +10,7 @@
 from nutmeglift_gateway import metrics as metric_sets
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import stream_monitor
+from nutmeglift_gateway.load import hedging
 
 
 @dataclasses.dataclass(frozen=True)
@@ -26,6 +27,7 @@
         metrics: counters and histograms.
         rng: random number generator.
         gate: lets requests wait for the first configuration.
+        second_attempts: decides on second attempts beside slow ones.
     """
 
     board: boards.Board
@@ -39,3 +41,6 @@
     gate: configuration_gate.ConfigurationGate = dataclasses.field(
         default_factory=configuration_gate.ConfigurationGate
     )
+    second_attempts: hedging.Hedging = dataclasses.field(
+        default_factory=hedging.Hedging
+    )
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
@@ -135,7 +135,7 @@
                 self._context,
                 self._sender,
                 admitted,
-                self._reply.progress,
+                self._reply,
                 self._failure_handler,
             )
         try:
@@ -205,8 +205,8 @@
                 retry_policy.Failure.TIMEOUT, detail="the deadline passed"
             )
         finally:
+            attempts.close()
             if self._streams is not None:
-                self._streams.close()
                 self._no_server_detail = self._streams.no_path_detail
             self._first_server = attempts.last_server
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/metrics.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/metrics.py
@@ -47,6 +47,14 @@
         self.attempts = self._counter(
             "attempts", "Attempts at backend servers.", ["outcome"]
         )
+        self.second_attempts = self._counter(
+            "second_attempts", "Second attempts beside a slow one.", ["event"]
+        )
+        self.second_attempts_denied = self._counter(
+            "second_attempts_denied",
+            "Slow requests without a second attempt.",
+            ["reason"],
+        )
         self.repairs = self._counter(
             "stream_repairs", "Running streams moved.", ["how", "outcome"]
         )
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
@@ -22,6 +22,8 @@
 from nutmeglift_gateway import running_attempt
 from nutmeglift_gateway import running_stream
 from nutmeglift_gateway import runs
+from nutmeglift_gateway import second_attempts
+from nutmeglift_gateway import second_streams
 from nutmeglift_gateway import sender as senders
 from nutmeglift_gateway import sse
 from nutmeglift_gateway import successor_paths
@@ -67,6 +69,9 @@
         self._successor_path: paths.Path | None = None
         self._paused = False
         self._loop = asyncio.get_running_loop()
+        self._second = second_attempts.SecondAttempt(
+            context, admitted, reply.progress, self._on_second_due
+        )
 
     async def next_outcome(self) -> attempt.Outcome | None:
         """Starts an attempt and returns how the last one running has ended.
@@ -114,7 +119,10 @@
             )
             self._end(running)
             self.last_server = running.server
-            if outcome.failure is None or not self._running:
+            if outcome.failure is None:
+                self._second.record_answer(running.server)
+                return outcome
+            if not self._running:
                 return outcome
             self._failures.record(
                 self._admitted, outcome, running.server, self._reply
@@ -129,6 +137,7 @@
         """Ends all attempts."""
         for running in list(self._running):
             self._end(running)
+        self._second.end()
 
     def set_writable(self, writable: bool) -> None:
         """Pauses reading from the runners while the caller reads too slowly."""
@@ -252,6 +261,10 @@
             path=path,
             last_event_id=self._last_event_id,
         )
+        if self._second.is_on:
+            self._second.record_sent(
+                path.first, second_streams.expected_seconds(admitted, path)
+            )
         self._apply_backpressure(running)
         return None
 
@@ -326,6 +339,7 @@
         data: bytes,
     ) -> None:
         board = self._context.board
+        self._second.record_answer(running.server)
         for other in [each for each in self._running if each is not running]:
             self._context.log.write(
                 "attempt superseded",
@@ -348,6 +362,12 @@
         self._successor_path = path
         self._changed.set()
 
+    def _on_second_due(self) -> None:
+        if len(self._running) == 1:
+            second_streams.start(
+                self._context, self._second, self._running[0].stream
+            )
+
     def _on_change(self, done: "asyncio.Future[attempt.Outcome]") -> None:
         self._changed.set()
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_monitor.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_monitor.py
@@ -35,7 +35,11 @@
 
 
 class StreamMonitor:
-    """Monitors all running streams of a router."""
+    """Monitors all running streams of a router.
+
+    Attributes:
+        resumer: secures paths for the successors of attempts.
+    """
 
     def __init__(
         self,
@@ -57,7 +61,7 @@
         self._pace_reader = pace_reader.PaceReader(
             board, runners, failure_recorder, log
         )
-        self._resumer = stream_resumer.StreamResumer(board, log, metrics, rng)
+        self.resumer = stream_resumer.StreamResumer(board, log, metrics, rng)
         self._background_tasks = background_tasks.BackgroundTasks(log)
         runners.on_hold_off = failure_recorder.record_hold_off_at
         self._streams: set[running_stream.Stream] = set()
@@ -117,13 +121,13 @@
                     if self._board.suspect_servers.gives_no_report(
                         first.address, first.lifetime
                     ):
-                        self._resumer.start_successor(
+                        self.resumer.start_successor(
                             stream, now, "its first runner gives no report"
                         )
                     elif not self._try_move(stream):
                         report_addresses.add(stream.path.first.address)
                 case stalls.Action.RESUME:
-                    self._resumer.start_successor(
+                    self.resumer.start_successor(
                         stream, now, "no event within the silence timeout"
                     )
         for address in report_addresses:
@@ -154,7 +158,7 @@
         if stream.path.first.address in down_addresses:
             silence = stream.silence(now)
             if silence.silent >= silence.limit:
-                self._resumer.start_successor(
+                self.resumer.start_successor(
                     stream, now, "its first runner is lost"
                 )
             return stream.is_busy
@@ -185,7 +189,7 @@
             )
             now = asyncio.get_running_loop().time()
             for stream in self._stalled_streams_at(address):
-                self._resumer.start_successor(
+                self.resumer.start_successor(
                     stream, now, "its first runner is lost"
                 )
             return
@@ -232,7 +236,7 @@
         if not unusable_parts:
             return False
         now = asyncio.get_running_loop().time()
-        has_lost_runner = self._resumer.has_stopped(stream, now) and any(
+        has_lost_runner = self.resumer.has_stopped(stream, now) and any(
             crash_checks.has_ended(self._board, part.server)
             for part in stream.path.parts
         )
@@ -251,7 +255,7 @@
         if crossing and stream.paired:
             # Its successor processes the same tokens already.
             return True
-        if crossing and self._resumer.start_successor(
+        if crossing and self.resumer.start_successor(
             stream, now, "resuming on another pipeline", may_cross=False
         ):
             return True
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_resumer.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_resumer.py
@@ -63,9 +63,29 @@
         if not self.has_stopped(stream, now):
             return False
         stream.resume_not_before = now + SUCCESSOR_RETRY_SECONDS
-        path = self._find_resume_path(stream, now, may_cross=may_cross)
+        path = self._find_resume_path(
+            stream, now, {stream.path.first.id}, may_cross=may_cross
+        )
         if path is None or not self._try_spend_retry(stream, now):
             return False
+        self.begin_successor(stream, now, path, detail)
+        return True
+
+    def begin_successor(
+        self,
+        stream: running_stream.Stream,
+        now: float,
+        path: paths.Path,
+        detail: str,
+    ) -> None:
+        """Reserves a path for a successor whose retry is charged.
+
+        Args:
+            stream: the attempt.
+            now: event loop time in seconds.
+            path: the successor's path.
+            detail: why a successor is started, for the log.
+        """
         # Without the reservation, streams that lose the same runner would all
         # choose the same free capacity.
         stream.reserve_resume_path(self._board, path)
@@ -85,7 +105,16 @@
             path=path_explanation.format_path(path),
         )
         stream.on_successor(path)
-        return True
+
+    def find_other_path(
+        self, stream: running_stream.Stream, now: float
+    ) -> paths.Path | None:
+        """Returns a path that shares no runner with a stream's, or None.
+
+        What slows the stream may be any runner of its path.
+        """
+        on_path = {part.server.id for part in stream.path.parts}
+        return self._find_resume_path(stream, now, on_path, may_cross=False)
 
     def has_stopped(self, stream: running_stream.Stream, now: float) -> bool:
         """Returns whether a stream is silent or has lost a runner.
@@ -106,14 +135,19 @@
         )
 
     def _find_resume_path(
-        self, stream: running_stream.Stream, now: float, *, may_cross: bool
+        self,
+        stream: running_stream.Stream,
+        now: float,
+        left_ids: set[str],
+        *,
+        may_cross: bool,
     ) -> paths.Path | None:
-        """Returns a path without the stream's first runner, or None."""
+        """Returns a path without the runners to leave, or None."""
         board = self._board
         engine = stream.admitted.service.engine
         if engine is None or not self._may_retry(stream):
             return None
-        excluded = stream.excluded_ids | {stream.path.first.id}
+        excluded = stream.excluded_ids | left_ids
         path = successor_paths.find_path(
             board.path_finder(engine, now),
             [
--- a/tests/gateway/test_stream_attempts_model.py
+++ b/tests/gateway/test_stream_attempts_model.py
@@ -196,7 +196,7 @@
             if stream.is_busy or stream.paired:
                 continue
             stream.receiver.last_byte_at = now - 5.0
-            self.rig.monitor._resumer.start_successor(stream, now, "test")
+            self.rig.monitor.resumer.start_successor(stream, now, "test")
 
     def toggle_backpressure(self):
         if self.caller.on_writable:
