Wait until a second attempt pays

Change: the first attempt gets more time until half of the requests that are as slow took longer still than a second one usually takes, up to the slowest of all.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/hedging.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/hedging.py
@@ -2,8 +2,12 @@
 
 The first attempt gets the time that all but the slowest requests of its service
 and failure domain took recently. How slow these are follows from the limit: a
-limit of 2 second attempts in 100 requests is spent on the slowest 2 in 100. The
-time is shorter if a second attempt could then no longer meet the objective.
+limit of 2 second attempts in 100 requests is spent on the slowest 2 in 100. If
+a second attempt could then no longer meet the objective, more count as slow.
+
+A second attempt pays if half of the requests that are as slow would take longer
+still than it usually takes. Otherwise the first attempt gets more time, up to
+that of the slowest request: one that is slower than all is stuck.
 
 Latencies are kept as multiples of the time that a request can expect on its
 path, so that long prompts don't count as slow.
@@ -20,9 +24,11 @@
     from nutmeglift_gateway.load import latency_sketches
 
 USUAL_QUANTILE = 0.5
-MIN_WAIT_QUANTILE = 0.9
-"""The first attempt gets at least the time that this part of the requests took,
-also if the objective is missed by that."""
+MAX_SLOW_RATIO = 0.1
+"""Greatest part of the requests that counts as slow, also if the objective is
+missed by that."""
+MIN_SLOW_RATIO = 1e-3
+"""Smallest part; sketches of a minute know no smaller one."""
 
 
 class Denial(enum.Enum):
@@ -82,7 +88,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answered:
-    """An attempt has answered, or was given up after a time.
+    """An attempt has answered, or was ended after a time.
 
     Attributes:
         group: the server's group.
@@ -200,13 +206,21 @@
                 return (Start(),) if denial is None else (Deny(denial),)
 
     def _handle_sent(self, now: float, sent: Sent) -> tuple[Action, ...]:
-        slow = self._seconds(now, sent.group, 1.0 - sent.ratio, sent)
         usual = self._seconds(now, sent.group, USUAL_QUANTILE, sent)
-        least = self._seconds(now, sent.group, MIN_WAIT_QUANTILE, sent)
-        if slow is None or usual is None or least is None:
+        wait = self._seconds(now, sent.group, 1.0 - sent.ratio, sent)
+        if usual is None or wait is None:
             return ()
-        wait = min(slow, max(least, sent.objective_at - usual - now))
-        return (WakeAt(now + wait),)
+        ratio = sent.ratio
+        if now + wait + usual > sent.objective_at:
+            ratio = max(ratio, MAX_SLOW_RATIO)
+        while ratio >= MIN_SLOW_RATIO:
+            wait = self._seconds(now, sent.group, 1.0 - ratio, sent)
+            ratio /= 2
+            later = self._seconds(now, sent.group, 1.0 - ratio, sent)
+            if wait is not None and later is not None and later > wait + usual:
+                return (WakeAt(now + wait),)
+        slowest = self._seconds(now, sent.group, 1.0, sent)
+        return () if slowest is None else (WakeAt(now + slowest),)
 
     def _denial_when_due(self, due: Due) -> Denial | None:
         if due.draining:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/second_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/second_attempts.py
@@ -91,7 +91,7 @@
                 self._timer = self._loop.call_at(action.at, self._on_due)
 
     def may_seek(self) -> bool:
-        """Returns whether another server is worth looking for."""
+        """Returns whether to look for another server."""
         admitted = self._admitted
         board = self._context.board
         now = self._loop.time()
