--- a/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/board.py
@@ -20,6 +20,7 @@
 from nutmeglift_gateway import retry_budget
 from nutmeglift_gateway import runs
 from nutmeglift_gateway import server_selection
+from nutmeglift_gateway import service_budgets
 from nutmeglift_gateway import settings
 from nutmeglift_gateway import suspect_servers
 
@@ -148,13 +149,11 @@
         self.fence = NOT_PLANNING
         self.greatest_fence = NOT_PLANNING
         self.listeners: set[Callable[[], None]] = set()
-        self.budgets = retry_budget.ServiceBudgets()
+        self.budgets = service_budgets.ServiceBudgets()
         self.set_bounds(bounds)
         self._moves: dict[str, PendingMove] = {}
         self._moves_updated_at = float("-inf")
         self._moves_version = 0
-        self._addresses_version = -1
-        self._server_by_address: dict[str, directory.Server] = {}
         self._usable_version = (-1, -1, -1, -1)
         self._usable: dict[ids.ServiceId, list[directory.Server]] = {}
 
@@ -174,6 +173,7 @@
         if self.catalog and self.catalog.generation > found.generation:
             return False
         self.catalog = found
+        self.directory.recognize(found.kinds_by_service)
         self.move_catalog(revision, digest)
         self.notify_listeners()
         return True
@@ -211,6 +211,7 @@
             ratio=bounds.retry_ratio,
             slack=bounds.retry_slack,
             window=bounds.retry_window_seconds,
+            second_ratio=bounds.second_attempt_ratio,
         )
 
     def limits(self) -> catalog.ClientLimits:
@@ -237,8 +238,9 @@
     def usable(self, service: ids.ServiceId) -> list[directory.Server]:
         """Returns the servers of a service that accept new requests.
 
-        Servers that leave, that hold off and suspects are excluded. A runner
-        that is being moved is listed with the layers that it retains.
+        Servers that leave, that hold off and suspects are excluded, and runners
+        of an unknown kind. A runner that is being moved is listed with the
+        layers that it retains.
         """
         version = (
             self.directory.version,
@@ -250,7 +252,10 @@
             self._usable_version = version
             self._usable = {}
             for server in self.directory.server_by_id.values():
-                if server.state is not directory.ServerState.READY:
+                if (
+                    server.state is not directory.ServerState.READY
+                    or not self.directory.is_recognized(server)
+                ):
                     continue
                 if self.suspect_servers.is_suspect(
                     server.address, server.lifetime
@@ -383,12 +388,5 @@
             listener()
 
     def server_at(self, address: str) -> directory.Server | None:
-        """Returns the server at an address, the newest if there are several."""
-        if self._addresses_version != self.directory.version:
-            self._addresses_version = self.directory.version
-            self._server_by_address = {}
-            for server in self.directory.server_by_id.values():
-                known = self._server_by_address.get(server.address)
-                if known is None or known.revision < server.revision:
-                    self._server_by_address[server.address] = server
-        return self._server_by_address.get(address)
+        """Returns the server at an address."""
+        return self.directory.server_at(address)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/budget_rows.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/budget_rows.py
@@ -4,6 +4,7 @@
 
 from nutmeglift import ids
 from nutmeglift_gateway import retry_budget
+from nutmeglift_gateway import service_budgets
 
 
 class BudgetRow(msgspec.Struct, array_like=True, frozen=True):
@@ -18,6 +19,7 @@
         overspent: retries that routers that the sender does not hear had sent
             beyond their requests' part.
         complete: whether the process has run for a window.
+        second_attempts: those of the retries that ran beside a slow attempt.
     """
 
     service: str
@@ -27,9 +29,12 @@
     total: int = 0
     overspent: int = 0
     complete: bool = False
+    second_attempts: int = 0
 
 
-def encode(now: float, budgets: retry_budget.ServiceBudgets) -> list[BudgetRow]:
+def encode(
+    now: float, budgets: service_budgets.ServiceBudgets
+) -> list[BudgetRow]:
     """Returns the rows of all services."""
     return [
         BudgetRow(
@@ -40,6 +45,7 @@
             counts.total,
             counts.overspent,
             counts.complete,
+            counts.second_attempts,
         )
         for service, counts in budgets.counts(now).items()
     ]
@@ -49,7 +55,7 @@
     now: float,
     vm: str,
     rows: list[BudgetRow],
-    budgets: retry_budget.ServiceBudgets,
+    budgets: service_budgets.ServiceBudgets,
     as_of: float,
 ) -> None:
     """Records a peer's counts.
@@ -72,6 +78,7 @@
                 row.total,
                 row.overspent,
                 row.complete,
+                row.second_attempts,
             ),
             as_of,
         )
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/pending_orders.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/pending_orders.py
@@ -2,8 +2,12 @@
 
 import dataclasses
 
+from nutmeglift_gateway import catalog
 from nutmeglift_gateway import directory
+from nutmeglift_gateway import layer_planner
 
+INITIAL_LOAD_TIME_RATIO = 0.1
+"""Before the first request, loads take a tenth of the usual time."""
 LOAD_OVERDUE_RATIO = 1.5
 """A load is overdue at this multiple of its expected time, because concurrent
 loads slow each other down. The runner's report is then read."""
@@ -46,3 +50,34 @@
         """Has the report read again later, as it did not show the outcome."""
         self.due = now + LOAD_OVERDUE_GRACE_SECONDS
         self.checking = False
+
+
+def expect(
+    engine: catalog.Engine,
+    move: layer_planner.Move,
+    now: float,
+    busy: int,
+    *,
+    starting: bool,
+) -> PendingOrder:
+    """Returns a move as an order that is to be sent.
+
+    Args:
+        engine: the model's engine.
+        move: the move.
+        now: loop time in seconds.
+        busy: runners that load at the same time, including this one.
+        starting: whether no request was served yet.
+    """
+    held = move.server.layers
+    start = max(held.start, move.layers.start)
+    end = max(start, min(held.end, move.layers.end))
+    retained = directory.LayerRange(start, end)
+    new = move.layers.count - retained.count
+    seconds = engine.load_seconds * new / engine.layers
+    if starting:
+        seconds *= INITIAL_LOAD_TIME_RATIO
+    seconds *= max(1.0, busy / max(1, engine.loads_at_once))
+    return PendingOrder(
+        move.layers, retained, move.server.lifetime, seconds, now + seconds
+    )
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/planner_controller.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/planner_controller.py
@@ -12,6 +12,7 @@
 from nutmeglift_gateway import decision_log
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import election
+from nutmeglift_gateway import ended_lifetimes
 from nutmeglift_gateway import failure_recorder as recorders
 from nutmeglift_gateway import layer_planner
 from nutmeglift_gateway import metrics as metric_sets
@@ -35,8 +36,6 @@
 BUSY_RECHECK_SECONDS = 0.3
 """Interval at which the report of a runner that carries out another planner's
 order is read; it gets no order until then."""
-INITIAL_LOAD_TIME_RATIO = 0.1
-"""Before the first request, loads take a tenth of the usual time."""
 MAX_CONCURRENT_CALLS = 32
 """Calls to runners at the same time. More of them keep a router with a part of
 a core busy until those that were sent first time out."""
@@ -134,6 +133,11 @@
                 server, suspect_servers.Reason.NO_REPORT, str(error)
             )
             return None
+        if report.born and report.born != server.born:
+            ended_lifetimes.end_lifetime(
+                self._board, self._log, server, report.born
+            )
+            return None
         self._board.directory.update_layers(
             now(), server, report.layers, report.orders
         )
@@ -168,7 +172,13 @@
     def _plan_service(self, service: catalog.Service, now: float) -> float:
         engine = service.engine
         assert engine is not None
-        servers = self._board.directory.of_service(service.id)
+        directory_ = self._board.directory
+        # A runner of an unknown kind may have less memory than any known one.
+        servers = [
+            server
+            for server in directory_.of_service(service.id)
+            if directory_.is_recognized(server)
+        ]
         starting = not any(server.layers.count for server in servers)
         if starting and not self._has_settled(service.id, len(servers), now):
             return 0.0
@@ -303,27 +313,10 @@
         *,
         starting: bool,
     ) -> None:
-        """Orders a runner to hold other layers.
-
-        Args:
-            engine: the model's engine.
-            move: the order.
-            now: loop time in seconds.
-            busy: runners that load at the same time as this one.
-            starting: whether no request was served yet.
-        """
+        """Orders a runner to hold other layers; see pending_orders.expect()."""
         held = move.server.layers
-        start = max(held.start, move.layers.start)
-        end = max(start, min(held.end, move.layers.end))
-        retained = directory.LayerRange(start, end)
-        new = move.layers.count - retained.count
-        seconds = engine.load_seconds * new / engine.layers
-        if starting:
-            seconds *= INITIAL_LOAD_TIME_RATIO
-        seconds *= max(1.0, busy / max(1, engine.loads_at_once))
-        eta = now + seconds
-        pending = pending_orders.PendingOrder(
-            move.layers, retained, move.server.lifetime, seconds, eta
+        pending = pending_orders.expect(
+            engine, move, now, busy, starting=starting
         )
         self._pending_by_id[move.server.id] = pending
         self._log.write(
@@ -334,7 +327,7 @@
             target=f"{move.layers.start}-{move.layers.end}",
             reason=move.reason,
             fence=self._election.fence,
-            eta_in=round(eta - now, 2),
+            eta_in=round(pending.eta - now, 2),
         )
         self._background_tasks.start(self._send_order(move, pending))
 
@@ -363,6 +356,10 @@
         if outcome is ports.OrderOutcome.STALE_FENCE:
             self._election.resign()
             return
+        if outcome is ports.OrderOutcome.MISDIRECTED:
+            self._drop_pending(move.server, pending)
+            ended_lifetimes.end_lifetime(self._board, self._log, move.server)
+            return
         if outcome is not ports.OrderOutcome.UNKNOWN:
             await self._read_report(move.server)
             self._drop_pending(move.server, pending)
