--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/store_readers.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/store_readers.py
@@ -3,9 +3,9 @@
 Load: each router that reads the store by itself pays for its calls, and all of
 them begin at the same time when the planner, the store or a link is lost. The
 routers of a failure domain therefore take turns: the first one in the order
-begins at once, the next one if it hears of nothing read meanwhile, and the
-others after that. Each decides for itself by the reports that it receives, so
-that a router which hears nobody reads the store at once.
+begins without delay, the others later, unless they receive its changes and
+confirmations. Each decides by the reports that it receives, so that a router
+without peers reads the store without delay.
 
 Times are seconds of the event loop's clock.
 """
@@ -29,8 +29,8 @@
 by its turn. The readers of several failure domains notice its return earlier
 between them, and the others learn it from their reports."""
 UNSHARED_RETRY_SECONDS = 0.3
-"""The same without turns. It bounds how long after the last failed call the
-store may have returned."""
+"""Longest delay without turns. It bounds how long after the last failed call
+the store may have returned."""
 DOUBT_SECONDS = 0.5
 """Additional delay once two routers of the failure domain were not served: the
 store is probably away, which most routers find when they renew their leases."""
@@ -41,7 +41,7 @@
 """Renewals of a lease in its time to live, by which a reader notices an outage
 early."""
 FEW_RENEWALS = 2
-"""The same of other routers: one call may be lost."""
+"""Renewals of other routers in that time: one of them may be lost."""
 FIRST_RETRY_SECONDS = 0.05
 """Longest delay after the first failure of a reader; doubled by each further
 one."""
@@ -168,7 +168,7 @@
         turn = self.turn(now)
         failed_ago_ms = self._outage.failed_ago_ms(now)
         if turn.rank and 0 <= failed_ago_ms < 1000 * turn.max_retry_delay:
-            # Any call that failed, also a peer's, tells as much as this one.
+            # Another call to the store has just failed, or a peer's.
             return False
         return retries.may_call(now, turn, served=failed_ago_ms < 0)
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_links.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_links.py
@@ -89,8 +89,8 @@
             }
             live = self._board.live_peers.domain_by_name(loop.time())
             for name in list(self._task_by_peer):
-                # A router that the store does not serve loses its entry, and
-                # relies on what its peers tell it.
+                # A router that the store does not serve loses its entry, but
+                # goes on with its peers' confirmations.
                 if name not in wanted and name not in live:
                     self._task_by_peer.pop(name).cancel()
             for name, address in wanted.items():
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/pending_orders.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/pending_orders.py
@@ -60,7 +60,7 @@
     *,
     starting: bool,
 ) -> PendingOrder:
-    """Returns a move as an order that is to be sent.
+    """Returns the order for a move, with the expected end of its load.
 
     Args:
         engine: the model's engine.
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/relayed_changes.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/relayed_changes.py
@@ -15,7 +15,7 @@
 """Changes that are kept for peers that did not receive them: several seconds of
 a busy store."""
 DELIVERY_SECONDS = 0.15
-"""Time in which relayed changes arrive, and a report tells so."""
+"""Time in which relayed changes arrive, and a report confirms them."""
 ROW_OVERHEAD_BYTES = 16
 """Revision, flag and framing of a row."""
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/store_outage.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/store_outage.py
@@ -115,7 +115,8 @@
     ) -> None:
         """Dates an outage by the calls of a peer that makes more of them.
 
-        Those of a peer alone tell nothing: the store may refuse it.
+        They count only if this router's calls fail, too: the store may refuse
+        the peer alone.
 
         Args:
             now: loop time.
