--- a/packages/nutmeglift_gateway/nutmeglift_gateway/retry_budget.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/retry_budget.py
@@ -128,6 +128,11 @@
         """Its second attempts that have not been dropped."""
         return sum(count for _, count in self._second_attempts)
 
+    @property
+    def has_dated(self) -> bool:
+        """Whether any of its retries have not been dropped."""
+        return bool(self._spent or self._second_attempts)
+
     def dated_retries(self) -> int:
         """Returns its retries that have not been dropped."""
         return sum(count for _, count in self._spent)
@@ -178,6 +183,8 @@
         self._retries: collections.deque[float] = collections.deque()
         self._total = 0
         self._peer_by_process: dict[tuple[str, int], _Peer] = {}
+        self._dated_by_process: dict[tuple[str, int], _Peer] = {}
+        self._expires_at = float("-inf")
         self._share = second_attempt_share.SecondAttemptShare()
 
     def set_bounds(
@@ -192,6 +199,7 @@
         self._ratio = ratio
         self._slack = slack
         self._window = window
+        self._expires_at = float("-inf")
         self._second_ratio = second_ratio
 
     def record_request(self, now: float) -> None:
@@ -234,6 +242,8 @@
                 if name == peer and other is not found:
                     other.replaced = True
         found.record(now, now if as_of is None else as_of, counts)
+        if found.has_dated:
+            self._dated_by_process[peer, counts.process] = found
 
     def can_spend(self, now: float, routers: int, purpose: Purpose) -> bool:
         """Returns whether the budget allows another retry.
@@ -310,7 +320,7 @@
         part = USABLE_BUDGET_RATIO * self._ratio
         return sum(
             max(0.0, peer.dated_retries() - part * peer.requests)
-            for peer in self._peer_by_process.values()
+            for peer in self._dated_by_process.values()
             if not peer.is_live(now)
         )
 
@@ -349,8 +359,19 @@
             while times and times[0] <= now - self._window:
                 times.popleft()
         limit = now - self._window
-        for key, peer in list(self._peer_by_process.items()):
+        self._share.expire(limit)
+        for key, peer in list(self._dated_by_process.items()):
             peer.expire(limit)
+            if not peer.has_dated:
+                del self._dated_by_process[key]
+        if now < self._expires_at:
+            return
+        for key, peer in list(self._peer_by_process.items()):
             if peer.received_at <= limit:
                 del self._peer_by_process[key]
-        self._share.expire(limit)
+                self._dated_by_process.pop(key, None)
+        # No report that is received meanwhile expires before.
+        self._expires_at = self._window + min(
+            (peer.received_at for peer in self._peer_by_process.values()),
+            default=now,
+        )
--- a/tests/gateway/rig.py
+++ b/tests/gateway/rig.py
@@ -230,6 +230,7 @@
         report_by_address: the runners' reports; an address without one is
             unavailable.
         outcomes: results of the next orders; BEGUN once it is empty.
+        outcome_by_id: results of all orders to place layers to some runners.
         placed: server, layers and fencing number of each order to place
             layers.
         redirected: request id and path of each redirect.
@@ -239,6 +240,7 @@
     def __init__(self):
         self.report_by_address = {}
         self.outcomes = []
+        self.outcome_by_id = {}
         self.placed = []
         self.redirected = []
         self.redirect_called = asyncio.Event()
@@ -251,7 +253,7 @@
 
     async def place(self, server, layers, fence):
         self.placed.append((server, layers, fence))
-        return self._outcome()
+        return self.outcome_by_id.get(server.id) or self._outcome()
 
     async def redirect(self, request_id, path):
         self.redirected.append((request_id, path))
--- a/tests/gateway/test_planner_controller.py
+++ b/tests/gateway/test_planner_controller.py
@@ -207,7 +207,7 @@
                 deployment.runners.report_by_address[address] = ports.Report(
                     directory.NO_LAYERS, 3, False, 1.0, (), born
                 )
-                deployment.runners.outcomes = [outcome]
+                deployment.runners.outcome_by_id = {"odd": outcome}
                 await asyncio.sleep(3.0)
                 placed = [s.id for s, _, _ in deployment.runners.placed]
                 self.assertEqual(placed.count("odd"), 1)
