Send nothing more to servers that say in a response that they leave

Cause: Server-Leaving (DRAIN) was not read. A server whose entry had not changed, as when the store was down, got requests later than drain_timeout_ms after the router had passed on a response that said it leaves. Change: what a response's head says of its server (hold-off, leaving) is read in one place. A lifetime that leaves counts as draining whatever its entry says, until another lifetime has the id; responses to other requests and of other servers don't count. The lifetimes remembered are bounded.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from nutmeglift_gateway import admission
+from nutmeglift_gateway import announcements
 from nutmeglift_gateway import caller_request
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import http_call
@@ -117,7 +118,8 @@
         *,
         events: sse.EventSplitter | None,
         on_events: Callable[[http_call.Head, bytes], None] | None,
-        on_hold_off: Callable[[bytes, bytes], None] | None = None,
+        on_announcement: Callable[[announcements.Announcement], None]
+        | None = None,
     ) -> None:
         """Initializes a receiver for one response.
 
@@ -127,8 +129,7 @@
             events: splits the stream into events; None if no stream is
                 expected.
             on_events: called with the response head and complete events.
-            on_hold_off: called with the time for which the server wants
-                nothing, and the address that it blames, as received.
+            on_announcement: called with what the server says of itself.
         """
         loop = asyncio.get_running_loop()
         self.done: asyncio.Future[Outcome] = loop.create_future()
@@ -141,7 +142,7 @@
         self._request_id = request_id
         self._events = events
         self._on_events = on_events
-        self._on_hold_off = on_hold_off
+        self._on_announcement = on_announcement
         self._streaming = False
         self._verdict = responses.Verdict.INVALID
 
@@ -152,8 +153,8 @@
         an invalid response or a rejection may never end.
         """
         self.head = head
-        self._report_hold_off(head)
         self._verdict = responses.judge(self._names, head, self._request_id)
+        self._report_announcement(head)
         if self._verdict in _VERDICTS_WITHOUT_BODY:
             self._finish_response(b"")
             return False
@@ -165,16 +166,11 @@
         )
         return not self._streaming
 
-    def _report_hold_off(self, head: http_call.Head) -> None:
+    def _report_announcement(self, head: http_call.Head) -> None:
         """Reports it at once: the attempt itself may be cancelled."""
-        seconds = head.get(self._names.retry_after)
-        if (
-            self._on_hold_off is None
-            or seconds is None
-            or head.status != responses.UNAVAILABLE_STATUS
-        ):
-            return
-        self._on_hold_off(seconds, head.get(self._names.fault) or b"")
+        found = announcements.read(self._names, head, self._verdict)
+        if found is not None and self._on_announcement is not None:
+            self._on_announcement(found)
 
     def on_body(self, data: bytes) -> None:
         """Handles a part of a stream."""
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/directory.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/directory.py
@@ -6,6 +6,7 @@
 
 from nutmeglift import ids
 from nutmeglift_gateway import address_claims
+from nutmeglift_gateway import leaving_servers
 from nutmeglift_gateway import restored_entries
 
 MAX_REPORT_LAG_SECONDS = 0.5
@@ -105,6 +106,7 @@
             address_claims.AddressClaims(self._rank)
         )
         self._restored = restored_entries.RestoredEntries()
+        self._leaving = leaving_servers.LeavingServers()
         self._kinds_by_service: KindsByService | None = None
         self._has_outdated_claims = False
         self.version = 0
@@ -136,6 +138,8 @@
             self.draining_since_by_id.pop(server.id, None)
         elif known is not None:
             server = dataclasses.replace(server, orders=known.orders)
+        if server.lifetime in self._leaving:
+            server = dataclasses.replace(server, state=ServerState.DRAINING)
         self._lapsed_ids.discard(server.id)
         if known is None or known.layers != server.layers:
             self._changed_at_by_id[server.id] = now
@@ -278,6 +282,19 @@
         )
         self.version += 1
 
+    def record_leaving(self, now: float, server: Server) -> bool:
+        """Records that a server said that it leaves; returns if it is new."""
+        if not self._leaving.record(server.lifetime):
+            return False
+        known = self.server_by_id.get(server.id)
+        if known is not None and known.lifetime == server.lifetime:
+            self.server_by_id[server.id] = dataclasses.replace(
+                known, state=ServerState.DRAINING
+            )
+            self.draining_since_by_id.setdefault(server.id, now)
+            self.version += 1
+        return True
+
     def record_order(self, server: Server) -> None:
         """Records that a server accepted an order from this router."""
         known = self.server_by_id.get(server.id)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
@@ -301,8 +301,8 @@
             admitted.request_id,
             events=None,
             on_events=None,
-            on_hold_off=functools.partial(
-                self._context.failure_recorder.record_hold_off, server
+            on_announcement=functools.partial(
+                self._context.failure_recorder.record_announcement, server
             ),
         )
         self._receiver = receiver
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/failure_recorder.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/failure_recorder.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from nutmeglift import errors
+from nutmeglift_gateway import announcements
 from nutmeglift_gateway import board as boards
 from nutmeglift_gateway import decision_log
 from nutmeglift_gateway import directory
@@ -95,6 +96,18 @@
             now, crash, server.version if server is not None else ""
         )
 
+    def record_announcement(
+        self, server: directory.Server, found: announcements.Announcement
+    ) -> None:
+        """Records what a server has said of itself in a response."""
+        if found.hold_off is not None:
+            self.record_hold_off(server, found.hold_off, found.fault)
+        now = asyncio.get_running_loop().time()
+        if found.leaving and self._board.directory.record_leaving(now, server):
+            self._log.write(
+                "server leaving", server=server.id, address=server.address
+            )
+
     def record_hold_off(
         self, first: directory.Server, raw: bytes, fault: bytes
     ) -> None:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/ports.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/ports.py
@@ -36,6 +36,7 @@
         priority: 0 is served first; set by the gateway.
         expected_version: required model version; not accepted from callers.
         retry_after: seconds after which to retry.
+        leaving: marks the responses of a backend server that leaves.
     """
 
     request_id: bytes
@@ -55,6 +56,7 @@
     priority: bytes
     expected_version: bytes
     retry_after: bytes
+    leaving: bytes
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
@@ -311,8 +311,8 @@
             self._admitted.request_id,
             events=events,
             on_events=lambda head, data: self._on_events(running, head, data),
-            on_hold_off=functools.partial(
-                self._context.failure_recorder.record_hold_off, path.first
+            on_announcement=functools.partial(
+                self._context.failure_recorder.record_announcement, path.first
             ),
         )
         stream = running_stream.Stream(
