--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -618,7 +618,6 @@
         if headers.get("x-expect-instance", self.id) != self.id:
             respond(writer, 421, b"", [*echo, ("X-Instance-Id", self.id)])
             return True
-        self.fleet.arrived(self, request)
         if not self.kind:
             return await self._run_plain(request, writer, echo)
         path = self.fleet.parse_path(
@@ -690,7 +689,6 @@
         self.over_limit = []
         self.bad_paths = []
         self.runs = collections.defaultdict(list)
-        self.arrivals = []
         self.work_seconds = 0.03
         self.event_count = EVENT_COUNT
         self.id_step = 1
@@ -715,9 +713,6 @@
             parts.append((address, int(start), int(end)))
         return parts
 
-    def arrived(self, server, request):
-        self.arrivals.append((time.monotonic(), server.id, request))
-
     def ran(self, server, request):
         id_ = request.headers.get("x-attempt-id", "")
         self.runs[id_].append((time.monotonic(), server.id))
@@ -923,7 +918,8 @@
             lines += [f"{name}: {value}" for name, value in headers.items()]
             if body or method == "POST":
                 lines.append(f"Content-Length: {len(body)}")
-            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+            writer.write(body)
             await writer.drain()
             found = await read_message(reader)
             if found is None:
