Open the port for other routers without resolving its address

Cause: a listener that is given an address makes uvloop resolve it, also an IP address. libuv then starts four threads and waits on a semaphore until each has run once (threadpool.c, init_threads). Beside load the event loop of a starting router stands still there: it waits for threads that wait for a processor, not for a processor itself. Change: the port is opened like the others, and its socket is passed on.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_links.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_links.py
@@ -16,6 +16,7 @@
 from nutmeglift import retry
 from nutmeglift_gateway import board as boards
 from nutmeglift_gateway import decision_log
+from nutmeglift_gateway import early_listeners
 from nutmeglift_gateway import freshness
 from nutmeglift_gateway import peer_messages
 from nutmeglift_gateway import peer_state
@@ -64,11 +65,11 @@
 
     async def serve(self, address: str) -> None:
         """Accepts links until cancelled."""
-        host, _, port = address.rpartition(":")
         async with server.serve(
             self._run_link,
-            host,
-            int(port),
+            # With an address, uvloop starts threads that resolve it, and waits
+            # for them.
+            sock=early_listeners.open_listener(address),
             compression=None,
             max_size=peer_messages.MAX_MESSAGE_BYTES,
             ping_interval=None,
--- a/tests/gateway/test_platform_process.py
+++ b/tests/gateway/test_platform_process.py
@@ -14,6 +14,8 @@
 
 WAIT_SECONDS = 20.0
 """Includes the time to load the program on a busy machine."""
+PEERS = 2
+"""Index of the port for other routers."""
 
 
 class ProcessTest(unittest.IsolatedAsyncioTestCase):
@@ -44,12 +46,12 @@
             self.process.kill()
         await self.process.wait()
 
-    async def wait_for_port(self):
+    async def wait_for_port(self, number=0):
         async with asyncio.timeout(WAIT_SECONDS):
             while True:
                 try:
                     _, writer = await asyncio.open_connection(
-                        "127.0.0.1", self.ports[0]
+                        "127.0.0.1", self.ports[number]
                     )
                 except ConnectionRefusedError:
                     await asyncio.sleep(0.005)
@@ -78,6 +80,13 @@
         code = await asyncio.wait_for(self.process.wait(), WAIT_SECONDS)
         self.assertEqual(code, 0)
 
+    async def test_no_thread_is_started(self):
+        # The event loop would stand still until a new thread gets a processor.
+        await self.wait_for_event("started")
+        await self.wait_for_port(PEERS)
+        threads = os.listdir(f"/proc/{self.process.pid}/task")
+        self.assertEqual(threads, [str(self.process.pid)])
+
     async def test_a_change_without_a_signal_is_noticed(self):
         await self.wait_for_event("started")
         text = self.path.read_text(encoding="utf-8")
