--- a/packages/nutmeglift_gateway/nutmeglift_gateway/plain_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/plain_attempts.py
@@ -218,8 +218,8 @@
             self._admitted.request_id,
             events=None,
             on_events=None,
-            on_hold_off=functools.partial(
-                context.failure_recorder.record_hold_off, server
+            on_announcement=functools.partial(
+                context.failure_recorder.record_announcement, server
             ),
         )
         receiver.done.add_done_callback(lambda done: self._changed.set())
