--- a/packages/nutmeglift_gateway/nutmeglift_gateway/context.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/context.py
@@ -10,6 +10,7 @@
 from nutmeglift_gateway import metrics as metric_sets
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import stream_monitor
+from nutmeglift_gateway.load import hedging
 from nutmeglift_gateway.load import waiting_room
 
 
@@ -28,6 +29,7 @@
         rng: random number generator.
         waiting: lets requests wait for room.
         gate: lets requests wait for the first configuration.
+        second_attempts: decides on second attempts beside slow ones.
     """
 
     board: boards.Board
@@ -42,3 +44,6 @@
     gate: configuration_gate.ConfigurationGate = dataclasses.field(
         default_factory=configuration_gate.ConfigurationGate
     )
+    second_attempts: hedging.Hedging = dataclasses.field(
+        default_factory=hedging.Hedging
+    )
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/metrics.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/metrics.py
@@ -48,11 +48,21 @@
         self.attempts = self._counter(
             "attempts", "Attempts at backend servers.", ["outcome"]
         )
+        self.second_attempts = self._counter(
+            "second_attempts", "Second attempts beside a slow one.", ["event"]
+        )
+        self.second_attempts_denied = self._counter(
+            "second_attempts_denied",
+            "Slow requests without a second attempt.",
+            ["reason"],
+        )
         self.repairs = self._counter(
             "stream_repairs", "Running streams moved.", ["how", "outcome"]
         )
         self.store_calls = self._counter(
-            "store_calls", "Calls to the key-value service.", ["call"]
+            "store_calls",
+            "Calls to the key-value service, by controller.",
+            ["call", "caller"],
         )
         self.orders = self._counter(
             "orders", "Orders to runners.", ["order", "outcome"]
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_resumer.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_resumer.py
@@ -65,16 +65,32 @@
         if not self.has_stopped(stream, now):
             return False
         stream.resume_not_before = now + SUCCESSOR_RETRY_SECONDS
-        requirements = dataclasses.replace(
-            path_choice.make_requirements(self._board, stream.admitted.needs),
-            tokens=stream.tokens,
-            may_cross=may_cross,
+        path = self._find_resume_path(
+            stream, now, {stream.path.first.id}, may_cross=may_cross
         )
-        path = self._find_resume_path(stream, now, requirements)
         if path is None or not self._try_spend_retry(stream, now):
             return False
+        self.begin_successor(stream, now, path, detail)
+        return True
+
+    def begin_successor(
+        self,
+        stream: running_stream.Stream,
+        now: float,
+        path: paths.Path,
+        detail: str,
+    ) -> None:
+        """Reserves a path for a successor whose retry is charged.
+
+        Args:
+            stream: the attempt.
+            now: event loop time in seconds.
+            path: the successor's path.
+            detail: why a successor is started, for the log.
+        """
         # Without the reservation, streams that lose the same runner would all
         # choose the same free capacity.
+        requirements = self._requirements(stream)
         stream.reserve_resume_path(
             self._board,
             path,
@@ -96,7 +112,16 @@
             path=path_explanation.format_path(path),
         )
         stream.on_successor(path)
-        return True
+
+    def find_other_path(
+        self, stream: running_stream.Stream, now: float
+    ) -> paths.Path | None:
+        """Returns a path that shares no runner with a stream's, or None.
+
+        What slows the stream may be any runner of its path.
+        """
+        on_path = {part.server.id for part in stream.path.parts}
+        return self._find_resume_path(stream, now, on_path, may_cross=False)
 
     def has_stopped(self, stream: running_stream.Stream, now: float) -> bool:
         """Returns whether a stream is silent or has lost a runner.
@@ -120,14 +145,16 @@
         self,
         stream: running_stream.Stream,
         now: float,
-        requirements: paths.PathRequirements,
+        left_ids: set[str],
+        *,
+        may_cross: bool,
     ) -> paths.Path | None:
-        """Returns a path without the stream's first runner, or None."""
+        """Returns a path without the runners to leave, or None."""
         board = self._board
         engine = stream.admitted.service.engine
         if engine is None or not self._may_retry(stream):
             return None
-        excluded = stream.excluded_ids | {stream.path.first.id}
+        excluded = stream.excluded_ids | left_ids
         path = successor_paths.find_path(
             board.path_finder(engine, now),
             [
@@ -135,7 +162,7 @@
                 for server in board.usable(stream.admitted.service.id)
                 if server.id not in excluded
             ],
-            requirements,
+            self._requirements(stream, may_cross=may_cross),
             self._rng,
         )
         if path is None or not board.link_budget.has_room(
@@ -144,6 +171,15 @@
             return None
         return path
 
+    def _requirements(
+        self, stream: running_stream.Stream, *, may_cross: bool = True
+    ) -> paths.PathRequirements:
+        return dataclasses.replace(
+            path_choice.make_requirements(self._board, stream.admitted.needs),
+            tokens=stream.tokens,
+            may_cross=may_cross,
+        )
+
     def _may_retry(self, stream: running_stream.Stream) -> bool:
         """Returns whether a stream's request may be sent once more."""
         route = stream.admitted.route
--- a/tests/gateway/rig.py
+++ b/tests/gateway/rig.py
@@ -14,6 +14,7 @@
 from nutmeglift_gateway import freshness
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import settings
+from nutmeglift_gateway import settings_source
 from nutmeglift_platform import names
 
 RUNNER_KINDS = {
@@ -199,6 +200,29 @@
         return [event for event, _ in self.lines]
 
 
+class MemorySettings(settings_source.BaseSettingsSource):
+    """In-memory replacement for the settings file.
+
+    Attributes:
+        settings: what is read.
+        reads: number of reads.
+        changed: whether a change is noticed; reset by a read.
+    """
+
+    def __init__(self, loaded):
+        self.settings = loaded
+        self.reads = 0
+        self.changed = False
+
+    def load(self):
+        self.reads += 1
+        self.changed = False
+        return self.settings
+
+    def has_changed(self):
+        return self.changed
+
+
 class MemoryRunners(ports.BaseRunners):
     """In-memory replacement for the client of the runners.
 
@@ -206,6 +230,7 @@
         report_by_address: the runners' reports; an address without one is
             unavailable.
         outcomes: results of the next orders; BEGUN once it is empty.
+        outcome_by_id: results of all orders to place layers to some runners.
         placed: server, layers and fencing number of each order to place
             layers.
         redirected: request id and path of each redirect.
@@ -215,6 +240,7 @@
     def __init__(self):
         self.report_by_address = {}
         self.outcomes = []
+        self.outcome_by_id = {}
         self.placed = []
         self.redirected = []
         self.redirect_called = asyncio.Event()
@@ -227,7 +253,7 @@
 
     async def place(self, server, layers, fence):
         self.placed.append((server, layers, fence))
-        return self._outcome()
+        return self.outcome_by_id.get(server.id) or self._outcome()
 
     async def redirect(self, request_id, path):
         self.redirected.append((request_id, path))
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -34,6 +34,10 @@
         self.assertEqual(loaded.listen.callers, "10.0.0.1:80")
         self.assertEqual(loaded.bounds.revocation_seconds, 5.0)
         self.assertEqual(loaded.bounds.retry_ratio, 0.2)
+        self.assertEqual(loaded.bounds.second_attempt_ratio, 0.0)
+        loaded = load(GOOD + "  second_attempt_ratio: 0.05")
+        self.assertEqual(loaded.bounds.second_attempt_ratio, 0.05)
+        loaded = load(GOOD)
         self.assertEqual(loaded.room, settings.Room())
 
     def test_the_room_settings_are_loaded(self):
@@ -63,6 +67,10 @@
             GOOD + "room: {max_queue: 1}",
             GOOD + "memory_mb: 8",
             GOOD + "memory_mb: 100\nroom: {max_waiting_mb: 100}",
+            GOOD + "  second_attempt_ratio: -0.01",
+            GOOD + "  second_attempt_ratio: .nan",
+            GOOD + "  second_attempt_ratio: often",
+            GOOD + "  second_attempt_ratio: 0.21",
         ]
         for text in cases:
             with (
