--- a/benchmarks/bench_gateway.py
+++ b/benchmarks/bench_gateway.py
@@ -1,5 +1,7 @@
 """Gateway: processor time of path choice and planning, bytes of reports."""
 
+import collections
+from collections.abc import Callable
 import logging
 import random
 import statistics
@@ -14,12 +16,22 @@
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import layer_planner
 from nutmeglift_gateway import loads
+from nutmeglift_gateway import path_cache
 from nutmeglift_gateway import paths
 from nutmeglift_gateway import peer_messages
 from nutmeglift_gateway import peer_state
 from nutmeglift_gateway import runner_group
 from nutmeglift_gateway import settings
 from nutmeglift_gateway import store_reader
+from nutmeglift_gateway.load import admission_queue
+from nutmeglift_gateway.load import demand_tracker
+from nutmeglift_gateway.load import events
+from nutmeglift_gateway.load import judgement
+from nutmeglift_gateway.load import objectives as objective_sets
+from nutmeglift_gateway.load import path_choice
+from nutmeglift_gateway.load import path_room
+from nutmeglift_gateway.load import room
+from nutmeglift_gateway.load import urgency as urgencies
 from nutmeglift_platform import schema
 
 BATCH_COUNT = 9
@@ -121,6 +133,70 @@
     return figures.Measurement(statistics.median(times))
 
 
+def measure_choice(count: int, routers: int) -> figures.Measurement:
+    """Measures the processor time to choose a path by objective, in µs.
+
+    Each router has its streams in its own failure domain. Between two choices
+    come the reports that peers send in that time; they aren't measured.
+    The value is the median over the choices.
+    """
+    servers = place_layers(count)
+    domains = sorted({server.domain for server in servers})
+    board = boards.Board(settings.Bounds(), domains[0])
+    rng = random.Random(3)
+    path_by_domain = {
+        path.first.domain: path
+        for path in paths.PathFinder(
+            ENGINE, board.load_tracker, lambda address: 1.0
+        ).find_by_domain(
+            servers, paths.PathRequirements(domains[0], HELD_TOKENS)
+        )
+    }
+    cache = path_cache.PathCache[paths.Path](ENGINE, servers)
+    levels = [(0, 0.5, 0.3), (1, 0.6, 0.3), (2, 1.2, 0.3)]
+    rate = REQUESTS_PER_RUNNER_SECOND * count / routers
+    reports_per_choice = (routers - 1) / REPORT_INTERVAL_SECONDS / rate
+    share = REQUESTS_PER_DOMAIN * len(domains) / routers
+    due = 0.0
+    peer = 0
+    times = []
+    running: collections.deque[tuple[loads.Reservation, ...]] = (
+        collections.deque()
+    )
+    for number in range(BATCH_COUNT * DECISIONS_PER_BATCH):
+        due += reports_per_choice
+        while due >= 1.0:
+            due -= 1.0
+            peer = peer % (routers - 1) + 1
+            path = path_by_domain[domains[peer % len(domains)]]
+            tracker = loads.LoadTracker()
+            for _ in range(rng.randint(1, max(1, round(2 * share)))):
+                reserved = path.reservations(HELD_TOKENS, PROMPT_TOKENS)
+                tracker.reserve(reserved)
+            tracker.begin_prompts(reserved)
+            board.load_tracker.record_report(0.0, f"r{peer}", tracker.own())
+        priority, objective, gap_objective = levels[number % len(levels)]
+        requirements = paths.PathRequirements(
+            domains[0],
+            HELD_TOKENS,
+            prompt_tokens=PROMPT_TOKENS,
+            urgency=urgencies.Urgency(priority, objective, gap_objective, 0.0),
+            objectives=objective_sets.combine(levels),
+        )
+        started = time.process_time()
+        finder = paths.PathFinder(
+            ENGINE, board.load_tracker, board.pace_reader(0.0), cache=cache
+        )
+        found = path_choice.find_path(board, finder, servers, requirements, 0.0)
+        times.append((time.process_time() - started) * 1e6)
+        if found is not None:
+            running.append(found.reservations(HELD_TOKENS, PROMPT_TOKENS))
+            board.load_tracker.reserve(running[-1])
+        if len(running) > share:
+            board.load_tracker.release(running.popleft())
+    return figures.Measurement(statistics.median(times))
+
+
 def measure_plan(count: int) -> figures.Measurement:
     """Measures the processor time to plan without one runner, in milliseconds.
 
@@ -177,6 +253,84 @@
     return figures.Measurement(statistics.mean(sizes) / REPORT_INTERVAL_SECONDS)
 
 
+def make_admission(
+    count: int,
+) -> tuple[Callable[[], object], Callable[[], object]]:
+    """Returns a decision about a request, and its path search alone."""
+    board = boards.Board(settings.Bounds(), ids.FailureDomain("domain-0"))
+    service = catalog.Service(SERVICE, "/health", ENGINE)
+    board.set_catalog(
+        ids.Revision(1),
+        catalog.Catalog(
+            ids.Generation(1),
+            (),
+            {SERVICE: service},
+            {},
+            catalog.ClientLimits(),
+            accounts_required=False,
+        ),
+    )
+    for server in place_layers(count):
+        board.directory.put(0.0, server)
+    demand = demand_tracker.DemandTracker()
+    board.demand.own = demand.by_service
+    requests = [
+        room.RoomRequest(
+            SERVICE,
+            urgencies.Urgency(rank, 0.5 + 0.3 * rank, 0.3, 0.0),
+            800,
+            900.0,
+            rank,
+        )
+        for rank in range(3)
+    ]
+    for request in requests:
+        demand.record(0.0, request)
+    offers = path_room.PathRoom(board, demand)
+    queue = admission_queue.AdmissionQueue(
+        offers, board.demand, judgement.Limits(), random.Random(1)
+    )
+    arrived = events.Arrived(1, ids.AccountId("a"), requests[-1], 25.0)
+    requirements = path_choice.make_requirements(board, requests[-1])
+
+    def decide() -> object:
+        return queue.handle(0.1, arrived)
+
+    def search() -> object:
+        return path_choice.find_path(
+            board,
+            board.path_finder(ENGINE, 0.1),
+            board.usable(SERVICE),
+            requirements,
+            0.1,
+        )
+
+    return decide, search
+
+
+def measure_admission(count: int) -> figures.Measurement:
+    """Measures the processor time of who gets room, in microseconds.
+
+    The path search is left out, as the path that it finds is used. The value
+    is the median over the batches.
+    """
+    decide, search = make_admission(count)
+    times = []
+    for _ in range(BATCH_COUNT):
+        spent = []
+        for work in (decide, search):
+            started = time.process_time()
+            for _ in range(DECISIONS_PER_BATCH):
+                work()
+            spent.append(time.process_time() - started)
+        times.append((spent[0] - spent[1]) / DECISIONS_PER_BATCH * 1e6)
+    return figures.Measurement(statistics.median(times))
+
+
+REQUESTS_PER_RUNNER_SECOND = 2.4
+REQUESTS_PER_DOMAIN = 8
+HELD_TOKENS = 300.0
+PROMPT_TOKENS = 200
 REPORT_COUNT = 100
 REQUESTS_PER_REPORT = 4
 RUNNERS_PER_REQUEST = 8
@@ -202,4 +356,34 @@
     ]
 
 
-FIGURES = [*make_figures(42), *make_figures(112), *make_figures(448)]
+def make_admission_figure(count: int) -> figures.Figure:
+    """Returns the figure of admission for a number of runners."""
+    return figures.Figure(
+        f"gateway_admission_time_{count}",
+        "µs",
+        "",
+        lambda: measure_admission(count),
+    )
+
+
+def make_choice_figure(count: int, routers: int) -> figures.Figure:
+    """Returns the figure for a number of runners and routers."""
+    return figures.Figure(
+        f"gateway_path_choice_time_{count}_{routers}",
+        "µs",
+        "",
+        lambda: measure_choice(count, routers),
+    )
+
+
+FIGURES = [
+    *make_figures(42),
+    *make_figures(112),
+    *make_figures(448),
+    *map(make_admission_figure, (60, 128, 448)),
+    *(
+        make_choice_figure(count, routers)
+        for count in (60, 128, 448)
+        for routers in (10, 41, 100)
+    ),
+]
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/catalog.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/catalog.py
@@ -5,6 +5,7 @@
 import functools
 
 from nutmeglift import ids
+from nutmeglift_gateway.load import objectives
 
 
 class Idempotency(enum.Enum):
@@ -114,6 +115,10 @@
         nominal_tokens: nominal KV cache capacity of a runner, in tokens.
         kind_by_name: the kinds of accelerators.
         domain_delay: one-way delay between failure domains, in seconds.
+        prompt_chunk_tokens: prompt tokens that a runner processes at most in
+            one decoding step; 0 if that isn't known.
+        prompt_pair_seconds: additional prompt time per pair of a token and an
+            earlier one, in seconds.
     """
 
     layers: int
@@ -132,6 +137,8 @@
     nominal_tokens: int
     kind_by_name: dict[str, RunnerKind]
     domain_delay: float
+    prompt_chunk_tokens: int = 0
+    prompt_pair_seconds: float = 0.0
 
     @property
     def layer_token_mb(self) -> float:
@@ -252,6 +259,34 @@
             table.setdefault(route.host.lower(), {})[route.prefix] = route
         return table
 
+    @functools.cached_property
+    def objectives_by_service(
+        self,
+    ) -> dict[ids.ServiceId, objectives.Objectives]:
+        """What the streaming requests of each service ask for."""
+        own = {account.priority for account in self.account_by_key.values()}
+        levels_by_service: dict[
+            ids.ServiceId, list[tuple[int, float, float]]
+        ] = {}
+        for route in self.routes:
+            if not route.streaming:
+                continue
+            levels = [
+                (
+                    route.priority if priority is None else priority,
+                    route.objective,
+                    route.gap_objective,
+                )
+                for priority in own | {None}
+            ]
+            for each in route.services:
+                levels_by_service.setdefault(each.service, []).extend(levels)
+        return {
+            service: found
+            for service, levels in levels_by_service.items()
+            if (found := objectives.combine(levels)) is not None
+        }
+
     def find_route(self, host: str, target: str) -> Route | None:
         """Returns the route with the longest prefix, or None.
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -40,6 +40,7 @@
 from nutmeglift_gateway import supervision
 from nutmeglift_gateway import unsent_responses
 from nutmeglift_gateway import unserved_requests
+from nutmeglift_gateway.load import waiting_room
 
 
 class Gateway:
@@ -137,6 +138,9 @@
             log,
             self.metrics,
             rng,
+            waiting_room.WaitingRoom(
+                self.board, config.room, self.metrics, log, rng
+            ),
         )
         self._callers: set[http_listener.CallerConnection] = set()
         self._checkers: set[http_listener.CallerConnection] = set()
@@ -192,6 +196,7 @@
             first_start=self._config.first_start,
         )
         await leaving.wait()
+        self._context.waiting.drain()
         self._start(self._registration.end())
         await graceful_shutdown.GracefulShutdown(
             self.board,
@@ -340,16 +345,15 @@
             self.metrics.generation.set(board.catalog.generation)
             age = board.freshness.age(freshness.boot_clock())
             self.metrics.confirmation_age.set(age)
-        now = asyncio.get_running_loop().time()
         view = self._reader.view
         self.metrics.view_age.set(view.view_age.age(freshness.boot_clock()))
-        self.metrics.catalog_behind.set(
-            view.catalog.lag.behind_for(freshness.boot_clock())
-        )
+        behind = view.catalog.lag.behind_for(freshness.boot_clock())
+        self.metrics.catalog_behind.set(behind)
         self.metrics.holding_off.set(board.hold_offs.count)
-        self.metrics.lapse_window.set(
-            max(0.0, board.directory.lapse_window_end - now)
-        )
+        end = board.directory.lapse_window_end
+        left = max(0.0, end - asyncio.get_running_loop().time())
+        self.metrics.lapse_window.set(left)
+        self._context.waiting.update_metrics()
         return self.metrics.text()
 
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
@@ -360,8 +364,7 @@
     def _on_done(self, task: "asyncio.Task[None]") -> None:
         if task.cancelled():
             return
-        error = task.exception()
-        if error is not None:
+        if (error := task.exception()) is not None:
             self._log.write("internal error", detail=repr(error))
 
 
@@ -384,7 +387,5 @@
     [settings.Settings, settings_source.BaseSettingsSource],
     Coroutine[Any, Any, None],
 ]
-"""Assembles a router with the platform's adapters and runs it.
-
-The parameters are the settings, and where to read them again.
-"""
+"""Runs a router with the platform's adapters, by its settings and where to read
+them again."""
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/loads.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/loads.py
@@ -1,7 +1,12 @@
 """Load of each backend server, summed over all routers."""
 
+from collections.abc import Callable
+from collections.abc import Iterator
 from collections.abc import Mapping
+from collections.abc import Sequence
+import contextlib
 import dataclasses
+import itertools
 
 PEER_REPORT_TIMEOUT_SECONDS = 1.5
 """Reservations of a router expire once five of its reports are missing."""
@@ -24,12 +29,14 @@
         token_layers: reserved KV cache, in tokens times layers.
         prompt_token_layers: prompts that it has not yet processed, in tokens
             times layers.
+        version: differs after each change, also from those of other servers.
     """
 
     requests: int = 0
     requests_as_first: int = 0
     token_layers: float = 0.0
     prompt_token_layers: float = 0.0
+    version: int = dataclasses.field(default=0, compare=False, repr=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,11 +58,18 @@
 
 NO_LOAD = Load()
 
+_versions = itertools.count(1)
+
 
 class LoadTracker:
-    """Sums this router's reservations and those that other routers report."""
+    """Sums this router's reservations and those that other routers report.
+
+    Attributes:
+        on_freed: called when capacity may have become free.
+    """
 
     def __init__(self) -> None:
+        self.on_freed: Callable[[], None] = lambda: None
         self._own_by_address: dict[str, Load] = {}
         self._peer_loads: dict[str, tuple[float, Mapping[str, Load]]] = {}
         self._total_by_address: dict[str, Load] = {}
@@ -86,6 +100,34 @@
         for reservation in reservations:
             _add(self._own_by_address, reservation, -1)
             _add(self._total_by_address, reservation, -1)
+        if reservations:
+            self.on_freed()
+
+    @contextlib.contextmanager
+    def trial(self, reservations: tuple[Reservation, ...]) -> Iterator[None]:
+        """Counts a request and its prompt while the context lasts.
+
+        The context must not be left before it ends, as by `await`.
+        """
+        known = {
+            each.address: self._total_by_address.get(each.address)
+            for each in reservations
+        }
+        for address, load in known.items():
+            if load is not None:
+                self._total_by_address[address] = dataclasses.replace(load)
+        for reservation in reservations:
+            _add(self._total_by_address, reservation, 1)
+        self._change_prompts(self._total_by_address, reservations, 1)
+        try:
+            yield
+        finally:
+            # The loads as they were, with the same versions.
+            for address, load in known.items():
+                if load is not None:
+                    self._total_by_address[address] = load
+                else:
+                    self._total_by_address.pop(address, None)
 
     def begin_prompts(self, reservations: tuple[Reservation, ...]) -> None:
         """Adds the prompt of a request that was sent."""
@@ -97,14 +139,19 @@
 
     def _add_prompts(
         self, reservations: tuple[Reservation, ...], sign: int
+    ) -> None:
+        for load_by_address in (self._own_by_address, self._total_by_address):
+            self._change_prompts(load_by_address, reservations, sign)
+
+    @staticmethod
+    def _change_prompts(
+        load_by_address: dict[str, Load],
+        reservations: tuple[Reservation, ...],
+        sign: int,
     ) -> None:
         for reservation in reservations:
             change = Load(prompt_token_layers=reservation.prompt_token_layers)
-            for load_by_address in (
-                self._own_by_address,
-                self._total_by_address,
-            ):
-                _accumulate(load_by_address, reservation.address, change, sign)
+            _accumulate(load_by_address, reservation.address, change, sign)
 
     def record_report(
         self, now: float, peer: str, loads: Mapping[str, Load]
@@ -122,6 +169,14 @@
             _accumulate(totals, address, load, 1)
         for address in known.keys() - loads.keys():
             _accumulate(totals, address, known[address], -1)
+        self.on_freed()
+
+    def report_age(self, now: float) -> float:
+        """Returns the seconds since the oldest of the peers' last reports."""
+        return max(
+            (now - received_at for received_at, _ in self._peer_loads.values()),
+            default=0.0,
+        )
 
     def expire(self, now: float) -> None:
         """Drops the reports of peers that no longer send any."""
@@ -141,6 +196,11 @@
         """Returns the load of a backend server over all routers."""
         return self._total_by_address.get(address, NO_LOAD)
 
+    def versions(self, addresses: Sequence[str]) -> tuple[int, ...]:
+        """Returns the versions of the loads of several backend servers."""
+        get = self._total_by_address.get
+        return tuple([get(each, NO_LOAD).version for each in addresses])
+
     def _subtract_report(self, peer: str) -> None:
         _, loads = self._peer_loads.pop(peer, (0.0, {}))
         for address, load in loads.items():
@@ -159,6 +219,7 @@
     load = loads.get(address)
     if load is None:
         load = loads[address] = Load()
+    load.version = next(_versions)
     load.requests += sign * change.requests
     load.requests_as_first += sign * change.requests_as_first
     load.token_layers += sign * change.token_layers
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
@@ -1,5 +1,6 @@
 """Messages between routers, encoded as CBOR."""
 
+from typing import Any
 import zlib
 
 import cbor2
@@ -75,6 +76,8 @@
             negative if the store serves it.
         watches: whether the sender watches the store, and relays the changes to
             the routers of its failure domain.
+        demand: changes of the demand of the sender's callers. The rows are
+            checked one by one.
     """
 
     vm: str
@@ -99,6 +102,7 @@
     failing_for_ms: int = -1
     failed_ago_ms: int = -1
     watches: bool = False
+    demand: list[Any] = []
 
 
 class EntryRow(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
@@ -16,6 +16,7 @@
 from nutmeglift_gateway import store_reader
 from nutmeglift_gateway import suspect_rows
 from nutmeglift_gateway import view_age
+from nutmeglift_gateway.load import demand_rows
 from nutmeglift_gateway.load import report_intervals
 
 PACE_REPORT_MAX_AGE_SECONDS = 1.0
@@ -49,6 +50,8 @@
         self.plans = False
         self._load_encoder = load_rows.Encoder()
         self._load_decoder = load_rows.Decoder()
+        self._demand_encoder = demand_rows.Encoder()
+        self._demand_decoder = demand_rows.Decoder()
         self._poison_encoder = poison_rows.Encoder()
         self._paces_sent_until = float("-inf")
         self._sequence = 0
@@ -114,6 +117,7 @@
             failing_for_ms=outage.failing_for_ms(now),
             failed_ago_ms=outage.failed_ago_ms(now),
             watches=self._reader.relays_changes,
+            demand=self._demand_encoder.encode(board.demand.own(now)),
         )
         self._paces_sent_until = now
         return report
@@ -221,7 +225,13 @@
         hold_off_rows.apply(
             now, report.hold_offs, board.directory, board.hold_offs
         )
-        self._apply_poison(report, now)
+        problems = self._demand_decoder.apply(report.demand)
+        board.demand.record_report(
+            now, report.vm, dict(self._demand_decoder.demand_by_key)
+        )
+        problems += self._apply_poison(report, now)
+        if problems:
+            self._reader.delay_log.write_malformed_rows(report.vm, problems)
         self._apply_confirmation(report)
         self._compare_views(report, boot_now)
         return (
@@ -248,14 +258,14 @@
 
     def _apply_poison(
         self, report: peer_messages.PeerReport, now: float
-    ) -> None:
+    ) -> list[str]:
+        """Returns what is wrong with the rows."""
         guard = self._board.guard
         problems = poison_rows.apply(now, report.vm, report.poison, guard)
         self._poison_encoder.record_peer_digest(
             now, report.poison.digest, guard.digest()
         )
-        if problems:
-            self._reader.delay_log.write_malformed_rows(report.vm, problems)
+        return problems
 
     def _apply_planner_report(
         self, report: peer_messages.PeerReport, now: float
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
@@ -27,6 +27,7 @@
 from nutmeglift_gateway import sender as senders
 from nutmeglift_gateway import sse
 from nutmeglift_gateway import successor_paths
+from nutmeglift_gateway.load import path_choice
 
 
 class StreamAttempts:
@@ -35,6 +36,7 @@
     Attributes:
         no_path_detail: why no path was available.
         last_server: first runner of the attempt that ended last.
+        first_path: path of the first attempt, if it has just been found.
     """
 
     def __init__(
@@ -58,6 +60,7 @@
         """
         self.no_path_detail = ""
         self.last_server: directory.Server | None = None
+        self.first_path: paths.Path | None = None
         self._context = context
         self._sender = sender
         self._admitted = admitted
@@ -82,7 +85,7 @@
         self._successor_path = None
         if self._is_quarantined():
             return self._quarantined("requests like it end servers")
-        path = self._find_path()
+        path, self.first_path = self.first_path or self._find_path(), None
         if path is None:
             return None
         outcome = await self._start(path)
@@ -150,23 +153,23 @@
         engine = self._admitted.service.engine
         assert engine is not None
         now = self._loop.time()
-        requirements = paths.PathRequirements(
-            board.home, self._admitted.held_tokens
-        )
+        needs = self._admitted.needs
+        requirements = path_choice.make_requirements(board, needs)
         board.hold_offs.expire(now)
         usable = board.usable(self._admitted.service.id)
         finder = board.path_finder(engine, now)
         untried = self._failures.untried(usable)
-        path: paths.Path | None = None
         for servers in board.hold_offs.by_preference(untried):
-            if path is not None:
-                break
             if self._reply.progress.sent:
                 path = successor_paths.find_path(
                     finder, servers, requirements, self._context.rng
                 )
             else:
-                path = finder.find(servers, requirements)
+                path = path_choice.find_path(
+                    board, finder, servers, requirements, now
+                )
+            if path is not None:
+                break
         if path is None and self._reply.progress.started:
             path = finder.find(usable, requirements)
         if path is None:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_resumer.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_resumer.py
@@ -1,5 +1,6 @@
 """Decides whether a stream is resumed by a successor of its attempt."""
 
+import dataclasses
 import random
 
 from nutmeglift_gateway import board as boards
@@ -12,6 +13,7 @@
 from nutmeglift_gateway import retry_policy
 from nutmeglift_gateway import running_stream
 from nutmeglift_gateway import successor_paths
+from nutmeglift_gateway.load import path_choice
 
 SUCCESSOR_RETRY_SECONDS = 0.12
 """Delay before another search for a successor's path: it takes CPU time, and
@@ -88,7 +90,12 @@
         """
         # Without the reservation, streams that lose the same runner would all
         # choose the same free capacity.
-        stream.reserve_resume_path(self._board, path)
+        requirements = self._requirements(stream)
+        stream.reserve_resume_path(
+            self._board,
+            path,
+            requirements.prompt_tokens if requirements.by_objective else 0,
+        )
         engine = stream.admitted.service.engine
         assert engine is not None
         self._board.link_budget.record_transfer(
@@ -155,9 +162,7 @@
                 for server in board.usable(stream.admitted.service.id)
                 if server.id not in excluded
             ],
-            paths.PathRequirements(
-                board.home, stream.tokens, may_cross=may_cross
-            ),
+            self._requirements(stream, may_cross=may_cross),
             self._rng,
         )
         if path is None or not board.link_budget.has_room(
@@ -166,6 +171,15 @@
             return None
         return path
 
+    def _requirements(
+        self, stream: running_stream.Stream, *, may_cross: bool = True
+    ) -> paths.PathRequirements:
+        return dataclasses.replace(
+            path_choice.make_requirements(self._board, stream.admitted.needs),
+            tokens=stream.tokens,
+            may_cross=may_cross,
+        )
+
     def _may_retry(self, stream: running_stream.Stream) -> bool:
         """Returns whether a stream's request may be sent once more."""
         route = stream.admitted.route
--- a/tests/gateway/test_poison_rows.py
+++ b/tests/gateway/test_poison_rows.py
@@ -260,6 +260,7 @@
                 "failing_for_ms",
                 "failed_ago_ms",
                 "watches",
+                "demand",
             ),
         )
         # It decodes what lacks these fields.
@@ -272,7 +273,7 @@
         found = peer_messages.decode(older)
         self.assertEqual(
             [getattr(found, name) for name in added_since],
-            [poison_rows.PoisonReport(), 0, 0, [], -1, -1, False],
+            [poison_rows.PoisonReport(), 0, 0, [], -1, -1, False, []],
         )
 
 
