--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/path_choice.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/path_choice.py
@@ -61,8 +61,9 @@
     Without an urgency, it is the cheapest path. With one, it is a path whose
     forecast meets the objective: the cheapest one, unless more urgent requests
     need that; then the more slow ones are preferred the more a request
-    tolerates. If none meets it, it is the path with the earliest first event,
-    which may pass from one failure domain to another.
+    tolerates. If none meets it, it is the cheapest one, or for the most urgent
+    requests the one with the earliest first event, which may pass from one
+    failure domain to another.
 
     Args:
         board: the router's shared state.
@@ -81,8 +82,9 @@
         return finder.find(servers, requirements)
     domains = {path.first.domain for path in found}
     found.sort(key=lambda path: _preference(path, requirements.home, 0.0))
+    cheapest = found[0]
     tolerance = objectives.tolerance(urgency)
-    if tolerance > 0 and _is_contended(finder, requirements, found[0]):
+    if tolerance > 0 and _is_contended(finder, requirements, cheapest):
         found.sort(
             key=lambda path: _preference(path, requirements.home, tolerance)
         )
@@ -93,6 +95,8 @@
         if _meets(forecast, remaining, objectives):
             return path
         candidates.append((forecast.first_event_seconds, path))
+    if tolerance > 0:
+        return cheapest
     earliest = finder.find_earliest(
         [server for server in servers if server.domain in domains], requirements
     )
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/running_stream.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/running_stream.py
@@ -106,23 +106,15 @@
             self._reserved = ()
 
     def reserve_resume_path(
-        self, board: boards.Board, path: paths.Path, prompt_tokens: int
+        self, board: boards.Board, path: paths.Path
     ) -> None:
-        """Reserves capacity on a path until the stream is resumed there.
-
-        Args:
-            board: tracks the loads.
-            path: the path.
-            prompt_tokens: tokens to count as waiting at its runners.
-        """
+        """Reserves capacity on a path until the stream is resumed there."""
         self.release_resume_path(board)
-        self._resume_reserved = path.reservations(self.tokens, prompt_tokens)
+        self._resume_reserved = path.reservations(self.tokens)
         board.load_tracker.reserve(self._resume_reserved)
-        board.load_tracker.begin_prompts(self._resume_reserved)
 
     def release_resume_path(self, board: boards.Board) -> None:
         """Releases the capacity reserved for resuming."""
-        board.load_tracker.end_prompts(self._resume_reserved)
         board.load_tracker.release(self._resume_reserved)
         self._resume_reserved = ()
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_resumer.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_resumer.py
@@ -1,6 +1,5 @@
 """Decides whether a stream is resumed by a successor of its attempt."""
 
-import dataclasses
 import random
 
 from nutmeglift_gateway import board as boards
@@ -13,7 +12,6 @@
 from nutmeglift_gateway import retry_policy
 from nutmeglift_gateway import running_stream
 from nutmeglift_gateway import successor_paths
-from nutmeglift_gateway.load import path_choice
 
 SUCCESSOR_RETRY_SECONDS = 0.12
 """Delay before another search for a successor's path: it takes CPU time, and
@@ -65,21 +63,12 @@
         if not self.has_stopped(stream, now):
             return False
         stream.resume_not_before = now + SUCCESSOR_RETRY_SECONDS
-        requirements = dataclasses.replace(
-            path_choice.make_requirements(self._board, stream.admitted.needs),
-            tokens=stream.tokens,
-            may_cross=may_cross,
-        )
-        path = self._find_resume_path(stream, now, requirements)
+        path = self._find_resume_path(stream, now, may_cross=may_cross)
         if path is None or not self._try_spend_retry(stream, now):
             return False
         # Without the reservation, streams that lose the same runner would all
         # choose the same free capacity.
-        stream.reserve_resume_path(
-            self._board,
-            path,
-            requirements.prompt_tokens if requirements.by_objective else 0,
-        )
+        stream.reserve_resume_path(self._board, path)
         engine = stream.admitted.service.engine
         assert engine is not None
         self._board.link_budget.record_transfer(
@@ -117,10 +106,7 @@
         )
 
     def _find_resume_path(
-        self,
-        stream: running_stream.Stream,
-        now: float,
-        requirements: paths.PathRequirements,
+        self, stream: running_stream.Stream, now: float, *, may_cross: bool
     ) -> paths.Path | None:
         """Returns a path without the stream's first runner, or None."""
         board = self._board
@@ -135,7 +121,9 @@
                 for server in board.usable(stream.admitted.service.id)
                 if server.id not in excluded
             ],
-            requirements,
+            paths.PathRequirements(
+                board.home, stream.tokens, may_cross=may_cross
+            ),
             self._rng,
         )
         if path is None or not board.link_budget.has_room(
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/successor_paths.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/successor_paths.py
@@ -11,12 +11,10 @@
 
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import paths
-from nutmeglift_gateway.load import first_event
 
 MAX_COST_RATIO = 3.0
 """Multiple of the cheapest path's cost up to which another one is used. A
-stream that waits for its turn on the cheapest one loses more. Where requests
-differ in their objectives, the time to the first event is the cost."""
+stream that waits for its turn on the cheapest one loses more."""
 
 
 def find_path(
@@ -43,25 +41,14 @@
     }
     if not path_by_domain:
         return finder.find(servers, requirements)
-    cost_by_domain = {
-        domain: _cost(finder, requirements, path)
-        for domain, path in path_by_domain.items()
-    }
-    limit = MAX_COST_RATIO * min(cost_by_domain.values())
-    if cost_by_domain.get(requirements.home, float("inf")) <= limit:
-        return path_by_domain[requirements.home]
-    domains = sorted(d for d, cost in cost_by_domain.items() if cost <= limit)
-    weights = [1.0 / cost_by_domain[domain] for domain in domains]
-    return path_by_domain[rng.choices(domains, weights)[0]]
-
-
-def _cost(
-    finder: paths.PathFinder,
-    requirements: paths.PathRequirements,
-    path: paths.Path,
-) -> float:
-    if not requirements.by_objective:
-        return path.cost
-    return first_event.forecast(
-        finder.engine, finder.costs, path, requirements.prompt_tokens
-    ).first_event_seconds
+    limit = MAX_COST_RATIO * min(p.cost for p in path_by_domain.values())
+    home_path = path_by_domain.get(requirements.home)
+    if home_path is not None and home_path.cost <= limit:
+        return home_path
+    candidates = [
+        path_by_domain[domain]
+        for domain in sorted(path_by_domain)
+        if path_by_domain[domain].cost <= limit
+    ]
+    weights = [1.0 / path.cost for path in candidates]
+    return rng.choices(candidates, weights)[0]
