--- a/packages/nutmeglift_gateway/nutmeglift_gateway/context.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/context.py
@@ -10,6 +10,8 @@
 from nutmeglift_gateway import metrics as metric_sets
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import stream_monitor
+from nutmeglift_gateway.load import hedging
+from nutmeglift_gateway.load import waiting_room
 
 
 @dataclasses.dataclass(frozen=True)
@@ -25,7 +27,9 @@
         log: log of the router's decisions.
         metrics: counters and histograms.
         rng: random number generator.
+        waiting: lets requests wait for room.
         gate: lets requests wait for the first configuration.
+        second_attempts: decides on second attempts beside slow ones.
     """
 
     board: boards.Board
@@ -36,6 +40,10 @@
     log: decision_log.DecisionLog
     metrics: metric_sets.Metrics
     rng: random.Random
+    waiting: waiting_room.WaitingRoom
     gate: configuration_gate.ConfigurationGate = dataclasses.field(
         default_factory=configuration_gate.ConfigurationGate
     )
+    second_attempts: hedging.Hedging = dataclasses.field(
+        default_factory=hedging.Hedging
+    )
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -34,11 +34,13 @@
 from nutmeglift_gateway import request_memory
 from nutmeglift_gateway import settings
 from nutmeglift_gateway import settings_reload
+from nutmeglift_gateway import settings_source
 from nutmeglift_gateway import store_reader
 from nutmeglift_gateway import stream_monitor
 from nutmeglift_gateway import supervision
 from nutmeglift_gateway import unsent_responses
 from nutmeglift_gateway import unserved_requests
+from nutmeglift_gateway.load import waiting_room
 
 
 class Gateway:
@@ -55,7 +57,7 @@
         readiness_path: str,
         log: decision_log.DecisionLog,
         rng: random.Random,
-        load_settings: Callable[[], settings.Settings] | None = None,
+        source: settings_source.BaseSettingsSource,
         listeners: early_listeners.Listeners | None = None,
     ) -> None:
         """Assembles a router.
@@ -69,13 +71,12 @@
             readiness_path: path of the platform's readiness check.
             log: log of decisions.
             rng: random number generator.
-            load_settings: reads the settings again on SIGHUP.
+            source: the settings; read again on SIGHUP and when they change.
             listeners: sockets that are already listening, by address.
         """
         self._config = config
         self._rng = rng
         self._listeners = listeners or {}
-        self._load_settings = load_settings or (lambda: config)
         self._log = log
         self._readiness_path = readiness_path
         self.metrics = metric_sets.Metrics()
@@ -92,6 +93,7 @@
             self._reader.outage,
             log,
             rng,
+            self._reader.readers,
         )
         failure_recorder = recorders.FailureRecorder(
             self.board, log, self.metrics
@@ -136,6 +138,9 @@
             log,
             self.metrics,
             rng,
+            waiting_room.WaitingRoom(
+                self.board, config.room, self.metrics, log, rng
+            ),
         )
         self._callers: set[http_listener.CallerConnection] = set()
         self._checkers: set[http_listener.CallerConnection] = set()
@@ -146,7 +151,9 @@
         )
         self._exchanges: set[asyncio.Task[None]] = set()
         self._tasks: list[asyncio.Task[None]] = []
-        self._reloading: asyncio.Task[None] | None = None
+        self._reloader = settings_reload.SettingsReloader(
+            source, self._apply_settings, log
+        )
 
     async def run(self) -> None:
         """Serves until SIGTERM, then drains."""
@@ -155,7 +162,7 @@
         leaving = asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, leaving.set)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGTERM})
-        loop.add_signal_handler(signal.SIGHUP, self._start_reload)
+        loop.add_signal_handler(signal.SIGHUP, self._reloader.start)
         listen = self._config.listen
         callers = await self._listen(
             listen.callers, self._on_request, self._callers, self._memory
@@ -189,6 +196,7 @@
             first_start=self._config.first_start,
         )
         await leaving.wait()
+        self._context.waiting.drain()
         self._start(self._registration.end())
         await graceful_shutdown.GracefulShutdown(
             self.board,
@@ -220,26 +228,15 @@
                 functools.partial(self._peers.serve, self._config.listen.peers),
             ),
             ("peer links", self._peers.dial),
+            ("settings", self._reloader.run),
         ]
 
-    def _start_reload(self) -> None:
-        """Handles SIGHUP; a reload that still runs is replaced."""
-        if self._reloading is not None:
-            self._reloading.cancel()
-        self._reloading = asyncio.get_running_loop().create_task(self._reload())
-        self._reloading.add_done_callback(self._on_done)
-
-    async def _reload(self) -> None:
+    def _apply_settings(self, found: settings.Settings) -> bool:
         """Applies changed bounds; changed addresses need a restart."""
-        try:
-            found = await settings_reload.load_settled(self._load_settings)
-        except errors.SettingsError as error:
-            self._log.write("settings not reloaded", detail=str(error))
-            return
         changed = found.bounds != self._config.bounds
         self._config = found
         self.board.set_bounds(found.bounds)
-        self._log.write("settings reloaded", bounds_changed=changed)
+        return changed
 
     async def _listen(
         self,
@@ -348,16 +345,15 @@
             self.metrics.generation.set(board.catalog.generation)
             age = board.freshness.age(freshness.boot_clock())
             self.metrics.confirmation_age.set(age)
-        now = asyncio.get_running_loop().time()
         view = self._reader.view
         self.metrics.view_age.set(view.view_age.age(freshness.boot_clock()))
-        self.metrics.catalog_behind.set(
-            view.catalog.lag.behind_for(freshness.boot_clock())
-        )
+        behind = view.catalog.lag.behind_for(freshness.boot_clock())
+        self.metrics.catalog_behind.set(behind)
         self.metrics.holding_off.set(board.hold_offs.count)
-        self.metrics.lapse_window.set(
-            max(0.0, board.directory.lapse_window_end - now)
-        )
+        end = board.directory.lapse_window_end
+        left = max(0.0, end - asyncio.get_running_loop().time())
+        self.metrics.lapse_window.set(left)
+        self._context.waiting.update_metrics()
         return self.metrics.text()
 
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
@@ -368,8 +364,7 @@
     def _on_done(self, task: "asyncio.Task[None]") -> None:
         if task.cancelled():
             return
-        error = task.exception()
-        if error is not None:
+        if (error := task.exception()) is not None:
             self._log.write("internal error", detail=repr(error))
 
 
@@ -389,10 +384,8 @@
 
 
 RunGateway = Callable[
-    [settings.Settings, Callable[[], settings.Settings]],
+    [settings.Settings, settings_source.BaseSettingsSource],
     Coroutine[Any, Any, None],
 ]
-"""Assembles a router with the platform's adapters and runs it.
-
-The parameters are the settings, and a function that reads them again.
-"""
+"""Runs a router with the platform's adapters, by its settings and where to read
+them again."""
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/room.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/room.py
@@ -16,12 +16,14 @@
         urgency: its priority and objectives.
         prompt_tokens: tokens of its prompt.
         held_tokens: tokens that it holds in the KV cache on average.
+        rank: order in which requests get room; 0 comes first.
     """
 
     service: ids.ServiceId
     urgency: urgencies.Urgency
     prompt_tokens: int
     held_tokens: float
+    rank: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,12 +34,19 @@
         first_event_seconds: expected time to its first event.
         fastest_seconds: expected time to the first event of an equal request
             on the fastest path, once this one was sent.
-        used_ratio: used part of the path's memory or slots, whichever is more.
+        used_ratio: used part of the path's memory or slots, whichever is more,
+            once this request was sent.
+        capacity_tokens: tokens that the service's runners hold at once, over
+            all paths.
+        link_used_ratio: used part of this router's share of the links between
+            failure domains that the path crosses.
     """
 
     first_event_seconds: float
     fastest_seconds: float
     used_ratio: float
+    capacity_tokens: float
+    link_used_ratio: float = 0.0
 
 
 class BaseRoom(abc.ABC):
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/loads.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/loads.py
@@ -1,7 +1,10 @@
 """Load of each backend server, summed over all routers."""
 
+from collections.abc import Callable
+from collections.abc import Iterator
 from collections.abc import Mapping
 from collections.abc import Sequence
+import contextlib
 import dataclasses
 import itertools
 
@@ -59,9 +62,14 @@
 
 
 class LoadTracker:
-    """Sums this router's reservations and those that other routers report."""
+    """Sums this router's reservations and those that other routers report.
+
+    Attributes:
+        on_freed: called when capacity may have become free.
+    """
 
     def __init__(self) -> None:
+        self.on_freed: Callable[[], None] = lambda: None
         self._own_by_address: dict[str, Load] = {}
         self._peer_loads: dict[str, tuple[float, Mapping[str, Load]]] = {}
         self._total_by_address: dict[str, Load] = {}
@@ -92,6 +100,34 @@
         for reservation in reservations:
             _add(self._own_by_address, reservation, -1)
             _add(self._total_by_address, reservation, -1)
+        if reservations:
+            self.on_freed()
+
+    @contextlib.contextmanager
+    def trial(self, reservations: tuple[Reservation, ...]) -> Iterator[None]:
+        """Counts a request and its prompt while the context lasts.
+
+        The context must not be left before it ends, as by `await`.
+        """
+        known = {
+            each.address: self._total_by_address.get(each.address)
+            for each in reservations
+        }
+        for address, load in known.items():
+            if load is not None:
+                self._total_by_address[address] = dataclasses.replace(load)
+        for reservation in reservations:
+            _add(self._total_by_address, reservation, 1)
+        self._change_prompts(self._total_by_address, reservations, 1)
+        try:
+            yield
+        finally:
+            # The loads as they were, with the same versions.
+            for address, load in known.items():
+                if load is not None:
+                    self._total_by_address[address] = load
+                else:
+                    self._total_by_address.pop(address, None)
 
     def begin_prompts(self, reservations: tuple[Reservation, ...]) -> None:
         """Adds the prompt of a request that was sent."""
@@ -103,23 +139,44 @@
 
     def _add_prompts(
         self, reservations: tuple[Reservation, ...], sign: int
+    ) -> None:
+        for load_by_address in (self._own_by_address, self._total_by_address):
+            self._change_prompts(load_by_address, reservations, sign)
+
+    @staticmethod
+    def _change_prompts(
+        load_by_address: dict[str, Load],
+        reservations: tuple[Reservation, ...],
+        sign: int,
     ) -> None:
         for reservation in reservations:
             change = Load(prompt_token_layers=reservation.prompt_token_layers)
-            for load_by_address in (
-                self._own_by_address,
-                self._total_by_address,
-            ):
-                _accumulate(load_by_address, reservation.address, change, sign)
+            _accumulate(load_by_address, reservation.address, change, sign)
 
     def record_report(
         self, now: float, peer: str, loads: Mapping[str, Load]
     ) -> None:
         """Replaces the loads that a peer reported before."""
-        self._subtract_report(peer)
+        _, known = self._peer_loads.get(peer, (0.0, {}))
         self._peer_loads[peer] = (now, loads)
+        totals = self._total_by_address
         for address, load in loads.items():
-            _accumulate(self._total_by_address, address, load, 1)
+            old = known.get(address)
+            if old is load:
+                continue
+            if old is not None:
+                _accumulate(totals, address, old, -1)
+            _accumulate(totals, address, load, 1)
+        for address in known.keys() - loads.keys():
+            _accumulate(totals, address, known[address], -1)
+        self.on_freed()
+
+    def report_age(self, now: float) -> float:
+        """Returns the seconds since the oldest of the peers' last reports."""
+        return max(
+            (now - received_at for received_at, _ in self._peer_loads.values()),
+            default=0.0,
+        )
 
     def expire(self, now: float) -> None:
         """Drops the reports of peers that no longer send any."""
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/metrics.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/metrics.py
@@ -1,5 +1,6 @@
 """Metrics of a router in the Prometheus text format."""
 
+from collections.abc import Sequence
 import enum
 
 import prometheus_client
@@ -47,11 +48,21 @@
         self.attempts = self._counter(
             "attempts", "Attempts at backend servers.", ["outcome"]
         )
+        self.second_attempts = self._counter(
+            "second_attempts", "Second attempts beside a slow one.", ["event"]
+        )
+        self.second_attempts_denied = self._counter(
+            "second_attempts_denied",
+            "Slow requests without a second attempt.",
+            ["reason"],
+        )
         self.repairs = self._counter(
             "stream_repairs", "Running streams moved.", ["how", "outcome"]
         )
         self.store_calls = self._counter(
-            "store_calls", "Calls to the key-value service.", ["call"]
+            "store_calls",
+            "Calls to the key-value service, by controller.",
+            ["call", "caller"],
         )
         self.orders = self._counter(
             "orders", "Orders to runners.", ["order", "outcome"]
@@ -77,6 +88,31 @@
         self.answer = self._histogram(
             "answer_seconds", "Time to a plain answer."
         )
+        self.admitted = self._counter(
+            "admitted", "Requests admitted.", ["service", "priority"]
+        )
+        self.queue_wait = self._histogram(
+            "queue_wait_seconds",
+            "Time for which requests waited for room.",
+            ["service", "priority"],
+        )
+        self.queue_refusals = self._counter(
+            "queue_refusals",
+            "Requests refused for lack of room.",
+            ["service", "priority", "reason"],
+        )
+        self.responses = self._counter(
+            "responses",
+            "Responses delivered in or after their objective.",
+            ["service", "priority", "objective"],
+        )
+        self.waiting = self._gauge("waiting", "Requests that wait for room.")
+        self.room = prometheus_client.Gauge(
+            PREFIX + "room_tokens",
+            "Tokens that the runners of a service hold, over all routers.",
+            ["service", "state"],
+            registry=self._registry,
+        )
         self.in_flight = self._gauge("in_flight", "Requests at work.")
         self.generation = self._gauge("generation", "Configuration in force.")
         self.confirmation_age = self._gauge(
@@ -113,10 +149,13 @@
             PREFIX + name, text, registry=self._registry
         )
 
-    def _histogram(self, name: str, text: str) -> prometheus_client.Histogram:
+    def _histogram(
+        self, name: str, text: str, labels: Sequence[str] = ()
+    ) -> prometheus_client.Histogram:
         return prometheus_client.Histogram(
             PREFIX + name,
             text,
+            labels,
             buckets=LATENCY_BUCKETS_SECONDS,
             registry=self._registry,
         )
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import dataclasses
 import functools
 
 from nutmeglift_gateway import admission
@@ -20,45 +19,24 @@
 from nutmeglift_gateway import paths
 from nutmeglift_gateway import reply as replies
 from nutmeglift_gateway import retry_policy
+from nutmeglift_gateway import running_attempt
 from nutmeglift_gateway import running_stream
 from nutmeglift_gateway import runs
+from nutmeglift_gateway import second_attempts
+from nutmeglift_gateway import second_streams
 from nutmeglift_gateway import sender as senders
 from nutmeglift_gateway import sse
 from nutmeglift_gateway import successor_paths
 from nutmeglift_gateway.load import path_choice
 
 
-@dataclasses.dataclass(eq=False)
-class _Running:
-    """An attempt that was sent and has not ended."""
-
-    stream: running_stream.Stream
-    events: sse.EventSplitter
-    run: runs.Run
-    upstream: http_call.Connection | None = None
-
-    @property
-    def receiver(self) -> attempt.ResponseReceiver:
-        return self.stream.receiver
-
-    @property
-    def server(self) -> directory.Server:
-        return self.stream.path.first
-
-    def has_gone_on(self, silent_since: float) -> bool:
-        """Returns whether an event or a valid end ended its silence."""
-        done = self.receiver.done
-        return self.receiver.last_byte_at != silent_since or (
-            done.done() and done.result().failure is None
-        )
-
-
 class StreamAttempts:
     """The attempts at one stream, of which at most two run at a time.
 
     Attributes:
         no_path_detail: why no path was available.
         last_server: first runner of the attempt that ended last.
+        first_path: path of the first attempt, if it has just been found.
     """
 
     def __init__(
@@ -82,17 +60,21 @@
         """
         self.no_path_detail = ""
         self.last_server: directory.Server | None = None
+        self.first_path: paths.Path | None = None
         self._context = context
         self._sender = sender
         self._admitted = admitted
         self._reply = reply
         self._failures = failures
         self._last_event_id = last_event_id
-        self._running: list[_Running] = []
+        self._running: list[running_attempt.Running] = []
         self._changed = asyncio.Event()
         self._successor_path: paths.Path | None = None
         self._paused = False
         self._loop = asyncio.get_running_loop()
+        self._second = second_attempts.SecondAttempt(
+            context, admitted, reply.progress, self._on_second_due
+        )
 
     async def next_outcome(self) -> attempt.Outcome | None:
         """Starts an attempt and returns how the last one running has ended.
@@ -103,7 +85,7 @@
         self._successor_path = None
         if self._is_quarantined():
             return self._quarantined("requests like it end servers")
-        path = self._find_path()
+        path, self.first_path = self.first_path or self._find_path(), None
         if path is None:
             return None
         outcome = await self._start(path)
@@ -135,10 +117,15 @@
         for running in list(self._running):
             if not running.receiver.done.done():
                 continue
-            outcome = self._checked(running.receiver)
+            outcome = running_attempt.checked_outcome(
+                running.receiver, self._reply.progress
+            )
             self._end(running)
             self.last_server = running.server
-            if outcome.failure is None or not self._running:
+            if outcome.failure is None:
+                self._second.record_answer(running.server)
+                return outcome
+            if not self._running:
                 return outcome
             self._failures.record(
                 self._admitted, outcome, running.server, self._reply
@@ -153,6 +140,7 @@
         """Ends all attempts."""
         for running in list(self._running):
             self._end(running)
+        self._second.end()
 
     def set_writable(self, writable: bool) -> None:
         """Pauses reading from the runners while the caller reads too slowly."""
@@ -160,27 +148,6 @@
         for running in self._running:
             self._apply_backpressure(running)
 
-    def _checked(self, receiver: attempt.ResponseReceiver) -> attempt.Outcome:
-        """Returns an attempt's outcome, in the light of the events so far.
-
-        A complete response other than a stream can't follow events. A stream
-        without events ends the response, which is empty if it is the first.
-        """
-        outcome = receiver.done.result()
-        response = outcome.response
-        if outcome.failure is not None:
-            return outcome
-        if not self._reply.progress.started:
-            if response is None and receiver.head is not None:
-                response = http_call.Response(receiver.head, b"")
-            return attempt.Outcome(None, response)
-        if response is None:
-            return outcome
-        return attempt.Outcome(
-            retry_policy.Failure.INVALID,
-            detail=f"status {response.status} without the rest of the stream",
-        )
-
     def _find_path(self) -> paths.Path | None:
         board = self._context.board
         engine = self._admitted.service.engine
@@ -234,7 +201,7 @@
         self._update_pairing()
 
     async def _start(
-        self, path: paths.Path, beside: _Running | None = None
+        self, path: paths.Path, beside: running_attempt.Running | None = None
     ) -> attempt.Outcome | None:
         """Starts an attempt.
 
@@ -297,6 +264,10 @@
             path=path,
             last_event_id=self._last_event_id,
         )
+        if self._second.is_on:
+            self._second.record_sent(
+                path.first, second_streams.expected_seconds(admitted, path)
+            )
         self._apply_backpressure(running)
         return None
 
@@ -305,15 +276,17 @@
         holds_off = self._context.board.hold_offs.holds_off
         return any(holds_off(part.server.lifetime) for part in path.parts)
 
-    def _new_attempt(self, path: paths.Path, now: float) -> _Running:
+    def _new_attempt(
+        self, path: paths.Path, now: float
+    ) -> running_attempt.Running:
         events = sse.EventSplitter(self._last_event_id)
         receiver = attempt.ResponseReceiver(
             self._context.names,
             self._admitted.request_id,
             events=events,
             on_events=lambda head, data: self._on_events(running, head, data),
-            on_hold_off=functools.partial(
-                self._context.failure_recorder.record_hold_off, path.first
+            on_announcement=functools.partial(
+                self._context.failure_recorder.record_announcement, path.first
             ),
         )
         stream = running_stream.Stream(
@@ -332,10 +305,10 @@
             now,
             survived=self._reply.progress.survived,
         )
-        running = _Running(stream, events, run)
+        running = running_attempt.Running(stream, events, run)
         return running
 
-    def _end(self, running: _Running) -> None:
+    def _end(self, running: running_attempt.Running) -> None:
         """Ends an attempt and releases what it holds."""
         if running in self._running:
             self._running.remove(running)
@@ -363,9 +336,13 @@
             running.stream.paired = len(self._running) > 1
 
     def _on_events(
-        self, running: _Running, head: http_call.Head, data: bytes
+        self,
+        running: running_attempt.Running,
+        head: http_call.Head,
+        data: bytes,
     ) -> None:
         board = self._context.board
+        self._second.record_answer(running.server)
         for other in [each for each in self._running if each is not running]:
             self._context.log.write(
                 "attempt superseded",
@@ -388,10 +365,16 @@
         self._successor_path = path
         self._changed.set()
 
+    def _on_second_due(self) -> None:
+        if len(self._running) == 1:
+            second_streams.start(
+                self._context, self._second, self._running[0].stream
+            )
+
     def _on_change(self, done: "asyncio.Future[attempt.Outcome]") -> None:
         self._changed.set()
 
-    def _apply_backpressure(self, running: _Running) -> None:
+    def _apply_backpressure(self, running: running_attempt.Running) -> None:
         if running.upstream is None:
             return
         running.stream.set_paused(self._paused, self._loop.time())
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -34,6 +34,17 @@
         self.assertEqual(loaded.listen.callers, "10.0.0.1:80")
         self.assertEqual(loaded.bounds.revocation_seconds, 5.0)
         self.assertEqual(loaded.bounds.retry_ratio, 0.2)
+        self.assertEqual(loaded.bounds.second_attempt_ratio, 0.0)
+        loaded = load(GOOD + "  second_attempt_ratio: 0.05")
+        self.assertEqual(loaded.bounds.second_attempt_ratio, 0.05)
+        loaded = load(GOOD)
+        self.assertEqual(loaded.room, settings.Room())
+
+    def test_the_room_settings_are_loaded(self):
+        loaded = load(GOOD + "room: {by_priority: false, max_waiting: 9}")
+        self.assertEqual(
+            loaded.room, settings.Room(by_priority=False, max_waiting=9)
+        )
 
     def test_invalid_settings(self):
         cases = [
@@ -45,6 +56,21 @@
             GOOD.replace("shutdown_seconds: 8", "shutdown_seconds: 0"),
             GOOD.replace("shutdown_seconds: 8", "shutdown_secs: 8"),
             GOOD.replace("shutdown_seconds: 8", "shutdown_seconds: soon"),
+            GOOD + "room: 1",
+            GOOD + "room: {by_priority: perhaps}",
+            GOOD + "room: {urgent_ratio: 0}",
+            GOOD + "room: {urgent_ratio: 1.1}",
+            GOOD + "room: {max_wait_seconds: 0}",
+            GOOD + "room: {max_waiting: 0}",
+            GOOD + "room: {max_waiting: 2.5}",
+            GOOD + "room: {max_waiting_mb: -1}",
+            GOOD + "room: {max_queue: 1}",
+            GOOD + "memory_mb: 8",
+            GOOD + "memory_mb: 100\nroom: {max_waiting_mb: 100}",
+            GOOD + "  second_attempt_ratio: -0.01",
+            GOOD + "  second_attempt_ratio: .nan",
+            GOOD + "  second_attempt_ratio: often",
+            GOOD + "  second_attempt_ratio: 0.21",
         ]
         for text in cases:
             with (
