--- a/packages/nutmeglift_gateway/nutmeglift_gateway/plain_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/plain_attempts.py
@@ -76,7 +76,7 @@
         self._changed = asyncio.Event()
         self._loop = asyncio.get_running_loop()
         self._second = second_attempts.SecondAttempt(
-            context, admitted, reply.progress, self._on_second_due
+            context, admitted, reply, self._on_second_due
         )
         self._starting: asyncio.Task[None] | None = None
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/second_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/second_attempts.py
@@ -7,6 +7,7 @@
 from nutmeglift_gateway import admission
 from nutmeglift_gateway import context as contexts
 from nutmeglift_gateway import directory
+from nutmeglift_gateway import reply as replies
 from nutmeglift_gateway import retry_budget
 from nutmeglift_gateway import retry_policy
 from nutmeglift_gateway import runs
@@ -33,7 +34,7 @@
         self,
         context: contexts.Context,
         admitted: admission.Admitted,
-        progress: retry_policy.Progress,
+        reply: replies.Reply,
         on_due: Callable[[], None],
     ) -> None:
         """Initializes without any attempt.
@@ -41,13 +42,14 @@
         Args:
             context: the router's shared components.
             admitted: the request.
-            progress: attempts made so far for the request.
+            reply: the response to the caller.
             on_due: called when the first attempt is slow; has to find another
                 server.
         """
         self._context = context
         self._admitted = admitted
-        self._progress = progress
+        self._reply = reply
+        self._progress = reply.progress
         self._on_due = on_due
         self._loop = asyncio.get_running_loop()
         self._timer: asyncio.TimerHandle | None = None
@@ -82,7 +84,7 @@
         route = self._admitted.route
         if self._progress.sent != 1 or not route.repeatable:
             return
-        objective_at = now + route.objective
+        objective_at = now - self._reply.elapsed() + route.objective
         for action in self._context.second_attempts.handle(
             now,
             hedging.Sent(group, expected_seconds, self._ratio, objective_at),
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
@@ -70,7 +70,7 @@
         self._paused = False
         self._loop = asyncio.get_running_loop()
         self._second = second_attempts.SecondAttempt(
-            context, admitted, reply.progress, self._on_second_due
+            context, admitted, reply, self._on_second_due
         )
 
     async def next_outcome(self) -> attempt.Outcome | None:
