--- a/tests/gateway/test_cli.py
+++ b/tests/gateway/test_cli.py
@@ -21,7 +21,10 @@
     ):
         try:
             cli.main(
-                platform_command.make_run({}), path, platform_command.open_store
+                platform_command.make_run({}),
+                path,
+                platform_command.open_store,
+                platform_command.configuration_format,
             )
         except SystemExit as error:
             return error.code or 0, out.getvalue(), err.getvalue()
