--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_messages.py
@@ -8,6 +8,8 @@
 
 from nutmeglift import decoding
 from nutmeglift import errors
+from nutmeglift import ids
+from nutmeglift import kv
 from nutmeglift_gateway import budget_rows
 from nutmeglift_gateway import cbor_items
 from nutmeglift_gateway import hold_off_rows
@@ -113,6 +115,16 @@
     revision: int
 
 
+def entry_row(entry: kv.KeyValue) -> EntryRow:
+    """Returns the row of an entry."""
+    return EntryRow(entry.key, entry.value, entry.mod_revision)
+
+
+def key_value(row: EntryRow) -> kv.KeyValue:
+    """Returns the entry of a row."""
+    return kv.KeyValue(row.key, row.value, ids.Revision(row.revision))
+
+
 class CatalogRequest(msgspec.Struct, array_like=True, frozen=True, tag="want"):
     """Requests a copy of the configuration.
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
@@ -25,8 +25,6 @@
 MAX_UNECHOED_COUNT = 50
 """Reports whose times are kept for a peer that echoes none: those of a second
 in which all of them are urgent."""
-MAX_AGE_SECONDS = 1e9
-"""Greater than any known age; stands for an unknown one."""
 
 
 class PeerState:
@@ -81,11 +79,11 @@
             sequence=self._sequence,
             echo=self._received,
             generation=board.catalog.generation if board.catalog else 0,
-            confirmation_age=_known_age(age),
+            confirmation_age=view_age.known_age(age),
             store_age=(
                 -1.0
                 if self._reader.is_down
-                else _known_age(self._view_age(boot_now))
+                else view_age.known_age(self._view_age(boot_now))
             ),
             store_revision=self._reader.view.confirmed_revision,
             coverage_in=max(0.0, board.coverage_eta - now),
@@ -158,7 +156,7 @@
                 if age + min_difference < self._view_age(boot_now):
                     self._reader.view.apply_servers(
                         now,
-                        [_key_value(entry) for entry in entries],
+                        [peer_messages.key_value(entry) for entry in entries],
                         boot_now - age,
                     )
             case peer_messages.Changes(after, rows):
@@ -367,7 +365,7 @@
         compressed = self._reader.view.catalog.compressed()
         if own is None or compressed is None or own.generation <= generation:
             return []
-        return [peer_messages.CatalogCopy(_row(compressed))]
+        return [peer_messages.CatalogCopy(peer_messages.entry_row(compressed))]
 
     def _request_servers(
         self, report: peer_messages.PeerReport, now: float, boot_now: float
@@ -389,21 +387,8 @@
     def _copy_servers(self, boot_now: float) -> list[peer_messages.Message]:
         """Returns a copy for a peer with an older view."""
         age = self._view_age(boot_now)
-        if self._reader.is_down or age >= MAX_AGE_SECONDS:
+        if self._reader.is_down or age >= view_age.MAX_AGE_SECONDS:
             return []
         entries = self._reader.view.server_entries()
-        return [
-            peer_messages.ServersCopy(age, [_row(entry) for entry in entries])
-        ]
-
-
-def _known_age(age: float) -> float:
-    return age if age < MAX_AGE_SECONDS else -1.0
-
-
-def _row(entry: kv.KeyValue) -> peer_messages.EntryRow:
-    return peer_messages.EntryRow(entry.key, entry.value, entry.mod_revision)
-
-
-def _key_value(row: peer_messages.EntryRow) -> kv.KeyValue:
-    return kv.KeyValue(row.key, row.value, ids.Revision(row.revision))
+        rows = [peer_messages.entry_row(entry) for entry in entries]
+        return [peer_messages.ServersCopy(age, rows)]
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/view_age.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/view_age.py
@@ -31,6 +31,15 @@
     learned_at: float
 
 
+MAX_AGE_SECONDS = 1e9
+"""Greater than any known age; stands for an unknown one."""
+
+
+def known_age(age: float) -> float:
+    """Returns an age in seconds, or -1 for an unknown one."""
+    return age if age < MAX_AGE_SECONDS else -1.0
+
+
 class ViewAge:
     """Compares the revision of the view with those that the store had.
 
