--- a/packages/nutmeglift_gateway/nutmeglift_gateway/announcements.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/announcements.py
@@ -33,9 +33,9 @@
     Args:
         names: names of the headers.
         head: status and headers.
-        verdict: class of the response. One that may belong to another request
-            doesn't tell which server leaves, and neither does that of a server
-            which is not the one that was addressed.
+        verdict: class of the response. One that may belong to another request,
+            or that comes from another server than the addressed one, is not
+            taken as a statement that the server leaves.
     """
     hold_off = None
     if head.status == responses.UNAVAILABLE_STATUS:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/settings_source.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/settings_source.py
@@ -1,4 +1,4 @@
-"""Reads a router's settings and tells when they may have changed."""
+"""Reads a router's settings and detects that they may have changed."""
 
 import abc
 import os
--- a/tests/gateway/test_announcements.py
+++ b/tests/gateway/test_announcements.py
@@ -1,6 +1,7 @@
 """Requests beside servers that say in their responses that they leave."""
 
 import asyncio
+import unittest
 
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import leaving_servers
@@ -104,3 +105,7 @@
             self.assertTrue(leaving.record((rig.CORE, number)))
         self.assertNotIn((rig.CORE, 8), leaving)
         self.assertIn((rig.CORE, 9), leaving)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/gateway/test_platform_runners.py
+++ b/tests/gateway/test_platform_runners.py
@@ -1,6 +1,7 @@
 """Orders to runners over HTTP."""
 
 import json
+import unittest
 
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import ports
@@ -48,3 +49,7 @@
             5,
         )
         return outcome, received[0]
+
+
+if __name__ == "__main__":
+    unittest.main()
