Leave paths as they are where only client accounts' priorities differ

Cause: Catalog.objectives_by_service also counted the priority of every client account, so that requests 'differed' on deployments whose streaming routes all have one priority and one objective, and their paths were chosen by objective. Change: only streaming routes count. The table's row that expected accounts to count was wrong: it now expects the opposite, and has three more rows (accounts beside two priorities, plain routes of the same service).

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/catalog.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/catalog.py
@@ -263,24 +263,20 @@
     def objectives_by_service(
         self,
     ) -> dict[ids.ServiceId, objectives.Objectives]:
-        """What the streaming requests of each service ask for."""
-        own = {account.priority for account in self.account_by_key.values()}
+        """What the streaming routes of each service ask for.
+
+        Priorities of client accounts don't count: the paths of routes with one
+        priority and one objective don't depend on who calls.
+        """
         levels_by_service: dict[
             ids.ServiceId, list[tuple[int, float, float]]
         ] = {}
         for route in self.routes:
             if not route.streaming:
                 continue
-            levels = [
-                (
-                    route.priority if priority is None else priority,
-                    route.objective,
-                    route.gap_objective,
-                )
-                for priority in own | {None}
-            ]
+            level = (route.priority, route.objective, route.gap_objective)
             for each in route.services:
-                levels_by_service.setdefault(each.service, []).extend(levels)
+                levels_by_service.setdefault(each.service, []).append(level)
         return {
             service: found
             for service, levels in levels_by_service.items()
