Move the times of the reports on a link into a module of their own

Change: ReportTimes keeps when a router sent the reports that its peer echoes; nothing else changes. The test that looks at the number of kept times looks at them where they are now.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/peer_state.py
@@ -12,6 +12,7 @@
 from nutmeglift_gateway import peer_messages
 from nutmeglift_gateway import poison_rows
 from nutmeglift_gateway import relayed_changes
+from nutmeglift_gateway import report_times
 from nutmeglift_gateway import servers_fetch
 from nutmeglift_gateway import store_reader
 from nutmeglift_gateway import suspect_rows
@@ -22,9 +23,6 @@
 PACE_REPORT_MAX_AGE_SECONDS = 1.0
 """Paces read within this time are reported, once on each link. Nominal ones are
 included, so that a peer that considers a runner slow learns of its recovery."""
-MAX_UNECHOED_COUNT = 50
-"""Reports whose times are kept for a peer that echoes none: those of a second
-in which all of them are urgent."""
 MAX_AGE_SECONDS = 1e9
 """Greater than any known age; stands for an unknown one."""
 
@@ -54,10 +52,7 @@
         self._demand_decoder = demand_rows.Decoder()
         self._poison_encoder = poison_rows.Encoder()
         self._paces_sent_until = float("-inf")
-        self._sequence = 0
-        self._received = 0
-        self._echoed = 0
-        self._sent_at_by_sequence: dict[int, float] = {}
+        self._times = report_times.ReportTimes()
 
     def make_report(
         self, now: float, boot_now: float
@@ -69,17 +64,12 @@
             boot_now: seconds on the clock that includes time in suspension.
         """
         board = self._board
-        self._sequence += 1
-        self._sent_at_by_sequence[self._sequence] = boot_now
-        for old in list(self._sent_at_by_sequence):
-            if old < self._echoed or old < self._sequence - MAX_UNECHOED_COUNT:
-                del self._sent_at_by_sequence[old]
         outage = self._reader.outage
         age = board.freshness.age(boot_now)
         report = peer_messages.PeerReport(
             vm=self._vm,
-            sequence=self._sequence,
-            echo=self._received,
+            sequence=self._times.record_sent(boot_now),
+            echo=self._times.received,
             generation=board.catalog.generation if board.catalog else 0,
             confirmation_age=_known_age(age),
             store_age=(
@@ -176,9 +166,7 @@
                 "received this router's own report"
             )
         board = self._board
-        self._received = report.sequence
-        if report.echo in self._sent_at_by_sequence:
-            self._echoed = max(self._echoed, report.echo)
+        self._times.record_received(report.sequence, report.echo)
         is_served = report.store_age >= 0
         self.domain = ids.FailureDomain(report.domain)
         self.plans = bool(report.fence)
@@ -204,7 +192,7 @@
             self._apply_planner_report(report, now)
         elif report.watches:
             self._apply_watcher_report(report, now)
-        sent_at = self._sent_at_by_sequence.get(report.echo)
+        sent_at = self._times.sent_at(report.echo)
         budget_rows.apply(
             now,
             report.vm,
@@ -246,7 +234,7 @@
         self, report: peer_messages.PeerReport, now: float, boot_now: float
     ) -> None:
         """Dates a peer's failed calls, by our report that it echoes."""
-        sent_at = self._sent_at_by_sequence.get(report.echo)
+        sent_at = self._times.sent_at(report.echo)
         if sent_at is None or report.failed_ago_ms < 0:
             return
         made_at = now - boot_now + sent_at
@@ -319,7 +307,7 @@
             # not seen what the newest one takes away.
             self._reader.view.catalog.announce(ids.Revision(report.rejected))
             return
-        sent_at = self._sent_at_by_sequence.get(report.echo)
+        sent_at = self._times.sent_at(report.echo)
         if sent_at is None or report.confirmation_age < 0:
             return
         board.confirm(
@@ -337,7 +325,7 @@
         if report.store_revision < 0:
             return
         current_at = view_age.NEVER
-        sent_at = self._sent_at_by_sequence.get(report.echo)
+        sent_at = self._times.sent_at(report.echo)
         if sent_at is not None and report.store_age >= 0:
             current_at = sent_at - report.store_age
         self._reader.view.view_age.record_store_revision(
--- a/tests/gateway/test_peer_state.py
+++ b/tests/gateway/test_peer_state.py
@@ -79,7 +79,7 @@
         rig.confirm(self.two.board, 100.4)
         self.send(self.two, self.one, 1.4, 100.4)
         self.assertAlmostEqual(self.one.board.freshness.confirmed_at, 100.0)
-        self.assertLess(len(self.one.state._sent_at_by_sequence), 4)
+        self.assertLess(len(self.one.state._times._sent_at_by_sequence), 4)
 
     def test_a_confirmation_that_echoes_no_report_of_ours_is_ignored(self):
         rig.confirm(self.two.board, 99.0)
