Bound the bytes that wait also where the number of requests is reached

Cause: a request that displaced another one was not checked against max_waiting_mb, so that bodies of any size could replace small ones. Change: a request over the limit of bytes is turned out itself, too.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/admission_queue.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/admission_queue.py
@@ -119,7 +119,7 @@
     def _push(
         self, now: float, arrived: events.Arrived, wait: judgement.Wait
     ) -> list[events.Action]:
-        """Queues a request; returns what follows for one that is displaced."""
+        """Queues a request; returns what follows for those beyond a limit."""
         needs = arrived.needs
         self._waiting_by_number[arrived.number] = _Waiting(arrived, wait)
         self._bytes += arrived.body_bytes
@@ -137,9 +137,20 @@
                 needs.urgency.received_at + needs.urgency.objective,
             )
         )
-        number = arrived.number if displaced is None else displaced.number
-        if displaced is None and self._bytes <= self._limits.max_bytes:
-            return []
+        actions: list[events.Action] = []
+        if displaced is not None:
+            actions.append(self._turn_out(now, queue, displaced.number))
+        if (
+            self._bytes > self._limits.max_bytes
+            and arrived.number in self._waiting_by_number
+        ):
+            actions.append(self._turn_out(now, queue, arrived.number))
+        return actions
+
+    def _turn_out(
+        self, now: float, queue: fair_queue.FairQueue, number: int
+    ) -> events.Dispatch | events.Refuse:
+        """Ends the wait of a request beyond a limit; sends it if it may be."""
         out = self._remove(number).arrived
         verdict = self._judge.judge(now, out, len(queue))
         if isinstance(verdict, judgement.Wait):
@@ -154,7 +165,7 @@
                     (expected or 0.0) * (1 + len(queue)),
                     f"{len(self)} wait with {self._bytes} bytes",
                 )
-        return [verdict]
+        return verdict
 
     def _pass(
         self, now: float, service: ids.ServiceId, actions: list[events.Action]
--- a/tests/gateway/test_admission_queue.py
+++ b/tests/gateway/test_admission_queue.py
@@ -232,6 +232,15 @@
         self.handle(arrive(1, 2))
         self.assertEqual(self.handle(arrive(2, 0)), [("Refuse", 1)])
 
+    def test_bytes_are_bounded_also_where_the_number_is(self):
+        self.make_queue(max_waiting=2, max_bytes=1000.0)
+        self.handle(arrive(1), offer=SLOW)
+        self.handle(arrive(2), offer=SLOW)
+        for number in range(3, 6):
+            found = self.handle(arrive(number, 1, body_bytes=900), offer=SLOW)
+            self.assertTrue(found)
+            self.assertLessEqual(self.queue._bytes, 1000)
+
     def test_a_long_wait_ends_at_the_limit(self):
         self.make_queue(max_wait=1.0)
         self.room.next_offer = SLOW
