Refuse a request whose prompt is quarantined while it waits

Cause: its first attempt ended as quarantined before any server was chosen, which the exchange took for a programming error: the caller got 'overloaded' by way of an internal error. Change: what has waited is checked against the quarantines again, as its key is. Result: the new test got no response before; test_waiting_room and test_poison_exchange pass.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/exchange.py
@@ -167,14 +167,14 @@
         self._streams.first_path = verdict.path
         if not verdict.waited:
             return True
-        # Its key may have been revoked meanwhile.
+        # Its key may have been revoked, or its prompt quarantined, meanwhile.
         checked = self._admit()
         if isinstance(checked, admission.Refused):
             self._reply.refuse(
                 checked.kind, checked.retry_after, checked.detail
             )
             return False
-        return True
+        return not await self._refuse_quarantined(admitted)
 
     async def _run_attempts(self, admitted: admission.Admitted) -> None:
         while True:
--- a/tests/gateway/test_waiting_room.py
+++ b/tests/gateway/test_waiting_room.py
@@ -7,7 +7,9 @@
 from nutmeglift_gateway import catalog
 from nutmeglift_gateway import directory
 from nutmeglift_gateway import loads
+from nutmeglift_gateway import quarantine
 from nutmeglift_gateway.load import demand
+from nutmeglift_platform import names
 from tests.gateway import rig
 from tests.gateway import stand_ins
 from tests.gateway import test_exchange_stream
@@ -136,6 +138,25 @@
         self.assertEqual((await call).status, 401)
         self.assertEqual(len(self.runner.requests), 1)
 
+    async def test_a_request_that_is_quarantined_meanwhile_is_refused(self):
+        await self.rig.call("/draft/1")
+        self.begin_load()
+        segments = names.HEADERS.prompt_segments.decode().replace("-", "_")
+        call = asyncio.create_task(
+            self.rig.call("/batch/1", **{segments: b"bad:40"})
+        )
+        await asyncio.sleep(0.1)
+        now = asyncio.get_running_loop().time()
+        self.rig.board.guard.merge_entry(
+            now, quarantine.Entry(("bad",)), "test"
+        )
+        self.end_load()
+        response = await call
+        self.assertEqual(response.status, 503)
+        self.assertIn(b'"quarantined"', response.body)
+        self.assertEqual(self.logged("internal error"), [])
+        self.assertEqual(len(self.runner.requests), 1)
+
     async def test_a_stream_that_has_begun_does_not_wait(self):
         async def broken(request, writer, number):
             self.rig.register(
