Renew a lease once more before it lapses

Cause: a router in turns renews its lease after 1.5 of 3 s. If one renewal failed, the next one followed after at least another 1.5 s, so that the lease lapsed, also that of the reader, whose rank is the last while its call fails. Change: while the store serves a peer, the next renewal follows after 0.2 s as long as the lease lasts; later as before. The table of delays has a column for it, and three more rows.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/store_readers.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/store_readers.py
@@ -37,6 +37,9 @@
 DOUBT_COUNT = 2
 SERVED_RENEWAL_SECONDS = 1.5
 """Shortest delay of the next renewal while the store serves a peer."""
+LAST_RENEWAL_SECONDS = 0.2
+"""The same before the lease lapses. A renewal that is sent after half of its
+time to live and isn't answered for a second leaves time for another one."""
 RENEWALS = 3
 """Renewals of a lease in its time to live, by which a reader notices an outage
 early."""
@@ -177,7 +180,7 @@
         turn = self.turn(now)
         return FEW_RENEWALS if turn.is_shared and turn.rank else RENEWALS
 
-    def may_renew(self, now: float, failed_at: float) -> bool:
+    def may_renew(self, now: float, failed_at: float, lapses_at: float) -> bool:
         """Returns whether to renew the lease again after a failure.
 
         A renewal costs a tenth of another call unless it fails. While the store
@@ -186,6 +189,7 @@
         Args:
             now: the time.
             failed_at: time of the failure.
+            lapses_at: time at which the lease lapses.
         """
         turn = self.turn(now)
         if turn.rank == 0:
@@ -194,6 +198,8 @@
         delay = turn.max_retry_delay
         if any(peer.served for peer in peers.values()):
             delay = SERVED_RENEWAL_SECONDS
+            if now < lapses_at:
+                delay = LAST_RENEWAL_SECONDS
         return now - failed_at >= delay
 
     def turn(self, now: float) -> Turn:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/registration.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/registration.py
@@ -57,6 +57,7 @@
         self._rng = rng
         self._readers = readers
         self._ended = False
+        self._lapses_at = float("-inf")
 
     async def run(self) -> None:
         """Registers, and renews the lease, until cancelled."""
@@ -70,13 +71,16 @@
                 else:
                     await self._renew()
                 self._outage.record_answer(loop.time())
+                self._lapses_at = sent_at + LEASE_TTL_SECONDS
                 backoff.reset()
             except errors.PlatformError as error:
                 self._outage.record_failure(loop.time(), sent_at, str(error))
                 self._log.write("registration failed", detail=str(error))
                 failed_at = loop.time()
                 await asyncio.sleep(backoff.next_seconds())
-                while not self._readers.may_renew(loop.time(), failed_at):  # noqa: ASYNC110 - depends on the peers.
+                while not self._readers.may_renew(  # noqa: ASYNC110 - depends on the peers.
+                    loop.time(), failed_at, self._lapses_at
+                ):
                     await asyncio.sleep(POLL_INTERVAL_SECONDS)
                 continue
             await asyncio.sleep(
--- a/tests/gateway/test_store_readers.py
+++ b/tests/gateway/test_store_readers.py
@@ -119,18 +119,23 @@
     def test_when_a_lease_is_renewed_after_a_failure(self):
         served, unserved = ("a", True), ("a", False)
         cases = [
-            # name, router, peers, seconds since the failure, renewed
-            ("the reader", "1", {"2": unserved, "3": unserved}, 0.0, True),
-            ("another", "3", {"1": unserved, "2": unserved}, 3.0, False),
-            ("at last", "3", {"1": unserved, "2": unserved}, 10.0, True),
-            ("a peer is served", "3", {"1": served, "2": unserved}, 1.5, True),
-            ("too soon", "3", {"1": served, "2": unserved}, 1.4, False),
-            ("two routers", "2", {"1": unserved}, 0.0, True),
+            # name, router, peers, seconds since the failure, and until the
+            # lease lapses, renewed
+            ("the reader", "1", {"2": unserved, "3": unserved}, 0.0, 0, True),
+            ("another", "3", {"1": unserved, "2": unserved}, 3.0, 0, False),
+            ("at last", "3", {"1": unserved, "2": unserved}, 10.0, 0, True),
+            ("none served", "3", {"1": unserved, "2": unserved}, 0.2, 1, False),
+            ("one served", "3", {"1": served, "2": unserved}, 1.5, 0, True),
+            ("too soon", "3", {"1": served, "2": unserved}, 1.4, 0, False),
+            ("in time", "3", {"1": served, "2": unserved}, 0.3, 0.1, True),
+            ("at once", "3", {"1": served, "2": unserved}, 0.1, 0.1, False),
+            ("two routers", "2", {"1": unserved}, 0.0, 0, True),
         ]
-        for name, vm, peers, waited, renewed in cases:
+        for name, vm, peers, waited, left, renewed in cases:
             with self.subTest(name):
                 readers = make_readers(vm, peers, served=False)
-                self.assertIs(readers.may_renew(NOW, NOW - waited), renewed)
+                found = readers.may_renew(NOW, NOW - waited, NOW + left)
+                self.assertIs(found, renewed)
 
 
 class RetriesTest(unittest.TestCase):
