Run for election only if that is still possible after the wait for a turn

A router that began to drain meanwhile, or lost its lease or the store, wrote its entry all the same, perhaps without a lease, which others replace only after 3 s. Change: the conditions are checked again after the wait.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/election.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/election.py
@@ -78,18 +78,12 @@
         Returns:
             The fencing number if this router was elected.
         """
-        if now < self._not_before or self._board.draining:
-            return None
-        if not self._is_vacant(now):
-            return None
-        if self._registered.lease == registration.NO_LEASE:
-            return None
-        if not self._reader.is_live:
+        if now < self._not_before or not self._may_run(now):
             return None
         await asyncio.sleep(
             self._reader.turn.delay + self._rng.uniform(0, JITTER_SECONDS)
         )
-        if not self._is_vacant(now):
+        if not self._may_run(now):
             return None
         key = store_view.PLANNER_KEY
         found = self._reader.view.planner
@@ -110,6 +104,15 @@
         self._log.write("planner elected", fence=self.fence)
         return self.fence
 
+    def _may_run(self, now: float) -> bool:
+        """Returns whether there is no planner and this router can be it."""
+        return (
+            not self._board.draining
+            and self._is_vacant(now)
+            and self._registered.lease != registration.NO_LEASE
+            and self._reader.is_live
+        )
+
     def take_office(self, fence: ids.FencingNumber) -> None:
         """Records this router as the planner before the watch does."""
         self._reader.view.planner = kv.KeyValue(
--- a/tests/gateway/test_election.py
+++ b/tests/gateway/test_election.py
@@ -1,11 +1,15 @@
 """The election of the planner when its call is answered late or not at all."""
 
 import asyncio
+import functools
 import unittest
 
 from nutmeglift import errors
 from nutmeglift import kv
+from nutmeglift_gateway import election
+from nutmeglift_gateway import registration
 from nutmeglift_gateway import store_view
+from tests.gateway import rig
 from tests.gateway import test_controllers
 
 SETTLE_SECONDS = 5.0
@@ -76,6 +80,42 @@
 
         test_controllers.run_scenario(scenario)
 
+    def test_nobody_is_elected_who_leaves_or_loses_the_lease_meanwhile(self):
+        for change in ("none", "draining", "lease", "store"):
+            with self.subTest(change):
+                test_controllers.run_scenario(
+                    functools.partial(self.check_change, change)
+                )
+
+    async def check_change(self, change, deployment):
+        await deployment.put(test_controllers.CATALOG_KEY, b"config")
+        router = test_controllers.Router(deployment, "one")
+        router.planner_task.cancel()
+        await asyncio.sleep(1.0)
+        tested = election.Election(
+            deployment.store,
+            router.reader,
+            router.registration,
+            router.board,
+            "one",
+            router.log,
+            rig.make_rng(),
+        )
+        now = asyncio.get_running_loop().time()
+        running = asyncio.ensure_future(tested.run_once(now))
+        await asyncio.sleep(0)
+        match change:
+            case "draining":
+                router.board.draining = True
+            case "lease":
+                router.registration.lease = registration.NO_LEASE
+            case "store":
+                router.reader.outage.record_failure(now, now, "lost")
+        elected = await running is not None
+        self.assertEqual(elected, change == "none")
+        entry = await deployment.store.get(store_view.PLANNER_KEY)
+        self.assertEqual(entry is not None, elected)
+
 
 if __name__ == "__main__":
     unittest.main()
