Notice within the bound that the store is back, whoever is still cut off

Cause: after an outage the third and further routers of a failure domain left the calls to the planner and the first two for 10 s. Where these three stayed cut off from the store, the others kept an older configuration for longer than contact and config_apply_ms allow (3 and 2 s). Change: a lease is renewed again after 1.8 s at the latest, which ends the wait of the other calls. In an outage each router makes one such call about every 2 s rather than every 10 s; its price was not measured.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/store_readers.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/store_readers.py
@@ -37,9 +37,13 @@
 DOUBT_COUNT = 2
 SERVED_RENEWAL_SECONDS = 1.5
 """Shortest delay of the next renewal while the store serves a peer."""
+MAX_RENEWAL_DELAY_SECONDS = 1.8
+"""Longest delay of the next renewal: those before it in their turn may be cut
+off from a store that has returned. With the second after which a call fails it
+is within the operators' bound for contact."""
 LAST_RENEWAL_SECONDS = 0.2
-"""The same before the lease lapses. A renewal that is sent after half of its
-time to live and isn't answered for a second leaves time for another one."""
+"""Shortest delay before the lease lapses. A renewal that is sent after half of
+its time to live and isn't answered for a second leaves time for another one."""
 RENEWALS = 3
 """Renewals of a lease in its time to live, by which a reader notices an outage
 early."""
@@ -195,7 +199,7 @@
         if turn.rank == 0:
             return True
         peers = self._board.live_peers.in_domain(now, self._board.home)
-        delay = turn.max_retry_delay
+        delay = min(turn.max_retry_delay, MAX_RENEWAL_DELAY_SECONDS)
         if any(peer.served for peer in peers.values()):
             delay = SERVED_RENEWAL_SECONDS
             if now < lapses_at:
--- a/tests/gateway/test_shared_reading.py
+++ b/tests/gateway/test_shared_reading.py
@@ -16,6 +16,9 @@
 SETTLE_SECONDS = 3.0
 OUTAGE_SECONDS = 6.0
 PROBE_SECONDS = 0.05
+APPLY_SECONDS = 2.0
+"""The operators' bound for a configuration to take effect on all routers that
+have been in touch with the store for BOUNDS.contact_seconds."""
 RENEWAL = "/kv-keep/"
 
 
@@ -116,6 +119,25 @@
                     away or router.board.freshness.is_fresh(now), router.vm
                 )
 
+    async def test_a_store_that_returns_to_all_but_the_planner_and_two(self):
+        await self.deployment.stop()
+        self.deployment = store_routers.Deployment()
+        domain_by_name = dict.fromkeys(DOMAIN_BY_ROUTER, "a")
+        await self.deployment.start(list(domain_by_name), [], domain_by_name)
+        planner = await self.deployment.wait_for_planner()
+        await asyncio.sleep(SETTLE_SECONDS)
+        others = [r for r in self.deployment.routers if r is not planner]
+        nine = rig.make_catalog(generation=9)
+        self.deployment.schema.by_value[b"nine"] = nine
+        self.deployment.leave()
+        await asyncio.sleep(OUTAGE_SECONDS / 2)
+        for router in others[2:]:
+            router.store.away = False
+        await self.deployment.put(store_routers.CATALOG_KEY, b"nine")
+        await asyncio.sleep(BOUNDS.contact_seconds + APPLY_SECONDS)
+        for router in others[2:]:
+            self.assertEqual(router.board.catalog.generation, 9, router.vm)
+
     async def test_nobody_trusts_a_configuration_past_the_bound(self):
         self.deployment.leave()
         left_at = self.loop.time()
