Deny a second attempt while a more urgent request waits for room

Cause: the hook of the decision on second attempts was connected to nothing, so that an extra run could take room for which a more urgent request waits. Change: the waiting room answers it, by rank. Measured: test_waiting_room (one more), test_hedging, test_second_attempts pass.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -142,6 +142,9 @@
                 self.board, config.room, self.metrics, log, rng
             ),
         )
+        self._context.second_attempts.is_urgent_waiting = (
+            self._context.waiting.is_urgent_waiting
+        )
         self._callers: set[http_listener.CallerConnection] = set()
         self._checkers: set[http_listener.CallerConnection] = set()
         self._memory = request_memory.for_process(config.memory_mb)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/hedging.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/hedging.py
@@ -107,7 +107,7 @@
 
     Attributes:
         service: the service.
-        priority: the request's priority.
+        rank: the request's rank; 0 is the most urgent.
         draining: whether this router is leaving.
         has_attempts_left: whether its route allows another attempt.
         suspected: whether requests like it may have ended a server.
@@ -115,7 +115,7 @@
     """
 
     service: ids.ServiceId
-    priority: int
+    rank: int
     draining: bool
     has_attempts_left: bool
     suspected: bool
@@ -176,12 +176,12 @@
 
     Attributes:
         is_urgent_waiting: returns whether a request of a service that is more
-            urgent than a priority waits for room.
+            urgent than a rank waits for room.
     """
 
     def __init__(self) -> None:
         self.is_urgent_waiting: Callable[[ids.ServiceId, int], bool] = (
-            lambda service, priority: False
+            lambda service, rank: False
         )
         self._sketches: latency_sketches.LatencySketches | None = None
 
@@ -229,7 +229,7 @@
             return Denial.NO_ATTEMPT_LEFT
         if due.suspected:
             return Denial.SUSPECT
-        if self.is_urgent_waiting(due.service, due.priority):
+        if self.is_urgent_waiting(due.service, due.rank):
             return Denial.URGENT_WAITING
         if not due.within_limit:
             return Denial.LIMIT
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/waiting_room.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/waiting_room.py
@@ -160,6 +160,15 @@
             self._ranked = _find_ranked(found.routes if found else ())
         return self._ranked
 
+    def is_urgent_waiting(self, service: ids.ServiceId, rank: int) -> bool:
+        """Returns whether a request waits that is more urgent than a rank."""
+        return any(
+            waiting.queued
+            and waiting.admitted.service.id == service
+            and waiting.admitted.rank < rank
+            for waiting in self._waiting_by_number.values()
+        )
+
     def record_end(self, admitted: admission.Admitted) -> None:
         """Records that a request ended, which frees its room."""
         if self._enabled and admitted.service.id in self._ranked:
--- a/tests/gateway/test_hedging.py
+++ b/tests/gateway/test_hedging.py
@@ -71,11 +71,11 @@
             ({"draining": True}, denial.DRAINING),
             ({"has_attempts_left": False}, denial.NO_ATTEMPT_LEFT),
             ({"suspected": True}, denial.SUSPECT),
-            ({"priority": 2}, denial.URGENT_WAITING),
+            ({"rank": 2}, denial.URGENT_WAITING),
             ({"within_limit": False}, denial.LIMIT),
         ]
         decisions = make_hedging({})
-        decisions.is_urgent_waiting = lambda service, priority: priority > 1
+        decisions.is_urgent_waiting = lambda service, rank: rank > 1
         for changes, reason in cases:
             with self.subTest(changes=changes):
                 expected = hedging.Deny(reason) if reason else hedging.Seek()
--- a/tests/gateway/test_waiting_room.py
+++ b/tests/gateway/test_waiting_room.py
@@ -104,6 +104,20 @@
         self.assertGreater(line["waited"], 0.2)
         self.assertIn("rank 0", line["detail"])
 
+    async def test_what_waits_is_urgent_to_lower_ranks_of_its_service(self):
+        is_urgent_waiting = self.rig.context.waiting.is_urgent_waiting
+        self.assertFalse(is_urgent_waiting(rig.MODEL, 9))
+        call = await self.hold_back()
+        for service, rank, expected in (
+            (rig.MODEL, 2, False),
+            (rig.MODEL, 3, True),
+            (ids.ServiceId("other"), 3, False),
+        ):
+            with self.subTest(service=service, rank=rank):
+                self.assertIs(is_urgent_waiting(service, rank), expected)
+        self.end_load()
+        await call
+
     async def test_the_drain_refuses_what_waits(self):
         call = await self.hold_back()
         self.rig.context.waiting.drain()
