Use plain terms in the gateway's comments

Cause: comments and docstrings had turns of phrase that a newcomer trips over. The syntax trees without docstrings are the same.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/admission.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/admission.py
@@ -29,7 +29,7 @@
 """Half of the interval between confirmations of the configuration, plus a
 round trip to the store."""
 MAX_DIGIT_COUNT = 19
-"""Numbers in headers fit into 64 bits. Python converts no more than 4,300
+"""Numbers in headers fit into 64 bits. Python converts at most 4,300
 digits, and floats overflow at 309."""
 
 
@@ -82,8 +82,8 @@
     def rank(self) -> int:
         """Order in which requests get room; 0 comes first.
 
-        The priority of the route decides among requests of equal priority, so
-        that it counts where all accounts have one of their own.
+        The priority of the route decides among requests of equal priority, also
+        if every account has its own.
         """
         route = max(0, min(MAX_PRIORITY, self.route.priority))
         return self.priority * (MAX_PRIORITY + 1) + route
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
@@ -167,7 +167,7 @@
         return not self._streaming
 
     def _report_announcement(self, head: http_call.Head) -> None:
-        """Reports it at once: the attempt itself may be cancelled."""
+        """Reports it immediately: the attempt itself may be cancelled."""
         found = announcements.read(self._names, head, self._verdict)
         if found is not None and self._on_announcement is not None:
             self._on_announcement(found)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/attempt_failures.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/attempt_failures.py
@@ -56,7 +56,7 @@
 
         If all servers were tried, they are returned again, except after a
         rejection or a failed connection: only servers whose response was lost
-        are worth another attempt.
+        are tried again.
         """
         if not self.tried:
             return usable
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/caller_request.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/caller_request.py
@@ -121,7 +121,7 @@
             self._count_partial()
 
     def _feed(self, data: bytes) -> bytes:
-        """Parses bytes and returns those that are to be parsed next."""
+        """Parses bytes and returns those to parse next."""
         if self.head_complete:
             self._framing_bytes += len(data)
         else:
@@ -149,7 +149,7 @@
         self._receiver.on_rejected(kind)
 
     def close(self) -> None:
-        """Parses no more, and drops what has been received of a request."""
+        """Stops parsing and drops the received part of a request."""
         self._rejected = True
         self._body.clear()
         self._headers.clear()
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/catalog_view.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/catalog_view.py
@@ -21,7 +21,7 @@
 class CatalogView:
     """Applies the versions that the store and the peers hold.
 
-    A version comes into force if its generation is greater. Revisions only tell
+    A version comes into force if its generation is greater. Revisions only show
     which of the store's versions is the newest: a store that comes back from an
     older copy holds an older one at a newer revision.
 
@@ -81,8 +81,8 @@
 
         Args:
             entry: the configuration's entry.
-            copied: whether it comes from a peer. What a peer sends tells
-                nothing of the store unless it can be read.
+            copied: whether it comes from a peer. What a peer sends shows
+                nothing about the store unless it can be read.
         """
         if self._was_read(entry, copied=copied):
             return
@@ -179,6 +179,6 @@
 
 
 def _digest(entry: kv.KeyValue) -> int:
-    """Returns a number that tells the values of two entries apart."""
+    """Returns a digest by which the values of entries are compared."""
     found = hashlib.blake2b(entry.value, digest_size=DIGEST_BYTES)
     return int.from_bytes(found.digest())
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/configuration_check.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/configuration_check.py
@@ -187,7 +187,7 @@
 
 
 def _check_priorities(draft: drafts.Draft) -> Iterator[Finding]:
-    """Finds accounts whose priority turns the order of two routes round."""
+    """Finds accounts whose priority reverses the order of two routes."""
     routes_by_service: dict[ids.ServiceId, list[catalog.Route]] = {}
     for route in draft.catalog.routes:
         for each in route.services:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/configuration_gate.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/configuration_gate.py
@@ -2,8 +2,8 @@
 
 Load: after all routers were killed, their callers come back as soon as the
 ports are open, and have one attempt left. A router reads its configuration
-within some tens of milliseconds. Callers beyond the limits are refused at once,
-so that they can go to another router.
+within some tens of milliseconds. Callers beyond the limits are refused
+immediately, so that they can go to another router.
 """
 
 import asyncio
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/connection_closing.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/connection_closing.py
@@ -23,7 +23,7 @@
         self._discarded_bytes = 0
 
     def begin(self, *, paused: bool) -> bool:
-        """Tells the caller that no more follows; it closes in turn.
+        """Signals the end of the data to the caller, which closes in turn.
 
         Args:
             paused: whether the connection isn't being read.
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/crash_detector.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/crash_detector.py
@@ -7,7 +7,7 @@
 next one is not considered crashed.
 
 Few routers watch each runner and report a crash to the others. Each of these
-confirms it by a connection of its own, as the report may be a consequence of
+confirms it by its own connection, as the report may be a consequence of
 the reporter's own network.
 """
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/crash_evidence.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/crash_evidence.py
@@ -88,7 +88,7 @@
 
     Attributes:
         at: loop time.
-        reported_at: loop time of the survival that peers were told last.
+        reported_at: loop time of the survival last reported to peers.
         stamp: position of that in the order of the changes at this router; 0
             if peers need not know it.
     """
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/drain.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/drain.py
@@ -37,7 +37,7 @@
 
 
 def closes_idle_connections(elapsed: float) -> bool:
-    """Returns whether idle keep-alive connections are to be closed.
+    """Returns whether to close idle keep-alive connections.
 
     Args:
         elapsed: seconds since SIGTERM.
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/freshness.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/freshness.py
@@ -22,7 +22,7 @@
 
 NONE = ids.Revision(0)
 CLOCK_DRIFT_MARGIN_SECONDS = 0.2
-"""Allows for clocks that drift apart within the bound."""
+"""Allows for clocks whose drift is within the bound."""
 RESTORE_SECONDS = 2.0
 """Shortest time in which the operators and the servers write again what a store
 that came back from an older copy has lost."""
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/http_call.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/http_call.py
@@ -128,7 +128,7 @@
         max_body_bytes: int = body_buffer.MAX_TOTAL_BYTES,
         body: bytes = b"",
     ) -> None:
-        """Writes a request, or fails at once if the connection is closed.
+        """Writes a request, or fails immediately if the connection is closed.
 
         Args:
             request: the complete request, or its head if `body` is given.
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
@@ -381,7 +381,7 @@
     def _close_after_response(self) -> None:
         """Closes the connection once the caller has received the response.
 
-        The caller is told that no more follows, and closes in turn.
+        The end of the data is signalled to the caller, which closes in turn.
         """
         assert self._transport is not None
         self.closed = True
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/admission_queue.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/admission_queue.py
@@ -4,7 +4,7 @@
 time. Without an order, the requests with the loosest objective are served best
 and those of the most urgent callers are late. Requests that wait are ordered by
 rank, then fairly among client accounts, then by the time left. While all
-requests of a service have the same rank, each is sent at once.
+requests of a service have the same rank, each is sent immediately.
 """
 
 import dataclasses
@@ -29,7 +29,7 @@
 class AdmissionQueue:
     """The requests of one router that wait for room.
 
-    A pass sends at most one request and asks to be called again at once, so
+    A pass sends at most one request and asks to be called again immediately, so
     that the next offer counts what the first request has reserved.
     """
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/hedging.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/hedging.py
@@ -28,7 +28,7 @@
 """Greatest part of the requests that counts as slow, also if the objective is
 missed by that."""
 MIN_SLOW_RATIO = 1e-3
-"""Smallest part; sketches of a minute know no smaller one."""
+"""Smallest part; sketches of a minute resolve no smaller one."""
 
 
 class Denial(enum.Enum):
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/path_room.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/path_room.py
@@ -28,7 +28,7 @@
     Attributes:
         found_at: loop time of the search.
         found: the paths.
-        capacity_tokens: tokens that the runners hold at once, over all paths.
+        capacity_tokens: tokens that the runners can hold, over all paths.
     """
 
     found_at: float
@@ -40,7 +40,7 @@
     """Room on the paths that a router would choose.
 
     Attributes:
-        last_path: path of the last offer, to be used at once if at all.
+        last_path: path of the last offer, to be used immediately or not at all.
     """
 
     def __init__(
@@ -198,7 +198,7 @@
 def _capacity(
     engine: catalog.Engine, servers: Iterable[directory.Server]
 ) -> float:
-    """Returns the tokens that runners hold at once, over all paths."""
+    """Returns the tokens that runners can hold, over all paths."""
     return (
         sum(
             engine.token_layer_capacity(
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/room.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/room.py
@@ -28,7 +28,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Offer:
-    """The best path that a request would get at once.
+    """The best path that a request would get now.
 
     Attributes:
         first_event_seconds: expected time to its first event.
@@ -36,7 +36,7 @@
             on the fastest path, once this one was sent.
         used_ratio: used part of the path's memory or slots, whichever is more,
             once this request was sent.
-        capacity_tokens: tokens that the service's runners hold at once, over
+        capacity_tokens: tokens that the service's runners can hold, over
             all paths.
         link_used_ratio: used part of this router's share of the links between
             failure domains that the path crosses.
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/waiting_room.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/waiting_room.py
@@ -167,7 +167,7 @@
             self._demand.record_end(now, admitted.service.id)
 
     def update_metrics(self) -> None:
-        """Updates what the metrics tell of room, for services with an order."""
+        """Updates the metrics of room, for services with an order."""
         for service in self._ranked_services():
             held, free = self._room.held_and_free(service)
             self._metrics.room.labels(service, "held").set(round(held))
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/plain_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/plain_attempts.py
@@ -23,7 +23,7 @@
 from nutmeglift_gateway import server_selection
 
 MAX_PENALTY_REQUESTS = 1.0
-"""A server with a greater penalty has lost responses of late, and gets no
+"""A server with a greater penalty has lost responses recently, and gets no
 second attempts."""
 
 _LOST_OR_INVALID = frozenset(
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/poison_detection.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/poison_detection.py
@@ -2,13 +2,13 @@
 
 Load: a few requests a second that end every runner that begins to answer them,
 beside sound requests with the same accounts and other segments, and beside
-crashes for other reasons, of single runners or many at once.
+crashes for other reasons, of one runner or of several at the same time.
 
 A segment is judged by the crashes since it was last survived. Each of them
 weighs as much as it is unlikely for a sound request: the logarithm of the ratio
 of requests that survived to requests that other crashes ended, over a while
 and around that very crash. A popular segment is likely to be in a request that
-something else in it makes end its server, so that a crash weighs no more than
+something else in it makes end its server, so that a crash weighs at most
 the logarithm of the inverse of its share of the requests. Crashes at the same
 time have one cause and count once: a crash counts only if its suspect was sent
 after the one before.
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/poison_guard.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/poison_guard.py
@@ -36,7 +36,7 @@
         quarantines: the segments that are not sent.
         listeners: called when a quarantine is imposed or renewed.
         on_decision: called with the name and the fields of each decision.
-        on_change: called when this router has something to tell its peers.
+        on_change: called when this router has something to report to its peers.
         is_ended: returns whether a lifetime of a server is known to have ended.
         router_count: returns the number of live routers.
         claim_trial: reserves a trial for a request of this router.
@@ -151,7 +151,7 @@
         reason: str,
         **fields: Any,
     ) -> bool:
-        """Applies this router's change of a quarantine; peers are told."""
+        """Applies this router's change of a quarantine, which peers receive."""
         if not self.quarantines.merge(now, entry):
             return False
         self.unsaved.add(entry.segments)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/poison_rows.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/poison_rows.py
@@ -1,7 +1,7 @@
-"""Encodes what routers tell each other of crashes and quarantines.
+"""Encodes the reports of crashes and quarantines between routers.
 
 A link carries what has changed since its last report. A router passes on what
-another one told it only to a peer that still lacks it after a while, as a
+another one reported only to a peer that still lacks it after a while, as a
 digest in that peer's reports shows: in a full mesh nothing is sent twice.
 """
 
@@ -91,7 +91,7 @@
 
 
 class Encoder:
-    """Selects what to tell the peer of one link."""
+    """Selects what to report to the peer of one link."""
 
     def __init__(self) -> None:
         self._crash_stamp = 0
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/read_turns.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/read_turns.py
@@ -26,7 +26,7 @@
         """
         loop = asyncio.get_running_loop()
         if loop is not self._loop:
-            # Those of a loop that has ended read no more.
+            # Those of a loop that has ended don't read.
             self._waiting.clear()
             self._loop = loop
         if not self._waiting:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/relayed_changes.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/relayed_changes.py
@@ -10,7 +10,7 @@
 """Larger values are left out: no entry that routers use has one but the
 configuration, which each router reads when it confirms it."""
 MAX_BATCH_BYTES = 1024 * 1024
-"""Splits changes into several messages, well below the limit of one."""
+"""Splits changes into several messages, far below the limit of one."""
 MAX_RECENT_COUNT = 256
 """Changes that are kept for peers that did not receive them: several seconds of
 a busy store."""
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/request_memory.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/request_memory.py
@@ -106,7 +106,7 @@
         return True
 
     def complete(self, holding: Holding, size: int) -> bool:
-        """Counts a request that has been received; it needs no more memory.
+        """Counts a request that has been received; it needs no further memory.
 
         Args:
             holding: memory of the request.
@@ -139,12 +139,12 @@
     def reserve(
         self, holding: Holding, size: int, on_reserved: Callable[[], None]
     ) -> bool:
-        """Reserves memory at once, or in turn.
+        """Reserves memory now, or in turn.
 
         Args:
             holding: memory of the request.
             size: largest number of bytes that the request will hold.
-            on_reserved: called once they are reserved, unless that is at once.
+            on_reserved: called once they are reserved, unless that is now.
 
         Returns:
             Whether the request may wait: False if so much is never reserved.
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/retry_budget.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/retry_budget.py
@@ -10,7 +10,7 @@
 it had sent stay counted until they have left the window. So do those of a
 process that has ended. A process that has just started knows neither the other
 routers nor what the process before it has sent. It has no share of the constant
-until a router that has run for a window has told it, or a window has passed.
+until a router that has run for a window reports it, or a window has passed.
 """
 
 import bisect
@@ -170,7 +170,7 @@
             settled_at: loop time from which this router has heard from the
                 others; it has no share of the slack before.
             complete_at: loop time from which it knows what was sent in the
-                window. Before, a peer that knows it has to tell.
+                window. Before, a peer that knows it has to report it.
         """
         self._ratio = ratio
         self._slack = slack
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/retry_delay.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/retry_delay.py
@@ -23,7 +23,7 @@
 RETURN_SPREAD_RATIO = 0.25
 """Part of the wait over which callers return to a server that held off."""
 MIN_RETURN_SPREAD_SECONDS = 0.2
-"""Least such time: callers that come at once are turned away again."""
+"""Least such time: callers that come at the same time are turned away again."""
 QUARANTINE_RETRY_SECONDS = 60.0
 """A quarantine ends at the earliest minutes after the last such request."""
 MAX_RETRY_SECONDS = 5.0
@@ -107,7 +107,7 @@
 def covers_layers(
     engine: catalog.Engine | None, servers: list[directory.Server]
 ) -> bool:
-    """Returns whether servers can serve a service, apart from their load.
+    """Returns whether servers can serve a service, whatever their load.
 
     Args:
         engine: parameters of its runners; None for a plain service.
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/sender.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/sender.py
@@ -81,8 +81,8 @@
             receiver: receives the response.
             remaining: seconds until the request's deadline.
             path: the runners and layers that it passes through, if any.
-            last_event_id: last event that was received; None if the caller's
-                header is to be forwarded.
+            last_event_id: last event that was received; None to forward
+                the caller's header.
         """
         self._progress.sent += 1
         self._progress.runs += 1
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stalls.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stalls.py
@@ -10,7 +10,7 @@
 requested."""
 SILENCE_TIMEOUT_SECONDS = 1.6
 """Callers abandon a silent stream after 2 s; another pipeline produces its
-first event in well under the remaining time."""
+first event in far less than the remaining time."""
 STEPS_PER_EVENT = 4
 """Tokens in one event; each takes one token step."""
 MIN_STALL_SLOWDOWN_RATIO = 4.0
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/store_reader.py
@@ -27,13 +27,13 @@
 
 PLANNER_CONFIRM_INTERVAL_SECONDS = 0.7
 """The planner confirms before the others, which add the interval of reports to
-the age of what it tells them."""
+the age of what it reports."""
 CONFIRM_INTERVAL_SECONDS = 1.15
 """With the jitter three quarters of the operators' bound for a change to take
 effect on all routers."""
 CONFIRM_JITTER_SECONDS = 0.3
 """Spreads the confirmations of routers whose planner and readers give none.
-Each is passed to the peers at once."""
+Each is passed to the peers immediately."""
 UNCONFIRMED_DELAY_SECONDS = 0.5
 """Delay after an answer that confirms nothing, as the operators have not yet
 written again what the store has lost."""
@@ -336,7 +336,7 @@
     def needs_catalog(self, now: float) -> bool:
         """Returns whether to read an announced configuration now.
 
-        Requests for it are at least COALESCE_DELAY_SECONDS apart.
+        Successive requests for it differ by COALESCE_DELAY_SECONDS at least.
         """
         return (
             self.view.catalog.is_missing
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/suspect_servers.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/suspect_servers.py
@@ -53,7 +53,7 @@
 SILENCE_REASONS = frozenset(
     {Reason.NO_REPORT, Reason.STALLED, Reason.REPORTED_BY_PEER}
 )
-"""Reasons for which a sound server that is silent for a moment is suspect."""
+"""Reasons for which a sound server that is briefly silent is suspect."""
 SHARED_REASONS = DOWN_REASONS - {Reason.REPORTED_BY_PEER}
 """Reasons that hold for all routers. NOT_CONNECTED is not among them: such a
 server may be cut off from this router only."""
@@ -165,13 +165,13 @@
     def may_go_on(
         self, now: float, address: str, lifetime: tuple[str, int]
     ) -> bool:
-        """Returns whether a suspect is silent, but not yet for long."""
+        """Returns whether a suspect is silent, but not yet lost."""
         return self.is_suspect(
             address, lifetime
         ) and now < self._record_by_address[address].lost_at < float("inf")
 
     def gives_no_report(self, address: str, lifetime: tuple[str, int]) -> bool:
-        """Returns whether a server's report was requested in vain.
+        """Returns whether a server's report was requested and not received.
 
         It is requested again by probes, so that no further request is needed.
         """
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/view_age.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/view_age.py
@@ -3,7 +3,7 @@
 Every linearizable response names the store's revision. A view that has this
 revision holds all changes that were acknowledged before the call was sent,
 however the changes reached it. A router that relies on changes relayed by
-another one therefore knows the age of its own view, and notices that changes
+another one therefore knows the age of its view, and notices that changes
 are missing.
 
 Times are seconds of the clock that includes time in suspension.
--- a/tests/gateway/retry_model.py
+++ b/tests/gateway/retry_model.py
@@ -198,7 +198,7 @@
                 self.arrivals.retries.append(self.now)
                 failed = self._rng.random() < self.failing
             if failed and repeats < 5 * due:
-                # A caller repeats at once, as a new request.
+                # A caller repeats immediately, as a new request.
                 repeats += 1
                 count += 1
 
--- a/tests/gateway/test_admission_queue.py
+++ b/tests/gateway/test_admission_queue.py
@@ -273,7 +273,7 @@
 
 
 class ShareTest(QueueTestCase):
-    """Load: twice what there is room for, for ten seconds."""
+    """Load: twice the capacity, for ten seconds."""
 
     def play(self, shares):
         """Returns how often each priority was asked, and sent in time."""
--- a/tests/gateway/test_loads.py
+++ b/tests/gateway/test_loads.py
@@ -149,7 +149,7 @@
 
 
 def make_copy(report):
-    """Returns a copy, as the tracker keeps what it is given."""
+    """Returns a copy, as the tracker keeps its argument."""
     return {
         address: loads.Load(
             load.requests, load.requests_as_first, load.token_layers
--- a/tests/gateway/test_peer_state.py
+++ b/tests/gateway/test_peer_state.py
@@ -75,7 +75,7 @@
         self.send(self.two, self.one, 1.3, 100.3)
         # It echoes our report at 100.0 and is 0.1 s old.
         self.assertAlmostEqual(self.one.board.freshness.confirmed_at, 99.9)
-        # Later reports that echo the same one of ours are dated by it as well.
+        # Later reports that echo the same one of ours are also dated by it.
         rig.confirm(self.two.board, 100.4)
         self.send(self.two, self.one, 1.4, 100.4)
         self.assertAlmostEqual(self.one.board.freshness.confirmed_at, 100.0)
--- a/tests/gateway/test_poison_rows.py
+++ b/tests/gateway/test_poison_rows.py
@@ -1,4 +1,4 @@
-"""What routers tell each other of crashes and quarantines."""
+"""Reports of crashes and quarantines between routers."""
 
 import unittest
 
--- a/tests/gateway/test_retry_budget.py
+++ b/tests/gateway/test_retry_budget.py
@@ -65,8 +65,8 @@
         self.assertLessEqual(spent, 240 + 0.2 * 880)
 
     def test_a_burst_at_all_routers_stays_within_the_budget(self):
-        # All lose a runner at once, with 40 streams each; the peer counts are
-        # up to 0.25 s old.
+        # All lose a runner at the same time, with 40 streams each; the peer
+        # counts are up to 0.25 s old.
         for routers in (2, 4, 12):
             with self.subTest(routers=routers):
                 budgets = [make_budget(slack=202.0) for _ in range(routers)]
