Say more plainly what the new modules of the gateway return

Cause: some docstrings added since were hard to read for a newcomer. Change: plainer docstrings and comments in 18 modules; no code, as the syntax trees without docstrings are the same.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/admission.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/admission.py
@@ -90,7 +90,7 @@
 
     @property
     def needs(self) -> room.RoomRequest:
-        """What it needs from the runners of its service."""
+        """What the request needs from the runners of its service."""
         return room.RoomRequest(
             self.service.id,
             urgencies.Urgency(
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/announcements.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/announcements.py
@@ -1,4 +1,4 @@
-"""What a server's response says of the server itself."""
+"""What a server's response says about the server itself."""
 
 import dataclasses
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/configuration_check.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/configuration_check.py
@@ -23,7 +23,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Finding:
-    """One thing that an operator should see.
+    """A problem or a difference to show to an operator.
 
     Attributes:
         severity: what it means.
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/delay_log.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/delay_log.py
@@ -6,8 +6,8 @@
 from nutmeglift_gateway import store_view
 
 LATE_CATALOG_SECONDS = 1.0
-"""Half of the operators' bound for a change to take effect; a configuration
-that is known for longer and not in force is logged."""
+"""Time after which a configuration that is known and not in force is logged:
+half of the operators' bound for a change to take effect."""
 
 
 class DelayLog:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/ended_lifetimes.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/ended_lifetimes.py
@@ -1,4 +1,4 @@
-"""Removes lifetimes of servers whose address another one has."""
+"""Removes lifetimes of servers whose address another server has."""
 
 import asyncio
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/link_budget.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/link_budget.py
@@ -71,7 +71,7 @@
     def seconds_until_room(
         self, now: float, path: paths.Path, routers: int
     ) -> float:
-        """Returns after which time another request may use a path.
+        """Returns the seconds until another request may use a path.
 
         Args:
             now: event loop time in seconds.
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/objectives.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/objectives.py
@@ -28,7 +28,7 @@
         return len(self.priorities) > 1 or self.shortest < self.longest
 
     def tolerance(self, urgency: urgencies.Urgency) -> float:
-        """Returns how far a request is from the most urgent, from 0 to 1.
+        """Returns the lack of urgency: 0 for the most urgent requests, up to 1.
 
         It grows with the number of priorities before the request's and with its
         objective, whichever is more.
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/path_room.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/path_room.py
@@ -113,9 +113,9 @@
     def seconds_until_freed(
         self, now: float, request: room.RoomRequest
     ) -> float | None:
-        """Returns after which time room for a request becomes free.
+        """Returns the time until room for a request becomes free.
 
-        It follows the last call of offer(), which was for the same request.
+        The last call of offer() was for the same request.
         """
         if self._full_path is not None:
             return self._board.link_budget.seconds_until_room(
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/report_intervals.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/report_intervals.py
@@ -16,7 +16,7 @@
 """Time without a report after which a router is not live: two reports may be
 late or missing."""
 FAR_TIMEOUT_SECONDS = 1.2
-"""The same for FAR_SECONDS."""
+"""The same for reports at intervals of FAR_SECONDS."""
 
 
 def interval(peer_count: int, *, is_near: bool, plans: bool) -> float:
@@ -34,7 +34,7 @@
 
 
 def timeout(peer_count: int, *, is_near: bool) -> float:
-    """Returns after which time without a report a peer is lost, in seconds.
+    """Returns the seconds without a report after which a peer is lost.
 
     Args:
         peer_count: live peers.
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/room.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/room.py
@@ -65,7 +65,7 @@
     def seconds_until_freed(
         self, now: float, request: RoomRequest
     ) -> float | None:
-        """Returns after which time room for a request becomes free.
+        """Returns the time until room for a request becomes free.
 
         Returns:
             The expected seconds, or None if that isn't known.
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/store_readers.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/store_readers.py
@@ -22,8 +22,9 @@
 """Time in which a reader's first results reach its peers: a call to the store,
 and a report."""
 MAX_TURN_COUNT = 2
-"""Later turns begin together: all read the store once the first two readers are
-lost, within a second with the time after which a lost one is noticed."""
+"""Later turns begin at the same time: all read the store once the first two
+readers are lost, within a second with the time after which a lost one is
+noticed."""
 RETRY_SECONDS = (0.5, 1.2, 10.0)
 """Longest delays of the next call to a store that does not serve this router,
 by its turn. The readers of several failure domains notice its return earlier
@@ -90,7 +91,7 @@
         return RETRY_SECONDS[min(self.rank, MAX_TURN_COUNT)]
 
     def jitter(self, longest: float, ratio: float) -> float:
-        """Returns by how much later than a reader to make a call, in seconds.
+        """Returns the delay of a call after that of a reader, in seconds.
 
         Args:
             longest: the longest delay.
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/waiting_room.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/waiting_room.py
@@ -212,7 +212,7 @@
         try:
             actions = self._queue.handle(now, events.RoomChanged())
         except Exception as error:
-            # What waits is sent as if there were no queue.
+            # Send all waiting requests, as without a queue.
             self._log.write("internal error", detail=repr(error))
             actions = tuple(map(events.Dispatch, self._waiting_by_number))
             for number in self._waiting_by_number:
@@ -224,7 +224,7 @@
             match action:
                 case events.Dispatch():
                     self._send(action)
-                    # The next one waits for what this one reserves only.
+                    # The next request waits only until this one has reserved.
                     self._last_pass_at = float("-inf")
                 case events.Refuse():
                     self._refuse(action)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/loads.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/loads.py
@@ -16,7 +16,7 @@
 it becomes free, and peers report their load, about this often."""
 
 ROUNDING_TOKEN_LAYERS = 1e-3
-"""Larger than what rounding leaves of reservations that have all ended."""
+"""Larger than the rounding error left once all reservations have ended."""
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/path_cache.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/path_cache.py
@@ -13,7 +13,7 @@
 from nutmeglift_gateway import path_costs
 
 ROUNDING_TOKENS = 1e-6
-"""Larger than what rounding makes of the tokens that a runner has room for."""
+"""Larger than the rounding error of the tokens that a runner has room for."""
 
 PathT = TypeVar("PathT")
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/plain_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/plain_attempts.py
@@ -166,7 +166,7 @@
         )
 
     def _on_second_due(self) -> None:
-        """Starts a second attempt beside a slow one if that pays."""
+        """Starts a second attempt beside a slow one, if allowed."""
         if len(self._running) != 1 or not self._second.may_seek():
             return
         board = self._context.board
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/planner_controller.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/planner_controller.py
@@ -106,7 +106,7 @@
         self._election.take_office(fence)
 
     async def _read_all_reports(self) -> None:
-        """Reads what the runners do for planners before, if there were any."""
+        """Reads the reports of runners that may have earlier orders."""
         found = self._board.catalog
         if found is None:
             return
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/running_attempt.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/running_attempt.py
@@ -48,7 +48,7 @@
 def checked_outcome(
     receiver: attempt.ResponseReceiver, progress: retry_policy.Progress
 ) -> attempt.Outcome:
-    """Returns an attempt's outcome, in the light of the events so far.
+    """Returns an attempt's outcome, given the events so far.
 
     A complete response other than a stream can't follow events. A stream
     without events ends the response, which is empty if it is the first.
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/second_streams.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/second_streams.py
@@ -29,7 +29,7 @@
     second: second_attempts.SecondAttempt,
     stream: running_stream.Stream,
 ) -> None:
-    """Starts a second attempt beside one without events, if that pays.
+    """Starts a second attempt beside one without events, if allowed.
 
     Args:
         context: the router's shared components.
