--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/waiting_room.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/waiting_room.py
@@ -176,7 +176,7 @@
             self._demand.record_end(now, admitted.service.id)
 
     def update_metrics(self) -> None:
-        """Updates what the metrics tell of room, for services with an order."""
+        """Updates the metrics of room, for services with an order."""
         for service in self._ranked_services():
             held, free = self._room.held_and_free(service)
             self._metrics.room.labels(service, "held").set(round(held))
@@ -221,7 +221,7 @@
         try:
             actions = self._queue.handle(now, events.RoomChanged())
         except Exception as error:
-            # What waits is sent as if there were no queue.
+            # Send all waiting requests, as without a queue.
             self._log.write("internal error", detail=repr(error))
             actions = tuple(map(events.Dispatch, self._waiting_by_number))
             for number in self._waiting_by_number:
@@ -233,7 +233,7 @@
             match action:
                 case events.Dispatch():
                     self._send(action)
-                    # The next one waits for what this one reserves only.
+                    # The next request waits only until this one has reserved.
                     self._last_pass_at = float("-inf")
                 case events.Refuse():
                     self._refuse(action)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/plain_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/plain_attempts.py
@@ -23,7 +23,7 @@
 from nutmeglift_gateway import server_selection
 
 MAX_PENALTY_REQUESTS = 1.0
-"""A server with a greater penalty has lost responses of late, and gets no
+"""A server with a greater penalty has lost responses recently, and gets no
 second attempts."""
 
 _LOST_OR_INVALID = frozenset(
@@ -166,7 +166,7 @@
         )
 
     def _on_second_due(self) -> None:
-        """Starts a second attempt beside a slow one if that pays."""
+        """Starts a second attempt beside a slow one, if allowed."""
         if len(self._running) != 1 or not self._second.may_seek():
             return
         board = self._context.board
