Start no second attempt while more urgent requests wait, nor fail at zero times

Cause: nothing told the second attempts which requests wait, so that they never left room to more urgent ones. The first answer on an engine whose steps take no time raised a division by zero for a request without prompt tokens. Change: the waiting room tells it, by rank, the order in which requests get room (accounts may all have one priority); the expected time has a smallest value.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/context.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/context.py
@@ -47,3 +47,7 @@
     second_attempts: hedging.Hedging = dataclasses.field(
         default_factory=hedging.Hedging
     )
+
+    def __post_init__(self) -> None:
+        """Lets second attempts leave room to what waits."""
+        self.second_attempts.is_urgent_waiting = self.waiting.is_urgent_waiting
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/hedging.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/hedging.py
@@ -30,6 +30,9 @@
 MIN_SLOW_RATIO = 1e-3
 """Smallest part; sketches of a minute know no smaller one."""
 
+MIN_EXPECTED_SECONDS = 1e-9
+"""Greater than zero, for engines whose steps are configured to take no time."""
+
 
 class Denial(enum.Enum):
     """Why a slow request gets no second attempt."""
@@ -107,7 +110,7 @@
 
     Attributes:
         service: the service.
-        priority: the request's priority.
+        rank: the order in which it gets room; 0 comes first.
         draining: whether this router is leaving.
         has_attempts_left: whether its route allows another attempt.
         suspected: whether requests like it may have ended a server.
@@ -115,7 +118,7 @@
     """
 
     service: ids.ServiceId
-    priority: int
+    rank: int
     draining: bool
     has_attempts_left: bool
     suspected: bool
@@ -176,12 +179,12 @@
 
     Attributes:
         is_urgent_waiting: returns whether a request of a service that is more
-            urgent than a priority waits for room.
+            urgent than a rank waits for room.
     """
 
     def __init__(self) -> None:
         self.is_urgent_waiting: Callable[[ids.ServiceId, int], bool] = (
-            lambda service, priority: False
+            lambda service, rank: False
         )
         self._sketches: latency_sketches.LatencySketches | None = None
 
@@ -229,7 +232,7 @@
             return Denial.NO_ATTEMPT_LEFT
         if due.suspected:
             return Denial.SUSPECT
-        if self.is_urgent_waiting(due.service, due.priority):
+        if self.is_urgent_waiting(due.service, due.rank):
             return Denial.URGENT_WAITING
         if not due.within_limit:
             return Denial.LIMIT
@@ -265,7 +268,9 @@
             from nutmeglift_gateway.load import latency_sketches  # noqa: PLC0415
 
             self._sketches = latency_sketches.LatencySketches()
-        value = answered.seconds / answered.expected_seconds
+        value = answered.seconds / max(
+            answered.expected_seconds, MIN_EXPECTED_SECONDS
+        )
         group = answered.group
         self._sketches.record(now, group, value)
         whole = dataclasses.replace(group, domain=None)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/waiting_room.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/waiting_room.py
@@ -166,6 +166,18 @@
             now = asyncio.get_running_loop().time()
             self._demand.record_end(now, admitted.service.id)
 
+    def is_urgent_waiting(self, service: ids.ServiceId, rank: int) -> bool:
+        """Returns whether a request that is more urgent than one waits.
+
+        Args:
+            service: the service of both.
+            rank: the rank of the less urgent one.
+        """
+        return any(
+            each.admitted.service.id == service and each.admitted.rank < rank
+            for each in self._waiting_by_number.values()
+        )
+
     def update_metrics(self) -> None:
         """Updates what the metrics tell of room, for services with an order."""
         for service in self._ranked_services():
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/second_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/second_attempts.py
@@ -98,7 +98,7 @@
         return self._is_allowed(
             hedging.Due(
                 admitted.service.id,
-                admitted.priority,
+                admitted.rank,
                 draining=board.draining,
                 has_attempts_left=retry_policy.has_attempts_left(
                     admitted.route, self._progress
--- a/tests/gateway/test_hedging.py
+++ b/tests/gateway/test_hedging.py
@@ -64,6 +64,12 @@
                     action.at - 100.0, expected, delta=0.021 * expected
                 )
 
+    def test_an_answer_that_was_expected_at_once(self):
+        # An engine's steps may be configured to take no time.
+        decisions = hedging.Hedging()
+        answered = hedging.Answered(NEAR, 0.0, 0.05)
+        self.assertEqual(decisions.handle(100.0, answered), ())
+
     def test_when_due(self):
         denial = hedging.Denial
         cases = [
@@ -71,11 +77,11 @@
             ({"draining": True}, denial.DRAINING),
             ({"has_attempts_left": False}, denial.NO_ATTEMPT_LEFT),
             ({"suspected": True}, denial.SUSPECT),
-            ({"priority": 2}, denial.URGENT_WAITING),
+            ({"rank": 2}, denial.URGENT_WAITING),
             ({"within_limit": False}, denial.LIMIT),
         ]
         decisions = make_hedging({})
-        decisions.is_urgent_waiting = lambda service, priority: priority > 1
+        decisions.is_urgent_waiting = lambda service, rank: rank > 1
         for changes, reason in cases:
             with self.subTest(changes=changes):
                 expected = hedging.Deny(reason) if reason else hedging.Seek()
--- a/tests/gateway/test_waiting_room.py
+++ b/tests/gateway/test_waiting_room.py
@@ -104,6 +104,20 @@
         self.assertGreater(line["waited"], 0.2)
         self.assertIn("rank 0", line["detail"])
 
+    async def test_second_attempts_leave_room_to_urgent_ones_that_wait(self):
+        call = await self.hold_back()
+        is_waiting = self.rig.context.second_attempts.is_urgent_waiting
+        for service, rank, expected in (
+            (rig.MODEL, 3, True),
+            (rig.MODEL, 2, False),
+            (rig.CORE, 3, False),
+        ):
+            with self.subTest(service=service, rank=rank):
+                self.assertIs(is_waiting(service, rank), expected)
+        self.end_load()
+        await call
+        self.assertFalse(is_waiting(rig.MODEL, 3))
+
     async def test_the_drain_refuses_what_waits(self):
         call = await self.hold_back()
         self.rig.context.waiting.drain()
