Leave no entry of a router that left while it registered

Cause: the end of a registration revoked only a lease that was already known; one that was granted meanwhile kept the router listed for 3 s. Change: a registration that completes after the end is ended at once, and a renewal that finds its lease revoked grants no new one.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/registration.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/registration.py
@@ -105,9 +105,14 @@
         )
         self.lease = lease
         self._log.write("registered", lease=lease)
+        if self._ended:
+            # It began to leave meanwhile.
+            await self.end()
 
     async def _renew(self) -> None:
         if await self._store.keep_alive(self.lease) <= 0:
+            if self._ended:
+                return
             self._log.write("lease lapsed", lease=self.lease)
             self.lease = NO_LEASE
             await self._register()
--- a/tests/gateway/test_registration.py
+++ b/tests/gateway/test_registration.py
@@ -6,6 +6,7 @@
 from nutmeglift import kv
 from nutmeglift_gateway import registration
 from nutmeglift_gateway import store_outage
+from nutmeglift_gateway import store_view
 from nutmeglift_gateway.load import store_readers
 from tests.gateway import rig
 from tests.gateway import virtual_time_case
@@ -38,14 +39,25 @@
                     self.assertNotIn("lease lapsed", log.events())
                     self.assertIn("registration failed", log.events())
 
-    async def play(self, store, rank, log):
-        """Runs one of four routers, of which the store serves all."""
-        loop = asyncio.get_running_loop()
-        board = rig.make_board()
+    async def test_a_router_that_leaves_does_not_register_again(self):
+        # The calls take 0.2 s each: two for the entry, then a renewal.
+        for left_after in (0.1, 0.3, 0.5, 1.2, 1.35, 1.45, 1.5, 2.6):
+            with self.subTest(left_after=left_after):
+                store = kv.MemoryKv()
+                store.delay = 0.2
+                log = rig.MemoryLog()
+                registered = self.make(store, "vm-0", rig.make_board(), log)
+                work = asyncio.ensure_future(registered.run())
+                await asyncio.sleep(left_after)
+                await registered.end()
+                await asyncio.sleep(1.0)
+                work.cancel()
+                key = store_view.ROUTER_PREFIX + "vm-0"
+                self.assertIsNone(await store.get(key))
+
+    def make(self, store, vm, board, log):
         outage = store_outage.StoreOutage(board, log)
-        names = [f"vm-{n}" for n in range(4)]
-        vm = names.pop(rank)
-        registered = registration.Registration(
+        return registration.Registration(
             store,
             vm,
             "127.0.0.1:1",
@@ -54,6 +66,13 @@
             rig.make_rng(),
             store_readers.StoreReaders(board, vm, outage),
         )
+
+    async def play(self, store, rank, log):
+        """Runs one of four routers, of which the store serves all."""
+        loop = asyncio.get_running_loop()
+        board = rig.make_board()
+        names = [f"vm-{n}" for n in range(4)]
+        registered = self.make(store, names.pop(rank), board, log)
         work = asyncio.ensure_future(registered.run())
         for _ in range(100):
             for name in names:
