Bound the token counts that one request adds to the demand

Cause: a caller may name up to 19 digits. The mean of its rank then left the range that peers accept, and had all less urgent requests wait for about a minute. Change: a request counts with at most a million tokens. Result: the new test got 'demand out of range' before; test_demand_tracker, test_demand_rows, test_shared_demand and test_path_room pass (18 tests).

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/demand_tracker.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/demand_tracker.py
@@ -14,6 +14,9 @@
 and three requests a second in all, one router sees one each three seconds."""
 RATE_SECONDS = 1.5
 """Time over which rates are averaged; as long as a peer's report holds."""
+MAX_TOKENS = 1_000_000
+"""Longer than the prompts that engines take. A caller may name any number, and
+one request must not decide the mean for a minute."""
 MAX_ROW_COUNT = 1024
 """Services times ranks; those no longer in demand are dropped beyond it."""
 
@@ -67,6 +70,8 @@
         """Records an admitted request at a loop time in seconds."""
         rows = self._rows_by_service.setdefault(request.service, {})
         urgency = request.urgency
+        prompt_tokens = min(request.prompt_tokens, MAX_TOKENS)
+        held_tokens = min(request.held_tokens, MAX_TOKENS)
         row = rows.get(request.rank)
         if row is None:
             self._drop_old(now)
@@ -75,15 +80,13 @@
                 _Rate(),
                 urgency.objective,
                 now,
-                request.prompt_tokens,
-                request.held_tokens,
+                prompt_tokens,
+                held_tokens,
             )
             self._row_count += 1
         weight = 1.0 / max(1.0, row.arrivals.per_second(now) * RATE_SECONDS + 1)
-        row.prompt_tokens += weight * (
-            request.prompt_tokens - row.prompt_tokens
-        )
-        row.held_tokens += weight * (request.held_tokens - row.held_tokens)
+        row.prompt_tokens += weight * (prompt_tokens - row.prompt_tokens)
+        row.held_tokens += weight * (held_tokens - row.held_tokens)
         row.arrivals.add(now)
         if (
             urgency.objective <= row.objective
--- a/tests/gateway/test_demand_tracker.py
+++ b/tests/gateway/test_demand_tracker.py
@@ -2,7 +2,10 @@
 
 import unittest
 
+import msgspec
+
 from nutmeglift import ids
+from nutmeglift_gateway.load import demand_rows
 from nutmeglift_gateway.load import demand_tracker
 from nutmeglift_gateway.load import room
 from nutmeglift_gateway.load import urgency
@@ -73,6 +76,17 @@
             len(self.tracker._ends_by_service), demand_tracker.MAX_ROW_COUNT
         )
 
+    def test_absurd_token_counts_tell_peers_something_valid(self):
+        self.tracker.record(100.0, make_request(tokens=10**18))
+        decoder = demand_rows.Decoder()
+        rows = demand_rows.Encoder().encode(self.tracker.by_service(100.0))
+        raw = [msgspec.to_builtins(row) for row in rows]
+        self.assertEqual(decoder.apply(raw), [])
+        for _ in range(40):
+            self.tracker.record(100.0, make_request())
+        found = self.tracker.by_priority(100.0, rig.MODEL)[0]
+        self.assertLess(found.prompt_tokens, 1e5)
+
 
 if __name__ == "__main__":
     unittest.main()
