--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/hedging.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/hedging.py
@@ -30,6 +30,9 @@
 MIN_SLOW_RATIO = 1e-3
 """Smallest part; sketches of a minute resolve no smaller one."""
 
+MIN_EXPECTED_SECONDS = 1e-9
+"""Greater than zero, for engines whose steps are configured to take no time."""
+
 
 class Denial(enum.Enum):
     """Why a slow request gets no second attempt."""
@@ -107,7 +110,7 @@
 
     Attributes:
         service: the service.
-        rank: the request's rank; 0 is the most urgent.
+        rank: the order in which it gets room; 0 comes first.
         draining: whether this router is leaving.
         has_attempts_left: whether its route allows another attempt.
         suspected: whether requests like it may have ended a server.
@@ -265,7 +268,9 @@
             from nutmeglift_gateway.load import latency_sketches  # noqa: PLC0415
 
             self._sketches = latency_sketches.LatencySketches()
-        value = answered.seconds / answered.expected_seconds
+        value = answered.seconds / max(
+            answered.expected_seconds, MIN_EXPECTED_SECONDS
+        )
         group = answered.group
         self._sketches.record(now, group, value)
         whole = dataclasses.replace(group, domain=None)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/waiting_room.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/waiting_room.py
@@ -160,21 +160,24 @@
             self._ranked = _find_ranked(found.routes if found else ())
         return self._ranked
 
-    def is_urgent_waiting(self, service: ids.ServiceId, rank: int) -> bool:
-        """Returns whether a request waits that is more urgent than a rank."""
-        return any(
-            waiting.queued
-            and waiting.admitted.service.id == service
-            and waiting.admitted.rank < rank
-            for waiting in self._waiting_by_number.values()
-        )
-
     def record_end(self, admitted: admission.Admitted) -> None:
         """Records that a request ended, which frees its room."""
         if self._enabled and admitted.service.id in self._ranked:
             now = asyncio.get_running_loop().time()
             self._demand.record_end(now, admitted.service.id)
 
+    def is_urgent_waiting(self, service: ids.ServiceId, rank: int) -> bool:
+        """Returns whether a request that is more urgent than one waits.
+
+        Args:
+            service: the service of both.
+            rank: the rank of the less urgent one.
+        """
+        return any(
+            each.admitted.service.id == service and each.admitted.rank < rank
+            for each in self._waiting_by_number.values()
+        )
+
     def update_metrics(self) -> None:
         """Updates the metrics of room, for services with an order."""
         for service in self._ranked_services():
--- a/tests/gateway/test_hedging.py
+++ b/tests/gateway/test_hedging.py
@@ -64,6 +64,12 @@
                     action.at - 100.0, expected, delta=0.021 * expected
                 )
 
+    def test_an_answer_that_was_expected_at_once(self):
+        # An engine's steps may be configured to take no time.
+        decisions = hedging.Hedging()
+        answered = hedging.Answered(NEAR, 0.0, 0.05)
+        self.assertEqual(decisions.handle(100.0, answered), ())
+
     def test_when_due(self):
         denial = hedging.Denial
         cases = [
