Confirm within the bound for a change also while peers are not served

Cause: a reviewer saw that the first router that the store serves, while two of its failure domain are not served, confirms after up to 1.95 s plus a round trip; the smallest bound for a change to take effect is 2 s. Change: a reader confirms at its usual time, the others 0.2 s later at most. Measured: test_store_readers (two rows more), test_shared_reading pass.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/load/store_readers.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/load/store_readers.py
@@ -35,6 +35,9 @@
 DOUBT_SECONDS = 0.5
 """Additional delay once two routers of the failure domain were not served: the
 store is probably away, which most routers find when they renew their leases."""
+DOUBT_CONFIRM_SECONDS = 0.2
+"""The same for a confirmation, which has to come, with its response, within the
+operators' bound for a change to take effect."""
 DOUBT_COUNT = 2
 SERVED_RENEWAL_SECONDS = 1.5
 """Shortest delay of the next renewal while the store serves a peer."""
@@ -99,10 +102,10 @@
         """
         if not self.is_shared:
             return longest * ratio
-        if self.in_doubt:
-            return longest + DOUBT_SECONDS * ratio
         if self.is_reader:
             return 0.0
+        if self.in_doubt:
+            return longest + DOUBT_CONFIRM_SECONDS * ratio
         return longest * (1 + ratio) / 2
 
 
--- a/tests/gateway/test_store_readers.py
+++ b/tests/gateway/test_store_readers.py
@@ -107,6 +107,13 @@
         cases = [
             ("reader", store_readers.Turn(0), 0.0, 0.0),
             ("another", store_readers.Turn(1), 0.15, 0.3),
+            ("reader in doubt", store_readers.Turn(0, in_doubt=True), 0.0, 0.0),
+            (
+                "another in doubt",
+                store_readers.Turn(1, in_doubt=True),
+                0.3,
+                0.5,
+            ),
             ("not shared", store_readers.UNSHARED, 0.0, 0.3),
         ]
         for name, turn, least, most in cases:
