--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -26,10 +26,29 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HISTORY_LENGTH = 5000
 MAX_RECORD_LINES = 20000
+MAX_LINE_LENGTH = 1000
+MAX_BODY_BYTES = 1024 * 1024
+"""Largest body that a stand-in reads; a longer one ends the channel."""
+MAX_ITEM_COUNT = 1000
+MAX_LEASE_COUNT = 1000
+MAX_RUN_COUNT = 5000
+MAX_ORDER_COUNT = 1000
 START_SECONDS = 30.0
 HEARTBEAT_SECONDS = 1.2
 
 
+def peak_mb(pid):
+    """Returns the largest resident memory of a process; 0 once it has ended."""
+    try:
+        text = pathlib.Path(f"/proc/{pid}/status").read_text(encoding="ascii")
+    except OSError:
+        return 0.0
+    for line in text.splitlines():
+        if line.startswith("VmHWM"):
+            return int(line.split()[1]) * 1024 / 1e6
+    return 0.0
+
+
 def free_port():
     """Returns a free port of the loopback interface."""
     with socket.socket() as found:
@@ -53,12 +72,29 @@
     def write(self, text):
         if len(self._lines) < MAX_RECORD_LINES:
             seconds = time.monotonic() - self._started_at
-            self._lines.append(f"{seconds:8.3f} {text}")
+            self._lines.append(f"{seconds:8.3f} {text}"[:MAX_LINE_LENGTH])
 
     def save(self):
         self._path.write_text("\n".join(self._lines) + "\n", encoding="utf-8")
 
 
+class TooMuchError(Exception):
+    """A stand-in was to keep more than it may."""
+
+
+def append(items, item, limit):
+    """Appends to a list that may not grow beyond a limit."""
+    if len(items) >= limit:
+        raise TooMuchError(f"more than {limit} entries")
+    items.append(item)
+
+
+def check_size(size):
+    """Raises ConnectionError for a body that is too large to read."""
+    if size > MAX_BODY_BYTES:
+        raise ConnectionError(f"a body of {size} bytes")
+
+
 class Request:
     """A request as it was received."""
 
@@ -94,9 +130,12 @@
                 while await reader.readuntil(b"\r\n") != b"\r\n":
                     pass
                 return body
+            check_size(len(body) + size)
             body += await reader.readexactly(size)
             await reader.readexactly(2)
-    return await reader.readexactly(int(headers.get("content-length", 0)))
+    size = int(headers.get("content-length", 0))
+    check_size(size)
+    return await reader.readexactly(size)
 
 
 async def read_request(reader):
@@ -187,6 +226,8 @@
                 else self._revision,
                 "lease": lease,
             }
+            if known is None and len(self._items) >= MAX_ITEM_COUNT:
+                raise TooMuchError(f"more than {MAX_ITEM_COUNT} items")
             self._items[key] = item
             self._history.append(item)
         for key in removes:
@@ -245,6 +286,8 @@
             case ["kv-txn"]:
                 return self._transact(body)
             case ["kv-lease"]:
+                if len(self._leases) >= MAX_LEASE_COUNT:
+                    return 429, {}
                 self._next_lease += 1
                 seconds = max(1.0, body["ttl_ms"] / 1000)
                 ends_at = time.monotonic() + seconds
@@ -428,7 +471,7 @@
     async def run(self, request, writer):
         """Runs a request and answers it whole."""
         request_id = request.headers["x-attempt-id"]
-        self.runs.append(request_id)
+        append(self.runs, request_id, MAX_RUN_COUNT)
         self._record.write(
             f"{self.name}: runs {request_id} {request.method} {request.target}"
         )
@@ -524,7 +567,7 @@
             self.send_json(writer, 409, {})
         else:
             self._fence = fence
-            self.orders.append(order)
+            append(self.orders, order, MAX_ORDER_COUNT)
             self.layers = (order["from"], order["target"])
             self.send_json(writer, 202, {})
             self.write_entry()
@@ -533,7 +576,7 @@
         """Runs a request and streams its events."""
         request_id = request.headers["x-attempt-id"]
         first = int(request.headers.get("last-event-id", 0)) + 1
-        self.runs.append(request_id)
+        append(self.runs, request_id, MAX_RUN_COUNT)
         self._record.write(
             f"{self.name}: runs {request_id} from event {first},"
             f" path {request.headers.get('x-hop-count')}"
@@ -583,7 +626,7 @@
         self._record = record
         self._log = open(pathlib.Path(folder) / f"{name}.log", "ab")  # noqa: SIM115
         self._settings = pathlib.Path(folder) / f"{name}.yaml"
-        self._starts = 0
+        self.peak_mb = 0.0
         self.fields = {
             "node_name": name,
             "ip": "127.0.0.1",
@@ -669,12 +712,20 @@
             return False
         return line.split()[1:2] == [b"200"]
 
+    def sample(self):
+        """Notes the peak of the process's memory so far."""
+        if self.process is not None and self.process.returncode is None:
+            self.peak_mb = max(self.peak_mb, peak_mb(self.process.pid))
+
     def signal(self, number):
+        self.sample()
         self._record.write(f"{self.name}: {signal.Signals(number).name}")
         self.process.send_signal(number)
 
     async def end(self):
         """Ends the process if it runs."""
+        self.sample()
+        self._record.write(f"{self.name}: at most {self.peak_mb:.0f} MB")
         if self.process is not None and self.process.returncode is None:
             self.process.kill()
             await self.process.wait()
@@ -858,9 +909,11 @@
     try:
         if "chunked" not in headers.get("transfer-encoding", ""):
             size = int(headers.get("content-length", 0))
+            check_size(size)
             return status, await reader.readexactly(size), True
         while True:
             size = int(await reader.readuntil(b"\r\n"), 16)
+            check_size(len(body) + size)
             body += (await reader.readexactly(size + 2))[:-2]
             if not size:
                 return status, body, True
@@ -900,6 +953,7 @@
         record.save()
         print(f"could not be played: {error!r}")
         sys.exit(2)
+    record.write(f"the script: at most {peak_mb(os.getpid()):.0f} MB")
     for each in broken:
         record.write(f"broken: {each}")
         print(f"broken: {each}")
