--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -17,16 +17,15 @@
 from nutmeglift_gateway import context as contexts
 from nutmeglift_gateway import crash_detector
 from nutmeglift_gateway import decision_log
-from nutmeglift_gateway import drain
 from nutmeglift_gateway import early_listeners
 from nutmeglift_gateway import exchange
 from nutmeglift_gateway import failure_recorder as recorders
-from nutmeglift_gateway import freshness
 from nutmeglift_gateway import graceful_shutdown
 from nutmeglift_gateway import http_listener
 from nutmeglift_gateway import metrics as metric_sets
 from nutmeglift_gateway import peer_links
 from nutmeglift_gateway import planner_controller
+from nutmeglift_gateway import platform_checks
 from nutmeglift_gateway import ports
 from nutmeglift_gateway import prober
 from nutmeglift_gateway import quarantine_controller
@@ -78,7 +77,6 @@
         self._rng = rng
         self._listeners = listeners or {}
         self._log = log
-        self._readiness_path = readiness_path
         self.metrics = metric_sets.Metrics()
         self.board = boards.Board(
             config.bounds, ids.FailureDomain(config.failure_domain)
@@ -142,6 +140,13 @@
                 self.board, config.room, self.metrics, log, rng
             ),
         )
+        self._checks = platform_checks.PlatformChecks(
+            readiness_path,
+            self.board,
+            self._reader,
+            self._context.waiting,
+            self.metrics,
+        )
         self._callers: set[http_listener.CallerConnection] = set()
         self._checkers: set[http_listener.CallerConnection] = set()
         self._memory = request_memory.for_process(config.memory_mb)
@@ -171,7 +176,7 @@
         check_memory = request_memory.Budget(request_memory.CHECKS_BYTES)
         checkers = [
             await self._listen(
-                address, self._on_check, self._checkers, check_memory
+                address, self._checks.respond, self._checkers, check_memory
             )
             for address in sorted({listen.readiness, listen.metrics})
         ]
@@ -303,59 +308,6 @@
                 connection.abort()
             self.metrics.in_flight.dec()
 
-    def _on_check(
-        self,
-        connection: http_listener.CallerConnection,
-        request: caller_request.Request,
-    ) -> None:
-        path = request.target.partition("?")[0]
-        if path == self._readiness_path:
-            status = b"200 OK" if self.is_ready() else b"503 Not Ready"
-            body = b""
-        else:
-            status, body = b"200 OK", self._metrics_text()
-        keep_alive = drain.keeps_open(
-            requested=request.keep_alive,
-            draining=self.board.draining,
-            has_queued=connection.has_queued,
-        )
-        connection.write(
-            b"HTTP/1.1 %b\r\ncontent-type: text/plain\r\n"
-            b"content-length: %d\r\n%b\r\n%b"
-            % (
-                status,
-                len(body),
-                b"" if keep_alive else b"connection: close\r\n",
-                body,
-            )
-        )
-        connection.finish(keep_alive=keep_alive)
-
-    def is_ready(self) -> bool:
-        """Returns whether the router accepts new connections."""
-        return (
-            not self.board.draining
-            and self.board.catalog is not None
-            and self.board.freshness.is_fresh(freshness.boot_clock())
-        )
-
-    def _metrics_text(self) -> bytes:
-        board = self.board
-        if board.catalog is not None:
-            self.metrics.generation.set(board.catalog.generation)
-            age = board.freshness.age(freshness.boot_clock())
-            self.metrics.confirmation_age.set(age)
-        view = self._reader.view
-        self.metrics.view_age.set(view.view_age.age(freshness.boot_clock()))
-        behind = view.catalog.lag.behind_for(freshness.boot_clock())
-        self.metrics.catalog_behind.set(behind)
-        self.metrics.holding_off.set(board.hold_offs.count)
-        end = board.directory.lapse_window_end
-        left = max(0.0, end - asyncio.get_running_loop().time())
-        self.metrics.lapse_window.set(left)
-        self._context.waiting.update_metrics()
-        return self.metrics.text()
-
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         task.add_done_callback(self._on_done)
