Count the shutdown from the receipt of SIGTERM while a router is loaded

Cause: SIGTERM was blocked while the program was loaded, and all steps of the shutdown counted from the moment at which the event loop handled it. Evidence: the log's new field signal_age, 0.18 to 0.20 s in five starts that got SIGTERM as the port opened; the port is open 0.2 s before the loop runs. Change: StopSignal handles the signal from the first instructions on and keeps the time of receipt; the shutdown counts from it and begins before the first caller is served. Python runs the handler between any two instructions, so neither imports nor a long turn of the loop delay the time.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/gateway.py
@@ -34,6 +34,7 @@
 from nutmeglift_gateway import settings
 from nutmeglift_gateway import settings_reload
 from nutmeglift_gateway import settings_source
+from nutmeglift_gateway import stop_signal
 from nutmeglift_gateway import store_reader
 from nutmeglift_gateway import stream_monitor
 from nutmeglift_gateway import supervision
@@ -58,6 +59,7 @@
         rng: random.Random,
         source: settings_source.BaseSettingsSource,
         listeners: early_listeners.Listeners | None = None,
+        stop: stop_signal.BaseStopSignal | None = None,
     ) -> None:
         """Assembles a router.
 
@@ -72,10 +74,13 @@
             rng: random number generator.
             source: the settings; read again on SIGHUP and when they change.
             listeners: sockets that are already listening, by address.
+            stop: the platform's signal to end; default is SIGTERM, from the
+                start of `run` on.
         """
         self._config = config
         self._rng = rng
         self._listeners = listeners or {}
+        self._stop = stop or stop_signal.StopSignal()
         self._log = log
         self.metrics = metric_sets.Metrics()
         self.board = boards.Board(
@@ -164,9 +169,17 @@
         """Serves until SIGTERM, then drains."""
         loop = asyncio.get_running_loop()
         self.board.budgets.begin(loop.time(), first=self._config.first_start)
-        leaving = asyncio.Event()
-        loop.add_signal_handler(signal.SIGTERM, leaving.set)
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGTERM})
+        shutdown: asyncio.Future[graceful_shutdown.GracefulShutdown] = (
+            loop.create_future()
+        )
+
+        def on_stop() -> None:
+            loop.call_soon_threadsafe(self._begin_shutdown, shutdown)
+
+        self._stop.watch(on_stop)
+        # A signal that came while the program was loaded takes effect before
+        # the first caller is served.
+        await asyncio.sleep(0)
         loop.add_signal_handler(signal.SIGHUP, self._reloader.start)
         listen = self._config.listen
         callers = await self._listen(
@@ -200,20 +213,32 @@
             callers=listen.callers,
             first_start=self._config.first_start,
         )
-        await leaving.wait()
-        self._context.waiting.drain()
-        self._start(self._registration.end())
-        await graceful_shutdown.GracefulShutdown(
+        await (await shutdown).run(callers.close)
+        for each in checkers:
+            each.close()
+        for task in self._tasks:
+            task.cancel()
+
+    def _begin_shutdown(
+        self, shutdown: "asyncio.Future[graceful_shutdown.GracefulShutdown]"
+    ) -> None:
+        """Refuses what can't be completed, from now on.
+
+        Args:
+            shutdown: gets the shutdown that has begun.
+        """
+        begun = graceful_shutdown.GracefulShutdown(
             self.board,
             self._callers,
             self._exchanges,
             self._log,
             self._config.bounds.shutdown_seconds,
-        ).run(callers.close)
-        for each in checkers:
-            each.close()
-        for task in self._tasks:
-            task.cancel()
+            self._stop.age(),
+        )
+        self._context.waiting.drain()
+        self._start(self._registration.end())
+        if not shutdown.done():
+            shutdown.set_result(begun)
 
     def _controllers(
         self,
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/graceful_shutdown.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/graceful_shutdown.py
@@ -20,8 +20,9 @@
         exchanges: Set["asyncio.Task[None]"],
         log: decision_log.DecisionLog,
         shutdown_seconds: float,
+        signal_age_seconds: float = 0.0,
     ) -> None:
-        """Initializes a shutdown.
+        """Begins a shutdown.
 
         Args:
             board: the router's shared state.
@@ -29,6 +30,7 @@
             exchanges: the tasks that process requests.
             log: log of decisions.
             shutdown_seconds: time from SIGTERM until the process is killed.
+            signal_age_seconds: time since SIGTERM.
         """
         self._board = board
         self._callers = callers
@@ -36,6 +38,17 @@
         self._log = log
         self._shutdown_seconds = shutdown_seconds
         self._loop = asyncio.get_running_loop()
+        self._began_at = self._loop.time() - signal_age_seconds
+        board.draining = True
+        board.exit_at = (
+            self._began_at + shutdown_seconds - drain.EXIT_MARGIN_SECONDS
+        )
+        board.refusing = self._judge() is not drain.Step.ACCEPT
+        log.write(
+            "draining",
+            in_flight=len(exchanges),
+            signal_age=round(signal_age_seconds, 3),
+        )
 
     async def run(self, stop_listening: Callable[[], None]) -> None:
         """Returns once all callers have their responses, or time is up.
@@ -43,23 +56,14 @@
         Args:
             stop_listening: closes the port for callers.
         """
-        began = self._loop.time()
-        self._board.draining = True
-        self._board.exit_at = (
-            began + self._shutdown_seconds - drain.EXIT_MARGIN_SECONDS
-        )
-        self._log.write("draining", in_flight=len(self._exchanges))
+        # Callers that connected while the program was loaded are accepted
+        # first, so that they get a refusal even if it is too late to serve.
+        await asyncio.sleep(drain.TICK_SECONDS)
         while True:
-            elapsed = self._loop.time() - began
-            if drain.closes_idle_connections(elapsed):
+            if drain.closes_idle_connections(self._elapsed()):
                 for connection in list(self._callers):
                     connection.close_if_reused()
-            step = drain.judge(
-                elapsed=elapsed,
-                in_flight=len(self._exchanges),
-                unsettled=sum(not each.is_settled for each in self._callers),
-                shutdown_seconds=self._shutdown_seconds,
-            )
+            step = self._judge()
             if step is drain.Step.EXIT:
                 break
             self._board.refusing = step is not drain.Step.ACCEPT
@@ -75,6 +79,18 @@
             "stopped", in_flight=in_flight, unsent=len(self._callers)
         )
 
+    def _elapsed(self) -> float:
+        """Returns the seconds since SIGTERM."""
+        return self._loop.time() - self._began_at
+
+    def _judge(self) -> drain.Step:
+        return drain.judge(
+            elapsed=self._elapsed(),
+            in_flight=len(self._exchanges),
+            unsettled=sum(not each.is_settled for each in self._callers),
+            shutdown_seconds=self._shutdown_seconds,
+        )
+
     async def _end_connections(self) -> None:
         """Ends what is still in flight and waits until it has been sent."""
         for task in list(self._exchanges):
--- a/tests/gateway/router_case.py
+++ b/tests/gateway/router_case.py
@@ -1,12 +1,14 @@
 """Test case with a whole router on the loopback interface."""
 
 import asyncio
+import signal
 
 from nutmeglift import ids
 from nutmeglift_gateway import early_listeners
 from nutmeglift_gateway import freshness
 from nutmeglift_gateway import gateway
 from nutmeglift_gateway import settings
+from nutmeglift_gateway import stop_signal
 from nutmeglift_platform import names
 from nutmeglift_platform import schema
 from nutmeglift_platform import store
@@ -30,9 +32,12 @@
 
     Attributes:
         shutdown_seconds: time from SIGTERM until the process is killed.
+        early_signal_age: seconds since a SIGTERM that came before the router's
+            event loop ran; None without one.
     """
 
     shutdown_seconds = 60.0
+    early_signal_age = None
 
     async def asyncSetUp(self):
         listeners = {}
@@ -52,6 +57,14 @@
             bounds=settings.Bounds(shutdown_seconds=self.shutdown_seconds),
         )
         self.source = rig.MemorySettings(self.loaded)
+        stop = None
+        if self.early_signal_age is not None:
+            stop = stop_signal.MemoryStopSignal(
+                self.early_signal_age, is_received=True
+            )
+        self.addCleanup(
+            signal.signal, signal.SIGTERM, signal.getsignal(signal.SIGTERM)
+        )
         self.gateway = gateway.Gateway(
             self.loaded,
             store=store.PlatformKv(NO_STORE, 1.0),
@@ -63,6 +76,7 @@
             rng=rig.make_rng(),
             source=self.source,
             listeners=listeners,
+            stop=stop,
         )
         board = self.gateway.board
         board.set_catalog(ids.Revision(3), rig.make_catalog())
--- a/tests/gateway/test_platform_process.py
+++ b/tests/gateway/test_platform_process.py
@@ -8,6 +8,7 @@
 import tempfile
 import unittest
 
+from nutmeglift_gateway import drain
 from nutmeglift_platform import environment
 from tests.gateway import test_settings
 from tests.gateway import test_whole_gateway
@@ -16,6 +17,20 @@
 """Includes the time to load the program on a busy machine."""
 PEERS = 2
 """Index of the port for other routers."""
+SLOW_IMPORT = """
+import sys
+import time
+
+
+class SlowFinder:
+    def find_spec(self, name, path=None, target=None):
+        if name == "nutmeglift_gateway.gateway":
+            time.sleep({seconds})
+
+
+sys.meta_path.insert(0, SlowFinder())
+"""
+"""Delays a program between its first ports and the rest of it."""
 
 
 class ProcessTest(unittest.IsolatedAsyncioTestCase):
@@ -31,17 +46,27 @@
         ):
             text = text.replace(address, f"127.0.0.1:{port}")
         self.path.write_text(text, encoding="utf-8")
+        self.process = None
+        self.addAsyncCleanup(self.stop)
+        await self.start()
+
+    async def start(self, **variables):
+        """Starts the process, in place of one that was started before."""
+        await self.stop()
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
             "nutmeglift_platform",
             "serve",
-            env=os.environ | {environment.SETTINGS_VARIABLE: str(self.path)},
+            env=os.environ
+            | {environment.SETTINGS_VARIABLE: str(self.path)}
+            | variables,
             stdout=asyncio.subprocess.PIPE,
         )
-        self.addAsyncCleanup(self.stop)
 
     async def stop(self):
+        if self.process is None:
+            return
         if self.process.returncode is None:
             self.process.kill()
         await self.process.wait()
@@ -111,6 +136,29 @@
         code = await asyncio.wait_for(self.process.wait(), WAIT_SECONDS)
         self.assertEqual(code, 0)
 
+    async def test_the_grace_counts_from_a_sigterm_while_it_is_loaded(self):
+        # Requests were taken too late in the grace, and cut off at its end.
+        folder = self.path.parent
+        seconds = drain.REFUSE_SECONDS + 0.5
+        (folder / "sitecustomize.py").write_text(
+            SLOW_IMPORT.format(seconds=seconds), encoding="utf-8"
+        )
+        await self.start(PYTHONPATH=str(folder))
+        await self.wait_for_port()
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", self.ports[0]
+        )
+        self.addCleanup(writer.close)
+        writer.write(b"GET / HTTP/1.1\r\nhost: desk.example\r\n\r\n")
+        await writer.drain()
+        self.process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(WAIT_SECONDS):
+            response = await reader.read()
+        self.assertTrue(response.startswith(b"HTTP/1.1 503"), response)
+        self.assertIn(b'"kind":"draining"', response)
+        code = await asyncio.wait_for(self.process.wait(), WAIT_SECONDS)
+        self.assertEqual(code, 0)
+
 
 if __name__ == "__main__":
     unittest.main()
