Handle signals before the product's router and agent open their ports

Callers would see: SIGTERM or SIGINT as a process's ports open ended it at once, with what it had accepted, in place of draining it. Cause: the handlers were added after the listeners had started. Change: they are added first.

--- a/packages/nutmeglift_agent/nutmeglift_agent/cli.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/cli.py
@@ -46,14 +46,15 @@
         engine=engine,
         service=service,
     )
-    agent.start()
-    listener = websocket_link.WebsocketListener(agent.serve_link)
-    await listener.start(agent_settings.listen)
+    # Before the port opens, as by default a signal ends what was accepted.
     leave = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, leave.set)
     loop.add_signal_handler(signal.SIGQUIT, agent.drain.force)
+    agent.start()
+    listener = websocket_link.WebsocketListener(agent.serve_link)
+    await listener.start(agent_settings.listen)
     await leave.wait()
     await agent.leave()
     await listener.stop()
--- a/packages/nutmeglift_router/nutmeglift_router/cli.py
+++ b/packages/nutmeglift_router/nutmeglift_router/cli.py
@@ -56,16 +56,17 @@
         dialer=websocket_link.WebsocketDialer(),
         metrics=metrics.make(platform.statsd, f"nutmeglift.{own.vm}"),
     )
-    listener = websocket_link.WebsocketListener(router.serve_link)
-    await listener.start(own.listen)
-    router.start()
-    server = http_server.HttpServer(http_app.HttpApp(router).app)
-    await server.start(own.http)
+    # Before the ports open, as by default a signal ends what was accepted.
     leave = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, leave.set)
     loop.add_signal_handler(signal.SIGQUIT, router.drain.force)
+    listener = websocket_link.WebsocketListener(router.serve_link)
+    await listener.start(own.listen)
+    router.start()
+    server = http_server.HttpServer(http_app.HttpApp(router).app)
+    await server.start(own.http)
     await leave.wait()
     await router.leave()
     await server.stop()
