Use no entry of a server that lacks a field of the page

Cause: missing fields had defaults, so the entry named a runner that holds all layers; each request went there first and was rejected. Change: all fields are required, of their types; a runner has four more or none. Fixtures and the soak's servers write all fields; the soak draws entries with an odd field at a sound server's address. In test_platform_schema, the case of empty layers and the one of a negative layer get the field version, without which they would fail for another reason.

--- a/tests/gateway/platform_routers.py
+++ b/tests/gateway/platform_routers.py
@@ -12,17 +12,29 @@
 NESTED = b"[" * NEST_COUNT + b"]" * NEST_COUNT
 
 
+RUNNER_FIELDS = {
+    "stage": "prefill_decode",
+    "models": [{"name": "m", "version": 1, "adapters": []}],
+    "layers": None,
+}
+
+
 def make_server(name, **changes):
-    """Returns the fields of a server's entry."""
-    return {
+    """Returns the fields of a server's entry; with a kind, of a runner's."""
+    fields = {
         "service": rig.CORE,
         "address": f"10.0.0.{sum(name.encode()) % 250}:80",
         "zone": "a",
+        "version": "v1",
         "state": "ready",
         "slots": 6,
+        "cold_remaining_ms": 0,
         "born": 1_771_442_496_052,
         "sequence": 4,
-    } | changes
+    }
+    if "kind" in changes:
+        fields |= RUNNER_FIELDS
+    return fields | changes
 
 
 def make_configuration(version, keys=("key-1", "key-2"), **changes):
--- a/tests/gateway/test_endless_memory.py
+++ b/tests/gateway/test_endless_memory.py
@@ -94,12 +94,13 @@
         await self.store.memory.txn([], [kv.Put(key, raw)])
 
     async def _put_server(self, name, service, address, *, kind):
-        fields = {"service": service, "address": address, "kind": kind}
-        fields |= (
-            {"layers": endless_servers.LAYERS} if kind else {"layers": None}
-        )
-        entry = test_platform_schema.HEARTBEAT | fields
-        entry = {key: value for key, value in entry.items() if value}
+        entry = {"service": service, "address": address}
+        if kind:
+            layers = endless_servers.LAYERS | {"version": 1}
+            entry |= {"kind": kind, "layers": layers}
+            entry = test_platform_schema.HEARTBEAT | entry
+        else:
+            entry = test_platform_schema.PLAIN_HEARTBEAT | entry
         await self._put(f"servers/{name}", json.dumps(entry).encode())
 
     async def _call(self, service, number):
--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -167,6 +167,30 @@
         for router in deployment.routers:
             self.assertTrue(router.uses("stays"), router.vm)
 
+    async def test_entries_without_a_field_name_no_server(self):
+        # Such an entry had defaults, and was used in place of the server.
+        for kind in ("", "mid"):
+            changes = {"kind": kind} if kind else {}
+            sound = platform_routers.make_server("sound", **changes)
+            with self.subTest(kind=kind):
+                deployment = await self.start(["one"], [])
+                await deployment.put_server("sound", **changes)
+                for number, key in enumerate(sound):
+                    await deployment.put(
+                        f"{names.SERVER_PREFIX}odd-{number}",
+                        platform_routers.encode(
+                            {k: v for k, v in sound.items() if k != key}
+                        ),
+                    )
+                await asyncio.sleep(SETTLE_SECONDS)
+                # One router follows the store; another one starts later.
+                await deployment.add_router("two")
+                await asyncio.sleep(SETTLE_SECONDS)
+                for router in deployment.routers:
+                    listed = set(router.board.directory.server_by_id)
+                    self.assertEqual(listed, {"sound"}, router.vm)
+                await deployment.stop()
+
     async def test_a_planner_that_is_no_router_is_replaced(self):
         deployment = await self.start(["one", "two"])
         planner = await deployment.wait_for_planner()
--- a/tests/gateway/test_platform_schema.py
+++ b/tests/gateway/test_platform_schema.py
@@ -42,12 +42,23 @@
 HEARTBEAT = {
     "service": "s", "address": "10.0.0.9:80", "zone": "a", "version": "v1",
     "slots": 96, "state": "ready", "cold_remaining_ms": 0, "sequence": 4,
-    "born": 1771442496052, "kind": "big",
+    "born": 1771442496052, "stage": "prefill_decode", "kind": "big",
+    "models": [{"name": "m", "version": 1, "adapters": []}],
     "layers": {"from": 3, "target": 9, "version": 1},
 }  # fmt: skip
+LAYERS = HEARTBEAT["layers"]
+RUNNER_FIELDS = ("stage", "models", "kind", "layers")
+PLAIN_HEARTBEAT = {
+    key: value for key, value in HEARTBEAT.items() if key not in RUNNER_FIELDS
+}
 SCHEMA = schema.PlatformSchema()
 
 
+def without(fields, key):
+    """Returns fields but one."""
+    return {k: v for k, v in fields.items() if k != key}
+
+
 def entry(value, key="servers/i-1"):
     raw = value if isinstance(value, bytes) else json.dumps(value).encode()
     return rig.make_entry(key, raw, 42)
@@ -98,7 +109,7 @@
             (HEARTBEAT, directory.LayerRange(3, 9)),
             (HEARTBEAT | {"layers": None}, directory.NO_LAYERS),
             (
-                HEARTBEAT | {"layers": {"from": 0, "target": 0}},
+                HEARTBEAT | {"layers": {"from": 0, "target": 0, "version": 1}},
                 directory.NO_LAYERS,
             ),
         ]
@@ -126,9 +137,11 @@
             HEARTBEAT | {"address": "10.0.0.9 :80"},
             HEARTBEAT | {"address": "10.0.0.9\r\nx: y:80"},
             HEARTBEAT | {"born": "yesterday"},
-            HEARTBEAT | {"layers": {"from": -5, "target": 9}},
+            HEARTBEAT | {"layers": LAYERS | {"from": -5}},
             HEARTBEAT | {"layers": [1, 2]},
-            {k: v for k, v in HEARTBEAT.items() if k != "service"},
+            HEARTBEAT | {"models": {}},
+            HEARTBEAT | {"models": [{"name": "m", "version": 1}]},
+            HEARTBEAT | {"layers": without(LAYERS, "version")},
         ]
         for value in cases:
             with (
@@ -137,6 +150,32 @@
             ):
                 SCHEMA.decode_server(entry(value))
 
+    def test_an_entry_with_an_odd_field_names_no_server(self):
+        # Fields that were missing had defaults, and the entry named a server.
+        SCHEMA.decode_server(entry(PLAIN_HEARTBEAT))
+        for sound in (HEARTBEAT, PLAIN_HEARTBEAT):
+            for key, value in sound.items():
+                odd = [
+                    without(sound, key),
+                    sound | {key: [value]},
+                    sound | {key: 5 if isinstance(value, str) else "5"},
+                ]
+                if key != "layers":
+                    odd.append(sound | {key: None})
+                for changed in odd:
+                    with (
+                        self.subTest(key=key, value=changed.get(key)),
+                        self.assertRaises(ports.UndecodableEntryError),
+                    ):
+                        SCHEMA.decode_server(entry(changed))
+        for key in RUNNER_FIELDS:
+            with (
+                self.subTest(key=key),
+                self.assertRaises(ports.UndecodableEntryError),
+            ):
+                changed = PLAIN_HEARTBEAT | {key: HEARTBEAT[key]}
+                SCHEMA.decode_server(entry(changed))
+
     def test_an_id_that_cannot_be_sent_in_a_header(self):
         for server_id in ("", "i-1\r\nx: y", "i-\u00e9"):
             with (
--- a/tests/gateway/test_whole_gateway.py
+++ b/tests/gateway/test_whole_gateway.py
@@ -54,7 +54,7 @@
         entry = test_platform_schema.HEARTBEAT | {
             "address": self.server.address,
             "kind": self.kind,
-            "layers": self.layers,
+            "layers": self.layers and self.layers | {"version": 1},
         }
         raw = json.dumps(entry).encode()
         await self.memory.txn([], [kv.Put(f"servers/{self.name}", raw)])
--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -228,13 +228,20 @@
             "service": self.service,
             "address": self.address,
             "zone": "a",
+            "version": "v1",
             "slots": 96,
             "state": self._entry_state.value,
+            "cold_remaining_ms": 0,
             "sequence": 1,
             "born": self.start_time,
-            "kind": self.kind,
-            "layers": self.layers,
         }
+        if self.kind:
+            entry |= {
+                "stage": "prefill_decode",
+                "models": [{"name": "m", "version": 1, "adapters": []}],
+                "kind": self.kind,
+                "layers": self.layers and self.layers | {"version": 1},
+            }
         raw = json.dumps(entry).encode()
         await self.memory.txn([], [kv.Put(f"servers/{self.name}", raw)])
 
--- a/tests/soak/odd_entries.py
+++ b/tests/soak/odd_entries.py
@@ -21,22 +21,46 @@
 
 
 def _fields(server, **changes):
-    return {
+    fields = {
         "service": server.service,
         "address": server.address,
         "zone": "a",
+        "version": "v1",
         "state": "ready",
         "slots": 96,
+        "cold_remaining_ms": 0,
+        "sequence": 1,
         "born": LATER_START,
-        "kind": server.kind,
-        "layers": {"from": 0, "target": 80},
-    } | changes
+    }
+    if server.kind:
+        fields |= {
+            "stage": "prefill_decode",
+            "models": [],
+            "kind": server.kind,
+            "layers": {"from": 0, "target": 80, "version": 1},
+        }
+    return fields | changes
+
+
+def _draw_odd_field(rng, server):
+    """Returns an entry with the address of a server and one odd field."""
+    fields = _fields(server)
+    if rng.random() < 0.5:
+        fields["born"] = server.start_time
+    key = rng.choice(sorted(fields))
+    if rng.random() < 0.5:
+        del fields[key]
+    else:
+        fields[key] = rng.choice([[1], {"odd": 1}, True])
+    return json.dumps(fields).encode()
 
 
 def _draw_value(rng, server):
     sound = json.dumps(_fields(server, address="127.0.0.1:9")).encode()
     return rng.choice(
         [
+            _draw_odd_field(rng, server),
+            _draw_odd_field(rng, server),
             NESTED,
             sound[:-1] + b', "extra": ' + NESTED + b"}",
             sound[:-1] + b', "extra": "' + b"x" * 2**20 + b'"}',
@@ -45,7 +69,11 @@
             json.dumps(_fields(server, slots=-1)).encode(),
             json.dumps(_fields(server, born=10**30)).encode(),
             json.dumps(_fields(server, address="127.0.0.1:99999")).encode(),
-            json.dumps(_fields(server, layers={"target": 10**12})).encode(),
+            json.dumps(
+                _fields(
+                    server, layers={"from": 0, "target": 10**12, "version": 1}
+                )
+            ).encode(),
         ]
     )
 
