Keep a sound server listed beside another entry at its address

Callers would see: requests refused while an entry with all fields claims a runner's address, with a later start or the same one. Cause: a 421 that named no runner at fault was taken for lack of memory, by address, so the sound runner there was out as well and no report was read; two entries with one start time were both listed; a displaced server came back only by a request or a report, of which a draining entry gets none. Change: the lifetime that was asked is suspect and its report is read; of one start time the first entry is listed; a displaced server whose entry is written twice while the other's is not is listed again. A plain server that is listed again is not taken for full.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/address_claims.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/address_claims.py
@@ -2,14 +2,13 @@
 
 An address has one server. Of two entries with it, the one that started later
 is that of a restarted server, unless another writer made it up. An entry that
-names no service of the configuration is no claim against one that does.
-Otherwise only the server at the address knows: it rejects requests that name
-another lifetime, and its report names its own start. A lifetime that was
-displaced is therefore kept while its entry exists.
+names no service of the configuration is no claim against one that does. Only
+the server at the address knows: it rejects requests that name another
+lifetime, its report names its own start, and it goes on writing its entry. A
+lifetime that was displaced is therefore kept while its entry exists.
 """
 
 from collections.abc import Callable
-from typing import Any
 from typing import Generic
 from typing import Protocol
 from typing import TypeVar
@@ -37,14 +36,22 @@
     def lifetime(self) -> tuple[str, int]:
         """Instance id and start time."""
 
+    @property
+    def revision(self) -> int:
+        """Store revision of the entry."""
+
 
 ClaimantT = TypeVar("ClaimantT", bound=Claimant)
 
+Rank = tuple[bool, int, int]
+"""Whether an entry names a service and a kind that exist, the start time, and
+the store revision."""
+
 
 class AddressClaims(Generic[ClaimantT]):
     """Holds displaced and rejected lifetimes by address."""
 
-    def __init__(self, rank: Callable[[ClaimantT], tuple[Any, ...]]) -> None:
+    def __init__(self, rank: Callable[[ClaimantT], Rank]) -> None:
         """Initializes without claims.
 
         Args:
@@ -62,6 +69,21 @@
         if len(claims) > MAX_CLAIM_COUNT:
             del claims[min(claims.values(), key=self._rank).id]
 
+    def keeps(self, listed: ClaimantT, server: ClaimantT) -> bool:
+        """Returns whether a listed lifetime stays beside another claim.
+
+        Of two that started at the same time, one is made up.
+
+        Args:
+            listed: the lifetime.
+            server: the other lifetime with the same address.
+        """
+        was_recognized, listed_born, _ = self._rank(listed)
+        is_recognized, born, _ = self._rank(server)
+        if was_recognized == is_recognized and self._outlives(server, listed):
+            return False
+        return (was_recognized, listed_born) >= (is_recognized, born)
+
     def reject(self, server: ClaimantT, born: int | None) -> ClaimantT | None:
         """Records that the server at an address is not this lifetime.
 
@@ -133,6 +155,19 @@
             if not lifetimes:
                 del self._rejected[address]
 
+    def _outlives(self, server: ClaimantT, listed: ClaimantT) -> bool:
+        """Returns whether a displaced entry is written, and the listed is not.
+
+        One write may come late from a lifetime that has ended. This is the
+        second one since the listed entry was written.
+        """
+        known = self._displaced.get(server.address, {}).get(server.id)
+        return (
+            known is not None
+            and known.lifetime == server.lifetime
+            and listed.revision < known.revision < server.revision
+        )
+
     def _forget_displaced(self, server: ClaimantT) -> None:
         claims = self._displaced[server.address]
         del claims[server.id]
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/attempt_failures.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/attempt_failures.py
@@ -174,18 +174,28 @@
         """Excludes the server at fault, for all requests or for this one.
 
         A runner that is full according to this router's reservations rejects
-        requests for lack of memory and has some free again soon. Any other
-        runner that rejects requests is about to shut down.
+        requests for lack of memory and has some free again soon. One that
+        another entry names, or that holds other layers, says so, and may be
+        sound: its report tells. Any other runner that rejects requests is about
+        to shut down.
         """
         board = self._context.board
         failure_recorder = self._context.failure_recorder
-        server = board.server_at(outcome.fault) if outcome.fault else None
+        server = None
+        if outcome.fault == first_server.address:
+            server = first_server
+        elif outcome.fault:
+            server = board.server_at(outcome.fault)
         misdirected = (
             outcome.response is not None
             and outcome.response.status == responses.MISDIRECTED_STATUS
         )
         if misdirected and not first_server.kind:
-            self._reject_lifetime(first_server)
+            if self._reject_lifetime(first_server):
+                self.tried.add(first_server.id)
+                return
+        elif misdirected and server is None:
+            server = first_server
         at_fault = server or first_server
         if not misdirected and board.hold_offs.holds_off(at_fault.lifetime):
             # It has named the time, and is sound.
@@ -212,15 +222,20 @@
                 server, suspect_servers.Reason.REJECTED, outcome.detail
             )
 
-    def _reject_lifetime(self, server: directory.Server) -> None:
+    def _reject_lifetime(self, server: directory.Server) -> bool:
         """Lists the server that a lifetime not at its address displaced.
 
         A plain server rejects only requests that name another lifetime.
+
+        Returns:
+            Whether there was one.
         """
-        if self._context.board.directory.reject_lifetime(_now(), server):
-            self._context.log.write(
-                "server rejected", server=server.id, address=server.address
-            )
+        if not self._context.board.directory.reject_lifetime(_now(), server):
+            return False
+        self._context.log.write(
+            "server rejected", server=server.id, address=server.address
+        )
+        return True
 
     async def _server_terminated(
         self,
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/directory.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/directory.py
@@ -127,7 +127,7 @@
         if known is not None and known.revision >= server.revision:
             return False
         for other in self._others_at(server):
-            if self._rank(other) > self._rank(server):
+            if self._claims.keeps(other, server):
                 self._claims.displace(server)
                 return False
             # An address has one server, so the older one has ended, unless the
@@ -189,7 +189,7 @@
         return (self.is_recognized(server), server.born, server.revision)
 
     def _others_at(self, server: Server) -> list[Server]:
-        """Returns servers with other ids and start times at the same address.
+        """Returns servers with other ids at the same address.
 
         Servers whose start time is unknown are excluded.
         """
@@ -200,7 +200,6 @@
             and other.id != server.id
             and other.born
             and server.born
-            and other.born != server.born
         ]
 
     def remove_lifetime(self, server: Server) -> bool:
--- a/tests/gateway/test_address_claims.py
+++ b/tests/gateway/test_address_claims.py
@@ -124,6 +124,37 @@
                     self.recognize(services | kinds)
                     self.assertEqual(self.listed(), {"odd"})
 
+    def test_of_two_entries_that_started_together_the_first_is_listed(self):
+        # Both were listed, and what one of them rejected put the other out.
+        for number, name in enumerate(("a real one", "its copy")):
+            self.directory.put(0.0, make(name, 5, revision=1 + number))
+        self.assertEqual(self.listed(), {"a real one"})
+
+    def test_a_displaced_entry_that_goes_on_being_written_is_listed(self):
+        draining = directory.ServerState.DRAINING
+        cases = {
+            "later start": {"born": 9},
+            "later start, draining": {"born": 9, "state": draining},
+            "same start": {"born": 5},
+        }
+        for name, changes in cases.items():
+            with self.subTest(name):
+                self.directory = directory.Directory()
+                self.directory.put(0.0, make("forged", revision=2, **changes))
+                for revision in (1, 3, 3):
+                    self.directory.put(0.0, make("real", 5, revision))
+                    self.assertEqual(self.listed(), {"forged"})
+                self.directory.put(0.0, make("real", 5, revision=4))
+                self.assertEqual(self.listed(), {"real"})
+
+    def test_a_server_whose_entry_is_written_keeps_its_address(self):
+        self.directory.put(0.0, make("old", 5))
+        for revision in (2, 4, 6):
+            self.directory.put(0.0, make("new", 9, revision))
+            # A late write of the lifetime before.
+            self.directory.put(0.0, make("old", 5, revision + 1))
+            self.assertEqual(self.listed(), {"new"})
+
     def test_what_a_removed_entry_displaced_is_listed_again(self):
         removals = (
             lambda: self.directory.remove(0.0, "forged"),
@@ -142,7 +173,9 @@
             self.assertEqual(self.listed(), listed)
 
     def test_the_number_of_claims_on_an_address_is_limited(self):
-        claims = address_claims.AddressClaims(lambda server: server.born)
+        claims = address_claims.AddressClaims(
+            lambda server: (True, server.born, server.revision)
+        )
         for born in range(10 * address_claims.MAX_CLAIM_COUNT):
             claims.displace(make(f"s{born}", born))
         self.assertEqual(len(claims.ids()), address_claims.MAX_CLAIM_COUNT)
