Take a status that HTTP doesn't have for no answer, on the platform

Callers saw: 600 and 999 of a server as their response, and with X-Not-Executed as a promise that the request had not run. 000 to 099 were skipped like interim responses: a body after one failed an assertion, which closed the connection; without a body the caller waited for the rest. Change: the parser of all responses raises on a status outside 100 to 599, and on a body of an interim response. So do control calls: an order has an unknown outcome, a report is unavailable. Routers pass no server's responses to each other.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/response_parser.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/response_parser.py
@@ -4,6 +4,8 @@
 
 import httptools
 
+from nutmeglift import http_status
+
 MAX_HEAD_BYTES = 64 * 1024
 """Longest response head, with the interim responses before it."""
 MAX_HEADER_COUNT = 256
@@ -174,8 +176,10 @@
         status = self._parser.get_status_code()
         if self._head_complete:
             return
+        if not http_status.is_valid(status):
+            raise MalformedResponseError(f"no status of HTTP: {status:03}")
         headers, self._headers = self._headers, []
-        if status < 200:  # noqa: PLR2004 - interim responses are skipped.
+        if not http_status.is_final(status):
             return
         self._head_complete = True
         has_length = any(
@@ -190,6 +194,8 @@
 
     def on_body(self, data: bytes) -> None:
         """Handles a part of the body."""
+        if not self._head_complete:
+            raise MalformedResponseError("an interim response has a body")
         if not self.ended:
             self._body_received += len(data)
             self._parts.append(data)
--- a/tests/gateway/test_platform_runners.py
+++ b/tests/gateway/test_platform_runners.py
@@ -39,7 +39,9 @@
 
         async def respond(request, writer, number):
             received.append(request)
-            writer.write(b"HTTP/1.1 %d X\r\ncontent-length: 0\r\n\r\n" % status)
+            writer.write(
+                f"HTTP/1.1 {status} X\r\ncontent-length: 0\r\n\r\n".encode()
+            )
 
         server = await stand_ins.ScriptedServer(respond).start()
         self.addCleanup(server.close)
