Take a status that HTTP doesn't have for no answer, in the product

Callers saw: 000 of a backend server as their response's status; so too 099, 101, 600, 0200 and 1000. Cause: the HTTP client takes any number for a status, the agent passed it on, the router delivered it, and the key-value service kept it for the next call with that key. The client also takes an interim response for the answer. Change: the client's connection reads interim responses over, and fails on any status but 200 to 599 of three digits; that is one place for agent, engine, key-value service, VM list and operator's commands. The agent, the router (for an earlier agent's outcome) and the replay of a recorded outcome check it, too: the outcome is unknown.

--- a/packages/nutmeglift/nutmeglift/ledger.py
+++ b/packages/nutmeglift/nutmeglift/ledger.py
@@ -168,7 +168,7 @@
     if found.outcome is not None:
         if found.outcome.ran is states.Ran.NOT_RUN:
             return Replace()
-        return Replay(found.outcome)
+        return Replay(plain_messages.check_outcome(found.outcome))
     if now - found.claimed_at < DISPATCH_GRACE_SECONDS:
         return in_progress_refusal()
     return Settle()
--- a/packages/nutmeglift/nutmeglift/plain_messages.py
+++ b/packages/nutmeglift/nutmeglift/plain_messages.py
@@ -1,6 +1,9 @@
 """Messages between router and agent about calls to plain services."""
 
+import msgspec
+
 from nutmeglift import errors
+from nutmeglift import http_status
 from nutmeglift import ids
 from nutmeglift import messages
 from nutmeglift import states
@@ -60,6 +63,25 @@
     detail: str = ""
 
 
+def check_outcome(outcome: PlainOutcome) -> PlainOutcome:
+    """Returns an outcome whose response, if any, has a status of HTTP.
+
+    A response with any other status tells nothing, also if another process, or
+    an earlier version, took it for one.
+    """
+    if outcome.kind is not None or http_status.is_final(outcome.status):
+        return outcome
+    return msgspec.structs.replace(
+        outcome,
+        ran=states.Ran.UNKNOWN,
+        status=0,
+        headers=(),
+        body=b"",
+        kind=errors.ErrorKind.OUTCOME_UNKNOWN,
+        detail=f"the response has no status of HTTP: {outcome.status}",
+    )
+
+
 class AttemptQuery(messages.Message, frozen=True):
     """Router to agent: queries an attempt; fences it if never received."""
 
--- a/packages/nutmeglift_agent/nutmeglift_agent/plain_call_executor.py
+++ b/packages/nutmeglift_agent/nutmeglift_agent/plain_call_executor.py
@@ -170,13 +170,15 @@
                 "the call ran; its response body exceeds"
                 f" {MAX_RESPONSE_BODY_BYTES} bytes",
             )
-        return plain_messages.PlainOutcome(
-            call.request,
-            call.attempt,
-            states.Ran.RAN,
-            response.status,
-            response.headers,
-            response.body,
+        return plain_messages.check_outcome(
+            plain_messages.PlainOutcome(
+                call.request,
+                call.attempt,
+                states.Ran.RAN,
+                response.status,
+                response.headers,
+                response.body,
+            )
         )
 
 
--- a/packages/nutmeglift_router/nutmeglift_router/attempt_tracker.py
+++ b/packages/nutmeglift_router/nutmeglift_router/attempt_tracker.py
@@ -4,6 +4,8 @@
 import asyncio
 import contextlib
 
+import msgspec
+
 from nutmeglift import attempt_resolution
 from nutmeglift import attempts
 from nutmeglift import codec
@@ -67,6 +69,7 @@
 
     def record_outcome(self, outcome: plain_messages.PlainOutcome) -> None:
         """Records an outcome reported by an agent."""
+        outcome = plain_messages.check_outcome(outcome)
         for tracked in self._find(outcome.request, outcome.attempt):
             tracked.outcome = outcome
             if tracked.watch is not None:
@@ -75,6 +78,9 @@
 
     def record_status(self, status: plain_messages.AttemptStatus) -> None:
         """Records an agent's response to an attempt query."""
+        if status.outcome is not None:
+            outcome = plain_messages.check_outcome(status.outcome)
+            status = msgspec.structs.replace(status, outcome=outcome)
         for tracked in self._find(status.request, status.attempt):
             if tracked.watch is not None:
                 tracked.watch.record_status(status)
--- a/packages/nutmeglift_wire/nutmeglift_wire/http_client.py
+++ b/packages/nutmeglift_wire/nutmeglift_wire/http_client.py
@@ -1,6 +1,7 @@
 """HTTP clients with bounded connection pools and timeouts."""
 
 import asyncio
+import re
 from typing import NoReturn
 
 import aiosonic
@@ -10,12 +11,18 @@
 from aiosonic import pools
 from aiosonic import timeout as timeouts
 
+from nutmeglift import http_status
+
 MAX_LINE_BYTES = 128 * 1024
 """Limits the lines of an answer before, between and after parts of its body."""
 MAX_LINE_COUNT = 256
 """Limits the number of these lines."""
 MAX_BODY_BYTES = 64 * 1024 * 1024
 """Limits a body that is read as a whole, and a chunk of one that is not."""
+MAX_LOGGED_BYTES = 80
+SWITCHING_PROTOCOLS = 101
+
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([0-9]{3})(?: [^\r\n]*)?\r?\n")
 
 ERRORS = (OSError, EOFError, ValueError, exceptions.AiosonicError)
 """Everything that a call may raise.
@@ -48,12 +55,27 @@
         return self._count_line(await super().readline())
 
     async def readuntil(self, separator: bytes = b"\n") -> bytes:
-        """Reads the first line of a head."""
-        try:
-            line = await super().readuntil(separator)
-        except asyncio.LimitOverrunError as error:
-            self._fail(str(error))
-        return self._count_line(line)
+        """Reads the first line of a head, after interim responses.
+
+        The client takes any number for a status, and an interim response for
+        the answer.
+        """
+        while True:
+            try:
+                line: bytes = await super().readuntil(separator)
+            except asyncio.LimitOverrunError as error:
+                self._fail(str(error))
+            self._count_line(line)
+            found = _STATUS_LINE.fullmatch(line)
+            status = int(found[1]) if found else 0
+            if http_status.is_final(status):
+                return line
+            if not http_status.is_valid(status):
+                self._fail(f"no status of HTTP: {line[:MAX_LOGGED_BYTES]!r}")
+            if status == SWITCHING_PROTOCOLS:
+                self._fail("the protocol was switched")
+            while (await self.readline()).strip():
+                pass
 
     async def readexactly(self, size: int) -> bytes:
         """Reads a body or a chunk of it."""
--- a/tests/test_http_backend.py
+++ b/tests/test_http_backend.py
@@ -148,6 +148,32 @@
                         await self._call(server, "POST", 0.2)
                     self.assertEqual(len(server.executions), 1)
 
+    async def test_a_status_that_http_does_not_have_is_no_answer(self):
+        # The agent took 000 for the status of an answer.
+        for status in ("000", "0", "099", "101", "600", "0200", "1000"):
+            answer = ANSWER.replace(b"200", status.encode())
+            for method in METHODS:
+                with self.subTest(status, method=method):
+                    async with CountingServer(0) as server:
+                        server.partial = answer
+                        with self.assertRaises(errors.OutcomeUnknownError):
+                            await self._call(server, method)
+                        self.assertEqual(len(server.executions), 1)
+
+    async def test_the_answer_follows_interim_responses(self):
+        # The agent took an interim response for the answer.
+        interim = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\na: b\r\n\r\n"
+        for partial, status in ((interim + ANSWER, 200), (interim, None)):
+            with self.subTest(status=status):
+                async with CountingServer(0) as server:
+                    server.partial = partial
+                    if status is None:
+                        with self.assertRaises(errors.OutcomeUnknownError):
+                            await self._call(server, "POST")
+                    else:
+                        answer = await self._call(server, "POST")
+                        self.assertEqual(answer.body, b"ok")
+
     async def test_refused_connection_counts_as_not_run(self):
         async with CountingServer(0) as server:
             pass
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -7,6 +7,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import msgspec
 
 from nutmeglift import attempt_resolution
 from nutmeglift import errors
@@ -266,6 +267,19 @@
                 else:
                     self.assertIsInstance(decision, expected)
 
+    def test_a_recorded_status_that_http_does_not_have_is_not_replayed(self):
+        for status in (0, 99, 103, 600):
+            with self.subTest(status):
+                recorded = msgspec.structs.replace(
+                    make_outcome(), status=status
+                )
+                claim = make_claim(ClaimState.DONE, outcome=recorded)
+                found = ledger.judge(claim, DIGEST, 1.0).outcome
+                self.assertIs(found.kind, Kind.OUTCOME_UNKNOWN)
+                self.assertEqual(
+                    (found.body, found.ran), (b"", states.Ran.UNKNOWN)
+                )
+
     def test_key_time_is_taken_from_version_7_uuids(self):
         made = uuid.UUID(int=(1_700_000_000_000 << 80) | (7 << 76) | (2 << 62))
         self.assertEqual(ledger.key_timestamp(str(made)), 1_700_000_000.0)
--- a/tests/test_plain_endpoint.py
+++ b/tests/test_plain_endpoint.py
@@ -2,8 +2,14 @@
 
 import json
 import unittest
+from unittest import mock
 
+from nutmeglift import backend
 from nutmeglift import errors
+from nutmeglift import plain_messages
+from nutmeglift import states
+from nutmeglift_agent import plain_call_executor
+from nutmeglift_fakes import plain_service
 from nutmeglift_router import error_responses
 from nutmeglift_router import http_app
 from tests import utils
@@ -109,6 +115,40 @@
 
         self._run(test)
 
+    def test_a_status_that_http_does_not_have_is_no_answer(self):
+        # 000 of a backend server reached the caller as its status.
+        async def respond(service, request, timeout):
+            return backend.PlainResponse(0, (), b"spoiled")
+
+        async def execute(executor, call):
+            return plain_messages.PlainOutcome(
+                call.request, call.attempt, states.Ran.RAN, 600, (), b"spoiled"
+            )
+
+        async def test(cluster, app, other_app):
+            cases = {
+                "of the server": (plain_service.ToyPlainService, "call"),
+                "of an earlier agent": (
+                    plain_call_executor.PlainCallExecutor,
+                    "_execute",
+                ),
+            }
+            for name, (owner, method) in cases.items():
+                with self.subTest(name):
+                    work = respond if method == "call" else execute
+                    with mock.patch.object(owner, method, work):
+                        calls = [
+                            await post(app, name),
+                            await post(app, method="GET", path="/releases/7"),
+                        ]
+                    # The recorded outcome is replayed by another router.
+                    calls.append(await post(other_app, name))
+                    for response in calls:
+                        self.assertEqual(response.status, 502)
+                        self.assertEqual(response.error["ran"], "unknown")
+
+        self._run(test)
+
     def test_undeclared_calls_are_refused(self):
         async def test(cluster, app, other_app):
             response = await post(app, "key", method="DELETE")
