--- a/tests/gateway/test_cli.py
+++ b/tests/gateway/test_cli.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 from nutmeglift_gateway import cli
+from nutmeglift_gateway import stop_signal
 from nutmeglift_platform import command as platform_command
 from tests.gateway import test_settings
 
@@ -21,7 +22,7 @@
     ):
         try:
             cli.main(
-                platform_command.make_run({}),
+                platform_command.make_run({}, stop_signal.StopSignal()),
                 path,
                 platform_command.open_store,
                 platform_command.configuration_format,
