Free a request as it ends, without the garbage collector

Cause: SecondAttempt kept a method of its holder, and a stream's receiver a function of its attempt, so that each request stayed in a reference cycle. Change: only a timer that is set keeps the callback; an attempt that ends drops its receiver's callbacks.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
@@ -174,10 +174,9 @@
 
     def on_body(self, data: bytes) -> None:
         """Handles a part of a stream."""
-        if self.done.done():
+        if self.done.done() or self._on_events is None:
             return
         assert self._events is not None
-        assert self._on_events is not None
         assert self.head is not None
         before = self._events.last_id
         broken = ""
@@ -257,6 +256,14 @@
         """Ends the attempt because its server has ended."""
         self._finish(Outcome(retry_policy.Failure.LOST, detail=detail))
 
+    def release(self) -> None:
+        """Ignores further events; drops callbacks that may refer to this.
+
+        Otherwise the request would be kept until the garbage collector runs.
+        """
+        self._on_events = None
+        self._on_announcement = None
+
     def _finish(self, outcome: Outcome) -> None:
         if not self.done.done():
             self.done.set_result(outcome)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/plain_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/plain_attempts.py
@@ -75,9 +75,7 @@
         self._running: list[_Running] = []
         self._changed = asyncio.Event()
         self._loop = asyncio.get_running_loop()
-        self._second = second_attempts.SecondAttempt(
-            context, admitted, reply, self._on_second_due
-        )
+        self._second = second_attempts.SecondAttempt(context, admitted, reply)
         self._starting: asyncio.Task[None] | None = None
 
     async def next_outcome(self) -> attempt.Outcome | None:
@@ -234,7 +232,7 @@
             receiver,
             remaining=self._admitted.deadline - self._now(),
         )
-        self._second.record_sent(server, 1.0)
+        self._second.record_sent(server, 1.0, self._on_second_due)
         return None
 
     async def _connect(
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/second_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/second_attempts.py
@@ -35,7 +35,6 @@
         context: contexts.Context,
         admitted: admission.Admitted,
         reply: replies.Reply,
-        on_due: Callable[[], None],
     ) -> None:
         """Initializes without any attempt.
 
@@ -43,14 +42,11 @@
             context: the router's shared components.
             admitted: the request.
             reply: the response to the caller.
-            on_due: called when the first attempt is slow; has to find another
-                server.
         """
         self._context = context
         self._admitted = admitted
         self._reply = reply
         self._progress = reply.progress
-        self._on_due = on_due
         self._loop = asyncio.get_running_loop()
         self._timer: asyncio.TimerHandle | None = None
         self._sent_by_lifetime: dict[runs.Lifetime, _SentAttempt] = {}
@@ -66,13 +62,20 @@
         return self._context.board.bounds.second_attempt_ratio
 
     def record_sent(
-        self, server: directory.Server, expected_seconds: float
+        self,
+        server: directory.Server,
+        expected_seconds: float,
+        on_due: Callable[[], None],
     ) -> None:
         """Notes that an attempt was sent; times the first one.
 
         Args:
             server: the server that it was sent to.
             expected_seconds: time that it can expect on its path.
+            on_due: called when the first attempt is slow; has to find another
+                server. Only the timer keeps it: a callback of the object that
+                holds this one would keep the request until the garbage
+                collector runs.
         """
         if not self.is_on:
             return
@@ -90,7 +93,7 @@
             hedging.Sent(group, expected_seconds, self._ratio, objective_at),
         ):
             if isinstance(action, hedging.WakeAt):
-                self._timer = self._loop.call_at(action.at, self._on_due)
+                self._timer = self._loop.call_at(action.at, on_due)
 
     def may_seek(self) -> bool:
         """Returns whether to look for another server."""
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stream_attempts.py
@@ -72,9 +72,7 @@
         self._successor_path: paths.Path | None = None
         self._paused = False
         self._loop = asyncio.get_running_loop()
-        self._second = second_attempts.SecondAttempt(
-            context, admitted, reply, self._on_second_due
-        )
+        self._second = second_attempts.SecondAttempt(context, admitted, reply)
 
     async def next_outcome(self) -> attempt.Outcome | None:
         """Starts an attempt and returns how the last one running has ended.
@@ -266,7 +264,9 @@
         )
         if self._second.is_on:
             self._second.record_sent(
-                path.first, second_streams.expected_seconds(admitted, path)
+                path.first,
+                second_streams.expected_seconds(admitted, path),
+                self._on_second_due,
             )
         self._apply_backpressure(running)
         return None
@@ -316,6 +316,7 @@
         if running.upstream is not None:
             running.upstream.abort()
         running.events.restart()
+        running.receiver.release()
         if running.receiver.done.done():
             self._reply.progress.discount(
                 running.receiver.done.result().failure
