Send no body in the router's own responses to HEAD requests

Cause: only forwarded responses left the body out. Change: so do refusals, responses to requests that can't be read, and the platform's checks. The length is stated all the same.

--- a/packages/nutmeglift_gateway/nutmeglift_gateway/caller_request.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/caller_request.py
@@ -37,6 +37,11 @@
     received_at: float
     holding: request_memory.Holding | None = None
 
+    @property
+    def is_head(self) -> bool:
+        """Whether the response has no body."""
+        return self.method == "HEAD"
+
     def get(self, name: bytes) -> bytes | None:
         """Returns a header's first value, by its name in lower case."""
         for key, value in self.headers:
@@ -88,6 +93,7 @@
     Attributes:
         started: whether a part of a request has been received.
         head_complete: whether its head is complete.
+        is_head: whether its method is known to be HEAD.
     """
 
     def __init__(
@@ -163,7 +169,8 @@
         self._receiver.on_begin()
 
     def on_url(self, url: bytes) -> None:
-        """Handles a part of the target."""
+        """Handles a part of the target; the method came before it."""
+        self.is_head = self._parser.get_method() == b"HEAD"
         self._url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -292,6 +299,7 @@
     def _reset(self) -> None:
         self.started = False
         self.head_complete = False
+        self.is_head = False
         self._head_bytes = 0
         self._framing_bytes = 0
         self._header_field_bytes = 0
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/http_listener.py
@@ -14,14 +14,13 @@
 from nutmeglift_gateway import metrics
 from nutmeglift_gateway import reading_timer
 from nutmeglift_gateway import request_memory
+from nutmeglift_gateway import responses
 from nutmeglift_gateway import unsent_responses
 
 MAX_PIPELINED_REQUEST_COUNT = 16
 """Reading stops once this many requests are queued on one connection."""
 WRITE_BUFFER_LIMIT_BYTES = 256 * 1024
 """Unsent bytes for a caller above which reading from its server is paused."""
-CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-"""Interim response to `Expect: 100-continue` (RFC 9110, section 15.2.1)."""
 
 Handler = Callable[["CallerConnection", caller_request.Request], None]
 """Starts to process a request; processing ends with
@@ -291,14 +290,16 @@
             self._handler(self, self.current)
             return
         if self._rejection is not None:
-            self.write(self._refuse(self._rejection))
+            response = self._refuse(self._rejection)
+            is_head = self._parser.is_head
+            self.write(responses.drop_body(response) if is_head else response)
             self._close_after_response()
             return
         if self._large is not None:
             self._reserve_memory(*self._large)
         if self._continue_expected and not self._awaits_memory:
             self._continue_expected = False
-            self.write(CONTINUE)
+            self.write(responses.CONTINUE)
 
     def _reserve_memory(
         self, holding: request_memory.Holding, size: int
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/platform_checks.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/platform_checks.py
@@ -63,7 +63,7 @@
                 status,
                 len(body),
                 b"" if keep_alive else b"connection: close\r\n",
-                body,
+                b"" if request.is_head else body,
             )
         )
         connection.finish(keep_alive=keep_alive)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/reply.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/reply.py
@@ -115,7 +115,7 @@
                 length=len(response.body),
                 chunked=False,
                 keep_alive=keep_alive,
-                without_body=self._request.method == "HEAD",
+                without_body=self._request.is_head,
             )
             if len(response.body) < http_call.MIN_SHARED_BODY_BYTES:
                 self._connection.write(head + response.body)
@@ -249,6 +249,7 @@
                 retry_name=names.retry_after,
                 id_name=names.request_id,
                 keep_alive=keep_alive,
+                without_body=self._request.is_head,
             )
         )
         self._connection.finish(keep_alive=keep_alive)
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/responses.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/responses.py
@@ -37,6 +37,9 @@
     }
 )
 """Headers that apply to a single connection only (RFC 9110, section 7.6.1)."""
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+"""Interim response to `Expect: 100-continue` (RFC 9110, section 15.2.1)."""
+END_OF_HEAD = b"\r\n\r\n"
 MISDIRECTED_STATUS = 421
 """The request did not run: the address belongs to another server now, or the
 server holds other layers."""
@@ -68,6 +71,7 @@
     retry_name: bytes = b"retry-after",
     id_name: bytes | None = None,
     keep_alive: bool = False,
+    without_body: bool = False,
 ) -> bytes:
     """Returns the bytes of the router's response to an error.
 
@@ -79,6 +83,8 @@
         retry_name: name of the header for retry_after.
         id_name: name of the header that echoes the id.
         keep_alive: whether the connection stays open.
+        without_body: whether to leave the body out, as in any response to a
+            HEAD request; its length is stated all the same.
     """
     response = errors.ANSWER_BY_KIND[kind]
     body = msgspec.json.encode(
@@ -96,7 +102,14 @@
         lines.append(id_name + b": " + request_id.encode("latin-1"))
     if not keep_alive:
         lines.append(b"connection: close")
-    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+    raw = b"\r\n".join(lines) + END_OF_HEAD + body
+    return drop_body(raw) if without_body else raw
+
+
+def drop_body(response: bytes) -> bytes:
+    """Returns the head of a response."""
+    head, _, _ = response.partition(END_OF_HEAD)
+    return head + END_OF_HEAD
 
 
 def judge(
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/sender.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/sender.py
@@ -107,6 +107,6 @@
                 len(self._request.body),
             ),
             receiver,
-            head_only=self._request.method == "HEAD",
+            head_only=self._request.is_head,
             body=self._request.body,
         )
--- a/tests/gateway/test_invalid_statuses.py
+++ b/tests/gateway/test_invalid_statuses.py
@@ -130,7 +130,7 @@
                 self.assertEqual(len(self.requests), 2)
 
 
-class ControlCallTest(test_platform_runners.PlaceTest):
+class ControlCallTest(test_platform_runners.PlaceTestCase):
     async def test_an_order_has_an_unknown_outcome(self):
         for status in (0, 99, 600, 999):
             with self.subTest(status):
--- a/tests/gateway/test_listener.py
+++ b/tests/gateway/test_listener.py
@@ -14,7 +14,9 @@
 HEAD = b"POST /a HTTP/1.1\r\nhost: h\r\n"
 
 
-class ListenerTest(virtual_time_case.VirtualTimeTestCase):
+class ListenerTestCase(virtual_time_case.VirtualTimeTestCase):
+    """Test case with a listener that counts what it receives."""
+
     async def asyncSetUp(self):
         self.requests = []
         self.connections = set()
@@ -54,6 +56,8 @@
         writer.close()
         return response
 
+
+class ListenerTest(ListenerTestCase):
     async def test_responses(self):
         close = b"connection: close\r\n"
         cases = [
--- a/tests/gateway/test_platform_runners.py
+++ b/tests/gateway/test_platform_runners.py
@@ -11,7 +11,28 @@
 from tests.gateway import virtual_time_case
 
 
-class PlaceTest(virtual_time_case.VirtualTimeTestCase):
+class PlaceTestCase(virtual_time_case.VirtualTimeTestCase):
+    async def place(self, status):
+        """Returns the outcome of an order and the request that was received."""
+        received = []
+
+        async def respond(request, writer, number):
+            received.append(request)
+            writer.write(
+                f"HTTP/1.1 {status} X\r\ncontent-length: 0\r\n\r\n".encode()
+            )
+
+        server = await stand_ins.ScriptedServer(respond).start()
+        self.addCleanup(server.close)
+        outcome = await runners.PlatformRunners().place(
+            rig.make_server("i-1", address=server.address),
+            directory.LayerRange(3, 8),
+            5,
+        )
+        return outcome, received[0]
+
+
+class PlaceTest(PlaceTestCase):
     async def test_outcomes_by_status(self):
         outcomes = ports.OrderOutcome
         cases = [
@@ -33,25 +54,6 @@
         body = json.loads(request.body)
         self.assertEqual((body["from"], body["target"]), (3, 8))
 
-    async def place(self, status):
-        """Returns the outcome of an order and the request that was received."""
-        received = []
-
-        async def respond(request, writer, number):
-            received.append(request)
-            writer.write(
-                f"HTTP/1.1 {status} X\r\ncontent-length: 0\r\n\r\n".encode()
-            )
-
-        server = await stand_ins.ScriptedServer(respond).start()
-        self.addCleanup(server.close)
-        outcome = await runners.PlatformRunners().place(
-            rig.make_server("i-1", address=server.address),
-            directory.LayerRange(3, 8),
-            5,
-        )
-        return outcome, received[0]
-
 
 if __name__ == "__main__":
     unittest.main()
