Play signals to starting routers, staying callers and odd statuses in the soak

Cause: the soak sent no SIGTERM to a router that starts, its callers left a router as soon as it was out of rotation, and its servers answered with statuses of HTTP only. Its runners' reports lacked the start time. Faults of routers and what servers answer move to modules of their own.

--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -8,39 +8,15 @@
 from nutmeglift import kv
 from tests.gateway import stand_ins
 from tests.soak import endless
+from tests.soak import payloads
 from tests.soak import poison
 
 LAYER_COUNT = 80
 EXIT_CHECK_INTERVAL_SECONDS = 0.02
-EVENT_COUNT = 12
 EVENT_INTERVAL_SECONDS = 0.03
 LAST_CHUNK = b"0\r\n\r\n"
 POISON_RESTART_SECONDS = 1.5
-LARGE = "large"
-"""Ends the path of a request for events that fill the socket buffers."""
-LARGE_EVENT_BYTES = 512 * 1024
-LONG = "long"
-"""Ends the path of a request for a stream of 1.2 s."""
-LONG_EVENT_COUNT = 40
-
-
-def plain_body(request_id):
-    return f"answer to {request_id}".encode()
-
-
-def event_size(target):
-    """Returns the number of filler bytes in the events of a stream."""
-    return LARGE_EVENT_BYTES if target.endswith(f"/{LARGE}") else 0
-
-
-def event_count(target):
-    """Returns the number of events in a stream."""
-    return LONG_EVENT_COUNT if target.endswith(f"/{LONG}") else EVENT_COUNT
-
-
-def event(request_id, number, size):
-    data = f"id: {number}\ndata: {request_id}:{number}"
-    return (data + "x" * size + "\n\n").encode()
+INVALID_STATUSES = (b" 000 ", b" 099 ", b" 600 ")
 
 
 class EntryState(enum.Enum):
@@ -68,6 +44,8 @@
 
     A stream is reset halfway instead.
     """
+    INVALID = "invalid"
+    """Runs the request and responds with a status that HTTP doesn't have."""
     SILENT = "silent"
     """Runs the request and never responds."""
     ENDLESS = "endless"
@@ -256,7 +234,11 @@
             self._send(
                 writer,
                 200,
-                {"sequence": self.order_count, "layers": self.layers},
+                {
+                    "sequence": self.order_count,
+                    "layers": self.layers,
+                    "born": self.start_time,
+                },
             )
         else:
             await self._take_order(json.loads(request.body), writer)
@@ -316,6 +298,11 @@
         if run.fault is Fault.RESET:
             run.has_broken_off = True
             stand_ins.reset_connection(writer)
+        elif run.fault is Fault.INVALID:
+            run.has_broken_off = True
+            status = INVALID_STATUSES[len(request_id) % len(INVALID_STATUSES)]
+            raw = stand_ins.complete_response(request)
+            writer.write(raw.replace(b" 200 ", status, 1))
         elif run.fault is Fault.SILENT:
             await asyncio.sleep(60)
         elif run.fault is Fault.ENDLESS and not self._begins_with_events():
@@ -327,7 +314,7 @@
             if run.fault is Fault.CORRUPT:
                 run.has_broken_off = True
                 request.headers["x-attempt-id"] = "another"
-            body = plain_body(request_id)
+            body = payloads.plain_body(request_id)
             writer.write(stand_ins.complete_response(request, body))
 
     async def _end_by(self, segment, request_id, run):
@@ -369,7 +356,7 @@
         request_id = request.headers["x-attempt-id"]
         loop = asyncio.get_running_loop()
         target = request.head.split(" ")[1]
-        size, count = event_size(target), event_count(target)
+        size, count = payloads.event_size(target), payloads.event_count(target)
         writer.write(stand_ins.stream_head(request))
         first = int(request.headers.get("last-event-id", 0)) + 1
         for number in range(first, count + 1):
@@ -383,7 +370,7 @@
             if run.fault is Fault.ENDLESS and is_half:
                 await endless.write(self.endless, writer, begun=True)
                 return
-            data = event(request_id, number, size)
+            data = payloads.event(request_id, number, size)
             writer.write(b"%x\r\n%b\r\n" % (len(data), data))
             run.began_at = min(run.began_at, loop.time())
             await writer.drain()
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -5,9 +5,10 @@
 import enum
 import itertools
 
+from nutmeglift import http_status
 from nutmeglift_gateway import http_call
-from tests.soak import backend
 from tests.soak import connection as connections
+from tests.soak import payloads
 from tests.soak import poison
 
 DEADLINE_SECONDS = 3.0
@@ -32,6 +33,8 @@
     """Closes its sending side after a request and goes on reading."""
     SLOW = "slow"
     """Requests streams with large events and reads them slowly."""
+    STAYING = "staying"
+    """Goes on at its router until the process is gone."""
 
 
 _STYLES = (Style.PLAIN, Style.PLAIN, *list(Style)[1:])
@@ -122,22 +125,27 @@
         """Runs one caller, which reuses its connection while it is reusable."""
         style = _STYLES[number % len(_STYLES)]
         pause = _MAX_PAUSE_BY_STYLE.get(style, 0.05)
-        connection = None
+        connection = router = None
         while not self._stopping:
             if connection is not None and not connection.is_reusable:
                 connection.close()
                 connection = None
             if connection is None:
-                connection = await self._connect(style)
+                if style is not Style.STAYING or router is None:
+                    router = self._choose_router()
+                connection = await self._connect(router, style)
+                router = router if connection is not None else None
             if connection is not None:
                 await self._call(connection, style)
             await asyncio.sleep(self._rng.uniform(0, pause))
         if connection is not None:
             connection.close()
 
-    async def _connect(self, style):
+    def _choose_router(self):
         in_rotation = [r for r in self._routers if r.is_in_rotation()]
-        router = self._rng.choice(in_rotation or self._routers)
+        return self._rng.choice(in_rotation or self._routers)
+
+    async def _connect(self, router, style):
         connection = connections.Connection(
             next(self._connection_numbers), router.vm, slow=style is Style.SLOW
         )
@@ -174,6 +182,10 @@
                 response = await connection.read_response()
             sent.status = response.status
             sent.ending = Ending.RESPONSE
+            if not http_status.is_final(response.status):
+                self._problems.append(
+                    f"{sent.id}: no status of HTTP: {response.status}"
+                )
         except connections.IncompleteResponseError as error:
             sent.ending = Ending.CLOSED
             sent.detail = str(error)
@@ -188,10 +200,10 @@
             self._check(sent, response)
 
     def _new_request(self, connection, style, behind):
-        kind, size = "stream", backend.LARGE
+        kind, size = "stream", payloads.LARGE
         if style is not Style.SLOW:
             kind = self._rng.choice(["stream", "safe", "unsafe", "unsafe"])
-            size = self._rng.choice([SMALL, backend.LONG])
+            size = self._rng.choice([SMALL, payloads.LONG])
         if behind is not None:
             # Two long streams one after the other reach the deadline.
             size = SMALL
@@ -220,13 +232,13 @@
             self._problems.append(
                 f"{sent.id}: 200 response without x-response-seal"
             )
-        expected = backend.plain_body(sent.id)
+        expected = payloads.plain_body(sent.id)
         if sent.kind == "stream":
             target = _target(sent)
-            size = backend.event_size(target)
+            size = payloads.event_size(target)
             expected = b"".join(
-                backend.event(sent.id, n, size)
-                for n in range(1, backend.event_count(target) + 1)
+                payloads.event(sent.id, n, size)
+                for n in range(1, payloads.event_count(target) + 1)
             )
         if response.body != expected:
             self._problems.append(
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -4,7 +4,6 @@
 import contextlib
 import dataclasses
 import functools
-import signal
 
 from tests.soak import backend
 from tests.soak import configs
@@ -13,9 +12,9 @@
 from tests.soak import network
 from tests.soak import odd_entries
 from tests.soak import poison
+from tests.soak import router_faults
 from tests.soak import store_faults
 
-MAX_SERIES_LENGTH = 5
 LAPSE_RATIO = 0.3
 """Part of the servers whose entries lapse in an outage of the store."""
 MAX_OUTAGE_SECONDS = 5.0
@@ -38,13 +37,6 @@
     "disturb_planner",
     "drill_as_planner_fails",
 )
-_SIGNALS = (
-    signal.SIGTERM,
-    signal.SIGTERM,
-    signal.SIGHUP,
-    signal.SIGHUP,
-    signal.SIGKILL,
-)
 
 
 def _name(fault):
@@ -116,11 +108,7 @@
     def _all(self):
         """Returns all faults and whether each may go with a changed config."""
         return [
-            (self._kill_router, False),
-            (self._drain_router, False),
-            (self._pause_router, False),
-            (self._reload_router, False),
-            (self._send_signals, True),
+            *router_faults.RouterFaults(self._rng, self._system).all(),
             (self._disrupt_store_connection, False),
             (self._fail_store, False),
             (self._lapse_entries, False),
@@ -147,34 +135,6 @@
     def _random_duration(self):
         return self._rng.uniform(0.3, 2.5)
 
-    # Routers.
-
-    def _router(self):
-        return self._rng.choice(self._system.routers)
-
-    async def _kill_router(self):
-        self._router().send(signal.SIGKILL)
-
-    async def _drain_router(self):
-        self._router().send(signal.SIGTERM)
-
-    async def _pause_router(self):
-        router = self._router()
-        router.send(signal.SIGSTOP)
-        await asyncio.sleep(self._random_duration())
-        router.send(signal.SIGCONT)
-
-    async def _reload_router(self):
-        self._router().send(signal.SIGHUP)
-
-    async def _send_signals(self):
-        """Sends signals in quick series, to one router or several."""
-        count = self._rng.randint(1, 2)
-        chosen = [self._router() for _ in range(count)]
-        for _ in range(self._rng.randint(2, MAX_SERIES_LENGTH)):
-            self._rng.choice(chosen).send(self._rng.choice(_SIGNALS))
-            await asyncio.sleep(self._rng.uniform(0, 0.4))
-
     # The store.
 
     async def _disrupt_store_connection(self):
--- a/tests/soak/routers.py
+++ b/tests/soak/routers.py
@@ -163,6 +163,17 @@
         self.signals.append((self._now(), number))
         self._process.send_signal(number)
 
+    async def wait_started_again(self):
+        """Waits for the next process; returns whether one was started."""
+        count = len(self.started_at)
+        try:
+            async with asyncio.timeout(GRACE_SECONDS + 2.0):
+                while len(self.started_at) == count:  # noqa: ASYNC110
+                    await asyncio.sleep(SAMPLE_INTERVAL_SECONDS / 5)
+        except TimeoutError:
+            return False
+        return True
+
     def peak_resident_bytes(self):
         """Returns the most memory that its process had at any time."""
         peak = process_status(self._process.pid).get("VmHWM", "0 kB")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,6 +17,7 @@
 from tests.soak import configs
 from tests.soak import connection
 from tests.soak import faults
+from tests.soak import payloads
 from tests.soak import routers
 from tests.soak import soak_run
 from tests.soak import unanswered
@@ -24,6 +25,7 @@
 SEED = 1
 SECONDS = 20.0
 DRILL_FAULTS = ("drill_store", "change_config")
+STOP_FAULTS = ("stop_starting_routers", "send_signals", "change_config")
 
 
 class SoakTest(unittest.TestCase):
@@ -41,6 +43,13 @@
         self.assertEqual(result.problems, [])
         self.assertGreater(len(result.findings.delays), 0)
 
+    def test_planned_stops_in_series_and_beside_each_other(self):
+        result = asyncio.run(
+            soak_run.run_seed(SEED, SECONDS, fault_names=STOP_FAULTS)
+        )
+        self.assertEqual(result.problems, [])
+        self.assertGreater(result.served, 0)
+
     def test_no_port_is_reserved_twice(self):
         reserved = routers.reserve_ports(500)
         try:
@@ -258,7 +267,7 @@
         self.assertFalse(run.has_broken_off)
 
     async def test_an_exit_breaks_off_what_still_runs(self):
-        reader = await self._open_stream(backend.LONG)
+        reader = await self._open_stream(payloads.LONG)
         await self.server.exit(0.1)
         with self.assertRaises(ConnectionResetError):
             while await reader.read(65536):
