--- a/packages/nutmeglift/nutmeglift/http_status.py
+++ b/packages/nutmeglift/nutmeglift/http_status.py
@@ -6,16 +6,13 @@
 
 
 def is_valid(status: int) -> bool:
-    """Returns whether HTTP has a class of such statuses.
+    """Returns whether a status belongs to one of the five classes.
 
-    A status of a class without meaning of its own is valid.
+    An unassigned status is treated like the first one of its class.
     """
     return MIN_STATUS <= status <= MAX_STATUS
 
 
 def is_final(status: int) -> bool:
-    """Returns whether a response with it ends an exchange.
-
-    Interim responses come before the final one.
-    """
+    """Returns whether a status is valid and not that of an interim response."""
     return MIN_FINAL_STATUS <= status <= MAX_STATUS
--- a/packages/nutmeglift/nutmeglift/plain_messages.py
+++ b/packages/nutmeglift/nutmeglift/plain_messages.py
@@ -64,10 +64,9 @@
 
 
 def check_outcome(outcome: PlainOutcome) -> PlainOutcome:
-    """Returns an outcome whose response, if any, has a status of HTTP.
+    """Returns the outcome, or an unknown one if its status is invalid.
 
-    A response with any other status tells nothing, also if another process, or
-    an earlier version, took it for one.
+    Agents of earlier versions report invalid statuses, and claims contain them.
     """
     if outcome.kind is not None or http_status.is_final(outcome.status):
         return outcome
@@ -78,7 +77,7 @@
         headers=(),
         body=b"",
         kind=errors.ErrorKind.OUTCOME_UNKNOWN,
-        detail=f"the response has no status of HTTP: {outcome.status}",
+        detail=f"the response has an invalid status: {outcome.status}",
     )
 
 
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/address_claims.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/address_claims.py
@@ -70,9 +70,9 @@
             del claims[min(claims.values(), key=self._rank).id]
 
     def keeps(self, listed: ClaimantT, server: ClaimantT) -> bool:
-        """Returns whether a listed lifetime stays beside another claim.
+        """Returns whether a lifetime stays listed despite another claim.
 
-        Of two that started at the same time, one is made up.
+        Of two with the same start time, the first one stays: one is made up.
 
         Args:
             listed: the lifetime.
@@ -156,10 +156,10 @@
                 del self._rejected[address]
 
     def _outlives(self, server: ClaimantT, listed: ClaimantT) -> bool:
-        """Returns whether a displaced entry is written, and the listed is not.
+        """Returns whether a displaced entry outlives the listed one.
 
-        One write may come late from a lifetime that has ended. This is the
-        second one since the listed entry was written.
+        It does if it was written twice since the listed entry was. A single
+        write may be a late one of a lifetime that has ended.
         """
         known = self._displaced.get(server.address, {}).get(server.id)
         return (
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/attempt.py
@@ -257,9 +257,10 @@
         self._finish(Outcome(retry_policy.Failure.LOST, detail=detail))
 
     def release(self) -> None:
-        """Ignores further events; drops callbacks that may refer to this.
+        """Drops the callbacks and ignores further events.
 
-        Otherwise the request would be kept until the garbage collector runs.
+        The callbacks may refer to this receiver. A reference cycle would keep
+        the request until the garbage collector runs.
         """
         self._on_events = None
         self._on_announcement = None
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/attempt_failures.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/attempt_failures.py
@@ -174,10 +174,10 @@
         """Excludes the server at fault, for all requests or for this one.
 
         A runner that is full according to this router's reservations rejects
-        requests for lack of memory and has some free again soon. One that
-        another entry names, or that holds other layers, says so, and may be
-        sound: its report tells. Any other runner that rejects requests is about
-        to shut down.
+        requests for lack of memory and has some free again soon. A misdirected
+        request was sent to another server, or for other layers, than the entry
+        states; the runner itself may be sound, so its report is read. Any other
+        runner that rejects requests is about to shut down.
         """
         board = self._context.board
         failure_recorder = self._context.failure_recorder
@@ -194,7 +194,7 @@
             if self._reject_lifetime(first_server):
                 self.tried.add(first_server.id)
                 return
-        elif misdirected and server is None:
+        elif misdirected and not outcome.fault:
             server = first_server
         at_fault = server or first_server
         if not misdirected and board.hold_offs.holds_off(at_fault.lifetime):
@@ -228,7 +228,7 @@
         A plain server rejects only requests that name another lifetime.
 
         Returns:
-            Whether there was one.
+            Whether the lifetime had displaced a server.
         """
         if not self._context.board.directory.reject_lifetime(_now(), server):
             return False
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/caller_request.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/caller_request.py
@@ -39,7 +39,7 @@
 
     @property
     def is_head(self) -> bool:
-        """Whether the response has no body."""
+        """Whether its method is HEAD, so that the response has no body."""
         return self.method == "HEAD"
 
     def get(self, name: bytes) -> bytes | None:
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/response_parser.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/response_parser.py
@@ -177,7 +177,7 @@
         if self._head_complete:
             return
         if not http_status.is_valid(status):
-            raise MalformedResponseError(f"no status of HTTP: {status:03}")
+            raise MalformedResponseError(f"invalid status: {status:03}")
         headers, self._headers = self._headers, []
         if not http_status.is_final(status):
             return
--- a/packages/nutmeglift_gateway/nutmeglift_gateway/stop_signal.py
+++ b/packages/nutmeglift_gateway/nutmeglift_gateway/stop_signal.py
@@ -13,7 +13,7 @@
 
 
 class BaseStopSignal(abc.ABC):
-    """The platform's request that the process ends."""
+    """The platform's request to end the process."""
 
     @abc.abstractmethod
     def watch(self, on_received: Callable[[], None]) -> None:
@@ -73,7 +73,7 @@
 
 
 class MemoryStopSignal(BaseStopSignal):
-    """A signal for tests, which was received at any time before.
+    """In-memory replacement for the platform's signal.
 
     Attributes:
         seconds: the age of the signal once it has been received.
--- a/packages/nutmeglift_wire/nutmeglift_wire/http_client.py
+++ b/packages/nutmeglift_wire/nutmeglift_wire/http_client.py
@@ -55,10 +55,10 @@
         return self._count_line(await super().readline())
 
     async def readuntil(self, separator: bytes = b"\n") -> bytes:
-        """Reads the first line of a head, after interim responses.
+        """Reads the first line of a head; skips interim responses.
 
-        The client takes any number for a status, and an interim response for
-        the answer.
+        The client itself accepts any number as a status, and takes an interim
+        response for the final one.
         """
         while True:
             try:
@@ -71,7 +71,7 @@
             if http_status.is_final(status):
                 return line
             if not http_status.is_valid(status):
-                self._fail(f"no status of HTTP: {line[:MAX_LOGGED_BYTES]!r}")
+                self._fail(f"invalid status: {line[:MAX_LOGGED_BYTES]!r}")
             if status == SWITCHING_PROTOCOLS:
                 self._fail("the protocol was switched")
             while (await self.readline()).strip():
--- a/tests/gateway/test_stop_signal.py
+++ b/tests/gateway/test_stop_signal.py
@@ -52,6 +52,13 @@
         self.now += 1.0
         self.assertEqual((self.calls, self.stop.age()), ([], 0.0))
 
+    def test_the_in_memory_twin(self):
+        self.stop = stop_signal.MemoryStopSignal(2.0, is_received=False)
+        self.stop.watch(self.record)
+        self.assertEqual((self.calls, self.stop.age()), ([], 0.0))
+        self.stop.receive()
+        self.assertEqual(self.calls, [2.0])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -184,7 +184,7 @@
             sent.ending = Ending.RESPONSE
             if not http_status.is_final(response.status):
                 self._problems.append(
-                    f"{sent.id}: no status of HTTP: {response.status}"
+                    f"{sent.id}: invalid status {response.status}"
                 )
         except connections.IncompleteResponseError as error:
             sent.ending = Ending.CLOSED
