--- a/tests/gateway/test_endless_memory.py
+++ b/tests/gateway/test_endless_memory.py
@@ -31,7 +31,7 @@
 """Longest wait for a response; a loaded machine is slow."""
 SOUND_INTERVAL_SECONDS = 0.02
 HELD_BYTES = sse.MAX_EVENT_BYTES - 2 * endless.PIECE_BYTES
-"""Bytes of a body or an event that is within every limit of its own."""
+"""Bytes of a body or an event that exceeds no limit by itself."""
 HELD_HEAD_BYTES = 60000
 HONEST_STATUSES = frozenset({502, 503, 504})
 DECLARED = b"HTTP/1.1 200 OK\r\nx-attempt-id: attempt-1\r\n" + (
--- a/tests/gateway/test_invalid_statuses.py
+++ b/tests/gateway/test_invalid_statuses.py
@@ -129,6 +129,18 @@
                 self.assertEqual(response.status, 200)
                 self.assertEqual(len(self.requests), 2)
 
+    async def test_a_second_attempt_at_a_stream(self):
+        sound = second.late(streams.stream(1, 9))
+        orders = {
+            "second": (sound, invalid("000")),
+            "first": (second.late(invalid("000")), sound),
+        }
+        for name, scripts in orders.items():
+            with self.subTest(name):
+                await self.add(*scripts, runner=True)
+                self.assertEqual(await self.event_ids(), list(range(1, 10)))
+                self.assertEqual(len(self.requests), 2)
+
 
 class ControlCallTest(test_platform_runners.PlaceTestCase):
     async def test_an_order_has_an_unknown_outcome(self):
--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -148,7 +148,7 @@
         await self.change_entry(EntryState.REMOVED)
 
     async def exit(self, seconds):
-        """Accepts no more connections and exits once its requests are done.
+        """Stops listening, and exits when its requests have ended.
 
         Args:
             seconds: time after which running requests are broken off.
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -17,7 +17,7 @@
 OK = 200
 SMALL = "small"
 POISON_EVERY = 3
-"""One in so many requests has the segment that ends runners."""
+"""Every third request has the segment that ends runners."""
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -23,7 +23,7 @@
 DRAIN_SECONDS = 2.0
 """Shortest time for which a leaving server serves on, as on the platform."""
 SETTLE_RATIO = 0.85
-"""Part of the draws in which the store is left alone if it was disturbed."""
+"""Part of the draws without store faults after a disturbance of the store."""
 _STORE_FAULTS = (
     "fail_store",
     "lapse_entries",
