--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -27,6 +27,12 @@
 """Changes of the store that are kept for watches."""
 MAX_LINES = 20000
 """Lines in a record."""
+MAX_BODY_BYTES = 1024 * 1024
+"""A body beyond this size can't be played."""
+MAX_ITEMS = 256
+MAX_LEASES = 64
+MAX_REQUESTS = 64
+"""Requests whose runs are kept."""
 HOST = "doc.example"
 KEY = "k-review-3"
 CONFIG_LIMITS = {
@@ -103,7 +109,10 @@
 
 
 async def read_body(reader, headers):
-    return await reader.readexactly(int(headers.get("content-length", 0)))
+    size = int(headers.get("content-length", 0))
+    if size > MAX_BODY_BYTES:
+        raise ConnectionError(f"a body of {size} bytes")
+    return await reader.readexactly(size)
 
 
 class Store:
@@ -224,6 +233,8 @@
                 return await self._watch(query)
             case ["kv-txn"]:
                 return self._transact(data)
+            case ["kv-lease"] if len(self._leases) >= MAX_LEASES:
+                return 429, {}
             case ["kv-lease"]:
                 lease, seconds = next(self._lease_ids), data["ttl_ms"] / 1000
                 self._leases[lease] = (seconds, now() + seconds, set())
@@ -266,6 +277,9 @@
                 }
         if any(p.get("lease") and p["lease"] not in self._leases for p in puts):
             return 404, {}
+        new = {p["key"] for p in puts} - self._items.keys()
+        if len(self._items) + len(new) > MAX_ITEMS:
+            return 429, {}
         if puts or data.get("remove"):
             self._apply(
                 [
@@ -373,10 +387,14 @@
         """Reads what a server runs, and how far it has come."""
         while line := (await process.stdout.readline()).decode().split():
             match line:
-                case ["run", request_id]:
+                case ["run", request_id] if (
+                    len(self.server_by_run) < MAX_REQUESTS
+                ):
                     self.server_by_run[request_id] = name
                     self.record.write("run", request_id, "at", name)
-                case ["sent", request_id, count]:
+                case ["sent", request_id, count] if (
+                    request_id in self.server_by_run
+                ):
                     self.count_by_run[request_id] = int(count)
 
     def kill(self, name):
@@ -446,12 +464,17 @@
     try:
         if headers.get("transfer-encoding") == "chunked":
             while size := int(await reader.readuntil(b"\r\n"), 16):
+                if len(body) + size > MAX_BODY_BYTES:
+                    raise ValueError("the answer is too large")
                 body += (await reader.readexactly(size + 2))[:-2]
             await reader.readexactly(2)
         elif "content-length" in headers:
-            body = await reader.readexactly(int(headers["content-length"]))
+            body = await read_body(reader, headers)
         else:
-            body = await reader.read()
+            while data := await reader.read(65536):
+                body += data
+                if len(body) > MAX_BODY_BYTES:
+                    raise ValueError("the answer is too large")
     except asyncio.IncompleteReadError as error:
         return Answer(status, headers, body + error.partial, False)
     except (ConnectionError, ValueError):
